--- /dev/null
+++ b/crates/cactuslane-standin/src/platform.rs
@@ -0,0 +1,383 @@
+//! The platform: the key-value service, the lagging instance list and the weight store.
+
+use std::collections::{BTreeMap, VecDeque};
+use std::io;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+
+use hyper::body::{Bytes, Incoming};
+use hyper::{Request, Response};
+use serde_json::{Value, json};
+use tokio::sync::{Notify, mpsc};
+use tokio::time::Instant;
+
+use crate::faults::{FaultKind, Faults};
+use crate::http::{self, Answer, Body, Server};
+use crate::kv::{self, Kv};
+
+/// Is the name under which fault tables address the platform.
+pub const NAME: &str = "platform";
+
+/// Is a running platform.
+#[derive(Debug)]
+pub struct Platform {
+    /// Is the HTTP server.
+    server: Server,
+    /// Is the state behind it.
+    state: Arc<State>,
+}
+
+/// Is one instance of the list.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Instance {
+    /// Is the address that it serves on.
+    pub address: SocketAddr,
+    /// Holds its labels.
+    pub labels: BTreeMap<String, String>,
+}
+
+/// Counts what the platform was asked.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Counts {
+    /// Counts reads.
+    pub reads: u64,
+    /// Counts writes, lease calls included.
+    pub writes: u64,
+    /// Counts watches.
+    pub watches: u64,
+    /// Counts readings of the instance list.
+    pub lists: u64,
+}
+
+/// Is the state of a platform.
+#[derive(Debug)]
+struct State {
+    /// Holds what is guarded.
+    inner: Mutex<Inner>,
+    /// Wakes watches.
+    changed: Notify,
+    /// Is the table of faults.
+    faults: Faults,
+    /// Is the origin of the clock.
+    start: Instant,
+    /// Is how far the list is behind.
+    lag: Duration,
+}
+
+/// Is the guarded state.
+#[derive(Debug, Default)]
+struct Inner {
+    /// Is the key-value service.
+    kv: Kv,
+    /// Holds the list, as it is.
+    instances: BTreeMap<String, Instance>,
+    /// Holds earlier lists, with the time from which each is shown.
+    shown: VecDeque<(Instant, BTreeMap<String, Instance>)>,
+    /// Says whether all calls fail.
+    down: bool,
+    /// Counts the calls.
+    counts: Counts,
+    /// Is the time of the next grant of the weight store.
+    next_weights: Option<Instant>,
+}
+
+impl Platform {
+    /// Binds a platform whose instance list lags.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error where the address cannot be bound.
+    pub async fn bind(address: SocketAddr, faults: Faults, lag: Duration) -> io::Result<Self> {
+        let state = Arc::new(State {
+            inner: Mutex::default(),
+            changed: Notify::new(),
+            faults,
+            start: Instant::now(),
+            lag,
+        });
+        let handler_state = Arc::clone(&state);
+        let server = Server::bind(address, move |request| {
+            handle(Arc::clone(&handler_state), request)
+        })
+        .await?;
+        Ok(Self { server, state })
+    }
+
+    /// Returns the address of all its services.
+    #[must_use]
+    pub fn address(&self) -> SocketAddr {
+        self.server.address
+    }
+
+    /// Puts an instance into the list, or changes it.
+    pub fn list(&self, name: &str, address: SocketAddr, labels: &[(&str, &str)]) {
+        let mut labels: BTreeMap<String, String> = labels
+            .iter()
+            .map(|(k, v)| ((*k).to_owned(), (*v).to_owned()))
+            .collect();
+        labels.insert("instance".to_owned(), name.to_owned());
+        let mut inner = self.state.lock();
+        inner
+            .instances
+            .insert(name.to_owned(), Instance { address, labels });
+        inner.show(self.state.lag);
+    }
+
+    /// Marks an instance of the list as leaving.
+    pub fn mark_leaving(&self, name: &str) {
+        let mut inner = self.state.lock();
+        if let Some(instance) = inner.instances.get_mut(name) {
+            instance
+                .labels
+                .insert("state".to_owned(), "leaving".to_owned());
+        }
+        inner.show(self.state.lag);
+    }
+
+    /// Removes an instance from the list.
+    pub fn unlist(&self, name: &str) {
+        let mut inner = self.state.lock();
+        inner.instances.remove(name);
+        inner.show(self.state.lag);
+    }
+
+    /// Writes a key directly, as an operator with the platform's own tools would.
+    pub fn put(&self, key: &str, value: &[u8]) {
+        use base64::Engine;
+        let encode = |bytes: &[u8]| base64::engine::general_purpose::STANDARD.encode(bytes);
+        let put = json!({ "key": encode(key.as_bytes()), "value": encode(value) });
+        let mut inner = self.state.lock();
+        inner
+            .kv
+            .txn(&json!({ "success": [{ "request_put": put }] }));
+        self.state.changed.notify_waiters();
+    }
+
+    /// Takes the platform down or up.
+    pub fn set_down(&self, down: bool) {
+        self.state.lock().down = down;
+        self.state.changed.notify_waiters();
+    }
+
+    /// Lets all leases lapse at once.
+    pub fn lapse_all(&self) {
+        self.state.lock().kv.lapse_all();
+        self.state.changed.notify_waiters();
+    }
+
+    /// Compacts the history that watches read.
+    pub fn compact(&self) {
+        self.state.lock().kv.compact();
+    }
+
+    /// Returns the counts of calls.
+    #[must_use]
+    pub fn counts(&self) -> Counts {
+        self.state.lock().counts
+    }
+}
+
+impl State {
+    /// Locks the state and ends lapsed leases.
+    fn lock(&self) -> MutexGuard<'_, Inner> {
+        let mut inner = self.inner.lock().unwrap_or_else(PoisonError::into_inner);
+        inner.kv.expire(self.now());
+        inner
+    }
+
+    /// Returns the milliseconds since the start.
+    fn now(&self) -> u64 {
+        self.start.elapsed().as_millis() as u64
+    }
+}
+
+impl Inner {
+    /// Records that the list has changed, to be shown after the lag.
+    fn show(&mut self, lag: Duration) {
+        let instances = self.instances.clone();
+        self.shown.push_back((Instant::now() + lag, instances));
+    }
+
+    /// Returns the list as it is shown now.
+    fn visible(&mut self) -> Value {
+        let now = Instant::now();
+        while self.shown.len() > 1 && self.shown[1].0 <= now {
+            self.shown.pop_front();
+        }
+        let empty = BTreeMap::new();
+        let list = match self.shown.front() {
+            Some((at, list)) if *at <= now => list,
+            _ => &empty,
+        };
+        let group = |instance: &Instance| json!({ "targets": [instance.address.to_string()], "labels": instance.labels });
+        Value::Array(list.values().map(group).collect())
+    }
+}
+
+/// Answers one request.
+async fn handle(state: Arc<State>, request: Request<Incoming>) -> Answer {
+    let path = request.uri().path().to_owned();
+    if path == "/stand-in/faults" {
+        return set_faults(&state, request).await;
+    }
+    let kind = operation(&path);
+    if state.lock().down {
+        return Err(http::closed());
+    }
+    let fault = state.faults.take(NAME, kind);
+    if fault
+        .as_ref()
+        .is_some_and(|fault| fault.kind == FaultKind::Down)
+    {
+        return Err(http::closed());
+    }
+    let body = http::read(request.into_body()).await?;
+    let body: Value = serde_json::from_slice(&body).unwrap_or(Value::Null);
+    if path == "/v3/watch" {
+        state.lock().counts.watches += 1;
+        return Ok(watch(state, &body["create_request"]));
+    }
+    let answer = answer(&state, &path, &body);
+    http::afflict(answer, fault).await
+}
+
+/// Returns the operation of a path as fault tables name it.
+fn operation(path: &str) -> &'static str {
+    match path {
+        "/v3/kv/range" => "read",
+        "/v3/kv/txn" => "write",
+        "/v3/watch" => "watch",
+        "/instances" => "list",
+        "/weights" => "weights",
+        _ => "lease",
+    }
+}
+
+/// Executes one call that is answered at once.
+fn answer(state: &State, path: &str, body: &Value) -> Response<Body> {
+    let now = state.now();
+    let mut inner = state.lock();
+    match path {
+        "/v3/kv/range" => {
+            inner.counts.reads += 1;
+            http::json(200, &inner.kv.range(body))
+        }
+        "/v3/kv/txn" => {
+            inner.counts.writes += 1;
+            let answer = inner.kv.txn(body);
+            state.changed.notify_waiters();
+            http::json(200, &answer)
+        }
+        "/v3/lease/grant" => {
+            inner.counts.writes += 1;
+            http::json(200, &inner.kv.grant(body, now))
+        }
+        "/v3/lease/keepalive" => {
+            inner.counts.writes += 1;
+            http::json(200, &inner.kv.keepalive(body, now))
+        }
+        "/instances" => {
+            inner.counts.lists += 1;
+            http::json(200, &inner.visible())
+        }
+        "/weights" => weights(&mut inner),
+        _ => http::json(404, &json!({ "error": "no such call" })),
+    }
+}
+
+/// Grants one load of weights, or says how long to wait.
+fn weights(inner: &mut Inner) -> Response<Body> {
+    /// Least time between two loads.
+    const INTERVAL: Duration = Duration::from_secs(2);
+    let now = Instant::now();
+    match inner.next_weights {
+        Some(next) if next > now => {
+            let wait = (next - now).as_millis() as u64;
+            http::json(429, &json!({ "retry_after_ms": wait }))
+        }
+        _ => {
+            inner.next_weights = Some(now + INTERVAL);
+            http::json(200, &json!({ "granted": true }))
+        }
+    }
+}
+
+/// Streams the changes of one key.
+fn watch(state: Arc<State>, request: &Value) -> Response<Body> {
+    let key = kv::bytes(&request["key"]);
+    let mut from = kv::number(&request["start_revision"]);
+    let (sender, receiver) = mpsc::channel(8);
+    tokio::spawn(async move {
+        let created = json!({ "result": { "created": true } });
+        if send_line(&sender, &created).await.is_err() {
+            return;
+        }
+        loop {
+            let changed = state.changed.notified();
+            let (line, next) = {
+                let inner = state.lock();
+                if inner.down {
+                    break;
+                }
+                watch_line(&inner.kv, &key, from)
+            };
+            if let Some(line) = line
+                && send_line(&sender, &line).await.is_err()
+            {
+                return;
+            }
+            let Some(next) = next else { return };
+            from = next;
+            tokio::select! {
+                () = changed => {}
+                () = sender.closed() => return,
+            }
+        }
+        let _ = sender.send(Err(http::closed())).await;
+    });
+    Response::new(http::streamed(receiver))
+}
+
+/// Returns the next line of a watch and the revision to go on from; none at its end.
+fn watch_line(kv: &Kv, key: &[u8], from: u64) -> (Option<Value>, Option<u64>) {
+    match kv.changes(key, from) {
+        Err(floor) => {
+            let line =
+                json!({ "result": { "canceled": true, "compact_revision": floor.to_string() } });
+            (Some(line), None)
+        }
+        Ok(events) => {
+            let next = Some(from.max(kv.revision() + 1));
+            if events.is_empty() {
+                return (None, next);
+            }
+            (
+                Some(json!({ "result": { "header": kv.header(), "events": events } })),
+                next,
+            )
+        }
+    }
+}
+
+/// Sends one line of a watch.
+async fn send_line(sender: &mpsc::Sender<io::Result<Bytes>>, line: &Value) -> Result<(), ()> {
+    let bytes = Bytes::from(format!("{line}\n"));
+    sender.send(Ok(bytes)).await.map_err(|_| ())
+}
+
+/// Replaces the table of faults.
+async fn set_faults(state: &State, request: Request<Incoming>) -> Answer {
+    let body = http::read(request.into_body()).await?;
+    let table: Result<Vec<crate::faults::Fault>, _> = serde_json::from_slice(&body);
+    match table {
+        Ok(table) => {
+            state.faults.clear();
+            for fault in table {
+                state.faults.add(fault);
+            }
+            Ok(http::json(200, &json!({})))
+        }
+        Err(error) => Ok(http::json(400, &json!({ "error": error.to_string() }))),
+    }
+}
--- /dev/null
+++ b/crates/cactuslane-store/src/list.rs
@@ -0,0 +1,95 @@
+//! The platform's lagging list of instances, in Prometheus's HTTP service discovery format.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use cactuslane_types::{DomainName, InstanceId, ServiceName};
+use serde::Deserialize;
+
+use crate::http::{Client, HttpError};
+
+/// Longest time that reading the list may take.
+const LIST_TIMEOUT: Duration = Duration::from_secs(2);
+
+/// Is one instance of the list.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Listed {
+    /// Names the instance.
+    pub instance: InstanceId,
+    /// Is the address that it serves on.
+    pub address: SocketAddr,
+    /// Is its kind.
+    pub kind: ListedKind,
+    /// Is its failure domain.
+    pub domain: DomainName,
+    /// Is the model or plain service that it serves; empty for an entry.
+    pub service: ServiceName,
+    /// Says whether it is leaving.
+    pub leaving: bool,
+    /// Is the address for UDP of an entry.
+    pub gossip: Option<SocketAddr>,
+}
+
+/// Is the kind of a listed instance.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ListedKind {
+    /// An entry instance of this system.
+    Entry,
+    /// A model engine.
+    Engine,
+    /// A worker of a plain service.
+    Service,
+}
+
+/// Is one group of the published format.
+#[derive(Debug, Deserialize)]
+struct Group {
+    /// Holds addresses.
+    targets: Vec<String>,
+    /// Holds the labels of all addresses of the group.
+    #[serde(default)]
+    labels: BTreeMap<String, String>,
+}
+
+/// Reads the list; entries that cannot be understood are left out.
+///
+/// # Errors
+///
+/// Returns an error where no whole list comes in time.
+pub async fn read(client: &Client, address: SocketAddr) -> Result<Vec<Listed>, HttpError> {
+    let (status, value) = client.get_json(address, "/instances", LIST_TIMEOUT).await?;
+    if status != 200 {
+        return Err(HttpError::Broken(format!("status {status}")));
+    }
+    let groups: Vec<Group> =
+        serde_json::from_value(value).map_err(|error| HttpError::Broken(error.to_string()))?;
+    Ok(groups.iter().flat_map(listed).collect())
+}
+
+/// Turns one group into instances.
+fn listed(group: &Group) -> Vec<Listed> {
+    let label = |name: &str| group.labels.get(name).cloned().unwrap_or_default();
+    let kind = match label("kind").as_str() {
+        "entry" => ListedKind::Entry,
+        "engine" => ListedKind::Engine,
+        "service" => ListedKind::Service,
+        _ => return Vec::new(),
+    };
+    let mut instances = Vec::new();
+    for target in &group.targets {
+        let Ok(address) = target.parse() else {
+            continue;
+        };
+        instances.push(Listed {
+            instance: label("instance"),
+            address,
+            kind,
+            domain: label("failure_domain"),
+            service: label("service"),
+            leaving: label("state") == "leaving",
+            gossip: label("gossip").parse().ok(),
+        });
+    }
+    instances
+}
--- /dev/null
+++ b/crates/cactuslane/src/check.rs
@@ -0,0 +1,68 @@
+//! Checks of files without starting anything.
+
+use argh::FromArgs;
+use cactuslane_config::document::hash_token as hash;
+use cactuslane_config::{Document, Fault, Settings};
+
+use crate::CommandError;
+
+/// checks a configuration document, or settings with --settings; every fault is printed with its
+/// place and a hint
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "check")]
+pub struct CheckCommand {
+    /// the file holds settings of an instance
+    #[argh(switch)]
+    settings: bool,
+    /// the file
+    #[argh(positional)]
+    file: String,
+}
+
+/// prints the hash of a token as the configuration holds it
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "hash-token")]
+pub struct HashTokenCommand {
+    /// the token
+    #[argh(positional)]
+    token: String,
+}
+
+/// Checks a file.
+pub fn execute(command: &CheckCommand) -> Result<(), CommandError> {
+    let text = read(&command.file)?;
+    if command.settings {
+        Settings::parse(&command.file, &text).map_err(|faults| report(&faults))?;
+    } else {
+        Document::parse(&command.file, &text).map_err(|faults| report(&faults))?;
+    }
+    println!("{} has no faults", command.file);
+    Ok(())
+}
+
+/// Prints the hash of a token.
+pub fn hash_token(command: &HashTokenCommand) -> Result<(), CommandError> {
+    if command.token.is_empty() {
+        return Err(CommandError::Usage(
+            "the token is empty; give a long random text".to_owned(),
+        ));
+    }
+    println!("{}", hash(&command.token));
+    Ok(())
+}
+
+/// Reads a file.
+pub fn read(file: &str) -> Result<String, CommandError> {
+    std::fs::read_to_string(file)
+        .map_err(|error| CommandError::Usage(format!("{file}: {error}; check the path")))
+}
+
+/// Turns faults into an error, one a line.
+pub fn report(faults: &[Fault]) -> CommandError {
+    let lines: Vec<String> = faults.iter().map(ToString::to_string).collect();
+    let count = lines.len();
+    CommandError::Usage(format!(
+        "{count} faults, nothing was changed\n{}",
+        lines.join("\n")
+    ))
+}
--- /dev/null
+++ b/crates/cactuslane/src/main.rs
@@ -0,0 +1,65 @@
+//! Command line of the serving system.
+//!
+//! Exit codes: 0 for success, 1 for a command that failed, 2 for wrong arguments or files.
+
+mod check;
+mod demo;
+mod logs;
+mod run;
+
+use std::process::ExitCode;
+
+use argh::FromArgs;
+
+/// Serves language models and plain services on a fixed fleet.
+#[derive(Debug, FromArgs)]
+struct Arguments {
+    /// what to do
+    #[argh(subcommand)]
+    command: Command,
+}
+
+/// Is a command.
+#[derive(Debug, FromArgs)]
+#[argh(subcommand)]
+enum Command {
+    /// Runs one entry instance.
+    Run(run::RunCommand),
+    /// Checks a file.
+    Check(check::CheckCommand),
+    /// Prints the hash of a token.
+    HashToken(check::HashTokenCommand),
+    /// Runs a whole deployment on stand-ins.
+    Demo(demo::DemoCommand),
+}
+
+/// Says how a command failed.
+#[derive(Debug)]
+enum CommandError {
+    /// The arguments or a file are wrong; exit code 2.
+    Usage(String),
+    /// The command itself failed; exit code 1.
+    Failed(String),
+}
+
+#[tokio::main]
+async fn main() -> ExitCode {
+    let arguments: Arguments = argh::from_env();
+    let result = match arguments.command {
+        Command::Run(command) => run::execute(command).await,
+        Command::Check(command) => check::execute(&command),
+        Command::HashToken(command) => check::hash_token(&command),
+        Command::Demo(command) => demo::execute(command).await,
+    };
+    match result {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(CommandError::Usage(message)) => {
+            eprintln!("cactuslane: {message}");
+            ExitCode::from(2)
+        }
+        Err(CommandError::Failed(message)) => {
+            eprintln!("cactuslane: {message}");
+            ExitCode::FAILURE
+        }
+    }
+}
--- /dev/null
+++ b/crates/cactuslane/src/run.rs
@@ -0,0 +1,49 @@
+//! Running of one entry instance.
+
+use argh::FromArgs;
+use cactuslane_config::Settings;
+use cactuslane_entry::Entry;
+use log::LevelFilter;
+use tokio::signal::unix::{SignalKind, signal};
+
+use crate::check::{read, report};
+use crate::{CommandError, logs};
+
+/// runs one entry instance until SIGTERM, Ctrl-C or the instance list tells it to leave; each is a
+/// graceful stop
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "run")]
+pub struct RunCommand {
+    /// the settings of the instance, JSON with comments
+    #[argh(option)]
+    settings: String,
+}
+
+/// Runs one entry instance.
+pub async fn execute(command: RunCommand) -> Result<(), CommandError> {
+    let text = read(&command.settings)?;
+    let settings = Settings::parse(&command.settings, &text).map_err(|faults| report(&faults))?;
+    logs::start(settings.json_logs, LevelFilter::Info);
+    let name = settings.instance.clone();
+    let domain = settings.domain.clone();
+    let entry = Entry::spawn(settings)
+        .await
+        .map_err(|error| CommandError::Failed(error.to_string()))?;
+    println!("entry {name} http://{} {domain}", entry.address());
+    tokio::select! {
+        result = stop_signal() => result?,
+        () = entry.told_to_leave() => {}
+    }
+    entry.stop().await;
+    Ok(())
+}
+
+/// Waits for SIGTERM or Ctrl-C.
+pub async fn stop_signal() -> Result<(), CommandError> {
+    let failed = |error: std::io::Error| CommandError::Failed(error.to_string());
+    let mut terminate = signal(SignalKind::terminate()).map_err(failed)?;
+    tokio::select! {
+        _ = terminate.recv() => Ok(()),
+        result = tokio::signal::ctrl_c() => result.map_err(failed),
+    }
+}
