--- /dev/null
+++ b/crates/cactuslane-bench/src/planners.rs
@@ -0,0 +1,92 @@
+//! The role planners that are compared.
+
+use std::collections::BTreeMap;
+
+use cactuslane_roles::{Change, Mix, PlanParams, Planner, Rates};
+use cactuslane_route::Speed;
+use cactuslane_types::{Role, TargetId};
+
+use crate::policy::Policy;
+use crate::scenario::Scenario;
+use crate::trace::{Request, mix_between};
+
+/// Time between two looks, in microseconds.
+pub const PLAN_INTERVAL: u64 = 5_000_000;
+/// Time for which a change must pay, in milliseconds.
+const PAYBACK_MS: f64 = 120_000.0;
+/// Time that a change takes an engine away, in milliseconds.
+pub const CHANGE_MS: f64 = 6_000.0;
+
+/// Plans the roles of a run.
+#[derive(Clone, Debug)]
+pub struct RolePlanner {
+    /// Is the policy.
+    policy: Policy,
+    /// Is the product's planner.
+    planner: Planner,
+}
+
+impl RolePlanner {
+    /// Creates the planner of a policy.
+    #[must_use]
+    pub fn new(policy: Policy, scenario: &Scenario, speed: &Speed) -> Self {
+        let weight = match policy {
+            Policy::Clairvoyant => 0.0,
+            _ => scenario.fleet.change_weight,
+        };
+        let params = PlanParams {
+            rates: Rates::of(speed),
+            change_ms: CHANGE_MS,
+            change_weight: weight,
+            payback_ms: PAYBACK_MS,
+        };
+        Self { policy, planner: Planner::new(params) }
+    }
+
+    /// Takes in the demand of the last interval and returns a change.
+    pub fn plan(
+        &mut self,
+        demand: (f64, f64),
+        roles: &BTreeMap<TargetId, (Role, usize)>,
+        trace: &[Request],
+        now: u64,
+    ) -> Option<Change> {
+        /// Time that a planner which knows the trace looks ahead, in microseconds.
+        const AHEAD: u64 = 60_000_000;
+        let mix = Mix { prefill: demand.0, decode: demand.1 };
+        match self.policy {
+            Policy::Cactuslane => {
+                self.planner.forecast.observe(mix);
+                self.planner.plan(roles, now / 1000)
+            }
+            Policy::Clairvoyant => {
+                let (prefill, decode) = mix_between(trace, now, now + AHEAD);
+                self.planner.plan_for(roles, Mix { prefill, decode }, 0.0, now / 1000)
+            }
+            Policy::Threshold => threshold(&self.planner.params.rates, mix, roles),
+            _ => None,
+        }
+    }
+}
+
+/// Returns the change that brings the number of prefill engines towards the demand of now.
+fn threshold(
+    rates: &Rates,
+    mix: Mix,
+    roles: &BTreeMap<TargetId, (Role, usize)>,
+) -> Option<Change> {
+    let prefill = mix.prefill / rates.prefill;
+    let decode = mix.decode / rates.decode;
+    let engines = roles.len() as f64;
+    let wanted = (engines * prefill / (prefill + decode).max(1e-9)).round();
+    let wanted = wanted.clamp(1.0, engines - 1.0) as usize;
+    let have = roles.values().filter(|(role, _)| *role == Role::Prefill).count();
+    let (from, to) = match have.cmp(&wanted) {
+        std::cmp::Ordering::Less => (Role::Decode, Role::Prefill),
+        std::cmp::Ordering::Greater => (Role::Prefill, Role::Decode),
+        std::cmp::Ordering::Equal => return None,
+    };
+    let able = roles.iter().filter(|(_, (role, _))| *role == from);
+    let (target, _) = able.min_by_key(|(_, (_, streams))| *streams)?;
+    Some(Change { target: target.clone(), role: to })
+}
--- /dev/null
+++ b/crates/cactuslane-bench/src/sim/entry.rs
@@ -0,0 +1,143 @@
+//! The entry instances of a run.
+
+use std::collections::BTreeMap;
+
+use cactuslane_route::{Ask, FairQueue, OutputGuess, RouteParams, Router, Speed};
+use rand::{Rng, SeedableRng};
+use rand_pcg::Pcg64Mcg;
+
+use super::run::Run;
+use crate::policy::Policy;
+use crate::scenario::FleetSpec;
+use crate::trace::Request;
+
+/// Name of the only model.
+pub const MODEL: &str = "model";
+
+/// Is one entry instance.
+pub struct SimEntry {
+    /// Decides where requests go.
+    pub router: Router,
+    /// Orders waiting requests.
+    pub queue: FairQueue,
+    /// Is when the queue is looked at next.
+    pub next_look: u64,
+    /// Holds which engines serve, as the entry knows.
+    pub serving: BTreeMap<usize, bool>,
+    /// Holds the requests of tickets.
+    tickets: BTreeMap<u64, usize>,
+    /// Learns the length of answers.
+    outputs: OutputGuess,
+    /// Counts dispatches, for policies that take turns.
+    turn: usize,
+    /// Is the source of randomness of simple policies.
+    random: Pcg64Mcg,
+}
+
+impl SimEntry {
+    /// Creates an entry instance.
+    pub fn new(policy: Policy, speed: Speed, peers: usize, seed: u64) -> Self {
+        let mut router = Router::new(seed);
+        router.speed = speed;
+        router.picture.peers = peers;
+        if policy == Policy::Clairvoyant {
+            router.params = RouteParams { noise: 0.01, noise_age: 0.0, ..RouteParams::default() };
+        }
+        Self {
+            router,
+            queue: FairQueue::default(),
+            next_look: 0,
+            serving: BTreeMap::new(),
+            tickets: BTreeMap::new(),
+            outputs: OutputGuess::default(),
+            turn: seed as usize,
+            random: Pcg64Mcg::seed_from_u64(seed),
+        }
+    }
+
+    /// Puts a request into the queue; one that broke goes first.
+    pub fn push(&mut self, index: usize, request: &Request, tokens: u32) {
+        let priority = u8::from(tokens == 0);
+        let cost = f64::from(request.prompt) + f64::from(self.reserve(request));
+        let caller = caller_name(request.caller);
+        let ticket = self.queue.push(&caller, priority, cost, 1.0);
+        self.tickets.insert(ticket, index);
+    }
+
+    /// Returns the first requests of the queue with their tickets.
+    pub fn head(&self, count: usize) -> Vec<(u64, usize)> {
+        self.queue.tickets().take(count).map(|ticket| (ticket, self.tickets[&ticket])).collect()
+    }
+
+    /// Removes a ticket.
+    pub fn remove(&mut self, ticket: u64, served: bool) {
+        self.queue.remove(ticket, served);
+        self.tickets.remove(&ticket);
+    }
+
+    /// Returns the output tokens to expect of a request.
+    pub fn reserve(&self, request: &Request) -> u32 {
+        self.outputs.reserve(&output_key(request), request.limit)
+    }
+
+    /// Builds what the router is asked.
+    pub fn ask(&self, request: &Request, run: &Run, fleet: &FleetSpec, exact: bool) -> Ask {
+        let output = if exact { request.output } else { self.reserve(request) };
+        let patience = if run.tokens > 0 { 4.0 } else { 1.0 };
+        Ask {
+            service: MODEL.to_owned(),
+            domain: String::new(),
+            prompt: request.prompt + run.tokens,
+            output: output.saturating_sub(run.tokens).max(1),
+            blocks: request.blocks.clone(),
+            first_bound: fleet.first_bound * patience,
+            between_bound: fleet.between_bound,
+            tried: Vec::new(),
+        }
+    }
+
+    /// Learns from a whole answer.
+    pub fn finished(&mut self, request: &Request, engine: &str, now: u64) {
+        self.outputs.observed(&output_key(request), request.output, request.limit);
+        self.router.prefixes.stored(engine, &request.blocks, now);
+    }
+
+    /// Chooses an engine by a simple policy.
+    pub fn choose_simply(&mut self, policy: Policy, engines: usize) -> usize {
+        let mut able: Vec<usize> =
+            (0..engines).filter(|e| self.serving.get(e).copied().unwrap_or(true)).collect();
+        if able.is_empty() {
+            able = (0..engines).collect();
+        }
+        self.turn += 1;
+        let load = |engine: usize| self.router.picture.outstanding(&engine_name(engine));
+        match policy {
+            Policy::RandomOfTwo => {
+                let a = able[self.random.random_range(0..able.len())];
+                let b = able[self.random.random_range(0..able.len())];
+                if load(a) <= load(b) { a } else { b }
+            }
+            Policy::LeastOutstanding => {
+                let start = self.turn % able.len();
+                let order = able[start..].iter().chain(&able[..start]);
+                order.min_by_key(|engine| load(**engine)).copied().unwrap_or_default()
+            }
+            _ => able[self.turn % able.len()],
+        }
+    }
+}
+
+/// Returns the name of an engine.
+fn engine_name(engine: usize) -> String {
+    format!("engine-{engine:03}")
+}
+
+/// Returns the name of a caller.
+fn caller_name(caller: usize) -> String {
+    format!("caller-{caller}")
+}
+
+/// Returns the key under which the length of answers is learnt.
+fn output_key(request: &Request) -> String {
+    format!("{}/{}", caller_name(request.caller), request.limit)
+}
--- a/crates/cactuslane-entry/src/authority/planner.rs
+++ b/crates/cactuslane-entry/src/authority/planner.rs
@@ -109,7 +109,7 @@
         let work = shared.authority().work(now);
         for (model, capacity) in &config.document.roles {
             let params = PlanParams {
-                rates: rates(&Speed::default()),
+                rates: Rates::of(&Speed::default()),
                 change_ms: capacity.change_time.as_secs_f64() * 1000.0,
                 change_weight: capacity.change_weight,
                 payback_ms: capacity.payback.as_secs_f64() * 1000.0,
@@ -147,22 +147,6 @@
     }
 }
 
-/// Returns the capacity of an engine in each role, from its speed at a usual load.
-pub fn rates(speed: &Speed) -> Rates {
-    /// Number of streams that an engine generates at once at a usual load.
-    const STREAMS: f64 = 60.0;
-    /// Number of tokens in their contexts.
-    const CONTEXT: f64 = 90_000.0;
-    let decode = STREAMS / speed.decode_step(STREAMS, CONTEXT);
-    Rates {
-        prefill: speed.prefill_rate(),
-        decode,
-        mixed_prefill: speed.chunk
-            / (speed.chunk * speed.prefill_ms * speed.mixing + speed.step_ms),
-        mixed_decode: decode / speed.mixing,
-    }
-}
-
 /// Returns the targets as the planner sees them.
 fn seen(shared: &Shared, now: Millis) -> BTreeMap<TargetId, Seen> {
     let targets = shared.routing().targets().clone();
--- a/crates/cactuslane-roles/src/lib.rs
+++ b/crates/cactuslane-roles/src/lib.rs
@@ -7,6 +7,7 @@
 
 use std::collections::BTreeMap;
 
+use cactuslane_route::Speed;
 use cactuslane_types::{Millis, Role, TargetId};
 
 pub use forecast::{Forecast, Mix};
@@ -93,12 +94,24 @@
         now: Millis,
     ) -> Option<Change> {
         let mix = self.forecast.at(self.params.payback_ms / 2.0)?;
+        let doubt = self.forecast.doubt() * DOUBT;
+        self.plan_for(roles, mix, doubt, now)
+    }
+
+    /// Returns the change to make now for a mix that may be off by a share, if one pays.
+    pub fn plan_for(
+        &mut self,
+        roles: &BTreeMap<TargetId, (Role, usize)>,
+        mix: Mix,
+        doubt: f64,
+        now: Millis,
+    ) -> Option<Change> {
         let split = Split::of(roles);
         let current = self.params.rates.utilization(split, mix);
         if current < COMFORT {
             return None;
         }
-        let (best, gain) = self.best_step(split, mix)?;
+        let (best, gain) = self.best_step(split, mix, doubt)?;
         if gain <= 0.0 {
             return None;
         }
@@ -113,11 +126,11 @@
     }
 
     /// Returns the best split that differs by one engine, with its net gain in engine seconds.
-    fn best_step(&self, split: Split, mix: Mix) -> Option<(Split, f64)> {
+    fn best_step(&self, split: Split, mix: Mix, doubt: f64) -> Option<(Split, f64)> {
         let engines = (split.prefill + split.decode + split.mixed) as f64;
         let mut best: Option<(Split, f64)> = None;
         for next in split.neighbours() {
-            let gain = self.sure_gain(split, next, mix);
+            let gain = self.sure_gain(split, next, mix, doubt);
             let saved = gain * engines * self.params.payback_ms / 1000.0;
             let cost = self.params.change_ms / 1000.0 + self.params.change_weight;
             let net = saved - cost;
@@ -129,9 +142,8 @@
     }
 
     /// Returns the utilization that a step saves, at the least over the forecast's doubt.
-    fn sure_gain(&self, from: Split, to: Split, mix: Mix) -> f64 {
+    fn sure_gain(&self, from: Split, to: Split, mix: Mix, doubt: f64) -> f64 {
         let rates = &self.params.rates;
-        let doubt = self.forecast.doubt() * DOUBT;
         let mut least = f64::INFINITY;
         for shift in [-doubt, 0.0, doubt] {
             let shifted = mix.shifted(shift);
@@ -166,6 +178,23 @@
 }
 
 impl Rates {
+    /// Returns the capacity of an engine from its speed at a usual load.
+    #[must_use]
+    pub fn of(speed: &Speed) -> Self {
+        /// Number of streams that an engine generates at once at a usual load.
+        const STREAMS: f64 = 60.0;
+        /// Number of tokens in their contexts.
+        const CONTEXT: f64 = 90_000.0;
+        let decode = STREAMS / speed.decode_step(STREAMS, CONTEXT);
+        let prefill_step = speed.chunk * speed.prefill_ms * speed.mixing + speed.step_ms;
+        Self {
+            prefill: speed.prefill_rate(),
+            decode,
+            mixed_prefill: speed.chunk / prefill_step,
+            mixed_decode: decode / speed.mixing,
+        }
+    }
+
     /// Returns the least utilization at which a split serves a mix; above 1 it falls short.
     ///
     /// Mixed engines take what the others leave, dividing their time between both kinds of work.
--- a/crates/cactuslane/src/main.rs
+++ b/crates/cactuslane/src/main.rs
@@ -2,6 +2,7 @@
 //!
 //! Exit codes: 0 for success, 1 for a command that failed, 2 for wrong arguments or files.
 
+mod bench;
 mod check;
 mod demo;
 mod logs;
@@ -29,6 +30,8 @@
     Check(check::CheckCommand),
     /// Prints the hash of a token.
     HashToken(check::HashTokenCommand),
+    /// Compares the decisions with simpler ones.
+    Bench(bench::BenchCommand),
     /// Runs a whole deployment on stand-ins.
     Demo(demo::DemoCommand),
 }
@@ -49,6 +52,7 @@
         Command::Run(command) => run::execute(command).await,
         Command::Check(command) => check::execute(&command),
         Command::HashToken(command) => check::hash_token(&command),
+        Command::Bench(command) => bench::execute(&command),
         Command::Demo(command) => demo::execute(command).await,
     };
     match result {
