Tell other instances what is in progress at each target

Change: Picture::heard takes in, per target, another instance's waiting prompt tokens, streams, context and pieces; where all peers were heard within 3 s their sum replaces the report. State, not events, so a lost or repeated datagram does no harm.

--- a/crates/cactuslane-bench/src/fleet.rs
+++ b/crates/cactuslane-bench/src/fleet.rs
@@ -100,12 +100,21 @@
     #[must_use]
     pub fn load(&self) -> Load {
         let load = self.batch.load();
-        Load { queued: load.queued, running: load.running, free: load.free, context: load.context }
+        Load {
+            queued: load.queued,
+            running: load.running,
+            free: load.free,
+            context: load.context,
+        }
     }
 
     /// Samples the load if it is time.
     pub fn sample(&mut self, now: u64) {
-        if self.samples.back().is_some_and(|(at, _)| now - at < SAMPLE_INTERVAL) {
+        if self
+            .samples
+            .back()
+            .is_some_and(|(at, _)| now - at < SAMPLE_INTERVAL)
+        {
             return;
         }
         let load = self.load();
@@ -118,6 +127,9 @@
         while self.samples.len() > 1 && self.samples[1].0 <= until {
             self.samples.pop_front();
         }
-        self.samples.front().filter(|(at, _)| *at <= until).map(|(_, load)| *load)
+        self.samples
+            .front()
+            .filter(|(at, _)| *at <= until)
+            .map(|(_, load)| *load)
     }
 }
--- a/crates/cactuslane-bench/src/matrix.rs
+++ b/crates/cactuslane-bench/src/matrix.rs
@@ -42,7 +42,9 @@
             scope.spawn(|| {
                 loop {
                     let job = next.fetch_add(1, Ordering::Relaxed);
-                    let Some((scenario, policy, seed)) = jobs.get(job) else { return };
+                    let Some((scenario, policy, seed)) = jobs.get(job) else {
+                        return;
+                    };
                     let trace = trace::generate(scenario, *seed);
                     let outcome = sim::run(scenario, *policy, &trace, *seed);
                     if let Ok(mut results) = results.lock() {
--- a/crates/cactuslane-bench/src/planners.rs
+++ b/crates/cactuslane-bench/src/planners.rs
@@ -40,7 +40,10 @@
             change_weight: weight,
             payback_ms: PAYBACK_MS,
         };
-        Self { policy, planner: Planner::new(params) }
+        Self {
+            policy,
+            planner: Planner::new(params),
+        }
     }
 
     /// Takes in the demand of the last interval and returns a change.
@@ -53,7 +56,10 @@
     ) -> Option<Change> {
         /// Time that a planner which knows the trace looks ahead, in microseconds.
         const AHEAD: u64 = 60_000_000;
-        let mix = Mix { prefill: demand.0, decode: demand.1 };
+        let mix = Mix {
+            prefill: demand.0,
+            decode: demand.1,
+        };
         match self.policy {
             Policy::Cactuslane => {
                 self.planner.forecast.observe(mix);
@@ -61,7 +67,8 @@
             }
             Policy::Clairvoyant => {
                 let (prefill, decode) = mix_between(trace, now, now + AHEAD);
-                self.planner.plan_for(roles, Mix { prefill, decode }, 0.0, now / 1000)
+                self.planner
+                    .plan_for(roles, Mix { prefill, decode }, 0.0, now / 1000)
             }
             Policy::Threshold => threshold(&self.planner.params.rates, mix, roles),
             _ => None,
@@ -70,17 +77,16 @@
 }
 
 /// Returns the change that brings the number of prefill engines towards the demand of now.
-fn threshold(
-    rates: &Rates,
-    mix: Mix,
-    roles: &BTreeMap<TargetId, (Role, usize)>,
-) -> Option<Change> {
+fn threshold(rates: &Rates, mix: Mix, roles: &BTreeMap<TargetId, (Role, usize)>) -> Option<Change> {
     let prefill = mix.prefill / rates.prefill;
     let decode = mix.decode / rates.decode;
     let engines = roles.len() as f64;
     let wanted = (engines * prefill / (prefill + decode).max(1e-9)).round();
     let wanted = wanted.clamp(1.0, engines - 1.0) as usize;
-    let have = roles.values().filter(|(role, _)| *role == Role::Prefill).count();
+    let have = roles
+        .values()
+        .filter(|(role, _)| *role == Role::Prefill)
+        .count();
     let (from, to) = match have.cmp(&wanted) {
         std::cmp::Ordering::Less => (Role::Decode, Role::Prefill),
         std::cmp::Ordering::Greater => (Role::Prefill, Role::Decode),
@@ -88,5 +94,8 @@
     };
     let able = roles.iter().filter(|(_, (role, _))| *role == from);
     let (target, _) = able.min_by_key(|(_, (_, streams))| *streams)?;
-    Some(Change { target: target.clone(), role: to })
+    Some(Change {
+        target: target.clone(),
+        role: to,
+    })
 }
--- a/crates/cactuslane-bench/src/policy.rs
+++ b/crates/cactuslane-bench/src/policy.rs
@@ -40,7 +40,9 @@
     /// Returns the policy of a name.
     #[must_use]
     pub fn named(name: &str, engines: usize) -> Option<Self> {
-        Self::all(engines).into_iter().find(|policy| policy.name() == name)
+        Self::all(engines)
+            .into_iter()
+            .find(|policy| policy.name() == name)
     }
 
     /// Returns the policies that are compared on a fleet.
@@ -77,6 +79,9 @@
     /// Returns whether the product's router decides.
     #[must_use]
     pub fn routes(self) -> bool {
-        !matches!(self, Self::RoundRobin | Self::RandomOfTwo | Self::LeastOutstanding)
+        !matches!(
+            self,
+            Self::RoundRobin | Self::RandomOfTwo | Self::LeastOutstanding
+        )
     }
 }
--- a/crates/cactuslane-bench/src/scenario.rs
+++ b/crates/cactuslane-bench/src/scenario.rs
@@ -17,6 +17,9 @@
     pub shape: Shape,
     /// Is how late load reports are, in milliseconds.
     pub lag_ms: u64,
+    /// Is the time between two tellings of what an instance has in progress, in milliseconds; 0
+    /// for none.
+    pub tell_ms: u64,
     /// Is what goes wrong.
     pub fault: Fault,
     /// Holds the speeds of the engines.
@@ -87,7 +90,13 @@
     /// Returns the fleet of Split.
     #[must_use]
     pub fn split() -> Self {
-        Self { name: "split", engines: 9, entries: 6, change_weight: 6.0, ..Self::cluj() }
+        Self {
+            name: "split",
+            engines: 9,
+            entries: 6,
+            change_weight: 6.0,
+            ..Self::cluj()
+        }
     }
 }
 
@@ -95,7 +104,9 @@
     /// Returns the scenario of a name for a fleet; none if there is no such name.
     #[must_use]
     pub fn named(name: &str, fleet: FleetSpec) -> Option<Self> {
-        Self::all(fleet).into_iter().find(|scenario| scenario.name == name)
+        Self::all(fleet)
+            .into_iter()
+            .find(|scenario| scenario.name == name)
     }
 
     /// Returns all scenarios for a fleet.
@@ -108,11 +119,15 @@
             load: 0.85,
             shape: Shape::Swings,
             lag_ms: 500,
+            tell_ms: 100,
             fault: Fault::None,
             params: EngineParams::default(),
         };
         let with = |name, change: &dyn Fn(&mut Self)| {
-            let mut scenario = Self { name, ..base.clone() };
+            let mut scenario = Self {
+                name,
+                ..base.clone()
+            };
             change(&mut scenario);
             scenario
         };
--- a/crates/cactuslane-bench/src/sim.rs
+++ b/crates/cactuslane-bench/src/sim.rs
@@ -80,6 +80,8 @@
     Look(usize),
     /// A KV cache has arrived at the engine that generates.
     Transfer(usize, u32),
+    /// An entry tells the others what it has in progress.
+    Tell(usize),
     /// Entries learn an engine's state.
     Learn(usize),
     /// An engine has changed its role.
@@ -133,8 +135,14 @@
                 SimEngine::new(scenario.params, index % DOMAINS, role)
             })
             .collect();
-        let names: Vec<TargetId> = (0..count).map(|index| format!("engine-{index:03}")).collect();
-        let peers = if policy == Policy::Clairvoyant { 1 } else { scenario.fleet.entries };
+        let names: Vec<TargetId> = (0..count)
+            .map(|index| format!("engine-{index:03}"))
+            .collect();
+        let peers = if policy == Policy::Clairvoyant {
+            1
+        } else {
+            scenario.fleet.entries
+        };
         let entries =
             (0..peers).map(|index| SimEntry::new(policy, speed, peers, seed + index as u64));
         let mut sim = Self {
@@ -170,6 +178,11 @@
                 self.at(offset, Event::Poll(entry, engine));
             }
         }
+        if self.scenario.tell_ms > 0 && self.entries.len() > 1 {
+            for entry in 0..self.entries.len() {
+                self.at(entry as u64 * 9_000, Event::Tell(entry));
+            }
+        }
         self.at(PLAN_INTERVAL, Event::Plan);
         let third = self.scenario.seconds * 1_000_000 / 3;
         if self.scenario.fault != Fault::None {
@@ -191,6 +204,7 @@
             Event::Poll(entry, engine) => self.poll(entry, engine),
             Event::Look(entry) => self.look(entry),
             Event::Transfer(request, attempt) => self.transferred(request, attempt),
+            Event::Tell(entry) => self.tell(entry),
             Event::Learn(engine) => self.learn(engine),
             Event::Changed(engine) => self.changed(engine),
             Event::Plan => self.plan(),
@@ -237,14 +251,17 @@
             return;
         }
         let chosen = self.entries[entry].choose_simply(self.policy, self.scenario.fleet.engines);
-        self.dispatch(index, &Choice {
-            plan: Plan::Whole(self.names[chosen].clone()),
-            first_token: 1.0,
-            least: 1.0,
-            cached: 0,
-            work: cactuslane_route::Work::default(),
-            decode_work: cactuslane_route::Work::default(),
-        });
+        self.dispatch(
+            index,
+            &Choice {
+                plan: Plan::Whole(self.names[chosen].clone()),
+                first_token: 1.0,
+                least: 1.0,
+                cached: 0,
+                work: cactuslane_route::Work::default(),
+                decode_work: cactuslane_route::Work::default(),
+            },
+        );
     }
 
     /// Looks at an entry's queue.
@@ -344,7 +361,9 @@
     /// Starts the part of a request that another engine generates.
     fn transferred(&mut self, index: usize, attempt: u32) {
         let run = &mut self.runs[index];
-        let Some((engine, _)) = run.second.filter(|_| run.attempt == attempt) else { return };
+        let Some((engine, _)) = run.second.filter(|_| run.attempt == attempt) else {
+            return;
+        };
         if !self.engines[engine].up {
             self.broke(index);
             return;
@@ -397,7 +416,9 @@
         let entry = run.entry;
         if run.tokens == 0 {
             run.first_ms = (now - run.arrived) as f64 / 1000.0;
-            self.outcome.first.saturating_record(run.first_ms.max(1.0) as u64);
+            self.outcome
+                .first
+                .saturating_record(run.first_ms.max(1.0) as u64);
         } else if (now - run.last) as f64 / 1000.0 > self.scenario.fleet.between_bound {
             run.slow_gaps += 1;
         }
@@ -407,7 +428,10 @@
             run.answered = true;
             let dispatch = run.second.or(run.first);
             if let Some((_, id)) = dispatch {
-                self.entries[entry].router.picture.first_token(id, now / 1000);
+                self.entries[entry]
+                    .router
+                    .picture
+                    .first_token(id, now / 1000);
             }
         }
         if run.tokens >= request.output {
@@ -486,11 +510,17 @@
             picture.first_token(dispatch, now);
             picture.done(dispatch);
             let blocks = &self.trace[index].blocks;
-            self.entries[entry].router.prefixes.stored(&self.names[engine], blocks, now);
+            self.entries[entry]
+                .router
+                .prefixes
+                .stored(&self.names[engine], blocks, now);
         }
         let time = self.scenario.params.transfer_ms * prompt / 1000.0;
         let attempt = self.runs[index].attempt;
-        self.at(self.now + (time * 1000.0) as u64, Event::Transfer(index, attempt));
+        self.at(
+            self.now + (time * 1000.0) as u64,
+            Event::Transfer(index, attempt),
+        );
     }
 
     /// Gives an entry an engine's load report.
@@ -505,11 +535,34 @@
         {
             let measured = (now / 1000).saturating_sub(ASSUMED_AGE);
             let name = &self.names[engine];
-            self.entries[entry].router.picture.report(name, load, measured);
+            self.entries[entry]
+                .router
+                .picture
+                .report(name, load, measured);
         }
         self.at(now + POLL_INTERVAL, Event::Poll(entry, engine));
     }
 
+    /// Tells the other entries what one has in progress, where that has changed.
+    fn tell(&mut self, entry: usize) {
+        let now = self.now / 1000;
+        let name = format!("entry-{entry}");
+        let mut changed = Vec::new();
+        for target in &self.names {
+            let share = self.entries[entry].router.picture.own_share(target);
+            let told = self.entries[entry].told.insert(target.clone(), share);
+            if told != Some(share) {
+                changed.push((target.clone(), share));
+            }
+        }
+        for (other, state) in self.entries.iter_mut().enumerate() {
+            if other != entry {
+                state.router.picture.heard(&name, &changed, now);
+            }
+        }
+        self.at(self.now + self.scenario.tell_ms * 1000, Event::Tell(entry));
+    }
+
     /// Gives the only entry the load of all engines as it is.
     fn report_all(&mut self) {
         let now = self.now / 1000;
@@ -562,13 +615,20 @@
     /// Starts an engine's change of role when it is drained.
     fn try_change(&mut self, engine: usize) {
         let state = &mut self.engines[engine];
-        let learnt = !self.entries[0].serving.get(&engine).copied().unwrap_or(true);
+        let learnt = !self.entries[0]
+            .serving
+            .get(&engine)
+            .copied()
+            .unwrap_or(true);
         if state.next_role.is_none() || !state.batch.is_idle() || !state.up || !learnt {
             return;
         }
         state.up = false;
         state.epoch += 1;
-        self.at(self.now + (CHANGE_MS * 1000.0) as u64, Event::Changed(engine));
+        self.at(
+            self.now + (CHANGE_MS * 1000.0) as u64,
+            Event::Changed(engine),
+        );
     }
 
     /// Ends an engine's change of role.
@@ -648,7 +708,9 @@
 
 /// Returns the place of a name in a sorted list that holds it.
 fn index_of(names: &[TargetId], name: &str) -> usize {
-    names.binary_search_by(|known| known.as_str().cmp(name)).unwrap_or_default()
+    names
+        .binary_search_by(|known| known.as_str().cmp(name))
+        .unwrap_or_default()
 }
 
 /// Returns the role with which an engine starts.
--- a/crates/cactuslane-bench/src/sim/entry.rs
+++ b/crates/cactuslane-bench/src/sim/entry.rs
@@ -2,7 +2,9 @@
 
 use std::collections::BTreeMap;
 
+use cactuslane_route::picture::Share;
 use cactuslane_route::{Ask, FairQueue, OutputGuess, RouteParams, Router, Speed};
+use cactuslane_types::TargetId;
 use rand::{Rng, SeedableRng};
 use rand_pcg::Pcg64Mcg;
 
@@ -24,6 +26,8 @@
     pub next_look: u64,
     /// Holds which engines serve, as the entry knows.
     pub serving: BTreeMap<usize, bool>,
+    /// Holds what the others were told last.
+    pub told: BTreeMap<TargetId, Share>,
     /// Holds the requests of tickets.
     tickets: BTreeMap<u64, usize>,
     /// Learns the length of answers.
@@ -41,13 +45,18 @@
         router.speed = speed;
         router.picture.peers = peers;
         if policy == Policy::Clairvoyant {
-            router.params = RouteParams { noise: 0.01, noise_age: 0.0, ..RouteParams::default() };
+            router.params = RouteParams {
+                noise: 0.01,
+                noise_age: 0.0,
+                ..RouteParams::default()
+            };
         }
         Self {
             router,
             queue: FairQueue::default(),
             next_look: 0,
             serving: BTreeMap::new(),
+            told: BTreeMap::new(),
             tickets: BTreeMap::new(),
             outputs: OutputGuess::default(),
             turn: seed as usize,
@@ -66,7 +75,11 @@
 
     /// Returns the first requests of the queue with their tickets.
     pub fn head(&self, count: usize) -> Vec<(u64, usize)> {
-        self.queue.tickets().take(count).map(|ticket| (ticket, self.tickets[&ticket])).collect()
+        self.queue
+            .tickets()
+            .take(count)
+            .map(|ticket| (ticket, self.tickets[&ticket]))
+            .collect()
     }
 
     /// Removes a ticket.
@@ -82,7 +95,11 @@
 
     /// Builds what the router is asked.
     pub fn ask(&self, request: &Request, run: &Run, fleet: &FleetSpec, exact: bool) -> Ask {
-        let output = if exact { request.output } else { self.reserve(request) };
+        let output = if exact {
+            request.output
+        } else {
+            self.reserve(request)
+        };
         let patience = if run.tokens > 0 { 4.0 } else { 1.0 };
         Ask {
             service: MODEL.to_owned(),
@@ -98,14 +115,16 @@
 
     /// Learns from a whole answer.
     pub fn finished(&mut self, request: &Request, engine: &str, now: u64) {
-        self.outputs.observed(&output_key(request), request.output, request.limit);
+        self.outputs
+            .observed(&output_key(request), request.output, request.limit);
         self.router.prefixes.stored(engine, &request.blocks, now);
     }
 
     /// Chooses an engine by a simple policy.
     pub fn choose_simply(&mut self, policy: Policy, engines: usize) -> usize {
-        let mut able: Vec<usize> =
-            (0..engines).filter(|e| self.serving.get(e).copied().unwrap_or(true)).collect();
+        let mut able: Vec<usize> = (0..engines)
+            .filter(|e| self.serving.get(e).copied().unwrap_or(true))
+            .collect();
         if able.is_empty() {
             able = (0..engines).collect();
         }
@@ -120,7 +139,10 @@
             Policy::LeastOutstanding => {
                 let start = self.turn % able.len();
                 let order = able[start..].iter().chain(&able[..start]);
-                order.min_by_key(|engine| load(**engine)).copied().unwrap_or_default()
+                order
+                    .min_by_key(|engine| load(**engine))
+                    .copied()
+                    .unwrap_or_default()
             }
             _ => able[self.turn % able.len()],
         }
--- a/crates/cactuslane-bench/src/trace.rs
+++ b/crates/cactuslane-bench/src/trace.rs
@@ -52,7 +52,11 @@
         if at >= end {
             return requests;
         }
-        let kind = if random.random_bool(share) { Kind::Tally } else { Kind::Reply };
+        let kind = if random.random_bool(share) {
+            Kind::Tally
+        } else {
+            Kind::Reply
+        };
         serial += 1;
         let request = request(scenario, kind, at, end, serial, &mut random);
         requests.push(request);
@@ -129,7 +133,10 @@
     random: &mut Pcg64Mcg,
 ) -> Request {
     let (prompt, output) = match kind {
-        Kind::Tally => (random.random_range(3_000..11_000), random.random_range(50..150)),
+        Kind::Tally => (
+            random.random_range(3_000..11_000),
+            random.random_range(50..150),
+        ),
         Kind::Reply => (random.random_range(150..850), random.random_range(200..700)),
     };
     let wild = scenario.shape == Shape::WildCaller && in_middle(at, end);
@@ -143,17 +150,18 @@
         Kind::Tally => 200,
         Kind::Reply => 1_000,
     };
-    Request { at: (at * 1e6) as u64, caller, prompt, output, limit, blocks }
+    Request {
+        at: (at * 1e6) as u64,
+        caller,
+        prompt,
+        output,
+        limit,
+        blocks,
+    }
 }
 
 /// Draws the prefixes of a prompt: most begin with a shared one.
-fn blocks(
-    shape: Shape,
-    kind: Kind,
-    prompt: u32,
-    serial: u64,
-    random: &mut Pcg64Mcg,
-) -> Vec<u64> {
+fn blocks(shape: Shape, kind: Kind, prompt: u32, serial: u64, random: &mut Pcg64Mcg) -> Vec<u64> {
     let count = prompt / PIECE_TOKENS;
     let (families, share) = match (shape, kind) {
         (Shape::HotPrefixes, Kind::Tally) => (12, 0.8),
@@ -161,11 +169,16 @@
         (_, Kind::Tally) => (400, 0.3),
         (_, Kind::Reply) => (40, 0.3),
     };
-    let family: u64 = random.random_range(0..families) + if kind == Kind::Tally { 1_000 } else { 0 };
+    let family: u64 =
+        random.random_range(0..families) + if kind == Kind::Tally { 1_000 } else { 0 };
     let shared = (f64::from(count) * share) as u32;
     let mut blocks = Vec::new();
     for index in 0..count {
-        let owner = if index < shared { family } else { 1_000_000 + serial };
+        let owner = if index < shared {
+            family
+        } else {
+            1_000_000 + serial
+        };
         blocks.push(owner << 20 | u64::from(index));
     }
     blocks
--- a/crates/cactuslane-route/src/picture.rs
+++ b/crates/cactuslane-route/src/picture.rs
@@ -2,7 +2,7 @@
 
 use std::collections::BTreeMap;
 
-use cactuslane_types::{DomainName, Millis, Role, ServiceName, TargetId};
+use cactuslane_types::{DomainName, InstanceId, Millis, Role, ServiceName, TargetId};
 
 use crate::health::{Health, Use};
 use crate::speed::Speed;
@@ -36,6 +36,21 @@
     interval_start: Millis,
     /// Is the mean of the reported queues.
     mean_queue: f64,
+    /// Holds what other instances have in progress, with the time it was heard.
+    shares: BTreeMap<InstanceId, (Millis, BTreeMap<TargetId, Share>)>,
+}
+
+/// Is the work that one instance has in progress at one target.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Share {
+    /// Is the number of prompt tokens of requests without a first token.
+    pub queued: u32,
+    /// Is the number of streams that generate.
+    pub running: u32,
+    /// Is the number of tokens in the contexts of all its streams.
+    pub context: u32,
+    /// Is the number of pieces of memory reserved for them.
+    pub pieces: u32,
 }
 
 /// Is what the instance list and the configuration say of a target.
@@ -129,6 +144,7 @@
             interval_tokens: 0.0,
             interval_start: 0,
             mean_queue: 0.0,
+            shares: BTreeMap::new(),
         }
     }
 }
@@ -226,6 +242,20 @@
         self.done(id);
     }
 
+    /// Takes in what another instance has in progress at the targets it names.
+    pub fn heard(&mut self, from: &str, shares: &[(TargetId, Share)], now: Millis) {
+        let known = self.shares.entry(from.to_owned()).or_default();
+        known.0 = now;
+        for (target, share) in shares {
+            known.1.insert(target.clone(), *share);
+        }
+    }
+
+    /// Forgets another instance that is gone.
+    pub fn forget(&mut self, from: &str) {
+        self.shares.remove(from);
+    }
+
     /// Adds prompt tokens to the measured inflow.
     fn count_inflow(&mut self, tokens: f64, now: Millis) {
         let passed = now.saturating_sub(self.interval_start);
@@ -271,9 +301,66 @@
         }
     }
 
-    /// Estimates a target's load now from its last report and what has happened since.
+    /// Returns what this instance has in progress at a target.
+    #[must_use]
+    pub fn own_share(&self, id: &str) -> Share {
+        let Some(target) = self.targets.get(id) else {
+            return Share::default();
+        };
+        let mut share = Share::default();
+        for (_, work, answered) in target.own.values() {
+            share.add(work, *answered);
+        }
+        share
+    }
+
+    /// Estimates a target's load now.
+    ///
+    /// Where all other instances have told lately what they have in progress, their sum is newer
+    /// than any report; else the last report is carried forward.
     #[must_use]
-    pub fn estimate(&self, target: &Target, speed: &Speed, now: Millis) -> Estimate {
+    pub fn estimate(&self, id: &str, target: &Target, speed: &Speed, now: Millis) -> Estimate {
+        match self.estimate_shares(id, target, speed, now) {
+            Some(estimate) => estimate,
+            None => self.estimate_report(target, speed, now),
+        }
+    }
+
+    /// Estimates a target's load from what all instances have in progress.
+    fn estimate_shares(
+        &self,
+        id: &str,
+        target: &Target,
+        speed: &Speed,
+        now: Millis,
+    ) -> Option<Estimate> {
+        /// Age after which what an instance has told is no longer used, in milliseconds.
+        const SHARE_AGE: Millis = 3_000;
+        let fresh = |heard: Millis| now.saturating_sub(heard) < SHARE_AGE;
+        let told = self.shares.values().filter(|(heard, _)| fresh(*heard));
+        if told.clone().count() + 1 < self.peers {
+            return None;
+        }
+        let mut sum = Share::default();
+        for (_, work, answered) in target.own.values() {
+            sum.add(work, *answered);
+        }
+        for (_, shares) in told {
+            if let Some(share) = shares.get(id) {
+                sum.join(share);
+            }
+        }
+        Some(Estimate {
+            queued: f64::from(sum.queued),
+            running: f64::from(sum.running),
+            context: f64::from(sum.context),
+            free: f64::from(speed.pieces) - f64::from(sum.pieces),
+            age: 0.0,
+        })
+    }
+
+    /// Estimates a target's load from its last report and what has happened since.
+    fn estimate_report(&self, target: &Target, speed: &Speed, now: Millis) -> Estimate {
         let Some(load) = target.load else {
             return self.estimate_unreported(target, speed);
         };
@@ -341,6 +428,27 @@
     }
 }
 
+impl Share {
+    /// Adds the work of one dispatch, whose first token may have come.
+    fn add(&mut self, work: &Work, answered: bool) {
+        if !answered {
+            self.queued += work.prefill;
+        } else if work.decodes {
+            self.running += 1;
+        }
+        self.context += work.context;
+        self.pieces += work.pieces;
+    }
+
+    /// Adds the share of another instance.
+    fn join(&mut self, other: &Self) {
+        self.queued += other.queued;
+        self.running += other.running;
+        self.context += other.context;
+        self.pieces += other.pieces;
+    }
+}
+
 /// Returns the prompt tokens that this instance waits for at a target.
 fn own_queue(target: &Target) -> f64 {
     let waiting = target.own.values().filter(|(_, _, answered)| !answered);
--- a/crates/cactuslane-route/src/router.rs
+++ b/crates/cactuslane-route/src/router.rs
@@ -218,7 +218,7 @@
                 continue;
             }
             let cached = hits.get(id.as_str()).copied().unwrap_or(0) * self.speed.piece_tokens;
-            let estimate = self.picture.estimate(target, &self.speed, now);
+            let estimate = self.picture.estimate(id, target, &self.speed, now);
             candidates.push(Candidate {
                 id,
                 estimate,
--- a/crates/cactuslane/src/bench.rs
+++ b/crates/cactuslane/src/bench.rs
@@ -32,6 +32,9 @@
     /// lag of load reports in milliseconds, in place of the scenario's
     #[argh(option)]
     lag: Option<u64>,
+    /// time between two tellings of work in progress in milliseconds, 0 for none
+    #[argh(option)]
+    tell: Option<u64>,
     /// load as a share of the mixed fleet's capacity, in place of the scenario's
     #[argh(option)]
     load: Option<f64>,
@@ -68,6 +71,7 @@
         scenario.params.mixing = self.mixing.unwrap_or(scenario.params.mixing);
         scenario.fleet.entries = self.entries.unwrap_or(scenario.fleet.entries).max(1);
         scenario.lag_ms = self.lag.unwrap_or(scenario.lag_ms);
+        scenario.tell_ms = self.tell.unwrap_or(scenario.tell_ms);
         scenario.load = self.load.unwrap_or(scenario.load);
     }
 }
@@ -93,7 +97,16 @@
 fn print(rows: &[Row]) {
     println!(
         "{:<13} {:<18} {:>8} {:>6} {:>7} {:>8} {:>8} {:>7} {:>7} {:>6} {:>8}",
-        "scenario", "policy", "goodput", "share", "spread", "changes", "refused", "away%", "first95", "worst",
+        "scenario",
+        "policy",
+        "goodput",
+        "share",
+        "spread",
+        "changes",
+        "refused",
+        "away%",
+        "first95",
+        "worst",
         "wasted%"
     );
     for row in rows {
