Refuse at once what cannot meet its bound, and plan roles for the whole swing

Cause: (1) a request whose backlog exceeds its bound waited in a queue although backlog and remaining time shrink together; heads of queues blocked shorter requests behind them and many were admitted late. (2) The planner weighed single steps of a model in which a lone prefill engine is useless, so it never changed a role even where mixing costs a factor 2. Change: refuse with the excess as Retry-After, wait for memory alone; a caller above its fair share counts against a smaller bound (CallerShares). Prefill engines feed mixed ones and mixed ones decode engines. The planner takes the split that is best at its worst over the measured swing of the mix, needs 15% gain, and moves one engine at a time towards it.

--- a/crates/cactuslane-bench/src/planners.rs
+++ b/crates/cactuslane-bench/src/planners.rs
@@ -35,7 +35,7 @@
             _ => scenario.fleet.change_weight,
         };
         let params = PlanParams {
-            rates: Rates::of(speed),
+            rates: Rates::of(speed, scenario.fleet.between_bound),
             change_ms: CHANGE_MS,
             change_weight: weight,
             payback_ms: PAYBACK_MS,
@@ -78,8 +78,8 @@
 
 /// Returns the change that brings the number of prefill engines towards the demand of now.
 fn threshold(rates: &Rates, mix: Mix, roles: &BTreeMap<TargetId, (Role, usize)>) -> Option<Change> {
-    let prefill = mix.prefill / rates.prefill;
-    let decode = mix.decode / rates.decode;
+    let prefill = mix.prefill * rates.prefill;
+    let decode = mix.decode * rates.decode;
     let engines = roles.len() as f64;
     let wanted = (engines * prefill / (prefill + decode).max(1e-9)).round();
     let wanted = wanted.clamp(1.0, engines - 1.0) as usize;
--- a/crates/cactuslane-bench/src/sim.rs
+++ b/crates/cactuslane-bench/src/sim.rs
@@ -262,7 +262,7 @@
             &Choice {
                 plan: Plan::Whole(self.names[chosen].clone()),
                 first_token: 1.0,
-                least: 1.0,
+                shortage: 0.0,
                 cached: 0,
                 work: cactuslane_route::Work::default(),
                 decode_work: cactuslane_route::Work::default(),
@@ -287,10 +287,11 @@
             let waited = if run.tokens > 0 { 0.0 } else { waited };
             let request = &self.trace[index];
             let exact = self.policy == Policy::Clairvoyant;
-            let ask = self.entries[entry].ask(request, run, &self.scenario.fleet, exact);
+            let ask = self.entries[entry].ask(request, run, &self.scenario.fleet, exact, now);
             match self.entries[entry].router.decide(&ask, waited, now) {
                 Verdict::Run(choice) => {
                     self.entries[entry].remove(ticket, true);
+                    self.entries[entry].admitted(&self.trace[index], now);
                     self.dispatch(index, &choice);
                     sent += 1;
                 }
--- a/crates/cactuslane-bench/src/sim/entry.rs
+++ b/crates/cactuslane-bench/src/sim/entry.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeMap;
 
 use cactuslane_route::picture::Share;
-use cactuslane_route::{Ask, FairQueue, OutputGuess, RouteParams, Router, Speed};
+use cactuslane_route::{Ask, CallerShares, FairQueue, OutputGuess, RouteParams, Router, Speed};
 use cactuslane_types::TargetId;
 use rand::{Rng, SeedableRng};
 use rand_pcg::Pcg64Mcg;
@@ -36,6 +36,8 @@
     pub peers: usize,
     /// Holds the requests of tickets.
     tickets: BTreeMap<u64, usize>,
+    /// Measures callers' shares.
+    shares: CallerShares,
     /// Learns the length of answers.
     outputs: OutputGuess,
     /// Counts dispatches, for policies that take turns.
@@ -67,6 +69,7 @@
             tell_soon: false,
             peers,
             tickets: BTreeMap::new(),
+            shares: CallerShares::default(),
             outputs: OutputGuess::default(),
             turn: seed as usize,
             random: Pcg64Mcg::seed_from_u64(seed),
@@ -103,7 +106,14 @@
     }
 
     /// Builds what the router is asked.
-    pub fn ask(&self, request: &Request, run: &Run, fleet: &FleetSpec, exact: bool) -> Ask {
+    pub fn ask(
+        &self,
+        request: &Request,
+        run: &Run,
+        fleet: &FleetSpec,
+        exact: bool,
+        now: u64,
+    ) -> Ask {
         let output = if exact {
             request.output
         } else {
@@ -118,10 +128,18 @@
             blocks: request.blocks.clone(),
             first_bound: fleet.first_bound * patience,
             between_bound: fleet.between_bound,
+            pressure: self.shares.pressure(&caller_name(request.caller), now),
             tried: Vec::new(),
         }
     }
 
+    /// Records an admitted request.
+    pub fn admitted(&mut self, request: &Request, now: u64) {
+        let work = f64::from(request.prompt) + f64::from(self.reserve(request));
+        self.shares
+            .admitted(&caller_name(request.caller), work, 1.0, now);
+    }
+
     /// Learns from a whole answer.
     pub fn finished(&mut self, request: &Request, engine: &str, now: u64) {
         self.outputs
--- a/crates/cactuslane-entry/src/api/completions/generation.rs
+++ b/crates/cactuslane-entry/src/api/completions/generation.rs
@@ -300,7 +300,13 @@
     async fn place(&mut self) -> Result<Placed, Ending> {
         let key = format!("{}/{}", self.call.caller, self.ask.model);
         let left = self.ask.max_tokens - self.number;
-        let reserve = self.call.shared.routing().outputs.reserve(&key, left);
+        let (reserve, pressure) = {
+            let routing = self.call.shared.routing();
+            let pressure = routing
+                .shares
+                .pressure(&self.call.caller, self.call.shared.now());
+            (routing.outputs.reserve(&key, left), pressure)
+        };
         let ask = Ask {
             service: self.ask.model.clone(),
             domain: self.call.shared.settings.domain.clone(),
@@ -309,6 +315,7 @@
             blocks: self.ask.blocks.clone(),
             first_bound: self.first_bound(),
             between_bound: self.model.between_tokens.as_secs_f64() * 1000.0,
+            pressure,
             tried: self.tried.clone(),
         };
         let caller = self.call.config.document.callers.get(&self.call.caller);
@@ -442,13 +449,12 @@
             .ok_or_else(|| CallError::NotSent("the request could not be built".to_owned()))
     }
 
-    /// Returns the priority at the engine: short prompts go before long ones of the same caller.
+    /// Returns the priority at the engine, which is the caller's.
+    ///
+    /// Among equals the engine keeps the order of arrival, which is what admission counts on.
     fn priority(&self) -> u8 {
-        /// Length of a prompt that counts as long, in tokens.
-        const LONG_PROMPT: u32 = 4_000;
         let caller = self.call.config.document.callers.get(&self.call.caller);
-        let own = caller.map_or(1, |caller| caller.priority);
-        own * 2 + u8::from(self.ask.prompt >= LONG_PROMPT)
+        caller.map_or(1, |caller| caller.priority)
     }
 }
 
--- a/crates/cactuslane-entry/src/api/completions/placement.rs
+++ b/crates/cactuslane-entry/src/api/completions/placement.rs
@@ -115,7 +115,7 @@
     let start = shared.now();
     loop {
         let passed = (shared.now() - start) as f64 + waited.as_secs_f64() * 1000.0;
-        if let Some(placed) = look(shared, ask, ticket, passed)? {
+        if let Some(placed) = look(shared, ask, (id, caller), ticket, passed)? {
             waiting.served = true;
             return Ok(placed);
         }
@@ -124,7 +124,14 @@
 }
 
 /// Sends the request if it is its turn and a target can meet its bound.
-fn look(shared: &Shared, ask: &Ask, ticket: u64, waited: f64) -> Result<Option<Placed>, Ending> {
+fn look(
+    shared: &Shared,
+    ask: &Ask,
+    (id, caller): (&str, &Caller),
+    ticket: u64,
+    waited: f64,
+) -> Result<Option<Placed>, Ending> {
+    let cost = f64::from(ask.prompt + ask.output);
     let now = shared.now();
     let mut routing = shared.routing();
     let place = routing
@@ -153,6 +160,7 @@
                     now,
                 )),
             };
+            routing.shares.admitted(id, cost, caller.weight, now);
             Ok(Some(Placed {
                 choice,
                 first,
--- a/crates/cactuslane-entry/src/api/services/attempt.rs
+++ b/crates/cactuslane-entry/src/api/services/attempt.rs
@@ -59,6 +59,7 @@
         domain: shared.settings.domain.clone(),
         first_bound: f64::INFINITY,
         between_bound: f64::INFINITY,
+        pressure: 1.0,
         tried: tried.to_vec(),
         ..Ask::default()
     };
--- a/crates/cactuslane-entry/src/authority/planner.rs
+++ b/crates/cactuslane-entry/src/authority/planner.rs
@@ -108,8 +108,12 @@
         let config = shared.documents.config();
         let work = shared.authority().work(now);
         for (model, capacity) in &config.document.roles {
+            let Some(engine) = config.document.models.get(model) else {
+                continue;
+            };
+            let between = engine.between_tokens.as_secs_f64() * 1000.0;
             let params = PlanParams {
-                rates: Rates::of(&Speed::default()),
+                rates: Rates::of(&Speed::default(), between),
                 change_ms: capacity.change_time.as_secs_f64() * 1000.0,
                 change_weight: capacity.change_weight,
                 payback_ms: capacity.payback.as_secs_f64() * 1000.0,
--- a/crates/cactuslane-entry/src/routing.rs
+++ b/crates/cactuslane-entry/src/routing.rs
@@ -8,7 +8,8 @@
 use cactuslane_authority::plan::Stage;
 use cactuslane_config::{Document, Drain};
 use cactuslane_route::{
-    CallerLimits, DispatchId, FairQueue, OutputGuess, RetryBudget, Router, TargetFacts, subset,
+    CallerLimits, CallerShares, DispatchId, FairQueue, OutputGuess, RetryBudget, Router,
+    TargetFacts, subset,
 };
 use cactuslane_store::list::{Listed, ListedKind};
 use cactuslane_types::{Role, ServiceName, TargetId, TargetKind};
@@ -24,6 +25,8 @@
     pub queues: BTreeMap<ServiceName, FairQueue>,
     /// Holds the use of each caller.
     pub limits: CallerLimits,
+    /// Measures callers' shares of the admitted work.
+    pub shares: CallerShares,
     /// Bounds retries.
     pub retries: RetryBudget,
     /// Learns the length of answers.
@@ -77,6 +80,7 @@
             routers: BTreeMap::new(),
             queues: BTreeMap::new(),
             limits: CallerLimits::default(),
+            shares: CallerShares::default(),
             retries: RetryBudget::new(0.1),
             outputs: OutputGuess::default(),
             work: BTreeMap::new(),
--- a/crates/cactuslane-roles/src/forecast.rs
+++ b/crates/cactuslane-roles/src/forecast.rs
@@ -6,20 +6,24 @@
 const LEVEL_WEIGHT: f64 = 0.1;
 /// Weight of a new observation of the trend.
 const TREND_WEIGHT: f64 = 0.02;
-/// Weight of a new observation of the error.
-const ERROR_WEIGHT: f64 = 0.05;
+/// Weight of a new observation of the swing.
+const SWING_WEIGHT: f64 = 0.02;
 /// Share of the trend that still counts after one interval.
 const DAMPING: f64 = 0.97;
 /// Length of the interval between observations, in milliseconds.
 pub const INTERVAL: Millis = 5_000;
 
-/// Follows both demands with a damped trend and measures its own error.
+/// Follows both demands with a damped trend and measures how far their ratio swings.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct Forecast {
     /// Is the level of the prompt demand.
     prefill: Trend,
     /// Is the level of the output demand.
     decode: Trend,
+    /// Is the mean logarithm of the ratio of both.
+    ratio: f64,
+    /// Is the variance of that logarithm.
+    swing: f64,
     /// Is the number of observations.
     seen: u32,
 }
@@ -40,8 +44,6 @@
     level: f64,
     /// Is its change an interval.
     slope: f64,
-    /// Is the mean squared error of a step's forecast, as a share of the level.
-    error: f64,
 }
 
 impl Forecast {
@@ -50,6 +52,7 @@
         let first = self.seen == 0;
         self.prefill.observe(mix.prefill, first);
         self.decode.observe(mix.decode, first);
+        self.observe_ratio(mix, first);
         self.seen += 1;
     }
 
@@ -71,7 +74,22 @@
     /// Returns the doubt of the mix, as a share by which either demand may be off.
     #[must_use]
     pub fn doubt(&self) -> f64 {
-        (self.prefill.error + self.decode.error).sqrt().min(1.0)
+        /// Largest doubt that is planned for.
+        const LARGEST: f64 = 0.6;
+        // Half of the ratio's swing falls on either demand.
+        (self.swing.sqrt() / 2.0).min(LARGEST)
+    }
+
+    /// Records the ratio of both demands.
+    fn observe_ratio(&mut self, mix: Mix, first: bool) {
+        let ratio = (mix.prefill.max(1e-3) / mix.decode.max(1e-3)).ln();
+        if first {
+            self.ratio = ratio;
+            return;
+        }
+        let difference = ratio - self.ratio;
+        self.ratio += difference * SWING_WEIGHT;
+        self.swing = (1.0 - SWING_WEIGHT) * (self.swing + SWING_WEIGHT * difference * difference);
     }
 }
 
@@ -95,9 +113,6 @@
         }
         let expected = self.level + self.slope;
         let error = value - expected;
-        let scale = self.level.abs().max(1e-9);
-        let relative = (error * LEVEL_WEIGHT / scale).powi(2).min(1.0);
-        self.error += (relative - self.error) * ERROR_WEIGHT;
         let level = expected + error * LEVEL_WEIGHT;
         self.slope += (level - self.level - self.slope) * TREND_WEIGHT;
         self.level = level;
--- a/crates/cactuslane-roles/src/lib.rs
+++ b/crates/cactuslane-roles/src/lib.rs
@@ -12,10 +12,12 @@
 
 pub use forecast::{Forecast, Mix};
 
-/// Number of standard deviations of the forecast that a gain must exceed.
+/// Number of standard deviations of the mix over which a split must hold.
 const DOUBT: f64 = 1.0;
+/// Share by which the model of an engine may be wrong: a smaller gain is none.
+const MARGIN: f64 = 0.15;
 /// Utilization up to which nothing is gained by a change.
-const COMFORT: f64 = 0.7;
+const COMFORT: f64 = 0.55;
 
 /// Plans the roles of one model's engines.
 #[derive(Clone, Debug)]
@@ -41,16 +43,16 @@
     pub payback_ms: f64,
 }
 
-/// Is the capacity of one engine in each role, in tokens a millisecond.
+/// Is the time that an engine takes for one token of each kind, in milliseconds.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Rates {
-    /// Is the prompt tokens of a prefill engine.
+    /// Is that of a prompt token on a prefill engine.
     pub prefill: f64,
-    /// Is the output tokens of a decode engine.
+    /// Is that of an output token on a decode engine.
     pub decode: f64,
-    /// Is the prompt tokens of a mixed engine that does nothing else.
+    /// Is that of a prompt token on a mixed engine that also generates.
     pub mixed_prefill: f64,
-    /// Is the output tokens of a mixed engine that does nothing else.
+    /// Is that of an output token on a mixed engine that also computes prompts.
     pub mixed_decode: f64,
 }
 
@@ -107,15 +109,19 @@
         now: Millis,
     ) -> Option<Change> {
         let split = Split::of(roles);
-        let current = self.params.rates.utilization(split, mix);
+        let current = self.worst_utilization(split, mix, doubt);
         if current < COMFORT {
             return None;
         }
-        let (best, gain) = self.best_step(split, mix, doubt)?;
-        if gain <= 0.0 {
+        let (best, utilization) = self.best_split(split, mix, doubt)?;
+        if best == split || utilization * (1.0 + MARGIN) > current {
             return None;
         }
-        let change = self.choose_engine(roles, split, best, now)?;
+        if !self.pays(split, best, current - utilization) {
+            return None;
+        }
+        let step = self.first_step(split, best, mix, doubt)?;
+        let change = self.choose_engine(roles, split, step, now)?;
         self.changed.insert(change.target.clone(), now);
         Some(change)
     }
@@ -125,32 +131,48 @@
         self.changed.insert(target.to_owned(), at);
     }
 
-    /// Returns the best split that differs by one engine, with its net gain in engine seconds.
-    fn best_step(&self, split: Split, mix: Mix, doubt: f64) -> Option<(Split, f64)> {
-        let engines = (split.prefill + split.decode + split.mixed) as f64;
+    /// Returns the split with the lowest utilization, at its worst over the doubt.
+    fn best_split(&self, from: Split, mix: Mix, doubt: f64) -> Option<(Split, f64)> {
         let mut best: Option<(Split, f64)> = None;
-        for next in split.neighbours() {
-            let gain = self.sure_gain(split, next, mix, doubt);
-            let saved = gain * engines * self.params.payback_ms / 1000.0;
-            let cost = self.params.change_ms / 1000.0 + self.params.change_weight;
-            let net = saved - cost;
-            if best.is_none_or(|(_, highest)| net > highest) {
-                best = Some((next, net));
+        for split in from.same_size() {
+            let utilization = self.worst_utilization(split, mix, doubt);
+            // Among equals the nearest wins.
+            let utilization = utilization + 1e-6 * from.steps_to(split) as f64;
+            if best.is_none_or(|(_, lowest)| utilization < lowest) {
+                best = Some((split, utilization));
             }
         }
         best
     }
 
-    /// Returns the utilization that a step saves, at the least over the forecast's doubt.
-    fn sure_gain(&self, from: Split, to: Split, mix: Mix, doubt: f64) -> f64 {
-        let rates = &self.params.rates;
-        let mut least = f64::INFINITY;
+    /// Returns whether a gain in utilization pays for all changes up to a split.
+    fn pays(&self, from: Split, to: Split, gain: f64) -> bool {
+        let engines = (from.prefill + from.decode + from.mixed) as f64;
+        let saved = gain * engines * self.params.payback_ms / 1000.0;
+        let cost = self.params.change_ms / 1000.0 + self.params.change_weight;
+        saved > cost * from.steps_to(to) as f64
+    }
+
+    /// Returns the best split one change nearer to another.
+    fn first_step(&self, from: Split, to: Split, mix: Mix, doubt: f64) -> Option<Split> {
+        let left = from.steps_to(to);
+        let nearer = from
+            .neighbours()
+            .into_iter()
+            .filter(|next| next.steps_to(to) < left);
+        nearer.min_by(|a, b| {
+            let utilization = |split: &Split| self.worst_utilization(*split, mix, doubt);
+            utilization(a).total_cmp(&utilization(b))
+        })
+    }
+
+    /// Returns the utilization of a split, at its worst over the doubt.
+    fn worst_utilization(&self, split: Split, mix: Mix, doubt: f64) -> f64 {
+        let mut worst: f64 = 0.0;
         for shift in [-doubt, 0.0, doubt] {
-            let shifted = mix.shifted(shift);
-            let gain = rates.utilization(from, shifted) - rates.utilization(to, shifted);
-            least = least.min(gain);
+            worst = worst.max(self.params.rates.utilization(split, mix.shifted(shift)));
         }
-        least
+        worst
     }
 
     /// Returns the engine with the fewest streams whose last change is long enough ago.
@@ -178,20 +200,29 @@
 }
 
 impl Rates {
-    /// Returns the capacity of an engine from its speed at a usual load.
+    /// Returns the times of an engine from its speed at a usual load, under a bound on the time
+    /// between tokens in milliseconds.
     #[must_use]
-    pub fn of(speed: &Speed) -> Self {
+    pub fn of(speed: &Speed, between_bound: f64) -> Self {
         /// Number of streams that an engine generates at once at a usual load.
         const STREAMS: f64 = 60.0;
         /// Number of tokens in their contexts.
         const CONTEXT: f64 = 90_000.0;
-        let decode = STREAMS / speed.decode_step(STREAMS, CONTEXT);
-        let prefill_step = speed.chunk * speed.prefill_ms * speed.mixing + speed.step_ms;
+        /// Factor by which a mixed engine is worse when it cannot keep the bound.
+        const TOO_SLOW: f64 = 4.0;
+        let alone = speed.decode_step(STREAMS, CONTEXT);
+        let own = alone - speed.step_ms;
+        let late = speed.mixed_step(STREAMS, CONTEXT) > between_bound;
+        let factor = if late {
+            speed.mixing * TOO_SLOW
+        } else {
+            speed.mixing
+        };
         Self {
-            prefill: speed.prefill_rate(),
-            decode,
-            mixed_prefill: speed.chunk / prefill_step,
-            mixed_decode: decode / speed.mixing,
+            prefill: 1.0 / speed.prefill_rate(),
+            decode: alone / STREAMS,
+            mixed_prefill: speed.prefill_ms * factor,
+            mixed_decode: (speed.step_ms + own * factor) / STREAMS,
         }
     }
 
@@ -214,18 +245,14 @@
 
     /// Returns whether a split serves a mix when every engine works at a utilization.
     fn serves(&self, split: Split, mix: Mix, utilization: f64) -> bool {
-        let prefill = self.prefill * split.prefill as f64 * utilization;
-        let decode = self.decode * split.decode as f64 * utilization;
-        // Work that goes through a split needs both engines; only the smaller side counts.
-        let ratio = mix.decode / mix.prefill.max(1e-9);
-        let through = if split.prefill > 0 && split.decode > 0 {
-            prefill.min(decode / ratio.max(1e-9)).min(mix.prefill)
-        } else {
-            0.0
+        let taken = |engines: usize, time: f64| engines as f64 * utilization / time;
+        let prefill = (mix.prefill - taken(split.prefill, self.prefill)).max(0.0);
+        let decode = (mix.decode - taken(split.decode, self.decode)).max(0.0);
+        let time = match (prefill > 0.0, decode > 0.0) {
+            (true, true) => prefill * self.mixed_prefill + decode * self.mixed_decode,
+            (true, false) => prefill * self.prefill,
+            (false, _) => decode * self.decode,
         };
-        let left_prefill = mix.prefill - through;
-        let left_decode = mix.decode - through * ratio;
-        let time = left_prefill / self.mixed_prefill + left_decode / self.mixed_decode;
         time <= split.mixed as f64 * utilization + 1e-9
     }
 }
@@ -253,7 +280,7 @@
                 }
                 *next.count(from) -= 1;
                 *next.count(to) += 1;
-                if next.mixed > 0 || (next.prefill > 0 && next.decode > 0) {
+                if next.serves_both() {
                     neighbours.push(next);
                 }
             }
@@ -261,6 +288,38 @@
         neighbours
     }
 
+    /// Returns all splits of as many engines that serve both kinds of work.
+    fn same_size(self) -> Vec<Self> {
+        let engines = self.prefill + self.decode + self.mixed;
+        let mut splits = Vec::new();
+        for prefill in 0..=engines {
+            for decode in 0..=engines - prefill {
+                let split = Self {
+                    prefill,
+                    decode,
+                    mixed: engines - prefill - decode,
+                };
+                if split.serves_both() {
+                    splits.push(split);
+                }
+            }
+        }
+        splits
+    }
+
+    /// Returns whether both kinds of work find an engine.
+    fn serves_both(self) -> bool {
+        self.mixed > 0 || (self.prefill > 0 && self.decode > 0)
+    }
+
+    /// Returns the number of changes to another split of as many engines.
+    fn steps_to(self, other: Self) -> usize {
+        let moved = self.prefill.abs_diff(other.prefill)
+            + self.decode.abs_diff(other.decode)
+            + self.mixed.abs_diff(other.mixed);
+        moved / 2
+    }
+
     /// Returns the role that loses and the role that gains an engine.
     fn difference(self, to: Self) -> Option<(Role, Role)> {
         let counts = |split: Self, role| *{ split }.count(role);
--- a/crates/cactuslane-route/src/lib.rs
+++ b/crates/cactuslane-route/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod prefix;
 pub mod retry;
 pub mod router;
+pub mod share;
 pub mod speed;
 pub mod subset;
 
@@ -22,4 +23,5 @@
 pub use picture::{DispatchId, Load, Picture, TargetFacts, Work};
 pub use retry::RetryBudget;
 pub use router::{Ask, Choice, Plan, RouteParams, Router, Verdict};
+pub use share::CallerShares;
 pub use speed::Speed;
--- a/crates/cactuslane-route/src/router.rs
+++ b/crates/cactuslane-route/src/router.rs
@@ -69,6 +69,8 @@
     pub first_bound: f64,
     /// Is the bound on the time between tokens, in milliseconds.
     pub between_bound: f64,
+    /// Is the part of the bound that the request counts against, by its caller's share.
+    pub pressure: f64,
     /// Holds targets that were tried before; their failure domains come last.
     pub tried: Vec<TargetId>,
 }
@@ -94,8 +96,8 @@
     pub plan: Plan,
     /// Is the expected time to the first token, in milliseconds.
     pub first_token: f64,
-    /// Is the part of it that no wait can shorten, in milliseconds.
-    pub least: f64,
+    /// Is the part of it that is a wait for memory, in milliseconds.
+    pub shortage: f64,
     /// Is the number of prompt tokens expected in the cache.
     pub cached: u32,
     /// Is the work given to the engine that computes the prompt, or to the only one.
@@ -168,14 +170,18 @@
         if !self.params.admits {
             return Verdict::Run(choice);
         }
+        let bound = ask.first_bound * ask.pressure;
         let expected = waited + choice.first_token * self.params.safety;
-        if expected <= ask.first_bound {
+        if expected <= bound {
             return Verdict::Run(choice);
         }
-        if waited + choice.least > ask.first_bound {
-            return Verdict::Refuse(self.retry_after(expected - ask.first_bound));
+        // Waiting wins nothing against a queue of prompts, which shrinks no faster than the time
+        // that is left; only memory may be freed sooner than expected.
+        let without_shortage = expected - choice.shortage * self.params.safety;
+        if without_shortage <= bound {
+            return Verdict::Wait;
         }
-        Verdict::Wait
+        Verdict::Refuse(self.retry_after(expected - bound))
     }
 
     /// Chooses the best plan, or none if no target serves the request.
@@ -269,19 +275,8 @@
         let (wait, own) = self.whole_times(ask, candidate);
         let needed = f64::from(self.speed.pieces_of(ask.prompt + ask.output));
         let shortage = (needed - estimate.free).max(0.0);
-        let step = self
-            .speed
-            .mixed_step(estimate.running + 1.0, estimate.context)
-            * candidate.factor;
-        let above = if ask.prompt > 0 {
-            (step - ask.between_bound).max(0.0)
-        } else {
-            0.0
-        };
-        wait + own * (1.0 + WORK_WEIGHT)
-            + candidate.place
-            + shortage * PIECE_COST
-            + above * BETWEEN_COST
+        let above = self.above_bound(ask, candidate);
+        wait + own * (1.0 + WORK_WEIGHT) + candidate.place + shortage * PIECE_COST + above
     }
 
     /// Returns the expected wait and own time of a request on one target, in milliseconds.
@@ -302,13 +297,12 @@
     /// Builds the choice of one target.
     fn whole_choice(&self, ask: &Ask, candidate: &Candidate<'_>) -> Choice {
         let (wait, own) = self.whole_times(ask, candidate);
-        let least = if ask.prompt == 0 { 0.0 } else { own };
         let needed = self.speed.pieces_of(ask.prompt + ask.output);
-        let shortage = (f64::from(needed) - candidate.estimate.free).max(0.0);
+        let shortage = (f64::from(needed) - candidate.estimate.free).max(0.0) * PIECE_COST;
         Choice {
             plan: Plan::Whole(candidate.id.clone()),
-            first_token: wait + own + shortage * PIECE_COST,
-            least,
+            first_token: wait + own + shortage,
+            shortage,
             cached: candidate.cached,
             work: Work {
                 prefill: ask.prompt - candidate.cached,
@@ -321,81 +315,120 @@
     }
 
     /// Returns the best pair of engines and its cost.
+    ///
+    /// A mixed engine may take either part, so that prefill engines relieve mixed ones and mixed
+    /// ones feed decode engines; at least one of the two has a role of its own.
     fn best_split(
         &self,
         ask: &Ask,
         candidates: &[Candidate<'_>],
         noises: &[f64],
     ) -> Option<(Choice, f64)> {
-        let prefill = lowest(candidates, noises, Role::Prefill, |c| {
-            self.prefill_cost(ask, c)
-        })?;
-        let decode = lowest(candidates, noises, Role::Decode, |c| {
-            self.decode_cost(ask, c)
-        })?;
-        let first = self.prefill_time(ask, prefill);
+        let prefill_cost = |c: &Candidate<'_>| self.prefill_cost(ask, c);
+        let decode_cost = |c: &Candidate<'_>| self.decode_cost(ask, c);
+        let prefill = lowest(candidates, noises, Role::prefills, prefill_cost)?;
+        let decode = lowest(candidates, noises, Role::decodes, decode_cost)?;
+        let dedicated = prefill.role == Role::Prefill || decode.role == Role::Decode;
+        if prefill.id == decode.id || !dedicated {
+            return None;
+        }
         let transfer = self.speed.transfer(f64::from(ask.prompt));
-        let step = self
-            .speed
-            .decode_step(decode.estimate.running, decode.estimate.context);
-        let own = self.prefill_own(ask, prefill);
         let cost = self.prefill_cost(ask, prefill) + transfer + self.decode_cost(ask, decode);
+        let step = self.decode_step(decode);
         let needed = self.speed.pieces_of(ask.prompt + ask.output);
         let shortage = (f64::from(needed) - decode.estimate.free).max(0.0) * PIECE_COST;
-        let prompt_pieces = self.speed.pieces_of(ask.prompt);
+        let first_token = self.prefill_time(ask, prefill) + transfer + step + shortage;
+        let plan = Plan::Split {
+            prefill: prefill.id.clone(),
+            decode: decode.id.clone(),
+        };
+        let work = Work {
+            prefill: ask.prompt - prefill.cached,
+            context: 0,
+            pieces: self.speed.pieces_of(ask.prompt),
+            decodes: false,
+        };
+        let decode_work = Work {
+            prefill: 0,
+            context: ask.prompt,
+            pieces: needed,
+            decodes: true,
+        };
+        let cached = prefill.cached;
         let choice = Choice {
-            plan: Plan::Split {
-                prefill: prefill.id.clone(),
-                decode: decode.id.clone(),
-            },
-            first_token: first + transfer + step * decode.factor + shortage,
-            least: own + transfer + step,
-            cached: prefill.cached,
-            work: Work {
-                prefill: ask.prompt - prefill.cached,
-                context: 0,
-                pieces: prompt_pieces,
-                decodes: false,
-            },
-            decode_work: Work {
-                prefill: 0,
-                context: ask.prompt,
-                pieces: needed,
-                decodes: true,
-            },
+            plan,
+            first_token,
+            shortage,
+            cached,
+            work,
+            decode_work,
         };
         Some((choice, cost))
     }
 
-    /// Returns the cost of computing a prompt on a prefill engine.
+    /// Returns the cost of computing a prompt for another engine.
     fn prefill_cost(&self, ask: &Ask, candidate: &Candidate<'_>) -> f64 {
-        let time = self.prefill_time(ask, candidate);
-        time + self.prefill_own(ask, candidate) * WORK_WEIGHT + candidate.place
+        let own = self.prefill_own(ask, candidate);
+        let above = if candidate.role == Role::Mixed {
+            self.above_bound(ask, candidate)
+        } else {
+            0.0
+        };
+        self.prefill_time(ask, candidate) + own * WORK_WEIGHT + candidate.place + above
     }
 
-    /// Returns the expected time to compute a prompt on a prefill engine, in milliseconds.
+    /// Returns the expected time to compute a prompt for another engine, in milliseconds.
     fn prefill_time(&self, ask: &Ask, candidate: &Candidate<'_>) -> f64 {
-        let wait = candidate.estimate.queued / self.speed.prefill_rate() * candidate.factor;
+        let wait = candidate.estimate.queued / self.prefill_rate(candidate) * candidate.factor;
         wait + self.prefill_own(ask, candidate)
     }
 
     /// Returns the part of that time that is the prompt's own.
     fn prefill_own(&self, ask: &Ask, candidate: &Candidate<'_>) -> f64 {
         let compute = f64::from(ask.prompt - candidate.cached);
-        (compute / self.speed.prefill_rate() + self.speed.step_ms) * candidate.factor
+        (compute / self.prefill_rate(candidate) + self.speed.step_ms) * candidate.factor
     }
 
-    /// Returns the cost of generating on a decode engine.
+    /// Returns the prompt tokens a millisecond that an engine computes.
+    fn prefill_rate(&self, candidate: &Candidate<'_>) -> f64 {
+        let estimate = &candidate.estimate;
+        match candidate.role {
+            Role::Prefill => self.speed.prefill_rate(),
+            _ => self.speed.mixed_rate(estimate.running, estimate.context),
+        }
+    }
+
+    /// Returns the cost of generating on an engine.
     fn decode_cost(&self, ask: &Ask, candidate: &Candidate<'_>) -> f64 {
+        let needed = f64::from(self.speed.pieces_of(ask.prompt + ask.output));
+        let shortage = (needed - candidate.estimate.free).max(0.0);
+        let step = self.decode_step(candidate);
+        let above = (step - ask.between_bound).max(0.0) * BETWEEN_COST;
+        step + candidate.place + shortage * PIECE_COST + above
+    }
+
+    /// Returns the expected time between tokens on an engine, in milliseconds.
+    fn decode_step(&self, candidate: &Candidate<'_>) -> f64 {
         let estimate = &candidate.estimate;
+        let (running, context) = (estimate.running + 1.0, estimate.context);
+        let step = if candidate.role == Role::Mixed && estimate.queued > 0.0 {
+            self.speed.mixed_step(running, context)
+        } else {
+            self.speed.decode_step(running, context)
+        };
+        step * candidate.factor
+    }
+
+    /// Returns the cost of a mixed step that is longer than the bound between tokens.
+    fn above_bound(&self, ask: &Ask, candidate: &Candidate<'_>) -> f64 {
+        let estimate = &candidate.estimate;
+        if ask.prompt == 0 || estimate.running == 0.0 && candidate.role == Role::Prefill {
+            return 0.0;
+        }
         let step = self
             .speed
-            .decode_step(estimate.running + 1.0, estimate.context)
-            * candidate.factor;
-        let needed = f64::from(self.speed.pieces_of(ask.prompt + ask.output));
-        let shortage = (needed - estimate.free).max(0.0);
-        let above = (step - ask.between_bound).max(0.0);
-        step + candidate.place + shortage * PIECE_COST + above * BETWEEN_COST
+            .mixed_step(estimate.running + 1.0, estimate.context);
+        (step * candidate.factor - ask.between_bound).max(0.0) * BETWEEN_COST
     }
 }
 
@@ -413,16 +446,16 @@
     }
 }
 
-/// Returns the candidate of a role with the lowest cost.
+/// Returns the candidate with the lowest cost among those whose role fits.
 fn lowest<'c, 'p>(
     candidates: &'c [Candidate<'p>],
     noises: &[f64],
-    role: Role,
+    fits: fn(Role) -> bool,
     cost: impl Fn(&Candidate<'p>) -> f64,
 ) -> Option<&'c Candidate<'p>> {
     let mut best: Option<(&Candidate<'p>, f64)> = None;
     for (candidate, noise) in candidates.iter().zip(noises) {
-        if candidate.role != role {
+        if !fits(candidate.role) {
             continue;
         }
         let cost = cost(candidate) - candidate.noise * noise;
