--- a/crates/cactuslane-bench/src/sim.rs
+++ b/crates/cactuslane-bench/src/sim.rs
@@ -129,7 +129,7 @@
 impl<'t> Sim<'t> {
     /// Creates a run before its first event.
     fn new(scenario: &'t Scenario, policy: Policy, trace: &'t [Request], seed: u64) -> Self {
-        let speed = speed_of(&scenario.params);
+        let assumed = speed_of(&scenario.params);
         let count = scenario.fleet.engines;
         let engines: Vec<SimEngine> = (0..count)
             .map(|index| {
@@ -146,7 +146,7 @@
             scenario.fleet.entries
         };
         let entries =
-            (0..peers).map(|index| SimEntry::new(policy, speed, peers, seed + index as u64));
+            (0..peers).map(|index| SimEntry::new(policy, assumed, peers, seed + index as u64));
         let mut sim = Self {
             scenario,
             policy,
@@ -158,7 +158,7 @@
             events: BinaryHeap::new(),
             order: 0,
             runs: trace.iter().map(|_| Run::default()).collect(),
-            planner: RolePlanner::new(policy, scenario, &speed),
+            planner: RolePlanner::new(policy, scenario, &assumed),
             demand: (0.0, 0.0),
             outcome: Outcome::new(scenario.seconds as f64),
         };
--- a/crates/cactuslane-bench/src/sim/entry.rs
+++ b/crates/cactuslane-bench/src/sim/entry.rs
@@ -48,9 +48,9 @@
 
 impl SimEntry {
     /// Creates an entry instance.
-    pub fn new(policy: Policy, speed: Speed, peers: usize, seed: u64) -> Self {
+    pub fn new(policy: Policy, engine: Speed, peers: usize, seed: u64) -> Self {
         let mut router = Router::new(seed);
-        router.speed = speed;
+        router.speed = engine;
         router.picture.peers = peers;
         if policy == Policy::Clairvoyant {
             router.params = RouteParams {
--- a/crates/cactuslane-bench/src/trace.rs
+++ b/crates/cactuslane-bench/src/trace.rs
@@ -163,7 +163,7 @@
 /// Draws the prefixes of a prompt: most begin with a shared one.
 fn blocks(shape: Shape, kind: Kind, prompt: u32, serial: u64, random: &mut Pcg64Mcg) -> Vec<u64> {
     let count = prompt / PIECE_TOKENS;
-    let (families, share) = match (shape, kind) {
+    let (families, part) = match (shape, kind) {
         (Shape::HotPrefixes, Kind::Tally) => (12, 0.8),
         (Shape::HotPrefixes, Kind::Reply) => (6, 0.7),
         (_, Kind::Tally) => (400, 0.3),
@@ -171,7 +171,7 @@
     };
     let family: u64 =
         random.random_range(0..families) + if kind == Kind::Tally { 1_000 } else { 0 };
-    let shared = (f64::from(count) * share) as u32;
+    let shared = (f64::from(count) * part) as u32;
     let mut blocks = Vec::new();
     for index in 0..count {
         let owner = if index < shared {
--- a/crates/cactuslane-demo/src/lib.rs
+++ b/crates/cactuslane-demo/src/lib.rs
@@ -25,6 +25,9 @@
 pub const TOKEN: &str = "demo-caller-token";
 /// Token of the operators.
 pub const OPERATOR_TOKEN: &str = "demo-operator-token";
+/// Is the record of the operator, who may edit all sections.
+const OPERATOR: &str =
+    r#"{"name": "demo", "sections": ["models", "capacity", "callers", "maintenance"]}"#;
 /// Key between the instances.
 const CLUSTER_KEY: &str = "demo-cluster-key-0123456789";
 
@@ -119,6 +122,7 @@
             .clone()
             .unwrap_or_else(|| deployment.document(&hash_token(TOKEN)));
         platform.put(CONFIG_KEY, document.as_bytes());
+        platform.put(&operator_key(), OPERATOR.as_bytes());
         let mut cluster = Self {
             platform,
             entries: BTreeMap::new(),
@@ -241,6 +245,11 @@
     }
 }
 
+/// Returns the key of the operator's record.
+fn operator_key() -> String {
+    format!("cactuslane/operators/{}", hash_token(OPERATOR_TOKEN))
+}
+
 /// Returns the loopback address with a free port.
 fn loopback() -> SocketAddr {
     SocketAddr::from((Ipv4Addr::LOCALHOST, 0))
--- a/crates/cactuslane-entry/src/gossip.rs
+++ b/crates/cactuslane-entry/src/gossip.rs
@@ -1,5 +1,7 @@
 //! Datagrams between instances: membership, news of documents, and callers' demand.
 
+mod teller;
+
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -15,6 +17,7 @@
 use tokio::time::{MissedTickBehavior, interval};
 
 use crate::documents::DocumentKind;
+use crate::gossip::teller::Teller;
 use crate::shared::Shared;
 use crate::transfer;
 
@@ -24,6 +27,9 @@
 const DEMAND_INTERVAL: Millis = 1_000;
 /// Largest datagram, in bytes.
 const MAX_DATAGRAM: usize = 8 << 10;
+/// Number of instances that are told what is in progress at most; with more, each routes by the
+/// reports of targets.
+const MAX_TOLD: usize = 15;
 /// Number of senders whose packets are told apart.
 const MAX_SENDERS: usize = 4_096;
 
@@ -37,6 +43,8 @@
     windows: BTreeMap<InstanceId, ReplayWindow>,
     /// Is the time of the next report of demand.
     next_demand: Millis,
+    /// Tells what is in progress at targets.
+    teller: Teller,
 }
 
 /// Gossips until the task is aborted.
@@ -46,12 +54,14 @@
         socket,
         windows: BTreeMap::new(),
         next_demand: 0,
+        teller: Teller::default(),
     };
     let shared = Arc::clone(&gossip.shared);
     let mut ticks = interval(TICK);
     ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
     let mut buffer = vec![0; MAX_DATAGRAM];
     loop {
+        let wait = gossip.teller.wait(shared.now());
         tokio::select! {
             received = gossip.socket.recv_from(&mut buffer) => {
                 if let Ok((length, from)) = received {
@@ -59,6 +69,8 @@
                 }
             }
             _ = ticks.tick() => gossip.tick().await,
+            () = shared.tell_now.notified() => gossip.teller.dispatched(),
+            () = pause(wait), if wait.is_some() => gossip.tell().await,
             () = shared.spread_now.notified() => {
                 let actions = shared.members().urgent();
                 gossip.perform(actions).await;
@@ -67,12 +79,23 @@
     }
 }
 
+/// Waits for a time; for ever without one.
+async fn pause(wait: Option<Duration>) {
+    match wait {
+        Some(wait) => tokio::time::sleep(wait).await,
+        None => std::future::pending().await,
+    }
+}
+
 impl Gossip {
     /// Does what the time calls for.
     async fn tick(&mut self) {
         let now = self.shared.now();
         let actions = self.shared.members().tick(now);
         self.perform(actions).await;
+        if self.teller.is_due(now) {
+            self.tell().await;
+        }
         if now < self.next_demand {
             return;
         }
@@ -103,8 +126,12 @@
             contact.peers = members.records().count() - 1;
             actions
         };
-        if let Message::Demands(demands) = &packet.message {
-            self.hear(&packet.from, demands, now);
+        match &packet.message {
+            Message::Demands(demands) => self.hear(&packet.from, demands, now),
+            Message::Shares(shares) => {
+                self.shared.routing().heard(&packet.from, shares, now);
+            }
+            _ => {}
         }
         self.perform(actions).await;
     }
@@ -127,6 +154,9 @@
                 Action::News(id, address, revisions) => self.fetch(id, address, revisions),
                 Action::Changed(id, status) => {
                     log::info!("member {id} is {status:?}");
+                    if status == Status::Gone {
+                        self.shared.routing().forget(&id);
+                    }
                     self.count_peers();
                 }
             }
@@ -140,6 +170,35 @@
         let _ = self.socket.send_to(&sealed, address).await;
     }
 
+    /// Tells the other instances what is in progress here, where that has changed.
+    async fn tell(&mut self) {
+        let now = self.shared.now();
+        let shares = self.teller.changes(&self.shared.routing(), now);
+        if !self.teller.is_worth(&shares, now) {
+            return;
+        }
+        let packets: Vec<(SocketAddr, Packet)> = {
+            let mut members = self.shared.members();
+            let others = members.records().filter(|record| {
+                record.status.works() && record.id != self.shared.settings.instance
+            });
+            let addresses: Vec<SocketAddr> = others.map(|record| record.gossip).collect();
+            if addresses.len() > MAX_TOLD {
+                return;
+            }
+            let mut packet = |address| {
+                (
+                    address,
+                    members.bare_packet(Message::Shares(shares.clone())),
+                )
+            };
+            addresses.into_iter().map(&mut packet).collect()
+        };
+        for (address, packet) in packets {
+            self.send(address, &packet).await;
+        }
+    }
+
     /// Fetches the documents that a member has newer.
     fn fetch(&self, id: InstanceId, address: SocketAddr, revisions: Revisions) {
         let own = self.shared.documents.revisions();
--- a/crates/cactuslane-entry/src/routing.rs
+++ b/crates/cactuslane-entry/src/routing.rs
@@ -7,12 +7,14 @@
 use cactuslane_authority::Plan;
 use cactuslane_authority::plan::Stage;
 use cactuslane_config::{Document, Drain};
+use cactuslane_member::ShareRecord;
+use cactuslane_route::picture::Share;
 use cactuslane_route::{
     CallerLimits, CallerShares, DispatchId, FairQueue, OutputGuess, RetryBudget, Router,
     TargetFacts, subset,
 };
 use cactuslane_store::list::{Listed, ListedKind};
-use cactuslane_types::{Role, ServiceName, TargetId, TargetKind};
+use cactuslane_types::{Millis, Role, ServiceName, TargetId, TargetKind};
 
 use crate::shared::Shared;
 
@@ -144,6 +146,33 @@
         }
     }
 
+    /// Takes in what another instance has in progress.
+    pub fn heard(&mut self, from: &str, records: &[ShareRecord], now: Millis) {
+        for router in self.routers.values_mut() {
+            let mut shares = Vec::new();
+            for record in records {
+                if router.picture.target(&record.target).is_none() {
+                    continue;
+                }
+                let share = Share {
+                    queued: record.queued,
+                    running: record.running,
+                    context: record.context,
+                    pieces: record.pieces,
+                };
+                shares.push((record.target.clone(), share));
+            }
+            router.picture.heard(from, &shares, now);
+        }
+    }
+
+    /// Forgets what an instance that is gone had in progress.
+    pub fn forget(&mut self, from: &str) {
+        for router in self.routers.values_mut() {
+            router.picture.forget(from);
+        }
+    }
+
     /// Returns all listed targets.
     pub fn targets(&self) -> &BTreeMap<TargetId, ListedTarget> {
         &self.targets
--- a/crates/cactuslane-member/src/lib.rs
+++ b/crates/cactuslane-member/src/lib.rs
@@ -16,7 +16,7 @@
 use rand::{Rng, SeedableRng};
 use rand_pcg::Pcg64Mcg;
 
-pub use message::{DemandRecord, Message, Packet};
+pub use message::{DemandRecord, Message, Packet, ShareRecord};
 pub use record::{Record, Revisions, Status};
 
 /// Is the membership as one instance sees it.
@@ -197,21 +197,29 @@
             }
             Message::Ack(sequence) => self.acknowledged(*sequence, &packet.from, &mut actions),
             Message::PingFor(id) => self.relay(from, packet.sequence, id, now, &mut actions),
-            Message::Demands(_) => {}
+            Message::Demands(_) | Message::Shares(_) => {}
         }
         actions
     }
 
-    /// Builds a packet with the records that are most worth spreading.
-    pub fn packet(&mut self, message: Message, to: Option<&InstanceId>) -> Packet {
+    /// Builds a packet without member records.
+    pub fn bare_packet(&mut self, message: Message) -> Packet {
         self.sequence += 1;
-        let records = self.choose_records(to);
         Packet {
             from: self.me.id.clone(),
             incarnation: self.me.incarnation,
             sequence: self.sequence,
             message,
+            records: Vec::new(),
+        }
+    }
+
+    /// Builds a packet with the records that are most worth spreading.
+    pub fn packet(&mut self, message: Message, to: Option<&InstanceId>) -> Packet {
+        let records = self.choose_records(to);
+        Packet {
             records,
+            ..self.bare_packet(message)
         }
     }
 }
--- a/crates/cactuslane-member/src/message.rs
+++ b/crates/cactuslane-member/src/message.rs
@@ -1,6 +1,6 @@
 //! Packets between members.
 
-use cactuslane_types::{CallerId, Incarnation, InstanceId};
+use cactuslane_types::{CallerId, Incarnation, InstanceId, TargetId};
 use serde::{Deserialize, Serialize};
 
 use crate::record::Record;
@@ -31,6 +31,23 @@
     PingFor(InstanceId),
     /// Carries the demand of callers at the sender.
     Demands(Vec<DemandRecord>),
+    /// Carries what the sender has in progress at targets, where that has changed.
+    Shares(Vec<ShareRecord>),
+}
+
+/// Is the work that one instance has in progress at one target.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct ShareRecord {
+    /// Is the target.
+    pub target: TargetId,
+    /// Is the number of prompt tokens of requests without a first token.
+    pub queued: u32,
+    /// Is the number of streams that generate.
+    pub running: u32,
+    /// Is the number of tokens in the contexts of all its streams.
+    pub context: u32,
+    /// Is the number of pieces of memory reserved for them.
+    pub pieces: u32,
 }
 
 /// Is the demand of one caller at one instance.
--- a/crates/cactuslane/src/main.rs
+++ b/crates/cactuslane/src/main.rs
@@ -4,9 +4,11 @@
 
 mod bench;
 mod check;
+mod config;
 mod demo;
 mod logs;
 mod run;
+mod status;
 
 use std::process::ExitCode;
 
@@ -26,6 +28,12 @@
 enum Command {
     /// Runs one entry instance.
     Run(run::RunCommand),
+    /// Reads and edits the configuration.
+    Config(config::ConfigCommand),
+    /// Shows the fleet.
+    Status(status::StatusCommand),
+    /// Explains a request or a target.
+    Explain(status::ExplainCommand),
     /// Checks a file.
     Check(check::CheckCommand),
     /// Prints the hash of a token.
@@ -51,6 +59,9 @@
     let result = match arguments.command {
         Command::Run(command) => run::execute(command).await,
         Command::Check(command) => check::execute(&command),
+        Command::Config(command) => config::execute(command).await,
+        Command::Status(command) => status::status(&command).await,
+        Command::Explain(command) => status::explain(&command).await,
         Command::HashToken(command) => check::hash_token(&command),
         Command::Bench(command) => bench::execute(&command),
         Command::Demo(command) => demo::execute(command).await,
