--- a/crates/cactuslane-authority/src/orders.rs
+++ b/crates/cactuslane-authority/src/orders.rs
@@ -7,8 +7,9 @@
 //! What makes an order safe depends on the target:
 //! - One that **checks** fencing numbers refuses orders of earlier owners.
 //! - One that **ignores** them gets orders only from the process whose name stands in a hold. A
-//!   hold does not lapse: it passes on when its holder gives it back, or when the instance list
-//!   has not shown the holder's instance for longer than the list lags and a send takes. A paused
+//!   hold does not lapse. It passes on when its holder gives it back; when the instance list has
+//!   not shown the holder's instance for longer than the list lags and a send takes; or when
+//!   another incarnation is bound to the holder's address, for longer than a send takes. A paused
 //!   holder thus keeps the target until it wakes or is removed by the platform.
 
 use cactuslane_types::{Fencing, Incarnation, InstanceId, Millis};
@@ -21,7 +22,7 @@
 #[derive(Clone, Debug)]
 pub struct TargetOwner {
     /// Is this process.
-    me: (InstanceId, Incarnation),
+    me: Hold,
     /// Says whether the target checks fencing numbers.
     checks: bool,
     /// Is the fencing number under which this process owns the target.
@@ -89,6 +90,8 @@
     pub instance: InstanceId,
     /// Is its incarnation.
     pub incarnation: Incarnation,
+    /// Is the address that the process is bound to, which no two processes can be at once.
+    pub address: String,
     /// Says whether it has given the target back.
     pub released: bool,
 }
@@ -179,11 +182,11 @@
 }
 
 impl TargetOwner {
-    /// Creates the part of a process for a target.
+    /// Creates the part of a process, named by the hold that it would take, for a target.
     #[must_use]
-    pub fn new(instance: &str, incarnation: Incarnation, checks: bool) -> Self {
+    pub fn new(me: Hold, checks: bool) -> Self {
         Self {
-            me: (instance.to_owned(), incarnation),
+            me,
             checks,
             fencing: None,
             records: None,
@@ -264,10 +267,9 @@
 
     /// Returns the next step.
     ///
-    /// `gone` says whether an instance was not in the instance list for longer than the list
-    /// lags and a send takes.
+    /// `gone` says whether the process that took a hold can send nothing any more.
     #[must_use]
-    pub fn next(&self, gone: &dyn Fn(&InstanceId) -> bool, now: Millis) -> Step {
+    pub fn next(&self, gone: &dyn Fn(&Hold) -> bool, now: Millis) -> Step {
         let Some(records) = &self.records else {
             return Step::ReadRecords;
         };
@@ -315,22 +317,17 @@
         &self,
         records: &Records,
         fencing: Fencing,
-        gone: &dyn Fn(&InstanceId) -> bool,
+        gone: &dyn Fn(&Hold) -> bool,
     ) -> Option<Step> {
         if let Some(hold) = &records.hold.0 {
             if self.is_mine(hold) {
                 return None;
             }
-            if !hold.released && !gone(&hold.instance) {
+            if !hold.released && !gone(hold) {
                 return Some(Step::Blocked(Block::HeldBy(hold.instance.clone())));
             }
         }
-        let (instance, incarnation) = self.me.clone();
-        let hold = Hold {
-            instance,
-            incarnation,
-            released: false,
-        };
+        let hold = self.me.clone();
         Some(Step::WriteHold {
             hold,
             expected: records.hold.1,
@@ -361,14 +358,16 @@
                 fencing,
             };
         }
-        if intent.fencing != fencing {
-            // An earlier owner's order may still arrive: it is taken over under a new number,
-            // which the target's next report tells apart from the old one.
-            let order = intent.order + 1;
+        // An earlier owner's order may still arrive, and a target that crashed after it had taken
+        // the order takes it for a repetition: both go on under a new number, which the target's
+        // next report tells apart from the old one.
+        let crashed_after = report.half_done != 0 && report.last_order >= intent.order;
+        if intent.fencing != fencing || crashed_after {
+            let order = intent.order.max(report.last_order) + 1;
             let intent = Intent {
                 order,
                 fencing,
-                by: self.me.0.clone(),
+                by: self.me.instance.clone(),
                 ..intent.clone()
             };
             return Step::WriteIntent {
@@ -408,7 +407,7 @@
             return Step::Blocked(block);
         }
         let order = last.map_or(0, |last| last.order).max(report.last_order) + 1;
-        let by = self.me.0.clone();
+        let by = self.me.instance.clone();
         let intent = Intent {
             order,
             wanted: wanted.clone(),
@@ -436,7 +435,7 @@
 
     /// Returns whether a hold is this process's and not given back.
     fn is_mine(&self, hold: &Hold) -> bool {
-        hold.instance == self.me.0 && hold.incarnation == self.me.1 && !hold.released
+        *hold == self.me
     }
 }
 
--- a/crates/cactuslane-entry/src/authority.rs
+++ b/crates/cactuslane-entry/src/authority.rs
@@ -12,7 +12,7 @@
 use cactuslane_authority::orders::{Records, Step, TargetOwner};
 use cactuslane_authority::ownership::{self, Move, OwnerRecord, Ownership};
 use cactuslane_authority::plan::Stage;
-use cactuslane_authority::{EngineReport, Wanted};
+use cactuslane_authority::{EngineReport, Hold, Wanted};
 use cactuslane_config::FencingMode;
 use cactuslane_member::Status;
 use cactuslane_store::{Compare, Op, Record, StoreError, Txn, TxnAnswer};
@@ -193,18 +193,23 @@
     async fn drive(&mut self, id: &TargetId, target: &ListedTarget, fencing: Option<Fencing>) {
         let checks = self.checks(target);
         let (wanted, drained) = self.wanted(id);
-        let me = self.ownership.me().clone();
+        let me = Hold {
+            instance: self.shared.settings.instance.clone(),
+            incarnation: self.shared.incarnation,
+            address: self.shared.gossip.to_string(),
+            released: false,
+        };
         let mut owner = self
             .targets
             .remove(id)
-            .unwrap_or_else(|| TargetOwner::new(&me.instance, me.incarnation, checks));
+            .unwrap_or_else(|| TargetOwner::new(me, checks));
         owner.set_fencing(fencing);
         owner.set_wanted(wanted, drained);
         for _ in 0..MAX_STEPS {
             // The lease may have run out while a step was waited for.
             owner.set_fencing(fencing.filter(|_| self.session.is_valid(self.shared.now())));
             let now = self.shared.now();
-            let step = owner.next(&|holder| self.shared.authority().is_gone(holder, now), now);
+            let step = owner.next(&|holder| self.is_gone(holder, now), now);
             if !self.perform(id, target, &mut owner, step).await {
                 break;
             }
@@ -484,6 +489,18 @@
         (planned.wanted.clone(), self.is_everywhere(plan.revision))
     }
 
+    /// Returns whether the process that took a hold can send nothing any more.
+    fn is_gone(&self, hold: &Hold, now: Millis) -> bool {
+        let newer = {
+            let members = self.shared.members();
+            let mut records = members.records();
+            records.any(|record| {
+                record.gossip.to_string() == hold.address && record.incarnation > hold.incarnation
+            })
+        };
+        self.shared.authority().is_gone(hold, newer, now)
+    }
+
     /// Returns whether every listed instance has a plan in force and nothing left at what it
     /// drains. One that does not answer counts until the platform drops it from the list.
     fn is_everywhere(&self, revision: u64) -> bool {
--- a/crates/cactuslane-entry/src/authority/view.rs
+++ b/crates/cactuslane-entry/src/authority/view.rs
@@ -2,9 +2,10 @@
 
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
+use cactuslane_authority::Hold;
 use cactuslane_authority::orders::{Block, SEND_BOUND};
 use cactuslane_store::list::{Listed, ListedKind};
-use cactuslane_types::{Fencing, InstanceId, Millis, TargetId};
+use cactuslane_types::{Fencing, Incarnation, InstanceId, Millis, TargetId};
 use serde_json::{Value, json};
 
 use crate::clock::Clock;
@@ -24,6 +25,8 @@
     listed: BTreeSet<InstanceId>,
     /// Holds since when instances that were once named have not been.
     absent: BTreeMap<InstanceId, Millis>,
+    /// Holds since when other incarnations have been seen at the addresses of holders.
+    replaced: BTreeMap<(String, Incarnation), Millis>,
     /// Says whether the list was read at all.
     read: bool,
     /// Holds the latest reports of targets, at the planner.
@@ -40,7 +43,7 @@
 
 impl AuthorityView {
     /// Takes in the instance list.
-    pub fn take_list(&mut self, list: &[Listed], now: Millis) {
+    pub fn take_list(&mut self, list: &[Listed]) {
         let entries = list
             .iter()
             .filter(|listed| listed.kind == ListedKind::Entry);
@@ -48,9 +51,6 @@
         self.read = true;
         let listed = &self.listed;
         self.absent.retain(|id, _| !listed.contains(id));
-        for since in self.absent.values_mut() {
-            *since = (*since).min(now);
-        }
     }
 
     /// Returns the entry instances that the list last named.
@@ -58,13 +58,19 @@
         self.listed.clone()
     }
 
-    /// Returns whether an instance has not been named for longer than the list lags and a send
-    /// takes.
-    pub fn is_gone(&mut self, id: &InstanceId, now: Millis) -> bool {
-        if !self.read || self.listed.contains(id) {
+    /// Returns whether the process that took a hold can send nothing any more: its instance has
+    /// not been named for longer than the list lags and a send takes, or for longer than a send
+    /// takes another incarnation has been bound to its address.
+    pub fn is_gone(&mut self, hold: &Hold, replaced: bool, now: Millis) -> bool {
+        if replaced {
+            let key = (hold.address.clone(), hold.incarnation);
+            let since = *self.replaced.entry(key).or_insert(now);
+            return now.saturating_sub(since) > SEND_BOUND;
+        }
+        if !self.read || self.listed.contains(&hold.instance) {
             return false;
         }
-        let since = *self.absent.entry(id.clone()).or_insert(now);
+        let since = *self.absent.entry(hold.instance.clone()).or_insert(now);
         now.saturating_sub(since) > LIST_LAG + SEND_BOUND
     }
 
