Let a suspected member refute in time, and report one fault once

Cause: with 10% of packets lost, 7 working members of 20 counted as gone within two minutes: a suspect heard of its suspicion only when somebody happened to ping it, and its answer spread no faster than anything else. A faulty model made every reference to it a second fault. Change: who suspects a member tells it at once; a refutation is sent to four members at once; suspicion lasts 6 s. Names of faulty entries count as known.

--- a/crates/cactuslane-config/src/document/sections.rs
+++ b/crates/cactuslane-config/src/document/sections.rs
@@ -1,8 +1,10 @@
 //! Reading of the four sections and the checks between them.
 
+use std::collections::BTreeSet;
+
 use super::{
-    BTreeMap, Caller, Document, Drain, Duration, EngineModel, FencingMode, LONGEST_MS, Node,
-    PlainService, Reader, RoleCapacity, Window,
+    Caller, Document, Drain, Duration, EngineModel, FencingMode, LONGEST_MS, Node, PlainService,
+    Reader, RoleCapacity, Window,
 };
 
 /// Largest rate that a caller may be given, a second.
@@ -12,19 +14,30 @@
 /// Highest number of the priority of a caller.
 const LOWEST_PRIORITY: u64 = 9;
 
+/// Holds the names that other sections may refer to, those of faulty entries included, so that
+/// one fault is not reported as several.
+#[derive(Default)]
+struct Names {
+    /// Holds the names of models.
+    models: BTreeSet<String>,
+    /// Holds the names of plain services.
+    services: BTreeSet<String>,
+}
+
 /// Reads the whole document.
 pub(super) fn read<'t>(reader: &mut Reader<'t>, root: &Node<'t, '_>) -> Option<Document> {
     let mut fields = reader.fields(root)?;
     let mut document = Document::default();
+    let mut names = Names::default();
     if let Some(node) = fields.need(reader, "models") {
-        read_models(reader, &node, &mut document);
+        read_models(reader, &node, &mut document, &mut names);
     }
     if let Some(node) = fields.need(reader, "capacity") {
-        read_capacity(reader, &node, &mut document);
+        read_capacity(reader, &node, &mut document, &names);
     }
     if let Some(node) = fields.need(reader, "callers") {
         for (name, node) in reader.entries(&node) {
-            if let Some(caller) = read_caller(reader, &node, &document) {
+            if let Some(caller) = read_caller(reader, &node, &names) {
                 document.callers.insert(name, caller);
             }
         }
@@ -37,12 +50,18 @@
 }
 
 /// Reads the `models` section.
-fn read_models<'t>(reader: &mut Reader<'t>, node: &Node<'t, '_>, document: &mut Document) {
+fn read_models<'t>(
+    reader: &mut Reader<'t>,
+    node: &Node<'t, '_>,
+    document: &mut Document,
+    names: &mut Names,
+) {
     let Some(mut fields) = reader.fields(node) else {
         return;
     };
     if let Some(node) = fields.need(reader, "engines") {
         for (name, node) in reader.entries(&node) {
+            names.models.insert(name.clone());
             if let Some(model) = read_engine_model(reader, &node) {
                 document.models.insert(name, model);
             }
@@ -50,7 +69,8 @@
     }
     if let Some(node) = fields.take("services") {
         for (name, node) in reader.entries(&node) {
-            if document.models.contains_key(&name) {
+            names.services.insert(name.clone());
+            if names.models.contains(&name) {
                 let hint = "names are shared by models and services; rename one";
                 reader.fault(&node, "the name is already that of a model", hint);
             }
@@ -139,7 +159,12 @@
 }
 
 /// Reads the `capacity` section.
-fn read_capacity<'t>(reader: &mut Reader<'t>, node: &Node<'t, '_>, document: &mut Document) {
+fn read_capacity<'t>(
+    reader: &mut Reader<'t>,
+    node: &Node<'t, '_>,
+    document: &mut Document,
+    names: &Names,
+) {
     let Some(mut fields) = reader.fields(node) else {
         return;
     };
@@ -148,7 +173,7 @@
     document.retry_share = share.unwrap_or_default();
     if let Some(node) = fields.take("roles") {
         for (name, node) in reader.entries(&node) {
-            if !document.models.contains_key(&name) {
+            if !names.models.contains(&name) {
                 let hint = "name a model of the section `models`";
                 reader.fault(&node, &format!("there is no model \"{name}\""), hint);
             }
@@ -180,21 +205,17 @@
 }
 
 /// Reads one caller and checks what it refers to.
-fn read_caller<'t>(
-    reader: &mut Reader<'t>,
-    node: &Node<'t, '_>,
-    document: &Document,
-) -> Option<Caller> {
+fn read_caller<'t>(reader: &mut Reader<'t>, node: &Node<'t, '_>, names: &Names) -> Option<Caller> {
     let mut fields = reader.fields(node)?;
     let token = fields
         .need(reader, "token_sha256")
         .and_then(|node| read_hash(reader, &node));
     let models = match fields.take("models") {
-        Some(node) => read_references(reader, &node, &document.models, "models.engines"),
+        Some(node) => read_references(reader, &node, &names.models, "models.engines"),
         None => Vec::new(),
     };
     let services = match fields.take("services") {
-        Some(node) => read_references(reader, &node, &document.services, "models.services"),
+        Some(node) => read_references(reader, &node, &names.services, "models.services"),
         None => Vec::new(),
     };
     let rate = fields.need(reader, "rate");
@@ -239,10 +260,10 @@
 }
 
 /// Reads names that must stand in another section.
-fn read_references<'t, V>(
+fn read_references<'t>(
     reader: &mut Reader<'t>,
     node: &Node<'t, '_>,
-    known: &BTreeMap<String, V>,
+    known: &BTreeSet<String>,
     place: &str,
 ) -> Vec<String> {
     let mut names = Vec::new();
@@ -250,9 +271,9 @@
         let Some(name) = reader.string(&item) else {
             continue;
         };
-        if !known.contains_key(&name) {
+        if !known.contains(&name) {
             let message = format!("\"{name}\" does not stand in `{place}`");
-            let list = known.keys().cloned().collect::<Vec<_>>().join(", ");
+            let list = known.iter().cloned().collect::<Vec<_>>().join(", ");
             reader.fault(&item, &message, &format!("known are: {list}"));
             continue;
         }
--- /dev/null
+++ b/crates/cactuslane-config/tests/document.rs
@@ -0,0 +1,142 @@
+//! Checks of documents and edits of sections.
+
+use cactuslane_config::edit::{EditError, replace_section, section_text};
+use cactuslane_config::{Document, Section, Settings};
+use yare::parameterized;
+
+/// Is a document without faults.
+const DOCUMENT: &str = r#"{
+  // The models team keeps this list.
+  "models": {
+    "engines": {
+      "m": {
+        "first_token_ms": 1500, "between_tokens_ms": 60, "min_serving": 2,
+        "version": "1", "max_output": 100, /* tokens */
+      },
+    },
+    "services": { "s": { "timeout_ms": 100, "repeatable": [{ "method": "GET", "path": "/a" }] } },
+  },
+  "capacity": { "retry_share": 0.1 },
+  "callers": {
+    "desk": {
+      "token_sha256": "0000000000000000000000000000000000000000000000000000000000000000",
+      "models": ["m"], "services": ["s"], "rate": 5, "tokens": 100, "concurrency": 2,
+    },
+  },
+  "maintenance": {
+    "time_zone": "Europe/Zagreb", "at_once": 1, "per_domain": 1,
+    "windows": [{ "days": [1], "from": "22:00", "until": "05:30" }],
+  },
+}
+"#;
+
+/// A document without faults is read whole.
+#[test]
+fn a_document_is_read() {
+    let document = Document::parse("d", DOCUMENT).expect("it has no faults");
+    assert_eq!(document.models["m"].min_serving, 2);
+    assert_eq!(document.callers["desk"].rate, 5.0);
+    let window = &document.maintenance.windows[0];
+    assert_eq!((window.from, window.until), (22 * 60, 5 * 60 + 30));
+}
+
+/// Every fault is reported with its place, its path and a hint.
+#[parameterized(
+    unknown = { "\"rate\": 5", "\"rat\": 5", "16:43: callers.desk.rat: unknown field", "`rate`" },
+    missing = { "\"at_once\": 1, ", "", "19:18: maintenance: the field `at_once` is missing", "add" },
+    kind = { "\"retry_share\": 0.1", "\"retry_share\": \"x\"", "expected a number", "found a string" },
+    range = { "\"retry_share\": 0.1", "\"retry_share\": 1.5", "from 0 to 1", "within the range" },
+    reference = { "\"models\": [\"m\"]", "\"models\": [\"n\"]", "\"n\" does not stand", "known are: m" },
+    word = { "\"method\": \"GET\"", "\"method\": \"GTE\"", "found \"GTE\"", "`GET`" },
+    time = { "22:00", "25:00", "such as \"22:30\"", "two digits" },
+    hash = { "\"0000", "\"G000", "64 lower-case hex digits", "hash-token" },
+    twice = { "\"max_output\": 100", "\"max_output\": 100, \"version\": \"2\"", "stands twice", "remove" },
+    syntax = { "\"capacity\":", "\"capacity\"", "syntax error", "just before" },
+    fraction = { "\"min_serving\": 2", "\"min_serving\": 2.5", "a whole number", "fraction" },
+)]
+fn a_fault_is_located(from: &str, to: &str, message: &str, hint: &str) {
+    let text = DOCUMENT.replacen(from, to, 1);
+    assert_ne!(text, DOCUMENT);
+    let faults = Document::parse("d", &text).expect_err("it has a fault");
+    let all: Vec<String> = faults.iter().map(ToString::to_string).collect();
+    let found = all
+        .iter()
+        .any(|fault| fault.contains(message) && fault.contains(hint));
+    assert!(found, "{all:#?}");
+}
+
+/// All faults of a document are reported at once, in the order of the text.
+#[test]
+fn all_faults_are_reported() {
+    let text = DOCUMENT
+        .replace("\"rate\": 5", "\"rate\": -5")
+        .replace("\"at_once\": 1", "\"at_once\": 0");
+    let text = text.replace("\"version\": \"1\"", "\"version\": 1");
+    let faults = Document::parse("d", &text).expect_err("it has faults");
+    let lines: Vec<usize> = faults.iter().map(|fault| fault.line).collect();
+    assert_eq!(lines, vec![7, 16, 20]);
+}
+
+/// An edit of one section leaves every other byte as it is.
+#[test]
+fn an_edit_keeps_the_rest() {
+    let new = "{ \"retry_share\": 0.2 /* more */ }";
+    let edited = replace_section(DOCUMENT, Section::Capacity, new).expect("it has no faults");
+    assert_eq!(edited, DOCUMENT.replace("{ \"retry_share\": 0.1 }", new));
+    assert_eq!(
+        section_text(&edited, Section::Capacity).expect("it is there"),
+        new
+    );
+}
+
+/// An edit whose result refers to what is not there is refused.
+#[test]
+fn an_edit_is_checked_against_the_result() {
+    let models = section_text(DOCUMENT, Section::Models)
+        .expect("it is there")
+        .replace("\"m\"", "\"n\"");
+    let result = replace_section(DOCUMENT, Section::Models, &models);
+    assert!(matches!(result, Err(EditError::Invalid(faults)) if faults.len() == 1));
+}
+
+/// A path below a repeatable one may be repeated, and nothing else.
+#[parameterized(
+    same = { "GET", "/a", true },
+    below = { "GET", "/a/b", true },
+    query = { "GET", "/a?x=1", true },
+    beside = { "GET", "/ab", false },
+    method = { "POST", "/a", false },
+    dots = { "GET", "/a/../b", false },
+    escaped = { "GET", "/a/%2E%2e/b", false },
+)]
+fn only_named_calls_may_be_repeated(method: &str, path: &str, expected: bool) {
+    let document = Document::parse("d", DOCUMENT).expect("it has no faults");
+    assert_eq!(document.services["s"].may_repeat(method, path), expected);
+}
+
+/// No change of a byte makes the parser panic or accept what it has not checked.
+#[test]
+fn broken_texts_never_panic() {
+    for (place, _) in DOCUMENT.char_indices().filter(|(place, _)| place % 3 == 0) {
+        for insert in ["{", "}", "\"", "ä", "/*", "-", ""] {
+            let text = format!("{}{insert}{}", &DOCUMENT[..place], &DOCUMENT[place + 1..]);
+            if let Err(faults) = Document::parse("d", &text) {
+                assert!(!faults.is_empty());
+            }
+        }
+    }
+}
+
+/// Settings report what is wrong with an address and a key.
+#[test]
+fn settings_are_checked() {
+    let text = r#"{
+        "instance": "e", "failure_domain": "a", "listen": "127.0.0.1:0", "gossip": "localhost:1",
+        "store": "127.0.0.1:1", "instance_list": "127.0.0.1:1", "weight_store": "127.0.0.1:1",
+        "cluster_key": "short", "log_formt": "json"
+    }"#;
+    let faults = Settings::parse("s", text).expect_err("it has faults");
+    let paths: Vec<&str> = faults.iter().map(|fault| fault.path.as_str()).collect();
+    assert_eq!(paths, vec!["gossip", "cluster_key", "log_formt"]);
+    assert!(faults[2].hint.contains("log_format"));
+}
--- a/crates/cactuslane-member/src/lib.rs
+++ b/crates/cactuslane-member/src/lib.rs
@@ -38,8 +38,8 @@
     next_period: Millis,
     /// Is the last sequence number.
     sequence: u64,
-    /// Is how often the own record is still put on messages.
-    own_sends: u32,
+    /// Says whether a suspicion was refuted that the others have to hear of.
+    refuted: bool,
     /// Is the source of randomness.
     random: Pcg64Mcg,
 }
@@ -104,7 +104,7 @@
             period: 1_000,
             direct_wait: 300,
             helpers: 3,
-            suspicion: 4_000,
+            suspicion: 6_000,
             burial: 600_000,
             records: 8,
         }
@@ -124,7 +124,7 @@
             relays: BTreeMap::new(),
             next_period: 0,
             sequence: 0,
-            own_sends: 0,
+            refuted: false,
             random: Pcg64Mcg::seed_from_u64(seed),
         }
     }
@@ -149,7 +149,6 @@
             return;
         }
         self.me.revisions = revisions;
-        self.own_sends = self.spread_count();
     }
 
     /// Sets the address for calls that members and callers use.
@@ -161,7 +160,6 @@
     pub fn leave(&mut self) {
         self.me.status = Status::Leaving;
         self.me.beat += 1;
-        self.own_sends = self.spread_count();
     }
 
     /// Returns packets that carry the newest records at once, to some members.
@@ -175,6 +173,9 @@
     /// Does what the time calls for.
     pub fn tick(&mut self, now: Millis) -> Vec<Action> {
         let mut actions = Vec::new();
+        if std::mem::take(&mut self.refuted) {
+            actions.extend(self.urgent());
+        }
         self.check_probe(now, &mut actions);
         self.bury(now, &mut actions);
         if now >= self.next_period {
@@ -419,7 +420,7 @@
         let same = record.incarnation == self.me.incarnation;
         if same && record.beat >= self.me.beat && record.status != self.me.status {
             self.me.beat = record.beat + 1;
-            self.own_sends = self.spread_count();
+            self.refuted = true;
         }
     }
 
@@ -436,6 +437,8 @@
         member.changed = now;
         member.sends = sends;
         actions.push(Action::Changed(id.to_owned(), Status::Suspect));
+        // The suspect hears of it at once, so that it can refute in time.
+        actions.extend(self.ping(id));
     }
 
     /// Turns members that were suspected for long into gone ones, and forgets old ones.
@@ -460,7 +463,6 @@
     /// Chooses records for a message: the own, the newest, then random ones.
     fn choose_records(&mut self, to: Option<&InstanceId>) -> Vec<Record> {
         let mut records = vec![self.me.clone()];
-        self.own_sends = self.own_sends.saturating_sub(1);
         let mut fresh: Vec<(u32, InstanceId)> = Vec::new();
         for (id, member) in &self.members {
             if member.sends > 0 && Some(id) != to {
--- /dev/null
+++ b/crates/cactuslane-member/tests/spread.rs
@@ -0,0 +1,113 @@
+//! Choice of addresses and watchers, and what an instance may do when it is cut off.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddr;
+
+use cactuslane_member::addresses;
+use cactuslane_member::spread::{CONTACT_LIMIT, Contact, Standing, WATCHERS, standing, watches};
+use cactuslane_member::{Record, Status};
+use yare::parameterized;
+
+/// Returns some members that serve in three failure domains.
+fn members(count: usize) -> Vec<Record> {
+    let mut members = Vec::new();
+    for index in 0..count {
+        let address = SocketAddr::from(([127, 0, 0, 1], 7_000 + index as u16));
+        let domain = format!("domain-{}", index % 3);
+        let mut record = Record::introduced(&format!("entry-{index}"), address, &domain);
+        record.serving = address;
+        members.push(record);
+    }
+    members
+}
+
+/// An instance serves while it is in contact with anybody, and never without a configuration.
+#[parameterized(
+    all = { Some(0), Some(0), 6, true, Standing::Serves },
+    no_store = { None, Some(0), 6, true, Standing::Serves },
+    no_peers = { Some(0), None, 6, true, Standing::Serves },
+    old_store = { Some(CONTACT_LIMIT), Some(0), 6, true, Standing::Serves },
+    cut_off = { Some(CONTACT_LIMIT), Some(CONTACT_LIMIT), 6, true, Standing::CutOff },
+    alone = { Some(CONTACT_LIMIT), None, 0, true, Standing::Serves },
+    unconfirmed = { Some(0), Some(0), 6, false, Standing::NotConfigured },
+)]
+fn an_instance_knows_its_standing(
+    store: Option<u64>,
+    peer: Option<u64>,
+    peers: usize,
+    confirmed: bool,
+    expected: Standing,
+) {
+    /// The time of the question, in milliseconds.
+    const NOW: u64 = 100_000;
+    let contact = Contact {
+        store: store.map(|age| NOW - age),
+        peer: peer.map(|age| NOW - age),
+        peers,
+        configured: true,
+        confirmed,
+    };
+    assert_eq!(standing(&contact, NOW), expected);
+}
+
+/// In each failure domain as many instances watch as are asked for, whatever their number.
+#[parameterized(
+    seven = { 7 },
+    all = { 330 },
+)]
+fn few_instances_watch(count: usize) {
+    let members = members(count);
+    let mut watching: BTreeMap<&str, usize> = BTreeMap::new();
+    for member in &members {
+        if watches(members.iter(), member) {
+            *watching.entry(member.domain.as_str()).or_default() += 1;
+        }
+    }
+    assert_eq!(watching.len(), 3);
+    assert!(
+        watching.values().all(|count| *count == WATCHERS),
+        "{watching:?}"
+    );
+}
+
+/// Addresses are those of serving instances, near ones first, from several failure domains.
+#[test]
+fn near_addresses_come_first() {
+    let mut members = members(12);
+    members[1].status = Status::Leaving;
+    members[2].status = Status::Suspect;
+    members[3].status = Status::Gone;
+    for seed in 0..50 {
+        let chosen = addresses::choose(members.iter(), "desk", "domain-1", seed);
+        let ids: BTreeSet<&str> = chosen
+            .iter()
+            .map(|address| address.instance.as_str())
+            .collect();
+        assert!(ids.is_disjoint(&BTreeSet::from(["entry-1", "entry-2", "entry-3"])));
+        assert_eq!(chosen[0].domain, "domain-1");
+        let domains: BTreeSet<&str> = chosen
+            .iter()
+            .map(|address| address.domain.as_str())
+            .collect();
+        assert_eq!(domains.len(), 3);
+    }
+}
+
+/// Callers spread evenly: no instance is first for many times its share of the questions.
+#[test]
+fn callers_spread_evenly() {
+    let members = members(30);
+    let mut first: BTreeMap<String, u32> = BTreeMap::new();
+    for caller in 0..270 {
+        for seed in 0..10 {
+            let chosen = addresses::choose(members.iter(), &format!("c{caller}"), "", seed);
+            *first.entry(chosen[0].instance.clone()).or_default() += 1;
+        }
+    }
+    let mean = 270.0 * 10.0 / 30.0;
+    assert_eq!(first.len(), 30);
+    assert!(
+        first.values().all(|count| f64::from(*count) < 2.0 * mean),
+        "{first:?}"
+    );
+}
--- /dev/null
+++ b/crates/cactuslane-once/tests/register.rs
@@ -0,0 +1,133 @@
+//! The register of calls that may not be repeated.
+
+use cactuslane_once::{Answer, Begin, CallKey, ClaimKeys, Register, WINDOW};
+use yare::parameterized;
+
+/// Returns the key of a call.
+fn key(name: &str) -> CallKey {
+    ("desk".to_owned(), name.to_owned())
+}
+
+/// Returns an answer with a body of some length.
+fn answer(length: usize) -> Answer {
+    Answer {
+        status: 200,
+        headers: Vec::new(),
+        body: vec![7; length],
+    }
+}
+
+/// Is one step of a case.
+#[derive(Clone, Copy, Debug)]
+enum Do {
+    /// Begin with a hash, expecting a result.
+    Begin(u8, &'static str),
+    /// Send, expecting whether it is allowed.
+    Send(bool),
+    /// Record that nothing was sent.
+    NotSent,
+    /// Record the answer.
+    Answered,
+    /// Record that the answer is lost.
+    Lost,
+    /// Let time pass.
+    Pass(u64),
+}
+
+/// A call goes through its stages, and a repetition gets what is true of the first.
+#[parameterized(
+    whole = { &[Do::Begin(1, "first"), Do::Send(true), Do::Answered, Do::Begin(1, "answered")] },
+    in_progress = { &[Do::Begin(1, "first"), Do::Begin(1, "wait"), Do::Send(true), Do::Begin(1, "wait")] },
+    lost = { &[Do::Begin(1, "first"), Do::Send(true), Do::Lost, Do::Begin(1, "unknown"), Do::Send(false)] },
+    not_sent = { &[Do::Begin(1, "first"), Do::NotSent, Do::Begin(1, "first"), Do::Send(true)] },
+    sent_twice = { &[Do::Begin(1, "first"), Do::Send(true), Do::Send(false)] },
+    other_body = { &[Do::Begin(1, "first"), Do::Send(true), Do::Answered, Do::Begin(2, "mismatch")] },
+    other_body_not_sent = { &[Do::Begin(1, "first"), Do::NotSent, Do::Begin(2, "mismatch")] },
+    late_answer = { &[Do::Begin(1, "first"), Do::Send(true), Do::Lost, Do::Answered, Do::Begin(1, "unknown")] },
+    within_window = { &[Do::Begin(1, "first"), Do::Send(true), Do::Answered, Do::Pass(WINDOW - 1), Do::Begin(1, "answered")] },
+    after_window = { &[Do::Begin(1, "first"), Do::Send(true), Do::Answered, Do::Pass(WINDOW), Do::Begin(1, "first")] },
+    busy_after_window = { &[Do::Begin(1, "first"), Do::Send(true), Do::Pass(WINDOW), Do::Begin(1, "wait")] },
+)]
+fn a_call_runs_once(steps: &[Do]) {
+    let mut register = Register::default();
+    let key = key("k");
+    let mut now = 0;
+    for step in steps {
+        match step {
+            Do::Begin(hash, expected) => {
+                let found = match register.begin(&key, &[*hash; 32], now) {
+                    Begin::First => "first",
+                    Begin::Wait => "wait",
+                    Begin::Answered(found) => {
+                        assert_eq!(found, answer(3));
+                        "answered"
+                    }
+                    Begin::Unknown => "unknown",
+                    Begin::Mismatch => "mismatch",
+                    Begin::Full => "full",
+                };
+                assert_eq!(found, *expected);
+            }
+            Do::Send(expected) => assert_eq!(register.send(&key), *expected),
+            Do::NotSent => register.not_sent(&key),
+            Do::Answered => register.answered(&key, answer(3)),
+            Do::Lost => register.lost(&key),
+            Do::Pass(time) => now += time,
+        }
+    }
+}
+
+/// A full register refuses new keys and keeps what it knows.
+#[test]
+fn a_full_register_refuses() {
+    let mut register = Register::with_limits(2, 1_000);
+    for name in ["a", "b"] {
+        assert_eq!(register.begin(&key(name), &[0; 32], 0), Begin::First);
+        assert!(register.send(&key(name)));
+        register.lost(&key(name));
+    }
+    assert_eq!(register.begin(&key("c"), &[0; 32], 0), Begin::Full);
+    assert_eq!(register.begin(&key("a"), &[0; 32], 0), Begin::Unknown);
+}
+
+/// Answers beyond the limit are dropped, the oldest first; their calls never run again.
+#[test]
+fn old_answers_become_unknown() {
+    let mut register = Register::with_limits(100, 1_000);
+    for name in ["a", "b", "c"] {
+        assert_eq!(register.begin(&key(name), &[0; 32], 0), Begin::First);
+        assert!(register.send(&key(name)));
+        register.answered(&key(name), answer(400));
+    }
+    assert!(register.answer_bytes() <= 1_000);
+    assert_eq!(register.begin(&key("a"), &[0; 32], 0), Begin::Unknown);
+    assert_eq!(
+        register.begin(&key("c"), &[0; 32], 0),
+        Begin::Answered(answer(400))
+    );
+}
+
+/// Clocks that differ by less than a bucket look into each other's buckets.
+#[parameterized(
+    same = { 0 },
+    behind = { -30_000 },
+    ahead = { 30_000 },
+    one_window = { 3_600_000 },
+)]
+fn claims_of_near_clocks_meet(difference: i64) {
+    let wall = 1_000 * WINDOW;
+    for offset in [0, 1, WINDOW / 2, WINDOW - 1] {
+        let mine = ClaimKeys::of(&key("k"), wall + offset);
+        let theirs = ClaimKeys::of(&key("k"), (wall + offset).saturating_add_signed(difference));
+        assert!(mine.all().contains(&&theirs.current));
+        assert!(theirs.all().contains(&&mine.current));
+    }
+}
+
+/// Keys of two callers never meet, however their names are cut.
+#[test]
+fn claims_of_callers_differ() {
+    let one = ClaimKeys::of(&("ab".to_owned(), "c".to_owned()), WINDOW);
+    let other = ClaimKeys::of(&("a".to_owned(), "bc".to_owned()), WINDOW);
+    assert_ne!(one, other);
+}
