--- a/crates/cactuslane-route/src/picture.rs
+++ b/crates/cactuslane-route/src/picture.rs
@@ -338,7 +338,8 @@
         const SHARE_AGE: Millis = 3_000;
         let fresh = |heard: Millis| now.saturating_sub(heard) < SHARE_AGE;
         let told = self.shares.values().filter(|(heard, _)| fresh(*heard));
-        if told.clone().count() + 1 < self.peers {
+        // An instance that is alone has nobody to hear, and may have lost what it knew itself.
+        if self.peers < 2 || told.clone().count() + 1 < self.peers {
             return None;
         }
         let mut sum = Share::default();
--- /dev/null
+++ b/crates/cactuslane-route/tests/decisions.rs
@@ -0,0 +1,464 @@
+//! The routing decisions, step by step.
+
+use std::time::Duration;
+
+use cactuslane_route::limits::Demand;
+use cactuslane_route::picture::Share;
+use cactuslane_route::{
+    Ask, CallerLimit, CallerLimits, CallerShares, FairQueue, LimitError, Load, OutputGuess, Plan,
+    RetryBudget, Router, TargetFacts, Verdict, Work, subset,
+};
+use cactuslane_types::Role;
+use yare::parameterized;
+
+/// Name of the only model.
+const MODEL: &str = "m";
+
+/// Returns a router that knows engines in three failure domains, all idle at the time 0.
+fn router(engines: usize) -> Router {
+    let mut router = Router::new(1);
+    for index in 0..engines {
+        set(&mut router, index, Role::Mixed, true);
+        let load = Load {
+            free: 2_000,
+            ..Load::default()
+        };
+        router.picture.report(&name(index), load, 0);
+    }
+    router
+}
+
+/// Sets what an engine is.
+fn set(router: &mut Router, index: usize, role: Role, serving: bool) {
+    let facts = TargetFacts {
+        domain: format!("domain-{}", index % 3),
+        service: MODEL.to_owned(),
+        role,
+        serving,
+    };
+    router.picture.set(&name(index), facts);
+}
+
+/// Names an engine.
+fn name(index: usize) -> String {
+    format!("engine-{index:04}")
+}
+
+/// Returns a request with a prompt of some length.
+fn ask(prompt: u32) -> Ask {
+    Ask {
+        service: MODEL.to_owned(),
+        domain: "domain-0".to_owned(),
+        prompt,
+        output: 100,
+        first_bound: 1_500.0,
+        between_bound: 60.0,
+        pressure: 1.0,
+        ..Ask::default()
+    }
+}
+
+/// Returns the only target of a verdict.
+fn target(verdict: &Verdict) -> &str {
+    match verdict {
+        Verdict::Run(choice) => match &choice.plan {
+            Plan::Whole(target) => target,
+            Plan::Split { decode, .. } => decode,
+        },
+        other => panic!("{other:?}"),
+    }
+}
+
+/// Own dispatches since a report count, so that one instance does not herd.
+#[test]
+fn own_dispatches_spread() {
+    let mut router = router(6);
+    let mut used = std::collections::BTreeSet::new();
+    for _ in 0..6 {
+        let verdict = router.decide(&ask(4_000), 0.0, 1);
+        let id = target(&verdict).to_owned();
+        let work = Work {
+            prefill: 4_000,
+            context: 4_000,
+            pieces: 70,
+            decodes: true,
+        };
+        router.picture.sent(&id, work, 300.0, 1);
+        used.insert(id);
+    }
+    assert_eq!(used.len(), 6);
+}
+
+/// What other instances have in progress is avoided, when all of them have told.
+#[test]
+fn the_work_of_others_is_avoided() {
+    let mut router = router(3);
+    router.picture.peers = 2;
+    let busy = Share {
+        queued: 20_000,
+        running: 5,
+        context: 9_000,
+        pieces: 400,
+    };
+    router
+        .picture
+        .heard("other", &[(name(0), busy), (name(2), busy)], 10);
+    for _ in 0..20 {
+        assert_eq!(target(&router.decide(&ask(1_000), 0.0, 11)), name(1));
+    }
+}
+
+/// A target that leaves, is drained or serves something else gets nothing.
+#[test]
+fn only_serving_targets_are_used() {
+    let mut router = router(2);
+    set(&mut router, 0, Role::Mixed, false);
+    for _ in 0..50 {
+        assert_eq!(target(&router.decide(&ask(100), 0.0, 1)), name(1));
+    }
+    set(&mut router, 1, Role::Mixed, false);
+    assert_eq!(router.decide(&ask(100), 0.0, 1), Verdict::NoTarget);
+}
+
+/// A report that describes an earlier time than the last is dropped.
+#[test]
+fn old_reports_are_dropped() {
+    let mut router = router(2);
+    let busy = Load {
+        queued: 50_000,
+        free: 2_000,
+        ..Load::default()
+    };
+    router.picture.report(&name(0), busy, 1_000);
+    router.picture.report(
+        &name(0),
+        Load {
+            free: 2_000,
+            ..Load::default()
+        },
+        500,
+    );
+    for _ in 0..20 {
+        assert_eq!(target(&router.decide(&ask(100), 0.0, 1_000)), name(1));
+    }
+}
+
+/// A request is refused at once when no target can meet its bound, and told when to come back.
+#[parameterized(
+    idle = { 0, 1.0, true },
+    some = { 8_000, 1.0, true },
+    full = { 40_000, 1.0, false },
+    above_its_share = { 15_000, 0.45, false },
+)]
+fn late_requests_are_refused(queued: u64, pressure: f64, runs: bool) {
+    let mut router = router(3);
+    for index in 0..3 {
+        let load = Load {
+            queued,
+            free: 2_000,
+            ..Load::default()
+        };
+        router.picture.report(&name(index), load, 0);
+    }
+    let ask = Ask {
+        pressure,
+        ..ask(500)
+    };
+    match router.decide(&ask, 0.0, 0) {
+        Verdict::Run(_) => assert!(runs),
+        Verdict::Refuse(wait) => {
+            assert!(!runs);
+            assert!(wait >= Duration::from_millis(500) && wait <= Duration::from_secs(10));
+        }
+        other => panic!("{other:?}"),
+    }
+}
+
+/// The engine that has a prompt's prefix is preferred, while it is not much busier.
+#[parameterized(
+    idle = { 0, true },
+    busy = { 60_000, false },
+)]
+fn a_cached_prefix_is_used(queued: u64, used: bool) {
+    let mut router = router(4);
+    let blocks: Vec<u64> = (0..100).collect();
+    router.prefixes.stored(&name(2), &blocks, 0);
+    let load = Load {
+        queued,
+        free: 2_000,
+        ..Load::default()
+    };
+    router.picture.report(&name(2), load, 0);
+    let ask = Ask {
+        blocks,
+        ..ask(6_500)
+    };
+    for _ in 0..20 {
+        assert_eq!(target(&router.decide(&ask, 0.0, 1)) == name(2), used);
+    }
+}
+
+/// A wrong belief ends: after a gap the engine's prefixes are forgotten.
+#[test]
+fn forgotten_prefixes_are_not_used() {
+    let mut router = router(1);
+    router.prefixes.stored(&name(0), &[1, 2, 3], 0);
+    assert_eq!(
+        router.prefixes.hits(&[1, 2, 3], 1).get(name(0).as_str()),
+        Some(&3)
+    );
+    router.prefixes.removed(&name(0), &[2]);
+    assert_eq!(
+        router.prefixes.hits(&[1, 2, 3], 1).get(name(0).as_str()),
+        Some(&1)
+    );
+    router.prefixes.forget(&name(0));
+    assert!(router.prefixes.hits(&[1, 2, 3], 1).is_empty());
+}
+
+/// A target that fails is left alone, then tried with one request, then used again.
+#[test]
+fn a_failing_target_is_tried_with_care() {
+    let mut router = router(1);
+    let work = Work::default();
+    let first = router.picture.sent(&name(0), work, 10.0, 0);
+    router.picture.failed(first, 0);
+    assert_eq!(router.decide(&ask(10), 0.0, 100), Verdict::NoTarget);
+    assert_eq!(target(&router.decide(&ask(10), 0.0, 300)), name(0));
+    let probe = router.picture.sent(&name(0), work, 10.0, 300);
+    assert_eq!(router.decide(&ask(10), 0.0, 301), Verdict::NoTarget);
+    router.picture.first_token(probe, 310);
+    router.picture.done(probe);
+    assert_eq!(target(&router.decide(&ask(10), 0.0, 311)), name(0));
+}
+
+/// A target that is alive but slow is found from its own answers and avoided.
+#[test]
+fn a_slow_target_is_avoided() {
+    let mut router = router(3);
+    for turn in 0..30 {
+        let now = turn * 100;
+        for index in 0..3 {
+            let id = router
+                .picture
+                .sent(&name(index), Work::default(), 50.0, now);
+            let time = if index == 0 { 400 } else { 50 };
+            router.picture.first_token(id, now + time);
+            router.picture.done(id);
+        }
+    }
+    for _ in 0..20 {
+        assert_ne!(target(&router.decide(&ask(500), 0.0, 3_100)), name(0));
+    }
+}
+
+/// A retry goes to another failure domain first.
+#[test]
+fn a_retry_leaves_the_failure_domain() {
+    let mut router = router(6);
+    let ask = Ask {
+        tried: vec![name(0)],
+        ..ask(100)
+    };
+    for _ in 0..50 {
+        let verdict = router.decide(&ask, 0.0, 1);
+        let chosen = target(&verdict);
+        assert!(chosen != name(0) && chosen != name(3), "{chosen}");
+    }
+}
+
+/// Prefill engines feed mixed ones and decode engines.
+#[parameterized(
+    prefill_and_mixed = { Role::Prefill, Role::Mixed },
+    prefill_and_decode = { Role::Prefill, Role::Decode },
+)]
+fn work_is_split_between_roles(first: Role, second: Role) {
+    let mut router = router(2);
+    router.speed.mixing = 3.0;
+    set(&mut router, 0, first, true);
+    set(&mut router, 1, second, true);
+    let busy = Load {
+        running: 60,
+        context: 60_000,
+        free: 1_000,
+        ..Load::default()
+    };
+    router.picture.report(&name(1), busy, 1);
+    let Verdict::Run(choice) = router.decide(&ask(6_000), 0.0, 2) else {
+        panic!("it runs")
+    };
+    let expected = Plan::Split {
+        prefill: name(0),
+        decode: name(1),
+    };
+    assert_eq!(choice.plan, expected);
+}
+
+/// Retries are a share of first attempts, whatever fails.
+#[test]
+fn retries_stay_within_their_budget() {
+    let mut budget = RetryBudget::new(0.1);
+    let mut retries = 0;
+    for _ in 0..1_000 {
+        budget.attempted();
+        retries += u32::from(budget.take());
+    }
+    assert!(retries <= 106, "{retries}");
+}
+
+/// A caller that is alone gets everything; one above its share is held to a smaller bound.
+#[test]
+fn a_large_share_shrinks_the_bound() {
+    let mut shares = CallerShares::default();
+    for turn in 0..100 {
+        shares.admitted("wild", 1_000.0, 1.0, turn * 10);
+    }
+    assert!((shares.pressure("wild", 1_000) - 1.0).abs() < 1e-9);
+    shares.admitted("quiet", 1_000.0, 1.0, 1_000);
+    assert!(shares.pressure("wild", 1_000) < 0.5);
+    assert!((shares.pressure("quiet", 1_000) - 1.0).abs() < 1e-9);
+    assert!((shares.pressure("new", 1_000) - 1.0).abs() < 1e-9);
+}
+
+/// Callers take turns by their weights, however many requests one of them has waiting.
+#[test]
+fn the_queue_is_fair() {
+    let mut queue = FairQueue::default();
+    let mut owners = std::collections::BTreeMap::new();
+    for _ in 0..100 {
+        owners.insert(queue.push("wild", 1, 10.0, 1.0), "wild");
+    }
+    for _ in 0..10 {
+        owners.insert(queue.push("quiet", 1, 10.0, 1.0), "quiet");
+    }
+    let mut quiet = 0;
+    for _ in 0..20 {
+        let ticket = queue.first().expect("some wait");
+        quiet += usize::from(owners[&ticket] == "quiet");
+        queue.remove(ticket, true);
+    }
+    assert!(quiet >= 9, "{quiet}");
+}
+
+/// A limit holds over the whole fleet within a burst of each instance, by shares that are told.
+#[parameterized(
+    even = { &[1.0, 1.0, 1.0, 1.0] },
+    uneven = { &[10.0, 1.0, 1.0, 1.0] },
+    one = { &[1.0, 0.0, 0.0, 0.0] },
+)]
+fn a_limit_holds_over_the_fleet(weights: &[f64]) {
+    /// Time of the run, in milliseconds.
+    const TIME: u64 = 60_000;
+    /// Requests a second that ask for all.
+    const OFFERED: f64 = 400.0;
+    let limit = CallerLimit {
+        rate: 100.0,
+        tokens: 1e9,
+        concurrency: 1_000_000,
+    };
+    let sum: f64 = weights.iter().sum();
+    let mut instances: Vec<CallerLimits> =
+        weights.iter().map(|_| CallerLimits::default()).collect();
+    let mut due = vec![0.0; weights.len()];
+    let mut admitted = 0_u32;
+    for now in 0..TIME {
+        for (index, instance) in instances.iter_mut().enumerate() {
+            due[index] += OFFERED * weights[index] / sum / 1_000.0;
+            while due[index] >= 1.0 {
+                due[index] -= 1.0;
+                if instance.admit("desk", &limit, 1.0, now).is_ok() {
+                    instance.finish("desk", 0.0);
+                    admitted += u32::from(now >= 10_000);
+                }
+            }
+        }
+        if now % 1_000 == 0 {
+            tell_all(&mut instances, now);
+        }
+    }
+    let rate = f64::from(admitted) / ((TIME - 10_000) as f64 / 1_000.0);
+    assert!((90.0..=115.0).contains(&rate), "{rate}");
+}
+
+/// Tells every instance the demand at every other.
+fn tell_all(instances: &mut [CallerLimits], now: u64) {
+    let demands: Vec<Option<Demand>> = instances
+        .iter()
+        .map(|instance| instance.demands(now).get("desk").copied())
+        .collect();
+    for (index, instance) in instances.iter_mut().enumerate() {
+        for (other, demand) in demands.iter().enumerate() {
+            if let Some(demand) = demand.filter(|_| other != index) {
+                instance.heard(&format!("entry-{other}"), "desk", demand, now);
+            }
+        }
+    }
+}
+
+/// Each limit refuses by its own name, and the number in progress is given back.
+#[test]
+fn each_limit_refuses() {
+    let limit = CallerLimit {
+        rate: 2.0,
+        tokens: 1_000.0,
+        concurrency: 1,
+    };
+    let mut limits = CallerLimits::default();
+    assert!(limits.admit("a", &limit, 10.0, 0).is_ok());
+    assert!(matches!(
+        limits.admit("a", &limit, 10.0, 1_000),
+        Err(LimitError::Concurrency(_))
+    ));
+    limits.finish("a", 0.0);
+    assert!(limits.admit("a", &limit, 5_000.0, 2_000).is_ok());
+    limits.finish("a", 0.0);
+    assert!(matches!(
+        limits.admit("a", &limit, 10.0, 2_500),
+        Err(LimitError::Tokens(_))
+    ));
+    let mut limits = CallerLimits::default();
+    for _ in 0..10 {
+        let _ = limits.admit("a", &limit, 0.0, 0);
+        limits.finish("a", 0.0);
+    }
+    assert!(matches!(
+        limits.admit("a", &limit, 0.0, 0),
+        Err(LimitError::Rate(_))
+    ));
+}
+
+/// The reserved output follows what answers use, with its doubt, and never exceeds the limit.
+#[test]
+fn the_reserved_output_is_learnt() {
+    let mut guess = OutputGuess::default();
+    assert_eq!(guess.reserve("k", 800), 800);
+    for turn in 0..400 {
+        guess.observed("k", if turn % 2 == 0 { 90 } else { 110 }, 1_000);
+    }
+    let reserved = guess.reserve("k", 1_000);
+    assert!((100..200).contains(&reserved), "{reserved}");
+}
+
+/// Subsets cover all targets evenly, and one more target moves few others.
+#[test]
+fn subsets_are_even_and_steady() {
+    let targets: Vec<String> = (0..125).map(name).collect();
+    let mut uses = std::collections::BTreeMap::new();
+    let mut moved = 0;
+    for instance in 0..80 {
+        let instance = format!("entry-{instance}");
+        let chosen = subset::choose(&instance, &targets, subset::SUBSET);
+        let fewer = subset::choose(&instance, &targets[1..], subset::SUBSET);
+        moved += chosen.iter().filter(|id| !fewer.contains(id)).count();
+        for id in chosen {
+            *uses.entry(id).or_insert(0_u32) += 1;
+        }
+    }
+    assert_eq!(uses.len(), 125);
+    let mean = 80.0 * 32.0 / 125.0;
+    assert!(
+        uses.values().all(|count| f64::from(*count) > mean / 3.0),
+        "{uses:?}"
+    );
+    assert!(moved <= 40, "{moved}");
+}
