--- a/crates/cactuslane-demo/src/lib.rs
+++ b/crates/cactuslane-demo/src/lib.rs
@@ -67,6 +67,8 @@
     pub entries: Option<usize>,
     /// Is the configuration; none for the deployment's own.
     pub document: Option<String>,
+    /// Is the register of the plain service's runs.
+    pub register: Register,
     /// Says whether engines check fencing numbers; none for the deployment's own way.
     pub fencing: Option<bool>,
 }
@@ -89,6 +91,7 @@
             validity: Duration::from_secs(5),
             entries: None,
             document: None,
+            register: Register::default(),
             fencing: None,
         }
     }
@@ -128,7 +131,7 @@
             entries: BTreeMap::new(),
             engines: BTreeMap::new(),
             workers: BTreeMap::new(),
-            register: Register::default(),
+            register: options.register.clone(),
             faults,
             deployment,
             options,
--- a/crates/cactuslane-standin/src/service.rs
+++ b/crates/cactuslane-standin/src/service.rs
@@ -1,6 +1,7 @@
 //! A worker of a plain service, which counts how often each key ran.
 
 use std::collections::BTreeMap;
+use std::fmt;
 use std::io;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, PoisonError};
@@ -27,10 +28,12 @@
 }
 
 /// Counts the runs of each key, for all workers of one service.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Default)]
 pub struct Register {
     /// Holds the counts.
     runs: Arc<Mutex<BTreeMap<String, u64>>>,
+    /// Is told of each run, if somebody observes.
+    observer: Option<Arc<dyn Fn(&str) + Send + Sync>>,
 }
 
 impl Worker {
@@ -66,7 +69,23 @@
     }
 }
 
+impl fmt::Debug for Register {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("Register")
+            .field("runs", &self.all())
+            .finish_non_exhaustive()
+    }
+}
+
 impl Register {
+    /// Creates a register whose runs are told to an observer as they happen.
+    pub fn observed(observer: impl Fn(&str) + Send + Sync + 'static) -> Self {
+        Self {
+            runs: Arc::default(),
+            observer: Some(Arc::new(observer)),
+        }
+    }
+
     /// Returns how often a key ran.
     #[must_use]
     pub fn runs(&self, key: &str) -> u64 {
@@ -88,6 +107,9 @@
         let mut runs = self.runs.lock().unwrap_or_else(PoisonError::into_inner);
         let count = runs.entry(key.to_owned()).or_default();
         *count += 1;
+        if let Some(observer) = &self.observer {
+            observer(key);
+        }
         *count
     }
 }
