Prove streams, leaving, planned changes and outages under load

Cause: whole answers, graceful stops and planned changes had no proof over real sockets. Change: tests that break, cut, cross and crash engines under streams, take streams up at another entry, hang up, drain and list targets as leaving, change versions on engines that check and that ignore fencing numbers (with lost answers and crashes), stop entries, and take the platform down. Found and mended: a request that reached no engine at all was told as unknown instead of not-run; an instance called itself ready before it had read the instance list.

--- a/crates/cactuslane-demo/src/lib.rs
+++ b/crates/cactuslane-demo/src/lib.rs
@@ -142,6 +142,8 @@
                 .await
                 .map_err(DemoError::StandIn)?;
         }
+        // Whoever starts finds the targets on the list.
+        cluster.platform.settle();
         let entries = cluster
             .options
             .entries
@@ -149,6 +151,7 @@
         for index in 0..entries {
             cluster.spawn_entry(index).await.map_err(DemoError::Entry)?;
         }
+        cluster.platform.settle();
         Ok(cluster)
     }
 
--- /dev/null
+++ b/crates/cactuslane-demo/tests/changes.rs
@@ -0,0 +1,322 @@
+//! Changes that operators, the platform and stops bring, under load that must not be cut.
+
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::time::Duration;
+
+use cactuslane_demo::caller::{Caller, expected_text};
+use cactuslane_demo::{CONFIG_KEY, Cluster, Options};
+use cactuslane_standin::{Deployment, Fault, FaultKind, Faults};
+use serde_json::Value;
+use yare::parameterized;
+
+/// Number of tokens of an answer.
+const TOKENS: u32 = 60;
+
+/// Runs a test with a deployment whose engines are fast.
+fn with_cluster<F: Future<Output = ()>>(options: Options, test: impl FnOnce(Cluster) -> F) {
+    let runtime = tokio::runtime::Builder::new_multi_thread()
+        .worker_threads(4)
+        .enable_all()
+        .build();
+    runtime.expect("the runtime starts").block_on(async {
+        let cluster = Cluster::spawn(Deployment::split(), Faults::default(), options).await;
+        let cluster = cluster.expect("it starts");
+        assert!(cluster.ready().await);
+        test(cluster).await;
+    });
+}
+
+/// Returns options with fast engines.
+fn fast() -> Options {
+    Options {
+        pace: 20.0,
+        validity: Duration::from_millis(500),
+        ..Options::default()
+    }
+}
+
+/// Returns the document of Split with no windows and a change.
+fn document(from: &str, to: &str) -> String {
+    let text = Deployment::split().document(&cactuslane_config::document::hash_token(
+        cactuslane_demo::TOKEN,
+    ));
+    let start = text.find("\"windows\": [").expect("it has windows");
+    let end = start + text[start..].find('\n').expect("the line ends");
+    let open = format!("{}\"windows\": [],{}", &text[..start], &text[end..]);
+    if from.is_empty() {
+        return open;
+    }
+    assert!(open.contains(from));
+    open.replace(from, to)
+}
+
+/// Sends completions to all entries until told to stop.
+struct Load {
+    /// Tells the callers to stop.
+    stop: Arc<AtomicBool>,
+    /// Counts whole answers.
+    whole: Arc<AtomicU64>,
+    /// Holds the callers.
+    callers: tokio::task::JoinSet<()>,
+}
+
+impl Load {
+    /// Starts callers, each of one entry; every answer must be whole.
+    fn start(cluster: &Cluster) -> Self {
+        let (stop, whole) = (
+            Arc::new(AtomicBool::new(false)),
+            Arc::new(AtomicU64::new(0)),
+        );
+        let mut callers = tokio::task::JoinSet::new();
+        for (number, entry) in cluster.entries.values().enumerate() {
+            let caller = Caller::new(entry.address());
+            let (stop, whole) = (Arc::clone(&stop), Arc::clone(&whole));
+            let model = cluster.deployment.model.0;
+            callers.spawn(async move {
+                let mut turn = 0;
+                while !stop.load(Ordering::Relaxed) {
+                    turn += 1;
+                    let prompt = format!("{number} {turn}");
+                    let reply = caller.complete(model, &prompt, TOKENS, true).await;
+                    let expected = expected_text(&prompt, TOKENS);
+                    assert_eq!(
+                        reply.streamed_text(),
+                        expected,
+                        "{} {}",
+                        reply.status,
+                        reply.text()
+                    );
+                    whole.fetch_add(1, Ordering::Relaxed);
+                }
+            });
+        }
+        Self {
+            stop,
+            whole,
+            callers,
+        }
+    }
+
+    /// Stops the callers and returns the number of whole answers.
+    async fn stop(mut self) -> u64 {
+        self.stop.store(true, Ordering::Relaxed);
+        while let Some(ended) = self.callers.join_next().await {
+            ended.expect("every answer was whole");
+        }
+        self.whole.load(Ordering::Relaxed)
+    }
+}
+
+/// Waits until a condition holds; the test's own limit is the runner's.
+async fn until(mut holds: impl FnMut() -> bool) {
+    while !holds() {
+        tokio::time::sleep(Duration::from_millis(50)).await;
+    }
+}
+
+/// A new version reaches every engine by itself under load, and no stream is cut for it.
+#[parameterized(
+    checked = { true, None },
+    ignored = { false, None },
+    lost_answers = { true, Some(FaultKind::Lost) },
+    crashes = { false, Some(FaultKind::Crash) },
+)]
+fn a_version_change_cuts_nobody(checks: bool, fault: Option<FaultKind>) {
+    let fencing = if checks { "checked" } else { "ignored" };
+    let start = document("", "").replace("\"ignored\"", &format!("\"{fencing}\""));
+    let goal = start.replace("\"version\": \"1\"", "\"version\": \"2\"");
+    let goal = goal
+        .replace("\"at_once\": 1", "\"at_once\": 3")
+        .replace("\"per_domain\": 1", "\"per_domain\": 2");
+    let options = Options {
+        document: Some(start),
+        fencing: Some(checks),
+        ..fast()
+    };
+    with_cluster(options, |cluster| async move {
+        let load = Load::start(&cluster);
+        if let Some(kind) = fault {
+            let (target, on) = ("*".to_owned(), "order".to_owned());
+            cluster.faults.add(Fault {
+                target,
+                on,
+                kind,
+                after: 6,
+                count: 2,
+                delay_ms: 0,
+            });
+        }
+        cluster.platform.put(CONFIG_KEY, goal.as_bytes());
+        until(|| {
+            cluster
+                .engines
+                .values()
+                .all(|engine| engine.orders().version == "2")
+        })
+        .await;
+        assert!(load.stop().await > 0);
+        for (name, engine) in &cluster.engines {
+            let orders = engine.orders();
+            let numbers: Vec<u64> = orders.history.iter().map(|record| record.order).collect();
+            assert!(numbers.is_sorted_by(|a, b| a < b), "{name}: {numbers:?}");
+            assert!(
+                orders.history.iter().all(|record| record.streams == 0),
+                "{name}: {orders:?}"
+            );
+            assert_eq!(engine.cut(), 0, "{name}");
+        }
+    });
+}
+
+/// A target that the list shows as leaving, or that an edit drains, gets no new work, and its
+/// streams end whole.
+#[parameterized(
+    listed = { true },
+    drained = { false },
+)]
+fn a_leaving_target_gets_no_new_work(listed: bool) {
+    let options = Options {
+        document: Some(document("", "")),
+        ..fast()
+    };
+    with_cluster(options, |cluster| async move {
+        let load = Load::start(&cluster);
+        let counted = |cluster: &Cluster| cluster.engines["engine-2"].started();
+        until(|| counted(&cluster) > 0).await;
+        if listed {
+            cluster.platform.mark_leaving("engine-2");
+        } else {
+            let text = document("\"drains\": {}", "\"drains\": { \"engine-2\": \"now\" }");
+            cluster.platform.put(CONFIG_KEY, text.as_bytes());
+        }
+        // The stated time for the list's lag, its reading and the spreading of an edit.
+        tokio::time::sleep(Duration::from_secs(4)).await;
+        let before = counted(&cluster);
+        tokio::time::sleep(Duration::from_secs(2)).await;
+        assert_eq!(counted(&cluster), before);
+        assert!(load.stop().await > 0);
+        assert_eq!(cluster.engines["engine-2"].cut(), 0);
+    });
+}
+
+/// An entry that is told to stop serves those who hold its address, ends whole, and is named by
+/// no address answer.
+#[test]
+fn an_entry_stops_gracefully() {
+    let options = Options {
+        validity: Duration::from_secs(2),
+        ..fast()
+    };
+    with_cluster(options, |mut cluster| async move {
+        // The whole deployment is kept, not only the parts that are named below.
+        let cluster = &mut cluster;
+        let other = Caller::new(cluster.entries["entry-2"].address());
+        let leaving = cluster.entries.remove("entry-1").expect("it runs");
+        let caller = Caller::new(leaving.address());
+        let model = cluster.deployment.model.0;
+        let started = caller.clone();
+        let in_progress =
+            tokio::spawn(async move { started.complete(model, "in progress", 1_000, true).await });
+        tokio::time::sleep(Duration::from_millis(100)).await;
+        let stopping = tokio::spawn(leaving.stop());
+        tokio::time::sleep(Duration::from_millis(500)).await;
+        let held = caller.complete(model, "held address", TOKENS, true).await;
+        let expected = expected_text("held address", TOKENS);
+        assert_eq!(
+            held.streamed_text(),
+            expected,
+            "{} {}",
+            held.status,
+            held.text()
+        );
+        for from in [&caller, &other] {
+            let answer = from.get("/v1/addresses").await.json();
+            let names: Vec<&Value> = answer["addresses"]
+                .as_array()
+                .expect("a list")
+                .iter()
+                .map(|a| &a["instance"])
+                .collect();
+            assert!(
+                !names.is_empty() && !names.contains(&&Value::from("entry-1")),
+                "{answer}"
+            );
+        }
+        let reply = in_progress.await.expect("it ends");
+        assert_eq!(reply.streamed_text(), expected_text("in progress", 1_000));
+        stopping.await.expect("it ends");
+    });
+}
+
+/// Returns the revision of the configuration in force at an entry.
+async fn revision(cluster: &Cluster, entry: &str) -> u64 {
+    let mut operator = Caller::new(cluster.entries[entry].address());
+    operator.token = cactuslane_demo::OPERATOR_TOKEN.to_owned();
+    operator.get("/v1/operator/status").await.json()["revision"]
+        .as_u64()
+        .unwrap_or_default()
+}
+
+/// During an outage calls go on, nothing reverts, a new instance takes the configuration from its
+/// peers, and an edit made afterwards is in force everywhere.
+#[test]
+fn an_outage_of_the_platform_is_survived() {
+    with_cluster(fast(), |mut cluster| async move {
+        let edited = document("\"retry_share\": 0.1", "\"retry_share\": 0.2");
+        cluster.platform.put(CONFIG_KEY, edited.as_bytes());
+        let names: Vec<String> = cluster.entries.keys().cloned().collect();
+        let newest = loop {
+            let first = revision(&cluster, "entry-1").await;
+            let mut same = first > 2;
+            for name in &names {
+                same &= revision(&cluster, name).await == first;
+            }
+            if same {
+                break first;
+            }
+            tokio::time::sleep(Duration::from_millis(50)).await;
+        };
+        cluster.platform.set_down(true);
+        let load = Load::start(&cluster);
+        cluster.entries.remove("entry-6");
+        cluster.spawn_entry(6).await.expect("it starts");
+        tokio::time::sleep(Duration::from_secs(8)).await;
+        for name in &names[..5] {
+            assert_eq!(revision(&cluster, name).await, newest);
+        }
+        cluster.platform.set_down(false);
+        cluster.platform.put(
+            CONFIG_KEY,
+            document("\"retry_share\": 0.1", "\"retry_share\": 0.3").as_bytes(),
+        );
+        for name in names[..5].iter().chain([&"entry-7".to_owned()]) {
+            while revision(&cluster, name).await <= newest {
+                tokio::time::sleep(Duration::from_millis(50)).await;
+            }
+        }
+        load.stop.store(true, Ordering::Relaxed);
+    });
+}
+
+/// A document with faults never replaces a good one, and the next good one does.
+#[test]
+fn a_bad_document_changes_nothing() {
+    with_cluster(fast(), |cluster| async move {
+        let before = revision(&cluster, "entry-1").await;
+        cluster.platform.put(CONFIG_KEY, b"{ \"models\": ");
+        tokio::time::sleep(Duration::from_secs(1)).await;
+        assert_eq!(revision(&cluster, "entry-1").await, before);
+        let caller = Caller::new(cluster.entries["entry-1"].address());
+        let reply = caller
+            .complete(cluster.deployment.model.0, "still", TOKENS, true)
+            .await;
+        assert_eq!(reply.streamed_text(), expected_text("still", TOKENS));
+        cluster
+            .platform
+            .put(CONFIG_KEY, document("", "").as_bytes());
+        while revision(&cluster, "entry-1").await <= before {
+            tokio::time::sleep(Duration::from_millis(50)).await;
+        }
+    });
+}
--- /dev/null
+++ b/crates/cactuslane-demo/tests/streams.rs
@@ -0,0 +1,282 @@
+//! Streams under faults: broken, crossed, resumed, cancelled.
+
+use std::time::Duration;
+
+use cactuslane_demo::caller::{Caller, Reply, completion_body, expected_text};
+use cactuslane_demo::{Cluster, Options};
+use cactuslane_standin::{Deployment, Fault, FaultKind, Faults};
+use cactuslane_store::http::Client;
+use http_body_util::{BodyExt, Full};
+use hyper::Request;
+use hyper::body::Bytes;
+use yare::parameterized;
+
+/// Number of tokens of a long answer.
+const LONG: u32 = 120;
+
+/// Runs a test with a deployment of Cluj.
+fn with_cluster<F: Future<Output = ()>>(pace: f64, test: impl FnOnce(Cluster) -> F) {
+    let runtime = tokio::runtime::Builder::new_multi_thread()
+        .worker_threads(3)
+        .enable_all()
+        .build();
+    runtime.expect("the runtime starts").block_on(async {
+        let options = Options {
+            pace,
+            ..Options::default()
+        };
+        let cluster = Cluster::spawn(Deployment::cluj(), Faults::default(), options).await;
+        let cluster = cluster.expect("it starts");
+        assert!(cluster.ready().await);
+        test(cluster).await;
+    });
+}
+
+/// Adds a fault of engines.
+fn fail_engines(cluster: &Cluster, kind: FaultKind, count: u32) {
+    let (target, on) = ("*".to_owned(), "call".to_owned());
+    cluster.faults.add(Fault {
+        target,
+        on,
+        kind,
+        after: 0,
+        count,
+        delay_ms: 0,
+    });
+}
+
+/// Returns a caller of one entry.
+fn caller(cluster: &Cluster, entry: usize) -> Caller {
+    Caller::new(cluster.entries[&format!("entry-{}", entry + 1)].address())
+}
+
+/// Returns whether a reply is the whole answer to a prompt.
+fn is_whole(reply: &Reply, prompt: &str, stream: bool) -> bool {
+    let expected = expected_text(prompt, LONG);
+    let text = if stream {
+        reply.streamed_text()
+    } else {
+        reply.json()["choices"][0]["text"]
+            .as_str()
+            .unwrap_or_default()
+            .to_owned()
+    };
+    reply.status == 200 && reply.whole && text == expected
+}
+
+/// Whatever one engine does to an answer, the caller gets the whole one, from the token on where
+/// it broke.
+#[parameterized(
+    down = { FaultKind::Down, true },
+    lost = { FaultKind::Lost, true },
+    cut_stream = { FaultKind::Cut, true },
+    cut_whole = { FaultKind::Cut, false },
+    crossed_stream = { FaultKind::Crossed, true },
+    crossed_whole = { FaultKind::Crossed, false },
+    crashed = { FaultKind::Crash, true },
+)]
+fn an_answer_is_whole_after_a_fault(kind: FaultKind, stream: bool) {
+    with_cluster(50.0, |cluster| async move {
+        fail_engines(&cluster, kind, 2);
+        let model = cluster.deployment.model.0;
+        let reply = caller(&cluster, 0)
+            .complete(model, "a long tally", LONG, stream)
+            .await;
+        assert!(
+            is_whole(&reply, "a long tally", stream),
+            "{} {}",
+            reply.status,
+            reply.text()
+        );
+    });
+}
+
+/// When no engine is reached, the caller is told that nothing was run.
+#[test]
+fn an_unsent_request_was_not_run() {
+    with_cluster(50.0, |mut cluster| async move {
+        let cluster = &mut cluster;
+        cluster.engines.clear();
+        let model = cluster.deployment.model.0;
+        let reply = caller(cluster, 0)
+            .complete(model, "tally", LONG, false)
+            .await;
+        assert_eq!(
+            reply.header("cactuslane-outcome"),
+            "not-run",
+            "{}",
+            reply.text()
+        );
+        assert!(!reply.header("retry-after").is_empty());
+    });
+}
+
+/// When every engine fails, the caller is told so truly, and nothing is passed off as an answer.
+#[parameterized(
+    down = { FaultKind::Down },
+    crossed = { FaultKind::Crossed },
+    cut = { FaultKind::Cut },
+)]
+fn a_lost_answer_is_told(kind: FaultKind) {
+    with_cluster(50.0, |cluster| async move {
+        fail_engines(&cluster, kind, 10_000);
+        let model = cluster.deployment.model.0;
+        let reply = caller(&cluster, 0)
+            .complete(model, "tally", LONG, false)
+            .await;
+        assert_eq!(
+            reply.header("cactuslane-outcome"),
+            "unknown",
+            "{}",
+            reply.text()
+        );
+        let stream = caller(&cluster, 0)
+            .complete(model, "tally", LONG, true)
+            .await;
+        assert!(!stream.text().contains("[DONE]"));
+        let part = stream.streamed_text();
+        assert!(expected_text("tally", LONG).starts_with(&part));
+    });
+}
+
+/// A stream that breaks between caller and entry goes on at another entry, and only for its caller.
+#[test]
+fn a_stream_is_taken_up_elsewhere() {
+    with_cluster(20.0, |cluster| async move {
+        let model = cluster.deployment.model.0;
+        let first = caller(&cluster, 0);
+        let whole = first.complete(model, "resume me", LONG, true).await;
+        let token = whole.header("cactuslane-resume").to_owned();
+        for seen in [0, 1, 50, LONG - 1, LONG] {
+            let seen_text = seen.to_string();
+            let headers = [
+                ("cactuslane-resume", token.as_str()),
+                ("last-event-id", &seen_text),
+            ];
+            let second = caller(&cluster, 3);
+            let rest = second
+                .complete_with(model, "resume me", LONG, true, &headers)
+                .await;
+            let expected = expected_text("resume me", LONG);
+            let before = expected_text("resume me", seen);
+            assert_eq!(format!("{before}{}", rest.streamed_text()), expected);
+            assert!(rest.text().ends_with("[DONE]\n\n"));
+        }
+        let headers = [
+            ("cactuslane-resume", token.as_str()),
+            ("last-event-id", "3"),
+        ];
+        let other = caller(&cluster, 3)
+            .complete_with(model, "another", LONG, true, &headers)
+            .await;
+        assert_eq!(
+            (other.status, other.header("cactuslane-outcome")),
+            (400, "not-run")
+        );
+        let forged = [("cactuslane-resume", "AAAA"), ("last-event-id", "3")];
+        let other = caller(&cluster, 3)
+            .complete_with(model, "resume me", LONG, true, &forged)
+            .await;
+        assert_eq!(other.status, 400);
+    });
+}
+
+/// A caller that hangs up cancels its stream at the engine.
+#[test]
+fn a_caller_that_hangs_up_cancels() {
+    with_cluster(1.0, |cluster| async move {
+        let model = cluster.deployment.model.0;
+        let address = caller(&cluster, 0).address;
+        let request = Request::post(format!("http://{address}/v1/completions"))
+            .header(
+                "authorization",
+                format!("Bearer {}", cactuslane_demo::TOKEN),
+            )
+            .body(Full::new(Bytes::from(completion_body(
+                model, "hang up", 2_000, true,
+            ))))
+            .expect("it is well formed");
+        let mut response = Client::open_fresh()
+            .send(request)
+            .await
+            .expect("it answers");
+        response
+            .body_mut()
+            .frame()
+            .await
+            .expect("a frame")
+            .expect("it is whole");
+        let streams = || {
+            cluster
+                .engines
+                .values()
+                .map(|engine| engine.streams())
+                .sum::<usize>()
+        };
+        assert_eq!(streams(), 1);
+        drop(response);
+        while streams() > 0 {
+            tokio::time::sleep(Duration::from_millis(10)).await;
+        }
+    });
+}
+
+/// Malformed requests are refused with what is wrong, and the next one is served.
+#[parameterized(
+    no_json = { "/v1/completions", "{", 400, "bad_request" },
+    no_model = { "/v1/completions", "{}", 400, "bad_request" },
+    unknown_model = { "/v1/completions", r#"{"model":"x","prompt":"p"}"#, 404, "not_found" },
+    no_prompt = { "/v1/completions", r#"{"model":"model-numarare"}"#, 400, "bad_request" },
+    no_messages = { "/v1/chat/completions", r#"{"model":"model-numarare","messages":[]}"#, 400, "bad_request" },
+    too_many = { "/v1/completions", r#"{"model":"model-numarare","prompt":"p","max_tokens":99999}"#, 400, "bad_request" },
+    several = { "/v1/completions", r#"{"model":"model-numarare","prompt":"p","n":3}"#, 400, "bad_request" },
+    wrong_stream = { "/v1/completions", r#"{"model":"model-numarare","prompt":"p","stream":"yes"}"#, 400, "bad_request" },
+    unknown_service = { "/services/none/x", "", 404, "not_found" },
+    unknown_path = { "/v2/completions", "", 404, "not_found" },
+)]
+fn a_bad_request_is_explained(path: &str, body: &str, status: u16, code: &str) {
+    with_cluster(50.0, |cluster| async move {
+        let caller = caller(&cluster, 0);
+        let reply = caller
+            .send("POST", path, &[], Bytes::from(body.to_owned()))
+            .await;
+        assert_eq!(
+            (reply.status, reply.header("cactuslane-outcome")),
+            (status, "not-run")
+        );
+        assert_eq!(reply.json()["error"]["code"], code);
+        assert!(!reply.header("x-request-id").is_empty());
+        let good = caller
+            .complete(cluster.deployment.model.0, "after", LONG, false)
+            .await;
+        assert!(is_whole(&good, "after", false));
+    });
+}
+
+/// A request is explained from any instance, to its own caller alone.
+#[test]
+fn a_request_is_explained_anywhere() {
+    with_cluster(50.0, |cluster| async move {
+        fail_engines(&cluster, FaultKind::Cut, 1);
+        let model = cluster.deployment.model.0;
+        let reply = caller(&cluster, 0)
+            .complete(model, "explain me", LONG, true)
+            .await;
+        let id = reply.header("x-request-id").to_owned();
+        let path = format!("/v1/explain/{id}");
+        // The span ends when the stream has been handed over.
+        let mut explained = caller(&cluster, 4).get(&path).await;
+        while explained.status != 200 {
+            tokio::time::sleep(Duration::from_millis(20)).await;
+            explained = caller(&cluster, 4).get(&path).await;
+        }
+        let text = explained.text();
+        assert!(
+            text.contains("engine failed") && text.contains("first token"),
+            "{text}"
+        );
+        let mut stranger = caller(&cluster, 0);
+        stranger.token = "nobody".to_owned();
+        assert_eq!(stranger.get(&path).await.status, 401);
+    });
+}
--- a/crates/cactuslane-entry/src/api/completions/generation.rs
+++ b/crates/cactuslane-entry/src/api/completions/generation.rs
@@ -375,11 +375,8 @@
             .ask
             .upstream(&id, self.priority(), self.number, &transfer);
         let request = self.request(&target, &body, &trace_header(&span).1)?;
-        self.started = true;
         let result = upstream::head(&shared.client, request, deadline).await;
-        if let Err(CallError::NotSent(_)) = &result {
-            self.started = self.attempts > 1 && self.started;
-        }
+        self.started |= !matches!(&result, Err(CallError::NotSent(_)));
         let response = result.inspect_err(|_| dispatch.failed())?;
         if response.status() != 200 {
             dispatch.failed();
@@ -413,10 +410,10 @@
         let mut body = self.ask.upstream(id, self.priority(), self.number, &ask);
         body["stream"] = json!(false);
         let request = self.request(target, &body, &self.call.span.traceparent())?;
-        self.started = true;
         let wait = deadline.saturating_duration_since(Instant::now());
         let client = &self.call.shared.client;
         let answer = upstream::whole(client, request, MAX_PREFILL_ANSWER, wait).await;
+        self.started |= !matches!(&answer, Err(CallError::NotSent(_)));
         let answer = answer.inspect_err(|_| dispatch.failed())?;
         let value: Value = serde_json::from_slice(&answer.body).unwrap_or(Value::Null);
         let transfer = value["kv_transfer_params"].clone();
--- a/crates/cactuslane-entry/src/fleet.rs
+++ b/crates/cactuslane-entry/src/fleet.rs
@@ -66,7 +66,10 @@
     }
     let peers = members.records().count() - 1;
     drop(members);
-    shared.contact().peers = peers;
+    let mut contact = shared.contact();
+    contact.peers = peers;
+    contact.listed = true;
+    drop(contact);
     let own = |listed: &&Listed| listed.instance == shared.settings.instance;
     if list.iter().find(own).is_some_and(|listed| listed.leaving) {
         shared.leave();
--- a/crates/cactuslane-member/src/spread.rs
+++ b/crates/cactuslane-member/src/spread.rs
@@ -26,6 +26,8 @@
     pub peers: usize,
     /// Says whether a configuration is in force.
     pub configured: bool,
+    /// Says whether the instance list was read since the start.
+    pub listed: bool,
     /// Says whether the configuration was confirmed as current since the start.
     pub confirmed: bool,
 }
@@ -35,7 +37,7 @@
 pub enum Standing {
     /// It may.
     Serves,
-    /// It holds no configuration that is known to be current.
+    /// It holds no configuration that is known to be current, or knows no instances yet.
     NotConfigured,
     /// It is cut off from the service and from all peers.
     CutOff,
@@ -57,7 +59,7 @@
 /// Returns whether an instance may take new work.
 #[must_use]
 pub fn standing(contact: &Contact, now: Millis) -> Standing {
-    if !contact.configured || !contact.confirmed {
+    if !contact.configured || !contact.confirmed || !contact.listed {
         return Standing::NotConfigured;
     }
     let fresh = |at: Option<Millis>| at.is_some_and(|at| now.saturating_sub(at) < CONTACT_LIMIT);
--- a/crates/cactuslane-member/tests/spread.rs
+++ b/crates/cactuslane-member/tests/spread.rs
@@ -45,6 +45,7 @@
         peer: peer.map(|age| NOW - age),
         peers,
         configured: true,
+        listed: true,
         confirmed,
     };
     assert_eq!(standing(&contact, NOW), expected);
--- a/crates/cactuslane-standin/src/engine.rs
+++ b/crates/cactuslane-standin/src/engine.rs
@@ -163,6 +163,12 @@
         self.state.lock().outputs.len()
     }
 
+    /// Returns the number of requests that were started.
+    #[must_use]
+    pub fn started(&self) -> u64 {
+        self.state.lock().runs.values().sum()
+    }
+
     /// Returns the number of streams that the engine itself cut.
     #[must_use]
     pub fn cut(&self) -> u64 {
--- a/crates/cactuslane-standin/src/platform.rs
+++ b/crates/cactuslane-standin/src/platform.rs
@@ -124,6 +124,11 @@
         inner.show(self.state.lag);
     }
 
+    /// Shows the list as it is now, without its lag, as after a long quiet time.
+    pub fn settle(&self) {
+        self.state.lock().show(Duration::ZERO);
+    }
+
     /// Marks an instance of the list as leaving.
     pub fn mark_leaving(&self, name: &str) {
         let mut inner = self.state.lock();
@@ -196,6 +201,9 @@
     /// Records that the list has changed, to be shown after the lag.
     fn show(&mut self, lag: Duration) {
         let instances = self.instances.clone();
+        if lag.is_zero() {
+            self.shown.clear();
+        }
         self.shown.push_back((Instant::now() + lag, instances));
     }
 
