--- a/crates/cactuslane-standin/src/service.rs
+++ b/crates/cactuslane-standin/src/service.rs
@@ -27,13 +27,16 @@
     register: Register,
 }
 
+/// Is told of each run of a key.
+type Observer = dyn Fn(&str) + Send + Sync;
+
 /// Counts the runs of each key, for all workers of one service.
 #[derive(Clone, Default)]
 pub struct Register {
     /// Holds the counts.
     runs: Arc<Mutex<BTreeMap<String, u64>>>,
     /// Is told of each run, if somebody observes.
-    observer: Option<Arc<dyn Fn(&str) + Send + Sync>>,
+    observer: Option<Arc<Observer>>,
 }
 
 impl Worker {
