Measure capacity at several sizes, and mend what the slopes showed

Cause found: every arrival and revision was spread eagerly for others, so that news of a death waited behind hundreds of records; each estimate summed the tellings of all peers. Change: cactuslane capacity measures membership, decisions, documents, tellings, keys and whole processes. Only news of a status is spread eagerly. Sums of own and told work are kept up to date per target.

--- /dev/null
+++ b/crates/cactuslane-bench/src/capacity/decisions.rs
@@ -0,0 +1,224 @@
+//! The decisions and tables of one node, at several sizes.
+
+use std::fmt::Write;
+use std::hint::black_box;
+use std::time::Instant;
+
+use cactuslane_config::Document;
+use cactuslane_member::{Message, Packet, ShareRecord};
+use cactuslane_once::{Answer, CallKey, Register};
+use cactuslane_route::picture::Share;
+use cactuslane_route::{Ask, Load, Router, TargetFacts};
+use cactuslane_types::Role;
+use cactuslane_wire::{Key, Purpose};
+
+use super::{Point, Series, micros};
+
+/// Numbers of targets in a picture.
+const TARGETS: [usize; 5] = [12, 32, 125, 250, 1_000];
+/// Number of decisions that are timed.
+const DECISIONS: u32 = 2_000;
+/// Numbers of callers in a document.
+const CALLERS: [usize; 4] = [10, 90, 270, 540];
+/// Numbers of remembered keys.
+const KEYS: [usize; 3] = [1_000, 10_000, 50_000];
+/// Numbers of targets in one telling.
+const TOLD: [usize; 4] = [1, 2, 8, 32];
+/// Bytes of the headers of UDP and IP.
+const HEADERS: usize = 28;
+
+/// Measures all.
+#[must_use]
+pub fn measure() -> Vec<Series> {
+    vec![
+        routing(),
+        parsing(),
+        document_size(),
+        telling(),
+        remembering(),
+    ]
+}
+
+/// Measures the time of one routing decision.
+fn routing() -> Series {
+    let mut points = Vec::new();
+    for size in TARGETS {
+        let mut router = Router::new(1);
+        router.picture.peers = 7;
+        for index in 0..size {
+            let id = format!("engine-{index:04}");
+            let facts = TargetFacts {
+                domain: format!("domain-{}", index % 16),
+                service: "m".to_owned(),
+                role: Role::Mixed,
+                serving: true,
+            };
+            router.picture.set(&id, facts);
+            let load = Load {
+                queued: index as u64 * 7 % 900,
+                running: 20,
+                free: 900,
+                context: 30_000,
+            };
+            router.picture.report(&id, load, 0);
+            let share = Share {
+                queued: 500,
+                running: 3,
+                context: 4_000,
+                pieces: 70,
+            };
+            for peer in 0..6 {
+                router
+                    .picture
+                    .heard(&format!("entry-{peer}"), &[(id.clone(), share)], 0);
+            }
+        }
+        let ask = Ask {
+            service: "m".to_owned(),
+            domain: "domain-1".to_owned(),
+            prompt: 2_000,
+            output: 300,
+            blocks: (0..31).collect(),
+            first_bound: 1_500.0,
+            between_bound: 60.0,
+            pressure: 1.0,
+            ..Ask::default()
+        };
+        let started = Instant::now();
+        for _ in 0..DECISIONS {
+            black_box(router.decide(black_box(&ask), 0.0, 10));
+        }
+        let value = micros(started.elapsed()) / f64::from(DECISIONS);
+        points.push(Point { size, value });
+    }
+    Series {
+        name: "routing: microseconds a decision",
+        over: "targets in the picture",
+        points,
+    }
+}
+
+/// Measures the time to check a document.
+fn parsing() -> Series {
+    let mut points = Vec::new();
+    for size in CALLERS {
+        let text = document(size);
+        let started = Instant::now();
+        assert!(Document::parse("measured", &text).is_ok());
+        points.push(Point {
+            size,
+            value: micros(started.elapsed()),
+        });
+    }
+    Series {
+        name: "configuration: microseconds to check a document",
+        over: "callers",
+        points,
+    }
+}
+
+/// Measures the size of a document.
+fn document_size() -> Series {
+    let points = CALLERS.map(|size| Point {
+        size,
+        value: document(size).len() as f64,
+    });
+    Series {
+        name: "configuration: bytes of a document",
+        over: "callers",
+        points: points.to_vec(),
+    }
+}
+
+/// Measures the size of one telling of work in progress.
+fn telling() -> Series {
+    let key = Key::new("the key of a measurement");
+    let mut points = Vec::new();
+    for size in TOLD {
+        let record = |index: usize| ShareRecord {
+            target: format!("engine-{index:04}"),
+            queued: 7_000,
+            running: 30,
+            context: 60_000,
+            pieces: 1_200,
+        };
+        let packet = Packet {
+            from: "entry-001".to_owned(),
+            incarnation: 1_800_000_000_000,
+            sequence: 1_000_000,
+            message: Message::Shares((0..size).map(record).collect()),
+            records: Vec::new(),
+        };
+        let value = (key.seal(Purpose::Gossip, &packet).len() + HEADERS) as f64;
+        points.push(Point { size, value });
+    }
+    Series {
+        name: "telling: bytes of a datagram, headers included",
+        over: "targets told",
+        points,
+    }
+}
+
+/// Measures the time to begin, send and answer a keyed call in a register that holds many.
+fn remembering() -> Series {
+    let mut points = Vec::new();
+    for size in KEYS {
+        let mut register = Register::default();
+        let keys: Vec<CallKey> = (0..size)
+            .map(|index| ("desk".to_owned(), format!("key-{index:08}")))
+            .collect();
+        let started = Instant::now();
+        for key in &keys {
+            register.begin(key, &[0; 32], 0);
+            if register.send(key) {
+                let body = vec![0; 200];
+                register.answered(
+                    key,
+                    Answer {
+                        status: 200,
+                        headers: Vec::new(),
+                        body,
+                    },
+                );
+            }
+        }
+        points.push(Point {
+            size,
+            value: micros(started.elapsed()) / size as f64,
+        });
+    }
+    Series {
+        name: "at most once: microseconds a call",
+        over: "keys remembered",
+        points,
+    }
+}
+
+/// Writes a document with many callers.
+fn document(callers: usize) -> String {
+    let mut text = String::from("{ \"models\": { \"engines\": {");
+    for model in 0..8 {
+        let comma = if model > 0 { "," } else { "" };
+        let _ = write!(
+            text,
+            "{comma} \"model-{model}\": {{ \"first_token_ms\": 410, \"between_tokens_ms\": 51, \
+             \"min_serving\": 60, \"version\": \"1\", \"max_output\": 4096 }}"
+        );
+    }
+    text.push_str("} }, \"capacity\": { \"retry_share\": 0.1 }, \"callers\": {");
+    for caller in 0..callers {
+        let comma = if caller > 0 { "," } else { "" };
+        let _ = write!(
+            text,
+            "{comma}\n  \"customer-{caller:04}\": {{\n    \"token_sha256\": \"{:064x}\",\n    \
+             \"models\": [\"model-{}\"],\n    \"rate\": 20, \"tokens\": 100000, \
+             \"concurrency\": 200\n  }}",
+            caller,
+            caller % 8
+        );
+    }
+    text.push_str(
+        "}, \"maintenance\": { \"time_zone\": \"Europe/Zagreb\", \"at_once\": 8, \"per_domain\": 2 } }",
+    );
+    text
+}
--- /dev/null
+++ b/crates/cactuslane-bench/src/capacity/process.rs
@@ -0,0 +1,248 @@
+//! Whole instances on loopback: what they add to a call, and what they hold.
+
+use std::fs;
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+
+use cactuslane_demo::caller::Caller;
+use cactuslane_demo::{Cluster, Options};
+use cactuslane_standin::{Deployment, Faults};
+use hdrhistogram::Histogram;
+use tokio::runtime::{Builder, Runtime};
+use tokio::task::JoinSet;
+
+use super::{Point, Series};
+
+/// Numbers of callers at once.
+const CALLERS: [usize; 3] = [4, 16, 64];
+/// Numbers of streams that are held.
+const STREAMS: [usize; 3] = [200, 400, 800];
+/// Number of calls of each caller.
+const CALLS: usize = 100;
+/// Number of clock ticks of the kernel a second.
+const TICKS: f64 = 100.0;
+/// Bytes of a page of memory.
+const PAGE: f64 = 4096.0;
+
+/// Is what calls of one kind took.
+struct Taken {
+    /// Holds the times, in microseconds.
+    times: Histogram<u64>,
+    /// Is the number of calls a second.
+    rate: f64,
+}
+
+/// Measures all.
+#[must_use]
+pub fn measure() -> Vec<Series> {
+    let mut all = overhead();
+    all.push(streams());
+    all
+}
+
+/// Measures calls to a plain service, direct and through an entry instance.
+fn overhead() -> Vec<Series> {
+    let mut median = series("proxy: median of a GET through an entry, ratio to a direct one");
+    let mut tail = series("proxy: 99th percentile, ratio to a direct one");
+    let mut rate = series("proxy: calls a second, ratio to direct ones");
+    let mut claim = series("proxy: median of a claimed call, ratio to one with an issued key");
+    let mut core = series("proxy: microseconds of a core a call, callers and stand-ins included");
+    let runtime = runtime();
+    runtime.block_on(async {
+        let cluster = cluster(50.0).await;
+        let entry = cluster
+            .entries
+            .values()
+            .next()
+            .map(cactuslane_entry::Entry::address);
+        let worker = cluster
+            .workers
+            .values()
+            .next()
+            .map(cactuslane_standin::service::Worker::address);
+        let (Some(entry), Some(worker)) = (entry, worker) else {
+            return;
+        };
+        for callers in CALLERS {
+            let direct = call_many(worker, "/x", callers, None).await;
+            let before = cpu_time();
+            let path = "/services/registru-anchete/x";
+            let proxied = call_many(entry, path, callers, None).await;
+            let spent = cpu_time() - before;
+            let prefix = issued_prefix(entry).await;
+            let issued = call_many(entry, path, callers, Some(format!("{prefix}{callers}-"))).await;
+            let claimed = call_many(entry, path, callers, Some(format!("own-{callers}-"))).await;
+            let ratio = |a: &Taken, b: &Taken, at: f64| {
+                a.times.value_at_quantile(at) as f64 / b.times.value_at_quantile(at).max(1) as f64
+            };
+            push(&mut median, callers, ratio(&proxied, &direct, 0.5));
+            push(&mut tail, callers, ratio(&proxied, &direct, 0.99));
+            push(&mut rate, callers, proxied.rate / direct.rate);
+            push(&mut claim, callers, ratio(&claimed, &issued, 0.5));
+            push(&mut core, callers, spent * 1e6 / (callers * CALLS) as f64);
+        }
+    });
+    vec![median, tail, rate, claim, core]
+}
+
+/// Measures the memory that held streams take, callers and stand-ins included.
+fn streams() -> Series {
+    let name = "streams: megabytes of the process, callers and stand-ins included";
+    let mut series = Series {
+        name,
+        over: "streams held",
+        points: Vec::new(),
+    };
+    let runtime = runtime();
+    runtime.block_on(async {
+        let cluster = cluster(1.0).await;
+        let entries: Vec<SocketAddr> = cluster
+            .entries
+            .values()
+            .map(cactuslane_entry::Entry::address)
+            .collect();
+        let model = cluster.deployment.model.0;
+        let mut held = JoinSet::new();
+        for size in STREAMS {
+            while held.len() < size {
+                let caller = Caller::new(entries[held.len() % entries.len()]);
+                let prompt = format!("held {}", held.len());
+                held.spawn(async move { caller.complete(model, &prompt, 2_000, true).await });
+            }
+            let streaming = || {
+                cluster
+                    .engines
+                    .values()
+                    .map(cactuslane_standin::engine::Engine::streams)
+                    .sum::<usize>()
+            };
+            let until = Instant::now() + Duration::from_secs(15);
+            while streaming() < size && Instant::now() < until {
+                tokio::time::sleep(Duration::from_millis(50)).await;
+            }
+            series.points.push(Point {
+                size: streaming(),
+                value: resident() / 1e6,
+            });
+        }
+    });
+    series
+}
+
+/// Calls a path from several callers at once; with a prefix, each call has a key of its own.
+async fn call_many(
+    address: SocketAddr,
+    path: &'static str,
+    callers: usize,
+    keys: Option<String>,
+) -> Taken {
+    let mut tasks = JoinSet::new();
+    let started = Instant::now();
+    for number in 0..callers {
+        let caller = Caller::kept(address);
+        let keys = keys.clone();
+        tasks.spawn(async move {
+            let mut times = Vec::new();
+            for turn in 0..CALLS {
+                let started = Instant::now();
+                let reply = match &keys {
+                    Some(prefix) => {
+                        caller
+                            .post_keyed(path, &format!("{prefix}{number}-{turn}"), "x")
+                            .await
+                    }
+                    None => caller.get(path).await,
+                };
+                assert_eq!(reply.status, 200, "{}", reply.text());
+                times.push(started.elapsed().as_micros() as u64);
+            }
+            times
+        });
+    }
+    let mut times = Histogram::new(2).expect("two digits are allowed");
+    while let Some(Ok(taken)) = tasks.join_next().await {
+        for time in taken {
+            times.record(time).expect("the histogram grows");
+        }
+    }
+    let rate = times.len() as f64 / started.elapsed().as_secs_f64();
+    Taken { times, rate }
+}
+
+/// Asks for a prefix of keys that are bound to an entry.
+async fn issued_prefix(entry: SocketAddr) -> String {
+    let answer = Caller::kept(entry).get("/v1/addresses").await.json();
+    let url = format!("http://{entry}");
+    let list = answer["addresses"].as_array().cloned().unwrap_or_default();
+    let own = list.iter().find(|address| address["url"] == url.as_str());
+    let prefix = own.and_then(|address| address["idempotency_key_prefix"].as_str());
+    prefix.unwrap_or_default().to_owned()
+}
+
+/// Spawns the deployment of Cluj.
+async fn cluster(pace: f64) -> Cluster {
+    let token = cactuslane_config::document::hash_token(cactuslane_demo::TOKEN);
+    // No limit of the caller may stand between the measurement and the system.
+    let document = Deployment::cluj().document(&token);
+    let document = document.replace("\"rate\": 500", "\"rate\": 1000000");
+    let options = Options {
+        pace,
+        document: Some(document),
+        ..Options::default()
+    };
+    let cluster = Cluster::spawn(Deployment::cluj(), Faults::default(), options).await;
+    let cluster = cluster.expect("the deployment starts on loopback");
+    cluster.ready().await;
+    cluster
+}
+
+/// Creates a runtime of four threads.
+fn runtime() -> Runtime {
+    let runtime = Builder::new_multi_thread()
+        .worker_threads(4)
+        .enable_all()
+        .build();
+    runtime.expect("the runtime starts")
+}
+
+/// Returns the processor time of this process, in seconds.
+fn cpu_time() -> f64 {
+    let stat = fs::read_to_string("/proc/self/stat").unwrap_or_default();
+    let fields: Vec<&str> = stat
+        .rsplit(')')
+        .next()
+        .unwrap_or_default()
+        .split_whitespace()
+        .collect();
+    let ticks = |index: usize| {
+        fields
+            .get(index)
+            .and_then(|f| f.parse::<f64>().ok())
+            .unwrap_or(0.0)
+    };
+    (ticks(11) + ticks(12)) / TICKS
+}
+
+/// Returns the resident memory of this process, in bytes.
+fn resident() -> f64 {
+    let statm = fs::read_to_string("/proc/self/statm").unwrap_or_default();
+    let pages = statm
+        .split_whitespace()
+        .nth(1)
+        .and_then(|field| field.parse::<f64>().ok());
+    pages.unwrap_or(0.0) * PAGE
+}
+
+/// Creates an empty series over callers.
+fn series(name: &'static str) -> Series {
+    Series {
+        name,
+        over: "callers at once",
+        points: Vec::new(),
+    }
+}
+
+/// Adds a point.
+fn push(series: &mut Series, size: usize, value: f64) {
+    series.points.push(Point { size, value });
+}
--- a/crates/cactuslane-bench/src/lib.rs
+++ b/crates/cactuslane-bench/src/lib.rs
@@ -4,6 +4,7 @@
 //! engine, minutes of a fleet in seconds of a machine, seeded. [`trace`] makes the load,
 //! [`policy`] names what is compared, [`outcome`] counts.
 
+pub mod capacity;
 pub mod fleet;
 pub mod matrix;
 pub mod outcome;
--- a/crates/cactuslane-demo/src/caller.rs
+++ b/crates/cactuslane-demo/src/caller.rs
@@ -51,6 +51,15 @@
         }
     }
 
+    /// Creates a caller that keeps its connections.
+    #[must_use]
+    pub fn kept(address: SocketAddr) -> Self {
+        Self {
+            client: Client::open(),
+            ..Self::new(address)
+        }
+    }
+
     /// Sends a GET request.
     pub async fn get(&self, path: &str) -> Reply {
         self.send("GET", path, &[], Bytes::new()).await
--- a/crates/cactuslane-member/src/lib.rs
+++ b/crates/cactuslane-member/src/lib.rs
@@ -19,6 +19,9 @@
 pub use message::{DemandRecord, Message, Packet, ShareRecord};
 pub use record::{Record, Revisions, Status};
 
+/// Number of times that a new member's record is put on messages for others.
+const ARRIVAL_SENDS: u32 = 4;
+
 /// Is the membership as one instance sees it.
 #[derive(Clone, Debug)]
 pub struct Membership {
@@ -405,8 +408,12 @@
         if !member.record.merge(record) {
             return;
         }
-        member.sends = sends;
+        // Everybody learns a revision from its holder; only news of a status is spread for others.
+        if old.incarnation != member.record.incarnation {
+            member.sends = member.sends.max(ARRIVAL_SENDS);
+        }
         if old.status != member.record.status {
+            member.sends = sends;
             member.changed = now;
             actions.push(Action::Changed(record.id.clone(), member.record.status));
         }
--- a/crates/cactuslane-route/src/picture.rs
+++ b/crates/cactuslane-route/src/picture.rs
@@ -38,6 +38,8 @@
     mean_queue: f64,
     /// Holds what other instances have in progress, with the time it was heard.
     shares: BTreeMap<InstanceId, (Millis, BTreeMap<TargetId, Share>)>,
+    /// Says whether all other instances have told lately what they have in progress.
+    complete: bool,
 }
 
 /// Is the work that one instance has in progress at one target.
@@ -103,6 +105,10 @@
     measured: Millis,
     /// Holds this instance's dispatches in progress there.
     own: BTreeMap<DispatchId, (Millis, Work, bool)>,
+    /// Is their sum.
+    own_sum: Share,
+    /// Is the sum of what the other instances have told.
+    told: Share,
     /// Is what its answers say.
     pub health: Health,
 }
@@ -145,6 +151,7 @@
             interval_start: 0,
             mean_queue: 0.0,
             shares: BTreeMap::new(),
+            complete: false,
         }
     }
 }
@@ -161,6 +168,8 @@
                 load: None,
                 measured: 0,
                 own: BTreeMap::new(),
+                own_sum: Share::default(),
+                told: self.told(id),
                 health: Health::default(),
             };
             self.targets.insert(id.to_owned(), target);
@@ -201,6 +210,7 @@
         self.dispatches.insert(self.last_id, dispatch);
         if let Some(target) = self.targets.get_mut(id) {
             target.own.insert(self.last_id, (now, work, false));
+            target.own_sum.join(&Share::of(&work, false));
         }
         self.count_inflow(f64::from(work.prefill), now);
         self.last_id
@@ -216,8 +226,12 @@
         };
         let observed = now.saturating_sub(dispatch.sent) as f64;
         target.health.answered(observed, dispatch.expected, now);
-        if let Some(own) = target.own.get_mut(&id) {
-            own.2 = true;
+        if let Some((_, work, answered)) = target.own.get_mut(&id)
+            && !*answered
+        {
+            *answered = true;
+            target.own_sum.leave(&Share::of(work, false));
+            target.own_sum.join(&Share::of(work, true));
         }
     }
 
@@ -226,8 +240,10 @@
         let Some(dispatch) = self.dispatches.remove(&id) else {
             return;
         };
-        if let Some(target) = self.targets.get_mut(&dispatch.target) {
-            target.own.remove(&id);
+        if let Some(target) = self.targets.get_mut(&dispatch.target)
+            && let Some((_, work, answered)) = target.own.remove(&id)
+        {
+            target.own_sum.leave(&Share::of(&work, answered));
         }
     }
 
@@ -246,14 +262,49 @@
     pub fn heard(&mut self, from: &str, shares: &[(TargetId, Share)], now: Millis) {
         let known = self.shares.entry(from.to_owned()).or_default();
         known.0 = now;
-        for (target, share) in shares {
-            known.1.insert(target.clone(), *share);
+        for (id, share) in shares {
+            let old = known.1.insert(id.clone(), *share).unwrap_or_default();
+            if let Some(target) = self.targets.get_mut(id) {
+                target.told.leave(&old);
+                target.told.join(share);
+            }
         }
     }
 
     /// Forgets another instance that is gone.
     pub fn forget(&mut self, from: &str) {
-        self.shares.remove(from);
+        let Some((_, shares)) = self.shares.remove(from) else {
+            return;
+        };
+        for (id, share) in &shares {
+            if let Some(target) = self.targets.get_mut(id) {
+                target.told.leave(share);
+            }
+        }
+    }
+
+    /// Forgets instances that have not told for long, before a decision.
+    pub fn refresh(&mut self, now: Millis) {
+        /// Age after which what an instance has told is no longer used, in milliseconds.
+        const SHARE_AGE: Millis = 3_000;
+        let old = |heard: Millis| now.saturating_sub(heard) >= SHARE_AGE;
+        while let Some(id) = self.shares.iter().find(|(_, (heard, _))| old(*heard)) {
+            let id = id.0.clone();
+            self.forget(&id);
+        }
+        // An instance that is alone has nobody to hear, and may have lost what it knew itself.
+        self.complete = self.peers > 1 && self.shares.len() + 1 >= self.peers;
+    }
+
+    /// Returns the sum of what the other instances have told of a target.
+    fn told(&self, id: &str) -> Share {
+        let mut told = Share::default();
+        for (_, shares) in self.shares.values() {
+            if let Some(share) = shares.get(id) {
+                told.join(share);
+            }
+        }
+        told
     }
 
     /// Adds prompt tokens to the measured inflow.
@@ -304,14 +355,10 @@
     /// Returns what this instance has in progress at a target.
     #[must_use]
     pub fn own_share(&self, id: &str) -> Share {
-        let Some(target) = self.targets.get(id) else {
-            return Share::default();
-        };
-        let mut share = Share::default();
-        for (_, work, answered) in target.own.values() {
-            share.add(work, *answered);
-        }
-        share
+        self.targets
+            .get(id)
+            .map(|target| target.own_sum)
+            .unwrap_or_default()
     }
 
     /// Estimates a target's load now.
@@ -319,45 +366,19 @@
     /// Where all other instances have told lately what they have in progress, their sum is newer
     /// than any report; else the last report is carried forward.
     #[must_use]
-    pub fn estimate(&self, id: &str, target: &Target, speed: &Speed, now: Millis) -> Estimate {
-        match self.estimate_shares(id, target, speed, now) {
-            Some(estimate) => estimate,
-            None => self.estimate_report(target, speed, now),
-        }
-    }
-
-    /// Estimates a target's load from what all instances have in progress.
-    fn estimate_shares(
-        &self,
-        id: &str,
-        target: &Target,
-        speed: &Speed,
-        now: Millis,
-    ) -> Option<Estimate> {
-        /// Age after which what an instance has told is no longer used, in milliseconds.
-        const SHARE_AGE: Millis = 3_000;
-        let fresh = |heard: Millis| now.saturating_sub(heard) < SHARE_AGE;
-        let told = self.shares.values().filter(|(heard, _)| fresh(*heard));
-        // An instance that is alone has nobody to hear, and may have lost what it knew itself.
-        if self.peers < 2 || told.clone().count() + 1 < self.peers {
-            return None;
+    pub fn estimate(&self, target: &Target, speed: &Speed, now: Millis) -> Estimate {
+        if !self.complete {
+            return self.estimate_report(target, speed, now);
         }
-        let mut sum = Share::default();
-        for (_, work, answered) in target.own.values() {
-            sum.add(work, *answered);
-        }
-        for (_, shares) in told {
-            if let Some(share) = shares.get(id) {
-                sum.join(share);
-            }
-        }
-        Some(Estimate {
+        let mut sum = target.own_sum;
+        sum.join(&target.told);
+        Estimate {
             queued: f64::from(sum.queued),
             running: f64::from(sum.running),
             context: f64::from(sum.context),
             free: f64::from(speed.pieces) - f64::from(sum.pieces),
             age: 0.0,
-        })
+        }
     }
 
     /// Estimates a target's load from its last report and what has happened since.
@@ -430,24 +451,31 @@
 }
 
 impl Share {
-    /// Adds the work of one dispatch, whose first token may have come.
-    fn add(&mut self, work: &Work, answered: bool) {
-        if !answered {
-            self.queued += work.prefill;
-        } else if work.decodes {
-            self.running += 1;
+    /// Returns the share of one dispatch, whose first token may have come.
+    fn of(work: &Work, answered: bool) -> Self {
+        Self {
+            queued: if answered { 0 } else { work.prefill },
+            running: u32::from(answered && work.decodes),
+            context: work.context,
+            pieces: work.pieces,
         }
-        self.context += work.context;
-        self.pieces += work.pieces;
     }
 
-    /// Adds the share of another instance.
+    /// Adds another share.
     fn join(&mut self, other: &Self) {
         self.queued += other.queued;
         self.running += other.running;
         self.context += other.context;
         self.pieces += other.pieces;
     }
+
+    /// Takes another share away, which was added before.
+    fn leave(&mut self, other: &Self) {
+        self.queued = self.queued.saturating_sub(other.queued);
+        self.running = self.running.saturating_sub(other.running);
+        self.context = self.context.saturating_sub(other.context);
+        self.pieces = self.pieces.saturating_sub(other.pieces);
+    }
 }
 
 /// Returns the prompt tokens that this instance waits for at a target.
--- a/crates/cactuslane-route/src/router.rs
+++ b/crates/cactuslane-route/src/router.rs
@@ -186,6 +186,7 @@
 
     /// Chooses the best plan, or none if no target serves the request.
     pub fn choose(&mut self, ask: &Ask, now: Millis) -> Option<Choice> {
+        self.picture.refresh(now);
         let mut random = self.random.clone();
         let candidates = self.candidates(ask, now);
         let noises: Vec<f64> = candidates.iter().map(|_| gumbel(&mut random)).collect();
@@ -224,7 +225,7 @@
                 continue;
             }
             let cached = hits.get(id.as_str()).copied().unwrap_or(0) * self.speed.piece_tokens;
-            let estimate = self.picture.estimate(id, target, &self.speed, now);
+            let estimate = self.picture.estimate(target, &self.speed, now);
             candidates.push(Candidate {
                 id,
                 estimate,
--- a/crates/cactuslane/src/main.rs
+++ b/crates/cactuslane/src/main.rs
@@ -3,6 +3,7 @@
 //! Exit codes: 0 for success, 1 for a command that failed, 2 for wrong arguments or files.
 
 mod bench;
+mod capacity;
 mod check;
 mod config;
 mod demo;
@@ -38,6 +39,8 @@
     Check(check::CheckCommand),
     /// Prints the hash of a token.
     HashToken(check::HashTokenCommand),
+    /// Measures what grows with the fleet.
+    Capacity(capacity::CapacityCommand),
     /// Compares the decisions with simpler ones.
     Bench(bench::BenchCommand),
     /// Runs a whole deployment on stand-ins.
@@ -53,10 +56,27 @@
     Failed(String),
 }
 
-#[tokio::main]
-async fn main() -> ExitCode {
+fn main() -> ExitCode {
     let arguments: Arguments = argh::from_env();
-    let result = match arguments.command {
+    // Measurements make runtimes of their own.
+    if let Command::Capacity(_) = arguments.command {
+        capacity::execute();
+        return ExitCode::SUCCESS;
+    }
+    let runtime = match tokio::runtime::Runtime::new() {
+        Ok(runtime) => runtime,
+        Err(error) => {
+            eprintln!("cactuslane: the runtime did not start: {error}");
+            return ExitCode::FAILURE;
+        }
+    };
+    runtime.block_on(execute(arguments.command))
+}
+
+/// Executes a command and returns its exit code.
+async fn execute(command: Command) -> ExitCode {
+    let result = match command {
+        Command::Capacity(_) => Ok(()),
         Command::Run(command) => run::execute(command).await,
         Command::Check(command) => check::execute(&command),
         Command::Config(command) => config::execute(command).await,
