--- a/crates/cactuslane-bench/src/sim.rs
+++ b/crates/cactuslane-bench/src/sim.rs
@@ -591,6 +591,8 @@
             let picture = &mut self.entries[0].router.picture;
             picture.report(name, engine.load(), now);
         }
+        // Nobody else dispatches: what the only instance has in progress is all there is.
+        self.entries[0].router.picture.heard("nobody", &[], now);
     }
 
     /// Tells all entries what an engine is.
--- a/crates/cactuslane-bench/src/sim/entry.rs
+++ b/crates/cactuslane-bench/src/sim/entry.rs
@@ -51,7 +51,7 @@
     pub fn new(policy: Policy, engine: Speed, peers: usize, seed: u64) -> Self {
         let mut router = Router::new(seed);
         router.speed = engine;
-        router.picture.peers = peers;
+        router.picture.peers = peers.max(2);
         if policy == Policy::Clairvoyant {
             router.params = RouteParams {
                 noise: 0.01,
--- a/crates/cactuslane-demo/tests/history.rs
+++ b/crates/cactuslane-demo/tests/history.rs
@@ -22,7 +22,7 @@
 /// Number of callers at once.
 const CALLERS: usize = 6;
 /// Number of corrections of each.
-const CORRECTIONS: usize = 25;
+const CORRECTIONS: usize = 100;
 /// Number of times that a caller sends one correction.
 const TRIES: usize = 4;
 /// The process that stands for the targets in the history.
@@ -163,7 +163,7 @@
 /// Brings about one fault after another until told to stop.
 async fn disturb(cluster: &mut Cluster, entries: &Mutex<Vec<Caller>>, seed: u64, turn: u64) {
     let mut random = Pcg64Mcg::seed_from_u64(seed * 1_000 + turn);
-    tokio::time::sleep(Duration::from_millis(random.random_range(20..150))).await;
+    tokio::time::sleep(Duration::from_millis(random.random_range(5..60))).await;
     match random.random_range(0..10) {
         0..3 => {
             let index = random.random_range(0..cluster.deployment.entries);
--- a/crates/cactuslane-entry/src/api/services/keyed.rs
+++ b/crates/cactuslane-entry/src/api/services/keyed.rs
@@ -9,7 +9,7 @@
 use std::time::Duration;
 
 use cactuslane_once::{Answer, Begin, CallKey, Claim, ClaimKeys, WINDOW};
-use cactuslane_store::{Compare, Op, StoreError, Txn};
+use cactuslane_store::StoreError;
 use cactuslane_types::Millis;
 use cactuslane_wire::Purpose;
 use cactuslane_wire::token::{IssuedKey, decode};
@@ -190,15 +190,8 @@
         incarnation: shared.incarnation,
     };
     let places = ClaimKeys::of(key, Clock::wall());
-    let value = serde_json::to_vec(&me).map_err(|_| Ending::ClaimFailed)?;
-    let absent = places.all().map(|place| Compare::Absent(place.clone()));
-    let txn = Txn {
-        compare: absent.to_vec(),
-        then: vec![Op::Put(places.current.clone(), value, None)],
-        otherwise: places.all().map(|place| Op::Get(place.clone())).to_vec(),
-    };
     let span = shared.traces.child("claim", &call.call.span);
-    match shared.store.txn(&txn).await {
+    match shared.claims.make(&places, &me).await {
         Ok(answer) if answer.held => Ok(Binding::Here),
         Ok(answer) => {
             let found = answer.reads.into_iter().flatten().next();
--- /dev/null
+++ b/crates/cactuslane-entry/src/claims.rs
@@ -0,0 +1,117 @@
+//! Claims of callers' own keys, grouped into few writes.
+//!
+//! One write is on its way at a time; the claims that come meanwhile share the next one. So a
+//! claim alone waits for nothing, and many at once cost the key-value service few calls.
+
+use std::sync::{Arc, Mutex, PoisonError};
+
+use cactuslane_once::{Claim, ClaimKeys};
+use cactuslane_store::{Compare, Op, Store, StoreError, Txn, TxnAnswer};
+use tokio::sync::{mpsc, oneshot};
+
+use crate::shared::Shared;
+
+/// Number of claims in one write at most.
+const MAX_GROUP: usize = 64;
+/// Number of claims that wait at most.
+const MAX_WAITING: usize = 10_000;
+
+/// Takes claims.
+#[derive(Debug)]
+pub struct Claims {
+    /// Passes claims on to the task that writes them.
+    sender: mpsc::Sender<Waiting>,
+    /// Is the other end until the task takes it.
+    receiver: Mutex<Option<mpsc::Receiver<Waiting>>>,
+}
+
+/// Is a claim that waits to be written.
+#[derive(Debug)]
+struct Waiting {
+    /// Is the transaction that makes it.
+    txn: Txn,
+    /// Takes the answer.
+    answer: oneshot::Sender<Result<TxnAnswer, StoreError>>,
+}
+
+impl Claims {
+    /// Creates claims that no task writes yet.
+    pub fn new() -> Self {
+        let (sender, receiver) = mpsc::channel(MAX_WAITING);
+        Self {
+            sender,
+            receiver: Mutex::new(Some(receiver)),
+        }
+    }
+
+    /// Takes the end that the writing task reads; none the second time.
+    fn take_receiver(&self) -> Option<mpsc::Receiver<Waiting>> {
+        self.receiver
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+            .take()
+    }
+
+    /// Makes a claim, if no place of its key holds one.
+    ///
+    /// The answer tells whether it was made, and else what the places hold.
+    pub async fn make(&self, places: &ClaimKeys, claim: &Claim) -> Result<TxnAnswer, StoreError> {
+        let refused = |why: &str| StoreError::Refused(why.to_owned());
+        let value = serde_json::to_vec(claim).map_err(|error| refused(&error.to_string()))?;
+        let txn = Txn {
+            compare: places
+                .all()
+                .map(|place| Compare::Absent(place.clone()))
+                .to_vec(),
+            then: vec![Op::Put(places.current.clone(), value, None)],
+            otherwise: places.all().map(|place| Op::Get(place.clone())).to_vec(),
+        };
+        let (answer, answered) = oneshot::channel();
+        let waiting = Waiting { txn, answer };
+        self.sender
+            .try_send(waiting)
+            .map_err(|_| refused("too many claims wait"))?;
+        // Without an answer nobody knows whether the claim was written.
+        answered
+            .await
+            .unwrap_or(Err(StoreError::Lost("the claim was dropped".to_owned())))
+    }
+}
+
+/// Writes claims until the task is aborted.
+pub async fn run(shared: Arc<Shared>) {
+    let Some(mut receiver) = shared.claims.take_receiver() else {
+        return;
+    };
+    let mut group = Vec::new();
+    while receiver.recv_many(&mut group, MAX_GROUP).await > 0 {
+        write(&shared.store, std::mem::take(&mut group)).await;
+    }
+}
+
+/// Writes a group of claims and passes each its answer on.
+async fn write(store: &Store, group: Vec<Waiting>) {
+    let then = group
+        .iter()
+        .map(|waiting| Op::Txn(waiting.txn.clone()))
+        .collect();
+    let result = store
+        .txn(&Txn {
+            then,
+            ..Txn::default()
+        })
+        .await;
+    for (index, waiting) in group.into_iter().enumerate() {
+        let answer = match &result {
+            Ok(answer) => answer.nested.get(index).cloned().ok_or_else(missing),
+            Err(error) => Err(error.clone()),
+        };
+        // A caller that has gone needs no answer; its claim stands all the same.
+        let _ = waiting.answer.send(answer);
+    }
+}
+
+/// Is the error of a claim whose answer is not in the answer of its group.
+fn missing() -> StoreError {
+    StoreError::Lost("the answer lacks a part".to_owned())
+}
--- a/crates/cactuslane-entry/src/lib.rs
+++ b/crates/cactuslane-entry/src/lib.rs
@@ -7,6 +7,7 @@
 
 mod api;
 mod authority;
+mod claims;
 mod clock;
 mod documents;
 mod fleet;
@@ -89,6 +90,7 @@
         tasks.spawn(sync::run(Arc::clone(&shared)));
         tasks.spawn(fleet::run(Arc::clone(&shared)));
         tasks.spawn(authority::run(Arc::clone(&shared)));
+        tasks.spawn(claims::run(Arc::clone(&shared)));
         let server = server::Server::spawn(Arc::clone(&shared), listener);
         log::info!("instance {} started on {serving}", shared.settings.instance);
         Ok(Self {
--- a/crates/cactuslane-entry/src/shared.rs
+++ b/crates/cactuslane-entry/src/shared.rs
@@ -15,6 +15,7 @@
 use tokio::sync::Notify;
 
 use crate::authority::AuthorityView;
+use crate::claims::Claims;
 use crate::clock::Clock;
 use crate::documents::{DocumentKind, Documents, Offer};
 use crate::metrics::Metrics;
@@ -63,6 +64,8 @@
     routing: Mutex<Routing>,
     /// Remembers calls that may not be repeated.
     once: Mutex<Register>,
+    /// Claims callers' own keys.
+    pub claims: Claims,
     /// Wakes calls that wait for another one with the same key.
     pub once_changed: Notify,
     /// Is what the authority task last saw, for explanations.
@@ -102,6 +105,7 @@
             contact: Mutex::default(),
             routing: Mutex::new(Routing::new(seed)),
             once: Mutex::default(),
+            claims: Claims::new(),
             once_changed: Notify::new(),
             authority: Mutex::default(),
             leaving: AtomicBool::new(false),
--- a/crates/cactuslane/src/capacity.rs
+++ b/crates/cactuslane/src/capacity.rs
@@ -1,5 +1,7 @@
 //! Measurements of what grows with the fleet.
 
+use std::fmt::Write;
+
 use argh::FromArgs;
 use cactuslane_bench::capacity::{Series, measure};
 
@@ -19,7 +21,8 @@
 fn print(series: &Series) {
     let mut points = String::new();
     for point in &series.points {
-        points.push_str(&format!(" {}: {:.3},", point.size, point.value));
+        // Writing to a string does not fail.
+        let _ = write!(points, " {}: {:.3},", point.size, point.value);
     }
     println!(
         "{} | over {} |{} slope {:.6}",
