Leave more room to the others of a wild caller

Change: a caller far above its share counts against 0.3 of its bound, not 0.45. Conclusion: 0.3 kept: Split and Cluj both share their engines between towns and crews.

--- a/crates/cactuslane-route/src/share.rs
+++ b/crates/cactuslane-route/src/share.rs
@@ -9,7 +9,7 @@
 /// Share above its fair one at which a caller's bound begins to shrink.
 const TOLERANCE: f64 = 1.15;
 /// Part of its bound that is left to a caller with the largest share.
-const LEAST: f64 = 0.45;
+const LEAST: f64 = 0.3;
 /// Number of callers that are remembered at most.
 const MAX_CALLERS: usize = 4_096;
 
