--- a/crates/cactuslane-entry/src/api.rs
+++ b/crates/cactuslane-entry/src/api.rs
@@ -86,7 +86,7 @@
     (span, looked_up): (Span, Arc<AtomicBool>),
 ) -> Result<Response<Body>, Ending> {
     if path.starts_with("/v1/operator/") {
-        return admin::operator(shared, &request, path);
+        return admin::operator(shared, request.headers(), path).await;
     }
     if let Some(ending) = shared.refusal() {
         return Err(ending);
--- a/crates/cactuslane-entry/src/api/admin.rs
+++ b/crates/cactuslane-entry/src/api/admin.rs
@@ -3,9 +3,10 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use cactuslane_authority::{keys, ownership};
 use cactuslane_config::document::hash_token;
-use hyper::body::{Bytes, Incoming};
-use hyper::{Method, Request, Response};
+use hyper::body::Bytes;
+use hyper::{HeaderMap, Method, Response};
 use serde_json::{Value, json};
 
 use super::Call;
@@ -45,13 +46,12 @@
 }
 
 /// Answers the paths for operators.
-pub fn operator(
+pub async fn operator(
     shared: &Arc<Shared>,
-    request: &Request<Incoming>,
+    headers: &HeaderMap,
     path: &str,
 ) -> Result<Response<Body>, Ending> {
-    let header = request
-        .headers()
+    let header = headers
         .get("authorization")
         .and_then(|value| value.to_str().ok());
     let token = header.and_then(|header| header.strip_prefix("Bearer "));
@@ -61,9 +61,11 @@
     }
     let unknown = || Ending::NotFound("there is nothing at this path".to_owned());
     match path.strip_prefix("/v1/operator/") {
-        Some("status") => Ok(json_response(200, &status(shared))),
+        Some("status") => Ok(json_response(200, &status(shared).await)),
         Some(rest) => match rest.split_once('/') {
-            Some(("target", target)) => Ok(json_response(200, &explain_target(shared, target))),
+            Some(("target", target)) => {
+                Ok(json_response(200, &explain_target(shared, target).await))
+            }
             Some(("request", id)) => Ok(json_response(200, &explanation(shared, id))),
             _ => Err(unknown()),
         },
@@ -115,7 +117,8 @@
 }
 
 /// Builds the status of the fleet as this instance sees it.
-fn status(shared: &Shared) -> Value {
+async fn status(shared: &Shared) -> Value {
+    let owners = owners(shared).await;
     let members: Vec<Value> = shared
         .members()
         .records()
@@ -162,16 +165,52 @@
         "members": members,
         "targets": targets,
         "owned": shared.authority().owned(),
+        "owners": owners,
     })
 }
 
-/// Explains what was done to a target, as far as this instance knows.
-fn explain_target(shared: &Shared, target: &str) -> Value {
+/// Returns who owns which shard, as the key-value service tells; null while it is down.
+async fn owners(shared: &Shared) -> Value {
+    let Ok(records) = shared.store.range(keys::OWNERS).await else {
+        return Value::Null;
+    };
+    let mut owners = serde_json::Map::new();
+    for record in &records {
+        let shard = record.key.trim_start_matches(keys::OWNERS).to_owned();
+        let mut owner = parsed(&record.value);
+        owner["fencing"] = json!(record.created);
+        owners.insert(shard, owner);
+    }
+    Value::Object(owners)
+}
+
+/// Explains what was done to a target: the plan, the records of orders, and what its owner noted
+/// where this instance is the owner.
+async fn explain_target(shared: &Shared, target: &str) -> Value {
     let plan = shared.documents.plan();
+    let shard = ownership::shard_of(target);
+    let mut records = serde_json::Map::new();
+    for (name, key) in [
+        ("owner", keys::owner(&shard)),
+        ("hold", keys::hold(target)),
+        ("last_order", keys::intent(target)),
+    ] {
+        let record = shared.store.get(&key).await.ok().flatten();
+        records.insert(
+            name.to_owned(),
+            record.map_or(Value::Null, |r| parsed(&r.value)),
+        );
+    }
     json!({
         "target": target,
         "planned": plan.plan.targets.get(target),
         "plan_revision": plan.revision,
+        "records": records,
         "orders": shared.authority().explain(target),
     })
 }
+
+/// Parses a record's value; one that is no JSON is null.
+fn parsed(value: &[u8]) -> Value {
+    serde_json::from_slice(value).unwrap_or(Value::Null)
+}
--- a/crates/cactuslane-entry/src/api/completions.rs
+++ b/crates/cactuslane-entry/src/api/completions.rs
@@ -14,6 +14,7 @@
 use hyper::{HeaderMap, Response};
 use serde_json::json;
 use tokio::sync::mpsc;
+use tokio::time::timeout;
 
 use super::{Call, body};
 use crate::reply::{Body, Ending, json_response};
@@ -25,6 +26,8 @@
 pub const RESUME_HEADER: &str = "cactuslane-resume";
 /// Header that names the last event a caller has.
 const LAST_EVENT_HEADER: &str = "last-event-id";
+/// Longest time that a stream waits for a caller that reads nothing.
+const SLOW_CALLER: Duration = Duration::from_secs(30);
 /// Number of events that wait for a slow caller.
 const BUFFERED_EVENTS: usize = 64;
 
@@ -90,13 +93,11 @@
         let mut piece = first;
         loop {
             let last = matches!(piece, Piece::End { .. });
-            if sender.send(Ok(event(&piece))).await.is_err() {
+            if !send(&sender, Ok(event(&piece))).await {
                 return;
             }
             if last {
-                let _ = sender
-                    .send(Ok(Bytes::from_static(b"data: [DONE]\n\n")))
-                    .await;
+                send(&sender, Ok(Bytes::from_static(b"data: [DONE]\n\n"))).await;
                 return;
             }
             // A caller that hangs up drops the generation, which cancels it at the engine.
@@ -108,10 +109,8 @@
                 Ok(next) => piece = next,
                 Err(ending) => {
                     let event = format!("data: {}\n\n", ending.body());
-                    let _ = sender.send(Ok(Bytes::from(event))).await;
-                    let _ = sender
-                        .send(Err(std::io::Error::other("the stream broke")))
-                        .await;
+                    send(&sender, Ok(Bytes::from(event))).await;
+                    send(&sender, Err(std::io::Error::other("the stream broke"))).await;
                     return;
                 }
             }
@@ -126,6 +125,14 @@
         .expect("the parts of the answer are valid")
 }
 
+/// Sends a frame to the caller; false if it has hung up or reads nothing for long.
+async fn send(
+    sender: &mpsc::Sender<std::io::Result<Bytes>>,
+    frame: std::io::Result<Bytes>,
+) -> bool {
+    matches!(timeout(SLOW_CALLER, sender.send(frame)).await, Ok(Ok(())))
+}
+
 /// Answers with one JSON object.
 async fn whole(mut generation: Generation, first: Piece) -> Result<Response<Body>, Ending> {
     let mut text = String::new();
--- a/crates/cactuslane-entry/src/lib.rs
+++ b/crates/cactuslane-entry/src/lib.rs
@@ -118,6 +118,13 @@
         self.shared.refusal().is_none()
     }
 
+    /// Waits for keyed calls whose callers have hung up; each ends within its own time.
+    async fn finish_keyed_calls(&self) {
+        while self.shared.once().in_progress() > 0 {
+            tokio::time::sleep(Duration::from_millis(20)).await;
+        }
+    }
+
     /// Waits until the instance list tells this instance to leave.
     pub async fn told_to_leave(&self) {
         /// Time between two looks.
@@ -134,6 +141,7 @@
         log::info!("instance {} is leaving", self.shared.settings.instance);
         tokio::time::sleep(self.shared.settings.validity).await;
         self.server.finish().await;
+        self.finish_keyed_calls().await;
         authority::step_down(&self.shared).await;
         // The last packets tell the others of it.
         tokio::time::sleep(Duration::from_millis(50)).await;
--- a/crates/cactuslane-once/src/lib.rs
+++ b/crates/cactuslane-once/src/lib.rs
@@ -194,6 +194,13 @@
         self.calls.len()
     }
 
+    /// Returns the number of calls that were begun and have not ended.
+    #[must_use]
+    pub fn in_progress(&self) -> usize {
+        let busy = |call: &&Call| matches!(call.stage, Stage::Starting | Stage::Sent);
+        self.calls.values().filter(busy).count()
+    }
+
     /// Returns whether no key is remembered.
     #[must_use]
     pub fn is_empty(&self) -> bool {
--- a/crates/cactuslane-once/tests/register.rs
+++ b/crates/cactuslane-once/tests/register.rs
@@ -77,6 +77,21 @@
     }
 }
 
+/// Calls in progress are counted until they end, whichever way.
+#[test]
+fn calls_in_progress_are_counted() {
+    let mut register = Register::default();
+    for name in ["a", "b", "c"] {
+        assert_eq!(register.begin(&key(name), &[0; 32], 0), Begin::First);
+    }
+    assert!(register.send(&key("a")) && register.send(&key("b")));
+    assert_eq!(register.in_progress(), 3);
+    register.answered(&key("a"), answer(1));
+    register.lost(&key("b"));
+    register.not_sent(&key("c"));
+    assert_eq!(register.in_progress(), 0);
+}
+
 /// A full register refuses new keys and keeps what it knows.
 #[test]
 fn a_full_register_refuses() {
