Measure whole instances at 7 to 120, and scenarios without tellings

Cause: the time until an edit is in force was known from a model alone; the bench never lost a telling, so that late reports changed nothing. Change: cactuslane capacity starts up to 120 instances in one process and measures an edit's way, calls to the platform, bytes and processor time at rest; scenarios untold, untold-2s and untold-10s.

--- a/crates/cactuslane-bench/src/capacity/process.rs
+++ b/crates/cactuslane-bench/src/capacity/process.rs
@@ -6,6 +6,7 @@
 
 use cactuslane_demo::caller::Caller;
 use cactuslane_demo::{Cluster, Options};
+use cactuslane_standin::platform::Counts;
 use cactuslane_standin::{Deployment, Faults};
 use hdrhistogram::Histogram;
 use tokio::runtime::{Builder, Runtime};
@@ -36,11 +37,86 @@
 #[must_use]
 pub fn measure() -> Vec<Series> {
     let mut all = overhead();
+    all.extend(spreading());
     all.push(tokens());
     all.push(streams());
     all
 }
 
+/// Measures whole instances at several numbers, at rest and when the configuration changes.
+fn spreading() -> Vec<Series> {
+    /// Numbers of instances.
+    const INSTANCES: [usize; 4] = [7, 30, 60, 120];
+    /// Time for the instances to find each other.
+    const SETTLE: Duration = Duration::from_secs(12);
+    /// Time of a measurement at rest.
+    const REST: Duration = Duration::from_secs(8);
+    let over = |name| Series {
+        name,
+        over: "instances",
+        points: Vec::new(),
+    };
+    let mut spread = over("spreading: milliseconds from acceptance to in force on all instances");
+    let mut calls = over("key-value service: calls a second of all instances at rest");
+    let mut lists = over("instance list: readings a second of all instances at rest");
+    let mut bytes =
+        over("whole instances: payload bytes a second a node between instances at rest");
+    let mut cpu =
+        over("whole instances: microseconds of a core a second a node at rest, stand-ins included");
+    for size in INSTANCES {
+        let runtime = runtime();
+        runtime.block_on(async {
+            let cluster = cluster_of(50.0, Some(size)).await;
+            tokio::time::sleep(SETTLE).await;
+            let counts = cluster.platform.counts();
+            let sent = || {
+                cluster
+                    .entries
+                    .values()
+                    .map(cactuslane_entry::Entry::peer_bytes)
+                    .sum::<u64>()
+            };
+            let (bytes_before, cpu_before) = (sent(), cpu_time());
+            tokio::time::sleep(REST).await;
+            let (after, seconds) = (cluster.platform.counts(), REST.as_secs_f64());
+            let all = |c: &Counts| c.reads + c.writes + c.watches;
+            push(
+                &mut calls,
+                size,
+                (all(&after) - all(&counts)) as f64 / seconds,
+            );
+            push(
+                &mut lists,
+                size,
+                (after.lists - counts.lists) as f64 / seconds,
+            );
+            let per_node = seconds * size as f64;
+            push(&mut bytes, size, (sent() - bytes_before) as f64 / per_node);
+            push(&mut cpu, size, (cpu_time() - cpu_before) * 1e6 / per_node);
+            let old = cluster
+                .entries
+                .values()
+                .map(cactuslane_entry::Entry::revision)
+                .max();
+            let text = document().replace("\"retry_share\": 0.1", "\"retry_share\": 0.2");
+            cluster
+                .platform
+                .put(cactuslane_demo::CONFIG_KEY, text.as_bytes());
+            let started = Instant::now();
+            while cluster
+                .entries
+                .values()
+                .any(|entry| Some(entry.revision()) <= old)
+            {
+                tokio::time::sleep(Duration::from_millis(1)).await;
+            }
+            push(&mut spread, size, started.elapsed().as_secs_f64() * 1e3);
+        });
+        runtime.shutdown_background();
+    }
+    vec![spread, calls, lists, bytes, cpu]
+}
+
 /// Measures the processor time of a streamed token, callers and stand-ins included.
 fn tokens() -> Series {
     /// Number of tokens of each stream.
@@ -220,13 +296,15 @@
 
 /// Spawns the deployment of Cluj.
 async fn cluster(pace: f64) -> Cluster {
-    let token = cactuslane_config::document::hash_token(cactuslane_demo::TOKEN);
-    // No limit of the caller may stand between the measurement and the system.
-    let document = Deployment::cluj().document(&token);
-    let document = document.replace("\"rate\": 500", "\"rate\": 1000000");
+    cluster_of(pace, None).await
+}
+
+/// Spawns the deployment of Cluj with a number of entry instances.
+async fn cluster_of(pace: f64, entries: Option<usize>) -> Cluster {
     let options = Options {
         pace,
-        document: Some(document),
+        entries,
+        document: Some(document()),
         ..Options::default()
     };
     let cluster = Cluster::spawn(Deployment::cluj(), Faults::default(), options).await;
@@ -235,6 +313,13 @@
     cluster
 }
 
+/// Returns the configuration of Cluj, in which no limit of the caller stands in the way.
+fn document() -> String {
+    let token = cactuslane_config::document::hash_token(cactuslane_demo::TOKEN);
+    let document = Deployment::cluj().document(&token);
+    document.replace("\"rate\": 500", "\"rate\": 1000000")
+}
+
 /// Creates a runtime of four threads.
 fn runtime() -> Runtime {
     let runtime = Builder::new_multi_thread()
--- a/crates/cactuslane-bench/src/scenario.rs
+++ b/crates/cactuslane-bench/src/scenario.rs
@@ -146,6 +146,15 @@
             with("slow-engine", &|s| s.fault = Fault::SlowEngine),
             with("late-2s", &|s| s.lag_ms = 2_000),
             with("late-10s", &|s| s.lag_ms = 10_000),
+            with("untold", &|s| s.tell_ms = 0),
+            with("untold-2s", &|s| {
+                s.tell_ms = 0;
+                s.lag_ms = 2_000;
+            }),
+            with("untold-10s", &|s| {
+                s.tell_ms = 0;
+                s.lag_ms = 10_000;
+            }),
             with("overload-2", &|s| s.load = 2.0),
             with("overload-5", &|s| {
                 s.load = 5.0;
--- a/crates/cactuslane-entry/src/api/admin.rs
+++ b/crates/cactuslane-entry/src/api/admin.rs
@@ -171,15 +171,15 @@
 
 /// Returns who owns which shard, as the key-value service tells; null while it is down.
 async fn owners(shared: &Shared) -> Value {
-    let Ok(records) = shared.store.range(keys::OWNERS).await else {
+    let Ok(found) = shared.store.range(keys::OWNERS).await else {
         return Value::Null;
     };
     let mut owners = serde_json::Map::new();
-    for record in &records {
-        let shard = record.key.trim_start_matches(keys::OWNERS).to_owned();
+    for record in &found {
+        let name = record.key.trim_start_matches(keys::OWNERS).to_owned();
         let mut owner = parsed(&record.value);
         owner["fencing"] = json!(record.created);
-        owners.insert(shard, owner);
+        owners.insert(name, owner);
     }
     Value::Object(owners)
 }
@@ -188,10 +188,9 @@
 /// where this instance is the owner.
 async fn explain_target(shared: &Shared, target: &str) -> Value {
     let plan = shared.documents.plan();
-    let shard = ownership::shard_of(target);
     let mut records = serde_json::Map::new();
     for (name, key) in [
-        ("owner", keys::owner(&shard)),
+        ("owner", keys::owner(&ownership::shard_of(target))),
         ("hold", keys::hold(target)),
         ("last_order", keys::intent(target)),
     ] {
--- a/crates/cactuslane-entry/src/lib.rs
+++ b/crates/cactuslane-entry/src/lib.rs
@@ -118,6 +118,18 @@
         self.shared.refusal().is_none()
     }
 
+    /// Returns the revision of the configuration in force.
+    #[must_use]
+    pub fn revision(&self) -> u64 {
+        self.shared.documents.config().revision
+    }
+
+    /// Returns the number of bytes sent to other instances.
+    #[must_use]
+    pub fn peer_bytes(&self) -> u64 {
+        self.shared.metrics.peer_bytes.get()
+    }
+
     /// Waits for keyed calls whose callers have hung up; each ends within its own time.
     async fn finish_keyed_calls(&self) {
         while self.shared.once().in_progress() > 0 {
