Learn which estimate to trust when tellings are missing

Cause: nobody tells how late reports are; at 10 s they are worse than nothing, and the router believed them (19.0 good a second, least outstanding 23.4). Change: each dispatch remembers what late reports and what own dispatches promised; the estimate with the smaller mean error is used, and admission adds that error.

--- a/crates/cactuslane-bench/src/sim.rs
+++ b/crates/cactuslane-bench/src/sim.rs
@@ -262,6 +262,7 @@
             &Choice {
                 plan: Plan::Whole(self.names[chosen].clone()),
                 first_token: 1.0,
+                wait: 0.0,
                 shortage: 0.0,
                 cached: 0,
                 work: cactuslane_route::Work::default(),
--- a/crates/cactuslane-route/src/picture.rs
+++ b/crates/cactuslane-route/src/picture.rs
@@ -40,6 +40,32 @@
     shares: BTreeMap<InstanceId, (Millis, BTreeMap<TargetId, Share>)>,
     /// Says whether all other instances have told lately what they have in progress.
     complete: bool,
+    /// Measures which estimate to trust without tellings.
+    trust: Trust,
+    /// Is what each estimate says of the wait at the target chosen last.
+    guess: Option<Guess>,
+}
+
+/// Is what each estimate says of the wait at a target.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Guess {
+    /// Is the target.
+    pub target: TargetId,
+    /// Is the wait by the last report, in milliseconds.
+    pub by_report: f64,
+    /// Is the wait by this instance's own dispatches, in milliseconds.
+    pub by_own: f64,
+    /// Is the request's own time to its first token, in milliseconds.
+    pub rest: f64,
+}
+
+/// Measures the errors of both estimates, since nobody tells how late reports are.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+struct Trust {
+    /// Is the mean error of the estimate by reports, in milliseconds.
+    report: f64,
+    /// Is the mean error of the estimate by own dispatches, in milliseconds.
+    own: f64,
 }
 
 /// Is the work that one instance has in progress at one target.
@@ -122,6 +148,8 @@
     sent: Millis,
     /// Is the time that was expected to the first token, in milliseconds.
     expected: f64,
+    /// Is what each estimate said of the wait, if both were asked.
+    guess: Option<Guess>,
 }
 
 /// Is an estimate of a target's load now.
@@ -152,6 +180,8 @@
             mean_queue: 0.0,
             shares: BTreeMap::new(),
             complete: false,
+            trust: Trust::default(),
+            guess: None,
         }
     }
 }
@@ -206,6 +236,7 @@
             target: id.to_owned(),
             sent: now,
             expected,
+            guess: self.guess.take().filter(|guess| guess.target == id),
         };
         self.dispatches.insert(self.last_id, dispatch);
         if let Some(target) = self.targets.get_mut(id) {
@@ -226,6 +257,9 @@
         };
         let observed = now.saturating_sub(dispatch.sent) as f64;
         target.health.answered(observed, dispatch.expected, now);
+        if let Some(guess) = &dispatch.guess {
+            self.trust.observe(guess, observed);
+        }
         if let Some((_, work, answered)) = target.own.get_mut(&id)
             && !*answered
         {
@@ -352,6 +386,16 @@
         }
     }
 
+    /// Returns the mean error of the estimate in use, in milliseconds; 0 with tellings.
+    #[must_use]
+    pub fn doubt(&self) -> f64 {
+        if self.complete {
+            0.0
+        } else {
+            self.trust.own.min(self.trust.report)
+        }
+    }
+
     /// Returns what this instance has in progress at a target.
     #[must_use]
     pub fn own_share(&self, id: &str) -> Share {
@@ -367,6 +411,9 @@
     /// than any report; else the last report is carried forward.
     #[must_use]
     pub fn estimate(&self, target: &Target, speed: &Speed, now: Millis) -> Estimate {
+        if !self.complete && self.trust.own < self.trust.report {
+            return self.estimate_own(target, speed);
+        }
         if !self.complete {
             return self.estimate_report(target, speed, now);
         }
@@ -381,10 +428,27 @@
         }
     }
 
+    /// Remembers what each estimate says of a chosen target, to learn which is better.
+    pub fn guess(&mut self, id: &str, speed: &Speed, rest: f64, now: Millis) {
+        self.guess = None;
+        let Some(target) = self.targets.get(id).filter(|_| !self.complete) else {
+            return;
+        };
+        let wait = |estimate: &Estimate| {
+            estimate.queued / speed.mixed_rate(estimate.running, estimate.context)
+        };
+        self.guess = Some(Guess {
+            target: id.to_owned(),
+            by_report: wait(&self.estimate_report(target, speed, now)),
+            by_own: wait(&self.estimate_own(target, speed)),
+            rest,
+        });
+    }
+
     /// Estimates a target's load from its last report and what has happened since.
     fn estimate_report(&self, target: &Target, speed: &Speed, now: Millis) -> Estimate {
         let Some(load) = target.load else {
-            return self.estimate_unreported(target, speed);
+            return self.estimate_own(target, speed);
         };
         let age = now.saturating_sub(target.measured) as f64;
         let worth = (-age / REPORT_WORTH).exp();
@@ -410,7 +474,7 @@
     }
 
     /// Estimates a target's load from this instance's dispatches alone.
-    fn estimate_unreported(&self, target: &Target, speed: &Speed) -> Estimate {
+    fn estimate_own(&self, target: &Target, speed: &Speed) -> Estimate {
         let free = f64::from(speed.pieces);
         let mut estimate = Estimate {
             free,
@@ -438,6 +502,17 @@
     }
 }
 
+impl Trust {
+    /// Records the time to a first token.
+    fn observe(&mut self, guess: &Guess, observed: f64) {
+        /// Weight of a new observation.
+        const WEIGHT: f64 = 0.03;
+        let wait = (observed - guess.rest).max(0.0);
+        self.report += ((guess.by_report - wait).abs() - self.report) * WEIGHT;
+        self.own += ((guess.by_own - wait).abs() - self.own) * WEIGHT;
+    }
+}
+
 impl Estimate {
     /// Adds the work of one dispatch.
     fn add(&mut self, work: &Work) {
--- a/crates/cactuslane-route/src/router.rs
+++ b/crates/cactuslane-route/src/router.rs
@@ -13,6 +13,8 @@
 
 /// Cost of a target in another failure domain, in milliseconds.
 const DOMAIN_COST: f64 = 2.0;
+/// Part of the mean error of an estimate that is added to it at admission.
+const DOUBT_WEIGHT: f64 = 1.0;
 /// Weight of the work that a request adds for those who come after it.
 const WORK_WEIGHT: f64 = 0.5;
 /// Cost of one missing piece of memory, in milliseconds.
@@ -96,6 +98,8 @@
     pub plan: Plan,
     /// Is the expected time to the first token, in milliseconds.
     pub first_token: f64,
+    /// Is the part of it that is a wait for other prompts, in milliseconds.
+    pub wait: f64,
     /// Is the part of it that is a wait for memory, in milliseconds.
     pub shortage: f64,
     /// Is the number of prompt tokens expected in the cache.
@@ -171,7 +175,8 @@
             return Verdict::Run(choice);
         }
         let bound = ask.first_bound * ask.pressure;
-        let expected = waited + choice.first_token * self.params.safety;
+        let doubt = self.picture.doubt() * DOUBT_WEIGHT;
+        let expected = waited + (choice.first_token + doubt) * self.params.safety;
         if expected <= bound {
             return Verdict::Run(choice);
         }
@@ -198,14 +203,19 @@
             None
         };
         self.random = random;
-        match (whole, split) {
+        let choice = match (whole, split) {
             (Some(whole), Some((split, cost))) => {
                 Some(if cost < whole_cost { split } else { whole })
             }
             (Some(whole), None) => Some(whole),
             (None, Some((split, _))) => Some(split),
             (None, None) => None,
+        }?;
+        if let Plan::Whole(target) = &choice.plan {
+            let rest = choice.first_token - choice.wait;
+            self.picture.guess(target, &self.speed, rest, now);
         }
+        Some(choice)
     }
 
     /// Returns the time after which a refused caller is told to come back, with jitter.
@@ -303,6 +313,7 @@
         Choice {
             plan: Plan::Whole(candidate.id.clone()),
             first_token: wait + own + shortage,
+            wait,
             shortage,
             cached: candidate.cached,
             work: Work {
@@ -359,6 +370,7 @@
         let choice = Choice {
             plan,
             first_token,
+            wait: self.prefill_time(ask, prefill) - self.prefill_own(ask, prefill),
             shortage,
             cached,
             work,
--- a/crates/cactuslane-route/tests/decisions.rs
+++ b/crates/cactuslane-route/tests/decisions.rs
@@ -462,3 +462,37 @@
     );
     assert!(moved <= 40, "{moved}");
 }
+
+/// Late reports are found out by the first tokens that they promised, and own dispatches are
+/// believed instead; admission then adds what the better estimate is usually wrong by.
+#[test]
+fn late_reports_lose_their_trust() {
+    let mut router = router(2);
+    router.picture.peers = 3;
+    for turn in 1..200_u64 {
+        let now = turn * 50;
+        for index in 0..2 {
+            // The reports of a busy past say nothing of the idle present.
+            let load = Load {
+                queued: 9_000,
+                free: 2_000,
+                ..Load::default()
+            };
+            router.picture.report(&name(index), load, now);
+        }
+        let Some(choice) = router.choose(&ask(100), now) else {
+            panic!("some serve")
+        };
+        let Plan::Whole(id) = &choice.plan else {
+            panic!("all are mixed")
+        };
+        let dispatch = router
+            .picture
+            .sent(id, choice.work, choice.first_token, now);
+        router.picture.first_token(dispatch, now + 15);
+        router.picture.done(dispatch);
+    }
+    let choice = router.choose(&ask(100), 10_000).expect("some serve");
+    assert!(choice.wait < 50.0, "{choice:?}");
+    assert!(router.picture.doubt() < 50.0, "{}", router.picture.doubt());
+}
