--- a/crates/cactuslane-entry/src/gossip.rs
+++ b/crates/cactuslane-entry/src/gossip.rs
@@ -264,11 +264,8 @@
             }
         }
         let mut packets = Vec::new();
-        for (id, (address, records)) in reports {
-            packets.push((
-                address,
-                members.packet(Message::Demands(records), Some(&id)),
-            ));
+        for (_, (address, records)) in reports {
+            packets.push((address, members.bare_packet(Message::Demands(records))));
         }
         packets
     }
--- a/crates/cactuslane-entry/src/gossip/teller.rs
+++ b/crates/cactuslane-entry/src/gossip/teller.rs
@@ -12,7 +12,7 @@
 /// Least time between two tellings, in milliseconds.
 const LEAST_INTERVAL: Millis = 20;
 /// Time between two tellings without a dispatch, in milliseconds.
-const INTERVAL: Millis = 200;
+const INTERVAL: Millis = 1_000;
 /// Time between two tellings of everything, in milliseconds.
 ///
 /// A datagram may be lost; what it told is told again.
--- a/crates/cactuslane-once/src/lib.rs
+++ b/crates/cactuslane-once/src/lib.rs
@@ -15,9 +15,9 @@
 /// Time for which keys and their answers are remembered, in milliseconds.
 pub const WINDOW: Millis = 3_600_000;
 /// Number of keys that are remembered at most.
-const MAX_KEYS: usize = 200_000;
+const MAX_KEYS: usize = 100_000;
 /// Number of bytes of answers that are remembered at most.
-const MAX_ANSWER_BYTES: usize = 64 << 20;
+const MAX_ANSWER_BYTES: usize = 32 << 20;
 
 /// Identifies a call: the caller and its idempotency key.
 pub type CallKey = (CallerId, String);
