--- a/crates/cactuslane-bench/src/lib.rs
+++ b/crates/cactuslane-bench/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod capacity;
 pub mod fleet;
 pub mod matrix;
+pub mod network;
 pub mod outcome;
 pub mod planners;
 pub mod policy;
--- /dev/null
+++ b/crates/cactuslane-bench/src/network.rs
@@ -0,0 +1,218 @@
+//! A modelled network of members that loses, delays, pauses and cuts, in virtual time.
+
+use std::cmp::Reverse;
+use std::collections::{BTreeMap, BTreeSet, BinaryHeap};
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+
+use cactuslane_member::{Action, MemberParams, Membership, Packet, Record, Revisions, Status};
+use cactuslane_wire::{Key, Purpose};
+use rand::{Rng, SeedableRng};
+use rand_pcg::Pcg64Mcg;
+
+/// Time between two looks at the failure detector, in milliseconds.
+const TICK: u64 = 100;
+/// Bytes of the headers of UDP and IP.
+const HEADERS: usize = 28;
+
+/// Is a network of members; packets are sealed and opened as in a process.
+pub struct Network {
+    /// Is the time, in milliseconds.
+    pub now: u64,
+    /// Holds the members.
+    pub members: Vec<Membership>,
+    /// Holds the members that are paused or dead.
+    pub paused: BTreeSet<usize>,
+    /// Holds pairs of sender and receiver between which nothing arrives.
+    pub cut: BTreeSet<(usize, usize)>,
+    /// Is the number of bytes sent, headers included.
+    pub bytes: u64,
+    /// Is the time that was spent on processing.
+    pub spent: Duration,
+    /// Holds each change of status: the time, who saw it, of whom, and the status.
+    pub changes: Vec<(u64, usize, String, Status)>,
+    /// Says how packets travel.
+    links: Links,
+    /// Holds sealed packets on their way.
+    sent: BTreeMap<u64, (usize, usize, Vec<u8>)>,
+    /// Holds the times at which they arrive.
+    arrivals: BinaryHeap<Reverse<(u64, u64)>>,
+    /// Is the number of packets so far.
+    order: u64,
+    /// Is the key of all.
+    key: Key,
+    /// Is the source of randomness.
+    random: Pcg64Mcg,
+}
+
+/// Says how packets travel.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Links {
+    /// Is the share of packets that are lost.
+    pub loss: f64,
+    /// Is the longest delay, in milliseconds.
+    pub delay: u64,
+    /// Is the number of failure domains.
+    pub domains: usize,
+}
+
+impl Network {
+    /// Creates a network in which all know of all from the list.
+    #[must_use]
+    pub fn new(count: usize, links: Links, seed: u64) -> Self {
+        let records: Vec<Record> = (0..count)
+            .map(|index| record(index, links.domains))
+            .collect();
+        let mut members = Vec::new();
+        for (index, own) in records.iter().enumerate() {
+            let mut own = own.clone();
+            own.incarnation = 1;
+            own.serving = own.gossip;
+            let params = MemberParams::default();
+            let mut member = Membership::new(own, params, seed * 1_000 + index as u64);
+            for other in &records {
+                member.introduce(&other.id, other.gossip, &other.domain, 0);
+            }
+            members.push(member);
+        }
+        Self {
+            now: 0,
+            members,
+            paused: BTreeSet::new(),
+            cut: BTreeSet::new(),
+            bytes: 0,
+            spent: Duration::ZERO,
+            changes: Vec::new(),
+            links,
+            sent: BTreeMap::new(),
+            arrivals: BinaryHeap::new(),
+            order: 0,
+            key: Key::new("the key of a modelled network"),
+            random: Pcg64Mcg::seed_from_u64(seed),
+        }
+    }
+
+    /// Lets time pass, in milliseconds.
+    pub fn run(&mut self, time: u64) {
+        let end = self.now + time;
+        while self.now < end {
+            self.now += TICK;
+            self.arrive();
+            for index in 0..self.members.len() {
+                if self.paused.contains(&index) {
+                    continue;
+                }
+                // Members look at different moments.
+                let started = Instant::now();
+                let actions = self.members[index].tick(self.now + index as u64 % TICK);
+                self.spent += started.elapsed();
+                self.perform(index, actions);
+            }
+        }
+    }
+
+    /// Lets time pass until a condition holds, and returns how long that took, in milliseconds.
+    pub fn run_until(&mut self, holds: impl Fn(&Self) -> bool) -> u64 {
+        let started = self.now;
+        while !holds(self) {
+            self.run(TICK);
+        }
+        self.now - started
+    }
+
+    /// Puts revisions into force at a member, which tells others at once.
+    pub fn adopt(&mut self, index: usize, revisions: &Revisions) {
+        let newest = self.members[index].me().revisions.max(revisions);
+        if newest != self.members[index].me().revisions {
+            self.members[index].set_revisions(newest);
+            let actions = self.members[index].urgent();
+            self.perform(index, actions);
+        }
+    }
+
+    /// Returns how many members see another in a status.
+    #[must_use]
+    pub fn seeing(&self, index: usize, status: Status) -> usize {
+        let id = name(index);
+        let sees = |member: &&Membership| member.record(&id).is_some_and(|r| r.status == status);
+        self.members.iter().filter(sees).count()
+    }
+
+    /// Returns how often a member was seen to come into a status, paused ones left out.
+    #[must_use]
+    pub fn seen_falsely(&self, status: Status) -> usize {
+        let paused: BTreeSet<String> = self.paused.iter().map(|index| name(*index)).collect();
+        let falsely = |change: &&(u64, usize, String, Status)| {
+            change.3 == status && !paused.contains(&change.2)
+        };
+        self.changes.iter().filter(falsely).count()
+    }
+
+    /// Delivers the packets that have arrived.
+    fn arrive(&mut self) {
+        while let Some(Reverse((at, order))) = self.arrivals.peek().copied() {
+            if at > self.now {
+                return;
+            }
+            self.arrivals.pop();
+            let Some((from, to, sealed)) = self.sent.remove(&order) else {
+                continue;
+            };
+            if self.paused.contains(&to) {
+                continue;
+            }
+            let started = Instant::now();
+            let packet: Result<Packet, _> = self.key.open(Purpose::Gossip, &sealed);
+            let Ok(packet) = packet else { continue };
+            let actions = self.members[to].receive(address(from), &packet, self.now);
+            self.spent += started.elapsed();
+            self.perform(to, actions);
+        }
+    }
+
+    /// Does what a member asks for.
+    fn perform(&mut self, from: usize, actions: Vec<Action>) {
+        for action in actions {
+            match action {
+                Action::Send(to, packet) => self.send(from, to, &packet),
+                Action::Changed(id, status) => self.changes.push((self.now, from, id, status)),
+                // The documents are fetched at once, and then in force here too.
+                Action::News(_, _, revisions) => self.adopt(from, &revisions),
+            }
+        }
+    }
+
+    /// Sends a packet.
+    fn send(&mut self, from: usize, to: SocketAddr, packet: &Packet) {
+        let started = Instant::now();
+        let sealed = self.key.seal(Purpose::Gossip, packet);
+        self.spent += started.elapsed();
+        self.bytes += (sealed.len() + HEADERS) as u64;
+        let to = to.port() as usize - 7_000;
+        if self.cut.contains(&(from, to)) || self.random.random_bool(self.links.loss) {
+            return;
+        }
+        self.order += 1;
+        let delay = self.random.random_range(1..self.links.delay);
+        self.sent.insert(self.order, (from, to, sealed));
+        self.arrivals.push(Reverse((self.now + delay, self.order)));
+    }
+}
+
+/// Names a member.
+#[must_use]
+pub fn name(index: usize) -> String {
+    format!("entry-{index:03}")
+}
+
+/// Returns the record of a member as the list has it.
+#[must_use]
+pub fn record(index: usize, domains: usize) -> Record {
+    let domain = format!("region-a-{}", index % domains);
+    Record::introduced(&name(index), address(index), &domain)
+}
+
+/// Returns the address of a member.
+fn address(index: usize) -> SocketAddr {
+    SocketAddr::from(([127, 0, 0, 1], 7_000 + index as u16))
+}
