Measure parts alone, and leave connections out of the price of a call

Cause: the 99th percentile of a call through an entry was 19 times a direct one at 4 callers. Cause found: the first call of each caller makes connections to the entry and the target.

--- a/crates/cactuslane-bench/src/capacity.rs
+++ b/crates/cactuslane-bench/src/capacity.rs
@@ -62,13 +62,54 @@
     }
 }
 
-/// Runs all measurements.
-#[must_use]
-pub fn measure() -> Vec<Series> {
-    let mut series = members::measure();
-    series.extend(decisions::measure());
-    series.extend(process::measure());
-    series
+/// Is a part of the measurements.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Part {
+    /// Membership over a modelled network.
+    Members,
+    /// Decisions and tables of one node.
+    Decisions,
+    /// What an entry adds to a call.
+    Proxy,
+    /// Whole instances at several numbers.
+    Spreading,
+    /// Streams: tokens and memory.
+    Streams,
+}
+
+impl Part {
+    /// Holds all parts.
+    pub const ALL: [Self; 5] = [
+        Self::Members,
+        Self::Decisions,
+        Self::Proxy,
+        Self::Spreading,
+        Self::Streams,
+    ];
+
+    /// Returns the part's name.
+    #[must_use]
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::Members => "members",
+            Self::Decisions => "decisions",
+            Self::Proxy => "proxy",
+            Self::Spreading => "spreading",
+            Self::Streams => "streams",
+        }
+    }
+
+    /// Runs the part's measurements.
+    #[must_use]
+    pub fn measure(self) -> Vec<Series> {
+        match self {
+            Self::Members => members::measure(),
+            Self::Decisions => decisions::measure(),
+            Self::Proxy => process::proxy(),
+            Self::Spreading => process::spreading(),
+            Self::Streams => process::streams(),
+        }
+    }
 }
 
 /// Returns a duration in microseconds.
--- a/crates/cactuslane-bench/src/capacity/process.rs
+++ b/crates/cactuslane-bench/src/capacity/process.rs
@@ -33,18 +33,9 @@
     rate: f64,
 }
 
-/// Measures all.
-#[must_use]
-pub fn measure() -> Vec<Series> {
-    let mut all = overhead();
-    all.extend(spreading());
-    all.push(tokens());
-    all.push(streams());
-    all
-}
-
 /// Measures whole instances at several numbers, at rest and when the configuration changes.
-fn spreading() -> Vec<Series> {
+#[must_use]
+pub fn spreading() -> Vec<Series> {
     /// Numbers of instances.
     const INSTANCES: [usize; 4] = [7, 30, 60, 120];
     /// Time for the instances to find each other.
@@ -156,7 +147,8 @@
 }
 
 /// Measures calls to a plain service, direct and through an entry instance.
-fn overhead() -> Vec<Series> {
+#[must_use]
+pub fn proxy() -> Vec<Series> {
     let mut median = series("proxy: median of a GET through an entry, ratio to a direct one");
     let mut tail = series("proxy: 99th percentile, ratio to a direct one");
     let mut rate = series("proxy: calls a second, ratio to direct ones");
@@ -200,8 +192,14 @@
     vec![median, tail, rate, claim, core]
 }
 
+/// Measures tokens and memory of streams.
+#[must_use]
+pub fn streams() -> Vec<Series> {
+    vec![tokens(), held()]
+}
+
 /// Measures the memory that held streams take, callers and stand-ins included.
-fn streams() -> Series {
+fn held() -> Series {
     let name = "streams: megabytes of the process, callers and stand-ins included";
     let mut series = Series {
         name,
@@ -257,6 +255,8 @@
         let caller = Caller::kept(address);
         let keys = keys.clone();
         tasks.spawn(async move {
+            // The first call makes the connections and is not measured.
+            caller.get(path).await;
             let mut times = Vec::new();
             for turn in 0..CALLS {
                 let started = Instant::now();
--- a/crates/cactuslane/src/capacity.rs
+++ b/crates/cactuslane/src/capacity.rs
@@ -3,18 +3,35 @@
 use std::fmt::Write;
 
 use argh::FromArgs;
-use cactuslane_bench::capacity::{Series, measure};
+use cactuslane_bench::capacity::{Part, Series};
+
+use crate::CommandError;
 
 /// measures what grows with the fleet, at several sizes, and prints points and slopes
 #[derive(Debug, FromArgs)]
 #[argh(subcommand, name = "capacity")]
-pub struct CapacityCommand {}
+pub struct CapacityCommand {
+    /// one part alone: members, decisions, proxy, spreading or streams
+    #[argh(option)]
+    part: Option<String>,
+}
 
 /// Measures and prints.
-pub fn execute() {
-    for series in measure() {
-        print(&series);
+pub fn execute(command: &CapacityCommand) -> Result<(), CommandError> {
+    let wanted = |part: &Part| command.part.as_ref().is_none_or(|name| name == part.name());
+    let parts: Vec<Part> = Part::ALL.into_iter().filter(wanted).collect();
+    if parts.is_empty() {
+        let names = Part::ALL.map(Part::name).join(", ");
+        return Err(CommandError::Usage(format!(
+            "there is no such part; choose one of {names}"
+        )));
+    }
+    for part in parts {
+        for series in part.measure() {
+            print(&series);
+        }
     }
+    Ok(())
 }
 
 /// Prints one series on a line.
--- a/crates/cactuslane/src/main.rs
+++ b/crates/cactuslane/src/main.rs
@@ -59,9 +59,8 @@
 fn main() -> ExitCode {
     let arguments: Arguments = argh::from_env();
     // Measurements make runtimes of their own.
-    if let Command::Capacity(_) = arguments.command {
-        capacity::execute();
-        return ExitCode::SUCCESS;
+    if let Command::Capacity(command) = &arguments.command {
+        return exit_code(capacity::execute(command));
     }
     let runtime = match tokio::runtime::Runtime::new() {
         Ok(runtime) => runtime,
@@ -86,6 +85,11 @@
         Command::Bench(command) => bench::execute(&command),
         Command::Demo(command) => demo::execute(command).await,
     };
+    exit_code(result)
+}
+
+/// Prints an error and returns the exit code.
+fn exit_code(result: Result<(), CommandError>) -> ExitCode {
     match result {
         Ok(()) => ExitCode::SUCCESS,
         Err(CommandError::Usage(message)) => {
