Ask the benched planner only when a change is allowed

Cause: the bench asked for a change while one was under way and dropped it, and the planner took the dropped one for made. Change: the planner observes always and plans when fewer than at_once engines change; an engine that changes counts as what it will be.

--- a/crates/cactuslane-bench/src/planners.rs
+++ b/crates/cactuslane-bench/src/planners.rs
@@ -24,6 +24,8 @@
     policy: Policy,
     /// Is the product's planner.
     planner: Planner,
+    /// Is the demand of the last interval.
+    mix: Mix,
 }
 
 impl RolePlanner {
@@ -43,34 +45,36 @@
         Self {
             policy,
             planner: Planner::new(params),
+            mix: Mix::default(),
         }
     }
 
-    /// Takes in the demand of the last interval and returns a change.
+    /// Takes in the demand of the last interval, as prompt and output tokens a millisecond.
+    pub fn observe(&mut self, demand: (f64, f64)) {
+        self.mix = Mix {
+            prefill: demand.0,
+            decode: demand.1,
+        };
+        self.planner.forecast.observe(self.mix);
+    }
+
+    /// Returns the change to make now.
     pub fn plan(
         &mut self,
-        demand: (f64, f64),
         roles: &BTreeMap<TargetId, (Role, usize)>,
         trace: &[Request],
         now: u64,
     ) -> Option<Change> {
         /// Time that a planner which knows the trace looks ahead, in microseconds.
         const AHEAD: u64 = 60_000_000;
-        let mix = Mix {
-            prefill: demand.0,
-            decode: demand.1,
-        };
         match self.policy {
-            Policy::Cactuslane => {
-                self.planner.forecast.observe(mix);
-                self.planner.plan(roles, now / 1000)
-            }
+            Policy::Cactuslane => self.planner.plan(roles, now / 1000),
             Policy::Clairvoyant => {
                 let (prefill, decode) = mix_between(trace, now, now + AHEAD);
                 self.planner
                     .plan_for(roles, Mix { prefill, decode }, 0.0, now / 1000)
             }
-            Policy::Threshold => threshold(&self.planner.params.rates, mix, roles),
+            Policy::Threshold => threshold(&self.planner.params.rates, self.mix, roles),
             _ => None,
         }
     }
--- a/crates/cactuslane-bench/src/scenario.rs
+++ b/crates/cactuslane-bench/src/scenario.rs
@@ -22,6 +22,8 @@
     pub tell_ms: u64,
     /// Is the least time between two tellings after a dispatch, in milliseconds.
     pub tell_least_ms: u64,
+    /// Is the number of engines that may change their role at once.
+    pub at_once: usize,
     /// Is what goes wrong.
     pub fault: Fault,
     /// Holds the speeds of the engines.
@@ -123,6 +125,7 @@
             lag_ms: 500,
             tell_ms: 1_000,
             tell_least_ms: 20,
+            at_once: 1,
             fault: Fault::None,
             params: EngineParams::default(),
         };
--- a/crates/cactuslane-bench/src/sim/engines.rs
+++ b/crates/cactuslane-bench/src/sim/engines.rs
@@ -160,15 +160,26 @@
         let interval = PLAN_INTERVAL as f64 / 1000.0;
         let demand = (self.demand.0 / interval, self.demand.1 / interval);
         self.demand = (0.0, 0.0);
-        let changing = self.engines.iter().any(|engine| engine.next_role.is_some());
+        let underway = self
+            .engines
+            .iter()
+            .filter(|engine| engine.next_role.is_some());
+        let allowed = underway.count() < self.scenario.at_once;
         let mut roles = BTreeMap::new();
         for (engine, name) in self.engines.iter().zip(&self.names) {
-            if engine.up && engine.wanted {
-                roles.insert(name.clone(), (engine.role, engine.batch.ids().len()));
+            // An engine that changes counts as what it will be.
+            if (engine.up && engine.wanted) || engine.next_role.is_some() {
+                let role = engine.next_role.unwrap_or(engine.role);
+                roles.insert(name.clone(), (role, engine.batch.ids().len()));
             }
         }
-        let change = self.planner.plan(demand, &roles, self.trace, self.now);
-        if let Some(Change { target, role }) = change.filter(|_| !changing) {
+        self.planner.observe(demand);
+        let change = if allowed {
+            self.planner.plan(&roles, self.trace, self.now)
+        } else {
+            None
+        };
+        if let Some(Change { target, role }) = change {
             let engine = self.engine_of(&target);
             self.engines[engine].next_role = Some(role);
             self.outcome.changes += 1;
--- a/crates/cactuslane/src/bench.rs
+++ b/crates/cactuslane/src/bench.rs
@@ -38,6 +38,9 @@
     /// least time between two tellings after a dispatch in milliseconds
     #[argh(option)]
     tell_least: Option<u64>,
+    /// number of engines that may change their role at once
+    #[argh(option)]
+    at_once: Option<usize>,
     /// load as a share of the mixed fleet's capacity, in place of the scenario's
     #[argh(option)]
     load: Option<f64>,
@@ -76,6 +79,7 @@
         scenario.lag_ms = self.lag.unwrap_or(scenario.lag_ms);
         scenario.tell_ms = self.tell.unwrap_or(scenario.tell_ms);
         scenario.tell_least_ms = self.tell_least.unwrap_or(scenario.tell_least_ms);
+        scenario.at_once = self.at_once.unwrap_or(scenario.at_once);
         scenario.load = self.load.unwrap_or(scenario.load);
     }
 }
