--- a/crates/cactuslane-entry/src/api/completions/placement.rs
+++ b/crates/cactuslane-entry/src/api/completions/placement.rs
@@ -160,7 +160,7 @@
                     now,
                 )),
             };
-            shared.tell_now.notify_one();
+            shared.publish_now.notify_one();
             routing.shares.admitted(id, cost, caller.weight, now);
             Ok(Some(Placed {
                 choice,
--- a/crates/cactuslane-entry/src/gossip.rs
+++ b/crates/cactuslane-entry/src/gossip.rs
@@ -1,6 +1,6 @@
 //! Datagrams between instances: membership, news of documents, and callers' demand.
 
-mod teller;
+mod publisher;
 
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
@@ -17,7 +17,7 @@
 use tokio::time::{MissedTickBehavior, interval};
 
 use crate::documents::DocumentKind;
-use crate::gossip::teller::Teller;
+use crate::gossip::publisher::Publisher;
 use crate::shared::Shared;
 use crate::transfer;
 
@@ -29,7 +29,7 @@
 const MAX_DATAGRAM: usize = 8 << 10;
 /// Number of instances that are told what is in progress at most; with more, each routes by the
 /// reports of targets.
-const MAX_TOLD: usize = 15;
+const MAX_PEERS: usize = 15;
 /// Number of senders whose packets are told apart.
 const MAX_SENDERS: usize = 4_096;
 
@@ -44,7 +44,7 @@
     /// Is the time of the next report of demand.
     next_demand: Millis,
     /// Tells what is in progress at targets.
-    teller: Teller,
+    publisher: Publisher,
 }
 
 /// Gossips until the task is aborted.
@@ -54,14 +54,14 @@
         socket,
         windows: BTreeMap::new(),
         next_demand: 0,
-        teller: Teller::default(),
+        publisher: Publisher::default(),
     };
     let shared = Arc::clone(&gossip.shared);
     let mut ticks = interval(TICK);
     ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
     let mut buffer = vec![0; MAX_DATAGRAM];
     loop {
-        let wait = gossip.teller.wait(shared.now());
+        let wait = gossip.publisher.wait(shared.now());
         tokio::select! {
             received = gossip.socket.recv_from(&mut buffer) => {
                 if let Ok((length, from)) = received {
@@ -69,8 +69,8 @@
                 }
             }
             _ = ticks.tick() => gossip.tick().await,
-            () = shared.tell_now.notified() => gossip.teller.dispatched(),
-            () = pause(wait), if wait.is_some() => gossip.tell().await,
+            () = shared.publish_now.notified() => gossip.publisher.dispatched(),
+            () = pause(wait), if wait.is_some() => gossip.publish().await,
             () = shared.spread_now.notified() => {
                 let actions = shared.members().urgent();
                 gossip.perform(actions).await;
@@ -93,8 +93,8 @@
         let now = self.shared.now();
         let actions = self.shared.members().tick(now);
         self.perform(actions).await;
-        if self.teller.is_due(now) {
-            self.tell().await;
+        if self.publisher.is_due(now) {
+            self.publish().await;
         }
         if now < self.next_demand {
             return;
@@ -171,10 +171,10 @@
     }
 
     /// Tells the other instances what is in progress here, where that has changed.
-    async fn tell(&mut self) {
+    async fn publish(&mut self) {
         let now = self.shared.now();
-        let shares = self.teller.changes(&self.shared.routing(), now);
-        if !self.teller.is_worth(&shares, now) {
+        let shares = self.publisher.changes(&self.shared.routing(), now);
+        if !self.publisher.is_worth(&shares, now) {
             return;
         }
         let packets: Vec<(SocketAddr, Packet)> = {
@@ -183,7 +183,7 @@
                 record.status.works() && record.id != self.shared.settings.instance
             });
             let addresses: Vec<SocketAddr> = others.map(|record| record.gossip).collect();
-            if addresses.len() > MAX_TOLD {
+            if addresses.len() > MAX_PEERS {
                 return;
             }
             let mut packet = |address| {
--- a/crates/cactuslane-entry/src/gossip/teller.rs
+++ b/crates/cactuslane-entry/src/gossip/publisher.rs
@@ -1,4 +1,4 @@
-//! What the other instances are told of the work in progress here.
+//! Publishing of the work in progress here to the other instances.
 
 use std::collections::BTreeMap;
 use std::time::Duration;
@@ -9,45 +9,45 @@
 
 use crate::routing::Routing;
 
-/// Least time between two tellings, in milliseconds.
+/// Least time between two updates, in milliseconds.
 const LEAST_INTERVAL: Millis = 20;
-/// Time between two tellings without a dispatch, in milliseconds.
+/// Time between two updates without a dispatch, in milliseconds.
 const INTERVAL: Millis = 1_000;
-/// Time between two tellings of everything, in milliseconds.
+/// Time between two updates of everything, in milliseconds.
 ///
-/// A datagram may be lost; what it told is told again.
+/// A datagram may be lost; what it carried is published again.
 const FULL_INTERVAL: Millis = 2_000;
 
 /// Time between two signs of life, in milliseconds.
 const SIGN_INTERVAL: Millis = 1_000;
 
-/// Remembers what was told.
+/// Remembers what was published.
 #[derive(Debug, Default)]
-pub struct Teller {
-    /// Holds what was told last of each target.
-    told: BTreeMap<TargetId, Share>,
+pub struct Publisher {
+    /// Holds what was published last of each target.
+    published: BTreeMap<TargetId, Share>,
     /// Is when it was looked at.
     last: Millis,
     /// Is when it was sent.
     last_sent: Millis,
-    /// Says whether a dispatch waits to be told.
+    /// Says whether a dispatch waits to be published.
     waiting: bool,
-    /// Is when everything was told.
+    /// Is when everything was published.
     last_full: Millis,
 }
 
-impl Teller {
+impl Publisher {
     /// Returns whether it is time to tell without a dispatch.
     pub fn is_due(&self, now: Millis) -> bool {
         now >= self.last + INTERVAL
     }
 
-    /// Records a dispatch that is to be told soon.
+    /// Records a dispatch that is to be published soon.
     pub fn dispatched(&mut self) {
         self.waiting = true;
     }
 
-    /// Returns how long a dispatch waits to be told; none if there is none.
+    /// Returns how long a dispatch waits to be published; none if there is none.
     pub fn wait(&self, now: Millis) -> Option<Duration> {
         let left = (self.last + LEAST_INTERVAL).saturating_sub(now);
         self.waiting.then(|| Duration::from_millis(left))
@@ -62,7 +62,7 @@
         worth
     }
 
-    /// Returns what has changed since the last telling, or now and then everything.
+    /// Returns what has changed since the last update, or now and then everything.
     pub fn changes(&mut self, routing: &Routing, now: Millis) -> Vec<ShareRecord> {
         self.last = now;
         self.waiting = false;
@@ -74,7 +74,7 @@
         for router in routing.routers.values() {
             for (target, _) in router.picture.targets() {
                 let share = router.picture.own_share(target);
-                let old = self.told.insert(target.clone(), share);
+                let old = self.published.insert(target.clone(), share);
                 let changed = old.unwrap_or_default() != share;
                 if changed || (full && share != Share::default()) {
                     records.push(record(target, share));
--- a/crates/cactuslane-entry/src/shared.rs
+++ b/crates/cactuslane-entry/src/shared.rs
@@ -57,7 +57,7 @@
     /// Wakes the gossip task to spread news at once.
     pub spread_now: Notify,
     /// Wakes the gossip task to tell of a dispatch.
-    pub tell_now: Notify,
+    pub publish_now: Notify,
     /// Is what the instance was last in contact with.
     contact: Mutex<Contact>,
     /// Holds what routing knows.
@@ -101,7 +101,7 @@
             documents_changed: Notify::new(),
             members: Mutex::new(Membership::new(me, MemberParams::default(), seed)),
             spread_now: Notify::new(),
-            tell_now: Notify::new(),
+            publish_now: Notify::new(),
             contact: Mutex::default(),
             routing: Mutex::new(Routing::new(seed)),
             once: Mutex::default(),
