--- a/crates/cactuslane-entry/src/authority/planner.rs
+++ b/crates/cactuslane-entry/src/authority/planner.rs
@@ -7,6 +7,7 @@
 use cactuslane_authority::plan::{Aims, Plan, Seen, next_plan};
 use cactuslane_authority::window::{DailyWindow, is_open};
 use cactuslane_config::{Document, Drain};
+use cactuslane_once::claim::old_buckets;
 use cactuslane_roles::forecast::INTERVAL;
 use cactuslane_roles::{Mix, PlanParams, Planner, Rates};
 use cactuslane_route::Speed;
@@ -18,6 +19,8 @@
 
 /// Time between two looks at the plan, in milliseconds.
 const PLAN_INTERVAL: Millis = 2_000;
+/// Time between two deletions of old claims, in milliseconds.
+const DELETION_INTERVAL: Millis = 600_000;
 /// Time by which clocks may be wrong, in seconds.
 const CLOCK_MARGIN: u64 = 10;
 
@@ -26,6 +29,8 @@
 pub struct PlannerState {
     /// Is when the plan is looked at next.
     next_plan: Millis,
+    /// Is when old claims are deleted next.
+    next_deletion: Millis,
     /// Is when the work is observed next.
     next_observation: Millis,
     /// Holds a role planner for each model.
@@ -60,6 +65,10 @@
         if next != plan {
             write(shared, &next, revision, fencing).await;
         }
+        if now >= self.next_deletion {
+            self.next_deletion = now + DELETION_INTERVAL;
+            delete_old_claims(shared, fencing).await;
+        }
     }
 
     /// Returns what the configuration and the role planners ask for.
@@ -194,6 +203,18 @@
     }
 }
 
+/// Deletes the claims that nobody reads any more, if this instance still holds the office.
+async fn delete_old_claims(shared: &Shared, fencing: Fencing) {
+    let deletions = old_buckets(Clock::wall()).into_iter().map(Op::DeletePrefix);
+    let txn = Txn {
+        compare: vec![Compare::Created(keys::owner(PLANNER), fencing)],
+        then: deletions.collect(),
+        otherwise: Vec::new(),
+    };
+    // What was not deleted now is deleted the next time.
+    let _ = shared.store.txn(&txn).await;
+}
+
 /// Writes a plan, if this instance still holds the office and nobody else has written.
 async fn write(shared: &Shared, plan: &Plan, expected: u64, fencing: Fencing) {
     let Ok(value) = serde_json::to_vec(plan) else {
--- a/crates/cactuslane-entry/src/gossip.rs
+++ b/crates/cactuslane-entry/src/gossip.rs
@@ -93,6 +93,11 @@
         let now = self.shared.now();
         let actions = self.shared.members().tick(now);
         self.perform(actions).await;
+        if self.shared.is_leaving() {
+            // Nobody shall name this instance to a caller any more: all hear of it soon.
+            let actions = self.shared.members().urgent();
+            self.perform(actions).await;
+        }
         if self.publisher.is_due(now) {
             self.publish().await;
         }
--- a/crates/cactuslane-once/src/claim.rs
+++ b/crates/cactuslane-once/src/claim.rs
@@ -53,11 +53,15 @@
     }
 }
 
-/// Returns the prefix of the newest bucket that no instance reads any more at a time.
+/// Returns the prefixes of buckets that no instance reads any more at a wall-clock time: those of
+/// the last day, so that a day without anybody who deletes leaves nothing behind.
 #[must_use]
-pub fn old_bucket(wall: Millis) -> Option<String> {
-    let bucket = (wall / WINDOW).checked_sub(3)?;
-    Some(format!("{PREFIX}{bucket:010}/"))
+pub fn old_buckets(wall: Millis) -> Vec<String> {
+    /// Ages of buckets that are deleted, in buckets.
+    const AGES: std::ops::Range<u64> = 3..28;
+    let bucket = wall / WINDOW;
+    let old = AGES.filter_map(|age| bucket.checked_sub(age));
+    old.map(|bucket| format!("{PREFIX}{bucket:010}/")).collect()
 }
 
 /// Returns the place of a name in a bucket.
--- a/crates/cactuslane-once/tests/register.rs
+++ b/crates/cactuslane-once/tests/register.rs
@@ -1,5 +1,6 @@
 //! The register of calls that may not be repeated.
 
+use cactuslane_once::claim::old_buckets;
 use cactuslane_once::{Answer, Begin, CallKey, ClaimKeys, Register, WINDOW};
 use yare::parameterized;
 
@@ -139,6 +140,26 @@
     }
 }
 
+/// No bucket is deleted that an instance with a wrong clock still reads.
+#[parameterized(
+    right = { 0 },
+    behind = { -3_000_000 },
+    ahead = { 3_000_000 },
+)]
+fn only_old_claims_are_deleted(difference: i64) {
+    let wall = 1_000 * WINDOW + WINDOW / 2;
+    let deleted = old_buckets(wall.saturating_add_signed(difference));
+    let read = ClaimKeys::of(&key("k"), wall);
+    for place in read.all() {
+        assert!(
+            !deleted.iter().any(|prefix| place.starts_with(prefix)),
+            "{place}"
+        );
+    }
+    let old = ClaimKeys::of(&key("k"), wall - 6 * WINDOW);
+    assert!(deleted.iter().any(|prefix| old.current.starts_with(prefix)));
+}
+
 /// Keys of two callers never meet, however their names are cut.
 #[test]
 fn claims_of_callers_differ() {
