Say that an instance gave no explanation, not that the request is unknown

Cause: right after the start an instance has not heard where another serves, and told that the request was not known any more (seen as a new user, README's demo). Change: the refusal names the instance and says to ask again.

--- a/crates/cactuslane-entry/src/api/admin.rs
+++ b/crates/cactuslane-entry/src/api/admin.rs
@@ -80,7 +80,14 @@
     let instance = id.split('.').next().unwrap_or_default();
     let here = instance == call.shared.settings.instance;
     if !here && !call.headers.contains_key(HOP_HEADER) {
-        return ask_instance(call, instance, path).await.ok_or_else(unknown);
+        let unreached = || {
+            Ending::NotFound(format!(
+                "the instance `{instance}` that served `{id}` gave no explanation; ask again"
+            ))
+        };
+        return ask_instance(call, instance, path)
+            .await
+            .ok_or_else(unreached);
     }
     let explanation = explanation(&call.shared, id);
     let spans = explanation["spans"].as_array().cloned().unwrap_or_default();
