Split the picture and serve twins by one piece

Cause: picture.rs had 560 lines and three jobs; means of a series and the reading of a whole answer stood twice. Change: shares and trust of estimates in modules of their own; Series::means; http::whole. Conclusion: behaviour unchanged.

--- a/crates/cactuslane-bench/src/capacity.rs
+++ b/crates/cactuslane-bench/src/capacity.rs
@@ -30,14 +30,7 @@
     /// Returns the slope of a straight line through the points, by least squares.
     #[must_use]
     pub fn slope(&self) -> f64 {
-        let count = self.points.len() as f64;
-        let mean_size = self
-            .points
-            .iter()
-            .map(|point| point.size as f64)
-            .sum::<f64>()
-            / count;
-        let mean = self.points.iter().map(|point| point.value).sum::<f64>() / count;
+        let (mean_size, mean) = self.means();
         let (mut cross, mut square) = (0.0, 0.0);
         for point in &self.points {
             let size = point.size as f64 - mean_size;
@@ -50,16 +43,17 @@
     /// Returns the value that the line gives at a size.
     #[must_use]
     pub fn at(&self, size: f64) -> f64 {
-        let count = self.points.len() as f64;
-        let mean_size = self
-            .points
-            .iter()
-            .map(|point| point.size as f64)
-            .sum::<f64>()
-            / count;
-        let mean = self.points.iter().map(|point| point.value).sum::<f64>() / count;
+        let (mean_size, mean) = self.means();
         mean + self.slope() * (size - mean_size)
     }
+
+    /// Returns the means of sizes and values.
+    fn means(&self) -> (f64, f64) {
+        let count = self.points.len() as f64;
+        let sizes: f64 = self.points.iter().map(|point| point.size as f64).sum();
+        let values: f64 = self.points.iter().map(|point| point.value).sum();
+        (sizes / count, values / count)
+    }
 }
 
 /// Is a part of the measurements.
--- a/crates/cactuslane-route/src/picture.rs
+++ b/crates/cactuslane-route/src/picture.rs
@@ -1,11 +1,17 @@
 //! What one entry instance knows of the targets: late reports, corrected by its own dispatches.
 
+mod share;
+mod trust;
+
 use std::collections::BTreeMap;
 
 use cactuslane_types::{DomainName, InstanceId, Millis, Role, ServiceName, TargetId};
 
 use crate::health::{Health, Use};
 use crate::speed::Speed;
+pub use share::Share;
+pub use trust::Guess;
+use trust::Trust;
 
 /// Identifies one dispatch of this instance.
 pub type DispatchId = u64;
@@ -46,41 +52,6 @@
     guess: Option<Guess>,
 }
 
-/// Is what each estimate says of the wait at a target.
-#[derive(Clone, Debug, PartialEq)]
-pub struct Guess {
-    /// Is the target.
-    pub target: TargetId,
-    /// Is the wait by the last report, in milliseconds.
-    pub by_report: f64,
-    /// Is the wait by this instance's own dispatches, in milliseconds.
-    pub by_own: f64,
-    /// Is the request's own time to its first token, in milliseconds.
-    pub rest: f64,
-}
-
-/// Measures the errors of both estimates, since nobody tells how late reports are.
-#[derive(Clone, Copy, Debug, Default, PartialEq)]
-struct Trust {
-    /// Is the mean error of the estimate by reports, in milliseconds.
-    report: f64,
-    /// Is the mean error of the estimate by own dispatches, in milliseconds.
-    own: f64,
-}
-
-/// Is the work that one instance has in progress at one target.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-pub struct Share {
-    /// Is the number of prompt tokens of requests without a first token.
-    pub queued: u32,
-    /// Is the number of streams that generate.
-    pub running: u32,
-    /// Is the number of tokens in the contexts of all its streams.
-    pub context: u32,
-    /// Is the number of pieces of memory reserved for them.
-    pub pieces: u32,
-}
-
 /// Is what the instance list and the configuration say of a target.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct TargetFacts {
@@ -502,17 +473,6 @@
     }
 }
 
-impl Trust {
-    /// Records the time to a first token.
-    fn observe(&mut self, guess: &Guess, observed: f64) {
-        /// Weight of a new observation.
-        const WEIGHT: f64 = 0.03;
-        let wait = (observed - guess.rest).max(0.0);
-        self.report += ((guess.by_report - wait).abs() - self.report) * WEIGHT;
-        self.own += ((guess.by_own - wait).abs() - self.own) * WEIGHT;
-    }
-}
-
 impl Estimate {
     /// Adds the work of one dispatch.
     fn add(&mut self, work: &Work) {
@@ -525,34 +485,6 @@
     }
 }
 
-impl Share {
-    /// Returns the share of one dispatch, whose first token may have come.
-    fn of(work: &Work, answered: bool) -> Self {
-        Self {
-            queued: if answered { 0 } else { work.prefill },
-            running: u32::from(answered && work.decodes),
-            context: work.context,
-            pieces: work.pieces,
-        }
-    }
-
-    /// Adds another share.
-    fn join(&mut self, other: &Self) {
-        self.queued += other.queued;
-        self.running += other.running;
-        self.context += other.context;
-        self.pieces += other.pieces;
-    }
-
-    /// Takes another share away, which was added before.
-    fn leave(&mut self, other: &Self) {
-        self.queued = self.queued.saturating_sub(other.queued);
-        self.running = self.running.saturating_sub(other.running);
-        self.context = self.context.saturating_sub(other.context);
-        self.pieces = self.pieces.saturating_sub(other.pieces);
-    }
-}
-
 /// Returns the prompt tokens that this instance waits for at a target.
 fn own_queue(target: &Target) -> f64 {
     let waiting = target.own.values().filter(|(_, _, answered)| !answered);
--- /dev/null
+++ b/crates/cactuslane-route/src/picture/share.rs
@@ -0,0 +1,44 @@
+//! The work that instances have in progress at targets.
+
+use super::Work;
+
+/// Is the work that one instance has in progress at one target.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Share {
+    /// Is the number of prompt tokens of requests without a first token.
+    pub queued: u32,
+    /// Is the number of streams that generate.
+    pub running: u32,
+    /// Is the number of tokens in the contexts of all its streams.
+    pub context: u32,
+    /// Is the number of pieces of memory reserved for them.
+    pub pieces: u32,
+}
+
+impl Share {
+    /// Returns the share of one dispatch, whose first token may have come.
+    pub(super) fn of(work: &Work, answered: bool) -> Self {
+        Self {
+            queued: if answered { 0 } else { work.prefill },
+            running: u32::from(answered && work.decodes),
+            context: work.context,
+            pieces: work.pieces,
+        }
+    }
+
+    /// Adds another share.
+    pub(super) fn join(&mut self, other: &Self) {
+        self.queued += other.queued;
+        self.running += other.running;
+        self.context += other.context;
+        self.pieces += other.pieces;
+    }
+
+    /// Takes another share away, which was added before.
+    pub(super) fn leave(&mut self, other: &Self) {
+        self.queued = self.queued.saturating_sub(other.queued);
+        self.running = self.running.saturating_sub(other.running);
+        self.context = self.context.saturating_sub(other.context);
+        self.pieces = self.pieces.saturating_sub(other.pieces);
+    }
+}
--- /dev/null
+++ b/crates/cactuslane-route/src/picture/trust.rs
@@ -0,0 +1,36 @@
+//! Which estimate of a target's load to trust.
+
+use cactuslane_types::TargetId;
+
+/// Is what each estimate says of the wait at a target.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Guess {
+    /// Is the target.
+    pub target: TargetId,
+    /// Is the wait by the last report, in milliseconds.
+    pub by_report: f64,
+    /// Is the wait by this instance's own dispatches, in milliseconds.
+    pub by_own: f64,
+    /// Is the request's own time to its first token, in milliseconds.
+    pub rest: f64,
+}
+
+/// Measures the errors of both estimates, since nobody tells how late reports are.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub(super) struct Trust {
+    /// Is the mean error of the estimate by reports, in milliseconds.
+    pub(super) report: f64,
+    /// Is the mean error of the estimate by own dispatches, in milliseconds.
+    pub(super) own: f64,
+}
+
+impl Trust {
+    /// Records the time to a first token.
+    pub(super) fn observe(&mut self, guess: &Guess, observed: f64) {
+        /// Weight of a new observation.
+        const WEIGHT: f64 = 0.03;
+        let wait = (observed - guess.rest).max(0.0);
+        self.report += ((guess.by_report - wait).abs() - self.report) * WEIGHT;
+        self.own += ((guess.by_own - wait).abs() - self.own) * WEIGHT;
+    }
+}
--- a/crates/cactuslane-store/src/http.rs
+++ b/crates/cactuslane-store/src/http.rs
@@ -156,12 +156,7 @@
                 .get(ETAG)
                 .and_then(|tag| tag.to_str().ok());
             let tag = tag.map(str::to_owned);
-            let body = Limited::new(response.into_body(), MAX_ANSWER)
-                .collect()
-                .await;
-            let bytes = body
-                .map_err(|error| HttpError::Broken(error.to_string()))?
-                .to_bytes();
+            let bytes = whole(response).await?;
             let value = serde_json::from_slice(&bytes);
             Ok(Some((
                 tag,
@@ -234,12 +229,7 @@
         let exchange = async {
             let response = self.send(request).await?;
             let status = response.status().as_u16();
-            let body = Limited::new(response.into_body(), MAX_ANSWER)
-                .collect()
-                .await;
-            let bytes = body
-                .map_err(|error| HttpError::Broken(error.to_string()))?
-                .to_bytes();
+            let bytes = whole(response).await?;
             let value = match serde_json::from_slice(&bytes) {
                 Ok(value) => value,
                 Err(error) if status == 200 => return Err(HttpError::Broken(error.to_string())),
@@ -254,6 +244,15 @@
     }
 }
 
+/// Reads the whole body of an answer, within the limit.
+async fn whole(response: Response<Incoming>) -> Result<Bytes, HttpError> {
+    let body = Limited::new(response.into_body(), MAX_ANSWER)
+        .collect()
+        .await;
+    let body = body.map_err(|error| HttpError::Broken(error.to_string()))?;
+    Ok(body.to_bytes())
+}
+
 /// Is the error of an answer that did not come in time.
 fn late(wait: Duration) -> HttpError {
     HttpError::Broken(format!("no answer within {} ms", wait.as_millis()))
