--- a/crates/cactuslane-config/src/document.rs
+++ b/crates/cactuslane-config/src/document.rs
@@ -167,15 +167,6 @@
             _ => Err(reader.finish()),
         }
     }
-
-    /// Finds the caller whose token has a hash.
-    #[must_use]
-    pub fn caller_of(&self, token: &str) -> Option<(&CallerId, &Caller)> {
-        let hash = hash_token(token);
-        self.callers
-            .iter()
-            .find(|(_, caller)| caller.token_sha256 == hash)
-    }
 }
 
 impl PlainService {
--- a/crates/cactuslane-member/src/lib.rs
+++ b/crates/cactuslane-member/src/lib.rs
@@ -154,11 +154,6 @@
         self.me.revisions = revisions;
     }
 
-    /// Sets the address for calls that members and callers use.
-    pub fn set_serving(&mut self, serving: SocketAddr) {
-        self.me.serving = serving;
-    }
-
     /// Marks this instance as leaving, and spreads it.
     pub fn leave(&mut self) {
         self.me.status = Status::Leaving;
--- a/crates/cactuslane-route/src/fair.rs
+++ b/crates/cactuslane-route/src/fair.rs
@@ -57,14 +57,6 @@
         Some(self.waiting.range(..(priority, key, ticket)).count())
     }
 
-    /// Returns whether a ticket is the next one.
-    #[must_use]
-    pub fn is_first(&self, ticket: Ticket) -> bool {
-        self.waiting
-            .first()
-            .is_some_and(|(_, _, first)| *first == ticket)
-    }
-
     /// Returns the next ticket.
     #[must_use]
     pub fn first(&self) -> Option<Ticket> {
--- a/crates/cactuslane-route/src/router.rs
+++ b/crates/cactuslane-route/src/router.rs
@@ -262,32 +262,19 @@
         candidates: &[Candidate<'_>],
         noises: &[f64],
     ) -> (Option<Choice>, f64) {
-        let mut best: Option<&Candidate<'_>> = None;
-        let mut best_cost = f64::INFINITY;
-        for (candidate, noise) in candidates.iter().zip(noises) {
-            if candidate.role != Role::Mixed {
-                continue;
-            }
-            let cost = self.whole_cost(ask, candidate) - candidate.noise * noise;
-            if best.is_none() || cost < best_cost {
-                best = Some(candidate);
-                best_cost = cost;
-            }
+        let cost = |candidate: &Candidate<'_>| self.whole_cost(ask, candidate);
+        match lowest(candidates, noises, |role| role == Role::Mixed, cost) {
+            Some((best, cost)) => (Some(self.whole_choice(ask, best)), cost),
+            None => (None, f64::INFINITY),
         }
-        (
-            best.map(|candidate| self.whole_choice(ask, candidate)),
-            best_cost,
-        )
     }
 
     /// Returns the cost of executing all of a request on one target.
     fn whole_cost(&self, ask: &Ask, candidate: &Candidate<'_>) -> f64 {
-        let estimate = &candidate.estimate;
         let (wait, own) = self.whole_times(ask, candidate);
-        let needed = f64::from(self.speed.pieces_of(ask.prompt + ask.output));
-        let shortage = (needed - estimate.free).max(0.0);
+        let shortage = self.shortage(ask, candidate);
         let above = self.above_bound(ask, candidate);
-        wait + own * (1.0 + WORK_WEIGHT) + candidate.place + shortage * PIECE_COST + above
+        wait + own * (1.0 + WORK_WEIGHT) + candidate.place + shortage + above
     }
 
     /// Returns the expected wait and own time of a request on one target, in milliseconds.
@@ -309,7 +296,7 @@
     fn whole_choice(&self, ask: &Ask, candidate: &Candidate<'_>) -> Choice {
         let (wait, own) = self.whole_times(ask, candidate);
         let needed = self.speed.pieces_of(ask.prompt + ask.output);
-        let shortage = (f64::from(needed) - candidate.estimate.free).max(0.0) * PIECE_COST;
+        let shortage = self.shortage(ask, candidate);
         Choice {
             plan: Plan::Whole(candidate.id.clone()),
             first_token: wait + own + shortage,
@@ -338,8 +325,8 @@
     ) -> Option<(Choice, f64)> {
         let prefill_cost = |c: &Candidate<'_>| self.prefill_cost(ask, c);
         let decode_cost = |c: &Candidate<'_>| self.decode_cost(ask, c);
-        let prefill = lowest(candidates, noises, Role::prefills, prefill_cost)?;
-        let decode = lowest(candidates, noises, Role::decodes, decode_cost)?;
+        let prefill = lowest(candidates, noises, Role::prefills, prefill_cost)?.0;
+        let decode = lowest(candidates, noises, Role::decodes, decode_cost)?.0;
         let dedicated = prefill.role == Role::Prefill || decode.role == Role::Decode;
         if prefill.id == decode.id || !dedicated {
             return None;
@@ -348,7 +335,7 @@
         let cost = self.prefill_cost(ask, prefill) + transfer + self.decode_cost(ask, decode);
         let step = self.decode_step(decode);
         let needed = self.speed.pieces_of(ask.prompt + ask.output);
-        let shortage = (f64::from(needed) - decode.estimate.free).max(0.0) * PIECE_COST;
+        let shortage = self.shortage(ask, decode);
         let first_token = self.prefill_time(ask, prefill) + transfer + step + shortage;
         let plan = Plan::Split {
             prefill: prefill.id.clone(),
@@ -413,11 +400,10 @@
 
     /// Returns the cost of generating on an engine.
     fn decode_cost(&self, ask: &Ask, candidate: &Candidate<'_>) -> f64 {
-        let needed = f64::from(self.speed.pieces_of(ask.prompt + ask.output));
-        let shortage = (needed - candidate.estimate.free).max(0.0);
+        let shortage = self.shortage(ask, candidate);
         let step = self.decode_step(candidate);
         let above = (step - ask.between_bound).max(0.0) * BETWEEN_COST;
-        step + candidate.place + shortage * PIECE_COST + above
+        step + candidate.place + shortage + above
     }
 
     /// Returns the expected time between tokens on an engine, in milliseconds.
@@ -432,6 +418,12 @@
         step * candidate.factor
     }
 
+    /// Returns the cost of the memory that a request lacks on an engine that generates for it.
+    fn shortage(&self, ask: &Ask, candidate: &Candidate<'_>) -> f64 {
+        let needed = f64::from(self.speed.pieces_of(ask.prompt + ask.output));
+        (needed - candidate.estimate.free).max(0.0) * PIECE_COST
+    }
+
     /// Returns the cost of a mixed step that is longer than the bound between tokens.
     fn above_bound(&self, ask: &Ask, candidate: &Candidate<'_>) -> f64 {
         let estimate = &candidate.estimate;
@@ -459,13 +451,13 @@
     }
 }
 
-/// Returns the candidate with the lowest cost among those whose role fits.
+/// Returns the candidate with the lowest cost among those whose role fits, with that cost.
 fn lowest<'c, 'p>(
     candidates: &'c [Candidate<'p>],
     noises: &[f64],
     fits: fn(Role) -> bool,
     cost: impl Fn(&Candidate<'p>) -> f64,
-) -> Option<&'c Candidate<'p>> {
+) -> Option<(&'c Candidate<'p>, f64)> {
     let mut best: Option<(&Candidate<'p>, f64)> = None;
     for (candidate, noise) in candidates.iter().zip(noises) {
         if !fits(candidate.role) {
@@ -476,7 +468,7 @@
             best = Some((candidate, cost));
         }
     }
-    best.map(|(candidate, _)| candidate)
+    best
 }
 
 /// Returns the cost of a target's place: another domain, or one that was tried before.
