--- /dev/null
+++ b/crates/cactuslane-gateway/src/control.rs
@@ -0,0 +1,262 @@
+//! The session with the platform's store: configuration, targets and instances.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use cactuslane_platform::store::CONFIG_KEY;
+use cactuslane_platform::{document, registry};
+use cactuslane_store::kv::{Change, Item, KvError, Lease, Update};
+use cactuslane_types::Millis;
+use log::{info, warn};
+use rand::Rng;
+
+use crate::fleet::Effect;
+use crate::members::Member;
+use crate::state::Gateway;
+
+/// The start of the keys of instances.
+const MEMBERS: &str = "cactuslane/instances/";
+/// The start of all keys.
+const ALL: &str = "";
+/// Longest wait of a watch; a silent connection is noticed soon after it.
+const WATCH_WAIT: Duration = Duration::from_millis(2200);
+/// Range of the pause after a failed call, in milliseconds.
+const PAUSE: std::ops::Range<u64> = 100..300;
+/// Time for which an instance's entry outlives its renewals.
+const LEASE_TTL: Duration = Duration::from_secs(4);
+/// Interval between renewals.
+const RENEW_INTERVAL: Duration = Duration::from_millis(1300);
+/// Attempts to announce that the instance is leaving.
+const ANNOUNCE_ATTEMPTS: u32 = 4;
+
+/// Follows the store until the task is ended.
+pub async fn follow(gateway: Arc<Gateway>) {
+    loop {
+        let mut revision = match read_all(&gateway).await {
+            Ok(revision) => revision,
+            Err(error) => {
+                trouble(&gateway, "read", &error).await;
+                continue;
+            }
+        };
+        let mut well = true;
+        loop {
+            match gateway.store.watch(ALL, revision, WATCH_WAIT).await {
+                Ok(changes) => {
+                    if !well {
+                        info!(revision; "store is back");
+                        well = true;
+                    }
+                    for change in changes.changes {
+                        apply(&gateway, change);
+                    }
+                    revision = changes.revision.max(revision);
+                }
+                Err(KvError::Compacted) => {
+                    info!(revision; "history is gone, reading all keys");
+                    break;
+                }
+                Err(error) => {
+                    well = false;
+                    trouble(&gateway, "watch", &error).await;
+                }
+            }
+        }
+    }
+}
+
+/// Keeps the instance registered until the task is ended.
+pub async fn register(gateway: Arc<Gateway>) {
+    let mut lease: Option<Lease> = None;
+    loop {
+        if gateway.is_leaving() {
+            return;
+        }
+        let result = match lease {
+            Some(lease) => gateway.store.renew(lease).await.map(|()| lease),
+            None => enter(&gateway).await,
+        };
+        let pause = match result {
+            Ok(current) => {
+                if lease != Some(current) {
+                    info!(lease = current; "registered");
+                }
+                lease = Some(current);
+                RENEW_INTERVAL
+            }
+            Err(KvError::NoLease) => {
+                info!(lease:? = lease; "registration lapsed");
+                lease = None;
+                continue;
+            }
+            Err(error) => {
+                warn!(error:% = error; "registration not renewed");
+                random_pause()
+            }
+        };
+        tokio::time::sleep(pause).await;
+    }
+}
+
+/// Tells the other instances that this one is leaving.
+pub async fn announce_leaving(gateway: &Gateway) {
+    let update = Update {
+        writes: vec![(member_key(gateway), entry(gateway, true), None)],
+        ..Update::default()
+    };
+    for _ in 0..ANNOUNCE_ATTEMPTS {
+        match gateway.store.update(&update).await {
+            Ok(_) => return,
+            Err(error) => warn!(error:% = error; "leaving not announced"),
+        }
+        tokio::time::sleep(random_pause()).await;
+    }
+}
+
+/// Deletes the instance's entry.
+pub async fn withdraw(gateway: &Gateway) {
+    let update = Update {
+        deletes: vec![member_key(gateway)],
+        ..Update::default()
+    };
+    if let Err(error) = gateway.store.update(&update).await {
+        warn!(error:% = error; "entry not deleted");
+    }
+}
+
+/// Registers the instance under a new lease.
+async fn enter(gateway: &Gateway) -> Result<Lease, KvError> {
+    let lease = gateway.store.grant(LEASE_TTL).await?;
+    if gateway.is_leaving() {
+        return Ok(lease);
+    }
+    let update = Update {
+        writes: vec![(member_key(gateway), entry(gateway, false), Some(lease))],
+        ..Update::default()
+    };
+    gateway.store.update(&update).await?;
+    Ok(lease)
+}
+
+/// Reads all keys and returns the revision from which to watch.
+async fn read_all(gateway: &Gateway) -> Result<u64, KvError> {
+    let (items, revision) = gateway.store.range(ALL).await?;
+    let now = gateway.now();
+    let mut targets = Vec::new();
+    let mut instances = Vec::new();
+    for item in &items {
+        if let Some(id) = registry::target_id(&item.key) {
+            targets.push(id.to_owned());
+        }
+        if let Some(id) = item.key.strip_prefix(MEMBERS) {
+            instances.push(id.to_owned());
+        }
+    }
+    gateway.fleet().retain(&targets, now);
+    gateway.members().retain(&instances, now);
+    info!(revision, keys = items.len(), targets = targets.len(); "read the store");
+    for item in items {
+        written(gateway, &item, now);
+    }
+    Ok(revision)
+}
+
+/// Applies one change.
+fn apply(gateway: &Gateway, change: Change) {
+    let now = gateway.now();
+    let (key, revision) = match change {
+        Change::Written(item) => return written(gateway, &item, now),
+        Change::Deleted { key, revision } => (key, revision),
+    };
+    if let Some(id) = registry::target_id(&key) {
+        if gateway.fleet().lapse(id, now) {
+            info!(target_id = id, revision; "target vanished");
+        }
+    } else if let Some(id) = key.strip_prefix(MEMBERS) {
+        gateway.members().lapse(id, now);
+        info!(peer = id, revision; "instance vanished");
+    }
+}
+
+/// Applies what was written to a key.
+fn written(gateway: &Gateway, item: &Item, now: Millis) {
+    if item.key == CONFIG_KEY {
+        configure(gateway, item);
+    } else if let Some(id) = registry::target_id(&item.key) {
+        put_target(gateway, id, item);
+    } else if let Some(id) = item.key.strip_prefix(MEMBERS) {
+        match serde_json::from_slice::<Member>(&item.value) {
+            Ok(member) if member.instance == gateway.settings().instance => {}
+            Ok(member) => gateway.members().put(member, now),
+            Err(error) => warn!(peer = id, error:% = error; "entry of an instance is unreadable"),
+        }
+    }
+}
+
+/// Puts a configuration in force.
+fn configure(gateway: &Gateway, item: &Item) {
+    let document = match document::decode(&item.value) {
+        Ok(document) => document,
+        Err(error) => {
+            warn!(revision = item.revision, error; "configuration is unreadable, the old one stays");
+            return;
+        }
+    };
+    let version = document.version;
+    let in_force = gateway.fleet().configure(document);
+    info!(version, revision = item.revision, in_force; "configuration");
+}
+
+/// Takes a target's entry.
+fn put_target(gateway: &Gateway, id: &str, item: &Item) {
+    let target = match registry::decode(&item.key, &item.value) {
+        Ok(target) => target,
+        Err(error) => {
+            warn!(target_id = id, error; "entry of a target is unreadable");
+            gateway.fleet().remove(id);
+            return;
+        }
+    };
+    let state = target.state;
+    let role = target.role;
+    let effect = gateway.fleet().put(target);
+    if effect == Effect::Started {
+        gateway.placer().forget(id);
+        gateway.pool.forget(id);
+    }
+    if effect != Effect::Same {
+        info!(target_id = id, state:? = state, role:? = role, revision = item.revision; "target");
+    }
+}
+
+/// Records trouble with the store and pauses.
+async fn trouble(gateway: &Gateway, call: &str, error: &KvError) {
+    let now = gateway.now();
+    gateway.fleet().note_trouble(now);
+    warn!(call, error:% = error; "store in trouble");
+    tokio::time::sleep(random_pause()).await;
+}
+
+/// Returns the key of the instance's entry.
+fn member_key(gateway: &Gateway) -> String {
+    format!("{MEMBERS}{}", gateway.settings().instance)
+}
+
+/// Encodes the instance's entry.
+fn entry(gateway: &Gateway, leaving: bool) -> Vec<u8> {
+    let settings = gateway.settings();
+    let member = Member {
+        instance: settings.instance.clone(),
+        front: settings.front,
+        peer: settings.peer,
+        domain: settings.domain.clone(),
+        leaving,
+        started: gateway.started,
+    };
+    serde_json::to_vec(&member).unwrap_or_default()
+}
+
+/// Returns a pause of random length, so that instances don't call in step.
+fn random_pause() -> Duration {
+    Duration::from_millis(rand::rng().random_range(PAUSE))
+}
--- /dev/null
+++ b/crates/cactuslane-gateway/src/directory.rs
@@ -0,0 +1,99 @@
+//! Answers to callers that ask for addresses, and to those who ask whether the instance is ready.
+
+use std::convert::Infallible;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use cactuslane_platform::directory::{
+    MAX_ADDRESSES, READY_PATH, RESOLVE_PATH, answer, caller_domain,
+};
+use http_body_util::Full;
+use hyper::body::{Bytes, Incoming};
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper::{Request, Response, StatusCode};
+use hyper_util::rt::{TokioIo, TokioTimer};
+use log::debug;
+use rand::seq::SliceRandom;
+use tokio::net::TcpListener;
+
+use crate::state::Gateway;
+use crate::upstream::set_options;
+
+/// Time for which callers may keep addresses.
+const ADDRESS_TTL: Duration = Duration::from_secs(2);
+/// Longest time to receive the head of a question.
+const HEAD_TIMEOUT: Duration = Duration::from_secs(10);
+/// The path of the metrics.
+const METRICS_PATH: &str = "/metrics";
+
+/// Serves the questions on one address until the task is ended.
+pub async fn serve(gateway: Arc<Gateway>, listener: TcpListener) {
+    loop {
+        let stream = match listener.accept().await {
+            Ok((stream, _)) => stream,
+            Err(error) => {
+                debug!(error:% = error; "connection not accepted");
+                tokio::time::sleep(Duration::from_millis(20)).await;
+                continue;
+            }
+        };
+        set_options(&stream);
+        let gateway = gateway.clone();
+        tokio::spawn(async move {
+            let service = service_fn(|request| {
+                let response = respond(&gateway, &request);
+                async move { Ok::<_, Infallible>(response) }
+            });
+            let connection = http1::Builder::new()
+                .timer(TokioTimer::new())
+                .header_read_timeout(HEAD_TIMEOUT)
+                .serve_connection(TokioIo::new(stream), service);
+            if let Err(error) = connection.await {
+                debug!(error:% = error; "connection ended");
+            }
+        });
+    }
+}
+
+/// Answers one question.
+fn respond(gateway: &Gateway, request: &Request<Incoming>) -> Response<Full<Bytes>> {
+    match request.uri().path() {
+        READY_PATH if gateway.is_ready() => text(StatusCode::OK, String::new()),
+        READY_PATH => text(StatusCode::SERVICE_UNAVAILABLE, String::new()),
+        RESOLVE_PATH => resolve(gateway, request.uri().query().unwrap_or_default()),
+        METRICS_PATH => text(StatusCode::OK, gateway.metrics.text()),
+        _ => text(StatusCode::NOT_FOUND, String::new()),
+    }
+}
+
+/// Answers with the addresses of the instances that serve.
+fn resolve(gateway: &Gateway, query: &str) -> Response<Full<Bytes>> {
+    let domain = caller_domain(query).unwrap_or_default();
+    let settings = gateway.settings();
+    let mut serving = gateway.members().serving(gateway.now());
+    if gateway.is_ready() {
+        serving.push((settings.front, settings.domain.clone()));
+    }
+    if serving.is_empty() {
+        return text(StatusCode::SERVICE_UNAVAILABLE, String::new());
+    }
+    serving.shuffle(&mut rand::rng());
+    serving.sort_by_key(|(_, place)| place != domain);
+    serving.truncate(MAX_ADDRESSES);
+    let addresses: Vec<SocketAddr> = serving.into_iter().map(|(address, _)| address).collect();
+    let mut response = text(StatusCode::OK, answer(&addresses, ADDRESS_TTL));
+    let json = hyper::header::HeaderValue::from_static("application/json");
+    response
+        .headers_mut()
+        .insert(hyper::header::CONTENT_TYPE, json);
+    response
+}
+
+/// Returns an answer with a body.
+fn text(status: StatusCode, body: String) -> Response<Full<Bytes>> {
+    let mut response = Response::new(Full::new(Bytes::from(body)));
+    *response.status_mut() = status;
+    response
+}
--- /dev/null
+++ b/crates/cactuslane-gateway/src/fleet.rs
@@ -0,0 +1,170 @@
+//! The configuration in force and the targets, as the store tells them.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+use cactuslane_flight::document::Document;
+use cactuslane_flight::target::{Target, TargetState};
+use cactuslane_types::{Millis, TargetId};
+
+/// Time after the return of the store within which lapsed targets register again, in milliseconds.
+const REGISTER_TIME: Millis = 2200;
+
+/// The configuration and the targets.
+#[derive(Debug, Default)]
+pub struct Fleet {
+    /// The configuration in force.
+    document: Option<Arc<Document>>,
+    /// The targets by id.
+    targets: BTreeMap<TargetId, Entry>,
+    /// The time until which the store was in trouble.
+    trouble: Option<Millis>,
+    /// The time for which a target that vanished from the store may be used if no other is left.
+    hold: Millis,
+}
+
+/// One target.
+#[derive(Debug)]
+struct Entry {
+    /// The target as it registered itself.
+    target: Target,
+    /// The time at which it vanished from the store.
+    lapsed: Option<Millis>,
+}
+
+/// What a change made of a target.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Effect {
+    /// It is new, or has started anew.
+    Started,
+    /// Its entry changed.
+    Changed,
+    /// Nothing changed.
+    Same,
+}
+
+impl Fleet {
+    /// Returns the configuration in force.
+    #[must_use]
+    pub fn document(&self) -> Option<Arc<Document>> {
+        self.document.clone()
+    }
+
+    /// Puts a configuration in force unless it is older than the one that is; false if it is not
+    /// newer.
+    pub fn configure(&mut self, document: Document) -> bool {
+        let known = self.document.as_ref();
+        if known.is_some_and(|known| known.version >= document.version) {
+            return false;
+        }
+        self.document = Some(Arc::new(document));
+        true
+    }
+
+    /// Sets the time for which a vanished target may be used if no other is left.
+    pub fn set_hold(&mut self, drain: Duration) {
+        self.hold = (drain.as_millis() as Millis) / 2;
+    }
+
+    /// Records that the store is in trouble now.
+    pub fn note_trouble(&mut self, now: Millis) {
+        self.trouble = Some(now);
+    }
+
+    /// Takes a target's entry.
+    pub fn put(&mut self, target: Target) -> Effect {
+        let old = self.targets.get(&target.id);
+        let effect = match old {
+            None => Effect::Started,
+            Some(old) if old.target.born != target.born => Effect::Started,
+            Some(old) if old.target.address != target.address => Effect::Started,
+            Some(old) if old.target == target && old.lapsed.is_none() => Effect::Same,
+            Some(_) => Effect::Changed,
+        };
+        let id = target.id.clone();
+        let lapsed = None;
+        self.targets.insert(id, Entry { target, lapsed });
+        effect
+    }
+
+    /// Removes a target whose entry can't be read.
+    pub fn remove(&mut self, id: &str) {
+        self.targets.remove(id);
+    }
+
+    /// Records that a target vanished from the store; false if it was not known.
+    pub fn lapse(&mut self, id: &str, now: Millis) -> bool {
+        let Some(entry) = self.targets.get_mut(id) else {
+            return false;
+        };
+        if entry.target.state == TargetState::Draining {
+            self.targets.remove(id);
+            return true;
+        }
+        entry.lapsed.get_or_insert(now);
+        true
+    }
+
+    /// Records that only these targets are in the store.
+    pub fn retain(&mut self, present: &[TargetId], now: Millis) {
+        let known: Vec<TargetId> = self.targets.keys().cloned().collect();
+        for id in known {
+            if !present.contains(&id) {
+                self.lapse(&id, now);
+            }
+        }
+    }
+
+    /// Returns a target if it takes new work.
+    #[must_use]
+    pub fn target(&self, id: &str, now: Millis) -> Option<&Target> {
+        let entry = self.targets.get(id)?;
+        self.may_use(entry, now).then_some(&entry.target)
+    }
+
+    /// Returns a target, whether it takes work or not.
+    #[must_use]
+    pub fn known(&self, id: &str) -> Option<&Target> {
+        Some(&self.targets.get(id)?.target)
+    }
+
+    /// Returns the targets of a service that take new work and serve a model.
+    #[must_use]
+    pub fn targets(&self, service: &str, model: Option<&str>, now: Millis) -> Vec<&Target> {
+        let mut ready = Vec::new();
+        let mut lapsed = Vec::new();
+        for entry in self.targets.values() {
+            let target = &entry.target;
+            let serves = model.is_none_or(|model| {
+                target.models.is_empty() || target.models.iter().any(|name| name == model)
+            });
+            if target.service != service || !serves || !self.may_use(entry, now) {
+                continue;
+            }
+            if entry.lapsed.is_none() || self.in_trouble(now) {
+                ready.push(target);
+            } else {
+                lapsed.push(target);
+            }
+        }
+        if ready.is_empty() { lapsed } else { ready }
+    }
+
+    /// Returns whether a target takes new work, if need be after it vanished.
+    fn may_use(&self, entry: &Entry, now: Millis) -> bool {
+        if entry.target.state == TargetState::Draining {
+            return false;
+        }
+        let Some(lapsed) = entry.lapsed else {
+            return true;
+        };
+        now < lapsed + self.hold || self.in_trouble(now)
+    }
+
+    /// Returns whether entries may be missing because of trouble of the store.
+    fn in_trouble(&self, now: Millis) -> bool {
+        self.trouble
+            .is_some_and(|until| now < until + REGISTER_TIME)
+    }
+}
--- /dev/null
+++ b/crates/cactuslane-gateway/src/generation.rs
@@ -0,0 +1,567 @@
+//! Requests that are answered by a stream of events.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use cactuslane_flight::document::Repeat;
+use cactuslane_flight::events::EventScanner;
+use cactuslane_flight::target::Target;
+use cactuslane_flight::{Ending, Flight, Step};
+use cactuslane_place::Load;
+use cactuslane_place::placer::{Placement, Plan, Wanted};
+use cactuslane_platform::engine;
+use cactuslane_platform::exchange::{self, Sent, Work};
+use http_body_util::{BodyExt, Either, Full};
+use hyper::body::{Bytes, Incoming};
+use hyper::header::HeaderMap;
+use hyper::{Method, Request, Response, StatusCode};
+use log::info;
+use tokio::sync::mpsc;
+use tokio::time::{Instant, timeout};
+
+use crate::ingress::Job;
+use crate::plain::{label, refuse, send, unanswered, whole_body};
+use crate::reply::{self, Broken, Pieces, Reply};
+use crate::state::{Gateway, LoadGuard};
+use crate::upstream::Lent;
+
+/// Pieces that may wait for a slow caller.
+const PIECES: usize = 64;
+/// Time after which a caller may come back when no target takes its request.
+const NO_TARGET_PAUSE: Duration = Duration::from_millis(300);
+/// Longest time that is asked of a caller before it comes back to an overloaded system.
+const MAX_PAUSE: Duration = Duration::from_secs(2);
+/// Times the expected time of a prompt after which its engine counts as silent.
+const PROMPT_FACTOR: f64 = 3.0;
+/// Least time after which an engine that computes a prompt counts as silent.
+const PROMPT_PATIENCE: Duration = Duration::from_millis(900);
+/// Times the allowed pause between events after which a stream goes on elsewhere.
+const PAUSE_FACTOR: u32 = 6;
+/// Pause between events that is assumed where a route states none.
+const DEFAULT_PAUSE: Duration = Duration::from_millis(250);
+/// Longest time to free a computed prompt.
+const RELEASE_TIMEOUT: Duration = Duration::from_secs(1);
+
+/// A request on its way through engines.
+#[derive(Debug)]
+struct Run {
+    /// The instance.
+    gateway: Arc<Gateway>,
+    /// The request.
+    job: Arc<Job>,
+    /// Its state.
+    flight: Flight,
+    /// The targets that were tried.
+    tried: Vec<String>,
+    /// Whether the prompt may still be computed at another engine.
+    split: bool,
+}
+
+/// A stream that a target has begun.
+#[derive(Debug)]
+struct Opened {
+    /// The head's headers.
+    headers: HeaderMap,
+    /// The stream.
+    body: Incoming,
+    /// The connection.
+    connection: Lent,
+    /// The target.
+    target: String,
+    /// The work at the target.
+    load: LoadGuard,
+}
+
+/// The end of the search for a target.
+#[derive(Debug)]
+enum Outcome {
+    /// A stream has begun.
+    Opened(Box<Opened>),
+    /// The caller gets this answer.
+    Answer(Box<Response<Reply>>),
+    /// The answer that has begun breaks off.
+    Cut,
+}
+
+/// How the reading of a stream ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Ended {
+    /// At its end.
+    Whole,
+    /// The target broke off or fell silent.
+    Broken,
+    /// The time is over.
+    Late,
+    /// The caller has left.
+    Left,
+}
+
+/// A computed prompt that is freed unless it was used.
+#[derive(Debug)]
+struct Prompt {
+    /// The instance.
+    gateway: Arc<Gateway>,
+    /// The engine that keeps it.
+    target: Target,
+    /// Its id at the engine.
+    handle: engine::Handle,
+    /// Whether another engine has fetched it.
+    used: bool,
+}
+
+impl Drop for Prompt {
+    fn drop(&mut self) {
+        if !self.used {
+            let gateway = self.gateway.clone();
+            tokio::spawn(release(gateway, self.target.clone(), self.handle.clone()));
+        }
+    }
+}
+
+/// Executes a request and returns its answer, the stream still to come.
+pub async fn execute(gateway: &Arc<Gateway>, job: Job, flight: Flight) -> Response<Reply> {
+    let mut run = Run {
+        gateway: gateway.clone(),
+        split: job.route.generates,
+        job: Arc::new(job),
+        flight,
+        tried: Vec::new(),
+    };
+    match run.open(run.job.ask.last_event).await {
+        Outcome::Opened(opened) => run.stream(*opened),
+        Outcome::Answer(response) => *response,
+        Outcome::Cut => unanswered(&run.job),
+    }
+}
+
+impl Run {
+    /// Answers with a stream that another task pumps.
+    fn stream(mut self, opened: Opened) -> Response<Reply> {
+        self.flight.begin();
+        let metrics = &self.gateway.metrics;
+        metrics
+            .first_byte
+            .observe(self.job.arrived.elapsed().as_secs_f64());
+        let headers = exchange::answer_headers(&opened.headers);
+        let (sender, receiver) = mpsc::channel(PIECES);
+        let guard = self.gateway.count_request();
+        tokio::spawn(async move {
+            self.pump(opened, sender).await;
+            drop(guard);
+        });
+        let mut response = Response::new(Either::Right(Pieces::new(receiver)));
+        *response.headers_mut() = headers;
+        response
+    }
+
+    /// Forwards events until the answer is whole, resuming at another target where that is allowed.
+    async fn pump(mut self, mut opened: Opened, sender: mpsc::Sender<Result<Bytes, Broken>>) {
+        let mut scanner = EventScanner::after(self.job.ask.last_event);
+        loop {
+            let ended = self.forward(&mut opened, &mut scanner, &sender).await;
+            let ending = match ended {
+                Ended::Whole => {
+                    let keep = exchange::keep_alive(&opened.headers);
+                    self.gateway.pool.give_back(opened.connection, keep);
+                    return;
+                }
+                Ended::Left => {
+                    info!(request = self.job.ask.id; "caller left");
+                    return;
+                }
+                Ended::Broken => Ending::Broken,
+                Ended::Late => Ending::Late,
+            };
+            let now = self.gateway.now();
+            self.gateway.placer().failed(&opened.target, now);
+            self.gateway.metrics.attempted(label(ending));
+            info!(
+                request = self.job.ask.id,
+                target_id = opened.target,
+                ending:? = ending,
+                last_event:? = scanner.last();
+                "stream broke off"
+            );
+            drop(opened);
+            let gateway = self.gateway.clone();
+            let budget = || gateway.take_repeat(&self.job.service);
+            let next = match self.flight.after(ending, now, budget) {
+                Step::Again => self.open(scanner.last()).await,
+                Step::Pass | Step::Refuse(_) | Step::Cut => Outcome::Cut,
+            };
+            let Outcome::Opened(next) = next else {
+                let _ = sender.send(Err(Broken)).await;
+                return;
+            };
+            scanner = EventScanner::after(scanner.last());
+            opened = *next;
+        }
+    }
+
+    /// Forwards the whole events of one target's stream.
+    async fn forward(
+        &self,
+        opened: &mut Opened,
+        scanner: &mut EventScanner,
+        sender: &mpsc::Sender<Result<Bytes, Broken>>,
+    ) -> Ended {
+        loop {
+            let left = self.flight.left(self.gateway.now());
+            let wait = left.min(self.silence());
+            let frame = tokio::select! {
+                frame = timeout(wait, opened.body.frame()) => frame,
+                () = sender.closed() => return Ended::Left,
+            };
+            let frame = match frame {
+                Ok(Some(Ok(frame))) => frame,
+                Ok(None) if scanner.at_boundary() => return Ended::Whole,
+                Ok(None | Some(Err(_))) => return Ended::Broken,
+                Err(_) if wait < left => return Ended::Broken,
+                Err(_) => return Ended::Late,
+            };
+            let Ok(data) = frame.into_data() else {
+                continue;
+            };
+            opened.load.prompt_done();
+            let Ok(events) = scanner.feed(&data) else {
+                return Ended::Broken;
+            };
+            if !events.is_empty() && sender.send(Ok(Bytes::from(events))).await.is_err() {
+                return Ended::Left;
+            }
+        }
+    }
+
+    /// Returns the silence after which a stream goes on elsewhere; none ends one that may not.
+    fn silence(&self) -> Duration {
+        if self.job.route.repeat != Repeat::Resume || self.job.route.max_attempts < 2 {
+            return Duration::MAX;
+        }
+        self.job.route.pause.unwrap_or(DEFAULT_PAUSE) * PAUSE_FACTOR
+    }
+
+    /// Sends the request to targets until one begins a stream.
+    async fn open(&mut self, last_event: Option<u64>) -> Outcome {
+        loop {
+            let now = self.gateway.now();
+            let left = self.flight.left(now);
+            if left.is_zero() {
+                return answered(refuse(
+                    &self.job,
+                    &self.flight,
+                    Duration::ZERO,
+                    "time is over",
+                ));
+            }
+            let plan = match self.place(left) {
+                Placement::Run(plan) => plan,
+                Placement::Overloaded { excess } => {
+                    let after = excess.min(MAX_PAUSE);
+                    return answered(refuse(&self.job, &self.flight, after, "overloaded"));
+                }
+                Placement::NoTarget => {
+                    let why = "no target";
+                    return answered(refuse(&self.job, &self.flight, NO_TARGET_PAUSE, why));
+                }
+            };
+            let (ending, answer) = match self.attempt(&plan, left, last_event).await {
+                Ok(opened) => return Outcome::Opened(Box::new(opened)),
+                Err(failure) => failure,
+            };
+            let now = self.gateway.now();
+            self.gateway.metrics.attempted(label(ending));
+            info!(
+                request = self.job.ask.id,
+                target_id = plan.decode,
+                prefill:? = plan.prefill,
+                ending:? = ending;
+                "attempt failed"
+            );
+            // What was computed elsewhere is lost; one engine does all of it next time.
+            self.split = false;
+            let budget = || self.gateway.take_repeat(&self.job.service);
+            match (self.flight.after(ending, now, budget), answer) {
+                (Step::Again, _) => {}
+                (Step::Pass, Some(answer)) => return Outcome::Answer(Box::new(answer)),
+                (Step::Pass, None) => return answered(unanswered(&self.job)),
+                (Step::Refuse(refusal), _) => {
+                    let id = &self.job.ask.id;
+                    return answered(reply::refusal(id, refusal, NO_TARGET_PAUSE));
+                }
+                (Step::Cut, _) => return Outcome::Cut,
+            }
+        }
+    }
+
+    /// Chooses targets.
+    fn place(&self, left: Duration) -> Placement {
+        let now = self.gateway.now();
+        let job = &self.job;
+        let fleet = self.gateway.fleet();
+        let model = job.ask.model.as_deref();
+        let targets = fleet.targets(&job.service, model, now);
+        let mut placer = self.gateway.placer();
+        let service = job.document.services.get(&job.service);
+        let Some(engine) = service.and_then(|service| service.engine.as_ref()) else {
+            let chosen = placer.plain(&targets, &self.tried, now);
+            return chosen.map_or(Placement::NoTarget, |decode| {
+                Placement::Run(Plan {
+                    prefill: None,
+                    decode,
+                    uncached: 0,
+                    ahead: 0,
+                    expected: 0.0,
+                })
+            });
+        };
+        let wanted = Wanted {
+            ask: &job.ask,
+            engine,
+            pause: job.route.pause,
+            left,
+            split: self.split,
+            tried: &self.tried,
+        };
+        let placement = placer.generation(&targets, &wanted, now);
+        if placement != Placement::NoTarget || self.tried.is_empty() {
+            return placement;
+        }
+        let again = Wanted {
+            tried: &[],
+            ..wanted
+        };
+        placer.generation(&targets, &again, now)
+    }
+
+    /// Sends the request to the chosen targets.
+    async fn attempt(
+        &mut self,
+        plan: &Plan,
+        left: Duration,
+        last_event: Option<u64>,
+    ) -> Result<Opened, (Ending, Option<Response<Reply>>)> {
+        let unsent = (Ending::Unsent, None);
+        info!(
+            request = self.job.ask.id,
+            target_id = plan.decode,
+            prefill:? = plan.prefill,
+            uncached = plan.uncached,
+            ahead = plan.ahead,
+            expected_ms = plan.expected as u64;
+            "placed"
+        );
+        let mut prompt = match &plan.prefill {
+            None => None,
+            Some(prefill) => {
+                let prefill = self.gateway.target(prefill).ok_or(unsent)?;
+                match self.compute(&prefill, plan, left).await {
+                    Ok(prompt) => Some(prompt),
+                    Err((ending, why)) => {
+                        info!(request = self.job.ask.id, target_id = prefill.id, why; "no prompt");
+                        let ran = matches!(ending, Ending::Unsent | Ending::Late);
+                        return Err((if ran { ending } else { Ending::Rejected }, None));
+                    }
+                }
+            }
+        };
+        let target = self.gateway.target(&plan.decode);
+        let target = target.ok_or((Ending::Unsent, None))?;
+        self.tried.push(target.id.clone());
+        let result = self
+            .generate(&target, plan, prompt.as_ref(), last_event)
+            .await;
+        if let (Ok(_), Some(prompt)) = (&result, &mut prompt) {
+            prompt.used = true;
+        }
+        result
+    }
+
+    /// Has an engine compute the prompt.
+    async fn compute(
+        &self,
+        target: &Target,
+        plan: &Plan,
+        left: Duration,
+    ) -> Result<Prompt, (Ending, String)> {
+        let load = Load {
+            prompt: plan.uncached,
+            running: 1,
+            memory: self.job.ask.prompt,
+        };
+        let _load = self.gateway.load(&target.id, load);
+        self.keeps(target);
+        let began = Instant::now();
+        let patience = Duration::from_secs_f64(plan.expected * PROMPT_FACTOR / 1000.0);
+        let wait = left.min(patience.max(PROMPT_PATIENCE));
+        let sent = Sent {
+            target: &target.id,
+            left,
+            priority: Some(self.job.route.priority),
+            work: Work::Prompt,
+            last_event: None,
+        };
+        let exchange = async {
+            let (connection, response) = send(&self.gateway, &self.job, target, &sent).await?;
+            let keep = exchange::keep_alive(response.headers());
+            let status = response.status();
+            let body = whole_body(response.into_body()).await?;
+            self.gateway.pool.give_back(connection, keep);
+            if status != StatusCode::OK {
+                return Err((Ending::Broken, format!("status {status}")));
+            }
+            engine::computed(&body).map_err(|why| (Ending::Broken, why))
+        };
+        let result = timeout(wait, exchange).await;
+        let now = self.gateway.now();
+        let result = result.unwrap_or_else(|_| {
+            let ending = if wait < left {
+                Ending::Broken
+            } else {
+                Ending::Late
+            };
+            Err((ending, format!("no prompt within {wait:?}")))
+        });
+        match result {
+            Ok(computed) => {
+                let elapsed = began.elapsed().as_secs_f64() * 1000.0;
+                let mut placer = self.gateway.placer();
+                placer.speed.observe(plan.uncached + plan.ahead, elapsed);
+                placer.answered(&target.id, elapsed, plan.expected, now);
+                Ok(Prompt {
+                    gateway: self.gateway.clone(),
+                    target: target.clone(),
+                    handle: computed.handle,
+                    used: false,
+                })
+            }
+            Err((ending, why)) => {
+                if ending != Ending::Rejected {
+                    self.gateway.placer().failed(&target.id, now);
+                }
+                Err((ending, why))
+            }
+        }
+    }
+
+    /// Has a target generate and returns the stream that it has begun.
+    async fn generate(
+        &self,
+        target: &Target,
+        plan: &Plan,
+        prompt: Option<&Prompt>,
+        last_event: Option<u64>,
+    ) -> Result<Opened, (Ending, Option<Response<Reply>>)> {
+        let load = Load {
+            prompt: if prompt.is_some() { 0 } else { plan.uncached },
+            running: 1,
+            memory: self.job.ask.prompt + self.job.ask.output,
+        };
+        let load = self.gateway.load(&target.id, load);
+        let source = prompt.map(|prompt| engine::source(prompt.target.address, &prompt.handle));
+        let left = self.flight.left(self.gateway.now());
+        let sent = Sent {
+            target: &target.id,
+            left,
+            priority: Some(self.job.route.priority),
+            work: source.as_deref().map_or(Work::Whole, Work::From),
+            last_event,
+        };
+        let wait = left.min(self.head_patience(plan));
+        let result = timeout(wait, send(&self.gateway, &self.job, target, &sent)).await;
+        let now = self.gateway.now();
+        let result = result.unwrap_or_else(|_| {
+            let ending = if wait < left {
+                Ending::Broken
+            } else {
+                Ending::Late
+            };
+            Err((ending, format!("no head within {wait:?}")))
+        });
+        let (connection, response) = match result {
+            Ok(exchange) => exchange,
+            Err((ending, why)) => {
+                if ending != Ending::Rejected {
+                    self.gateway.placer().failed(&target.id, now);
+                }
+                info!(request = self.job.ask.id, target_id = target.id, why; "no stream");
+                return Err((ending, None));
+            }
+        };
+        let (head, body) = response.into_parts();
+        if !head.status.is_success() {
+            self.gateway.placer().answered_failure(&target.id, now);
+            let body = whole_body(body)
+                .await
+                .map_err(|(ending, _)| (ending, None))?;
+            let headers = exchange::answer_headers(&head.headers);
+            return Err((
+                Ending::Failed,
+                Some(reply::whole(head.status, headers, body)),
+            ));
+        }
+        if !exchange::signed(&head.headers) {
+            return Err((Ending::Broken, None));
+        }
+        self.gateway.placer().answered(&target.id, 1.0, 1.0, now);
+        self.keeps(target);
+        Ok(Opened {
+            headers: head.headers,
+            body,
+            connection,
+            target: target.id.clone(),
+            load,
+        })
+    }
+
+    /// Returns how long a target may take to begin a stream that may go on elsewhere.
+    fn head_patience(&self, plan: &Plan) -> Duration {
+        if self.silence() == Duration::MAX {
+            return Duration::MAX;
+        }
+        let expected = Duration::from_secs_f64(plan.expected * PROMPT_FACTOR / 1000.0);
+        (self.job.route.objective * 2).max(expected)
+    }
+
+    /// Records that a target keeps the shared parts of the prompt.
+    fn keeps(&self, target: &Target) {
+        let service = self.job.document.services.get(&self.job.service);
+        let Some(engine) = service.and_then(|service| service.engine.as_ref()) else {
+            return;
+        };
+        let now = self.gateway.now();
+        let shared = self.job.ask.shared();
+        self.gateway
+            .placer()
+            .keeps(&target.id, shared, engine.memory, now);
+    }
+}
+
+/// Returns the outcome of a request that is answered without a stream.
+fn answered(response: Response<Reply>) -> Outcome {
+    Outcome::Answer(Box::new(response))
+}
+
+/// Frees a computed prompt that no engine has fetched.
+async fn release(gateway: Arc<Gateway>, target: Target, handle: engine::Handle) {
+    let exchange = async {
+        let mut connection = gateway.pool.checkout(&target.id, target.address).await?;
+        let mut request = Request::new(Full::new(Bytes::new()));
+        *request.method_mut() = Method::DELETE;
+        *request.uri_mut() = engine::release_path(&handle).parse().unwrap_or_default();
+        let host = target.address.to_string().parse();
+        if let Ok(host) = host {
+            request.headers_mut().insert(hyper::header::HOST, host);
+        }
+        let response = connection.send(request).await?;
+        let keep = exchange::keep_alive(response.headers());
+        if whole_body(response.into_body()).await.is_ok() {
+            gateway.pool.give_back(connection, keep);
+        }
+        Ok::<_, crate::upstream::SendError>(())
+    };
+    match timeout(RELEASE_TIMEOUT, exchange).await {
+        Ok(Ok(())) => {}
+        Ok(Err(error)) => info!(target_id = target.id, error:? = error; "prompt not freed"),
+        Err(_) => info!(target_id = target.id; "prompt not freed in time"),
+    }
+}
--- /dev/null
+++ b/crates/cactuslane-gateway/src/ingress.rs
@@ -0,0 +1,222 @@
+//! Requests of callers.
+
+use std::convert::Infallible;
+use std::sync::Arc;
+use std::time::Duration;
+
+use cactuslane_flight::document::{Document, Limits, Route};
+use cactuslane_flight::{Ask, Flight, Refusal};
+use cactuslane_platform::exchange;
+use http_body_util::{BodyExt, LengthLimitError, Limited};
+use hyper::body::{Bytes, Incoming};
+use hyper::header::{CONNECTION, HOST, HeaderMap, HeaderValue};
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper::{Method, Request, Response, StatusCode, Uri};
+use hyper_util::rt::{TokioIo, TokioTimer};
+use log::{debug, info};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::time::Instant;
+
+use crate::reply::{self, Reply};
+use crate::state::Gateway;
+use crate::upstream::set_options;
+use crate::{generation, plain};
+
+/// Pause after a connection that could not be accepted.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
+/// Time after which a caller may come back when nothing is known of the configuration yet.
+const UNCONFIGURED_PAUSE: Duration = Duration::from_millis(500);
+/// Time after which a caller may come back, to another instance, when this one is stopping.
+const STOPPING_PAUSE: Duration = Duration::ZERO;
+/// Part of the grace that requests may take at a stopping instance.
+const GRACE_PART: f64 = 0.8;
+/// Smallest buffer of a connection, in bytes; the library asks for as much.
+const MIN_BUFFER: usize = 8 << 10;
+
+/// A request that was read whole.
+#[derive(Debug)]
+pub struct Job {
+    /// What was asked for.
+    pub ask: Ask,
+    /// The route that it follows.
+    pub route: Route,
+    /// The service that executes it.
+    pub service: String,
+    /// The configuration by which it is served.
+    pub document: Arc<Document>,
+    /// The method.
+    pub method: Method,
+    /// The path and query.
+    pub uri: Uri,
+    /// The caller's headers.
+    pub headers: HeaderMap,
+    /// The body.
+    pub body: Bytes,
+    /// The time of its arrival.
+    pub arrived: Instant,
+}
+
+/// Accepts callers until the task is ended.
+pub async fn serve(gateway: Arc<Gateway>, listener: TcpListener) {
+    loop {
+        match listener.accept().await {
+            Ok((stream, _)) => {
+                tokio::spawn(serve_caller(gateway.clone(), stream));
+            }
+            Err(error) => {
+                info!(error:% = error; "caller not accepted");
+                tokio::time::sleep(ACCEPT_PAUSE).await;
+            }
+        }
+    }
+}
+
+/// Serves the requests of one connection.
+async fn serve_caller(gateway: Arc<Gateway>, stream: TcpStream) {
+    set_options(&stream);
+    let _guard = gateway.count_connection();
+    let limits = gateway
+        .document()
+        .map_or_else(Limits::default, |document| document.limits);
+    let service = service_fn(|request| {
+        let gateway = gateway.clone();
+        async move { Ok::<_, Infallible>(respond(&gateway, request).await) }
+    });
+    let connection = http1::Builder::new()
+        .timer(TokioTimer::new())
+        .header_read_timeout(limits.header_timeout.max(limits.idle_timeout))
+        .max_buf_size(limits.header_bytes.max(MIN_BUFFER) + MIN_BUFFER)
+        .serve_connection(TokioIo::new(stream), service);
+    if let Err(error) = connection.await {
+        debug!(error:% = error; "caller's connection ended");
+    }
+}
+
+/// Answers one request.
+async fn respond(gateway: &Arc<Gateway>, request: Request<Incoming>) -> Response<Reply> {
+    let guard = gateway.count_request();
+    let ask = exchange::ask(request.headers());
+    let id = ask.id.clone();
+    let mut response = match read(gateway, ask, request).await {
+        Ok(job) => execute(gateway, job).await,
+        Err(response) => response,
+    };
+    drop(guard);
+    gateway.metrics.answered(outcome(response.status()));
+    if response.status().is_client_error() || response.status().is_server_error() {
+        info!(request = id, status = response.status().as_u16(); "answered without success");
+    }
+    if gateway.is_leaving() {
+        let close = HeaderValue::from_static("close");
+        response.headers_mut().insert(CONNECTION, close);
+    }
+    response
+}
+
+/// Reads a request whole, or answers it at once.
+async fn read(
+    gateway: &Arc<Gateway>,
+    ask: Ask,
+    request: Request<Incoming>,
+) -> Result<Job, Response<Reply>> {
+    let arrived = Instant::now();
+    let Some(document) = gateway.document() else {
+        info!(request = ask.id; "refused: no configuration is known");
+        return Err(reply::refusal(&ask.id, Refusal::NotRun, UNCONFIGURED_PAUSE));
+    };
+    let host = host(&request);
+    let Some(route) = document.find(&host, request.uri().path()).cloned() else {
+        info!(request = ask.id, host, version = document.version; "refused: no route");
+        return Err(reply::error(&ask.id, StatusCode::NOT_FOUND, "no route"));
+    };
+    let Some(service) = route.service(rand::random()).cloned() else {
+        info!(request = ask.id, route = route.name; "refused: the route has no service");
+        return Err(reply::refusal(&ask.id, Refusal::NotRun, UNCONFIGURED_PAUSE));
+    };
+    let (parts, body) = request.into_parts();
+    let wait = ask.patience.unwrap_or(route.timeout);
+    let reading = Limited::new(body, document.limits.body_bytes).collect();
+    let body = match tokio::time::timeout(wait, reading).await {
+        Ok(Ok(body)) => body.to_bytes(),
+        Ok(Err(error)) if error.is::<LengthLimitError>() => {
+            let status = StatusCode::PAYLOAD_TOO_LARGE;
+            return Err(reply::error(&ask.id, status, "the body is too large"));
+        }
+        Ok(Err(error)) => {
+            info!(request = ask.id, error:% = error; "refused: the body can't be read");
+            return Err(reply::error(
+                &ask.id,
+                StatusCode::BAD_REQUEST,
+                "the body can't be read",
+            ));
+        }
+        Err(_) => {
+            info!(request = ask.id; "refused: the body did not come in time");
+            let status = StatusCode::REQUEST_TIMEOUT;
+            return Err(reply::error(
+                &ask.id,
+                status,
+                "the body did not come in time",
+            ));
+        }
+    };
+    Ok(Job {
+        ask,
+        route,
+        service,
+        document: document.clone(),
+        method: parts.method,
+        uri: parts.uri,
+        headers: parts.headers,
+        body,
+        arrived,
+    })
+}
+
+/// Executes a request.
+async fn execute(gateway: &Arc<Gateway>, job: Job) -> Response<Reply> {
+    let patience = job.ask.patience.unwrap_or(job.route.timeout);
+    let patience = patience
+        .min(job.route.timeout)
+        .saturating_sub(job.arrived.elapsed());
+    if let Some(left) = gateway.time_to_stop() {
+        let needed = if job.route.stream {
+            patience
+        } else {
+            patience.min(left)
+        };
+        if left.mul_f64(GRACE_PART) < needed.min(job.route.objective * 3) {
+            info!(request = job.ask.id, left_ms = left.as_millis() as u64; "refused: stopping");
+            return reply::refusal(&job.ask.id, Refusal::NotRun, STOPPING_PAUSE);
+        }
+    }
+    gateway.count_for(&job.service);
+    let now = gateway.now();
+    let flight = Flight::new(job.route.repeat, job.route.max_attempts, now, patience);
+    if job.route.stream {
+        generation::execute(gateway, job, flight).await
+    } else {
+        plain::execute(gateway, &job, flight).await
+    }
+}
+
+/// Returns the host that a request names, without its port.
+fn host(request: &Request<Incoming>) -> String {
+    let named = request
+        .headers()
+        .get(HOST)
+        .and_then(|host| host.to_str().ok());
+    let host = named.or(request.uri().host()).unwrap_or_default();
+    host.split(':').next().unwrap_or_default().to_owned()
+}
+
+/// Returns the label of a final answer.
+fn outcome(status: StatusCode) -> &'static str {
+    match status.as_u16() {
+        200..=299 => "success",
+        503 | 429 => "refused",
+        400..=499 => "rejected",
+        _ => "failed",
+    }
+}
--- /dev/null
+++ b/crates/cactuslane-gateway/src/lib.rs
@@ -0,0 +1,117 @@
+//! An entry instance that serves routes of opaque requests.
+//!
+//! [`Gateway::spawn`] returns a running handle. [`ingress`] takes requests in, [`upstream`] keeps
+//! connections to targets, [`control`] follows the store, and [`peers`] exchanges load with the
+//! other instances. What is decided lies in `cactuslane-flight` and `cactuslane-place`.
+
+pub mod control;
+pub mod directory;
+pub mod fleet;
+pub mod generation;
+pub mod ingress;
+pub mod members;
+pub mod metrics;
+pub mod peers;
+pub mod plain;
+pub mod reply;
+pub mod state;
+pub mod upstream;
+
+use std::fmt;
+use std::sync::Arc;
+use std::time::Duration;
+
+use cactuslane_platform::Settings;
+use log::info;
+use tokio::net::TcpListener;
+use tokio::task::JoinHandle;
+
+pub use state::Gateway;
+
+/// Part of the grace at the end of which everything must have stopped.
+const STOP_RESERVE: Duration = Duration::from_millis(600);
+/// Interval at which a stopping instance looks for the end of its work.
+const STOP_CHECK: Duration = Duration::from_millis(100);
+
+/// A running entry instance.
+#[derive(Debug)]
+pub struct Running {
+    /// The state that all tasks share.
+    pub gateway: Arc<Gateway>,
+    /// The tasks that end with the instance.
+    tasks: Vec<JoinHandle<()>>,
+}
+
+/// The reason why an instance did not start.
+#[derive(Debug)]
+pub struct SpawnError(String);
+
+impl fmt::Display for SpawnError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(&self.0)
+    }
+}
+
+impl Gateway {
+    /// Binds the addresses of the settings and starts to serve.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error where an address can't be bound.
+    pub async fn spawn(settings: Settings) -> Result<Running, SpawnError> {
+        let front = bind(settings.front, "front").await?;
+        let ready = bind(settings.ready, "ready").await?;
+        let socket = tokio::net::UdpSocket::bind(settings.peer).await;
+        let socket = socket
+            .map_err(|error| SpawnError(format!("peer address {}: {error}", settings.peer)))?;
+        let directory = match settings.directory {
+            Some(address) => Some(bind(address, "directory").await?),
+            None => None,
+        };
+        info!(instance = settings.instance, front:% = settings.front; "started");
+        let gateway = Arc::new(Gateway::new(settings));
+        let mut tasks = vec![
+            tokio::spawn(control::follow(gateway.clone())),
+            tokio::spawn(control::register(gateway.clone())),
+            tokio::spawn(peers::exchange(gateway.clone(), socket)),
+            tokio::spawn(ingress::serve(gateway.clone(), front)),
+            tokio::spawn(directory::serve(gateway.clone(), ready)),
+        ];
+        if let Some(listener) = directory {
+            tasks.push(tokio::spawn(directory::serve(gateway.clone(), listener)));
+        }
+        Ok(Running { gateway, tasks })
+    }
+}
+
+impl Running {
+    /// Leaves, serves what is under way and what still arrives, and stops within the grace.
+    pub async fn stop(self) {
+        let settings = self.gateway.settings();
+        let began = tokio::time::Instant::now();
+        let end = began + settings.grace.saturating_sub(STOP_RESERVE);
+        self.gateway.leave();
+        info!(grace_ms = settings.grace.as_millis() as u64; "stopping");
+        control::announce_leaving(&self.gateway).await;
+        let told = began + settings.address_ttl + STOP_RESERVE;
+        while tokio::time::Instant::now() < end {
+            tokio::time::sleep(STOP_CHECK).await;
+            let over = tokio::time::Instant::now() >= told;
+            if over && self.gateway.requests() == 0 && self.gateway.connections() == 0 {
+                break;
+            }
+        }
+        control::withdraw(&self.gateway).await;
+        info!(requests = self.gateway.requests(); "stopped");
+        for task in &self.tasks {
+            task.abort();
+        }
+    }
+}
+
+/// Binds one address.
+async fn bind(address: std::net::SocketAddr, name: &str) -> Result<TcpListener, SpawnError> {
+    TcpListener::bind(address)
+        .await
+        .map_err(|error| SpawnError(format!("{name} address {address}: {error}")))
+}
--- /dev/null
+++ b/crates/cactuslane-gateway/src/members.rs
@@ -0,0 +1,141 @@
+//! The instances of this deployment, as the store and their messages tell them.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+
+use cactuslane_types::{DomainName, InstanceId, Millis};
+use serde::{Deserialize, Serialize};
+
+/// Silence after which an instance is left out while others are heard, in milliseconds.
+const SILENCE: Millis = 1300;
+/// Time for which a vanished instance that is still heard is kept, in milliseconds.
+const KEEP: Millis = 6000;
+
+/// What an instance registers of itself.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Member {
+    /// The instance.
+    pub instance: InstanceId,
+    /// Its address for callers.
+    pub front: SocketAddr,
+    /// Its address for messages between instances.
+    pub peer: SocketAddr,
+    /// Its failure domain.
+    pub domain: DomainName,
+    /// Whether it is leaving.
+    pub leaving: bool,
+    /// The start of its process, in Unix milliseconds.
+    pub started: u64,
+}
+
+/// The other instances.
+#[derive(Debug, Default)]
+pub struct Members {
+    /// The instances by id.
+    members: BTreeMap<InstanceId, Known>,
+}
+
+/// One other instance.
+#[derive(Debug)]
+struct Known {
+    /// What it registered.
+    member: Member,
+    /// The time at which it was first known.
+    since: Millis,
+    /// The time at which it was heard last.
+    heard: Option<Millis>,
+    /// The time at which it vanished from the store.
+    lapsed: Option<Millis>,
+}
+
+impl Members {
+    /// Takes an instance's entry.
+    pub fn put(&mut self, member: Member, now: Millis) {
+        let old = self.members.get(&member.instance);
+        let same = old.filter(|old| old.member.started == member.started);
+        let known = Known {
+            since: same.map_or(now, |old| old.since),
+            heard: same.and_then(|old| old.heard),
+            lapsed: None,
+            member,
+        };
+        self.members.insert(known.member.instance.clone(), known);
+    }
+
+    /// Records that an instance vanished from the store.
+    pub fn lapse(&mut self, instance: &str, now: Millis) {
+        if let Some(known) = self.members.get_mut(instance) {
+            known.lapsed.get_or_insert(now);
+        }
+    }
+
+    /// Records that only these instances are in the store.
+    pub fn retain(&mut self, present: &[InstanceId], now: Millis) {
+        for (instance, known) in &mut self.members {
+            if !present.contains(instance) {
+                known.lapsed.get_or_insert(now);
+            }
+        }
+    }
+
+    /// Records that an instance was heard.
+    pub fn heard(&mut self, instance: &str, now: Millis) {
+        if let Some(known) = self.members.get_mut(instance) {
+            known.heard = Some(now);
+        }
+    }
+
+    /// Returns the addresses for messages to the others.
+    #[must_use]
+    pub fn peers(&self) -> Vec<SocketAddr> {
+        self.members
+            .values()
+            .map(|known| known.member.peer)
+            .collect()
+    }
+
+    /// Returns the number of instances that share a budget, this one included.
+    #[must_use]
+    pub fn sharers(&self) -> usize {
+        self.members.len() + 1
+    }
+
+    /// Forgets instances that vanished long ago.
+    pub fn sweep(&mut self, now: Millis) -> Vec<InstanceId> {
+        let gone = |known: &Known| {
+            let silent = known.heard.is_none_or(|heard| now > heard + SILENCE);
+            known
+                .lapsed
+                .is_some_and(|lapsed| now > lapsed + KEEP && silent)
+        };
+        let mut removed = Vec::new();
+        self.members.retain(|instance, known| {
+            let gone = gone(known);
+            if gone {
+                removed.push(instance.clone());
+            }
+            !gone
+        });
+        removed
+    }
+
+    /// Returns the addresses for callers of the instances that seem to serve.
+    ///
+    /// An instance that hears none of the others can't tell which of them are gone, and returns
+    /// all that it knows.
+    #[must_use]
+    pub fn serving(&self, now: Millis) -> Vec<(SocketAddr, DomainName)> {
+        let hears = |known: &Known| known.heard.is_some_and(|heard| now <= heard + SILENCE);
+        let alone = !self.members.values().any(hears);
+        let mut serving = Vec::new();
+        for known in self.members.values() {
+            let fresh = known.heard.is_none() && now <= known.since + SILENCE;
+            let lives = hears(known) || (known.lapsed.is_none() && (fresh || alone));
+            if known.member.leaving || !lives {
+                continue;
+            }
+            serving.push((known.member.front, known.member.domain.clone()));
+        }
+        serving
+    }
+}
--- /dev/null
+++ b/crates/cactuslane-gateway/src/peers.rs
@@ -0,0 +1,131 @@
+//! Messages by which instances tell each other their load.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use cactuslane_place::picture::Told;
+use log::{debug, info, warn};
+use tokio::net::UdpSocket;
+use tokio::time::{Instant, MissedTickBehavior, interval};
+
+use crate::state::Gateway;
+
+/// Interval between messages while there is something new to tell.
+const INTERVAL: Duration = Duration::from_millis(100);
+/// Longest silence towards the others.
+const HEARTBEAT: Duration = Duration::from_millis(400);
+/// Largest message that is received, in bytes.
+const MAX_MESSAGE: usize = 32 << 10;
+/// Most uses of prompt parts in one message.
+const MAX_USES: usize = 100;
+
+/// Tells the others and hears them until the task is ended.
+pub async fn exchange(gateway: Arc<Gateway>, socket: UdpSocket) {
+    let mut ticks = interval(INTERVAL);
+    ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+    let mut buffer = vec![0; MAX_MESSAGE];
+    let mut speaker = Speaker {
+        sequence: 0,
+        told: Vec::new(),
+        at: Instant::now(),
+    };
+    loop {
+        tokio::select! {
+            received = socket.recv_from(&mut buffer) => match received {
+                Ok((length, _)) => hear(&gateway, &buffer[..length]),
+                Err(error) => debug!(error:% = error; "message not received"),
+            },
+            _ = ticks.tick() => speaker.tell(&gateway, &socket),
+        }
+    }
+}
+
+/// What was told last.
+#[derive(Debug)]
+struct Speaker {
+    /// The number of the last message.
+    sequence: u64,
+    /// The load that was told.
+    told: Vec<(String, cactuslane_place::Load)>,
+    /// The time of the last message.
+    at: Instant,
+}
+
+impl Speaker {
+    /// Tells the others if there is something new, or if they heard nothing for long.
+    fn tell(&mut self, gateway: &Gateway, socket: &UdpSocket) {
+        let now = gateway.now();
+        for instance in gateway.members().sweep(now) {
+            gateway.placer().picture.forget(&instance);
+            info!(peer = instance; "instance forgotten");
+        }
+        gateway.pool.sweep();
+        let (loads, mut uses) = {
+            let mut placer = gateway.placer();
+            (placer.picture.loads(), placer.take_untold())
+        };
+        let same = loads == self.told && uses.is_empty();
+        if same && self.at.elapsed() < HEARTBEAT {
+            return;
+        }
+        uses.truncate(MAX_USES);
+        self.sequence += 1;
+        let told = Told {
+            instance: gateway.settings().instance.clone(),
+            started: gateway.started,
+            sequence: self.sequence,
+            loads,
+            uses,
+        };
+        let message = match postcard::to_stdvec(&told) {
+            Ok(message) => message,
+            Err(error) => {
+                warn!(error:% = error; "message not encoded");
+                return;
+            }
+        };
+        for peer in gateway.members().peers() {
+            if let Err(error) = socket.try_send_to(&message, peer) {
+                debug!(peer:% = peer, error:% = error; "message not sent");
+            }
+        }
+        self.told = told.loads;
+        self.at = Instant::now();
+    }
+}
+
+/// Takes a message of another instance.
+fn hear(gateway: &Gateway, message: &[u8]) {
+    let told: Told = match postcard::from_bytes(message) {
+        Ok(told) => told,
+        Err(error) => {
+            debug!(error:% = error; "message is unreadable");
+            return;
+        }
+    };
+    let now = gateway.now();
+    gateway.members().heard(&told.instance, now);
+    let memories = memories(gateway, &told);
+    let memory = |target: &str| {
+        let found = memories.iter().find(|(id, _)| id == target);
+        found.map_or(0, |(_, memory)| *memory)
+    };
+    gateway.placer().hear(&told, memory, now);
+}
+
+/// Returns the memory of the engines that a message names, in tokens.
+fn memories(gateway: &Gateway, told: &Told) -> Vec<(String, u64)> {
+    let fleet = gateway.fleet();
+    let Some(document) = fleet.document() else {
+        return Vec::new();
+    };
+    let mut memories = Vec::new();
+    for told_use in &told.uses {
+        let target = fleet.known(&told_use.target);
+        let service = target.and_then(|target| document.services.get(&target.service));
+        if let Some(engine) = service.and_then(|service| service.engine.as_ref()) {
+            memories.push((told_use.target.clone(), engine.memory));
+        }
+    }
+    memories
+}
--- /dev/null
+++ b/crates/cactuslane-gateway/src/plain.rs
@@ -0,0 +1,263 @@
+//! Requests that are answered whole.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use cactuslane_flight::document::Repeat;
+use cactuslane_flight::target::Target;
+use cactuslane_flight::{Ending, Flight, Refusal, Step};
+use cactuslane_place::Load;
+use cactuslane_platform::exchange::{self, Sent, Verdict};
+use http_body_util::{BodyExt, Full, Limited};
+use hyper::body::{Bytes, Incoming};
+use hyper::{Request, Response};
+use log::info;
+use tokio::time::{Instant, timeout};
+
+use crate::ingress::Job;
+use crate::reply::{self, Reply};
+use crate::state::Gateway;
+use crate::upstream::{Lent, SendError};
+
+/// Largest answer that is read whole, in bytes.
+const MAX_ANSWER: usize = 16 << 20;
+/// Times the objective after which a request that may be repeated is sent elsewhere.
+const PATIENCE_FACTOR: u32 = 2;
+/// Time after which a caller may come back when no target takes its request.
+const NO_TARGET_PAUSE: Duration = Duration::from_millis(300);
+/// Expected time of an answer for judging a target's speed, as a part of the objective.
+const EXPECTED_PART: f64 = 0.5;
+
+/// How one attempt ended, with the target's answer where it gave one.
+#[derive(Debug)]
+pub struct Attempt {
+    /// How it ended; nothing for a success.
+    pub ending: Option<Ending>,
+    /// The whole answer.
+    pub answer: Option<Response<Reply>>,
+}
+
+/// Executes a request and returns its final answer.
+pub async fn execute(gateway: &Arc<Gateway>, job: &Job, mut flight: Flight) -> Response<Reply> {
+    let mut tried: Vec<String> = Vec::new();
+    loop {
+        let now = gateway.now();
+        let left = flight.left(now);
+        if left.is_zero() {
+            return refuse(job, &flight, Duration::ZERO, "the time is over");
+        }
+        let Some(target) = choose(gateway, job, &tried) else {
+            return refuse(job, &flight, NO_TARGET_PAUSE, "no target");
+        };
+        tried.push(target.id.clone());
+        let attempt = attempt(gateway, job, &target, left).await;
+        let now = gateway.now();
+        let Some(ending) = attempt.ending else {
+            gateway
+                .metrics
+                .first_byte
+                .observe(job.arrived.elapsed().as_secs_f64());
+            return attempt.answer.unwrap_or_else(|| unanswered(job));
+        };
+        gateway.metrics.attempted(label(ending));
+        info!(
+            request = job.ask.id,
+            target_id = target.id,
+            ending:? = ending,
+            left_ms = left.as_millis() as u64;
+            "attempt failed"
+        );
+        match flight.after(ending, now, || gateway.take_repeat(&job.service)) {
+            Step::Again => {}
+            Step::Pass => return attempt.answer.unwrap_or_else(|| unanswered(job)),
+            Step::Refuse(refusal) => {
+                return reply::refusal(&job.ask.id, refusal, NO_TARGET_PAUSE);
+            }
+            Step::Cut => return unanswered(job),
+        }
+    }
+}
+
+/// Chooses a target; one that was tried before only where no other is left.
+fn choose(gateway: &Gateway, job: &Job, tried: &[String]) -> Option<Target> {
+    let now = gateway.now();
+    let fleet = gateway.fleet();
+    let targets = fleet.targets(&job.service, None, now);
+    let mut placer = gateway.placer();
+    let chosen = placer
+        .plain(&targets, tried, now)
+        .or_else(|| placer.plain(&targets, &[], now))?;
+    targets
+        .into_iter()
+        .find(|target| target.id == chosen)
+        .cloned()
+}
+
+/// Sends a request to a target and reads its answer.
+async fn attempt(gateway: &Arc<Gateway>, job: &Job, target: &Target, left: Duration) -> Attempt {
+    let one = Load {
+        running: 1,
+        ..Load::default()
+    };
+    let _load = gateway.load(&target.id, one);
+    let began = Instant::now();
+    let wait = match job.route.repeat {
+        Repeat::Whole if job.route.max_attempts > 1 => {
+            left.min(job.route.objective * PATIENCE_FACTOR)
+        }
+        _ => left,
+    };
+    let sent = Sent {
+        target: &target.id,
+        left,
+        ..Sent::default()
+    };
+    let result = timeout(wait, exchange(gateway, job, target, &sent)).await;
+    let now = gateway.now();
+    let result = result.unwrap_or_else(|_| {
+        let ending = if wait < left {
+            Ending::Broken
+        } else {
+            Ending::Late
+        };
+        Err((ending, "no answer in time".to_owned()))
+    });
+    match result {
+        Ok(answer) if answer.status().is_server_error() => {
+            gateway.placer().answered_failure(&target.id, now);
+            Attempt {
+                ending: Some(Ending::Failed),
+                answer: Some(answer),
+            }
+        }
+        Ok(answer) => {
+            let observed = began.elapsed().as_secs_f64() * 1000.0;
+            let expected = job.route.objective.as_secs_f64() * 1000.0 * EXPECTED_PART;
+            gateway
+                .placer()
+                .answered(&target.id, observed, expected, now);
+            Attempt {
+                ending: None,
+                answer: Some(answer),
+            }
+        }
+        Err((ending, why)) => {
+            if ending != Ending::Rejected {
+                gateway.placer().failed(&target.id, now);
+            }
+            info!(request = job.ask.id, target_id = target.id, why; "no answer of a target");
+            Attempt {
+                ending: Some(ending),
+                answer: None,
+            }
+        }
+    }
+}
+
+/// Exchanges a request for a whole answer.
+async fn exchange(
+    gateway: &Arc<Gateway>,
+    job: &Job,
+    target: &Target,
+    sent: &Sent<'_>,
+) -> Result<Response<Reply>, (Ending, String)> {
+    let (lent, response) = send(gateway, job, target, sent).await?;
+    let keep = exchange::keep_alive(response.headers());
+    let (head, body) = response.into_parts();
+    let body = Limited::new(body, MAX_ANSWER).collect().await;
+    let body = body.map_err(|error| (Ending::Broken, error.to_string()))?;
+    if head.status.is_success() && !exchange::signed(&head.headers) {
+        return Err((Ending::Broken, "the answer is not signed".to_owned()));
+    }
+    gateway.pool.give_back(lent, keep);
+    let headers = exchange::answer_headers(&head.headers);
+    Ok(reply::whole(head.status, headers, body.to_bytes()))
+}
+
+/// Sends a request and returns the head of the answer that belongs to it.
+///
+/// # Errors
+///
+/// Returns how the attempt ended, and why.
+pub async fn send(
+    gateway: &Arc<Gateway>,
+    job: &Job,
+    target: &Target,
+    sent: &Sent<'_>,
+) -> Result<(Lent, Response<Incoming>), (Ending, String)> {
+    let lent = gateway.pool.checkout(&target.id, target.address).await;
+    let mut lent = lent.map_err(ending_of)?;
+    // The target may have begun to leave while the connection was made.
+    if gateway.target(&target.id).is_none() {
+        return Err((Ending::Unsent, "the target is leaving".to_owned()));
+    }
+    let mut request = Request::new(Full::new(job.body.clone()));
+    *request.method_mut() = job.method.clone();
+    *request.uri_mut() = origin(&job.uri);
+    *request.headers_mut() = exchange::request_headers(&job.headers, sent);
+    let response = lent.send(request).await.map_err(ending_of)?;
+    let status = response.status().as_u16();
+    match exchange::verdict(&job.ask.id, status, response.headers()) {
+        Verdict::Answer => Ok((lent, response)),
+        Verdict::NotRun => {
+            let keep = exchange::keep_alive(response.headers());
+            let body = Limited::new(response.into_body(), MAX_ANSWER)
+                .collect()
+                .await;
+            if body.is_ok() {
+                gateway.pool.give_back(lent, keep);
+            }
+            Err((Ending::Rejected, format!("status {status}, not run")))
+        }
+        Verdict::Foreign => Err((Ending::Broken, format!("status {status}, not our answer"))),
+    }
+}
+
+/// Returns the refusal that is true now.
+pub fn refuse(job: &Job, flight: &Flight, after: Duration, why: &str) -> Response<Reply> {
+    let refusal = flight.refusal();
+    info!(request = job.ask.id, refusal:? = refusal, why; "refused");
+    reply::refusal(&job.ask.id, refusal, after)
+}
+
+/// Returns the label of an attempt's end.
+#[must_use]
+pub fn label(ending: Ending) -> &'static str {
+    match ending {
+        Ending::Unsent => "unsent",
+        Ending::Rejected => "rejected",
+        Ending::Failed => "failed",
+        Ending::Broken => "broken",
+        Ending::Late => "late",
+    }
+}
+
+/// Returns the answer where none of a target is at hand.
+pub fn unanswered(job: &Job) -> Response<Reply> {
+    reply::refusal(&job.ask.id, Refusal::Unknown, Duration::ZERO)
+}
+
+/// Returns a URI without its host.
+fn origin(uri: &hyper::Uri) -> hyper::Uri {
+    let path = uri.path_and_query().map_or("/", |path| path.as_str());
+    path.parse().unwrap_or_default()
+}
+
+/// Returns how an attempt ended whose request got no head of an answer.
+fn ending_of(error: SendError) -> (Ending, String) {
+    match error {
+        SendError::Unsent(why) => (Ending::Unsent, why),
+        SendError::Broken(why) => (Ending::Broken, why),
+    }
+}
+
+/// Returns the body of an answer as bytes, for calls that this system makes itself.
+///
+/// # Errors
+///
+/// Returns how the attempt ended, and why.
+pub async fn whole_body(body: Incoming) -> Result<Bytes, (Ending, String)> {
+    let body = Limited::new(body, MAX_ANSWER).collect().await;
+    let body = body.map_err(|error| (Ending::Broken, error.to_string()))?;
+    Ok(body.to_bytes())
+}
--- /dev/null
+++ b/crates/cactuslane-gateway/src/reply.rs
@@ -0,0 +1,91 @@
+//! Answers to callers.
+
+use std::fmt;
+use std::pin::Pin;
+use std::task::{Context, Poll};
+use std::time::Duration;
+
+use cactuslane_flight::Refusal;
+use cactuslane_platform::exchange;
+use http_body_util::{Either, Full};
+use hyper::body::{Body, Bytes, Frame};
+use hyper::header::{CONTENT_TYPE, HeaderMap, HeaderValue};
+use hyper::{Response, StatusCode};
+use tokio::sync::mpsc;
+
+/// The body of an answer: whole, or a stream.
+pub type Reply = Either<Full<Bytes>, Pieces>;
+
+/// A stream of pieces that another task sends.
+#[derive(Debug)]
+pub struct Pieces {
+    /// The pieces; an error breaks the connection off.
+    receiver: mpsc::Receiver<Result<Bytes, Broken>>,
+}
+
+/// The error of an answer that does not come to its end.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Broken;
+
+impl fmt::Display for Broken {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str("the answer broke off")
+    }
+}
+
+impl std::error::Error for Broken {}
+
+impl Pieces {
+    /// Creates a stream of received pieces.
+    #[must_use]
+    pub fn new(receiver: mpsc::Receiver<Result<Bytes, Broken>>) -> Self {
+        Self { receiver }
+    }
+}
+
+impl Body for Pieces {
+    type Data = Bytes;
+    type Error = Broken;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, Broken>>> {
+        let piece = self.receiver.poll_recv(context);
+        piece.map(|piece| piece.map(|piece| piece.map(Frame::data)))
+    }
+}
+
+/// Returns an answer with a whole body.
+#[must_use]
+pub fn whole(status: StatusCode, headers: HeaderMap, body: Bytes) -> Response<Reply> {
+    let mut response = Response::new(Either::Left(Full::new(body)));
+    *response.status_mut() = status;
+    *response.headers_mut() = headers;
+    response
+}
+
+/// Returns the answer to a request that was refused.
+#[must_use]
+pub fn refusal(id: &str, refusal: Refusal, after: Duration) -> Response<Reply> {
+    let (status, text) = match refusal {
+        Refusal::NotRun => (StatusCode::SERVICE_UNAVAILABLE, "not run"),
+        Refusal::Unknown => (StatusCode::BAD_GATEWAY, "no whole answer from a target"),
+        Refusal::TimedOut => (StatusCode::GATEWAY_TIMEOUT, "no answer in time"),
+    };
+    let mut response = error(id, status, text);
+    if refusal == Refusal::NotRun {
+        let (name, value) = exchange::come_back(after);
+        response.headers_mut().insert(name, value);
+    }
+    response
+}
+
+/// Returns an error of this system.
+#[must_use]
+pub fn error(id: &str, status: StatusCode, text: &str) -> Response<Reply> {
+    let mut headers = exchange::own_headers(id);
+    headers.insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
+    let body = serde_json::json!({ "error": text }).to_string();
+    whole(status, headers, Bytes::from(body))
+}
--- /dev/null
+++ b/crates/cactuslane-gateway/src/state.rs
@@ -0,0 +1,272 @@
+//! The state that all tasks of an instance share.
+
+use std::collections::BTreeMap;
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+
+use cactuslane_flight::budget::RepeatBudget;
+use cactuslane_flight::document::Document;
+use cactuslane_flight::target::Target;
+use cactuslane_place::{Load, Placer};
+use cactuslane_platform::Settings;
+use cactuslane_store::kv::KvClient;
+use cactuslane_types::{Millis, ServiceName, TargetId};
+use tokio::time::Instant;
+
+use crate::fleet::Fleet;
+use crate::members::Members;
+use crate::metrics::Metrics;
+use crate::upstream::Pool;
+
+/// Part of the shared budget of repeated sends that instances use; the rest covers instances that
+/// come and go within the window.
+const BUDGET_PART: f64 = 0.8;
+
+/// The state of one instance.
+#[derive(Debug)]
+pub struct Gateway {
+    /// The settings in force.
+    settings: Mutex<Arc<Settings>>,
+    /// The origin of the instance's clock.
+    origin: Instant,
+    /// The start of the process, in Unix milliseconds.
+    pub started: u64,
+    /// The configuration and the targets.
+    fleet: Mutex<Fleet>,
+    /// The other instances.
+    members: Mutex<Members>,
+    /// The choice of targets.
+    placer: Mutex<Placer>,
+    /// The budgets of repeated sends by service.
+    budgets: Mutex<BTreeMap<ServiceName, RepeatBudget>>,
+    /// The connections to targets.
+    pub pool: Pool,
+    /// The client of the store.
+    pub store: KvClient,
+    /// Counters and histograms.
+    pub metrics: Metrics,
+    /// The time since which the instance is leaving.
+    leaving: Mutex<Option<Instant>>,
+    /// The requests under way.
+    requests: AtomicUsize,
+    /// The open connections of callers.
+    connections: AtomicUsize,
+}
+
+impl Gateway {
+    /// Creates the state of an instance.
+    #[must_use]
+    pub fn new(settings: Settings) -> Self {
+        let started = SystemTime::now()
+            .duration_since(UNIX_EPOCH)
+            .unwrap_or_default()
+            .as_millis() as u64;
+        let store = KvClient::open(settings.store, cactuslane_platform::store::codec());
+        let placer = Placer::new(settings.domain.clone(), rand::random());
+        Self {
+            settings: Mutex::new(Arc::new(settings)),
+            origin: Instant::now(),
+            started,
+            fleet: Mutex::default(),
+            members: Mutex::default(),
+            placer: Mutex::new(placer),
+            budgets: Mutex::default(),
+            pool: Pool::default(),
+            store,
+            metrics: Metrics::default(),
+            leaving: Mutex::default(),
+            requests: AtomicUsize::new(0),
+            connections: AtomicUsize::new(0),
+        }
+    }
+
+    /// Returns the settings in force.
+    #[must_use]
+    pub fn settings(&self) -> Arc<Settings> {
+        lock(&self.settings).clone()
+    }
+
+    /// Puts new settings in force; addresses that are bound stay as they are.
+    pub fn reload(&self, settings: Settings) {
+        *lock(&self.settings) = Arc::new(settings);
+    }
+
+    /// Returns the time on the instance's clock, in milliseconds.
+    #[must_use]
+    pub fn now(&self) -> Millis {
+        self.origin.elapsed().as_millis() as Millis
+    }
+
+    /// Locks the configuration and the targets.
+    pub fn fleet(&self) -> MutexGuard<'_, Fleet> {
+        lock(&self.fleet)
+    }
+
+    /// Locks the other instances.
+    pub fn members(&self) -> MutexGuard<'_, Members> {
+        lock(&self.members)
+    }
+
+    /// Locks the choice of targets.
+    pub fn placer(&self) -> MutexGuard<'_, Placer> {
+        lock(&self.placer)
+    }
+
+    /// Returns the configuration in force, if one is known.
+    #[must_use]
+    pub fn document(&self) -> Option<Arc<Document>> {
+        self.fleet().document()
+    }
+
+    /// Returns a target that takes new work.
+    #[must_use]
+    pub fn target(&self, id: &str) -> Option<Target> {
+        let now = self.now();
+        self.fleet().target(id, now).cloned()
+    }
+
+    /// Returns whether the instance is leaving.
+    #[must_use]
+    pub fn is_leaving(&self) -> bool {
+        lock(&self.leaving).is_some()
+    }
+
+    /// Returns whether the instance takes new callers.
+    #[must_use]
+    pub fn is_ready(&self) -> bool {
+        !self.is_leaving() && self.document().is_some()
+    }
+
+    /// Starts to leave.
+    pub fn leave(&self) {
+        lock(&self.leaving).get_or_insert_with(Instant::now);
+    }
+
+    /// Returns the time until the process is killed, if the instance is leaving.
+    #[must_use]
+    pub fn time_to_stop(&self) -> Option<Duration> {
+        let since = (*lock(&self.leaving))?;
+        Some(self.settings().grace.saturating_sub(since.elapsed()))
+    }
+
+    /// Returns the number of requests under way.
+    #[must_use]
+    pub fn requests(&self) -> usize {
+        self.requests.load(Ordering::Relaxed)
+    }
+
+    /// Returns the number of open connections of callers.
+    #[must_use]
+    pub fn connections(&self) -> usize {
+        self.connections.load(Ordering::Relaxed)
+    }
+
+    /// Counts a request until the guard is dropped.
+    pub fn count_request(self: &Arc<Self>) -> CountGuard {
+        CountGuard::new(self.clone(), |gateway| &gateway.requests)
+    }
+
+    /// Counts a caller's connection until the guard is dropped.
+    pub fn count_connection(self: &Arc<Self>) -> CountGuard {
+        CountGuard::new(self.clone(), |gateway| &gateway.connections)
+    }
+
+    /// Counts a request for a service in its budget of repeated sends.
+    pub fn count_for(&self, service: &str) {
+        let now = self.now();
+        self.with_budget(service, |budget| budget.request(now));
+    }
+
+    /// Takes a repeated send from a service's budget; false if none is left.
+    #[must_use]
+    pub fn take_repeat(&self, service: &str) -> bool {
+        let now = self.now();
+        self.with_budget(service, |budget| budget.take(now))
+    }
+
+    /// Records work at a target until the guard is dropped.
+    #[must_use]
+    pub fn load(self: &Arc<Self>, target: &str, load: Load) -> LoadGuard {
+        self.placer().picture.add(target, load);
+        LoadGuard {
+            gateway: self.clone(),
+            target: target.to_owned(),
+            load,
+        }
+    }
+
+    /// Uses the budget of a service with this instance's part of what all share.
+    fn with_budget<T>(&self, service: &str, using: impl FnOnce(&mut RepeatBudget) -> T) -> T {
+        let settings = self.settings();
+        let sharers = self.members().sharers();
+        let slack = settings.repeat_slack * BUDGET_PART / sharers as f64;
+        let mut budgets = lock(&self.budgets);
+        let budget = budgets.entry(service.to_owned()).or_insert_with(|| {
+            let window = settings.repeat_window.as_millis() as Millis;
+            RepeatBudget::new(settings.repeat_ratio * BUDGET_PART, slack, window)
+        });
+        budget.set_slack(slack);
+        using(budget)
+    }
+}
+
+/// Counts something until it is dropped.
+#[derive(Debug)]
+pub struct CountGuard {
+    /// The instance.
+    gateway: Arc<Gateway>,
+    /// Returns the counter.
+    counter: fn(&Gateway) -> &AtomicUsize,
+}
+
+impl CountGuard {
+    /// Adds one to a counter.
+    fn new(gateway: Arc<Gateway>, counter: fn(&Gateway) -> &AtomicUsize) -> Self {
+        counter(&gateway).fetch_add(1, Ordering::Relaxed);
+        Self { gateway, counter }
+    }
+}
+
+impl Drop for CountGuard {
+    fn drop(&mut self) {
+        (self.counter)(&self.gateway).fetch_sub(1, Ordering::Relaxed);
+    }
+}
+
+/// Work at a target, which is taken away when the guard is dropped.
+#[derive(Debug)]
+pub struct LoadGuard {
+    /// The instance.
+    gateway: Arc<Gateway>,
+    /// The target.
+    target: TargetId,
+    /// The work.
+    load: Load,
+}
+
+impl LoadGuard {
+    /// Records that the prompt is computed.
+    pub fn prompt_done(&mut self) {
+        let done = Load {
+            prompt: self.load.prompt,
+            ..Load::default()
+        };
+        self.load.prompt = 0;
+        self.gateway.placer().picture.remove(&self.target, done);
+    }
+}
+
+impl Drop for LoadGuard {
+    fn drop(&mut self) {
+        self.gateway
+            .placer()
+            .picture
+            .remove(&self.target, self.load);
+    }
+}
+
+/// Locks a value; a panic elsewhere does not make it unusable.
+fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
--- /dev/null
+++ b/crates/cactuslane-place/src/lib.rs
@@ -0,0 +1,14 @@
+//! Placement of requests on targets, as pure decisions.
+//!
+//! [`Placer`] chooses targets from a [`Picture`] of their load, which instances tell each other,
+//! and from what it believes of their prefix caches ([`CacheBelief`]).
+
+pub mod cache;
+pub mod picture;
+pub mod placer;
+pub mod speed;
+
+pub use cache::CacheBelief;
+pub use picture::{Load, Picture, Told, Use};
+pub use placer::{Placement, Placer, Plan, Wanted};
+pub use speed::PromptSpeed;
--- /dev/null
+++ b/crates/cactuslane-place/src/placer.rs
@@ -0,0 +1,398 @@
+//! The choice of targets.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use cactuslane_flight::ask::{Ask, Part};
+use cactuslane_flight::document::Engine;
+use cactuslane_flight::target::Target;
+use cactuslane_route::health::{Health, Use as Usable};
+use cactuslane_types::{DomainName, Millis, TargetId};
+use rand::{Rng, SeedableRng};
+use rand_pcg::Pcg64Mcg;
+
+use crate::cache::CacheBelief;
+use crate::picture::{Load, Picture, Told, Use, heard_parts, told_parts};
+use crate::speed::PromptSpeed;
+
+/// Cost of a target in another failure domain, in milliseconds.
+const DOMAIN_COST: f64 = 3.0;
+/// Cost of each stream that an engine generates already, in milliseconds.
+const STREAM_COST: f64 = 1.0;
+/// Range of the random cost that spreads equal choices, in milliseconds.
+const NOISE: f64 = 2.0;
+/// Share of the allowed pause between events that a prompt may take at a generating engine.
+const PAUSE_SHARE: f64 = 0.5;
+/// Pause between events that is assumed where a route states none, in milliseconds.
+const DEFAULT_PAUSE: f64 = 150.0;
+/// Share of an engine's memory that requests may take.
+const MEMORY_SHARE: f64 = 0.85;
+/// Time for fixed costs of a transfer between two engines, in milliseconds.
+const TRANSFER_COST: f64 = 10.0;
+/// Weight of a full cache against an empty one in the choice of a new home, in milliseconds.
+const FULL_COST: f64 = 20.0;
+/// Failures in a row, of a target that answers, after which it is left alone for a while.
+const FAILURE_STREAK: u32 = 4;
+/// Factor on the expected time above which a request is not taken any more.
+const REFUSE_FACTOR: f64 = 1.2;
+
+/// Chooses targets by load, prefix caches, place and health.
+#[derive(Clone, Debug)]
+pub struct Placer {
+    /// The load of the targets.
+    pub picture: Picture,
+    /// The speed of the engines.
+    pub speed: PromptSpeed,
+    /// The prefix caches of the engines.
+    caches: BTreeMap<TargetId, CacheBelief>,
+    /// The health of the targets.
+    health: BTreeMap<TargetId, Condition>,
+    /// The uses that the other instances have not been told.
+    untold: Vec<Use>,
+    /// The failure domain of this instance.
+    domain: DomainName,
+    /// The source of randomness.
+    random: Pcg64Mcg,
+}
+
+/// The health of one target.
+#[derive(Clone, Copy, Debug, Default)]
+struct Condition {
+    /// What its answers and failures say.
+    health: Health,
+    /// The failures that it answered in a row.
+    streak: u32,
+}
+
+/// A generation to place.
+#[derive(Clone, Copy, Debug)]
+pub struct Wanted<'a> {
+    /// The request.
+    pub ask: &'a Ask,
+    /// The measures of the engines.
+    pub engine: &'a Engine,
+    /// The longest pause between events that is on time.
+    pub pause: Option<Duration>,
+    /// The time that is left.
+    pub left: Duration,
+    /// Whether the prompt may be computed at another engine than the one that generates.
+    pub split: bool,
+    /// The targets that were tried before.
+    pub tried: &'a [TargetId],
+}
+
+/// The targets of a generation.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Plan {
+    /// The engine that computes the prompt, if it is another one.
+    pub prefill: Option<TargetId>,
+    /// The engine that generates.
+    pub decode: TargetId,
+    /// The prompt tokens that are to be computed.
+    pub uncached: u32,
+    /// The prompt tokens ahead of it.
+    pub ahead: u32,
+    /// The expected time to the first event, in milliseconds.
+    pub expected: f64,
+}
+
+/// The answer to the question for a place.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Placement {
+    /// The request is sent.
+    Run(Plan),
+    /// The request would not be answered in time.
+    Overloaded {
+        /// The time after which it would be.
+        excess: Duration,
+    },
+    /// No target takes the request.
+    NoTarget,
+}
+
+impl Placer {
+    /// Creates a placer for an instance of a failure domain.
+    #[must_use]
+    pub fn new(domain: DomainName, seed: u64) -> Self {
+        Self {
+            picture: Picture::default(),
+            speed: PromptSpeed::default(),
+            caches: BTreeMap::new(),
+            health: BTreeMap::new(),
+            untold: Vec::new(),
+            domain,
+            random: Pcg64Mcg::seed_from_u64(seed),
+        }
+    }
+
+    /// Chooses a target for a request of a plain service.
+    pub fn plain(
+        &mut self,
+        targets: &[&Target],
+        tried: &[TargetId],
+        now: Millis,
+    ) -> Option<TargetId> {
+        let usable = self.usable(targets, tried, now);
+        let mut best: Option<(f64, &Target)> = None;
+        for target in usable {
+            let load = self.picture.load(&target.id, now);
+            let busy = (f64::from(load.running) + 1.0) / f64::from(target.slots.max(1));
+            let cost = busy * 100.0 * self.factor(&target.id, now)
+                + self.place_cost(target)
+                + self.random.random_range(0.0..NOISE);
+            if best.is_none_or(|(least, _)| cost < least) {
+                best = Some((cost, target));
+            }
+        }
+        best.map(|(_, target)| target.id.clone())
+    }
+
+    /// Chooses the engines of a generation.
+    pub fn generation(
+        &mut self,
+        targets: &[&Target],
+        wanted: &Wanted<'_>,
+        now: Millis,
+    ) -> Placement {
+        let usable = self.usable(targets, wanted.tried, now);
+        let Some((direct_cost, direct)) = self.best_direct(&usable, wanted, now) else {
+            return Placement::NoTarget;
+        };
+        let pause = wanted
+            .pause
+            .map_or(DEFAULT_PAUSE, |pause| pause.as_secs_f64() * 1000.0);
+        let own = self.speed.direct_ms(f64::from(direct.uncached));
+        let fits = own <= pause * PAUSE_SHARE;
+        let split = if wanted.split {
+            self.best_split(&usable, wanted, now)
+        } else {
+            None
+        };
+        let plan = match split {
+            Some((cost, split)) if !fits || cost < direct_cost => split,
+            _ => direct,
+        };
+        let left = wanted.left.as_secs_f64() * 1000.0;
+        if plan.expected > left * REFUSE_FACTOR {
+            let excess = Duration::from_secs_f64((plan.expected - left).max(0.0) / 1000.0);
+            return Placement::Overloaded { excess };
+        }
+        Placement::Run(plan)
+    }
+
+    /// Records that a target answered in a time, against the time that was expected.
+    pub fn answered(&mut self, target: &str, observed_ms: f64, expected_ms: f64, now: Millis) {
+        let condition = self.health.entry(target.to_owned()).or_default();
+        condition.streak = 0;
+        condition.health.answered(observed_ms, expected_ms, now);
+    }
+
+    /// Records that a target answered with a failure of its own.
+    pub fn answered_failure(&mut self, target: &str, now: Millis) {
+        let condition = self.health.entry(target.to_owned()).or_default();
+        condition.streak += 1;
+        if condition.streak >= FAILURE_STREAK {
+            condition.health.failed(now);
+        }
+    }
+
+    /// Records that a target gave no whole answer.
+    pub fn failed(&mut self, target: &str, now: Millis) {
+        let condition = self.health.entry(target.to_owned()).or_default();
+        condition.health.failed(now);
+    }
+
+    /// Records that an engine now keeps shared parts of a prompt.
+    pub fn keeps(&mut self, target: &str, shared: &[Part], memory: u64, now: Millis) {
+        if shared.is_empty() {
+            return;
+        }
+        let cache = self.caches.entry(target.to_owned()).or_default();
+        cache.used(shared, memory, now);
+        self.untold.push(Use {
+            target: target.to_owned(),
+            parts: told_parts(shared),
+        });
+    }
+
+    /// Takes what another instance told.
+    pub fn hear(&mut self, told: &Told, memory: impl Fn(&str) -> u64, now: Millis) {
+        // Uses count even from a message that came late.
+        self.picture.hear(told, now);
+        for told_use in &told.uses {
+            let cache = self.caches.entry(told_use.target.clone()).or_default();
+            cache.used(&heard_parts(&told_use.parts), memory(&told_use.target), now);
+        }
+    }
+
+    /// Returns the uses that the other instances have not been told, and forgets them.
+    pub fn take_untold(&mut self) -> Vec<Use> {
+        std::mem::take(&mut self.untold)
+    }
+
+    /// Forgets a target that is gone or has started anew.
+    pub fn forget(&mut self, target: &str) {
+        self.caches.remove(target);
+        self.health.remove(target);
+    }
+
+    /// Returns the targets that may be used, those left alone last.
+    fn usable<'t>(
+        &self,
+        targets: &[&'t Target],
+        tried: &[TargetId],
+        now: Millis,
+    ) -> Vec<&'t Target> {
+        let mut usable = Vec::new();
+        let mut rest = Vec::new();
+        for target in targets {
+            if tried.contains(&target.id) {
+                continue;
+            }
+            let condition = self.health.get(&target.id).copied().unwrap_or_default();
+            match condition.health.usable(now) {
+                Usable::Free => usable.push(*target),
+                Usable::Probe if self.picture.own(&target.id).running == 0 => usable.push(*target),
+                Usable::Probe | Usable::Never => rest.push(*target),
+            }
+        }
+        if usable.is_empty() { rest } else { usable }
+    }
+
+    /// Returns the best engine that does all of a generation, with its cost.
+    fn best_direct(
+        &mut self,
+        targets: &[&Target],
+        wanted: &Wanted<'_>,
+        now: Millis,
+    ) -> Option<(f64, Plan)> {
+        let mut best: Option<(f64, Plan)> = None;
+        for target in targets {
+            if !target.role.decodes() || self.is_full(target, wanted, now) {
+                continue;
+            }
+            let load = self.picture.load(&target.id, now);
+            let uncached = self.uncached(&target.id, wanted.ask);
+            let tokens = f64::from(load.prompt + uncached);
+            let expected = self.speed.direct_ms(tokens) * self.factor(&target.id, now);
+            let cost = expected + self.decode_cost(target, load);
+            if best.as_ref().is_none_or(|(least, _)| cost < *least) {
+                let plan = Plan {
+                    prefill: None,
+                    decode: target.id.clone(),
+                    uncached,
+                    ahead: load.prompt,
+                    expected,
+                };
+                best = Some((cost, plan));
+            }
+        }
+        best
+    }
+
+    /// Returns the best pair of engines, with its cost.
+    fn best_split(
+        &mut self,
+        targets: &[&Target],
+        wanted: &Wanted<'_>,
+        now: Millis,
+    ) -> Option<(f64, Plan)> {
+        let (decode_cost, decode) = self.best_decode(targets, wanted, now)?;
+        let bytes = f64::from(wanted.ask.prompt) * wanted.engine.token_bytes;
+        let link = (wanted.engine.link_mbps * 125.0).max(1.0);
+        let transfer = TRANSFER_COST + bytes / link;
+        let mut best: Option<(f64, Plan)> = None;
+        for target in targets {
+            if target.role != cactuslane_types::Role::Prefill || self.is_full(target, wanted, now) {
+                continue;
+            }
+            let load = self.picture.load(&target.id, now);
+            let uncached = self.uncached(&target.id, wanted.ask);
+            let tokens = f64::from(load.prompt + uncached);
+            let computing = self.speed.prefill_ms(tokens) * self.factor(&target.id, now);
+            let filled = self.caches.get(&target.id).map_or(0, CacheBelief::total);
+            let full = filled as f64 / (wanted.engine.memory.max(1)) as f64;
+            let apart = if target.domain == decode.domain {
+                1.0
+            } else {
+                2.0
+            };
+            let expected = computing + transfer * apart;
+            let cost = expected
+                + decode_cost
+                + full * FULL_COST
+                + self.place_cost(target)
+                + self.random.random_range(0.0..NOISE);
+            if best.as_ref().is_none_or(|(least, _)| cost < *least) {
+                let plan = Plan {
+                    prefill: Some(target.id.clone()),
+                    decode: decode.id.clone(),
+                    uncached,
+                    ahead: load.prompt,
+                    expected,
+                };
+                best = Some((cost, plan));
+            }
+        }
+        best
+    }
+
+    /// Returns the best engine to generate, with its cost.
+    fn best_decode<'t>(
+        &mut self,
+        targets: &[&'t Target],
+        wanted: &Wanted<'_>,
+        now: Millis,
+    ) -> Option<(f64, &'t Target)> {
+        let mut best: Option<(f64, &Target)> = None;
+        for target in targets {
+            if target.role != cactuslane_types::Role::Decode || self.is_full(target, wanted, now) {
+                continue;
+            }
+            let load = self.picture.load(&target.id, now);
+            let waiting = self.speed.direct_ms(f64::from(load.prompt));
+            let cost = waiting * self.factor(&target.id, now) + self.decode_cost(target, load);
+            if best.is_none_or(|(least, _)| cost < least) {
+                best = Some((cost, target));
+            }
+        }
+        best
+    }
+
+    /// Returns the cost of one more stream at an engine, in milliseconds.
+    fn decode_cost(&mut self, target: &Target, load: Load) -> f64 {
+        f64::from(load.running) * STREAM_COST
+            + self.place_cost(target)
+            + self.random.random_range(0.0..NOISE)
+    }
+
+    /// Returns whether an engine has no room for a request.
+    fn is_full(&self, target: &Target, wanted: &Wanted<'_>, now: Millis) -> bool {
+        let load = self.picture.load(&target.id, now);
+        let needed = u64::from(load.memory) + u64::from(wanted.ask.prompt + wanted.ask.output);
+        needed as f64 > wanted.engine.memory as f64 * MEMORY_SHARE && load.running > 0
+    }
+
+    /// Returns the prompt tokens that an engine would have to compute.
+    fn uncached(&self, target: &str, ask: &Ask) -> u32 {
+        let cache = self.caches.get(target);
+        let cached = cache.map_or(0, |cache| cache.cached(ask.shared()));
+        ask.prompt.saturating_sub(cached)
+    }
+
+    /// Returns the factor by which a target is slower than expected.
+    fn factor(&self, target: &str, now: Millis) -> f64 {
+        self.health
+            .get(target)
+            .map_or(1.0, |condition| condition.health.factor(now).max(1.0))
+    }
+
+    /// Returns the cost of a target's place, in milliseconds.
+    fn place_cost(&self, target: &Target) -> f64 {
+        if target.domain == self.domain {
+            0.0
+        } else {
+            DOMAIN_COST
+        }
+    }
+}
--- a/crates/cactuslane-store/src/http.rs
+++ b/crates/cactuslane-store/src/http.rs
@@ -95,6 +95,17 @@
         })
     }
 
+    /// Sends a request and returns the status and the whole body of the answer.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error where no whole answer comes.
+    pub async fn whole(&self, request: Request<Full<Bytes>>) -> Result<(u16, Bytes), HttpError> {
+        let response = self.send(request).await?;
+        let status = response.status().as_u16();
+        Ok((status, whole(response).await?))
+    }
+
     /// Posts JSON and reads the JSON answer with its status.
     ///
     /// # Errors
@@ -227,9 +238,7 @@
         wait: Duration,
     ) -> Result<(u16, Value), HttpError> {
         let exchange = async {
-            let response = self.send(request).await?;
-            let status = response.status().as_u16();
-            let bytes = whole(response).await?;
+            let (status, bytes) = self.whole(request).await?;
             let value = match serde_json::from_slice(&bytes) {
                 Ok(value) => value,
                 Err(error) if status == 200 => return Err(HttpError::Broken(error.to_string())),
--- a/crates/cactuslane-store/src/lib.rs
+++ b/crates/cactuslane-store/src/lib.rs
@@ -1,9 +1,10 @@
 //! Client of the platform's key-value service and instance list.
 //!
 //! [`Store`] speaks the JSON form of etcd's v3 protocol; [`list`] reads instances in the format
-//! of Prometheus's HTTP service discovery. Another wire takes the place of `wire.rs` alone.
+//! of Prometheus's HTTP service discovery. [`kv`] is the narrow client for any wire form.
 
 pub mod http;
+pub mod kv;
 pub mod list;
 mod wire;
 
--- a/crates/cactuslane/src/main.rs
+++ b/crates/cactuslane/src/main.rs
@@ -7,6 +7,7 @@
 mod check;
 mod config;
 mod demo;
+mod gateway;
 mod logs;
 mod run;
 mod status;
@@ -29,6 +30,8 @@
 enum Command {
     /// Runs one entry instance.
     Run(run::RunCommand),
+    /// Runs one entry instance on the users' platform.
+    Gateway(gateway::GatewayCommand),
     /// Reads and edits the configuration.
     Config(config::ConfigCommand),
     /// Shows the fleet.
@@ -62,7 +65,14 @@
     if let Command::Capacity(command) = &arguments.command {
         return exit_code(capacity::execute(command));
     }
-    let runtime = match tokio::runtime::Runtime::new() {
+    // A gateway has a part of one core; the other commands may use all of them.
+    let runtime = match &arguments.command {
+        Command::Gateway(_) => tokio::runtime::Builder::new_current_thread()
+            .enable_all()
+            .build(),
+        _ => tokio::runtime::Runtime::new(),
+    };
+    let runtime = match runtime {
         Ok(runtime) => runtime,
         Err(error) => {
             eprintln!("cactuslane: the runtime did not start: {error}");
@@ -77,6 +87,7 @@
     let result = match command {
         Command::Capacity(_) => Ok(()),
         Command::Run(command) => run::execute(command).await,
+        Command::Gateway(command) => gateway::execute(command).await,
         Command::Check(command) => check::execute(&command),
         Command::Config(command) => config::execute(command).await,
         Command::Status(command) => status::status(&command).await,
