Change the roles of engines by one holder of an office, and split long prompts

Cause: four of twelve engines computed prompts; their queue reached seconds while eight engines generated at a tenth of their slots. Prompts computed at a generating engine stalled its streams (begin of a stream 600 to 1,600 ms after the prompt was there).

Ruled out: too little memory for shared parts (1.1 of 2.0 million tokens at four engines).

Change: an office under a lease with a fencing number, settled for the old holder's lease and the gap between holders; a role plan from observed prompts and streams; engines that change are told to the others first; a prompt at a generating engine pays for the streams that it stalls, and shared parts are read again only where that beats a wait twice as long.

--- a/crates/cactuslane-gateway/src/control.rs
+++ b/crates/cactuslane-gateway/src/control.rs
@@ -12,6 +12,7 @@
 
 use crate::fleet::Effect;
 use crate::members::Member;
+use crate::office::{Holder, LAST_LEADER, LEADER, boot_millis};
 use crate::state::Gateway;
 
 /// The start of the keys of instances.
@@ -23,7 +24,7 @@
 /// Range of the pause after a failed call, in milliseconds.
 const PAUSE: std::ops::Range<u64> = 100..300;
 /// Time for which an instance's entry outlives its renewals.
-const LEASE_TTL: Duration = Duration::from_secs(4);
+pub const LEASE_TTL: Duration = Duration::from_secs(4);
 /// Interval between renewals.
 const RENEW_INTERVAL: Duration = Duration::from_millis(1300);
 /// Attempts to announce that the instance is leaving.
@@ -72,6 +73,7 @@
         if gateway.is_leaving() {
             return;
         }
+        let sent = boot_millis();
         let result = match lease {
             Some(lease) => gateway.store.renew(lease).await.map(|()| lease),
             None => enter(&gateway).await,
@@ -82,10 +84,13 @@
                     info!(lease = current; "registered");
                 }
                 lease = Some(current);
+                let ttl = LEASE_TTL.as_millis() as Millis;
+                gateway.office().renewed(current, sent, ttl);
                 RENEW_INTERVAL
             }
             Err(KvError::NoLease) => {
                 info!(lease:? = lease; "registration lapsed");
+                gateway.office().lapsed();
                 lease = None;
                 continue;
             }
@@ -154,6 +159,13 @@
     }
     gateway.fleet().retain(&targets, now);
     gateway.members().retain(&instances, now);
+    let has = |key: &str| items.iter().any(|item| item.key == key);
+    if !has(LEADER) {
+        observe_office(gateway, None, revision);
+    }
+    if !has(LAST_LEADER) {
+        gateway.office().observed_last(None, 0);
+    }
     info!(revision, keys = items.len(), targets = targets.len(); "read the store");
     for item in items {
         written(gateway, &item, now);
@@ -175,6 +187,9 @@
     } else if let Some(id) = key.strip_prefix(MEMBERS) {
         gateway.members().lapse(id, now);
         info!(peer = id, revision; "instance vanished");
+    } else if key == LEADER {
+        info!(revision; "office is vacant");
+        observe_office(gateway, None, revision);
     }
 }
 
@@ -184,6 +199,16 @@
         configure(gateway, item);
     } else if let Some(id) = registry::target_id(&item.key) {
         put_target(gateway, id, item);
+    } else if item.key == LEADER {
+        match serde_json::from_slice::<Holder>(&item.value) {
+            Ok(holder) => observe_office(gateway, Some(holder), item.revision),
+            Err(error) => warn!(error:% = error; "holder of the office is unreadable"),
+        }
+    } else if item.key == LAST_LEADER {
+        let instance = String::from_utf8_lossy(&item.value).into_owned();
+        gateway
+            .office()
+            .observed_last(Some(instance), item.revision);
     } else if let Some(id) = item.key.strip_prefix(MEMBERS) {
         match serde_json::from_slice::<Member>(&item.value) {
             Ok(member) if member.instance == gateway.settings().instance => {}
@@ -193,6 +218,14 @@
     }
 }
 
+/// Takes news of the office.
+fn observe_office(gateway: &Gateway, holder: Option<Holder>, revision: u64) {
+    let settle = (gateway.settings().order_gap + LEASE_TTL).as_millis() as Millis;
+    gateway
+        .office()
+        .observed(holder, revision, &gateway.holder(), settle);
+}
+
 /// Puts a configuration in force.
 fn configure(gateway: &Gateway, item: &Item) {
     let document = match document::decode(&item.value) {
--- a/crates/cactuslane-gateway/src/generation.rs
+++ b/crates/cactuslane-gateway/src/generation.rs
@@ -323,6 +323,9 @@
             tried: &self.tried,
         };
         let placement = placer.generation(&targets, &wanted, now);
+        if let Placement::Run(plan) = &placement {
+            placer.picture.prompted(plan.uncached);
+        }
         if placement != Placement::NoTarget || self.tried.is_empty() {
             return placement;
         }
@@ -424,6 +427,13 @@
         match result {
             Ok(computed) => {
                 let elapsed = began.elapsed().as_secs_f64() * 1000.0;
+                info!(
+                    request = self.job.ask.id,
+                    target_id = target.id,
+                    elapsed_ms = elapsed as u64,
+                    expected_ms = plan.expected as u64;
+                    "prompt computed"
+                );
                 let mut placer = self.gateway.placer();
                 placer.speed.observe(plan.uncached + plan.ahead, elapsed);
                 placer.answered(&target.id, elapsed, plan.expected, now);
@@ -503,6 +513,12 @@
             return Err((Ending::Broken, None));
         }
         self.gateway.placer().answered(&target.id, 1.0, 1.0, now);
+        info!(
+            request = self.job.ask.id,
+            target_id = target.id,
+            since_arrival_ms = self.job.arrived.elapsed().as_millis() as u64;
+            "stream begun"
+        );
         self.keeps(target);
         Ok(Opened {
             headers: head.headers,
@@ -548,10 +564,7 @@
         let mut request = Request::new(Full::new(Bytes::new()));
         *request.method_mut() = Method::DELETE;
         *request.uri_mut() = engine::release_path(&handle).parse().unwrap_or_default();
-        let host = target.address.to_string().parse();
-        if let Ok(host) = host {
-            request.headers_mut().insert(hyper::header::HOST, host);
-        }
+        *request.headers_mut() = exchange::call_headers(&target.id, target.address);
         let response = connection.send(request).await?;
         let keep = exchange::keep_alive(response.headers());
         if whole_body(response.into_body()).await.is_ok() {
--- a/crates/cactuslane-gateway/src/lib.rs
+++ b/crates/cactuslane-gateway/src/lib.rs
@@ -11,6 +11,8 @@
 pub mod ingress;
 pub mod members;
 pub mod metrics;
+pub mod office;
+pub mod orders;
 pub mod peers;
 pub mod plain;
 pub mod reply;
@@ -73,6 +75,7 @@
         let mut tasks = vec![
             tokio::spawn(control::follow(gateway.clone())),
             tokio::spawn(control::register(gateway.clone())),
+            tokio::spawn(orders::hold_office(gateway.clone())),
             tokio::spawn(peers::exchange(gateway.clone(), socket)),
             tokio::spawn(ingress::serve(gateway.clone(), front)),
             tokio::spawn(directory::serve(gateway.clone(), ready)),
--- /dev/null
+++ b/crates/cactuslane-gateway/src/office.rs
@@ -0,0 +1,145 @@
+//! The office of the one instance that gives orders to engines.
+
+use cactuslane_authority::tenure::{Tenure, sure_until};
+use cactuslane_store::kv::{Lease, Update};
+use cactuslane_types::{Fencing, InstanceId, Millis};
+use rustix::time::{ClockId, clock_gettime};
+use serde::{Deserialize, Serialize};
+
+/// The key of the instance that gives orders.
+pub const LEADER: &str = "cactuslane/leader";
+/// The key of the instance that gave orders last; it does not lapse.
+pub const LAST_LEADER: &str = "cactuslane/last-leader";
+
+/// What an instance knows of the office.
+#[derive(Debug, Default)]
+pub struct Office {
+    /// The lease under which this instance is registered, and until when it surely holds.
+    lease: Option<(Lease, Millis)>,
+    /// The process that holds the office, by the store.
+    leader: Option<Holder>,
+    /// The instance that gave orders last, with the revision of its key, once the store was read.
+    last: Option<(Option<InstanceId>, u64)>,
+    /// The right of this process to give orders.
+    tenure: Option<Tenure>,
+}
+
+/// A process that holds the office.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Holder {
+    /// The instance.
+    pub instance: InstanceId,
+    /// The start of its process, in Unix milliseconds.
+    pub started: u64,
+}
+
+/// An attempt to take the office.
+#[derive(Clone, Debug)]
+pub struct Candidacy {
+    /// The update that takes it.
+    pub update: Update,
+    /// The time to wait before the first order, in milliseconds.
+    pub settle: Millis,
+}
+
+impl Office {
+    /// Records that the lease holds by a call that was sent at a time.
+    pub fn renewed(&mut self, lease: Lease, sent: Millis, ttl: Millis) {
+        self.lease = Some((lease, sure_until(sent, ttl)));
+        if let Some(tenure) = &mut self.tenure {
+            tenure.renewed(sent, ttl);
+        }
+    }
+
+    /// Records that the lease has ended, and with it the office.
+    pub fn lapsed(&mut self) {
+        self.lease = None;
+        self.tenure = None;
+    }
+
+    /// Takes what the store says of the holder, with the revision that says so.
+    ///
+    /// News from before this process took the office is old. An office that this process took
+    /// without getting the answer is found here; it settles for `settle` milliseconds.
+    pub fn observed(&mut self, holder: Option<Holder>, revision: u64, me: &Holder, settle: Millis) {
+        if self.tenure.is_some_and(|tenure| revision < tenure.fencing) {
+            return;
+        }
+        if holder.as_ref() != Some(me) {
+            self.tenure = None;
+        } else if self.tenure.is_none() {
+            self.acquired(revision, settle);
+        }
+        self.leader = holder;
+    }
+
+    /// Takes what the store says of the instance that gave orders last.
+    pub fn observed_last(&mut self, instance: Option<InstanceId>, revision: u64) {
+        self.last = Some((instance, revision));
+    }
+
+    /// Returns the attempt to take the office, if it seems vacant.
+    ///
+    /// `gap` is the time that must lie between orders of two holders, in milliseconds, and `ttl`
+    /// that for which a holder that is cut off may believe in its lease.
+    #[must_use]
+    pub fn candidacy(&self, me: &Holder, gap: Millis, ttl: Millis) -> Option<Candidacy> {
+        let (lease, holds) = self.lease?;
+        if self.leader.is_some() || self.tenure.is_some() || boot_millis() >= holds {
+            return None;
+        }
+        let value = serde_json::to_vec(me).unwrap_or_default();
+        let name = me.instance.clone().into_bytes();
+        let (last, revision) = self.last.clone()?;
+        let first = last.is_none_or(|last| last == me.instance);
+        Some(Candidacy {
+            update: Update {
+                expected: vec![(LEADER.to_owned(), 0), (LAST_LEADER.to_owned(), revision)],
+                writes: vec![
+                    (LEADER.to_owned(), value, Some(lease)),
+                    (LAST_LEADER.to_owned(), name, None),
+                ],
+                deletes: Vec::new(),
+            },
+            settle: if first { 0 } else { gap + ttl },
+        })
+    }
+
+    /// Records that the office was taken.
+    pub fn acquired(&mut self, fencing: Fencing, settle: Millis) {
+        let Some((_, holds)) = self.lease else {
+            return;
+        };
+        self.tenure = Some(Tenure::acquired(fencing, boot_millis(), settle, holds));
+    }
+
+    /// Gives the office up; true if this process held it.
+    pub fn resign(&mut self) -> bool {
+        self.tenure.take().is_some()
+    }
+
+    /// Returns whether this process holds the office, and drops one whose lease may have lapsed.
+    pub fn is_held(&mut self) -> bool {
+        if self
+            .tenure
+            .is_some_and(|tenure| tenure.is_over(boot_millis()))
+        {
+            self.tenure = None;
+        }
+        self.tenure.is_some()
+    }
+
+    /// Returns the fencing number of an order that is sent right now, if one may be.
+    #[must_use]
+    pub fn may_order(&self) -> Option<Fencing> {
+        let tenure = self.tenure?;
+        tenure.may_order(boot_millis()).then_some(tenure.fencing)
+    }
+}
+
+/// Returns the time since the machine started, suspended time included, in milliseconds.
+#[must_use]
+pub fn boot_millis() -> Millis {
+    let time = clock_gettime(ClockId::Boottime);
+    time.tv_sec as Millis * 1000 + time.tv_nsec as Millis / 1_000_000
+}
--- /dev/null
+++ b/crates/cactuslane-gateway/src/orders.rs
@@ -0,0 +1,344 @@
+//! Orders by which the holder of the office changes the roles of engines.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+use cactuslane_flight::document::Engine;
+use cactuslane_flight::target::Target;
+use cactuslane_place::RolePlan;
+use cactuslane_platform::engine::{self, OrderAnswer, Report};
+use cactuslane_platform::exchange;
+use cactuslane_store::kv::Update;
+use cactuslane_types::{Millis, Role, ServiceName, TargetId};
+use http_body_util::Full;
+use hyper::body::Bytes;
+use hyper::{Method, Request, StatusCode};
+use log::{info, warn};
+use rand::Rng;
+use tokio::time::{Instant, sleep, timeout};
+
+use crate::control::LEASE_TTL;
+use crate::office::{Holder, LEADER};
+use crate::plain::whole_body;
+use crate::state::Gateway;
+
+/// Interval between looks at the office and the demand.
+const INTERVAL: Duration = Duration::from_millis(250);
+/// Range of the wait before a vacant office is taken, in milliseconds.
+const VACANCY: std::ops::Range<u64> = 50..900;
+/// Time in which the other instances hear that an engine is about to change.
+const NOTICE: Duration = Duration::from_millis(300);
+/// Longest time of one call to an engine.
+const CALL_TIMEOUT: Duration = Duration::from_secs(1);
+/// Interval between looks at an engine that is changing.
+const LOOK_INTERVAL: Duration = Duration::from_millis(700);
+/// Time after which an engine that did not change is used as it is.
+const CHANGE_TIMEOUT: Duration = Duration::from_secs(9);
+/// Time for which an order without an answer may still be carried out, in milliseconds.
+const DOUBT: Millis = 16_000;
+/// Part of the engines of a service that may change at once.
+const CHANGING_PART: f64 = 0.34;
+
+/// What the holder of the office remembers.
+#[derive(Debug, Default)]
+struct Desk {
+    /// The plans by service.
+    plans: BTreeMap<ServiceName, RolePlan>,
+    /// The engines that are changing or may be, until a time.
+    busy: BTreeMap<TargetId, Millis>,
+}
+
+/// The engines of one service.
+#[derive(Debug)]
+struct Group {
+    /// The service.
+    service: ServiceName,
+    /// The measures of its engines.
+    engine: Engine,
+    /// Its engines.
+    targets: Vec<Target>,
+}
+
+/// The reason why a call to an engine has no result.
+#[derive(Clone, Debug, PartialEq, Eq)]
+enum CallError {
+    /// Nothing was sent.
+    Unsent(String),
+    /// The call may have had its effect.
+    Unknown(String),
+}
+
+/// Takes the office when it is vacant and gives orders while it is held, until the instance leaves.
+pub async fn hold_office(gateway: Arc<Gateway>) {
+    let mut desk = Desk::default();
+    let mut vacant_until: Option<Instant> = None;
+    loop {
+        sleep(INTERVAL).await;
+        if gateway.is_leaving() {
+            resign(&gateway).await;
+            return;
+        }
+        if gateway.office().is_held() {
+            vacant_until = None;
+            desk.work(&gateway);
+            continue;
+        }
+        gateway.placer().picture.set_changing(Vec::new());
+        let me = gateway.holder();
+        let gap = gateway.settings().order_gap.as_millis() as Millis;
+        let ttl = LEASE_TTL.as_millis() as Millis;
+        let Some(candidacy) = gateway.office().candidacy(&me, gap, ttl) else {
+            vacant_until = None;
+            continue;
+        };
+        let random = || Instant::now() + Duration::from_millis(rand::rng().random_range(VACANCY));
+        if Instant::now() < *vacant_until.get_or_insert_with(random) {
+            continue;
+        }
+        vacant_until = None;
+        desk = Desk::default();
+        match gateway.store.update(&candidacy.update).await {
+            Ok(fencing) => {
+                info!(fencing, settle_ms = candidacy.settle; "office taken");
+                gateway.office().acquired(fencing, candidacy.settle);
+            }
+            Err(error) => info!(error:% = error; "office not taken"),
+        }
+    }
+}
+
+/// Gives the office up, if it is held.
+async fn resign(gateway: &Gateway) {
+    if !gateway.office().resign() {
+        return;
+    }
+    let update = Update {
+        deletes: vec![LEADER.to_owned()],
+        ..Update::default()
+    };
+    match gateway.store.update(&update).await {
+        Ok(_) => info!("office given up"),
+        Err(error) => warn!(error:% = error; "office given up, but its key stays until it lapses"),
+    }
+}
+
+impl Desk {
+    /// Orders the changes that pay now.
+    fn work(&mut self, gateway: &Arc<Gateway>) {
+        let now = gateway.now();
+        self.busy.retain(|_, until| *until > now);
+        for group in groups(gateway) {
+            let engines = engines(gateway, &group, now);
+            let plan = self.plans.entry(group.service.clone()).or_default();
+            let prompted = gateway.placer().picture.all_prompts();
+            let generating = engines.values().filter(|(role, _)| role.decodes());
+            let streams = generating.map(|(_, streams)| streams).sum();
+            plan.observe(prompted, streams, now);
+            if gateway.office().may_order().is_none() {
+                continue;
+            }
+            let bound = (engines.len() as f64 * CHANGING_PART).ceil() as usize;
+            let changing = engines
+                .keys()
+                .filter(|id| self.busy.contains_key(*id))
+                .count();
+            let most = bound.saturating_sub(changing);
+            let mut free = engines;
+            free.retain(|id, _| !self.busy.contains_key(id));
+            let speed = gateway.placer().speed;
+            for change in plan.changes(&free, group.engine.slots, speed, most, now) {
+                let Some(target) = group.targets.iter().find(|t| t.id == change.target) else {
+                    continue;
+                };
+                self.busy.insert(target.id.clone(), now + DOUBT);
+                info!(
+                    target_id = target.id,
+                    role:? = change.role,
+                    engines = group.targets.len();
+                    "role change planned"
+                );
+                let task = carry_out(gateway.clone(), target.clone(), change.role);
+                tokio::spawn(task);
+            }
+        }
+    }
+}
+
+/// Returns the groups of engines whose roles can be changed.
+fn groups(gateway: &Gateway) -> Vec<Group> {
+    let now = gateway.now();
+    let fleet = gateway.fleet();
+    let Some(document) = fleet.document() else {
+        return Vec::new();
+    };
+    let mut groups = Vec::new();
+    for (name, service) in &document.services {
+        let Some(engine) = &service.engine else {
+            continue;
+        };
+        let mut targets = Vec::new();
+        for target in fleet.targets(name, None, now) {
+            if target.role != Role::Mixed {
+                targets.push(target.clone());
+            }
+        }
+        groups.push(Group {
+            service: name.clone(),
+            engine: engine.clone(),
+            targets,
+        });
+    }
+    groups
+}
+
+/// Returns the roles and streams of a group's engines.
+fn engines(gateway: &Gateway, group: &Group, now: Millis) -> BTreeMap<TargetId, (Role, usize)> {
+    let placer = gateway.placer();
+    let mut engines = BTreeMap::new();
+    for target in &group.targets {
+        let streams = placer.picture.load(&target.id, now).running as usize;
+        engines.insert(target.id.clone(), (target.role, streams));
+    }
+    engines
+}
+
+/// Changes the role of one engine, and keeps work away from it meanwhile.
+async fn carry_out(gateway: Arc<Gateway>, target: Target, role: Role) {
+    let _guard = ChangingGuard::new(&gateway, &target.id);
+    sleep(NOTICE).await;
+    let report = match ask(&gateway, &target).await {
+        Ok(report) => report,
+        Err(error) => {
+            warn!(target_id = target.id, error:? = error; "engine not asked, no order sent");
+            return;
+        }
+    };
+    if report.busy || report.role == role {
+        info!(target_id = target.id, report:? = report; "order not needed now");
+        return;
+    }
+    match order(&gateway, &target, role, report.orders).await {
+        Ok(OrderAnswer::Accepted | OrderAnswer::Holds) => {}
+        Ok(answer) => {
+            info!(target_id = target.id, answer:? = answer; "order not accepted");
+            return;
+        }
+        Err(CallError::Unsent(why)) => {
+            info!(target_id = target.id, why; "order not sent");
+            return;
+        }
+        Err(CallError::Unknown(why)) => {
+            warn!(target_id = target.id, why; "order may or may not be carried out");
+        }
+    }
+    let began = Instant::now();
+    while began.elapsed() < CHANGE_TIMEOUT {
+        sleep(LOOK_INTERVAL).await;
+        let listed = gateway
+            .target(&target.id)
+            .is_some_and(|known| known.role == role);
+        let Ok(report) = ask(&gateway, &target).await else {
+            continue;
+        };
+        if listed && report.role == role && !report.busy {
+            info!(target_id = target.id, role:? = role; "role changed");
+            return;
+        }
+    }
+    warn!(target_id = target.id, role:? = role; "role not changed in time");
+}
+
+/// Sends an order, if the office allows it at that moment.
+async fn order(
+    gateway: &Gateway,
+    target: &Target,
+    role: Role,
+    orders: u64,
+) -> Result<OrderAnswer, CallError> {
+    let connection = gateway.pool.checkout(&target.id, target.address).await;
+    let mut connection = connection.map_err(call_error)?;
+    let Some(fencing) = gateway.office().may_order() else {
+        return Err(CallError::Unsent("the office is not held".to_owned()));
+    };
+    let Holder { instance, .. } = gateway.holder();
+    let body = engine::order(role, &instance, fencing, orders);
+    let request = call(target, Method::POST, engine::ORDER_PATH, body);
+    let response = timeout(CALL_TIMEOUT, connection.send(request)).await;
+    let response = response.map_err(|_| CallError::Unknown("no answer in time".to_owned()))?;
+    let response = response.map_err(call_error)?;
+    let status = response.status().as_u16();
+    info!(target_id = target.id, role:? = role, fencing, orders, status; "order sent");
+    Ok(engine::order_answer(status))
+}
+
+/// Asks an engine for its state.
+async fn ask(gateway: &Gateway, target: &Target) -> Result<Report, CallError> {
+    let exchange = async {
+        let connection = gateway.pool.checkout(&target.id, target.address).await;
+        let mut connection = connection.map_err(call_error)?;
+        let request = call(target, Method::GET, engine::REPORT_PATH, String::new());
+        let response = connection.send(request).await.map_err(call_error)?;
+        let keep = exchange::keep_alive(response.headers());
+        let status = response.status();
+        let body = whole_body(response.into_body()).await;
+        let body = body.map_err(|(_, why)| CallError::Unknown(why))?;
+        if status != StatusCode::OK {
+            return Err(CallError::Unknown(format!("status {status}")));
+        }
+        gateway.pool.give_back(connection, keep);
+        engine::report(&body).map_err(CallError::Unknown)
+    };
+    let result = timeout(CALL_TIMEOUT, exchange).await;
+    result.unwrap_or_else(|_| Err(CallError::Unknown("no answer in time".to_owned())))
+}
+
+/// Builds a call to an engine.
+fn call(target: &Target, method: Method, path: &str, body: String) -> Request<Full<Bytes>> {
+    let mut request = Request::new(Full::new(Bytes::from(body)));
+    *request.method_mut() = method;
+    *request.uri_mut() = path.parse().unwrap_or_default();
+    *request.headers_mut() = exchange::call_headers(&target.id, target.address);
+    request
+}
+
+/// Turns the error of a connection into that of a call.
+fn call_error(error: crate::upstream::SendError) -> CallError {
+    match error {
+        crate::upstream::SendError::Unsent(why) => CallError::Unsent(why),
+        crate::upstream::SendError::Broken(why) => CallError::Unknown(why),
+    }
+}
+
+/// Keeps an engine marked as changing until it is dropped.
+#[derive(Debug)]
+struct ChangingGuard {
+    /// The instance.
+    gateway: Arc<Gateway>,
+    /// The engine.
+    target: TargetId,
+}
+
+impl ChangingGuard {
+    /// Marks an engine as changing.
+    fn new(gateway: &Arc<Gateway>, target: &str) -> Self {
+        let mut placer = gateway.placer();
+        let mut changing = placer.picture.own_changing().to_vec();
+        changing.push(target.to_owned());
+        placer.picture.set_changing(changing);
+        drop(placer);
+        Self {
+            gateway: gateway.clone(),
+            target: target.to_owned(),
+        }
+    }
+}
+
+impl Drop for ChangingGuard {
+    fn drop(&mut self) {
+        let mut placer = self.gateway.placer();
+        let mut changing = placer.picture.own_changing().to_vec();
+        changing.retain(|id| *id != self.target);
+        placer.picture.set_changing(changing);
+    }
+}
--- a/crates/cactuslane-gateway/src/peers.rs
+++ b/crates/cactuslane-gateway/src/peers.rs
@@ -60,10 +60,11 @@
             info!(peer = instance; "instance forgotten");
         }
         gateway.pool.sweep();
-        let (loads, mut uses) = {
-            let mut placer = gateway.placer();
-            (placer.picture.loads(), placer.take_untold())
-        };
+        let mut placer = gateway.placer();
+        let (loads, mut uses) = (placer.picture.loads(), placer.take_untold());
+        let prompted = placer.picture.own_prompts();
+        let changing = placer.picture.own_changing().to_vec();
+        drop(placer);
         let same = loads == self.told && uses.is_empty();
         if same && self.at.elapsed() < HEARTBEAT {
             return;
@@ -76,6 +77,8 @@
             sequence: self.sequence,
             loads,
             uses,
+            prompted,
+            changing,
         };
         let message = match postcard::to_stdvec(&told) {
             Ok(message) => message,
--- a/crates/cactuslane-gateway/src/state.rs
+++ b/crates/cactuslane-gateway/src/state.rs
@@ -17,6 +17,7 @@
 use crate::fleet::Fleet;
 use crate::members::Members;
 use crate::metrics::Metrics;
+use crate::office::{Holder, Office};
 use crate::upstream::Pool;
 
 /// Part of the shared budget of repeated sends that instances use; the rest covers instances that
@@ -36,6 +37,8 @@
     fleet: Mutex<Fleet>,
     /// The other instances.
     members: Mutex<Members>,
+    /// The office of the instance that gives orders.
+    office: Mutex<Office>,
     /// The choice of targets.
     placer: Mutex<Placer>,
     /// The budgets of repeated sends by service.
@@ -70,6 +73,7 @@
             started,
             fleet: Mutex::default(),
             members: Mutex::default(),
+            office: Mutex::default(),
             placer: Mutex::new(placer),
             budgets: Mutex::default(),
             pool: Pool::default(),
@@ -108,6 +112,20 @@
         lock(&self.members)
     }
 
+    /// Locks the office of the instance that gives orders.
+    pub fn office(&self) -> MutexGuard<'_, Office> {
+        lock(&self.office)
+    }
+
+    /// Returns this process as a holder of the office.
+    #[must_use]
+    pub fn holder(&self) -> Holder {
+        Holder {
+            instance: self.settings().instance.clone(),
+            started: self.started,
+        }
+    }
+
     /// Locks the choice of targets.
     pub fn placer(&self) -> MutexGuard<'_, Placer> {
         lock(&self.placer)
--- a/crates/cactuslane-place/src/lib.rs
+++ b/crates/cactuslane-place/src/lib.rs
@@ -6,9 +6,11 @@
 pub mod cache;
 pub mod picture;
 pub mod placer;
+pub mod roles;
 pub mod speed;
 
 pub use cache::CacheBelief;
 pub use picture::{Load, Picture, Told, Use};
 pub use placer::{Placement, Placer, Plan, Wanted};
+pub use roles::RolePlan;
 pub use speed::PromptSpeed;
--- a/crates/cactuslane-place/src/picture.rs
+++ b/crates/cactuslane-place/src/picture.rs
@@ -42,6 +42,10 @@
     pub loads: Vec<(TargetId, Load)>,
     /// The uses since the message before.
     pub uses: Vec<Use>,
+    /// The prompt tokens that it has placed since its start.
+    pub prompted: u64,
+    /// The engines whose role it is changing.
+    pub changing: Vec<TargetId>,
 }
 
 /// What one other instance told last.
@@ -53,6 +57,10 @@
     heard: Millis,
     /// Its load at each target.
     loads: BTreeMap<TargetId, Load>,
+    /// The prompt tokens that it has placed since its start.
+    prompted: u64,
+    /// The engines whose role it is changing.
+    changing: Vec<TargetId>,
 }
 
 /// The load of all targets.
@@ -62,6 +70,12 @@
     own: BTreeMap<TargetId, Load>,
     /// What the other instances told.
     peers: BTreeMap<InstanceId, Peer>,
+    /// The engines whose role this instance is changing.
+    changing: Vec<TargetId>,
+    /// The prompt tokens that this instance has placed.
+    prompted: u64,
+    /// The prompt tokens that the other instances have placed, as far as they were heard.
+    heard_prompts: u64,
 }
 
 impl Load {
@@ -121,11 +135,57 @@
             version,
             heard: now,
             loads: told.loads.iter().cloned().collect(),
+            prompted: told.prompted,
+            changing: told.changing.clone(),
         };
+        let before = known.filter(|peer| peer.version.0 == told.started);
+        let before = before.map_or(told.prompted, |peer| peer.prompted);
+        self.heard_prompts += told.prompted.saturating_sub(before);
         self.peers.insert(told.instance.clone(), peer);
         true
     }
 
+    /// Records prompt tokens that were placed.
+    pub fn prompted(&mut self, tokens: u32) {
+        self.prompted += u64::from(tokens);
+    }
+
+    /// Returns the prompt tokens that this instance has placed.
+    #[must_use]
+    pub fn own_prompts(&self) -> u64 {
+        self.prompted
+    }
+
+    /// Returns the prompt tokens that all instances have placed, as far as they were heard.
+    #[must_use]
+    pub fn all_prompts(&self) -> u64 {
+        self.prompted + self.heard_prompts
+    }
+
+    /// Sets the engines whose role this instance is changing.
+    pub fn set_changing(&mut self, targets: Vec<TargetId>) {
+        self.changing = targets;
+    }
+
+    /// Returns the engines whose role this instance is changing.
+    #[must_use]
+    pub fn own_changing(&self) -> &[TargetId] {
+        &self.changing
+    }
+
+    /// Returns whether some instance is changing the role of an engine.
+    #[must_use]
+    pub fn is_changing(&self, target: &str, now: Millis) -> bool {
+        let named = |targets: &[TargetId]| targets.iter().any(|id| id == target);
+        let fresh = |peer: &&Peer| now.saturating_sub(peer.heard) <= TOLD_LIFETIME;
+        named(&self.changing)
+            || self
+                .peers
+                .values()
+                .filter(fresh)
+                .any(|peer| named(&peer.changing))
+    }
+
     /// Returns the time for which an instance was not heard, in milliseconds; none if it never was.
     #[must_use]
     pub fn silence(&self, instance: &str, now: Millis) -> Option<Millis> {
--- a/crates/cactuslane-place/src/placer.rs
+++ b/crates/cactuslane-place/src/placer.rs
@@ -33,6 +33,10 @@
 const FULL_COST: f64 = 20.0;
 /// Failures in a row, of a target that answers, after which it is left alone for a while.
 const FAILURE_STREAK: u32 = 4;
+/// Part of a prompt's time at a generating engine that each of its streams loses.
+const STALL_WEIGHT: f64 = 0.3;
+/// Weight of computing shared parts again that some engine keeps, against waiting for it.
+const REREAD_WEIGHT: f64 = 2.0;
 /// Factor on the expected time above which a request is not taken any more.
 const REFUSE_FACTOR: f64 = 1.2;
 
@@ -169,7 +173,7 @@
             None
         };
         let plan = match split {
-            Some((cost, split)) if !fits || cost < direct_cost => split,
+            Some((cost, split)) if !fits || cost <= direct_cost => split,
             _ => direct,
         };
         let left = wanted.left.as_secs_f64() * 1000.0;
@@ -246,7 +250,7 @@
         let mut usable = Vec::new();
         let mut rest = Vec::new();
         for target in targets {
-            if tried.contains(&target.id) {
+            if tried.contains(&target.id) || self.picture.is_changing(&target.id, now) {
                 continue;
             }
             let condition = self.health.get(&target.id).copied().unwrap_or_default();
@@ -275,7 +279,9 @@
             let uncached = self.uncached(&target.id, wanted.ask);
             let tokens = f64::from(load.prompt + uncached);
             let expected = self.speed.direct_ms(tokens) * self.factor(&target.id, now);
-            let cost = expected + self.decode_cost(target, load);
+            let own = self.speed.direct_ms(f64::from(uncached));
+            let stalled = own * f64::from(load.running) * STALL_WEIGHT;
+            let cost = expected + stalled + self.decode_cost(target, load);
             if best.as_ref().is_none_or(|(least, _)| cost < *least) {
                 let plan = Plan {
                     prefill: None,
@@ -318,7 +324,11 @@
                 2.0
             };
             let expected = computing + transfer * apart;
+            let shared: u32 = wanted.ask.shared().iter().map(|part| part.tokens).sum();
+            let own = wanted.ask.prompt.saturating_sub(shared);
+            let reread = f64::from(uncached.saturating_sub(own));
             let cost = expected
+                + self.speed.prefill_ms(reread) * REREAD_WEIGHT
                 + decode_cost
                 + full * FULL_COST
                 + self.place_cost(target)
--- /dev/null
+++ b/crates/cactuslane-place/src/roles.rs
@@ -0,0 +1,139 @@
+//! How many engines compute prompts and how many generate.
+
+use std::collections::BTreeMap;
+
+use cactuslane_roles::{Change, Mix, PlanParams, Planner, Rates};
+use cactuslane_types::{Millis, Role, TargetId};
+
+use crate::speed::PromptSpeed;
+
+/// Weight of the demand of one observation, for each second that it covers.
+const WEIGHT: f64 = 0.4;
+/// Time that must be observed before anything is changed, in milliseconds.
+const MIN_OBSERVED: Millis = 900;
+/// Share by which the demand may be off.
+const DOUBT: f64 = 0.15;
+/// Part of an engine's slots that generate at once without pauses that callers notice.
+const SLOT_PART: f64 = 0.4;
+/// Time that a change takes an engine away, in milliseconds.
+const CHANGE_MS: f64 = 3_000.0;
+/// Weight of a change, in lost engine seconds.
+const CHANGE_WEIGHT: f64 = 3.0;
+/// Time for which a change must pay, in milliseconds.
+const PAYBACK_MS: f64 = 60_000.0;
+/// Time after a change in which none goes the other way, in milliseconds.
+const REVERSE_PAUSE: Millis = 20_000;
+/// Streams that count where none was seen, so that engines to generate are kept.
+const LEAST_STREAMS: f64 = 1.0;
+
+/// Plans roles from the demand that is observed.
+#[derive(Clone, Debug)]
+pub struct RolePlan {
+    /// The planner.
+    planner: Planner,
+    /// The prompt tokens to compute, in tokens a millisecond.
+    prompts: f64,
+    /// The streams that are generated at once.
+    streams: f64,
+    /// The tokens and time of the last observation.
+    last: Option<(u64, Millis)>,
+    /// The time that was observed, in milliseconds.
+    observed: Millis,
+    /// The role and time of the last change.
+    turned: Option<(Role, Millis)>,
+}
+
+impl Default for RolePlan {
+    fn default() -> Self {
+        let rates = Rates {
+            prefill: 1.0,
+            decode: 1.0,
+            mixed_prefill: 1.0,
+            mixed_decode: 1.0,
+        };
+        let params = PlanParams {
+            rates,
+            change_ms: CHANGE_MS,
+            change_weight: CHANGE_WEIGHT,
+            payback_ms: PAYBACK_MS,
+        };
+        let mut planner = Planner::new(params);
+        planner.mixed = false;
+        Self {
+            planner,
+            prompts: 0.0,
+            streams: 0.0,
+            last: None,
+            observed: 0,
+            turned: None,
+        }
+    }
+}
+
+impl RolePlan {
+    /// Takes the prompt tokens placed since ever, and the streams that are generated now.
+    pub fn observe(&mut self, prompted: u64, streams: usize, now: Millis) {
+        let Some((tokens, at)) = self.last.replace((prompted, now)) else {
+            return;
+        };
+        let elapsed = now.saturating_sub(at);
+        if elapsed == 0 || (prompted == tokens && self.observed == 0) {
+            return;
+        }
+        let rate = prompted.saturating_sub(tokens) as f64 / elapsed as f64;
+        let part = if self.observed == 0 {
+            1.0
+        } else {
+            (WEIGHT * elapsed as f64 / 1000.0).min(1.0)
+        };
+        self.prompts += (rate - self.prompts) * part;
+        self.streams += (streams as f64 - self.streams) * part;
+        self.observed += elapsed;
+    }
+
+    /// Returns the changes to make now, at most a number of them.
+    ///
+    /// `engines` holds the engines that serve with their roles and streams.
+    pub fn changes(
+        &mut self,
+        engines: &BTreeMap<TargetId, (Role, usize)>,
+        slots: u32,
+        speed: PromptSpeed,
+        most: usize,
+        now: Millis,
+    ) -> Vec<Change> {
+        let mut changes = Vec::new();
+        if self.observed < MIN_OBSERVED {
+            return changes;
+        }
+        self.planner.params.rates.prefill = speed.prefill_ms(1.0);
+        self.planner.params.rates.decode = 1.0 / (f64::from(slots) * SLOT_PART).max(1.0);
+        let mix = Mix {
+            prefill: self.prompts,
+            decode: self.streams.max(LEAST_STREAMS),
+        };
+        let mut roles = engines.clone();
+        while changes.len() < most {
+            let Some(change) = self.planner.plan_for(&roles, mix, DOUBT, now) else {
+                break;
+            };
+            let reverse = |(role, at): (Role, Millis)| {
+                role != change.role && now.saturating_sub(at) < REVERSE_PAUSE
+            };
+            if self.turned.is_some_and(reverse) {
+                break;
+            }
+            self.turned = Some((change.role, now));
+            if let Some((role, _)) = roles.get_mut(&change.target) {
+                *role = change.role;
+            }
+            changes.push(change);
+        }
+        changes
+    }
+
+    /// Records a change that was made or begun by someone.
+    pub fn changed(&mut self, target: &str, now: Millis) {
+        self.planner.changed(target, now);
+    }
+}
--- a/crates/cactuslane-roles/src/lib.rs
+++ b/crates/cactuslane-roles/src/lib.rs
@@ -24,6 +24,8 @@
 pub struct Planner {
     /// Holds the parameters.
     pub params: PlanParams,
+    /// Whether an engine may do both kinds of work.
+    pub mixed: bool,
     /// Is the forecast of the demand.
     pub forecast: Forecast,
     /// Holds the time of each engine's last change.
@@ -82,6 +84,7 @@
     pub fn new(params: PlanParams) -> Self {
         Self {
             params,
+            mixed: true,
             forecast: Forecast::default(),
             changed: BTreeMap::new(),
         }
@@ -134,7 +137,7 @@
     /// Returns the split with the lowest utilization, at its worst over the doubt.
     fn best_split(&self, from: Split, mix: Mix, doubt: f64) -> Option<(Split, f64)> {
         let mut best: Option<(Split, f64)> = None;
-        for split in from.same_size() {
+        for split in from.same_size(self.mixed) {
             let utilization = self.worst_utilization(split, mix, doubt);
             // Among equals the nearest wins.
             let utilization = utilization + 1e-6 * from.steps_to(split) as f64;
@@ -157,7 +160,7 @@
     fn first_step(&self, from: Split, to: Split, mix: Mix, doubt: f64) -> Option<Split> {
         let left = from.steps_to(to);
         let nearer = from
-            .neighbours()
+            .neighbours(self.mixed)
             .into_iter()
             .filter(|next| next.steps_to(to) < left);
         nearer.min_by(|a, b| {
@@ -269,13 +272,14 @@
     }
 
     /// Returns the splits that differ by one engine and still serve both kinds of work.
-    fn neighbours(self) -> Vec<Self> {
+    fn neighbours(self, mixed: bool) -> Vec<Self> {
         let roles = [Role::Prefill, Role::Decode, Role::Mixed];
         let mut neighbours = Vec::new();
         for from in roles {
             for to in roles {
                 let mut next = self;
-                if from == to || *next.count(from) == 0 {
+                let blocked = to == Role::Mixed && !mixed;
+                if from == to || blocked || *next.count(from) == 0 {
                     continue;
                 }
                 *next.count(from) -= 1;
@@ -289,7 +293,7 @@
     }
 
     /// Returns all splits of as many engines that serve both kinds of work.
-    fn same_size(self) -> Vec<Self> {
+    fn same_size(self, mixed: bool) -> Vec<Self> {
         let engines = self.prefill + self.decode + self.mixed;
         let mut splits = Vec::new();
         for prefill in 0..=engines {
@@ -299,7 +303,7 @@
                     decode,
                     mixed: engines - prefill - decode,
                 };
-                if split.serves_both() {
+                if split.serves_both() && (mixed || split.mixed <= self.mixed) {
                     splits.push(split);
                 }
             }
