Fetch shared parts from other engines and plan roles by lasting demand

Ruled out: the memory of engines (1.1 of 3.9 million tokens); homes by hash (a quarter of a prompt's time is lost where its home is busy).

Change: a prompt's engine fetches shared parts from one that keeps them; beliefs hold all parts and the time at which they are ready; demand counts own parts and streams at their usual length; either role keeps a quarter of the engines; a request is refused at once when its first event would come after its caller has left.

Conclusion: the cold start (all shared parts computed in the first seconds) and transfers are next.

--- a/crates/cactuslane-flight/src/document.rs
+++ b/crates/cactuslane-flight/src/document.rs
@@ -37,6 +37,8 @@
     pub timeout: Duration,
     /// The time within which an answer, or its first event, is on time.
     pub objective: Duration,
+    /// The time without any event after which callers leave.
+    pub patience: Duration,
     /// The longest pause between events of an answer that is on time.
     pub pause: Option<Duration>,
     /// The rank of the requests; 0 is the most urgent.
--- a/crates/cactuslane-gateway/src/generation.rs
+++ b/crates/cactuslane-gateway/src/generation.rs
@@ -306,6 +306,7 @@
             let chosen = placer.plain(&targets, &self.tried, now);
             return chosen.map_or(Placement::NoTarget, |decode| {
                 Placement::Run(Plan {
+                    fetch: None,
                     prefill: None,
                     decode,
                     uncached: 0,
@@ -318,13 +319,18 @@
             ask: &job.ask,
             engine,
             pause: job.route.pause,
-            left,
+            objective: job.route.objective,
+            left: left.min(job.route.patience),
             split: self.split,
             tried: &self.tried,
         };
         let placement = placer.generation(&targets, &wanted, now);
         if let Placement::Run(plan) = &placement {
-            placer.picture.prompted(plan.uncached);
+            let shared: u32 = job.ask.shared().iter().map(|part| part.tokens).sum();
+            let own = job.ask.prompt.saturating_sub(shared);
+            // Shared parts that are missing now will be there later.
+            let missing = plan.uncached.saturating_sub(own) / 2;
+            placer.picture.placed(own + missing);
         }
         if placement != Placement::NoTarget || self.tried.is_empty() {
             return placement;
@@ -348,6 +354,7 @@
             request = self.job.ask.id,
             target_id = plan.decode,
             prefill:? = plan.prefill,
+            fetch:? = plan.fetch,
             uncached = plan.uncached,
             ahead = plan.ahead,
             expected_ms = plan.expected as u64;
@@ -392,8 +399,9 @@
             memory: self.job.ask.prompt,
         };
         let _load = self.gateway.load(&target.id, load);
-        self.keeps(target);
+        self.keeps(target, plan.expected);
         let began = Instant::now();
+        let fetch = plan.fetch.as_ref().and_then(|id| self.gateway.target(id));
         let patience = Duration::from_secs_f64(plan.expected * PROMPT_FACTOR / 1000.0);
         let wait = left.min(patience.max(PROMPT_PATIENCE));
         let sent = Sent {
@@ -401,6 +409,7 @@
             left,
             priority: Some(self.job.route.priority),
             work: Work::Prompt,
+            fetch: fetch.map(|engine| engine.address),
             last_event: None,
         };
         let exchange = async {
@@ -474,6 +483,7 @@
             left,
             priority: Some(self.job.route.priority),
             work: source.as_deref().map_or(Work::Whole, Work::From),
+            fetch: None,
             last_event,
         };
         let wait = left.min(self.head_patience(plan));
@@ -519,7 +529,7 @@
             since_arrival_ms = self.job.arrived.elapsed().as_millis() as u64;
             "stream begun"
         );
-        self.keeps(target);
+        self.keeps(target, 0.0);
         Ok(Opened {
             headers: head.headers,
             body,
@@ -535,20 +545,23 @@
             return Duration::MAX;
         }
         let expected = Duration::from_secs_f64(plan.expected * PROMPT_FACTOR / 1000.0);
-        (self.job.route.objective * 2).max(expected)
+        self.job.route.patience.max(expected)
     }
 
-    /// Records that a target keeps the shared parts of the prompt.
-    fn keeps(&self, target: &Target) {
+    /// Records that a target keeps the shared parts of the prompt, or will after some milliseconds.
+    fn keeps(&self, target: &Target, ready_in: f64) {
         let service = self.job.document.services.get(&self.job.service);
         let Some(engine) = service.and_then(|service| service.engine.as_ref()) else {
             return;
         };
         let now = self.gateway.now();
-        let shared = self.job.ask.shared();
-        self.gateway
-            .placer()
-            .keeps(&target.id, shared, engine.memory, now);
+        self.gateway.placer().keeps(
+            &target.id,
+            &self.job.ask.parts,
+            engine.memory,
+            ready_in,
+            now,
+        );
     }
 }
 
--- a/crates/cactuslane-gateway/src/orders.rs
+++ b/crates/cactuslane-gateway/src/orders.rs
@@ -131,10 +131,9 @@
         for group in groups(gateway) {
             let engines = engines(gateway, &group, now);
             let plan = self.plans.entry(group.service.clone()).or_default();
-            let prompted = gateway.placer().picture.all_prompts();
-            let generating = engines.values().filter(|(role, _)| role.decodes());
-            let streams = generating.map(|(_, streams)| streams).sum();
-            plan.observe(prompted, streams, now);
+            let placed = gateway.placer().picture.all_placed();
+            let (streams, memory) = generating(gateway, &group, now);
+            plan.observe(placed, streams, memory, &group.engine, now);
             if gateway.office().may_order().is_none() {
                 continue;
             }
@@ -147,7 +146,7 @@
             let mut free = engines;
             free.retain(|id, _| !self.busy.contains_key(id));
             let speed = gateway.placer().speed;
-            for change in plan.changes(&free, group.engine.slots, speed, most, now) {
+            for change in plan.changes(&free, &group.engine, speed, most, now) {
                 let Some(target) = group.targets.iter().find(|t| t.id == change.target) else {
                     continue;
                 };
@@ -155,7 +154,9 @@
                 info!(
                     target_id = target.id,
                     role:? = change.role,
-                    engines = group.targets.len();
+                    engines = group.targets.len(),
+                    prompts:% = plan.demand().prefill,
+                    streams:% = plan.demand().decode;
                     "role change planned"
                 );
                 let task = carry_out(gateway.clone(), target.clone(), change.role);
@@ -203,6 +204,21 @@
     engines
 }
 
+/// Returns the streams of a group's generating engines and the memory that they need, in tokens.
+fn generating(gateway: &Gateway, group: &Group, now: Millis) -> (usize, u64) {
+    let placer = gateway.placer();
+    let (mut streams, mut memory) = (0, 0);
+    for target in &group.targets {
+        if !target.role.decodes() {
+            continue;
+        }
+        let load = placer.picture.load(&target.id, now);
+        streams += load.running as usize;
+        memory += u64::from(load.memory);
+    }
+    (streams, memory)
+}
+
 /// Changes the role of one engine, and keeps work away from it meanwhile.
 async fn carry_out(gateway: Arc<Gateway>, target: Target, role: Role) {
     let _guard = ChangingGuard::new(&gateway, &target.id);
--- a/crates/cactuslane-gateway/src/peers.rs
+++ b/crates/cactuslane-gateway/src/peers.rs
@@ -62,7 +62,7 @@
         gateway.pool.sweep();
         let mut placer = gateway.placer();
         let (loads, mut uses) = (placer.picture.loads(), placer.take_untold());
-        let prompted = placer.picture.own_prompts();
+        let work = placer.picture.own_placed();
         let changing = placer.picture.own_changing().to_vec();
         drop(placer);
         let same = loads == self.told && uses.is_empty();
@@ -77,7 +77,7 @@
             sequence: self.sequence,
             loads,
             uses,
-            prompted,
+            placed: work,
             changing,
         };
         let message = match postcard::to_stdvec(&told) {
--- a/crates/cactuslane-place/src/cache.rs
+++ b/crates/cactuslane-place/src/cache.rs
@@ -5,18 +5,29 @@
 use cactuslane_flight::ask::{Part, PartId};
 use cactuslane_types::Millis;
 
-/// Share of an engine's memory that is believed to hold shared parts.
-const CACHE_SHARE: f64 = 0.7;
+/// Share of an engine's memory that is believed to hold parts that no request needs now.
+const CACHE_SHARE: f64 = 0.8;
 
 /// The parts that an engine is believed to keep, least recently used first to go.
 #[derive(Clone, Debug, Default)]
 pub struct CacheBelief {
-    /// The parts with their tokens and last use.
-    parts: BTreeMap<PartId, (u32, Millis)>,
+    /// The parts by id.
+    parts: BTreeMap<PartId, Kept>,
     /// The tokens of all parts.
     total: u64,
 }
 
+/// One part that an engine is believed to keep.
+#[derive(Clone, Copy, Debug)]
+struct Kept {
+    /// Its length in tokens.
+    tokens: u32,
+    /// The time of its last use.
+    used: Millis,
+    /// The time at which it is computed.
+    ready: Millis,
+}
+
 impl CacheBelief {
     /// Returns the tokens of a prompt that need not be computed.
     #[must_use]
@@ -31,17 +42,37 @@
         tokens
     }
 
+    /// Returns the tokens of a prompt that another engine can fetch at a time.
+    #[must_use]
+    pub fn ready(&self, shared: &[Part], at: Millis) -> u32 {
+        let mut tokens = 0;
+        for part in shared {
+            if self.parts.get(&part.id).is_none_or(|kept| kept.ready > at) {
+                break;
+            }
+            tokens += part.tokens;
+        }
+        tokens
+    }
+
     /// Returns the tokens of all parts that are believed to be kept.
     #[must_use]
     pub fn total(&self) -> u64 {
         self.total
     }
 
-    /// Records the use of parts at an engine with a memory in tokens.
-    pub fn used(&mut self, shared: &[Part], memory: u64, now: Millis) {
+    /// Records the use of parts at an engine with a memory in tokens; those that it did not keep
+    /// are ready at a time.
+    pub fn used(&mut self, shared: &[Part], memory: u64, now: Millis, ready: Millis) {
         for part in shared {
-            let old = self.parts.insert(part.id, (part.tokens, now));
-            self.total -= old.map_or(0, |(tokens, _)| u64::from(tokens));
+            let old = self.parts.get(&part.id).copied();
+            let kept = Kept {
+                tokens: part.tokens,
+                used: now,
+                ready: old.map_or(ready, |old| old.ready.min(ready)),
+            };
+            self.parts.insert(part.id, kept);
+            self.total -= old.map_or(0, |old| u64::from(old.tokens));
             self.total += u64::from(part.tokens);
         }
         let bound = (memory as f64 * CACHE_SHARE) as u64;
@@ -52,12 +83,12 @@
 
     /// Removes the part that was used least recently.
     fn evict(&mut self) {
-        let oldest = self.parts.iter().min_by_key(|(_, (_, used))| *used);
+        let oldest = self.parts.iter().min_by_key(|(_, kept)| kept.used);
         let Some(id) = oldest.map(|(id, _)| *id) else {
             return;
         };
-        if let Some((tokens, _)) = self.parts.remove(&id) {
-            self.total -= u64::from(tokens);
+        if let Some(kept) = self.parts.remove(&id) {
+            self.total -= u64::from(kept.tokens);
         }
     }
 }
--- a/crates/cactuslane-place/src/lib.rs
+++ b/crates/cactuslane-place/src/lib.rs
@@ -10,7 +10,7 @@
 pub mod speed;
 
 pub use cache::CacheBelief;
-pub use picture::{Load, Picture, Told, Use};
+pub use picture::{Load, Picture, Placed, Told, Use};
 pub use placer::{Placement, Placer, Plan, Wanted};
 pub use roles::RolePlan;
 pub use speed::PromptSpeed;
--- a/crates/cactuslane-place/src/picture.rs
+++ b/crates/cactuslane-place/src/picture.rs
@@ -20,6 +20,15 @@
     pub memory: u32,
 }
 
+/// Work that was placed.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Placed {
+    /// The prompt tokens to compute.
+    pub prompt: u64,
+    /// The streams.
+    pub streams: u64,
+}
+
 /// Parts of a prompt that a target has computed or fetched.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Use {
@@ -27,6 +36,8 @@
     pub target: TargetId,
     /// The ids and tokens of the parts, in order.
     pub parts: Vec<(u64, u32)>,
+    /// The time until the parts are there, in milliseconds.
+    pub ready_in: u32,
 }
 
 /// What an instance tells the others.
@@ -42,8 +53,8 @@
     pub loads: Vec<(TargetId, Load)>,
     /// The uses since the message before.
     pub uses: Vec<Use>,
-    /// The prompt tokens that it has placed since its start.
-    pub prompted: u64,
+    /// The work that it has placed since its start.
+    pub placed: Placed,
     /// The engines whose role it is changing.
     pub changing: Vec<TargetId>,
 }
@@ -57,8 +68,8 @@
     heard: Millis,
     /// Its load at each target.
     loads: BTreeMap<TargetId, Load>,
-    /// The prompt tokens that it has placed since its start.
-    prompted: u64,
+    /// The work that it has placed since its start.
+    placed: Placed,
     /// The engines whose role it is changing.
     changing: Vec<TargetId>,
 }
@@ -72,10 +83,10 @@
     peers: BTreeMap<InstanceId, Peer>,
     /// The engines whose role this instance is changing.
     changing: Vec<TargetId>,
-    /// The prompt tokens that this instance has placed.
-    prompted: u64,
-    /// The prompt tokens that the other instances have placed, as far as they were heard.
-    heard_prompts: u64,
+    /// The work that this instance has placed.
+    placed: Placed,
+    /// The work that the other instances have placed, as far as they were heard.
+    heard_placed: Placed,
 }
 
 impl Load {
@@ -135,31 +146,36 @@
             version,
             heard: now,
             loads: told.loads.iter().cloned().collect(),
-            prompted: told.prompted,
+            placed: told.placed,
             changing: told.changing.clone(),
         };
         let before = known.filter(|peer| peer.version.0 == told.started);
-        let before = before.map_or(told.prompted, |peer| peer.prompted);
-        self.heard_prompts += told.prompted.saturating_sub(before);
+        let before = before.map_or(told.placed, |peer| peer.placed);
+        self.heard_placed.prompt += told.placed.prompt.saturating_sub(before.prompt);
+        self.heard_placed.streams += told.placed.streams.saturating_sub(before.streams);
         self.peers.insert(told.instance.clone(), peer);
         true
     }
 
-    /// Records prompt tokens that were placed.
-    pub fn prompted(&mut self, tokens: u32) {
-        self.prompted += u64::from(tokens);
+    /// Records a generation that was placed, with the prompt tokens to compute.
+    pub fn placed(&mut self, prompt: u32) {
+        self.placed.prompt += u64::from(prompt);
+        self.placed.streams += 1;
     }
 
-    /// Returns the prompt tokens that this instance has placed.
+    /// Returns the work that this instance has placed.
     #[must_use]
-    pub fn own_prompts(&self) -> u64 {
-        self.prompted
+    pub fn own_placed(&self) -> Placed {
+        self.placed
     }
 
-    /// Returns the prompt tokens that all instances have placed, as far as they were heard.
+    /// Returns the work that all instances have placed, as far as they were heard.
     #[must_use]
-    pub fn all_prompts(&self) -> u64 {
-        self.prompted + self.heard_prompts
+    pub fn all_placed(&self) -> Placed {
+        Placed {
+            prompt: self.placed.prompt + self.heard_placed.prompt,
+            streams: self.placed.streams + self.heard_placed.streams,
+        }
     }
 
     /// Sets the engines whose role this instance is changing.
--- a/crates/cactuslane-place/src/placer.rs
+++ b/crates/cactuslane-place/src/placer.rs
@@ -25,8 +25,10 @@
 const PAUSE_SHARE: f64 = 0.5;
 /// Pause between events that is assumed where a route states none, in milliseconds.
 const DEFAULT_PAUSE: f64 = 150.0;
-/// Share of an engine's memory that requests may take.
-const MEMORY_SHARE: f64 = 0.85;
+/// Share of an engine's memory above which requests are expected to wait for it.
+const MEMORY_SHARE: f64 = 0.8;
+/// Cost of all of an engine's memory that is missing, in milliseconds.
+const SHORTAGE_COST: f64 = 2_000.0;
 /// Time for fixed costs of a transfer between two engines, in milliseconds.
 const TRANSFER_COST: f64 = 10.0;
 /// Weight of a full cache against an empty one in the choice of a new home, in milliseconds.
@@ -35,10 +37,14 @@
 const FAILURE_STREAK: u32 = 4;
 /// Part of a prompt's time at a generating engine that each of its streams loses.
 const STALL_WEIGHT: f64 = 0.3;
-/// Weight of computing shared parts again that some engine keeps, against waiting for it.
-const REREAD_WEIGHT: f64 = 2.0;
+/// Weight of the work that a prompt adds for those behind it, against its own wait.
+const REREAD_WEIGHT: f64 = 1.0;
+/// Part of the time to compute tokens that fetching them costs, as they displace others.
+const FETCH_WEIGHT: f64 = 0.25;
+/// Fewest tokens that are fetched from another engine.
+const MIN_FETCH: u32 = 512;
 /// Factor on the expected time above which a request is not taken any more.
-const REFUSE_FACTOR: f64 = 1.2;
+const REFUSE_FACTOR: f64 = 1.0;
 
 /// Chooses targets by load, prefix caches, place and health.
 #[derive(Clone, Debug)]
@@ -77,7 +83,9 @@
     pub engine: &'a Engine,
     /// The longest pause between events that is on time.
     pub pause: Option<Duration>,
-    /// The time that is left.
+    /// The time within which the first event is on time.
+    pub objective: Duration,
+    /// The time that is left, or after which the caller leaves.
     pub left: Duration,
     /// Whether the prompt may be computed at another engine than the one that generates.
     pub split: bool,
@@ -92,6 +100,8 @@
     pub prefill: Option<TargetId>,
     /// The engine that generates.
     pub decode: TargetId,
+    /// The engine from which shared parts are fetched first.
+    pub fetch: Option<TargetId>,
     /// The prompt tokens that are to be computed.
     pub uncached: u32,
     /// The prompt tokens ahead of it.
@@ -165,6 +175,8 @@
         let pause = wanted
             .pause
             .map_or(DEFAULT_PAUSE, |pause| pause.as_secs_f64() * 1000.0);
+        let objective = wanted.objective.as_secs_f64() * 1000.0;
+        let left = wanted.left.as_secs_f64() * 1000.0;
         let own = self.speed.direct_ms(f64::from(direct.uncached));
         let fits = own <= pause * PAUSE_SHARE;
         let split = if wanted.split {
@@ -173,10 +185,11 @@
             None
         };
         let plan = match split {
-            Some((cost, split)) if !fits || cost <= direct_cost => split,
+            Some((cost, split)) if cost <= direct_cost => split,
+            // A prompt that is too long here is better late elsewhere, but not far too late.
+            Some((_, split)) if !fits && split.expected <= objective * 1.5 => split,
             _ => direct,
         };
-        let left = wanted.left.as_secs_f64() * 1000.0;
         if plan.expected > left * REFUSE_FACTOR {
             let excess = Duration::from_secs_f64((plan.expected - left).max(0.0) / 1000.0);
             return Placement::Overloaded { excess };
@@ -206,16 +219,17 @@
         condition.health.failed(now);
     }
 
-    /// Records that an engine now keeps shared parts of a prompt.
-    pub fn keeps(&mut self, target: &str, shared: &[Part], memory: u64, now: Millis) {
-        if shared.is_empty() {
+    /// Records that an engine keeps the parts of a prompt, or will after some milliseconds.
+    pub fn keeps(&mut self, target: &str, parts: &[Part], memory: u64, ready_in: f64, now: Millis) {
+        if parts.is_empty() {
             return;
         }
         let cache = self.caches.entry(target.to_owned()).or_default();
-        cache.used(shared, memory, now);
+        cache.used(parts, memory, now, now + ready_in as Millis);
         self.untold.push(Use {
             target: target.to_owned(),
-            parts: told_parts(shared),
+            parts: told_parts(parts),
+            ready_in: ready_in as u32,
         });
     }
 
@@ -225,7 +239,9 @@
         self.picture.hear(told, now);
         for told_use in &told.uses {
             let cache = self.caches.entry(told_use.target.clone()).or_default();
-            cache.used(&heard_parts(&told_use.parts), memory(&told_use.target), now);
+            let ready = now + Millis::from(told_use.ready_in);
+            let memory = memory(&told_use.target);
+            cache.used(&heard_parts(&told_use.parts), memory, now, ready);
         }
     }
 
@@ -272,7 +288,7 @@
     ) -> Option<(f64, Plan)> {
         let mut best: Option<(f64, Plan)> = None;
         for target in targets {
-            if !target.role.decodes() || self.is_full(target, wanted, now) {
+            if !target.role.decodes() {
                 continue;
             }
             let load = self.picture.load(&target.id, now);
@@ -281,9 +297,10 @@
             let expected = self.speed.direct_ms(tokens) * self.factor(&target.id, now);
             let own = self.speed.direct_ms(f64::from(uncached));
             let stalled = own * f64::from(load.running) * STALL_WEIGHT;
-            let cost = expected + stalled + self.decode_cost(target, load);
+            let cost = expected + stalled + self.decode_cost(target, load, wanted);
             if best.as_ref().is_none_or(|(least, _)| cost < *least) {
                 let plan = Plan {
+                    fetch: None,
                     prefill: None,
                     decode: target.id.clone(),
                     uncached,
@@ -309,13 +326,29 @@
         let transfer = TRANSFER_COST + bytes / link;
         let mut best: Option<(f64, Plan)> = None;
         for target in targets {
-            if target.role != cactuslane_types::Role::Prefill || self.is_full(target, wanted, now) {
+            if target.role != cactuslane_types::Role::Prefill {
                 continue;
             }
             let load = self.picture.load(&target.id, now);
-            let uncached = self.uncached(&target.id, wanted.ask);
-            let tokens = f64::from(load.prompt + uncached);
-            let computing = self.speed.prefill_ms(tokens) * self.factor(&target.id, now);
+            let factor = self.factor(&target.id, now);
+            let waiting = self.speed.prefill_ms(f64::from(load.prompt)) * factor;
+            let begins = now + waiting as Millis;
+            let missing = self.uncached(&target.id, wanted.ask);
+            let source = self.source(targets, target, wanted.ask, begins);
+            let (fetch, fetched) = match source {
+                Some((source, ready)) if wanted.ask.prompt - ready < missing => {
+                    (Some(source), missing - (wanted.ask.prompt - ready))
+                }
+                _ => (None, 0),
+            };
+            let uncached = missing - fetched;
+            let fetching = if fetch.is_some() {
+                TRANSFER_COST + f64::from(fetched) * wanted.engine.token_bytes / link
+            } else {
+                0.0
+            };
+            let own = self.speed.prefill_ms(f64::from(uncached)) * factor;
+            let computing = waiting + fetching + own;
             let filled = self.caches.get(&target.id).map_or(0, CacheBelief::total);
             let full = filled as f64 / (wanted.engine.memory.max(1)) as f64;
             let apart = if target.domain == decode.domain {
@@ -324,17 +357,16 @@
                 2.0
             };
             let expected = computing + transfer * apart;
-            let shared: u32 = wanted.ask.shared().iter().map(|part| part.tokens).sum();
-            let own = wanted.ask.prompt.saturating_sub(shared);
-            let reread = f64::from(uncached.saturating_sub(own));
             let cost = expected
-                + self.speed.prefill_ms(reread) * REREAD_WEIGHT
+                + self.speed.prefill_ms(f64::from(fetched)) * FETCH_WEIGHT
+                + own * REREAD_WEIGHT
                 + decode_cost
                 + full * FULL_COST
                 + self.place_cost(target)
                 + self.random.random_range(0.0..NOISE);
             if best.as_ref().is_none_or(|(least, _)| cost < *least) {
                 let plan = Plan {
+                    fetch,
                     prefill: Some(target.id.clone()),
                     decode: decode.id.clone(),
                     uncached,
@@ -356,12 +388,13 @@
     ) -> Option<(f64, &'t Target)> {
         let mut best: Option<(f64, &Target)> = None;
         for target in targets {
-            if target.role != cactuslane_types::Role::Decode || self.is_full(target, wanted, now) {
+            if target.role != cactuslane_types::Role::Decode {
                 continue;
             }
             let load = self.picture.load(&target.id, now);
             let waiting = self.speed.direct_ms(f64::from(load.prompt));
-            let cost = waiting * self.factor(&target.id, now) + self.decode_cost(target, load);
+            let cost =
+                waiting * self.factor(&target.id, now) + self.decode_cost(target, load, wanted);
             if best.is_none_or(|(least, _)| cost < least) {
                 best = Some((cost, target));
             }
@@ -370,26 +403,46 @@
     }
 
     /// Returns the cost of one more stream at an engine, in milliseconds.
-    fn decode_cost(&mut self, target: &Target, load: Load) -> f64 {
+    fn decode_cost(&mut self, target: &Target, load: Load, wanted: &Wanted<'_>) -> f64 {
         f64::from(load.running) * STREAM_COST
+            + shortage(load, wanted) * SHORTAGE_COST
             + self.place_cost(target)
             + self.random.random_range(0.0..NOISE)
     }
 
-    /// Returns whether an engine has no room for a request.
-    fn is_full(&self, target: &Target, wanted: &Wanted<'_>, now: Millis) -> bool {
-        let load = self.picture.load(&target.id, now);
-        let needed = u64::from(load.memory) + u64::from(wanted.ask.prompt + wanted.ask.output);
-        needed as f64 > wanted.engine.memory as f64 * MEMORY_SHARE && load.running > 0
-    }
-
     /// Returns the prompt tokens that an engine would have to compute.
     fn uncached(&self, target: &str, ask: &Ask) -> u32 {
         let cache = self.caches.get(target);
-        let cached = cache.map_or(0, |cache| cache.cached(ask.shared()));
+        let cached = cache.map_or(0, |cache| cache.cached(&ask.parts));
         ask.prompt.saturating_sub(cached)
     }
 
+    /// Returns the engine from which most of a prompt's shared parts can be fetched at a time, with
+    /// their tokens.
+    fn source(
+        &self,
+        targets: &[&Target],
+        reader: &Target,
+        ask: &Ask,
+        at: Millis,
+    ) -> Option<(TargetId, u32)> {
+        let mut best: Option<(u32, bool, &Target)> = None;
+        for target in targets {
+            let Some(cache) = self.caches.get(&target.id) else {
+                continue;
+            };
+            let ready = cache.ready(ask.shared(), at).min(ask.prompt);
+            let near = target.domain == reader.domain;
+            if target.id == reader.id || ready < MIN_FETCH {
+                continue;
+            }
+            if best.is_none_or(|(most, same, _)| (ready, near) > (most, same)) {
+                best = Some((ready, near, target));
+            }
+        }
+        best.map(|(ready, _, target)| (target.id.clone(), ready))
+    }
+
     /// Returns the factor by which a target is slower than expected.
     fn factor(&self, target: &str, now: Millis) -> f64 {
         self.health
@@ -406,3 +459,9 @@
         }
     }
 }
+
+/// Returns the part of an engine's memory that is missing for a request.
+fn shortage(load: Load, wanted: &Wanted<'_>) -> f64 {
+    let needed = f64::from(load.memory) + f64::from(wanted.ask.prompt + wanted.ask.output);
+    (needed / wanted.engine.memory.max(1) as f64 - MEMORY_SHARE).max(0.0)
+}
--- a/crates/cactuslane-place/src/roles.rs
+++ b/crates/cactuslane-place/src/roles.rs
@@ -2,19 +2,25 @@
 
 use std::collections::BTreeMap;
 
+use cactuslane_flight::document::Engine;
 use cactuslane_roles::{Change, Mix, PlanParams, Planner, Rates};
 use cactuslane_types::{Millis, Role, TargetId};
 
+use crate::picture::Placed;
 use crate::speed::PromptSpeed;
 
 /// Weight of the demand of one observation, for each second that it covers.
 const WEIGHT: f64 = 0.4;
 /// Time that must be observed before anything is changed, in milliseconds.
-const MIN_OBSERVED: Millis = 900;
+const MIN_OBSERVED: Millis = 1_000;
 /// Share by which the demand may be off.
 const DOUBT: f64 = 0.15;
 /// Part of an engine's slots that generate at once without pauses that callers notice.
 const SLOT_PART: f64 = 0.4;
+/// Part of an engine's memory that streams may need, so that shared parts are kept as well.
+const MEMORY_PART: f64 = 0.4;
+/// Time that a stream lasts at least, in milliseconds.
+const STREAM_MS: f64 = 900.0;
 /// Time that a change takes an engine away, in milliseconds.
 const CHANGE_MS: f64 = 3_000.0;
 /// Weight of a change, in lost engine seconds.
@@ -23,6 +29,8 @@
 const PAYBACK_MS: f64 = 60_000.0;
 /// Time after a change in which none goes the other way, in milliseconds.
 const REVERSE_PAUSE: Millis = 20_000;
+/// Smallest part of the engines that keep either role.
+const LEAST_PART: f64 = 0.25;
 /// Streams that count where none was seen, so that engines to generate are kept.
 const LEAST_STREAMS: f64 = 1.0;
 
@@ -35,8 +43,8 @@
     prompts: f64,
     /// The streams that are generated at once.
     streams: f64,
-    /// The tokens and time of the last observation.
-    last: Option<(u64, Millis)>,
+    /// The work and time of the last observation.
+    last: Option<(Placed, Millis)>,
     /// The time that was observed, in milliseconds.
     observed: Millis,
     /// The role and time of the last change.
@@ -71,23 +79,35 @@
 }
 
 impl RolePlan {
-    /// Takes the prompt tokens placed since ever, and the streams that are generated now.
-    pub fn observe(&mut self, prompted: u64, streams: usize, now: Millis) {
-        let Some((tokens, at)) = self.last.replace((prompted, now)) else {
+    /// Takes the work placed since ever, the streams that are generated now and the memory
+    /// that they need, in tokens.
+    pub fn observe(
+        &mut self,
+        placed: Placed,
+        streams: usize,
+        memory: u64,
+        engine: &Engine,
+        now: Millis,
+    ) {
+        let engines = memory as f64 / (engine.memory as f64 * MEMORY_PART).max(1.0);
+        let streams = (streams as f64).max(engines * f64::from(engine.slots) * SLOT_PART);
+        let Some((before, at)) = self.last.replace((placed, now)) else {
             return;
         };
         let elapsed = now.saturating_sub(at);
-        if elapsed == 0 || (prompted == tokens && self.observed == 0) {
+        if elapsed == 0 || (placed == before && self.observed == 0) {
             return;
         }
-        let rate = prompted.saturating_sub(tokens) as f64 / elapsed as f64;
-        let part = if self.observed == 0 {
-            1.0
-        } else {
-            (WEIGHT * elapsed as f64 / 1000.0).min(1.0)
-        };
-        self.prompts += (rate - self.prompts) * part;
-        self.streams += (streams as f64 - self.streams) * part;
+        let rate = |new: u64, old: u64| new.saturating_sub(old) as f64 / elapsed as f64;
+        let prompts = rate(placed.prompt, before.prompt);
+        // Streams that have just begun are not yet seen at their full number.
+        let streams = streams.max(rate(placed.streams, before.streams) * STREAM_MS);
+        // At first all that was seen counts alike.
+        let seen = self.observed as f64 / 1000.0;
+        let seconds = elapsed as f64 / 1000.0;
+        let part = (seconds / (seen + seconds)).max(WEIGHT * seconds).min(1.0);
+        self.prompts += (prompts - self.prompts) * part;
+        self.streams += (streams - self.streams) * part;
         self.observed += elapsed;
     }
 
@@ -97,7 +117,7 @@
     pub fn changes(
         &mut self,
         engines: &BTreeMap<TargetId, (Role, usize)>,
-        slots: u32,
+        engine: &Engine,
         speed: PromptSpeed,
         most: usize,
         now: Millis,
@@ -107,11 +127,8 @@
             return changes;
         }
         self.planner.params.rates.prefill = speed.prefill_ms(1.0);
-        self.planner.params.rates.decode = 1.0 / (f64::from(slots) * SLOT_PART).max(1.0);
-        let mix = Mix {
-            prefill: self.prompts,
-            decode: self.streams.max(LEAST_STREAMS),
-        };
+        self.planner.params.rates.decode = 1.0 / (f64::from(engine.slots) * SLOT_PART).max(1.0);
+        let mix = self.demand();
         let mut roles = engines.clone();
         while changes.len() < most {
             let Some(change) = self.planner.plan_for(&roles, mix, DOUBT, now) else {
@@ -120,7 +137,12 @@
             let reverse = |(role, at): (Role, Millis)| {
                 role != change.role && now.saturating_sub(at) < REVERSE_PAUSE
             };
-            if self.turned.is_some_and(reverse) {
+            let same = roles
+                .values()
+                .filter(|(role, _)| *role != change.role)
+                .count();
+            let least = (roles.len() as f64 * LEAST_PART).ceil() as usize;
+            if self.turned.is_some_and(reverse) || same <= least {
                 break;
             }
             self.turned = Some((change.role, now));
@@ -132,6 +154,15 @@
         changes
     }
 
+    /// Returns the demand: prompt tokens a millisecond, and streams at once.
+    #[must_use]
+    pub fn demand(&self) -> Mix {
+        Mix {
+            prefill: self.prompts,
+            decode: self.streams.max(LEAST_STREAMS),
+        }
+    }
+
     /// Records a change that was made or begun by someone.
     pub fn changed(&mut self, target: &str, now: Millis) {
         self.planner.changed(target, now);
