Keep computed prompts when an engine refuses them, and learn roles from answers

Ruled out: wrong instances behind the addresses (the answers bear the target's own id).

Change: a 421 from the target itself corrects its role until its entry changes; a computed prompt is offered to a second engine; expectations hold the learned time to the first event; fewer engines change at once and none while the store is in trouble; a stopping instance takes what can end; callers that are refused are told a time after which the queue is shorter.

--- a/crates/cactuslane-flight/src/flight.rs
+++ b/crates/cactuslane-flight/src/flight.rs
@@ -7,7 +7,7 @@
 use crate::document::Repeat;
 
 /// Sends of one request that targets may reject, beyond the attempts that may run.
-const MAX_REJECTIONS: u32 = 2;
+const MAX_REJECTIONS: u32 = 3;
 /// Connections that may fail before anything was sent.
 const MAX_UNSENT: u32 = 4;
 
--- a/crates/cactuslane-gateway/src/directory.rs
+++ b/crates/cactuslane-gateway/src/directory.rs
@@ -22,7 +22,7 @@
 use crate::upstream::set_options;
 
 /// Time for which callers may keep addresses.
-const ADDRESS_TTL: Duration = Duration::from_secs(2);
+const ADDRESS_TTL: Duration = Duration::from_secs(1);
 /// Longest time to receive the head of a question.
 const HEAD_TIMEOUT: Duration = Duration::from_secs(10);
 /// The path of the metrics.
--- a/crates/cactuslane-gateway/src/fleet.rs
+++ b/crates/cactuslane-gateway/src/fleet.rs
@@ -6,7 +6,7 @@
 
 use cactuslane_flight::document::Document;
 use cactuslane_flight::target::{Target, TargetState};
-use cactuslane_types::{Millis, TargetId};
+use cactuslane_types::{Millis, Role, TargetId};
 
 /// Time after the return of the store within which lapsed targets register again, in milliseconds.
 const REGISTER_TIME: Millis = 2200;
@@ -31,6 +31,8 @@
     target: Target,
     /// The time at which it vanished from the store.
     lapsed: Option<Millis>,
+    /// The role that the store names, where the target's own answers name another.
+    stated: Option<Role>,
 }
 
 /// What a change made of a target.
@@ -75,6 +77,14 @@
     /// Takes a target's entry.
     pub fn put(&mut self, target: Target) -> Effect {
         let old = self.targets.get(&target.id);
+        // An entry that names the same role as before is no news of a role that was seen since.
+        let seen =
+            old.filter(|old| old.stated == Some(target.role) && old.target.born == target.born);
+        let (stated, role) = match seen {
+            Some(old) => (old.stated, old.target.role),
+            None => (None, target.role),
+        };
+        let target = Target { role, ..target };
         let effect = match old {
             None => Effect::Started,
             Some(old) if old.target.born != target.born => Effect::Started,
@@ -84,10 +94,27 @@
         };
         let id = target.id.clone();
         let lapsed = None;
-        self.targets.insert(id, Entry { target, lapsed });
+        let entry = Entry {
+            target,
+            lapsed,
+            stated,
+        };
+        self.targets.insert(id, entry);
         effect
     }
 
+    /// Records that a target's own answer shows another role than the store names.
+    pub fn saw_role(&mut self, id: &str, role: Role) {
+        let Some(entry) = self.targets.get_mut(id) else {
+            return;
+        };
+        if entry.target.role == role {
+            return;
+        }
+        entry.stated.get_or_insert(entry.target.role);
+        entry.target.role = role;
+    }
+
     /// Removes a target whose entry can't be read.
     pub fn remove(&mut self, id: &str) {
         self.targets.remove(id);
@@ -162,8 +189,9 @@
         now < lapsed + self.hold || self.in_trouble(now)
     }
 
-    /// Returns whether entries may be missing because of trouble of the store.
-    fn in_trouble(&self, now: Millis) -> bool {
+    /// Returns whether entries may be missing or old because of trouble of the store.
+    #[must_use]
+    pub fn in_trouble(&self, now: Millis) -> bool {
         self.trouble
             .is_some_and(|until| now < until + REGISTER_TIME)
     }
--- a/crates/cactuslane-gateway/src/generation.rs
+++ b/crates/cactuslane-gateway/src/generation.rs
@@ -29,8 +29,8 @@
 const PIECES: usize = 64;
 /// Time after which a caller may come back when no target takes its request.
 const NO_TARGET_PAUSE: Duration = Duration::from_millis(300);
-/// Longest time that is asked of a caller before it comes back to an overloaded system.
-const MAX_PAUSE: Duration = Duration::from_secs(2);
+/// Shortest time after which a caller may come back to an overloaded system.
+const LEAST_PAUSE: Duration = Duration::from_millis(700);
 /// Times the expected time of a prompt after which its engine counts as silent.
 const PROMPT_FACTOR: f64 = 3.0;
 /// Least time after which an engine that computes a prompt counts as silent.
@@ -53,8 +53,10 @@
     flight: Flight,
     /// The targets that were tried.
     tried: Vec<String>,
-    /// Whether the prompt may still be computed at another engine.
-    split: bool,
+    /// The prompt that was computed for the request.
+    prompt: Option<Prompt>,
+    /// The prompts that engines accepted, or may have.
+    prompts: u32,
 }
 
 /// A stream that a target has begun.
@@ -107,6 +109,16 @@
     handle: engine::Handle,
     /// Whether another engine has fetched it.
     used: bool,
+    /// Whether an engine refused to go on from it.
+    refused: bool,
+}
+
+impl Prompt {
+    /// Records that an engine refused to go on from it.
+    fn refused(mut prompt: Self) -> Self {
+        prompt.refused = true;
+        prompt
+    }
 }
 
 impl Drop for Prompt {
@@ -122,7 +134,8 @@
 pub async fn execute(gateway: &Arc<Gateway>, job: Job, flight: Flight) -> Response<Reply> {
     let mut run = Run {
         gateway: gateway.clone(),
-        split: job.route.generates,
+        prompt: None,
+        prompts: 0,
         job: Arc::new(job),
         flight,
         tried: Vec::new(),
@@ -256,7 +269,7 @@
             let plan = match self.place(left) {
                 Placement::Run(plan) => plan,
                 Placement::Overloaded { excess } => {
-                    let after = excess.min(MAX_PAUSE);
+                    let after = (excess * 2 + LEAST_PAUSE).min(left / 3);
                     return answered(refuse(&self.job, &self.flight, after, "overloaded"));
                 }
                 Placement::NoTarget => {
@@ -277,8 +290,6 @@
                 ending:? = ending;
                 "attempt failed"
             );
-            // What was computed elsewhere is lost; one engine does all of it next time.
-            self.split = false;
             let budget = || self.gateway.take_repeat(&self.job.service);
             match (self.flight.after(ending, now, budget), answer) {
                 (Step::Again, _) => {}
@@ -320,10 +331,13 @@
             engine,
             pause: job.route.pause,
             objective: job.route.objective,
-            left: left.min(job.route.patience),
-            split: self.split,
+            left: left.min(job.route.patience.saturating_sub(job.arrived.elapsed())),
+            split: job.route.generates && self.prompts < job.route.max_attempts,
             tried: &self.tried,
         };
+        if self.prompt.is_some() {
+            return placer.decode(&targets, &wanted, now);
+        }
         let placement = placer.generation(&targets, &wanted, now);
         if let Placement::Run(plan) = &placement {
             let shared: u32 = job.ask.shared().iter().map(|part| part.tokens).sum();
@@ -360,28 +374,39 @@
             expected_ms = plan.expected as u64;
             "placed"
         );
-        let mut prompt = match &plan.prefill {
-            None => None,
-            Some(prefill) => {
-                let prefill = self.gateway.target(prefill).ok_or(unsent)?;
-                match self.compute(&prefill, plan, left).await {
-                    Ok(prompt) => Some(prompt),
-                    Err((ending, why)) => {
-                        info!(request = self.job.ask.id, target_id = prefill.id, why; "no prompt");
-                        let ran = matches!(ending, Ending::Unsent | Ending::Late);
-                        return Err((if ran { ending } else { Ending::Rejected }, None));
-                    }
+        if let Some(prefill) = &plan.prefill {
+            let prefill = self.gateway.target(prefill).ok_or(unsent)?;
+            let computed = self.compute(&prefill, plan, left).await;
+            if !matches!(computed, Err((Ending::Unsent | Ending::Rejected, _))) {
+                self.prompts += 1;
+            }
+            match computed {
+                Ok(prompt) => self.prompt = Some(prompt),
+                Err((ending, why)) => {
+                    info!(request = self.job.ask.id, target_id = prefill.id, why; "no prompt");
+                    // A prompt that may have been computed is no run of the request.
+                    let kept = matches!(ending, Ending::Unsent | Ending::Late);
+                    return Err((if kept { ending } else { Ending::Rejected }, None));
                 }
             }
-        };
+        }
         let target = self.gateway.target(&plan.decode);
         let target = target.ok_or((Ending::Unsent, None))?;
+        let again = self.tried.contains(&target.id);
         self.tried.push(target.id.clone());
+        let prompt = self.prompt.take();
         let result = self
             .generate(&target, plan, prompt.as_ref(), last_event)
             .await;
-        if let (Ok(_), Some(prompt)) = (&result, &mut prompt) {
-            prompt.used = true;
+        match (&result, prompt) {
+            (Ok(_), Some(mut prompt)) => prompt.used = true,
+            // Another engine may have room where this one had none.
+            (Err((Ending::Rejected | Ending::Unsent, _)), Some(prompt))
+                if !again && !prompt.refused =>
+            {
+                self.prompt = Some(Prompt::refused(prompt));
+            }
+            _ => {}
         }
         result
     }
@@ -451,6 +476,7 @@
                     target: target.clone(),
                     handle: computed.handle,
                     used: false,
+                    refused: false,
                 })
             }
             Err((ending, why)) => {
@@ -486,6 +512,7 @@
             fetch: None,
             last_event,
         };
+        let began = Instant::now();
         let wait = left.min(self.head_patience(plan));
         let result = timeout(wait, send(&self.gateway, &self.job, target, &sent)).await;
         let now = self.gateway.now();
@@ -522,7 +549,14 @@
         if !exchange::signed(&head.headers) {
             return Err((Ending::Broken, None));
         }
-        self.gateway.placer().answered(&target.id, 1.0, 1.0, now);
+        let mut placer = self.gateway.placer();
+        placer.answered(&target.id, 1.0, 1.0, now);
+        if prompt.is_some() {
+            placer
+                .speed
+                .observe_first(began.elapsed().as_secs_f64() * 1000.0);
+        }
+        drop(placer);
         info!(
             request = self.job.ask.id,
             target_id = target.id,
--- a/crates/cactuslane-gateway/src/ingress.rs
+++ b/crates/cactuslane-gateway/src/ingress.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use cactuslane_flight::document::{Document, Limits, Route};
-use cactuslane_flight::{Ask, Flight, Refusal};
+use cactuslane_flight::{Ask, Flight, Refusal, stopping};
 use cactuslane_platform::exchange;
 use http_body_util::{BodyExt, LengthLimitError, Limited};
 use hyper::body::{Bytes, Incoming};
@@ -29,8 +29,6 @@
 const UNCONFIGURED_PAUSE: Duration = Duration::from_millis(500);
 /// Time after which a caller may come back, to another instance, when this one is stopping.
 const STOPPING_PAUSE: Duration = Duration::ZERO;
-/// Part of the grace that requests may take at a stopping instance.
-const GRACE_PART: f64 = 0.8;
 /// Smallest buffer of a connection, in bytes; the library asks for as much.
 const MIN_BUFFER: usize = 8 << 10;
 
@@ -180,16 +178,12 @@
     let patience = patience
         .min(job.route.timeout)
         .saturating_sub(job.arrived.elapsed());
-    if let Some(left) = gateway.time_to_stop() {
-        let needed = if job.route.stream {
-            patience
-        } else {
-            patience.min(left)
-        };
-        if left.mul_f64(GRACE_PART) < needed.min(job.route.objective * 3) {
-            info!(request = job.ask.id, left_ms = left.as_millis() as u64; "refused: stopping");
-            return reply::refusal(&job.ask.id, Refusal::NotRun, STOPPING_PAUSE);
-        }
+    let grace = gateway.settings().grace;
+    if let Some(since) = gateway.stopping_since()
+        && !stopping::takes(since, grace, patience)
+    {
+        info!(request = job.ask.id, since_ms = since.as_millis() as u64; "refused: stopping");
+        return reply::refusal(&job.ask.id, Refusal::NotRun, STOPPING_PAUSE);
     }
     gateway.count_for(&job.service);
     let now = gateway.now();
--- a/crates/cactuslane-gateway/src/lib.rs
+++ b/crates/cactuslane-gateway/src/lib.rs
@@ -31,7 +31,7 @@
 pub use state::Gateway;
 
 /// Part of the grace at the end of which everything must have stopped.
-const STOP_RESERVE: Duration = Duration::from_millis(600);
+const STOP_RESERVE: Duration = Duration::from_millis(350);
 /// Interval at which a stopping instance looks for the end of its work.
 const STOP_CHECK: Duration = Duration::from_millis(100);
 
--- a/crates/cactuslane-gateway/src/orders.rs
+++ b/crates/cactuslane-gateway/src/orders.rs
@@ -38,7 +38,7 @@
 /// Time for which an order without an answer may still be carried out, in milliseconds.
 const DOUBT: Millis = 16_000;
 /// Part of the engines of a service that may change at once.
-const CHANGING_PART: f64 = 0.34;
+const CHANGING_PART: f64 = 0.25;
 
 /// What the holder of the office remembers.
 #[derive(Debug, Default)]
@@ -134,7 +134,8 @@
             let placed = gateway.placer().picture.all_placed();
             let (streams, memory) = generating(gateway, &group, now);
             plan.observe(placed, streams, memory, &group.engine, now);
-            if gateway.office().may_order().is_none() {
+            let troubled = gateway.fleet().in_trouble(now);
+            if troubled || gateway.office().may_order().is_none() {
                 continue;
             }
             let bound = (engines.len() as f64 * CHANGING_PART).ceil() as usize;
--- a/crates/cactuslane-gateway/src/plain.rs
+++ b/crates/cactuslane-gateway/src/plain.rs
@@ -8,6 +8,7 @@
 use cactuslane_flight::{Ending, Flight, Refusal, Step};
 use cactuslane_place::Load;
 use cactuslane_platform::exchange::{self, Sent, Verdict};
+use cactuslane_types::Role;
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::{Bytes, Incoming};
 use hyper::{Request, Response};
@@ -197,9 +198,19 @@
     *request.headers_mut() = exchange::request_headers(&job.headers, sent);
     let response = lent.send(request).await.map_err(ending_of)?;
     let status = response.status().as_u16();
-    match exchange::verdict(&job.ask.id, status, response.headers()) {
+    let verdict = exchange::verdict(&job.ask.id, &target.id, status, response.headers());
+    if verdict == Verdict::WrongRole {
+        let role = match target.role {
+            Role::Prefill => Role::Decode,
+            Role::Decode => Role::Prefill,
+            Role::Mixed => Role::Mixed,
+        };
+        info!(target_id = target.id, role:? = role; "target has another role");
+        gateway.fleet().saw_role(&target.id, role);
+    }
+    match verdict {
         Verdict::Answer => Ok((lent, response)),
-        Verdict::NotRun => {
+        Verdict::NotRun | Verdict::WrongRole => {
             let keep = exchange::keep_alive(response.headers());
             let body = Limited::new(response.into_body(), MAX_ANSWER)
                 .collect()
--- a/crates/cactuslane-gateway/src/state.rs
+++ b/crates/cactuslane-gateway/src/state.rs
@@ -161,11 +161,10 @@
         lock(&self.leaving).get_or_insert_with(Instant::now);
     }
 
-    /// Returns the time until the process is killed, if the instance is leaving.
+    /// Returns the time since the instance was told to stop, if it was.
     #[must_use]
-    pub fn time_to_stop(&self) -> Option<Duration> {
-        let since = (*lock(&self.leaving))?;
-        Some(self.settings().grace.saturating_sub(since.elapsed()))
+    pub fn stopping_since(&self) -> Option<Duration> {
+        Some((*lock(&self.leaving))?.elapsed())
     }
 
     /// Returns the number of requests under way.
--- a/crates/cactuslane-place/src/placer.rs
+++ b/crates/cactuslane-place/src/placer.rs
@@ -197,6 +197,22 @@
         Placement::Run(plan)
     }
 
+    /// Chooses the engine that generates from a prompt that was computed elsewhere.
+    pub fn decode(&mut self, targets: &[&Target], wanted: &Wanted<'_>, now: Millis) -> Placement {
+        let usable = self.usable(targets, wanted.tried, now);
+        let Some((_, decode)) = self.best_decode(&usable, wanted, now) else {
+            return Placement::NoTarget;
+        };
+        Placement::Run(Plan {
+            fetch: None,
+            prefill: None,
+            decode: decode.id.clone(),
+            uncached: 0,
+            ahead: 0,
+            expected: self.speed.first_ms(),
+        })
+    }
+
     /// Records that a target answered in a time, against the time that was expected.
     pub fn answered(&mut self, target: &str, observed_ms: f64, expected_ms: f64, now: Millis) {
         let condition = self.health.entry(target.to_owned()).or_default();
@@ -294,7 +310,8 @@
             let load = self.picture.load(&target.id, now);
             let uncached = self.uncached(&target.id, wanted.ask);
             let tokens = f64::from(load.prompt + uncached);
-            let expected = self.speed.direct_ms(tokens) * self.factor(&target.id, now);
+            let expected =
+                self.speed.direct_ms(tokens) * self.factor(&target.id, now) + self.speed.first_ms();
             let own = self.speed.direct_ms(f64::from(uncached));
             let stalled = own * f64::from(load.running) * STALL_WEIGHT;
             let cost = expected + stalled + self.decode_cost(target, load, wanted);
@@ -356,7 +373,7 @@
             } else {
                 2.0
             };
-            let expected = computing + transfer * apart;
+            let expected = computing + transfer * apart + self.speed.first_ms();
             let cost = expected
                 + self.speed.prefill_ms(f64::from(fetched)) * FETCH_WEIGHT
                 + own * REREAD_WEIGHT
--- a/crates/cactuslane-place/src/speed.rs
+++ b/crates/cactuslane-place/src/speed.rs
@@ -2,6 +2,10 @@
 
 /// Time for one prompt token before anything was observed, in milliseconds.
 const INITIAL: f64 = 0.025;
+/// Time from a computed prompt to the first event before anything was observed, in milliseconds.
+const INITIAL_FIRST: f64 = 60.0;
+/// Weight of a new observation of that time.
+const FIRST_WEIGHT: f64 = 0.1;
 /// Bounds of the learned time for one prompt token, in milliseconds.
 const RANGE: (f64, f64) = (0.002, 0.5);
 /// Weight of a new observation.
@@ -16,11 +20,16 @@
 pub struct PromptSpeed {
     /// The time for one token at an engine that computes prompts only, in milliseconds.
     token_ms: f64,
+    /// The time from a computed prompt to the first event, in milliseconds.
+    first_ms: f64,
 }
 
 impl Default for PromptSpeed {
     fn default() -> Self {
-        Self { token_ms: INITIAL }
+        Self {
+            token_ms: INITIAL,
+            first_ms: INITIAL_FIRST,
+        }
     }
 }
 
@@ -37,6 +46,17 @@
         tokens * self.token_ms * GENERATING
     }
 
+    /// Returns the time from a computed prompt to the first event, in milliseconds.
+    #[must_use]
+    pub fn first_ms(&self) -> f64 {
+        self.first_ms
+    }
+
+    /// Records the time from a computed prompt to the first event.
+    pub fn observe_first(&mut self, elapsed_ms: f64) {
+        self.first_ms += (elapsed_ms - self.first_ms) * FIRST_WEIGHT;
+    }
+
     /// Records how long an engine took for the tokens that were ahead of a prompt and its own.
     pub fn observe(&mut self, tokens: u32, elapsed_ms: f64) {
         if tokens < MIN_TOKENS {
