--- a/crates/cactuslane-gateway/src/control.rs
+++ b/crates/cactuslane-gateway/src/control.rs
@@ -223,7 +223,7 @@
     let settle = (gateway.settings().order_gap + LEASE_TTL).as_millis() as Millis;
     gateway
         .office()
-        .observed(holder, revision, &gateway.holder(), settle);
+        .observed(holder, revision, &gateway.holder(), settle, boot_millis());
 }
 
 /// Puts a configuration in force.
--- a/crates/cactuslane-gateway/src/office.rs
+++ b/crates/cactuslane-gateway/src/office.rs
@@ -1,4 +1,6 @@
 //! The office of the one instance that gives orders to engines.
+//!
+//! All times are those of [`boot_millis`].
 
 use cactuslane_authority::tenure::{Tenure, sure_until};
 use cactuslane_store::kv::{Lease, Update};
@@ -61,14 +63,21 @@
     ///
     /// News from before this process took the office is old. An office that this process took
     /// without getting the answer is found here; it settles for `settle` milliseconds.
-    pub fn observed(&mut self, holder: Option<Holder>, revision: u64, me: &Holder, settle: Millis) {
+    pub fn observed(
+        &mut self,
+        holder: Option<Holder>,
+        revision: u64,
+        me: &Holder,
+        settle: Millis,
+        now: Millis,
+    ) {
         if self.tenure.is_some_and(|tenure| revision < tenure.fencing) {
             return;
         }
         if holder.as_ref() != Some(me) {
             self.tenure = None;
         } else if self.tenure.is_none() {
-            self.acquired(revision, settle);
+            self.acquired(revision, settle, now);
         }
         self.leader = holder;
     }
@@ -83,9 +92,15 @@
     /// `gap` is the time that must lie between orders of two holders, in milliseconds, and `ttl`
     /// that for which a holder that is cut off may believe in its lease.
     #[must_use]
-    pub fn candidacy(&self, me: &Holder, gap: Millis, ttl: Millis) -> Option<Candidacy> {
+    pub fn candidacy(
+        &self,
+        me: &Holder,
+        gap: Millis,
+        ttl: Millis,
+        now: Millis,
+    ) -> Option<Candidacy> {
         let (lease, holds) = self.lease?;
-        if self.leader.is_some() || self.tenure.is_some() || boot_millis() >= holds {
+        if self.leader.is_some() || self.tenure.is_some() || now >= holds {
             return None;
         }
         let value = serde_json::to_vec(me).unwrap_or_default();
@@ -106,11 +121,11 @@
     }
 
     /// Records that the office was taken.
-    pub fn acquired(&mut self, fencing: Fencing, settle: Millis) {
+    pub fn acquired(&mut self, fencing: Fencing, settle: Millis, now: Millis) {
         let Some((_, holds)) = self.lease else {
             return;
         };
-        self.tenure = Some(Tenure::acquired(fencing, boot_millis(), settle, holds));
+        self.tenure = Some(Tenure::acquired(fencing, now, settle, holds));
     }
 
     /// Gives the office up; true if this process held it.
@@ -119,11 +134,8 @@
     }
 
     /// Returns whether this process holds the office, and drops one whose lease may have lapsed.
-    pub fn is_held(&mut self) -> bool {
-        if self
-            .tenure
-            .is_some_and(|tenure| tenure.is_over(boot_millis()))
-        {
+    pub fn is_held(&mut self, now: Millis) -> bool {
+        if self.tenure.is_some_and(|tenure| tenure.is_over(now)) {
             self.tenure = None;
         }
         self.tenure.is_some()
@@ -131,9 +143,9 @@
 
     /// Returns the fencing number of an order that is sent right now, if one may be.
     #[must_use]
-    pub fn may_order(&self) -> Option<Fencing> {
+    pub fn may_order(&self, now: Millis) -> Option<Fencing> {
         let tenure = self.tenure?;
-        tenure.may_order(boot_millis()).then_some(tenure.fencing)
+        tenure.may_order(now).then_some(tenure.fencing)
     }
 }
 
--- a/crates/cactuslane-gateway/src/orders.rs
+++ b/crates/cactuslane-gateway/src/orders.rs
@@ -19,7 +19,7 @@
 use tokio::time::{Instant, sleep, timeout};
 
 use crate::control::LEASE_TTL;
-use crate::office::{Holder, LEADER};
+use crate::office::{Holder, LEADER, boot_millis};
 use crate::plain::whole_body;
 use crate::state::Gateway;
 
@@ -79,7 +79,7 @@
             resign(&gateway).await;
             return;
         }
-        if gateway.office().is_held() {
+        if gateway.office().is_held(boot_millis()) {
             vacant_until = None;
             desk.work(&gateway);
             continue;
@@ -88,7 +88,7 @@
         let me = gateway.holder();
         let gap = gateway.settings().order_gap.as_millis() as Millis;
         let ttl = LEASE_TTL.as_millis() as Millis;
-        let Some(candidacy) = gateway.office().candidacy(&me, gap, ttl) else {
+        let Some(candidacy) = gateway.office().candidacy(&me, gap, ttl, boot_millis()) else {
             vacant_until = None;
             continue;
         };
@@ -101,7 +101,9 @@
         match gateway.store.update(&candidacy.update).await {
             Ok(fencing) => {
                 info!(fencing, settle_ms = candidacy.settle; "office taken");
-                gateway.office().acquired(fencing, candidacy.settle);
+                gateway
+                    .office()
+                    .acquired(fencing, candidacy.settle, boot_millis());
             }
             Err(error) => info!(error:% = error; "office not taken"),
         }
@@ -135,7 +137,7 @@
             let (streams, memory) = generating(gateway, &group, now);
             plan.observe(placed, streams, memory, &group.engine, now);
             let troubled = gateway.fleet().in_trouble(now);
-            if troubled || gateway.office().may_order().is_none() {
+            if troubled || gateway.office().may_order(boot_millis()).is_none() {
                 continue;
             }
             let bound = (engines.len() as f64 * CHANGING_PART).ceil() as usize;
@@ -275,7 +277,7 @@
 ) -> Result<OrderAnswer, CallError> {
     let connection = gateway.pool.checkout(&target.id, target.address).await;
     let mut connection = connection.map_err(call_error)?;
-    let Some(fencing) = gateway.office().may_order() else {
+    let Some(fencing) = gateway.office().may_order(boot_millis()) else {
         return Err(CallError::Unsent("the office is not held".to_owned()));
     };
     let Holder { instance, .. } = gateway.holder();
--- /dev/null
+++ b/crates/cactuslane-gateway/tests/knowledge.rs
@@ -0,0 +1,206 @@
+//! What an instance believes of targets, of the others and of the office.
+
+use cactuslane_flight::document::Document;
+use cactuslane_flight::target::{Target, TargetState};
+use cactuslane_gateway::fleet::{Effect, Fleet};
+use cactuslane_gateway::members::{Member, Members};
+use cactuslane_gateway::office::{Holder, Office};
+use cactuslane_types::Role;
+
+/// Creates a target.
+fn target(id: &str, state: TargetState) -> Target {
+    Target {
+        id: id.to_owned(),
+        service: "desk".to_owned(),
+        address: "127.0.0.1:1".parse().expect("it is an address"),
+        domain: "a".to_owned(),
+        slots: 6,
+        role: Role::Decode,
+        state,
+        born: Some(1),
+        models: vec!["m".to_owned()],
+    }
+}
+
+/// Returns the ids of the targets that take work.
+fn ids(fleet: &Fleet, now: u64) -> Vec<String> {
+    let targets = fleet.targets("desk", Some("m"), now);
+    targets.iter().map(|target| target.id.clone()).collect()
+}
+
+#[test]
+fn an_older_configuration_never_comes_back() {
+    let version = |version| Document {
+        version,
+        ..Document::default()
+    };
+    let mut fleet = Fleet::default();
+    assert!(fleet.configure(version(7)));
+    assert!(!fleet.configure(version(4)));
+    assert!(!fleet.configure(version(7)));
+    assert!(fleet.configure(version(12)));
+    assert_eq!(fleet.document().expect("one is in force").version, 12);
+}
+
+#[test]
+fn a_draining_target_gets_no_new_work_even_alone() {
+    let mut fleet = Fleet::default();
+    fleet.put(target("i-1", TargetState::Ready));
+    fleet.put(target("i-1", TargetState::Draining));
+    assert!(ids(&fleet, 0).is_empty());
+    fleet.note_trouble(0);
+    assert!(fleet.lapse("i-1", 10));
+    assert!(ids(&fleet, 20).is_empty());
+}
+
+#[test]
+fn a_vanished_target_is_used_only_where_no_other_is_left_and_not_for_long() {
+    let mut fleet = Fleet::default();
+    fleet.set_hold(std::time::Duration::from_secs(2));
+    fleet.put(target("i-1", TargetState::Ready));
+    fleet.put(target("i-2", TargetState::Ready));
+    fleet.lapse("i-1", 1_000);
+    assert_eq!(ids(&fleet, 1_100), ["i-2"]);
+    fleet.lapse("i-2", 1_000);
+    assert_eq!(ids(&fleet, 1_100), ["i-1", "i-2"]);
+    assert!(ids(&fleet, 2_000).is_empty());
+}
+
+#[test]
+fn targets_that_lapse_while_the_store_is_away_stay_until_they_can_be_back() {
+    let mut fleet = Fleet::default();
+    fleet.put(target("i-1", TargetState::Ready));
+    fleet.put(target("i-2", TargetState::Ready));
+    fleet.note_trouble(5_000);
+    fleet.retain(&["i-2".to_owned()], 5_100);
+    assert_eq!(ids(&fleet, 7_000), ["i-1", "i-2"]);
+    assert_eq!(ids(&fleet, 7_300), ["i-2"]);
+}
+
+#[test]
+fn a_new_start_under_the_same_id_is_noticed() {
+    let mut fleet = Fleet::default();
+    assert_eq!(
+        fleet.put(target("i-1", TargetState::Ready)),
+        Effect::Started
+    );
+    assert_eq!(fleet.put(target("i-1", TargetState::Ready)), Effect::Same);
+    let again = Target {
+        born: Some(2),
+        ..target("i-1", TargetState::Ready)
+    };
+    assert_eq!(fleet.put(again), Effect::Started);
+}
+
+#[test]
+fn a_role_that_a_target_shows_outlives_its_old_entry() {
+    let mut fleet = Fleet::default();
+    fleet.put(target("i-1", TargetState::Ready));
+    fleet.saw_role("i-1", Role::Prefill);
+    let role = |fleet: &Fleet| fleet.known("i-1").expect("it is known").role;
+    fleet.put(target("i-1", TargetState::Ready));
+    assert_eq!(role(&fleet), Role::Prefill);
+    let changed = Target {
+        role: Role::Prefill,
+        ..target("i-1", TargetState::Ready)
+    };
+    fleet.put(changed);
+    fleet.put(target("i-1", TargetState::Ready));
+    assert_eq!(role(&fleet), Role::Decode);
+}
+
+/// Creates the entry of an instance.
+fn member(name: &str, leaving: bool) -> Member {
+    Member {
+        instance: name.to_owned(),
+        front: format!("127.0.0.1:{}", name.len())
+            .parse()
+            .expect("it is an address"),
+        peer: "127.0.0.1:9".parse().expect("it is an address"),
+        domain: "a".to_owned(),
+        leaving,
+        started: 1,
+    }
+}
+
+#[test]
+fn callers_are_sent_to_instances_that_live() {
+    let mut members = Members::default();
+    members.put(member("a", false), 0);
+    members.put(member("bb", false), 0);
+    members.put(member("ccc", true), 0);
+    members.heard("a", 5_000);
+    members.heard("ccc", 5_000);
+    let ports = |members: &Members, now| -> Vec<u16> {
+        members
+            .serving(now)
+            .iter()
+            .map(|(address, _)| address.port())
+            .collect()
+    };
+    assert_eq!(ports(&members, 5_100), [1], "one is silent, one is leaving");
+    // Heard of nobody: the fault is nearer here, and all that are registered are named.
+    assert_eq!(ports(&members, 9_000), [1, 2]);
+    // An entry that lapsed with the store is no reason while the instance is heard.
+    members.lapse("a", 9_000);
+    members.heard("a", 9_050);
+    assert_eq!(ports(&members, 9_100), [1]);
+    assert_eq!(members.sweep(20_000), ["a"]);
+}
+
+/// Creates the holder of a name.
+fn holder(name: &str) -> Holder {
+    Holder {
+        instance: name.to_owned(),
+        started: 1,
+    }
+}
+
+#[test]
+fn the_office_is_taken_once_and_settles_after_another_holder() {
+    let mut office = Office::default();
+    let me = holder("a");
+    assert!(
+        office.candidacy(&me, 3_300, 4_000, 1_100).is_none(),
+        "no lease, and the store was not read"
+    );
+    office.observed_last(Some("b".to_owned()), 5);
+    office.renewed(77, 1_000, 4_000);
+    let candidacy = office
+        .candidacy(&me, 3_300, 4_000, 1_100)
+        .expect("the office is vacant");
+    assert_eq!(candidacy.settle, 7_300);
+    assert_eq!(candidacy.update.expected[1].1, 5);
+    office.acquired(9, candidacy.settle, 1_100);
+    assert!(office.is_held(1_200) && office.may_order(1_200).is_none());
+    // News from before is old; news of another holder ends it.
+    office.observed(None, 8, &me, 0, 1_200);
+    assert!(office.is_held(1_200));
+    office.observed(Some(holder("b")), 12, &me, 0, 1_200);
+    assert!(!office.is_held(1_200));
+}
+
+#[test]
+fn a_holder_that_comes_back_under_its_name_needs_no_settling() {
+    let mut office = Office::default();
+    let me = holder("a");
+    office.observed_last(Some("a".to_owned()), 5);
+    office.renewed(77, 1_000, 4_000);
+    let candidacy = office
+        .candidacy(&me, 3_300, 4_000, 1_100)
+        .expect("the office is vacant");
+    office.acquired(9, candidacy.settle, 1_100);
+    assert_eq!(office.may_order(1_200), Some(9));
+    office.lapsed();
+    assert!(office.may_order(1_200).is_none());
+}
+
+#[test]
+fn an_office_taken_without_an_answer_is_found_and_settles() {
+    let mut office = Office::default();
+    let me = holder("a");
+    office.observed_last(None, 0);
+    office.renewed(77, 1_000, 4_000);
+    office.observed(Some(me.clone()), 12, &me, 7_300, 1_200);
+    assert!(office.is_held(1_200) && office.may_order(1_200).is_none());
+}
--- /dev/null
+++ b/crates/cactuslane-place/tests/placing.rs
@@ -0,0 +1,238 @@
+//! The choice of engines under loads that the platform brings.
+
+use std::time::Duration;
+
+use cactuslane_flight::ask::{Ask, Part};
+use cactuslane_flight::document::Engine;
+use cactuslane_flight::target::{Target, TargetState};
+use cactuslane_place::picture::Told;
+use cactuslane_place::{CacheBelief, Load, Placed, Placement, Placer, Plan, Wanted};
+use cactuslane_types::Role;
+use yare::parameterized;
+
+/// Creates an engine with a role.
+fn engine(id: &str, role: Role) -> Target {
+    Target {
+        id: id.to_owned(),
+        service: "model".to_owned(),
+        address: "127.0.0.1:1".parse().expect("it is an address"),
+        domain: "a".to_owned(),
+        slots: 64,
+        role,
+        state: TargetState::Ready,
+        born: None,
+        models: Vec::new(),
+    }
+}
+
+/// The measures of the engines.
+fn measures() -> Engine {
+    Engine {
+        slots: 64,
+        memory: 490_000,
+        token_bytes: 163_840.0,
+        link_mbps: 1_700_000.0,
+        handle_ttl: Duration::from_secs(5),
+    }
+}
+
+/// Creates a request with a shared part and one of its own.
+fn ask(shared: u32, own: u32) -> Ask {
+    Ask {
+        id: "r".to_owned(),
+        prompt: shared + own,
+        output: 80,
+        parts: vec![
+            Part {
+                id: 1,
+                tokens: shared,
+            },
+            Part { id: 2, tokens: own },
+        ],
+        ..Ask::default()
+    }
+}
+
+/// Places a request, or panics where it is refused.
+fn place(placer: &mut Placer, targets: &[Target], ask: &Ask) -> Plan {
+    match placement(placer, targets, ask, Duration::from_secs(6)) {
+        Placement::Run(plan) => plan,
+        refused => panic!("{refused:?}"),
+    }
+}
+
+/// Places a request with a time that is left.
+fn placement(placer: &mut Placer, targets: &[Target], ask: &Ask, left: Duration) -> Placement {
+    let targets: Vec<&Target> = targets.iter().collect();
+    let measures = measures();
+    let wanted = Wanted {
+        ask,
+        engine: &measures,
+        pause: Some(Duration::from_millis(150)),
+        objective: Duration::from_millis(600),
+        left,
+        split: true,
+        tried: &[],
+    };
+    placer.generation(&targets, &wanted, 10_000)
+}
+
+/// Creates a fleet of two engines of either role.
+fn fleet() -> Vec<Target> {
+    vec![
+        engine("p1", Role::Prefill),
+        engine("p2", Role::Prefill),
+        engine("d1", Role::Decode),
+        engine("d2", Role::Decode),
+    ]
+}
+
+/// Work that an engine has.
+fn load(prompt: u32, running: u32, memory: u32) -> Load {
+    Load {
+        prompt,
+        running,
+        memory,
+    }
+}
+
+#[test]
+fn a_long_prompt_is_computed_apart_from_streams() {
+    let mut placer = Placer::new("a".to_owned(), 1);
+    for id in ["d1", "d2"] {
+        placer.picture.add(id, load(0, 10, 80_000));
+    }
+    let plan = place(&mut placer, &fleet(), &ask(13_000, 4_000));
+    assert!(plan.prefill.is_some());
+    assert_eq!(plan.uncached, 17_000);
+}
+
+#[test]
+fn a_prompt_goes_to_the_engine_that_keeps_its_parts() {
+    let mut placer = Placer::new("a".to_owned(), 1);
+    let ask = ask(13_000, 4_000);
+    placer.keeps("p2", ask.shared(), measures().memory, 0.0, 9_000);
+    let plan = place(&mut placer, &fleet(), &ask);
+    assert_eq!(plan.prefill.as_deref(), Some("p2"));
+    assert_eq!((plan.uncached, plan.fetch), (4_000, None));
+}
+
+#[test]
+fn parts_are_fetched_where_their_engine_is_busy() {
+    let mut placer = Placer::new("a".to_owned(), 1);
+    let ask = ask(13_000, 4_000);
+    placer.keeps("p2", ask.shared(), measures().memory, 0.0, 9_000);
+    placer.picture.add("p2", load(40_000, 4, 40_000));
+    let plan = place(&mut placer, &fleet(), &ask);
+    assert_eq!(plan.prefill.as_deref(), Some("p1"));
+    assert_eq!((plan.uncached, plan.fetch.as_deref()), (4_000, Some("p2")));
+}
+
+#[test]
+fn parts_that_are_not_computed_yet_are_not_fetched() {
+    let mut placer = Placer::new("a".to_owned(), 1);
+    let ask = ask(13_000, 4_000);
+    placer.keeps("p2", ask.shared(), measures().memory, 5_000.0, 9_000);
+    placer.picture.add("p2", load(60_000, 4, 60_000));
+    let plan = place(&mut placer, &fleet(), &ask);
+    assert_eq!(plan.fetch, None);
+}
+
+#[test]
+fn work_that_others_told_counts() {
+    let mut placer = Placer::new("a".to_owned(), 1);
+    let told = Told {
+        instance: "other".to_owned(),
+        started: 1,
+        sequence: 1,
+        loads: vec![("p1".to_owned(), load(30_000, 3, 30_000))],
+        uses: Vec::new(),
+        placed: Placed::default(),
+        changing: vec!["d1".to_owned()],
+    };
+    placer.hear(&told, |_| 0, 10_000);
+    let plan = place(&mut placer, &fleet(), &ask(0, 4_000));
+    assert_eq!(plan.prefill.as_deref(), Some("p2"));
+    assert_eq!(
+        plan.decode, "d2",
+        "an engine whose role is changing gets no work"
+    );
+    let old = Told {
+        sequence: 0,
+        loads: Vec::new(),
+        ..told
+    };
+    placer.hear(&old, |_| 0, 10_000);
+    assert_eq!(placer.picture.load("p1", 10_000).prompt, 30_000);
+    // What was told long ago does not count.
+    assert_eq!(placer.picture.load("p1", 20_000).prompt, 0);
+}
+
+/// At a peak the queue is longer than callers wait: they are told at once, with a time.
+#[test]
+fn a_request_that_would_come_too_late_is_refused_at_once() {
+    let mut placer = Placer::new("a".to_owned(), 1);
+    for id in ["p1", "p2", "d1", "d2"] {
+        placer.picture.add(id, load(200_000, 9, 200_000));
+    }
+    let placement = placement(
+        &mut placer,
+        &fleet(),
+        &ask(0, 4_000),
+        Duration::from_secs(2),
+    );
+    let Placement::Overloaded { excess } = placement else {
+        panic!("{placement:?}");
+    };
+    assert!(excess > Duration::from_secs(1));
+}
+
+#[parameterized(
+    nobody = { vec![], false },
+    prefill_alone = { vec![engine("p1", Role::Prefill)], false },
+    decode_alone = { vec![engine("d1", Role::Decode)], true },
+)]
+fn a_request_needs_an_engine_that_generates(targets: Vec<Target>, runs: bool) {
+    let mut placer = Placer::new("a".to_owned(), 1);
+    let placement = placement(&mut placer, &targets, &ask(0, 500), Duration::from_secs(6));
+    assert_eq!(matches!(placement, Placement::Run(_)), runs);
+}
+
+#[test]
+fn a_failing_service_target_is_left_alone_while_another_works() {
+    let mut placer = Placer::new("a".to_owned(), 1);
+    let targets = [engine("s1", Role::Mixed), engine("s2", Role::Mixed)];
+    let targets: Vec<&Target> = targets.iter().collect();
+    placer.failed("s1", 10_000);
+    for _ in 0..20 {
+        assert_eq!(placer.plain(&targets, &[], 10_050).as_deref(), Some("s2"));
+    }
+    let tried = ["s2".to_owned()];
+    assert_eq!(
+        placer.plain(&targets, &tried, 10_050).as_deref(),
+        Some("s1")
+    );
+}
+
+#[test]
+fn the_least_recently_used_parts_are_forgotten_first() {
+    let mut cache = CacheBelief::default();
+    let part = |id| Part { id, tokens: 300 };
+    cache.used(&[part(1), part(2)], 1_000, 10, 10);
+    cache.used(&[part(1)], 1_000, 20, 20);
+    cache.used(&[part(3)], 1_000, 30, 30);
+    assert_eq!(cache.cached(&[part(1), part(2)]), 300);
+    assert_eq!(cache.cached(&[part(3)]), 300);
+    assert!(cache.total() <= 800);
+}
+
+#[test]
+fn a_part_counts_only_behind_all_parts_before_it() {
+    let mut cache = CacheBelief::default();
+    let part = |id| Part { id, tokens: 100 };
+    cache.used(&[part(2)], 10_000, 10, 50);
+    assert_eq!(cache.cached(&[part(1), part(2)]), 0);
+    assert_eq!(cache.cached(&[part(2)]), 100);
+    assert_eq!(cache.ready(&[part(2)], 40), 0);
+    assert_eq!(cache.ready(&[part(2)], 50), 100);
+}
