--- a/crates/cactuslane-gateway/src/control.rs
+++ b/crates/cactuslane-gateway/src/control.rs
@@ -19,8 +19,12 @@
 const MEMBERS: &str = "cactuslane/instances/";
 /// The start of all keys.
 const ALL: &str = "";
-/// Longest wait of a watch; a silent connection is noticed soon after it.
-const WATCH_WAIT: Duration = Duration::from_millis(2200);
+/// Time for a failed watch, the next one and its news, within what an instance is excused for.
+const WATCH_RESERVE: Duration = Duration::from_millis(1800);
+/// Shortest wait of a watch.
+const LEAST_WAIT: Duration = Duration::from_secs(1);
+/// Pause between watches, in which news gather.
+const WATCH_PAUSE: Duration = Duration::from_millis(300);
 /// Range of the pause after a failed call, in milliseconds.
 const PAUSE: std::ops::Range<u64> = 100..300;
 /// Time for which an instance's entry outlives its renewals.
@@ -42,7 +46,11 @@
         };
         let mut well = true;
         loop {
-            match gateway.store.watch(ALL, revision, WATCH_WAIT).await {
+            match gateway
+                .store
+                .watch(ALL, revision, watch_wait(&gateway))
+                .await
+            {
                 Ok(changes) => {
                     if !well {
                         info!(revision; "store is back");
@@ -52,6 +60,7 @@
                         apply(&gateway, change);
                     }
                     revision = changes.revision.max(revision);
+                    tokio::time::sleep(WATCH_PAUSE).await;
                 }
                 Err(KvError::Compacted) => {
                     info!(revision; "history is gone, reading all keys");
@@ -66,6 +75,13 @@
     }
 }
 
+/// Returns the longest wait of a watch, after which a silent connection is noticed.
+fn watch_wait(gateway: &Gateway) -> Duration {
+    let settings = gateway.settings();
+    let wait = settings.excused + settings.apply;
+    wait.saturating_sub(WATCH_RESERVE).max(LEAST_WAIT)
+}
+
 /// Keeps the instance registered until the task is ended.
 pub async fn register(gateway: Arc<Gateway>) {
     let mut lease: Option<Lease> = None;
--- /dev/null
+++ b/crates/cactuslane-gateway/src/engines.rs
@@ -0,0 +1,104 @@
+//! Calls that this system makes itself to engines.
+
+use std::time::Duration;
+
+use cactuslane_flight::ask::Part;
+use cactuslane_flight::target::Target;
+use cactuslane_platform::engine::{self, Report};
+use cactuslane_platform::exchange;
+use http_body_util::Full;
+use hyper::body::Bytes;
+use hyper::{Method, Request, StatusCode};
+use tokio::time::timeout;
+
+use crate::plain::whole_body;
+use crate::state::Gateway;
+use crate::upstream::SendError;
+
+/// Longest time of one call to an engine.
+pub const CALL_TIMEOUT: Duration = Duration::from_secs(1);
+
+/// The reason why a call to an engine has no result.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum CallError {
+    /// Nothing was sent.
+    Unsent(String),
+    /// The call may have had its effect.
+    Unknown(String),
+}
+
+impl From<SendError> for CallError {
+    fn from(error: SendError) -> Self {
+        match error {
+            SendError::Unsent(why) => Self::Unsent(why),
+            SendError::Broken(why) => Self::Unknown(why),
+        }
+    }
+}
+
+/// Asks an engine for its state.
+///
+/// # Errors
+///
+/// Returns an error where no readable answer comes.
+pub async fn report(gateway: &Gateway, target: &Target) -> Result<Report, CallError> {
+    let body = exchange(gateway, target, Method::GET, engine::REPORT_PATH).await?;
+    engine::report(&body).map_err(CallError::Unknown)
+}
+
+/// Asks an engine for the parts that it keeps.
+///
+/// # Errors
+///
+/// Returns an error where no readable answer comes.
+pub async fn kept(gateway: &Gateway, target: &Target) -> Result<Vec<Part>, CallError> {
+    let body = exchange(gateway, target, Method::GET, engine::KEPT_PATH).await?;
+    engine::kept(&body).map_err(CallError::Unknown)
+}
+
+/// Has an engine free a computed prompt.
+///
+/// # Errors
+///
+/// Returns an error where no answer comes; the engine then frees it by itself after a while.
+pub async fn release(gateway: &Gateway, target: &Target, handle: &str) -> Result<(), CallError> {
+    let path = engine::release_path(handle);
+    exchange(gateway, target, Method::DELETE, &path).await?;
+    Ok(())
+}
+
+/// Builds a call to an engine.
+#[must_use]
+pub fn call(target: &Target, method: Method, path: &str, body: String) -> Request<Full<Bytes>> {
+    let mut request = Request::new(Full::new(Bytes::from(body)));
+    *request.method_mut() = method;
+    *request.uri_mut() = path.parse().unwrap_or_default();
+    *request.headers_mut() = exchange::call_headers(&target.id, target.address);
+    request
+}
+
+/// Exchanges a call without a body for the body of its answer.
+async fn exchange(
+    gateway: &Gateway,
+    target: &Target,
+    method: Method,
+    path: &str,
+) -> Result<Bytes, CallError> {
+    let exchange = async {
+        let mut connection = gateway.pool.checkout(&target.id, target.address).await?;
+        let response = connection
+            .send(call(target, method, path, String::new()))
+            .await?;
+        let keep = exchange::keep_alive(response.headers());
+        let status = response.status();
+        let body = whole_body(response.into_body()).await;
+        let body = body.map_err(|(_, why)| CallError::Unknown(why))?;
+        if status != StatusCode::OK {
+            return Err(CallError::Unknown(format!("status {status}")));
+        }
+        gateway.pool.give_back(connection, keep);
+        Ok(body)
+    };
+    let result = timeout(CALL_TIMEOUT, exchange).await;
+    result.unwrap_or_else(|_| Err(CallError::Unknown("no answer in time".to_owned())))
+}
--- a/crates/cactuslane-gateway/src/generation.rs
+++ b/crates/cactuslane-gateway/src/generation.rs
@@ -11,14 +11,15 @@
 use cactuslane_place::placer::{Placement, Plan, Wanted};
 use cactuslane_platform::engine;
 use cactuslane_platform::exchange::{self, Sent, Work};
-use http_body_util::{BodyExt, Either, Full};
+use http_body_util::{BodyExt, Either};
 use hyper::body::{Bytes, Incoming};
 use hyper::header::HeaderMap;
-use hyper::{Method, Request, Response, StatusCode};
+use hyper::{Response, StatusCode};
 use log::info;
 use tokio::sync::mpsc;
 use tokio::time::{Instant, timeout};
 
+use crate::engines;
 use crate::ingress::Job;
 use crate::plain::{label, refuse, send, unanswered, whole_body};
 use crate::reply::{self, Broken, Pieces, Reply};
@@ -39,8 +40,6 @@
 const PAUSE_FACTOR: u32 = 6;
 /// Pause between events that is assumed where a route states none.
 const DEFAULT_PAUSE: Duration = Duration::from_millis(250);
-/// Longest time to free a computed prompt.
-const RELEASE_TIMEOUT: Duration = Duration::from_secs(1);
 
 /// A request on its way through engines.
 #[derive(Debug)]
@@ -606,22 +605,7 @@
 
 /// Frees a computed prompt that no engine has fetched.
 async fn release(gateway: Arc<Gateway>, target: Target, handle: engine::Handle) {
-    let exchange = async {
-        let mut connection = gateway.pool.checkout(&target.id, target.address).await?;
-        let mut request = Request::new(Full::new(Bytes::new()));
-        *request.method_mut() = Method::DELETE;
-        *request.uri_mut() = engine::release_path(&handle).parse().unwrap_or_default();
-        *request.headers_mut() = exchange::call_headers(&target.id, target.address);
-        let response = connection.send(request).await?;
-        let keep = exchange::keep_alive(response.headers());
-        if whole_body(response.into_body()).await.is_ok() {
-            gateway.pool.give_back(connection, keep);
-        }
-        Ok::<_, crate::upstream::SendError>(())
-    };
-    match timeout(RELEASE_TIMEOUT, exchange).await {
-        Ok(Ok(())) => {}
-        Ok(Err(error)) => info!(target_id = target.id, error:? = error; "prompt not freed"),
-        Err(_) => info!(target_id = target.id; "prompt not freed in time"),
+    if let Err(error) = engines::release(&gateway, &target, &handle).await {
+        info!(target_id = target.id, error:? = error; "prompt not freed, it lapses by itself");
     }
 }
--- a/crates/cactuslane-gateway/src/lib.rs
+++ b/crates/cactuslane-gateway/src/lib.rs
@@ -4,8 +4,10 @@
 //! connections to targets, [`control`] follows the store, and [`peers`] exchanges load with the
 //! other instances. What is decided lies in `cactuslane-flight` and `cactuslane-place`.
 
+pub mod caches;
 pub mod control;
 pub mod directory;
+pub mod engines;
 pub mod fleet;
 pub mod generation;
 pub mod ingress;
@@ -75,6 +77,7 @@
         let mut tasks = vec![
             tokio::spawn(control::follow(gateway.clone())),
             tokio::spawn(control::register(gateway.clone())),
+            tokio::spawn(caches::follow(gateway.clone())),
             tokio::spawn(orders::hold_office(gateway.clone())),
             tokio::spawn(peers::exchange(gateway.clone(), socket)),
             tokio::spawn(ingress::serve(gateway.clone(), front)),
--- a/crates/cactuslane-gateway/src/members.rs
+++ b/crates/cactuslane-gateway/src/members.rs
@@ -119,6 +119,19 @@
         removed
     }
 
+    /// Returns the instances that were heard lately and are not leaving.
+    #[must_use]
+    pub fn alive(&self, now: Millis) -> Vec<InstanceId> {
+        let mut alive = Vec::new();
+        for (instance, known) in &self.members {
+            let heard = known.heard.is_some_and(|heard| now <= heard + SILENCE);
+            if heard && !known.member.leaving {
+                alive.push(instance.clone());
+            }
+        }
+        alive
+    }
+
     /// Returns the addresses for callers of the instances that seem to serve.
     ///
     /// An instance that hears none of the others can't tell which of them are gone, and returns
--- a/crates/cactuslane-gateway/src/orders.rs
+++ b/crates/cactuslane-gateway/src/orders.rs
@@ -7,20 +7,17 @@
 use cactuslane_flight::document::Engine;
 use cactuslane_flight::target::Target;
 use cactuslane_place::RolePlan;
-use cactuslane_platform::engine::{self, OrderAnswer, Report};
-use cactuslane_platform::exchange;
+use cactuslane_platform::engine::{self, OrderAnswer};
 use cactuslane_store::kv::Update;
 use cactuslane_types::{Millis, Role, ServiceName, TargetId};
-use http_body_util::Full;
-use hyper::body::Bytes;
-use hyper::{Method, Request, StatusCode};
+use hyper::Method;
 use log::{info, warn};
 use rand::Rng;
 use tokio::time::{Instant, sleep, timeout};
 
 use crate::control::LEASE_TTL;
+use crate::engines::{self, CALL_TIMEOUT, CallError};
 use crate::office::{Holder, LEADER, boot_millis};
-use crate::plain::whole_body;
 use crate::state::Gateway;
 
 /// Interval between looks at the office and the demand.
@@ -29,8 +26,6 @@
 const VACANCY: std::ops::Range<u64> = 50..900;
 /// Time in which the other instances hear that an engine is about to change.
 const NOTICE: Duration = Duration::from_millis(300);
-/// Longest time of one call to an engine.
-const CALL_TIMEOUT: Duration = Duration::from_secs(1);
 /// Interval between looks at an engine that is changing.
 const LOOK_INTERVAL: Duration = Duration::from_millis(700);
 /// Time after which an engine that did not change is used as it is.
@@ -60,15 +55,6 @@
     targets: Vec<Target>,
 }
 
-/// The reason why a call to an engine has no result.
-#[derive(Clone, Debug, PartialEq, Eq)]
-enum CallError {
-    /// Nothing was sent.
-    Unsent(String),
-    /// The call may have had its effect.
-    Unknown(String),
-}
-
 /// Takes the office when it is vacant and gives orders while it is held, until the instance leaves.
 pub async fn hold_office(gateway: Arc<Gateway>) {
     let mut desk = Desk::default();
@@ -226,7 +212,7 @@
 async fn carry_out(gateway: Arc<Gateway>, target: Target, role: Role) {
     let _guard = ChangingGuard::new(&gateway, &target.id);
     sleep(NOTICE).await;
-    let report = match ask(&gateway, &target).await {
+    let report = match engines::report(&gateway, &target).await {
         Ok(report) => report,
         Err(error) => {
             warn!(target_id = target.id, error:? = error; "engine not asked, no order sent");
@@ -257,7 +243,7 @@
         let listed = gateway
             .target(&target.id)
             .is_some_and(|known| known.role == role);
-        let Ok(report) = ask(&gateway, &target).await else {
+        let Ok(report) = engines::report(&gateway, &target).await else {
             continue;
         };
         if listed && report.role == role && !report.busy {
@@ -276,59 +262,21 @@
     orders: u64,
 ) -> Result<OrderAnswer, CallError> {
     let connection = gateway.pool.checkout(&target.id, target.address).await;
-    let mut connection = connection.map_err(call_error)?;
+    let mut connection = connection.map_err(CallError::from)?;
     let Some(fencing) = gateway.office().may_order(boot_millis()) else {
         return Err(CallError::Unsent("the office is not held".to_owned()));
     };
     let Holder { instance, .. } = gateway.holder();
     let body = engine::order(role, &instance, fencing, orders);
-    let request = call(target, Method::POST, engine::ORDER_PATH, body);
+    let request = engines::call(target, Method::POST, engine::ORDER_PATH, body);
     let response = timeout(CALL_TIMEOUT, connection.send(request)).await;
     let response = response.map_err(|_| CallError::Unknown("no answer in time".to_owned()))?;
-    let response = response.map_err(call_error)?;
+    let response = response.map_err(CallError::from)?;
     let status = response.status().as_u16();
     info!(target_id = target.id, role:? = role, fencing, orders, status; "order sent");
     Ok(engine::order_answer(status))
 }
 
-/// Asks an engine for its state.
-async fn ask(gateway: &Gateway, target: &Target) -> Result<Report, CallError> {
-    let exchange = async {
-        let connection = gateway.pool.checkout(&target.id, target.address).await;
-        let mut connection = connection.map_err(call_error)?;
-        let request = call(target, Method::GET, engine::REPORT_PATH, String::new());
-        let response = connection.send(request).await.map_err(call_error)?;
-        let keep = exchange::keep_alive(response.headers());
-        let status = response.status();
-        let body = whole_body(response.into_body()).await;
-        let body = body.map_err(|(_, why)| CallError::Unknown(why))?;
-        if status != StatusCode::OK {
-            return Err(CallError::Unknown(format!("status {status}")));
-        }
-        gateway.pool.give_back(connection, keep);
-        engine::report(&body).map_err(CallError::Unknown)
-    };
-    let result = timeout(CALL_TIMEOUT, exchange).await;
-    result.unwrap_or_else(|_| Err(CallError::Unknown("no answer in time".to_owned())))
-}
-
-/// Builds a call to an engine.
-fn call(target: &Target, method: Method, path: &str, body: String) -> Request<Full<Bytes>> {
-    let mut request = Request::new(Full::new(Bytes::from(body)));
-    *request.method_mut() = method;
-    *request.uri_mut() = path.parse().unwrap_or_default();
-    *request.headers_mut() = exchange::call_headers(&target.id, target.address);
-    request
-}
-
-/// Turns the error of a connection into that of a call.
-fn call_error(error: crate::upstream::SendError) -> CallError {
-    match error {
-        crate::upstream::SendError::Unsent(why) => CallError::Unsent(why),
-        crate::upstream::SendError::Broken(why) => CallError::Unknown(why),
-    }
-}
-
 /// Keeps an engine marked as changing until it is dropped.
 #[derive(Debug)]
 struct ChangingGuard {
--- a/crates/cactuslane-place/src/cache.rs
+++ b/crates/cactuslane-place/src/cache.rs
@@ -1,12 +1,12 @@
 //! What is believed of the prefix cache of one engine.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 use cactuslane_flight::ask::{Part, PartId};
 use cactuslane_types::Millis;
 
 /// Share of an engine's memory that is believed to hold parts that no request needs now.
-const CACHE_SHARE: f64 = 0.8;
+const CACHE_SHARE: f64 = 0.97;
 
 /// The parts that an engine is believed to keep, least recently used first to go.
 #[derive(Clone, Debug, Default)]
@@ -81,6 +81,23 @@
         }
     }
 
+    /// Takes the list of all parts that an engine keeps.
+    ///
+    /// What was used or computed since a time may be missing in a list that was made before.
+    pub fn listed(&mut self, parts: &[Part], since: Millis, now: Millis) {
+        let listed: BTreeSet<PartId> = parts.iter().map(|part| part.id).collect();
+        self.parts
+            .retain(|id, kept| kept.used.max(kept.ready) >= since || listed.contains(id));
+        for part in parts {
+            self.parts.entry(part.id).or_insert(Kept {
+                tokens: part.tokens,
+                used: since,
+                ready: now,
+            });
+        }
+        self.total = self.parts.values().map(|kept| u64::from(kept.tokens)).sum();
+    }
+
     /// Removes the part that was used least recently.
     fn evict(&mut self) {
         let oldest = self.parts.iter().min_by_key(|(_, kept)| kept.used);
--- a/crates/cactuslane-place/src/picture.rs
+++ b/crates/cactuslane-place/src/picture.rs
@@ -38,6 +38,8 @@
     pub parts: Vec<(u64, u32)>,
     /// The time until the parts are there, in milliseconds.
     pub ready_in: u32,
+    /// Whether these are all parts that the target keeps.
+    pub all: bool,
 }
 
 /// What an instance tells the others.
--- a/crates/cactuslane-place/src/placer.rs
+++ b/crates/cactuslane-place/src/placer.rs
@@ -33,6 +33,8 @@
 const TRANSFER_COST: f64 = 10.0;
 /// Weight of a full cache against an empty one in the choice of a new home, in milliseconds.
 const FULL_COST: f64 = 20.0;
+/// Age that the list of an engine's parts may have, in milliseconds.
+const LIST_AGE: Millis = 3_500;
 /// Failures in a row, of a target that answers, after which it is left alone for a while.
 const FAILURE_STREAK: u32 = 4;
 /// Part of a prompt's time at a generating engine that each of its streams loses.
@@ -246,6 +248,19 @@
             target: target.to_owned(),
             parts: told_parts(parts),
             ready_in: ready_in as u32,
+            all: false,
+        });
+    }
+
+    /// Takes the list of all parts that an engine keeps, and tells the other instances.
+    pub fn listed(&mut self, target: &str, parts: &[Part], now: Millis) {
+        let cache = self.caches.entry(target.to_owned()).or_default();
+        cache.listed(parts, now.saturating_sub(LIST_AGE), now);
+        self.untold.push(Use {
+            target: target.to_owned(),
+            parts: told_parts(parts),
+            ready_in: 0,
+            all: true,
         });
     }
 
@@ -255,6 +270,11 @@
         self.picture.hear(told, now);
         for told_use in &told.uses {
             let cache = self.caches.entry(told_use.target.clone()).or_default();
+            if told_use.all {
+                let since = now.saturating_sub(LIST_AGE);
+                cache.listed(&heard_parts(&told_use.parts), since, now);
+                continue;
+            }
             let ready = now + Millis::from(told_use.ready_in);
             let memory = memory(&told_use.target);
             cache.used(&heard_parts(&told_use.parts), memory, now, ready);
--- a/crates/cactuslane-place/tests/placing.rs
+++ b/crates/cactuslane-place/tests/placing.rs
@@ -218,9 +218,9 @@
 fn the_least_recently_used_parts_are_forgotten_first() {
     let mut cache = CacheBelief::default();
     let part = |id| Part { id, tokens: 300 };
-    cache.used(&[part(1), part(2)], 1_000, 10, 10);
-    cache.used(&[part(1)], 1_000, 20, 20);
-    cache.used(&[part(3)], 1_000, 30, 30);
+    cache.used(&[part(1), part(2)], 800, 10, 10);
+    cache.used(&[part(1)], 800, 20, 20);
+    cache.used(&[part(3)], 800, 30, 30);
     assert_eq!(cache.cached(&[part(1), part(2)]), 300);
     assert_eq!(cache.cached(&[part(3)]), 300);
     assert!(cache.total() <= 800);
