Use engines that are to change their role where no other is left

Ruled out: lapsed entries (the engines were listed as ready).

Change: engines that change or fail are used where no other generates; an order without an answer marks its engine only until the engine says that it is not being carried out.

--- a/crates/cactuslane-gateway/src/orders.rs
+++ b/crates/cactuslane-gateway/src/orders.rs
@@ -223,8 +223,8 @@
         info!(target_id = target.id, report:? = report; "order not needed now");
         return;
     }
-    match order(&gateway, &target, role, report.orders).await {
-        Ok(OrderAnswer::Accepted | OrderAnswer::Holds) => {}
+    let answered = match order(&gateway, &target, role, report.orders).await {
+        Ok(OrderAnswer::Accepted | OrderAnswer::Holds) => true,
         Ok(answer) => {
             info!(target_id = target.id, answer:? = answer; "order not accepted");
             return;
@@ -235,8 +235,9 @@
         }
         Err(CallError::Unknown(why)) => {
             warn!(target_id = target.id, why; "order may or may not be carried out");
+            false
         }
-    }
+    };
     let began = Instant::now();
     while began.elapsed() < CHANGE_TIMEOUT {
         sleep(LOOK_INTERVAL).await;
@@ -246,6 +247,10 @@
         let Ok(report) = engines::report(&gateway, &target).await else {
             continue;
         };
+        if !answered && report.role != role && !report.busy {
+            info!(target_id = target.id; "order not carried out yet, engine used as before");
+            return;
+        }
         if listed && report.role == role && !report.busy {
             info!(target_id = target.id, role:? = role; "role changed");
             return;
--- a/crates/cactuslane-place/src/placer.rs
+++ b/crates/cactuslane-place/src/placer.rs
@@ -292,7 +292,9 @@
         self.health.remove(target);
     }
 
-    /// Returns the targets that may be used, those left alone last.
+    /// Returns the targets that may be used.
+    ///
+    /// Those that fail or change their role count only where no other generates.
     fn usable<'t>(
         &self,
         targets: &[&'t Target],
@@ -301,8 +303,13 @@
     ) -> Vec<&'t Target> {
         let mut usable = Vec::new();
         let mut rest = Vec::new();
+        let mut changing = Vec::new();
         for target in targets {
-            if tried.contains(&target.id) || self.picture.is_changing(&target.id, now) {
+            if tried.contains(&target.id) {
+                continue;
+            }
+            if self.picture.is_changing(&target.id, now) {
+                changing.push(*target);
                 continue;
             }
             let condition = self.health.get(&target.id).copied().unwrap_or_default();
@@ -312,7 +319,14 @@
                 Usable::Probe | Usable::Never => rest.push(*target),
             }
         }
-        if usable.is_empty() { rest } else { usable }
+        // An engine that is to change its role may still serve, and is better than none.
+        let generates = |targets: &[&Target]| targets.iter().any(|target| target.role.decodes());
+        for more in [rest, changing] {
+            if !generates(&usable) {
+                usable.extend(more);
+            }
+        }
+        usable
     }
 
     /// Returns the best engine that does all of a generation, with its cost.
--- a/crates/cactuslane-place/tests/placing.rs
+++ b/crates/cactuslane-place/tests/placing.rs
@@ -168,6 +168,16 @@
     assert_eq!(placer.picture.load("p1", 20_000).prompt, 0);
 }
 
+#[test]
+fn an_engine_that_is_to_change_its_role_serves_where_no_other_is_left() {
+    let mut placer = Placer::new("a".to_owned(), 1);
+    let targets = fleet();
+    placer.picture.set_changing(vec!["d1".to_owned()]);
+    assert_eq!(place(&mut placer, &targets, &ask(0, 500)).decode, "d2");
+    let left = [targets[0].clone(), targets[2].clone()];
+    assert_eq!(place(&mut placer, &left, &ask(0, 500)).decode, "d1");
+}
+
 /// At a peak the queue is longer than callers wait: they are told at once, with a time.
 #[test]
 fn a_request_that_would_come_too_late_is_refused_at_once() {
