--- a/crates/cactuslane-authority/src/keys.rs
+++ b/crates/cactuslane-authority/src/keys.rs
@@ -1,10 +1,10 @@
 //! Names of the records in the key-value service.
 
-/// Is the key of the configuration document.
+/// The key of the configuration document.
 pub const CONFIG: &str = "cactuslane/config";
 /// Prefix of earlier configuration documents, by number.
 pub const HISTORY: &str = "cactuslane/history/";
-/// Is the key of the plan.
+/// The key of the plan.
 pub const PLAN: &str = "cactuslane/plan";
 /// Prefix of the records of operators, by the hash of their token.
 pub const OPERATORS: &str = "cactuslane/operators/";
--- a/crates/cactuslane-authority/src/orders.rs
+++ b/crates/cactuslane-authority/src/orders.rs
@@ -21,27 +21,27 @@
 /// Says what one process does next for one target.
 #[derive(Clone, Debug)]
 pub struct TargetOwner {
-    /// Is this process.
+    /// This process.
     me: Hold,
     /// Says whether the target checks fencing numbers.
     checks: bool,
-    /// Is the fencing number under which this process owns the target.
+    /// The fencing number under which this process owns the target.
     fencing: Option<Fencing>,
-    /// Is what the service holds, once it was read under that fencing number.
+    /// What the service holds, once it was read under that fencing number.
     records: Option<Records>,
-    /// Is what the target last reported, once it was asked.
+    /// What the target last reported, once it was asked.
     report: Option<EngineReport>,
-    /// Is the report before, for those who only look.
+    /// The report before, for those who only look.
     last_report: Option<EngineReport>,
-    /// Is the time until which an order of this process may be on its way.
+    /// The time until which an order of this process may be on its way.
     in_flight: Millis,
-    /// Is the target's wanted state.
+    /// The target's wanted state.
     wanted: Option<Wanted>,
     /// Says whether the target is drained everywhere, so that an order may cut streams.
     drained: bool,
 }
 
-/// Is an order's kind.
+/// An order's kind.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case")]
 pub enum OrderKind {
@@ -59,74 +59,74 @@
     UnloadAdapter,
 }
 
-/// Is a state that a target shall have.
+/// A state that a target shall have.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct Wanted {
-    /// Is the order that brings it about.
+    /// The order that brings it about.
     pub kind: OrderKind,
-    /// Is the role, version, model or adapter.
+    /// The role, version, model or adapter.
     pub value: String,
 }
 
-/// Is an intent as the service holds it.
+/// An intent as the service holds it.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct Intent {
     /// Numbers the orders of the target.
     pub order: u64,
-    /// Is what it brings about.
+    /// What it brings about.
     pub wanted: Wanted,
-    /// Is the fencing number under which it was written.
+    /// The fencing number under which it was written.
     pub fencing: Fencing,
-    /// Is the process that wrote it.
+    /// The process that wrote it.
     pub by: InstanceId,
     /// Says whether the target has reported its effect.
     pub done: bool,
 }
 
-/// Is a hold as the service holds it.
+/// A hold as the service holds it.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct Hold {
-    /// Is the instance that may send orders.
+    /// The instance that may send orders.
     pub instance: InstanceId,
-    /// Is its incarnation.
+    /// Its incarnation.
     pub incarnation: Incarnation,
-    /// Is the address that the process is bound to, which no two processes can be at once.
+    /// The address that the process is bound to, which no two processes can be at once.
     pub address: String,
     /// Says whether it has given the target back.
     pub released: bool,
 }
 
-/// Is what the service holds on one target, each with the revision of its last change.
+/// What the service holds on one target, each with the revision of its last change.
 #[derive(Clone, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct Records {
-    /// Is the hold, and its revision or 0.
+    /// The hold, and its revision or 0.
     pub hold: (Option<Hold>, u64),
-    /// Is the intent, and its revision or 0.
+    /// The intent, and its revision or 0.
     pub intent: (Option<Intent>, u64),
 }
 
-/// Is what a target reports of itself.
+/// What a target reports of itself.
 #[derive(Clone, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct EngineReport {
-    /// Is its role.
+    /// Its role.
     pub role: String,
     /// Holds its models.
     pub models: Vec<String>,
     /// Holds its adapters.
     pub adapters: Vec<String>,
-    /// Is its version.
+    /// Its version.
     pub version: String,
-    /// Is the number of the last order that took effect.
+    /// The number of the last order that took effect.
     pub last_order: u64,
-    /// Is the number of the order that a crash left half done; 0 for none.
+    /// The number of the order that a crash left half done; 0 for none.
     pub half_done: u64,
-    /// Is the number of streams in progress.
+    /// The number of streams in progress.
     pub streams: usize,
     /// Says whether it is away.
     pub away: bool,
 }
 
-/// Is the next step for a target.
+/// The next step for a target.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Step {
     /// Nothing is to be done.
@@ -135,20 +135,20 @@
     ReadRecords,
     /// Write a hold, if the owner's key and the hold's revision are unchanged.
     WriteHold {
-        /// Is the new hold.
+        /// The new hold.
         hold: Hold,
-        /// Is the revision that the old one must have.
+        /// The revision that the old one must have.
         expected: u64,
-        /// Is the fencing number that the owner's key must have; none for giving back.
+        /// The fencing number that the owner's key must have; none for giving back.
         fencing: Option<Fencing>,
     },
     /// Write an intent, if the owner's key and the intent's revision are unchanged.
     WriteIntent {
-        /// Is the new intent.
+        /// The new intent.
         intent: Intent,
-        /// Is the revision that the old one must have.
+        /// The revision that the old one must have.
         expected: u64,
-        /// Is the fencing number that the owner's key must have.
+        /// The fencing number that the owner's key must have.
         fencing: Fencing,
     },
     /// Ask the target what it has.
@@ -157,16 +157,16 @@
     Send {
         /// Numbers the order.
         order: u64,
-        /// Is the fencing number that it carries.
+        /// The fencing number that it carries.
         fencing: Fencing,
-        /// Is what it brings about.
+        /// What it brings about.
         wanted: Wanted,
     },
     /// Wait for what is named.
     Blocked(Block),
 }
 
-/// Is what a step waits for.
+/// What a step waits for.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Block {
     /// The target has streams that a disruptive order would cut.
--- a/crates/cactuslane-authority/src/ownership.rs
+++ b/crates/cactuslane-authority/src/ownership.rs
@@ -18,19 +18,19 @@
 /// Time for which the first candidate must be steady before a shard moves to it.
 const STEADY: Millis = 30_000;
 
-/// Is the record of an owner.
+/// The record of an owner.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct OwnerRecord {
-    /// Is the instance.
+    /// The instance.
     pub instance: InstanceId,
-    /// Is its incarnation.
+    /// Its incarnation.
     pub incarnation: Incarnation,
 }
 
 /// Decides which shards one instance acquires and releases.
 #[derive(Clone, Debug)]
 pub struct Ownership {
-    /// Is this instance.
+    /// This instance.
     me: OwnerRecord,
     /// Holds the shards that this instance owns, with their fencing numbers.
     owned: BTreeMap<String, Fencing>,
@@ -38,7 +38,7 @@
     outranked: BTreeMap<String, (InstanceId, Millis)>,
 }
 
-/// Is a step of ownership.
+/// A step of ownership.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Move {
     /// Create the shard's key under this instance's lease, if it is absent.
--- a/crates/cactuslane-authority/src/plan.rs
+++ b/crates/cactuslane-authority/src/plan.rs
@@ -11,10 +11,10 @@
 
 use crate::orders::{EngineReport, OrderKind, Wanted};
 
-/// Is the plan in force, as the service holds it.
+/// The plan in force, as the service holds it.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Plan {
-    /// Is the instance that holds the planner's office.
+    /// The instance that holds the planner's office.
     #[serde(default)]
     pub planner: InstanceId,
     /// Holds what is planned for targets.
@@ -23,22 +23,22 @@
     pub roles: BTreeMap<TargetId, Role>,
 }
 
-/// Is what is planned for one target.
+/// What is planned for one target.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Planned {
-    /// Is the stage.
+    /// The stage.
     pub stage: Stage,
-    /// Is the order that follows the drain, if one does.
+    /// The order that follows the drain, if one does.
     pub wanted: Option<Wanted>,
     /// Says why it is done or why it waits.
     pub reason: String,
-    /// Is the revision of the configuration that asked for it.
+    /// The revision of the configuration that asked for it.
     pub edit: Revision,
-    /// Is the wall-clock time at which the stage began, in milliseconds.
+    /// The wall-clock time at which the stage began, in milliseconds.
     pub since: Millis,
 }
 
-/// Is the stage of a planned change.
+/// The stage of a planned change.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case")]
 pub enum Stage {
@@ -48,27 +48,27 @@
     Drained,
 }
 
-/// Is a target as the planner sees it.
+/// A target as the planner sees it.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Seen {
-    /// Is the model or plain service.
+    /// The model or plain service.
     pub service: ServiceName,
-    /// Is the failure domain.
+    /// The failure domain.
     pub domain: DomainName,
     /// Says whether the instance list shows it as live.
     pub live: bool,
     /// Says whether it is a model engine, which reports its state.
     pub engine: bool,
-    /// Is what it last reported; none if it did not answer lately.
+    /// What it last reported; none if it did not answer lately.
     pub report: Option<EngineReport>,
     /// Says whether an intent for it is written and not done.
     pub pending: bool,
 }
 
-/// Is what the configuration asks for.
+/// What the configuration asks for.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Aims {
-    /// Is the revision of the configuration.
+    /// The revision of the configuration.
     pub edit: Revision,
     /// Holds the targets that operators want away, with the word for it.
     pub drains: BTreeMap<TargetId, &'static str>,
@@ -78,17 +78,17 @@
     pub roles: BTreeMap<TargetId, Role>,
     /// Holds the number of targets that must go on serving, for each model or service.
     pub min_serving: BTreeMap<ServiceName, usize>,
-    /// Is the number of targets of one service that may be away at once.
+    /// The number of targets of one service that may be away at once.
     pub at_once: usize,
-    /// Is the number of targets of one failure domain that may be away at once.
+    /// The number of targets of one failure domain that may be away at once.
     pub per_domain: usize,
     /// Says whether a window for planned work is open.
     pub open: bool,
 }
 
-/// Is a change that one target needs.
+/// A change that one target needs.
 struct Need {
-    /// Is the order, or none for a drain alone.
+    /// The order, or none for a drain alone.
     wanted: Option<Wanted>,
     /// Says why.
     reason: String,
--- a/crates/cactuslane-authority/src/window.rs
+++ b/crates/cactuslane-authority/src/window.rs
@@ -3,14 +3,14 @@
 use jiff::Timestamp;
 use jiff::tz::TimeZone;
 
-/// Is a daily window; it may end on the next day.
+/// A daily window; it may end on the next day.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct DailyWindow {
     /// Holds the days on which it starts, 1 for Monday to 7 for Sunday.
     pub days: Vec<i8>,
-    /// Is the start in minutes after midnight.
+    /// The start in minutes after midnight.
     pub from: u16,
-    /// Is the end in minutes after midnight.
+    /// The end in minutes after midnight.
     pub until: u16,
 }
 
--- a/crates/cactuslane-authority/tests/exploration.rs
+++ b/crates/cactuslane-authority/tests/exploration.rs
@@ -23,66 +23,66 @@
 
 /// Is everything that the processes share.
 struct World {
-    /// Is the time, in milliseconds.
+    /// The time, in milliseconds.
     now: u64,
-    /// Is the service's revision.
+    /// The service's revision.
     revision: u64,
-    /// Is the owner with its fencing number.
+    /// The owner with its fencing number.
     owner: Option<(usize, u64)>,
     /// Holds hold and intent.
     records: Records,
-    /// Is the target.
+    /// The target.
     target: Target,
     /// Holds orders on their way.
     sends: Vec<Send>,
     /// Holds the processes.
     processes: Vec<Process>,
-    /// Is the wanted value.
+    /// The wanted value.
     wanted: Wanted,
-    /// Is the source of randomness.
+    /// The source of randomness.
     random: Pcg64Mcg,
 }
 
-/// Is the target.
+/// The target.
 struct Target {
     /// Says whether it refuses old fencing numbers.
     checks: bool,
-    /// Is the highest fencing number seen.
+    /// The highest fencing number seen.
     fencing: u64,
-    /// Is its role.
+    /// Its role.
     role: String,
     /// Holds the orders that took effect.
     applied: Vec<(u64, Wanted)>,
-    /// Is the order that a crash left half done.
+    /// The order that a crash left half done.
     half_done: u64,
 }
 
-/// Is an order on its way.
+/// An order on its way.
 #[derive(Clone)]
 struct Send {
-    /// Is the sender with its incarnation.
+    /// The sender with its incarnation.
     from: (usize, u64),
     /// Numbers the order.
     order: u64,
-    /// Is its fencing number.
+    /// Its fencing number.
     fencing: u64,
-    /// Is what it brings about.
+    /// What it brings about.
     wanted: Wanted,
-    /// Is when it is lost at the latest.
+    /// When it is lost at the latest.
     until: u64,
 }
 
-/// Is one process.
+/// One process.
 struct Process {
-    /// Is its incarnation.
+    /// Its incarnation.
     incarnation: u64,
-    /// Is its part for the target.
+    /// Its part for the target.
     owner: TargetOwner,
-    /// Is the step that it has decided on and not done.
+    /// The step that it has decided on and not done.
     decided: Option<Step>,
-    /// Is the send whose answer it awaits, with the time at which it gives up.
+    /// The send whose answer it awaits, with the time at which it gives up.
     awaited: Option<(u64, u64)>,
-    /// Is when it died, if it did.
+    /// When it died, if it did.
     died: Option<u64>,
 }
 
--- a/crates/cactuslane-bench/src/capacity.rs
+++ b/crates/cactuslane-bench/src/capacity.rs
@@ -6,16 +6,16 @@
 
 use std::time::Duration;
 
-/// Is one measured number at one size.
+/// One measured number at one size.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Point {
-    /// Is the size: members, targets, callers or keys.
+    /// The size: members, targets, callers or keys.
     pub size: usize,
-    /// Is the number.
+    /// The number.
     pub value: f64,
 }
 
-/// Is a number measured at several sizes.
+/// A number measured at several sizes.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Series {
     /// Says what was measured, with its unit.
@@ -56,7 +56,7 @@
     }
 }
 
-/// Is a part of the measurements.
+/// A part of the measurements.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Part {
     /// Membership over a modelled network.
--- a/crates/cactuslane-bench/src/capacity/process.rs
+++ b/crates/cactuslane-bench/src/capacity/process.rs
@@ -25,11 +25,11 @@
 /// Bytes of a page of memory.
 const PAGE: f64 = 4096.0;
 
-/// Is what calls of one kind took.
+/// What calls of one kind took.
 struct Taken {
     /// Holds the times, in microseconds.
     times: Histogram<u64>,
-    /// Is the number of calls a second.
+    /// The number of calls a second.
     rate: f64,
 }
 
--- a/crates/cactuslane-bench/src/fleet.rs
+++ b/crates/cactuslane-bench/src/fleet.rs
@@ -8,22 +8,22 @@
 /// Time between two samples of an engine's load, in microseconds.
 const SAMPLE_INTERVAL: u64 = 100_000;
 
-/// Is one engine of a run.
+/// One engine of a run.
 #[derive(Clone, Debug)]
 pub struct SimEngine {
-    /// Is its batch.
+    /// Its batch.
     pub batch: Batch,
-    /// Is its role.
+    /// Its role.
     pub role: Role,
-    /// Is the number of its failure domain.
+    /// The number of its failure domain.
     pub domain: usize,
     /// Says whether it works.
     pub up: bool,
     /// Says whether it is asked to take new work.
     pub wanted: bool,
-    /// Is the role that it changes to when its streams have ended.
+    /// The role that it changes to when its streams have ended.
     pub next_role: Option<Role>,
-    /// Is the factor by which it is slower than its parameters say.
+    /// The factor by which it is slower than its parameters say.
     pub slowness: f64,
     /// Tells steps of before a crash from later ones.
     pub epoch: u64,
--- a/crates/cactuslane-bench/src/matrix.rs
+++ b/crates/cactuslane-bench/src/matrix.rs
@@ -11,12 +11,12 @@
 /// Number of runs at once.
 const THREADS: usize = 6;
 
-/// Is the result of a scenario under a policy, over several seeds.
+/// The result of a scenario under a policy, over several seeds.
 #[derive(Clone, Debug)]
 pub struct Row {
-    /// Is the scenario's name.
+    /// The scenario's name.
     pub scenario: &'static str,
-    /// Is the policy.
+    /// The policy.
     pub policy: Policy,
     /// Holds the outcome of each seed.
     pub outcomes: Vec<Outcome>,
--- a/crates/cactuslane-bench/src/network.rs
+++ b/crates/cactuslane-bench/src/network.rs
@@ -15,9 +15,9 @@
 /// Bytes of the headers of UDP and IP.
 const HEADERS: usize = 28;
 
-/// Is a network of members; packets are sealed and opened as in a process.
+/// A network of members; packets are sealed and opened as in a process.
 pub struct Network {
-    /// Is the time, in milliseconds.
+    /// The time, in milliseconds.
     pub now: u64,
     /// Holds the members.
     pub members: Vec<Membership>,
@@ -25,9 +25,9 @@
     pub paused: BTreeSet<usize>,
     /// Holds pairs of sender and receiver between which nothing arrives.
     pub cut: BTreeSet<(usize, usize)>,
-    /// Is the number of bytes sent, headers included.
+    /// The number of bytes sent, headers included.
     pub bytes: u64,
-    /// Is the time that was spent on processing.
+    /// The time that was spent on processing.
     pub spent: Duration,
     /// Holds each change of status: the time, who saw it, of whom, and the status.
     pub changes: Vec<(u64, usize, String, Status)>,
@@ -37,22 +37,22 @@
     sent: BTreeMap<u64, (usize, usize, Vec<u8>)>,
     /// Holds the times at which they arrive.
     arrivals: BinaryHeap<Reverse<(u64, u64)>>,
-    /// Is the number of packets so far.
+    /// The number of packets so far.
     order: u64,
-    /// Is the key of all.
+    /// The key of all.
     key: Key,
-    /// Is the source of randomness.
+    /// The source of randomness.
     random: Pcg64Mcg,
 }
 
 /// Says how packets travel.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Links {
-    /// Is the share of packets that are lost.
+    /// The share of packets that are lost.
     pub loss: f64,
-    /// Is the longest delay, in milliseconds.
+    /// The longest delay, in milliseconds.
     pub delay: u64,
-    /// Is the number of failure domains.
+    /// The number of failure domains.
     pub domains: usize,
 }
 
--- a/crates/cactuslane-bench/src/outcome.rs
+++ b/crates/cactuslane-bench/src/outcome.rs
@@ -7,26 +7,26 @@
 /// Largest time that is told apart, in milliseconds.
 const MAX_MS: u64 = 600_000;
 
-/// Is what came of one run.
+/// What came of one run.
 #[derive(Clone, Debug)]
 pub struct Outcome {
-    /// Is the number of requests of the trace.
+    /// The number of requests of the trace.
     pub offered: u64,
-    /// Is the number of answers that were whole and within both bounds.
+    /// The number of answers that were whole and within both bounds.
     pub good: u64,
-    /// Is the number of answers that were whole and late.
+    /// The number of answers that were whole and late.
     pub late: u64,
-    /// Is the number of refusals, repeated ones included.
+    /// The number of refusals, repeated ones included.
     pub refused: u64,
-    /// Is the number of requests that were refused for good.
+    /// The number of requests that were refused for good.
     pub turned_away: u64,
-    /// Is the number of role changes.
+    /// The number of role changes.
     pub changes: u64,
-    /// Is the number of tokens of answers that were not good.
+    /// The number of tokens of answers that were not good.
     pub wasted: u64,
-    /// Is the number of streams that were cut.
+    /// The number of streams that were cut.
     pub cut: u64,
-    /// Is the length of the run in seconds.
+    /// The length of the run in seconds.
     pub seconds: f64,
     /// Holds the times to the first token of admitted requests, in milliseconds.
     pub first: Histogram<u64>,
--- a/crates/cactuslane-bench/src/planners.rs
+++ b/crates/cactuslane-bench/src/planners.rs
@@ -20,11 +20,11 @@
 /// Plans the roles of a run.
 #[derive(Clone, Debug)]
 pub struct RolePlanner {
-    /// Is the policy.
+    /// The policy.
     policy: Policy,
-    /// Is the product's planner.
+    /// The product's planner.
     planner: Planner,
-    /// Is the demand of the last interval.
+    /// The demand of the last interval.
     mix: Mix,
 }
 
--- a/crates/cactuslane-bench/src/policy.rs
+++ b/crates/cactuslane-bench/src/policy.rs
@@ -1,6 +1,6 @@
 //! What is compared.
 
-/// Is a policy: how requests are routed and how roles are planned.
+/// A policy: how requests are routed and how roles are planned.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Policy {
     /// The product's routing, admission and role planning.
--- a/crates/cactuslane-bench/src/scenario.rs
+++ b/crates/cactuslane-bench/src/scenario.rs
@@ -2,52 +2,52 @@
 
 use cactuslane_standin::EngineParams;
 
-/// Is a situation: a fleet, its load and what goes wrong.
+/// A situation: a fleet, its load and what goes wrong.
 #[derive(Clone, Debug)]
 pub struct Scenario {
-    /// Is its name.
+    /// Its name.
     pub name: &'static str,
-    /// Is the fleet.
+    /// The fleet.
     pub fleet: FleetSpec,
-    /// Is the length, in seconds.
+    /// The length, in seconds.
     pub seconds: u64,
-    /// Is the load as a share of what the fleet can serve when mixed.
+    /// The load as a share of what the fleet can serve when mixed.
     pub load: f64,
-    /// Is the shape of the load.
+    /// The shape of the load.
     pub shape: Shape,
-    /// Is how late load reports are, in milliseconds.
+    /// How late load reports are, in milliseconds.
     pub lag_ms: u64,
-    /// Is the time between two tellings of what an instance has in progress, in milliseconds; 0
+    /// The time between two tellings of what an instance has in progress, in milliseconds; 0
     /// for none.
     pub tell_ms: u64,
-    /// Is the least time between two tellings after a dispatch, in milliseconds.
+    /// The least time between two tellings after a dispatch, in milliseconds.
     pub tell_least_ms: u64,
-    /// Is the number of engines that may change their role at once.
+    /// The number of engines that may change their role at once.
     pub at_once: usize,
-    /// Is what goes wrong.
+    /// What goes wrong.
     pub fault: Fault,
     /// Holds the speeds of the engines.
     pub params: EngineParams,
 }
 
-/// Is a fleet.
+/// A fleet.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct FleetSpec {
-    /// Is the name of the deployment.
+    /// The name of the deployment.
     pub name: &'static str,
-    /// Is the number of engines.
+    /// The number of engines.
     pub engines: usize,
-    /// Is the number of entry instances.
+    /// The number of entry instances.
     pub entries: usize,
-    /// Is the weight on a role change, in lost engine seconds.
+    /// The weight on a role change, in lost engine seconds.
     pub change_weight: f64,
-    /// Is the bound on the first token, in milliseconds.
+    /// The bound on the first token, in milliseconds.
     pub first_bound: f64,
-    /// Is the bound between tokens, in milliseconds.
+    /// The bound between tokens, in milliseconds.
     pub between_bound: f64,
 }
 
-/// Is the shape of a load.
+/// The shape of a load.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub enum Shape {
     /// The share of long prompts swings within minutes, under a day curve.
@@ -64,7 +64,7 @@
     SlowShift,
 }
 
-/// Is what goes wrong.
+/// What goes wrong.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Fault {
     /// Nothing.
--- a/crates/cactuslane-bench/src/sim.rs
+++ b/crates/cactuslane-bench/src/sim.rs
@@ -28,15 +28,15 @@
 /// Time for which a run goes on after the trace, in microseconds.
 const TAIL: u64 = 60_000_000;
 
-/// Is a run in progress.
+/// A run in progress.
 pub struct Sim<'t> {
-    /// Is the scenario.
+    /// The scenario.
     scenario: &'t Scenario,
-    /// Is the policy.
+    /// The policy.
     policy: Policy,
-    /// Is the trace.
+    /// The trace.
     trace: &'t [Request],
-    /// Is the time, in microseconds.
+    /// The time, in microseconds.
     now: u64,
     /// Holds the engines.
     engines: Vec<SimEngine>,
@@ -46,13 +46,13 @@
     entries: Vec<SimEntry>,
     /// Holds what is to come, by time and order.
     events: BinaryHeap<Reverse<(u64, u64, Event)>>,
-    /// Is the number of events so far.
+    /// The number of events so far.
     order: u64,
     /// Holds the requests' runs.
     runs: Vec<Run>,
     /// Plans roles.
     planner: RolePlanner,
-    /// Is the work that arrived since the last plan.
+    /// The work that arrived since the last plan.
     demand: (f64, f64),
     /// Counts.
     outcome: Outcome,
--- a/crates/cactuslane-bench/src/sim/entry.rs
+++ b/crates/cactuslane-bench/src/sim/entry.rs
@@ -16,23 +16,23 @@
 /// Name of the only model.
 pub const MODEL: &str = "model";
 
-/// Is one entry instance.
+/// One entry instance.
 pub struct SimEntry {
     /// Decides where requests go.
     pub router: Router,
     /// Orders waiting requests.
     pub queue: FairQueue,
-    /// Is when the queue is looked at next.
+    /// When the queue is looked at next.
     pub next_look: u64,
     /// Holds which engines serve, as the entry knows.
     pub serving: BTreeMap<usize, bool>,
     /// Holds what the others were told last.
     pub told: BTreeMap<TargetId, Share>,
-    /// Is when the others were told last, in microseconds.
+    /// When the others were told last, in microseconds.
     pub told_at: u64,
     /// Says whether the others are about to be told of a dispatch.
     pub tell_soon: bool,
-    /// Is the number of instances.
+    /// The number of instances.
     pub peers: usize,
     /// Holds the requests of tickets.
     tickets: BTreeMap<u64, usize>,
@@ -42,7 +42,7 @@
     outputs: OutputGuess,
     /// Counts dispatches, for policies that take turns.
     turn: usize,
-    /// Is the source of randomness of simple policies.
+    /// The source of randomness of simple policies.
     random: Pcg64Mcg,
 }
 
--- a/crates/cactuslane-bench/src/sim/run.rs
+++ b/crates/cactuslane-bench/src/sim/run.rs
@@ -5,36 +5,36 @@
 /// Number of bits of a stream's id that tell attempts apart.
 const ATTEMPT_BITS: u32 = 8;
 
-/// Is the state of one request.
+/// The state of one request.
 #[derive(Clone, Debug, Default)]
 pub struct Run {
-    /// Is when it arrived, the last time it did, in microseconds.
+    /// When it arrived, the last time it did, in microseconds.
     pub arrived: u64,
-    /// Is the entry instance.
+    /// The entry instance.
     pub entry: usize,
-    /// Is how far it has come.
+    /// How far it has come.
     pub stage: Stage,
-    /// Is the number of attempts so far.
+    /// The number of attempts so far.
     pub attempt: u32,
-    /// Is how often the caller came back after a refusal.
+    /// How often the caller came back after a refusal.
     pub come_backs: u32,
-    /// Is the first engine and its dispatch.
+    /// The first engine and its dispatch.
     pub first: Option<(usize, DispatchId)>,
-    /// Is the engine that generates after another one, and its dispatch.
+    /// The engine that generates after another one, and its dispatch.
     pub second: Option<(usize, DispatchId)>,
     /// Says whether the dispatch has been answered.
     pub answered: bool,
-    /// Is the number of tokens so far.
+    /// The number of tokens so far.
     pub tokens: u32,
-    /// Is the time to the first token, in milliseconds.
+    /// The time to the first token, in milliseconds.
     pub first_ms: f64,
-    /// Is when the last token came, in microseconds.
+    /// When the last token came, in microseconds.
     pub last: u64,
-    /// Is the number of gaps between tokens above the bound.
+    /// The number of gaps between tokens above the bound.
     pub slow_gaps: u32,
 }
 
-/// Is how far a request has come.
+/// How far a request has come.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum Stage {
     /// It waits at an entry or has not arrived.
--- a/crates/cactuslane-bench/src/trace.rs
+++ b/crates/cactuslane-bench/src/trace.rs
@@ -10,24 +10,24 @@
 /// Number of tokens of a piece of memory.
 const PIECE_TOKENS: u32 = 64;
 
-/// Is one request of a trace.
+/// One request of a trace.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Request {
-    /// Is when it arrives, in microseconds.
+    /// When it arrives, in microseconds.
     pub at: u64,
-    /// Is the caller.
+    /// The caller.
     pub caller: usize,
-    /// Is the length of the prompt in tokens.
+    /// The length of the prompt in tokens.
     pub prompt: u32,
-    /// Is the number of tokens of the answer.
+    /// The number of tokens of the answer.
     pub output: u32,
-    /// Is the largest number of tokens that the caller allows.
+    /// The largest number of tokens that the caller allows.
     pub limit: u32,
     /// Holds the hashes of the prompt's prefixes.
     pub blocks: Vec<u64>,
 }
 
-/// Is a kind of request.
+/// A kind of request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Kind {
     /// A long prompt with a short answer.
--- a/crates/cactuslane-config/src/document.rs
+++ b/crates/cactuslane-config/src/document.rs
@@ -13,7 +13,7 @@
 /// Longest time that a bound or a timeout in the document may state, in milliseconds.
 const LONGEST_MS: u64 = 3_600_000;
 
-/// Is the whole configuration of a deployment, checked.
+/// The whole configuration of a deployment, checked.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct Document {
     /// Holds the served models.
@@ -22,7 +22,7 @@
     pub services: BTreeMap<ServiceName, PlainService>,
     /// Holds the capacity of each model's roles.
     pub roles: BTreeMap<ServiceName, RoleCapacity>,
-    /// Is the share of repeatable calls that may be retried.
+    /// The share of repeatable calls that may be retried.
     pub retry_share: f64,
     /// Holds the callers.
     pub callers: BTreeMap<CallerId, Caller>,
@@ -30,7 +30,7 @@
     pub maintenance: Maintenance,
 }
 
-/// Is a section of the document, edited by one team.
+/// A section of the document, edited by one team.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub enum Section {
     /// Which models and plain services there are, with their bounds.
@@ -43,18 +43,18 @@
     Maintenance,
 }
 
-/// Is one served model.
+/// One served model.
 #[derive(Clone, Debug, PartialEq)]
 pub struct EngineModel {
-    /// Is the bound on the time to the first token.
+    /// The bound on the time to the first token.
     pub first_token: Duration,
-    /// Is the bound on the time between tokens.
+    /// The bound on the time between tokens.
     pub between_tokens: Duration,
-    /// Is the number of targets that a planned change must leave serving.
+    /// The number of targets that a planned change must leave serving.
     pub min_serving: usize,
-    /// Is the version that engines shall run.
+    /// The version that engines shall run.
     pub version: String,
-    /// Is the largest number of tokens of an answer.
+    /// The largest number of tokens of an answer.
     pub max_output: u64,
     /// Says whether its engines check fencing numbers.
     pub fencing: FencingMode,
@@ -70,76 +70,76 @@
     Ignored,
 }
 
-/// Is one plain service.
+/// One plain service.
 #[derive(Clone, Debug, PartialEq)]
 pub struct PlainService {
     /// Holds the calls that may be repeated, as method and path prefix.
     pub repeatable: Vec<(String, String)>,
-    /// Is the longest time that a call may take.
+    /// The longest time that a call may take.
     pub timeout: Duration,
-    /// Is the number of targets that a planned change must leave serving.
+    /// The number of targets that a planned change must leave serving.
     pub min_serving: usize,
 }
 
-/// Is the role capacity of one model.
+/// The role capacity of one model.
 #[derive(Clone, Debug, PartialEq)]
 pub struct RoleCapacity {
-    /// Is the time that a role change takes an engine away.
+    /// The time that a role change takes an engine away.
     pub change_time: Duration,
-    /// Is the deployment's weight on a role change, in lost engine seconds a change.
+    /// The deployment's weight on a role change, in lost engine seconds a change.
     pub change_weight: f64,
-    /// Is the least time between two changes of one engine.
+    /// The least time between two changes of one engine.
     pub payback: Duration,
 }
 
-/// Is one caller.
+/// One caller.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Caller {
-    /// Is the SHA-256 hash of its token, in lower-case hex.
+    /// The SHA-256 hash of its token, in lower-case hex.
     pub token_sha256: String,
     /// Holds the models that it may use.
     pub models: Vec<ServiceName>,
     /// Holds the plain services that it may use.
     pub services: Vec<ServiceName>,
-    /// Is the request rate over the whole fleet, in requests a second.
+    /// The request rate over the whole fleet, in requests a second.
     pub rate: f64,
-    /// Is the token rate over the whole fleet, prompt and output, in tokens a second.
+    /// The token rate over the whole fleet, prompt and output, in tokens a second.
     pub tokens: f64,
-    /// Is the number of requests in progress over the whole fleet.
+    /// The number of requests in progress over the whole fleet.
     pub concurrency: usize,
-    /// Is its weight when capacity is short.
+    /// Its weight when capacity is short.
     pub weight: f64,
-    /// Is its priority; 0 is the most urgent.
+    /// Its priority; 0 is the most urgent.
     pub priority: u8,
 }
 
-/// Is the planned work on targets.
+/// The planned work on targets.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct Maintenance {
-    /// Is the name of the time zone of all windows.
+    /// The name of the time zone of all windows.
     pub zone: String,
     /// Holds the windows in which planned work may be done.
     pub windows: Vec<Window>,
     /// Holds the targets to drain.
     pub drains: BTreeMap<TargetId, Drain>,
-    /// Is the number of targets of one model that may be away at once.
+    /// The number of targets of one model that may be away at once.
     pub at_once: usize,
-    /// Is the number of targets of one failure domain that may be away at once.
+    /// The number of targets of one failure domain that may be away at once.
     pub per_domain: usize,
 }
 
-/// Is a daily window; it may end on the next day.
+/// A daily window; it may end on the next day.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Window {
     /// Holds the days on which it starts, 1 for Monday to 7 for Sunday.
     pub days: Vec<i8>,
-    /// Is the start in minutes after midnight.
+    /// The start in minutes after midnight.
     pub from: u16,
-    /// Is the end in minutes after midnight.
+    /// The end in minutes after midnight.
     pub until: u16,
 }
 
-/// Is a drain of a target.
+/// A drain of a target.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Drain {
     /// The target gets no new work as soon as the edit is in force, whatever that costs.
--- a/crates/cactuslane-config/src/reader.rs
+++ b/crates/cactuslane-config/src/reader.rs
@@ -10,24 +10,24 @@
 /// Collects faults while typed values are read from one text.
 #[derive(Debug)]
 pub struct Reader<'t> {
-    /// Is the name of the file that faults report.
+    /// The name of the file that faults report.
     file: String,
-    /// Is the text that positions refer to.
+    /// The text that positions refer to.
     text: &'t str,
     /// Holds the faults found so far.
     faults: Vec<Fault>,
 }
 
-/// Is one fault of a text: where it is, what was expected and how to cure it.
+/// One fault of a text: where it is, what was expected and how to cure it.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Fault {
-    /// Is the file's name.
+    /// The file's name.
     pub file: String,
-    /// Is the line, from 1.
+    /// The line, from 1.
     pub line: usize,
-    /// Is the column in characters, from 1.
+    /// The column in characters, from 1.
     pub column: usize,
-    /// Is the path of the value, such as `callers.desk.rate`.
+    /// The path of the value, such as `callers.desk.rate`.
     pub path: String,
     /// Says what was expected and what was found.
     pub message: String,
@@ -49,21 +49,21 @@
     }
 }
 
-/// Is a value of the syntax tree with its path.
+/// A value of the syntax tree with its path.
 #[derive(Clone, Debug)]
 pub struct Node<'t, 'v> {
-    /// Is the path from the document's root.
+    /// The path from the document's root.
     pub path: String,
-    /// Is the syntax tree's value.
+    /// The syntax tree's value.
     value: &'v Value<'t>,
 }
 
-/// Is an object whose fields are taken one by one; what is left at the end is unknown.
+/// An object whose fields are taken one by one; what is left at the end is unknown.
 #[derive(Debug)]
 pub struct Fields<'t, 'v> {
-    /// Is the path of the object.
+    /// The path of the object.
     path: String,
-    /// Is the byte offset of the object.
+    /// The byte offset of the object.
     offset: usize,
     /// Holds the fields not yet taken, with the byte offsets of their names.
     left: BTreeMap<String, (usize, &'v Value<'t>)>,
--- a/crates/cactuslane-config/src/settings.rs
+++ b/crates/cactuslane-config/src/settings.rs
@@ -12,32 +12,32 @@
 /// Longest time in the settings, in milliseconds.
 const LONGEST_MS: u64 = 3_600_000;
 
-/// Is what a process must know before it can reach anything.
+/// What a process must know before it can reach anything.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Settings {
     /// Names the instance.
     pub instance: InstanceId,
-    /// Is the failure domain that the instance runs in.
+    /// The failure domain that the instance runs in.
     pub domain: DomainName,
-    /// Is the address for callers, and for TCP between instances.
+    /// The address for callers, and for TCP between instances.
     pub listen: SocketAddr,
-    /// Is the address for UDP between instances.
+    /// The address for UDP between instances.
     pub gossip: SocketAddr,
-    /// Is the address of the platform's key-value service.
+    /// The address of the platform's key-value service.
     pub store: SocketAddr,
-    /// Is the address of the platform's instance list.
+    /// The address of the platform's instance list.
     pub list: SocketAddr,
-    /// Is the address of the platform's weight store.
+    /// The address of the platform's weight store.
     pub weights: SocketAddr,
-    /// Is the key that authenticates messages between instances.
+    /// The key that authenticates messages between instances.
     pub key: String,
-    /// Is how long callers may use an address answer.
+    /// How long callers may use an address answer.
     pub validity: Duration,
-    /// Is the largest request body, in bytes.
+    /// The largest request body, in bytes.
     pub max_body: u64,
-    /// Is the largest number of open connections.
+    /// The largest number of open connections.
     pub max_connections: u64,
-    /// Is the SHA-256 hash of the operators' token, in lower-case hex; without it, operators'
+    /// The SHA-256 hash of the operators' token, in lower-case hex; without it, operators'
     /// paths are closed.
     pub operator_sha256: Option<String>,
     /// Says whether logs are JSON lines.
--- a/crates/cactuslane-config/tests/document.rs
+++ b/crates/cactuslane-config/tests/document.rs
@@ -4,7 +4,7 @@
 use cactuslane_config::{Document, Section, Settings};
 use yare::parameterized;
 
-/// Is a document without faults.
+/// A document without faults.
 const DOCUMENT: &str = r#"{
   // The models team keeps this list.
   "models": {
--- a/crates/cactuslane-demo/src/caller.rs
+++ b/crates/cactuslane-demo/src/caller.rs
@@ -19,22 +19,22 @@
 /// Calls one entry instance.
 #[derive(Clone, Debug)]
 pub struct Caller {
-    /// Is the instance's address.
+    /// The instance's address.
     pub address: SocketAddr,
-    /// Is the token that it sends.
+    /// The token that it sends.
     pub token: String,
     /// Sends the requests.
     client: Client,
 }
 
-/// Is an answer; one that broke off holds what came before.
+/// An answer; one that broke off holds what came before.
 #[derive(Clone, Debug)]
 pub struct Reply {
-    /// Is the status; 0 where no answer came.
+    /// The status; 0 where no answer came.
     pub status: u16,
     /// Holds the headers.
     pub headers: HeaderMap,
-    /// Is the body.
+    /// The body.
     pub body: Vec<u8>,
     /// Says whether the body came to its proper end.
     pub whole: bool,
--- a/crates/cactuslane-demo/src/lib.rs
+++ b/crates/cactuslane-demo/src/lib.rs
@@ -25,16 +25,16 @@
 pub const TOKEN: &str = "demo-caller-token";
 /// Token of the operators.
 pub const OPERATOR_TOKEN: &str = "demo-operator-token";
-/// Is the record of the operator, who may edit all sections.
+/// The record of the operator, who may edit all sections.
 const OPERATOR: &str =
     r#"{"name": "demo", "sections": ["models", "capacity", "callers", "maintenance"]}"#;
 /// Key between the instances.
 const CLUSTER_KEY: &str = "demo-cluster-key-0123456789";
 
-/// Is a running deployment; dropping it stops everything at once.
+/// A running deployment; dropping it stops everything at once.
 #[derive(Debug)]
 pub struct Cluster {
-    /// Is the platform.
+    /// The platform.
     pub platform: Platform,
     /// Holds the entry instances by name.
     pub entries: BTreeMap<String, Entry>,
@@ -42,11 +42,11 @@
     pub engines: BTreeMap<String, Engine>,
     /// Holds the workers of the plain service by name.
     pub workers: BTreeMap<String, Worker>,
-    /// Is the register that the workers share.
+    /// The register that the workers share.
     pub register: Register,
-    /// Is the table of faults of all stand-ins.
+    /// The table of faults of all stand-ins.
     pub faults: Faults,
-    /// Is the deployment.
+    /// The deployment.
     pub deployment: Deployment,
     /// Holds what was chosen for it.
     options: Options,
@@ -55,19 +55,19 @@
 /// Holds what can be chosen for a deployment.
 #[derive(Clone, Debug)]
 pub struct Options {
-    /// Is the factor by which engines run faster than real ones.
+    /// The factor by which engines run faster than real ones.
     pub pace: f64,
-    /// Is how far the instance list is behind.
+    /// How far the instance list is behind.
     pub list_lag: Duration,
-    /// Is how far load reports are behind.
+    /// How far load reports are behind.
     pub report_lag: Duration,
-    /// Is how long callers may use an address answer.
+    /// How long callers may use an address answer.
     pub validity: Duration,
-    /// Is the number of entry instances; none for the deployment's own.
+    /// The number of entry instances; none for the deployment's own.
     pub entries: Option<usize>,
-    /// Is the configuration; none for the deployment's own.
+    /// The configuration; none for the deployment's own.
     pub document: Option<String>,
-    /// Is the register of the plain service's runs.
+    /// The register of the plain service's runs.
     pub register: Register,
     /// Says whether engines check fencing numbers; none for the deployment's own way.
     pub fencing: Option<bool>,
--- a/crates/cactuslane-demo/tests/history.rs
+++ b/crates/cactuslane-demo/tests/history.rs
@@ -28,7 +28,7 @@
 /// The process that stands for the targets in the history.
 const TARGETS: usize = 1_000;
 
-/// Is what happens to one correction.
+/// What happens to one correction.
 #[derive(Clone, Debug)]
 enum CallOp {
     /// A target executes it.
@@ -37,7 +37,7 @@
     Send(Option<Outcome>),
 }
 
-/// Is what a caller is told.
+/// What a caller is told.
 #[derive(Clone, Debug, PartialEq, Eq)]
 enum Outcome {
     /// A whole answer.
--- a/crates/cactuslane-entry/src/api.rs
+++ b/crates/cactuslane-entry/src/api.rs
@@ -27,23 +27,23 @@
 /// Longest request id of a caller that is taken over, in bytes.
 const MAX_REQUEST_ID: usize = 128;
 
-/// Is a request of a known caller.
+/// A request of a known caller.
 pub struct Call {
-    /// Is the state of the instance.
+    /// The state of the instance.
     pub shared: Arc<Shared>,
-    /// Is the configuration under which it is served.
+    /// The configuration under which it is served.
     pub config: Arc<Config>,
-    /// Is the caller.
+    /// The caller.
     pub caller: CallerId,
     /// Identifies the request.
     pub request: String,
-    /// Is the request's span.
+    /// The request's span.
     pub span: Span,
     /// Says whether the idempotency key was looked up where it is bound, so that `not-run` is true.
     pub looked_up: Arc<AtomicBool>,
-    /// Is the method.
+    /// The method.
     pub method: Method,
-    /// Is the path with its query.
+    /// The path with its query.
     pub path: String,
     /// Holds the headers.
     pub headers: HeaderMap,
--- a/crates/cactuslane-entry/src/api/completions.rs
+++ b/crates/cactuslane-entry/src/api/completions.rs
@@ -212,9 +212,9 @@
     given.unwrap_or(model.first_token * PATIENCE)
 }
 
-/// Is a stream of body frames from a channel.
+/// A stream of body frames from a channel.
 struct ReceiverStream {
-    /// Is the channel.
+    /// The channel.
     receiver: mpsc::Receiver<std::io::Result<Bytes>>,
 }
 
--- a/crates/cactuslane-entry/src/api/completions/ask.rs
+++ b/crates/cactuslane-entry/src/api/completions/ask.rs
@@ -20,22 +20,22 @@
     "kv_transfer_params",
 ];
 
-/// Is a parsed completion request.
+/// A parsed completion request.
 #[derive(Clone, Debug)]
 pub struct ModelAsk {
-    /// Is the model's name.
+    /// The model's name.
     pub model: String,
     /// Says whether the answer is streamed.
     pub stream: bool,
     /// Says whether it came over the chat interface.
     pub chat: bool,
-    /// Is the length of the prompt in tokens, estimated.
+    /// The length of the prompt in tokens, estimated.
     pub prompt: u32,
-    /// Is the largest number of tokens of the answer.
+    /// The largest number of tokens of the answer.
     pub max_tokens: u32,
     /// Holds the hashes of the prompt's prefixes, one a piece of engine memory.
     pub blocks: Vec<u64>,
-    /// Is the hash of the body as the caller sent it.
+    /// The hash of the body as the caller sent it.
     pub hash: [u8; 32],
     /// Holds the fields of the body.
     fields: Map<String, Value>,
--- a/crates/cactuslane-entry/src/api/completions/generation.rs
+++ b/crates/cactuslane-entry/src/api/completions/generation.rs
@@ -27,58 +27,58 @@
 /// Largest answer of an engine that computes a prompt, in bytes.
 const MAX_PREFILL_ANSWER: usize = 1 << 20;
 
-/// Is a generation in progress; dropping it cancels it at the engine.
+/// A generation in progress; dropping it cancels it at the engine.
 pub struct Generation {
-    /// Is the caller's request.
+    /// The caller's request.
     pub call: Call,
-    /// Is what it asks for.
+    /// What it asks for.
     pub ask: ModelAsk,
-    /// Is the model.
+    /// The model.
     model: EngineModel,
-    /// Is its share of the caller's limits.
+    /// Its share of the caller's limits.
     admission: Admission,
-    /// Is the engine's stream, if one is open.
+    /// The engine's stream, if one is open.
     stream: Option<EngineStream>,
-    /// Is the number of the last token that was taken in.
+    /// The number of the last token that was taken in.
     number: u32,
-    /// Is the number of tokens that the caller had before.
+    /// The number of tokens that the caller had before.
     start: u32,
-    /// Is the number of attempts so far.
+    /// The number of attempts so far.
     attempts: u32,
     /// Says whether an engine may have started it.
     started: bool,
     /// Holds the engines that failed.
     tried: Vec<TargetId>,
-    /// Is the engine of the last attempt.
+    /// The engine of the last attempt.
     target: TargetId,
-    /// Is when the request arrived.
+    /// When the request arrived.
     arrived: Instant,
 }
 
-/// Is a piece of an answer.
+/// A piece of an answer.
 #[derive(Clone, Debug)]
 pub enum Piece {
     /// A token.
     Token {
         /// Numbers it from 1.
         number: u32,
-        /// Is its text.
+        /// Its text.
         text: String,
-        /// Is its chunk, under the caller's request id.
+        /// Its chunk, under the caller's request id.
         chunk: Value,
     },
     /// The end.
     End {
-        /// Is the reason, as the engine gives it.
+        /// The reason, as the engine gives it.
         reason: Value,
-        /// Is its chunk, under the caller's request id.
+        /// Its chunk, under the caller's request id.
         chunk: Value,
     },
 }
 
-/// Is the open stream of one attempt.
+/// The open stream of one attempt.
 struct EngineStream {
-    /// Is the body of the engine's answer.
+    /// The body of the engine's answer.
     body: Incoming,
     /// Splits the body into events.
     parser: EventParser,
@@ -86,11 +86,11 @@
     events: VecDeque<String>,
     /// Identifies the attempt at the engine.
     id: String,
-    /// Is the attempt's dispatch in the picture.
+    /// The attempt's dispatch in the picture.
     dispatch: Dispatch,
     /// Says whether a token has come.
     answered: bool,
-    /// Is when the attempt counts as broken.
+    /// When the attempt counts as broken.
     deadline: Instant,
 }
 
--- a/crates/cactuslane-entry/src/api/completions/placement.rs
+++ b/crates/cactuslane-entry/src/api/completions/placement.rs
@@ -17,35 +17,35 @@
 /// Longest time that a request waits for any target, in milliseconds.
 const TARGET_WAIT: f64 = 1_000.0;
 
-/// Is a request's share of its caller's limits; dropping it gives the share back.
+/// A request's share of its caller's limits; dropping it gives the share back.
 #[derive(Debug)]
 pub struct Admission {
-    /// Is the state that holds the limits.
+    /// The state that holds the limits.
     shared: Arc<Shared>,
-    /// Is the caller.
+    /// The caller.
     caller: String,
-    /// Is the number of tokens that were taken and not used.
+    /// The number of tokens that were taken and not used.
     pub unused: f64,
 }
 
-/// Is a place found for a request.
+/// A place found for a request.
 #[derive(Debug)]
 pub struct Placed {
-    /// Is the plan with what is expected of it.
+    /// The plan with what is expected of it.
     pub choice: Choice,
-    /// Is the dispatch to the only target, or to the one that computes the prompt.
+    /// The dispatch to the only target, or to the one that computes the prompt.
     pub first: DispatchId,
-    /// Is the dispatch to the target that generates after another.
+    /// The dispatch to the target that generates after another.
     pub second: Option<DispatchId>,
 }
 
-/// Is a waiting ticket; dropping it leaves the queue.
+/// A waiting ticket; dropping it leaves the queue.
 struct Waiting<'s> {
-    /// Is the state that holds the queue.
+    /// The state that holds the queue.
     shared: &'s Shared,
-    /// Is the model.
+    /// The model.
     service: &'s str,
-    /// Is the ticket.
+    /// The ticket.
     ticket: u64,
     /// Says whether the request was sent.
     served: bool,
--- a/crates/cactuslane-entry/src/api/services.rs
+++ b/crates/cactuslane-entry/src/api/services.rs
@@ -38,30 +38,30 @@
     "retry-after",
 ];
 
-/// Is a call to a plain service.
+/// A call to a plain service.
 pub struct ServiceCall {
-    /// Is the caller's request.
+    /// The caller's request.
     pub call: Call,
-    /// Is the service's name.
+    /// The service's name.
     pub service: String,
-    /// Is the service.
+    /// The service.
     pub rules: PlainService,
-    /// Is the path at the target, with its query.
+    /// The path at the target, with its query.
     pub path: String,
-    /// Is the body.
+    /// The body.
     pub body: Bytes,
     /// Says whether the call may be repeated.
     pub repeatable: bool,
 }
 
-/// Is the whole answer of a target, with the headers that the caller gets.
+/// The whole answer of a target, with the headers that the caller gets.
 #[derive(Clone, Debug)]
 pub struct ServiceAnswer {
-    /// Is the status.
+    /// The status.
     pub status: u16,
     /// Holds the headers.
     pub headers: Vec<(String, String)>,
-    /// Is the body.
+    /// The body.
     pub body: Bytes,
 }
 
--- a/crates/cactuslane-entry/src/api/services/keyed.rs
+++ b/crates/cactuslane-entry/src/api/services/keyed.rs
@@ -146,11 +146,11 @@
     result.map(|answer| answer.response())
 }
 
-/// Is a call that was sent and has not ended; dropping it leaves its answer unknown.
+/// A call that was sent and has not ended; dropping it leaves its answer unknown.
 struct Unfinished {
-    /// Is the state that holds the register.
+    /// The state that holds the register.
     shared: Arc<Shared>,
-    /// Is the call's key.
+    /// The call's key.
     key: CallKey,
     /// Says whether the end was recorded.
     finished: bool,
--- a/crates/cactuslane-entry/src/authority.rs
+++ b/crates/cactuslane-entry/src/authority.rs
@@ -39,23 +39,23 @@
 /// Longest time for a question or an order to a target.
 const TARGET_TIMEOUT: Duration = Duration::from_secs(2);
 
-/// Is the state of the authority task.
+/// The state of the authority task.
 struct Authority {
-    /// Is the state of the instance.
+    /// The state of the instance.
     shared: Arc<Shared>,
     /// Decides which shards this instance owns.
     ownership: Ownership,
-    /// Is the lease under which it owns them.
+    /// The lease under which it owns them.
     session: Session,
     /// Holds the shards that have an owner.
     taken: BTreeSet<String>,
-    /// Is when the owners are read next.
+    /// When the owners are read next.
     next_owners: Millis,
     /// Holds the part of this instance for each target that it owns or holds.
     targets: BTreeMap<TargetId, TargetOwner>,
-    /// Is when the planner is told next.
+    /// When the planner is told next.
     next_report: Millis,
-    /// Is the planner, which works while this instance holds its office.
+    /// The planner, which works while this instance holds its office.
     planner: PlannerState,
 }
 
--- a/crates/cactuslane-entry/src/authority/planner.rs
+++ b/crates/cactuslane-entry/src/authority/planner.rs
@@ -24,14 +24,14 @@
 /// Time by which clocks may be wrong, in seconds.
 const CLOCK_MARGIN: u64 = 10;
 
-/// Is the state of the planner's office.
+/// The state of the planner's office.
 #[derive(Debug, Default)]
 pub struct PlannerState {
-    /// Is when the plan is looked at next.
+    /// When the plan is looked at next.
     next_plan: Millis,
-    /// Is when old claims are deleted next.
+    /// When old claims are deleted next.
     next_deletion: Millis,
-    /// Is when the work is observed next.
+    /// When the work is observed next.
     next_observation: Millis,
     /// Holds a role planner for each model.
     planners: BTreeMap<ServiceName, Planner>,
--- a/crates/cactuslane-entry/src/authority/session.rs
+++ b/crates/cactuslane-entry/src/authority/session.rs
@@ -14,12 +14,12 @@
 /// Time by which the instance stops before the service ends the lease, in milliseconds.
 const MARGIN: Millis = 2_000;
 
-/// Is the lease, as far as this instance knows.
+/// The lease, as far as this instance knows.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct Session {
-    /// Is the lease with the time until which it surely holds.
+    /// The lease with the time until which it surely holds.
     lease: Option<(LeaseId, Millis)>,
-    /// Is when it is renewed next.
+    /// When it is renewed next.
     next_renewal: Millis,
 }
 
--- a/crates/cactuslane-entry/src/authority/view.rs
+++ b/crates/cactuslane-entry/src/authority/view.rs
@@ -18,7 +18,7 @@
 /// Number of notes that are kept for one target.
 const MAX_NOTES: usize = 32;
 
-/// Is what the authority task knows and shows.
+/// What the authority task knows and shows.
 #[derive(Debug, Default)]
 pub struct AuthorityView {
     /// Holds the entry instances that the list last named.
--- a/crates/cactuslane-entry/src/claims.rs
+++ b/crates/cactuslane-entry/src/claims.rs
@@ -21,14 +21,14 @@
 pub struct Claims {
     /// Passes claims on to the task that writes them.
     sender: mpsc::Sender<Waiting>,
-    /// Is the other end until the task takes it.
+    /// The other end until the task takes it.
     receiver: Mutex<Option<mpsc::Receiver<Waiting>>>,
 }
 
-/// Is a claim that waits to be written.
+/// A claim that waits to be written.
 #[derive(Debug)]
 struct Waiting {
-    /// Is the transaction that makes it.
+    /// The transaction that makes it.
     txn: Txn,
     /// Takes the answer.
     answer: oneshot::Sender<Result<TxnAnswer, StoreError>>,
@@ -111,7 +111,7 @@
     }
 }
 
-/// Is the error of a claim whose answer is not in the answer of its group.
+/// The error of a claim whose answer is not in the answer of its group.
 fn missing() -> StoreError {
     StoreError::Lost("the answer lacks a part".to_owned())
 }
--- a/crates/cactuslane-entry/src/clock.rs
+++ b/crates/cactuslane-entry/src/clock.rs
@@ -8,7 +8,7 @@
 /// Gives the time since the start, which never goes back, and the wall-clock time.
 #[derive(Clone, Copy, Debug)]
 pub struct Clock {
-    /// Is the start of the process.
+    /// The start of the process.
     start: Instant,
 }
 
--- a/crates/cactuslane-entry/src/documents.rs
+++ b/crates/cactuslane-entry/src/documents.rs
@@ -12,33 +12,33 @@
 /// Holds the documents in force; neither ever goes back to an earlier revision.
 #[derive(Debug, Default)]
 pub struct Documents {
-    /// Is the configuration.
+    /// The configuration.
     config: Mutex<Arc<Config>>,
-    /// Is the plan.
+    /// The plan.
     plan: Mutex<Arc<PlanInForce>>,
 }
 
-/// Is a configuration with its revision.
+/// A configuration with its revision.
 #[derive(Clone, Debug, Default)]
 pub struct Config {
-    /// Is the revision; 0 before the first.
+    /// The revision; 0 before the first.
     pub revision: Revision,
-    /// Is the text.
+    /// The text.
     pub text: String,
-    /// Is the checked document.
+    /// The checked document.
     pub document: Document,
     /// Finds callers by the hash of their token.
     pub tokens: BTreeMap<String, CallerId>,
 }
 
-/// Is a plan with its revision.
+/// A plan with its revision.
 #[derive(Clone, Debug, Default)]
 pub struct PlanInForce {
-    /// Is the revision; 0 before the first.
+    /// The revision; 0 before the first.
     pub revision: Revision,
-    /// Is the text.
+    /// The text.
     pub text: String,
-    /// Is the plan.
+    /// The plan.
     pub plan: Plan,
 }
 
@@ -51,7 +51,7 @@
     Plan,
 }
 
-/// Is what came of an offered document.
+/// What came of an offered document.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Offer {
     /// It is in force now.
--- a/crates/cactuslane-entry/src/gossip.rs
+++ b/crates/cactuslane-entry/src/gossip.rs
@@ -33,15 +33,15 @@
 /// Number of senders whose packets are told apart.
 const MAX_SENDERS: usize = 4_096;
 
-/// Is the state of the gossip task.
+/// The state of the gossip task.
 struct Gossip {
-    /// Is the state of the instance.
+    /// The state of the instance.
     shared: Arc<Shared>,
-    /// Is the socket.
+    /// The socket.
     socket: UdpSocket,
     /// Remembers the packets of each sender.
     windows: BTreeMap<InstanceId, ReplayWindow>,
-    /// Is the time of the next report of demand.
+    /// The time of the next report of demand.
     next_demand: Millis,
     /// Tells what is in progress at targets.
     publisher: Publisher,
--- a/crates/cactuslane-entry/src/gossip/publisher.rs
+++ b/crates/cactuslane-entry/src/gossip/publisher.rs
@@ -26,13 +26,13 @@
 pub struct Publisher {
     /// Holds what was published last of each target.
     published: BTreeMap<TargetId, Share>,
-    /// Is when it was looked at.
+    /// When it was looked at.
     last: Millis,
-    /// Is when it was sent.
+    /// When it was sent.
     last_sent: Millis,
     /// Says whether a dispatch waits to be published.
     waiting: bool,
-    /// Is when everything was published.
+    /// When everything was published.
     last_full: Millis,
 }
 
--- a/crates/cactuslane-entry/src/lib.rs
+++ b/crates/cactuslane-entry/src/lib.rs
@@ -36,14 +36,14 @@
 
 use shared::Shared;
 
-/// Is a running entry instance; dropping it stops it at once, as a crash does.
+/// A running entry instance; dropping it stops it at once, as a crash does.
 #[derive(Debug)]
 pub struct Entry {
-    /// Is the state that all tasks share.
+    /// The state that all tasks share.
     shared: Arc<Shared>,
     /// Holds the background tasks.
     tasks: JoinSet<()>,
-    /// Is the server for callers.
+    /// The server for callers.
     server: server::Server,
 }
 
--- a/crates/cactuslane-entry/src/metrics.rs
+++ b/crates/cactuslane-entry/src/metrics.rs
@@ -34,9 +34,9 @@
     pub refused_packets: Counter,
     /// Counts orders sent to targets.
     pub orders: Counter,
-    /// Is the revision of the configuration in force.
+    /// The revision of the configuration in force.
     pub config_revision: Gauge,
-    /// Is the revision of the plan in force.
+    /// The revision of the plan in force.
     pub plan_revision: Gauge,
     /// Measures the time to the first token, in seconds.
     pub first_token: Histogram,
@@ -49,16 +49,16 @@
 /// Labels an answer.
 #[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
 pub struct AnswerLabels {
-    /// Is the status.
+    /// The status.
     pub status: u16,
-    /// Is the outcome, or `answered`.
+    /// The outcome, or `answered`.
     pub outcome: &'static str,
 }
 
 /// Labels a dispatch.
 #[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
 pub struct TargetLabels {
-    /// Is the target.
+    /// The target.
     pub target: String,
 }
 
--- a/crates/cactuslane-entry/src/reply.rs
+++ b/crates/cactuslane-entry/src/reply.rs
@@ -11,13 +11,13 @@
 use hyper::header::HeaderValue;
 use serde_json::{Value, json};
 
-/// Is the body of an answer; an error breaks the connection.
+/// The body of an answer; an error breaks the connection.
 pub type Body = BoxBody<Bytes, io::Error>;
 
 /// Header that says whether a call that failed may have been executed.
 pub const OUTCOME_HEADER: &str = "cactuslane-outcome";
 
-/// Is a way in which a call ends without the answer of a target.
+/// A way in which a call ends without the answer of a target.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Ending {
     /// The caller has no valid token.
@@ -70,7 +70,7 @@
     TimedOut,
 }
 
-/// Is one line of the table of endings: name, status, outcome and advice.
+/// One line of the table of endings: name, status, outcome and advice.
 pub type EndingRow = (&'static str, u16, Outcome, &'static str);
 
 /// Holds every ending in the order of [`Ending`].
--- a/crates/cactuslane-entry/src/routing.rs
+++ b/crates/cactuslane-entry/src/routing.rs
@@ -37,7 +37,7 @@
     pub work: BTreeMap<ServiceName, (u64, u64)>,
     /// Holds all listed targets.
     targets: BTreeMap<TargetId, ListedTarget>,
-    /// Is the number of instances that route to the same targets.
+    /// The number of instances that route to the same targets.
     peers: usize,
     /// Seeds the routers.
     seed: u64,
@@ -49,29 +49,29 @@
     services: Vec<ServiceName>,
 }
 
-/// Is a target of the instance list.
+/// A target of the instance list.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct ListedTarget {
-    /// Is its address.
+    /// Its address.
     pub address: SocketAddr,
-    /// Is its kind.
+    /// Its kind.
     pub kind: TargetKind,
-    /// Is its failure domain.
+    /// Its failure domain.
     pub domain: String,
-    /// Is what it serves.
+    /// What it serves.
     pub service: ServiceName,
     /// Says whether the list shows it as leaving.
     pub leaving: bool,
 }
 
-/// Is a dispatch in progress; dropping it ends it in the picture.
+/// A dispatch in progress; dropping it ends it in the picture.
 #[derive(Debug)]
 pub struct Dispatch {
-    /// Is the state that holds the picture.
+    /// The state that holds the picture.
     shared: Arc<Shared>,
-    /// Is the model or service.
+    /// The model or service.
     service: ServiceName,
-    /// Is the dispatch in that picture.
+    /// The dispatch in that picture.
     id: DispatchId,
 }
 
--- a/crates/cactuslane-entry/src/server.rs
+++ b/crates/cactuslane-entry/src/server.rs
@@ -29,19 +29,19 @@
 /// Number of requests in progress at most.
 const MAX_REQUESTS: usize = 20_000;
 
-/// Is a running server.
+/// A running server.
 #[derive(Debug)]
 pub struct Server {
     /// Tells the accepting task to finish.
     finish: Option<oneshot::Sender<()>>,
-    /// Is the accepting task.
+    /// The accepting task.
     task: JoinHandle<()>,
 }
 
 /// Counts connections.
 #[derive(Debug)]
 struct Connection {
-    /// Is the number of open connections.
+    /// The number of open connections.
     open: Arc<AtomicUsize>,
 }
 
--- a/crates/cactuslane-entry/src/shared.rs
+++ b/crates/cactuslane-entry/src/shared.rs
@@ -23,22 +23,22 @@
 use crate::routing::Routing;
 use crate::traces::Traces;
 
-/// Is the state of one instance.
+/// The state of one instance.
 #[derive(Debug)]
 pub struct Shared {
     /// Holds the settings.
     pub settings: Settings,
-    /// Is the address for callers.
+    /// The address for callers.
     pub serving: SocketAddr,
-    /// Is the address for other instances.
+    /// The address for other instances.
     pub gossip: SocketAddr,
-    /// Is the incarnation.
+    /// The incarnation.
     pub incarnation: Incarnation,
     /// Authenticates messages between instances.
     pub key: Key,
     /// Gives the time.
     pub clock: Clock,
-    /// Is the client of the key-value service.
+    /// The client of the key-value service.
     pub store: Store,
     /// Sends requests that may be repeated.
     pub client: Client,
@@ -52,13 +52,13 @@
     pub documents: Documents,
     /// Wakes those who wait for a document to change.
     pub documents_changed: Notify,
-    /// Is the membership.
+    /// The membership.
     members: Mutex<Membership>,
     /// Wakes the gossip task to spread news at once.
     pub spread_now: Notify,
     /// Wakes the gossip task to tell of a dispatch.
     pub publish_now: Notify,
-    /// Is what the instance was last in contact with.
+    /// What the instance was last in contact with.
     contact: Mutex<Contact>,
     /// Holds what routing knows.
     routing: Mutex<Routing>,
@@ -68,13 +68,13 @@
     pub claims: Claims,
     /// Wakes calls that wait for another one with the same key.
     pub once_changed: Notify,
-    /// Is what the authority task last saw, for explanations.
+    /// What the authority task last saw, for explanations.
     authority: Mutex<AuthorityView>,
     /// Says whether the instance is leaving.
     leaving: AtomicBool,
-    /// Is the last request number.
+    /// The last request number.
     requests: AtomicU64,
-    /// Is the last number of a forwarded call.
+    /// The last number of a forwarded call.
     forwards: AtomicU64,
 }
 
--- a/crates/cactuslane-entry/src/traces.rs
+++ b/crates/cactuslane-entry/src/traces.rs
@@ -31,10 +31,10 @@
     ended: Arc<Mutex<VecDeque<SpanData>>>,
 }
 
-/// Is a span that has not ended; it ends when it is dropped.
+/// A span that has not ended; it ends when it is dropped.
 #[derive(Debug)]
 pub struct Span {
-    /// Is the context whose span it is.
+    /// The context whose span it is.
     context: Context,
 }
 
--- a/crates/cactuslane-entry/src/transfer.rs
+++ b/crates/cactuslane-entry/src/transfer.rs
@@ -30,18 +30,18 @@
 /// Number of exchanges that are served at once.
 const MAX_EXCHANGES: usize = 64;
 
-/// Is a request.
+/// A request.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Request {
     /// Ties the answer to the request.
     pub nonce: u64,
-    /// Is the instance that the request is for.
+    /// The instance that the request is for.
     pub to: InstanceId,
-    /// Is what is asked.
+    /// What is asked.
     pub ask: PeerAsk,
 }
 
-/// Is what one instance asks of another.
+/// What one instance asks of another.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub enum PeerAsk {
     /// Send the document that is in force.
@@ -52,38 +52,38 @@
     Mixes(InstanceId, Vec<ModelMix>),
 }
 
-/// Is what an owner passes on of one target.
+/// What an owner passes on of one target.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct TargetReport {
-    /// Is the target.
+    /// The target.
     pub target: TargetId,
-    /// Is its report.
+    /// Its report.
     pub report: EngineReport,
     /// Says whether an intent for it is written and not done.
     pub pending: bool,
 }
 
-/// Is the work of one model at one instance.
+/// The work of one model at one instance.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct ModelMix {
-    /// Is the model.
+    /// The model.
     pub model: ServiceName,
-    /// Is the prompt tokens a millisecond.
+    /// The prompt tokens a millisecond.
     pub prefill: f64,
-    /// Is the output tokens a millisecond.
+    /// The output tokens a millisecond.
     pub decode: f64,
 }
 
-/// Is an answer.
+/// An answer.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Answer {
-    /// Is the nonce of the request.
+    /// The nonce of the request.
     pub nonce: u64,
-    /// Is what is told.
+    /// What is told.
     pub tell: PeerTell,
 }
 
-/// Is what one instance tells another.
+/// What one instance tells another.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub enum PeerTell {
     /// A document with its revision; 0 where none is in force.
--- a/crates/cactuslane-entry/src/upstream.rs
+++ b/crates/cactuslane-entry/src/upstream.rs
@@ -20,14 +20,14 @@
     TimedOut,
 }
 
-/// Is the whole answer of a target.
+/// The whole answer of a target.
 #[derive(Clone, Debug)]
 pub struct Whole {
-    /// Is the status.
+    /// The status.
     pub status: u16,
     /// Holds the headers.
     pub headers: HeaderMap,
-    /// Is the body.
+    /// The body.
     pub body: Bytes,
 }
 
--- a/crates/cactuslane-member/src/addresses.rs
+++ b/crates/cactuslane-member/src/addresses.rs
@@ -10,14 +10,14 @@
 /// Number of addresses in an answer at most.
 pub const MAX_ADDRESSES: usize = 6;
 
-/// Is one address of an answer.
+/// One address of an answer.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Address {
     /// Names the instance.
     pub instance: InstanceId,
-    /// Is its address for callers.
+    /// Its address for callers.
     pub serving: SocketAddr,
-    /// Is its failure domain.
+    /// Its failure domain.
     pub domain: DomainName,
 }
 
--- a/crates/cactuslane-member/src/lib.rs
+++ b/crates/cactuslane-member/src/lib.rs
@@ -22,75 +22,75 @@
 /// Number of times that a new member's record is put on messages for others.
 const ARRIVAL_SENDS: u32 = 4;
 
-/// Is the membership as one instance sees it.
+/// The membership as one instance sees it.
 #[derive(Clone, Debug)]
 pub struct Membership {
-    /// Is this instance's own record.
+    /// This instance's own record.
     me: Record,
     /// Holds the parameters.
     params: MemberParams,
     /// Holds the other members.
     members: BTreeMap<InstanceId, Member>,
-    /// Is the order in which members are pinged.
+    /// The order in which members are pinged.
     round: Vec<InstanceId>,
-    /// Is the ping that waits for its answer.
+    /// The ping that waits for its answer.
     probe: Option<Probe>,
     /// Holds pings sent for others: our sequence, who asked, and under which sequence.
     relays: BTreeMap<u64, (SocketAddr, u64, Millis)>,
-    /// Is the time of the next period.
+    /// The time of the next period.
     next_period: Millis,
-    /// Is the last sequence number.
+    /// The last sequence number.
     sequence: u64,
     /// Says whether a suspicion was refuted that the others have to hear of.
     refuted: bool,
-    /// Is the source of randomness.
+    /// The source of randomness.
     random: Pcg64Mcg,
 }
 
 /// Holds the parameters of the failure detector.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct MemberParams {
-    /// Is the length of a period, in milliseconds.
+    /// The length of a period, in milliseconds.
     pub period: Millis,
-    /// Is the time after which others are asked to ping a silent member, in milliseconds.
+    /// The time after which others are asked to ping a silent member, in milliseconds.
     pub direct_wait: Millis,
-    /// Is the number of members that are asked.
+    /// The number of members that are asked.
     pub helpers: usize,
-    /// Is the time after which a suspected member counts as gone, in milliseconds.
+    /// The time after which a suspected member counts as gone, in milliseconds.
     pub suspicion: Millis,
-    /// Is the time for which a gone member is remembered, in milliseconds.
+    /// The time for which a gone member is remembered, in milliseconds.
     pub burial: Millis,
-    /// Is the number of records on a message at most.
+    /// The number of records on a message at most.
     pub records: usize,
 }
 
 /// Is another member.
 #[derive(Clone, Debug)]
 struct Member {
-    /// Is its record.
+    /// Its record.
     record: Record,
-    /// Is when its status last changed here.
+    /// When its status last changed here.
     changed: Millis,
-    /// Is how often its record is still put on messages.
+    /// How often its record is still put on messages.
     sends: u32,
 }
 
-/// Is a ping that waits for its answer.
+/// A ping that waits for its answer.
 #[derive(Clone, Debug)]
 struct Probe {
-    /// Is the member.
+    /// The member.
     target: InstanceId,
-    /// Is the sequence number of the ping.
+    /// The sequence number of the ping.
     sequence: u64,
-    /// Is when others are asked.
+    /// When others are asked.
     ask_at: Millis,
     /// Holds the sequence numbers of the questions to others.
     asked: Vec<u64>,
-    /// Is when the member is suspected.
+    /// When the member is suspected.
     until: Millis,
 }
 
-/// Is what the driver does for the membership.
+/// What the driver does for the membership.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Action {
     /// Send a packet.
--- a/crates/cactuslane-member/src/record.rs
+++ b/crates/cactuslane-member/src/record.rs
@@ -5,28 +5,28 @@
 use cactuslane_types::{DomainName, Incarnation, InstanceId, Revision};
 use serde::{Deserialize, Serialize};
 
-/// Is what is known of one member.
+/// What is known of one member.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Record {
     /// Names the instance.
     pub id: InstanceId,
-    /// Is its incarnation; 0 where only the instance list has named it.
+    /// Its incarnation; 0 where only the instance list has named it.
     pub incarnation: Incarnation,
     /// Counts its answers to suspicions within the incarnation.
     pub beat: u32,
-    /// Is its status.
+    /// Its status.
     pub status: Status,
-    /// Is its address for UDP and TCP between instances.
+    /// Its address for UDP and TCP between instances.
     pub gossip: SocketAddr,
-    /// Is its address for callers.
+    /// Its address for callers.
     pub serving: SocketAddr,
-    /// Is its failure domain.
+    /// Its failure domain.
     pub domain: DomainName,
     /// Holds the revisions of its documents.
     pub revisions: Revisions,
 }
 
-/// Is the status of a member.
+/// The status of a member.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub enum Status {
     /// It serves.
@@ -42,9 +42,9 @@
 /// Holds the revisions of the documents that an instance has in force.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Revisions {
-    /// Is that of the configuration.
+    /// That of the configuration.
     pub config: Revision,
-    /// Is that of the plan.
+    /// That of the plan.
     pub plan: Revision,
 }
 
--- a/crates/cactuslane-member/src/spread.rs
+++ b/crates/cactuslane-member/src/spread.rs
@@ -15,14 +15,14 @@
 /// Time between two readings by an instance that is cut from its peers, in milliseconds.
 pub const ALONE_INTERVAL: Millis = 5_000;
 
-/// Is what one instance was last in contact with.
+/// What one instance was last in contact with.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct Contact {
-    /// Is when the key-value service last answered.
+    /// When the key-value service last answered.
     pub store: Option<Millis>,
-    /// Is when another instance was last heard.
+    /// When another instance was last heard.
     pub peer: Option<Millis>,
-    /// Is the number of other instances that the list or gossip has named.
+    /// The number of other instances that the list or gossip has named.
     pub peers: usize,
     /// Says whether a configuration is in force.
     pub configured: bool,
--- a/crates/cactuslane-once/src/claim.rs
+++ b/crates/cactuslane-once/src/claim.rs
@@ -13,23 +13,23 @@
 /// Prefix of all claims.
 pub const PREFIX: &str = "cactuslane/once/";
 
-/// Is a claim as the key-value service holds it.
+/// A claim as the key-value service holds it.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Claim {
-    /// Is the instance that may execute the call.
+    /// The instance that may execute the call.
     pub instance: InstanceId,
-    /// Is its incarnation.
+    /// Its incarnation.
     pub incarnation: Incarnation,
 }
 
 /// Holds the places at which a claim of a key can stand.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct ClaimKeys {
-    /// Is the place in the bucket of now, where a new claim is made.
+    /// The place in the bucket of now, where a new claim is made.
     pub current: String,
-    /// Is the place in the bucket before.
+    /// The place in the bucket before.
     pub previous: String,
-    /// Is the place in the bucket after.
+    /// The place in the bucket after.
     pub next: String,
 }
 
--- a/crates/cactuslane-once/src/lib.rs
+++ b/crates/cactuslane-once/src/lib.rs
@@ -21,7 +21,7 @@
 
 /// Identifies a call: the caller and its idempotency key.
 pub type CallKey = (CallerId, String);
-/// Is the hash of a call's method, path and body.
+/// The hash of a call's method, path and body.
 pub type CallHash = [u8; 32];
 
 /// Remembers the keyed calls of one incarnation.
@@ -31,24 +31,24 @@
     calls: BTreeMap<CallKey, Call>,
     /// Holds the keys in the order in which they came.
     order: VecDeque<(Millis, CallKey)>,
-    /// Is the number of bytes of all remembered answers.
+    /// The number of bytes of all remembered answers.
     bytes: usize,
     /// Holds the keys with an answer, in the order in which they were answered.
     answered: VecDeque<CallKey>,
-    /// Is the number of keys that are remembered at most.
+    /// The number of keys that are remembered at most.
     max_keys: usize,
-    /// Is the number of bytes of answers that are remembered at most.
+    /// The number of bytes of answers that are remembered at most.
     max_bytes: usize,
 }
 
-/// Is the whole answer of a call.
+/// The whole answer of a call.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Answer {
-    /// Is the status.
+    /// The status.
     pub status: u16,
     /// Holds the headers that are given back.
     pub headers: Vec<(String, String)>,
-    /// Is the body.
+    /// The body.
     pub body: Vec<u8>,
 }
 
@@ -69,16 +69,16 @@
     Full,
 }
 
-/// Is one remembered call.
+/// One remembered call.
 #[derive(Clone, Debug)]
 struct Call {
-    /// Is the hash that repetitions must have.
+    /// The hash that repetitions must have.
     hash: CallHash,
-    /// Is how far the call came.
+    /// How far the call came.
     stage: Stage,
 }
 
-/// Is how far a call came.
+/// How far a call came.
 #[derive(Clone, Debug, PartialEq, Eq)]
 enum Stage {
     /// Nothing was sent, and nobody is about to.
--- a/crates/cactuslane-once/tests/register.rs
+++ b/crates/cactuslane-once/tests/register.rs
@@ -18,7 +18,7 @@
     }
 }
 
-/// Is one step of a case.
+/// One step of a case.
 #[derive(Clone, Copy, Debug)]
 enum Do {
     /// Begin with a hash, expecting a result.
--- a/crates/cactuslane-operator/src/lib.rs
+++ b/crates/cactuslane-operator/src/lib.rs
@@ -28,29 +28,29 @@
 /// Edits the document of one deployment.
 #[derive(Clone, Debug)]
 pub struct Editor {
-    /// Is the key-value service.
+    /// The key-value service.
     store: Store,
 }
 
-/// Is the document as the service holds it.
+/// The document as the service holds it.
 #[derive(Clone, Debug)]
 pub struct Current {
-    /// Is its text.
+    /// Its text.
     pub text: String,
-    /// Is its revision.
+    /// Its revision.
     pub revision: Revision,
-    /// Is the record of its last edits.
+    /// The record of its last edits.
     meta: Meta,
-    /// Is the revision of that record, or 0.
+    /// The revision of that record, or 0.
     meta_revision: Revision,
 }
 
-/// Is an edit that was accepted.
+/// An edit that was accepted.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Accepted {
-    /// Is the edit's number.
+    /// The edit's number.
     pub number: u64,
-    /// Is the revision of the document that holds it, or a later one.
+    /// The revision of the document that holds it, or a later one.
     pub revision: Revision,
 }
 
@@ -65,9 +65,9 @@
     NotPermitted(String),
     /// The section has changed since it was read.
     Conflict {
-        /// Is the edit that came between.
+        /// The edit that came between.
         theirs: Box<EditRecord>,
-        /// Is the refused text.
+        /// The refused text.
         ours: String,
     },
     /// The resulting document has faults.
@@ -340,11 +340,11 @@
     }
 }
 
-/// Is an edit that is ready to be written.
+/// An edit that is ready to be written.
 struct Prepared {
-    /// Is its number.
+    /// Its number.
     number: u64,
-    /// Is the transaction that writes it.
+    /// The transaction that writes it.
     txn: Txn,
 }
 
--- a/crates/cactuslane-operator/src/records.rs
+++ b/crates/cactuslane-operator/src/records.rs
@@ -6,43 +6,43 @@
 use cactuslane_config::Section;
 use serde::{Deserialize, Serialize};
 
-/// Is the key of the record of the last edits.
+/// The key of the record of the last edits.
 pub(crate) const META: &str = "cactuslane/edits";
 /// Number of edits that the history holds.
 const KEPT_EDITS: u64 = 200;
 
-/// Is one edit of the history.
+/// One edit of the history.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct EditRecord {
-    /// Is its number; numbers only grow.
+    /// Its number; numbers only grow.
     pub number: u64,
     /// Tells it from every other try.
     pub id: u64,
-    /// Is the section.
+    /// The section.
     pub section: String,
-    /// Is the operator's name.
+    /// The operator's name.
     pub by: String,
-    /// Is the wall-clock time in milliseconds.
+    /// The wall-clock time in milliseconds.
     pub at_ms: u64,
-    /// Is the section's text before.
+    /// The section's text before.
     pub before: String,
-    /// Is the section's text after.
+    /// The section's text after.
     pub after: String,
 }
 
-/// Is an operator.
+/// An operator.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Operator {
-    /// Is the name that the history shows.
+    /// The name that the history shows.
     pub name: String,
     /// Holds the sections that the operator may edit.
     pub sections: Vec<String>,
 }
 
-/// Is the record of the last edits.
+/// The record of the last edits.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub(crate) struct Meta {
-    /// Is the number of the last edit.
+    /// The number of the last edit.
     number: u64,
     /// Holds the number of the last edit of each section.
     sections: BTreeMap<String, u64>,
--- a/crates/cactuslane-operator/tests/editing.rs
+++ b/crates/cactuslane-operator/tests/editing.rs
@@ -12,9 +12,9 @@
 
 /// Holds a platform with a first document and two operators.
 struct Desk {
-    /// Is the platform.
+    /// The platform.
     platform: Platform,
-    /// Is the table of faults.
+    /// The table of faults.
     faults: Faults,
 }
 
--- a/crates/cactuslane-roles/src/forecast.rs
+++ b/crates/cactuslane-roles/src/forecast.rs
@@ -16,33 +16,33 @@
 /// Follows both demands with a damped trend and measures how far their ratio swings.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct Forecast {
-    /// Is the level of the prompt demand.
+    /// The level of the prompt demand.
     prefill: Trend,
-    /// Is the level of the output demand.
+    /// The level of the output demand.
     decode: Trend,
-    /// Is the mean logarithm of the ratio of both.
+    /// The mean logarithm of the ratio of both.
     ratio: f64,
-    /// Is the variance of that logarithm.
+    /// The variance of that logarithm.
     swing: f64,
-    /// Is the number of observations.
+    /// The number of observations.
     seen: u32,
 }
 
-/// Is a demand of both kinds, in tokens a millisecond.
+/// A demand of both kinds, in tokens a millisecond.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct Mix {
-    /// Is the prompt tokens to compute.
+    /// The prompt tokens to compute.
     pub prefill: f64,
-    /// Is the output tokens to generate.
+    /// The output tokens to generate.
     pub decode: f64,
 }
 
-/// Is a level with a trend.
+/// A level with a trend.
 #[derive(Clone, Copy, Debug, Default)]
 struct Trend {
-    /// Is the level.
+    /// The level.
     level: f64,
-    /// Is its change an interval.
+    /// Its change an interval.
     slope: f64,
 }
 
--- a/crates/cactuslane-roles/src/lib.rs
+++ b/crates/cactuslane-roles/src/lib.rs
@@ -26,7 +26,7 @@
     pub params: PlanParams,
     /// Whether an engine may do both kinds of work.
     pub mixed: bool,
-    /// Is the forecast of the demand.
+    /// The forecast of the demand.
     pub forecast: Forecast,
     /// Holds the time of each engine's last change.
     changed: BTreeMap<TargetId, Millis>,
@@ -35,46 +35,46 @@
 /// Holds what decides whether a change pays.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct PlanParams {
-    /// Is the capacity of each role.
+    /// The capacity of each role.
     pub rates: Rates,
-    /// Is the time that a change takes an engine away, in milliseconds.
+    /// The time that a change takes an engine away, in milliseconds.
     pub change_ms: f64,
-    /// Is the deployment's weight on a change, in lost engine seconds.
+    /// The deployment's weight on a change, in lost engine seconds.
     pub change_weight: f64,
-    /// Is the time for which a change must pay, in milliseconds.
+    /// The time for which a change must pay, in milliseconds.
     pub payback_ms: f64,
 }
 
-/// Is the time that an engine takes for one token of each kind, in milliseconds.
+/// The time that an engine takes for one token of each kind, in milliseconds.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Rates {
-    /// Is that of a prompt token on a prefill engine.
+    /// That of a prompt token on a prefill engine.
     pub prefill: f64,
-    /// Is that of an output token on a decode engine.
+    /// That of an output token on a decode engine.
     pub decode: f64,
-    /// Is that of a prompt token on a mixed engine that also generates.
+    /// That of a prompt token on a mixed engine that also generates.
     pub mixed_prefill: f64,
-    /// Is that of an output token on a mixed engine that also computes prompts.
+    /// That of an output token on a mixed engine that also computes prompts.
     pub mixed_decode: f64,
 }
 
-/// Is one change of role.
+/// One change of role.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Change {
-    /// Is the engine.
+    /// The engine.
     pub target: TargetId,
-    /// Is its new role.
+    /// Its new role.
     pub role: Role,
 }
 
-/// Is the number of engines of each role.
+/// The number of engines of each role.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
 pub struct Split {
-    /// Is the number of prefill engines.
+    /// The number of prefill engines.
     pub prefill: usize,
-    /// Is the number of decode engines.
+    /// The number of decode engines.
     pub decode: usize,
-    /// Is the number of mixed engines.
+    /// The number of mixed engines.
     pub mixed: usize,
 }
 
--- a/crates/cactuslane-route/src/fair.rs
+++ b/crates/cactuslane-route/src/fair.rs
@@ -20,13 +20,13 @@
     places: BTreeMap<Ticket, (u8, Key)>,
     /// Holds the virtual time of each caller.
     times: BTreeMap<CallerId, f64>,
-    /// Is the virtual time of the queue.
+    /// The virtual time of the queue.
     now: f64,
-    /// Is the last ticket.
+    /// The last ticket.
     last: Ticket,
 }
 
-/// Is a virtual time as an ordered number.
+/// A virtual time as an ordered number.
 type Key = u64;
 
 /// Number of callers whose virtual times are remembered at most.
--- a/crates/cactuslane-route/src/health.rs
+++ b/crates/cactuslane-route/src/health.rs
@@ -15,16 +15,16 @@
 /// Longest time that a failing target is left alone, in milliseconds.
 const LONGEST_PAUSE: Millis = 8_000;
 
-/// Is what a target's own answers say of it.
+/// What a target's own answers say of it.
 #[derive(Clone, Copy, Debug)]
 pub struct Health {
-    /// Is the logarithm of observed over expected time.
+    /// The logarithm of observed over expected time.
     slowness: f64,
-    /// Is the time of the last observation.
+    /// The time of the last observation.
     observed: Millis,
-    /// Is the number of failures in a row.
+    /// The number of failures in a row.
     failures: u32,
-    /// Is the time until which the target is left alone.
+    /// The time until which the target is left alone.
     paused: Millis,
 }
 
--- a/crates/cactuslane-route/src/limits.rs
+++ b/crates/cactuslane-route/src/limits.rs
@@ -25,25 +25,25 @@
     callers: BTreeMap<CallerId, CallerUse>,
 }
 
-/// Is the limit of one caller over the whole fleet.
+/// The limit of one caller over the whole fleet.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct CallerLimit {
-    /// Is the rate of requests a second.
+    /// The rate of requests a second.
     pub rate: f64,
-    /// Is the rate of tokens a second.
+    /// The rate of tokens a second.
     pub tokens: f64,
-    /// Is the number of requests in progress.
+    /// The number of requests in progress.
     pub concurrency: usize,
 }
 
-/// Is the demand of one caller at one instance, as gossip carries it.
+/// The demand of one caller at one instance, as gossip carries it.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct Demand {
-    /// Is the rate of requests a second that asked.
+    /// The rate of requests a second that asked.
     pub requests: f64,
-    /// Is the rate of tokens a second that asked.
+    /// The rate of tokens a second that asked.
     pub tokens: f64,
-    /// Is the number of requests in progress.
+    /// The number of requests in progress.
     pub running: f64,
 }
 
@@ -58,18 +58,18 @@
     Concurrency(Duration),
 }
 
-/// Is the use of one caller at this instance.
+/// The use of one caller at this instance.
 #[derive(Clone, Debug, Default)]
 struct CallerUse {
-    /// Is the measured demand.
+    /// The measured demand.
     demand: Demand,
-    /// Is the time of the last change.
+    /// The time of the last change.
     changed: Millis,
-    /// Is the number of requests that may start now.
+    /// The number of requests that may start now.
     requests: f64,
-    /// Is the number of tokens that may be taken now; negative after a large request.
+    /// The number of tokens that may be taken now; negative after a large request.
     tokens: f64,
-    /// Is the number of requests in progress here.
+    /// The number of requests in progress here.
     running: usize,
     /// Says whether the buckets were filled for the first time.
     filled: bool,
--- a/crates/cactuslane-route/src/picture.rs
+++ b/crates/cactuslane-route/src/picture.rs
@@ -30,17 +30,17 @@
     targets: BTreeMap<TargetId, Target>,
     /// Holds the dispatches in progress.
     dispatches: BTreeMap<DispatchId, Dispatch>,
-    /// Is the last dispatch id.
+    /// The last dispatch id.
     last_id: DispatchId,
-    /// Is the number of instances that dispatch to the same targets, this one included.
+    /// The number of instances that dispatch to the same targets, this one included.
     pub peers: usize,
-    /// Is the prompt tokens a millisecond that this instance dispatches.
+    /// The prompt tokens a millisecond that this instance dispatches.
     inflow: f64,
-    /// Is the prompt tokens dispatched in the current interval.
+    /// The prompt tokens dispatched in the current interval.
     interval_tokens: f64,
-    /// Is the start of the current interval.
+    /// The start of the current interval.
     interval_start: Millis,
-    /// Is the mean of the reported queues.
+    /// The mean of the reported queues.
     mean_queue: f64,
     /// Holds what other instances have in progress, with the time it was heard.
     shares: BTreeMap<InstanceId, (Millis, BTreeMap<TargetId, Share>)>,
@@ -48,93 +48,93 @@
     complete: bool,
     /// Measures which estimate to trust without tellings.
     trust: Trust,
-    /// Is what each estimate says of the wait at the target chosen last.
+    /// What each estimate says of the wait at the target chosen last.
     guess: Option<Guess>,
 }
 
-/// Is what the instance list and the configuration say of a target.
+/// What the instance list and the configuration say of a target.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct TargetFacts {
-    /// Is the failure domain.
+    /// The failure domain.
     pub domain: DomainName,
-    /// Is the model or plain service that it serves.
+    /// The model or plain service that it serves.
     pub service: ServiceName,
-    /// Is the role.
+    /// The role.
     pub role: Role,
     /// Says whether it takes new work.
     pub serving: bool,
 }
 
-/// Is a report of a target's load.
+/// A report of a target's load.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct Load {
-    /// Is the number of prompt tokens still to compute.
+    /// The number of prompt tokens still to compute.
     pub queued: u64,
-    /// Is the number of streams that generate.
+    /// The number of streams that generate.
     pub running: u32,
-    /// Is the number of free pieces of memory.
+    /// The number of free pieces of memory.
     pub free: u32,
-    /// Is the number of tokens in all contexts.
+    /// The number of tokens in all contexts.
     pub context: u64,
 }
 
-/// Is the work that a dispatch gives a target.
+/// The work that a dispatch gives a target.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct Work {
-    /// Is the number of prompt tokens to compute there.
+    /// The number of prompt tokens to compute there.
     pub prefill: u32,
-    /// Is the number of tokens of context.
+    /// The number of tokens of context.
     pub context: u32,
-    /// Is the number of pieces of memory it will hold.
+    /// The number of pieces of memory it will hold.
     pub pieces: u32,
     /// Says whether it generates there.
     pub decodes: bool,
 }
 
-/// Is one target.
+/// One target.
 #[derive(Clone, Debug)]
 pub struct Target {
-    /// Is what is decided elsewhere.
+    /// What is decided elsewhere.
     pub facts: TargetFacts,
-    /// Is the last report; none before the first.
+    /// The last report; none before the first.
     load: Option<Load>,
-    /// Is the time that the last report describes.
+    /// The time that the last report describes.
     measured: Millis,
     /// Holds this instance's dispatches in progress there.
     own: BTreeMap<DispatchId, (Millis, Work, bool)>,
     /// Is their sum.
     own_sum: Share,
-    /// Is the sum of what the other instances have told.
+    /// The sum of what the other instances have told.
     told: Share,
-    /// Is what its answers say.
+    /// What its answers say.
     pub health: Health,
 }
 
-/// Is one dispatch in progress.
+/// One dispatch in progress.
 #[derive(Clone, Debug)]
 struct Dispatch {
-    /// Is where it went.
+    /// Where it went.
     target: TargetId,
-    /// Is when it was sent.
+    /// When it was sent.
     sent: Millis,
-    /// Is the time that was expected to the first token, in milliseconds.
+    /// The time that was expected to the first token, in milliseconds.
     expected: f64,
-    /// Is what each estimate said of the wait, if both were asked.
+    /// What each estimate said of the wait, if both were asked.
     guess: Option<Guess>,
 }
 
-/// Is an estimate of a target's load now.
+/// An estimate of a target's load now.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct Estimate {
-    /// Is the number of prompt tokens before a new one.
+    /// The number of prompt tokens before a new one.
     pub queued: f64,
-    /// Is the number of streams that generate.
+    /// The number of streams that generate.
     pub running: f64,
-    /// Is the number of tokens in all contexts.
+    /// The number of tokens in all contexts.
     pub context: f64,
-    /// Is the number of free pieces.
+    /// The number of free pieces.
     pub free: f64,
-    /// Is the age of the report, in milliseconds.
+    /// The age of the report, in milliseconds.
     pub age: f64,
 }
 
--- a/crates/cactuslane-route/src/picture/share.rs
+++ b/crates/cactuslane-route/src/picture/share.rs
@@ -2,16 +2,16 @@
 
 use super::Work;
 
-/// Is the work that one instance has in progress at one target.
+/// The work that one instance has in progress at one target.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct Share {
-    /// Is the number of prompt tokens of requests without a first token.
+    /// The number of prompt tokens of requests without a first token.
     pub queued: u32,
-    /// Is the number of streams that generate.
+    /// The number of streams that generate.
     pub running: u32,
-    /// Is the number of tokens in the contexts of all its streams.
+    /// The number of tokens in the contexts of all its streams.
     pub context: u32,
-    /// Is the number of pieces of memory reserved for them.
+    /// The number of pieces of memory reserved for them.
     pub pieces: u32,
 }
 
--- a/crates/cactuslane-route/src/picture/trust.rs
+++ b/crates/cactuslane-route/src/picture/trust.rs
@@ -2,25 +2,25 @@
 
 use cactuslane_types::TargetId;
 
-/// Is what each estimate says of the wait at a target.
+/// What each estimate says of the wait at a target.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Guess {
-    /// Is the target.
+    /// The target.
     pub target: TargetId,
-    /// Is the wait by the last report, in milliseconds.
+    /// The wait by the last report, in milliseconds.
     pub by_report: f64,
-    /// Is the wait by this instance's own dispatches, in milliseconds.
+    /// The wait by this instance's own dispatches, in milliseconds.
     pub by_own: f64,
-    /// Is the request's own time to its first token, in milliseconds.
+    /// The request's own time to its first token, in milliseconds.
     pub rest: f64,
 }
 
 /// Measures the errors of both estimates, since nobody tells how late reports are.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub(super) struct Trust {
-    /// Is the mean error of the estimate by reports, in milliseconds.
+    /// The mean error of the estimate by reports, in milliseconds.
     pub(super) report: f64,
-    /// Is the mean error of the estimate by own dispatches, in milliseconds.
+    /// The mean error of the estimate by own dispatches, in milliseconds.
     pub(super) own: f64,
 }
 
--- a/crates/cactuslane-route/src/prefix.rs
+++ b/crates/cactuslane-route/src/prefix.rs
@@ -4,7 +4,7 @@
 
 use cactuslane_types::{Millis, TargetId};
 
-/// Is the hash of a prompt's prefix that ends at a piece's border.
+/// The hash of a prompt's prefix that ends at a piece's border.
 pub type BlockHash = u64;
 
 /// Number of prefixes that are remembered at most.
--- a/crates/cactuslane-route/src/retry.rs
+++ b/crates/cactuslane-route/src/retry.rs
@@ -8,9 +8,9 @@
 /// Allows retries as a share of first attempts.
 #[derive(Clone, Copy, Debug)]
 pub struct RetryBudget {
-    /// Is the share of first attempts that may be retried.
+    /// The share of first attempts that may be retried.
     pub share: f64,
-    /// Is the number of retries that are allowed now.
+    /// The number of retries that are allowed now.
     saved: f64,
 }
 
--- a/crates/cactuslane-route/src/router.rs
+++ b/crates/cactuslane-route/src/router.rs
@@ -27,26 +27,26 @@
 /// Decides where requests go.
 #[derive(Clone, Debug)]
 pub struct Router {
-    /// Is what is known of the targets.
+    /// What is known of the targets.
     pub picture: Picture,
-    /// Is what is believed of their prefix caches.
+    /// What is believed of their prefix caches.
     pub prefixes: PrefixMap,
-    /// Is the speed of the engines.
+    /// The speed of the engines.
     pub speed: Speed,
     /// Holds the parameters of the decision.
     pub params: RouteParams,
-    /// Is the source of randomness.
+    /// The source of randomness.
     random: Pcg64Mcg,
 }
 
 /// Holds the parameters of the routing decision.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct RouteParams {
-    /// Is the factor by which predictions are raised before they are held against a bound.
+    /// The factor by which predictions are raised before they are held against a bound.
     pub safety: f64,
-    /// Is the randomness of the choice with a fresh report, in milliseconds.
+    /// The randomness of the choice with a fresh report, in milliseconds.
     pub noise: f64,
-    /// Is the randomness that each millisecond of a report's age adds, in milliseconds.
+    /// The randomness that each millisecond of a report's age adds, in milliseconds.
     pub noise_age: f64,
     /// Says whether requests are refused when no target can meet their bound.
     pub admits: bool,
@@ -54,24 +54,24 @@
     pub splits: bool,
 }
 
-/// Is a request to be routed.
+/// A request to be routed.
 #[derive(Clone, Debug, Default)]
 pub struct Ask {
-    /// Is the model or plain service.
+    /// The model or plain service.
     pub service: ServiceName,
-    /// Is the failure domain of this instance.
+    /// The failure domain of this instance.
     pub domain: DomainName,
-    /// Is the length of the prompt in tokens; 0 for a plain service.
+    /// The length of the prompt in tokens; 0 for a plain service.
     pub prompt: u32,
-    /// Is the number of output tokens to reserve memory for.
+    /// The number of output tokens to reserve memory for.
     pub output: u32,
     /// Holds the hashes of the prompt's prefixes.
     pub blocks: Vec<BlockHash>,
-    /// Is the bound on the time to the first token, in milliseconds.
+    /// The bound on the time to the first token, in milliseconds.
     pub first_bound: f64,
-    /// Is the bound on the time between tokens, in milliseconds.
+    /// The bound on the time between tokens, in milliseconds.
     pub between_bound: f64,
-    /// Is the part of the bound that the request counts against, by its caller's share.
+    /// The part of the bound that the request counts against, by its caller's share.
     pub pressure: f64,
     /// Holds targets that were tried before; their failure domains come last.
     pub tried: Vec<TargetId>,
@@ -84,33 +84,33 @@
     Whole(TargetId),
     /// One engine computes the prompt, another one generates.
     Split {
-        /// Is the engine that computes the prompt.
+        /// The engine that computes the prompt.
         prefill: TargetId,
-        /// Is the engine that generates.
+        /// The engine that generates.
         decode: TargetId,
     },
 }
 
-/// Is a chosen plan with what is expected of it.
+/// A chosen plan with what is expected of it.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Choice {
-    /// Is the plan.
+    /// The plan.
     pub plan: Plan,
-    /// Is the expected time to the first token, in milliseconds.
+    /// The expected time to the first token, in milliseconds.
     pub first_token: f64,
-    /// Is the part of it that is a wait for other prompts, in milliseconds.
+    /// The part of it that is a wait for other prompts, in milliseconds.
     pub wait: f64,
-    /// Is the part of it that is a wait for memory, in milliseconds.
+    /// The part of it that is a wait for memory, in milliseconds.
     pub shortage: f64,
-    /// Is the number of prompt tokens expected in the cache.
+    /// The number of prompt tokens expected in the cache.
     pub cached: u32,
-    /// Is the work given to the engine that computes the prompt, or to the only one.
+    /// The work given to the engine that computes the prompt, or to the only one.
     pub work: Work,
-    /// Is the work given to the engine that generates after another one computed the prompt.
+    /// The work given to the engine that generates after another one computed the prompt.
     pub decode_work: Work,
 }
 
-/// Is the decision on a request.
+/// The decision on a request.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Verdict {
     /// The request is sent now.
@@ -123,21 +123,21 @@
     NoTarget,
 }
 
-/// Is one considered target.
+/// One considered target.
 struct Candidate<'p> {
-    /// Is the target's id.
+    /// The target's id.
     id: &'p TargetId,
-    /// Is the estimate of its load.
+    /// The estimate of its load.
     estimate: Estimate,
-    /// Is the factor by which it is slower than expected.
+    /// The factor by which it is slower than expected.
     factor: f64,
-    /// Is the cost of its place, in milliseconds.
+    /// The cost of its place, in milliseconds.
     place: f64,
-    /// Is the number of prompt tokens believed in its cache.
+    /// The number of prompt tokens believed in its cache.
     cached: u32,
-    /// Is its role.
+    /// Its role.
     role: Role,
-    /// Is the randomness of its cost, in milliseconds.
+    /// The randomness of its cost, in milliseconds.
     noise: f64,
 }
 
--- a/crates/cactuslane-route/src/share.rs
+++ b/crates/cactuslane-route/src/share.rs
@@ -23,14 +23,14 @@
     used: BTreeMap<CallerId, Used>,
 }
 
-/// Is the admitted work of one caller.
+/// The admitted work of one caller.
 #[derive(Clone, Copy, Debug)]
 struct Used {
-    /// Is the faded work, in tokens.
+    /// The faded work, in tokens.
     work: f64,
-    /// Is the caller's weight.
+    /// The caller's weight.
     weight: f64,
-    /// Is the time of the last change.
+    /// The time of the last change.
     changed: Millis,
 }
 
--- a/crates/cactuslane-route/src/speed.rs
+++ b/crates/cactuslane-route/src/speed.rs
@@ -3,25 +3,25 @@
 /// Holds the coefficients of an engine's step.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Speed {
-    /// Is the time of a step before any work, in milliseconds.
+    /// The time of a step before any work, in milliseconds.
     pub step_ms: f64,
-    /// Is the time to compute one prompt token, in milliseconds.
+    /// The time to compute one prompt token, in milliseconds.
     pub prefill_ms: f64,
-    /// Is the time that one generating stream adds to a step, in milliseconds.
+    /// The time that one generating stream adds to a step, in milliseconds.
     pub decode_ms: f64,
-    /// Is the time that 1,000 tokens of context add to a step, in milliseconds.
+    /// The time that 1,000 tokens of context add to a step, in milliseconds.
     pub context_ms: f64,
-    /// Is the factor by which a step that mixes both kinds of work is slower.
+    /// The factor by which a step that mixes both kinds of work is slower.
     pub mixing: f64,
-    /// Is the number of prompt tokens of a mixed step at most.
+    /// The number of prompt tokens of a mixed step at most.
     pub chunk: f64,
-    /// Is the number of prompt tokens of a prefill engine's step at most.
+    /// The number of prompt tokens of a prefill engine's step at most.
     pub large_chunk: f64,
-    /// Is the time to move the KV cache of 1,000 tokens between engines, in milliseconds.
+    /// The time to move the KV cache of 1,000 tokens between engines, in milliseconds.
     pub transfer_ms: f64,
-    /// Is the number of tokens that one piece of memory holds.
+    /// The number of tokens that one piece of memory holds.
     pub piece_tokens: u32,
-    /// Is the number of pieces of an engine's memory.
+    /// The number of pieces of an engine's memory.
     pub pieces: u32,
 }
 
--- a/crates/cactuslane-standin/src/batch.rs
+++ b/crates/cactuslane-standin/src/batch.rs
@@ -11,54 +11,54 @@
 
 /// Identifies a stream within one engine.
 pub type StreamId = u64;
-/// Is the hash of a prompt's prefix that ends at a piece's border.
+/// The hash of a prompt's prefix that ends at a piece's border.
 pub type BlockHash = u64;
 
 /// Holds the speeds and sizes of an engine.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct EngineParams {
-    /// Is the time of a step before any work, in milliseconds.
+    /// The time of a step before any work, in milliseconds.
     pub step_ms: f64,
-    /// Is the time to compute one prompt token, in milliseconds.
+    /// The time to compute one prompt token, in milliseconds.
     pub prefill_ms: f64,
-    /// Is the time that one generating stream adds to a step, in milliseconds.
+    /// The time that one generating stream adds to a step, in milliseconds.
     pub decode_ms: f64,
-    /// Is the time that 1,000 tokens of context add to a step, in milliseconds.
+    /// The time that 1,000 tokens of context add to a step, in milliseconds.
     pub context_ms: f64,
-    /// Is the factor by which a step that mixes both kinds of work is slower.
+    /// The factor by which a step that mixes both kinds of work is slower.
     pub mixing: f64,
-    /// Is the number of prompt tokens that a step of a mixed engine computes at most.
+    /// The number of prompt tokens that a step of a mixed engine computes at most.
     pub mixed_chunk: u32,
-    /// Is the number of prompt tokens that a step of a prefill engine computes at most.
+    /// The number of prompt tokens that a step of a prefill engine computes at most.
     pub prefill_chunk: u32,
-    /// Is the number of streams that generate at once at most.
+    /// The number of streams that generate at once at most.
     pub max_streams: usize,
-    /// Is the number of pieces of memory.
+    /// The number of pieces of memory.
     pub pieces: u32,
-    /// Is the time to move the KV cache of 1,000 tokens between engines, in milliseconds.
+    /// The time to move the KV cache of 1,000 tokens between engines, in milliseconds.
     pub transfer_ms: f64,
 }
 
-/// Is the work of one request.
+/// The work of one request.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Work {
     /// Identifies the stream.
     pub id: StreamId,
-    /// Is the priority; 0 is the most urgent.
+    /// The priority; 0 is the most urgent.
     pub priority: u8,
-    /// Is the length of the prompt in tokens.
+    /// The length of the prompt in tokens.
     pub prompt: u32,
     /// Holds the hashes of the prompt's prefixes, one a piece.
     pub blocks: Vec<BlockHash>,
-    /// Is the number of tokens to generate.
+    /// The number of tokens to generate.
     pub output: u32,
-    /// Is the number of prompt tokens whose KV cache is imported.
+    /// The number of prompt tokens whose KV cache is imported.
     pub imported: u32,
     /// Says whether the engine only computes the prompt and exports its KV cache.
     pub prefill_only: bool,
 }
 
-/// Is what happened to a stream at the end of a step.
+/// What happened to a stream at the end of a step.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum BatchEvent {
     /// A token was generated; the number counts from 1.
@@ -67,31 +67,31 @@
     Done(StreamId),
 }
 
-/// Is the result of one step.
+/// The result of one step.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct Step {
-    /// Is how long the step took.
+    /// How long the step took.
     pub time: Duration,
     /// Holds what happened at its end.
     pub events: Vec<BatchEvent>,
 }
 
-/// Is what an engine reports of its load.
+/// What an engine reports of its load.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct BatchLoad {
-    /// Is the number of prompt tokens still to compute.
+    /// The number of prompt tokens still to compute.
     pub queued: u64,
-    /// Is the number of streams that wait or compute a prompt.
+    /// The number of streams that wait or compute a prompt.
     pub waiting: u32,
-    /// Is the number of streams that generate.
+    /// The number of streams that generate.
     pub running: u32,
-    /// Is the number of free pieces of memory.
+    /// The number of free pieces of memory.
     pub free: u32,
-    /// Is the number of tokens in the contexts of all streams.
+    /// The number of tokens in the contexts of all streams.
     pub context: u64,
 }
 
-/// Is an engine's batch.
+/// An engine's batch.
 #[derive(Clone, Debug)]
 pub struct Batch {
     /// Holds the engine's speeds and sizes.
@@ -102,28 +102,28 @@
     streams: BTreeMap<StreamId, Stream>,
     /// Holds the streams that wait for memory, by priority and arrival.
     waiting: BTreeSet<(u8, u64, StreamId)>,
-    /// Is the number of arrivals so far.
+    /// The number of arrivals so far.
     arrivals: u64,
-    /// Is the number of pieces that streams hold.
+    /// The number of pieces that streams hold.
     used: u32,
-    /// Is the cache of prefixes.
+    /// The cache of prefixes.
     cache: PrefixCache,
 }
 
-/// Is a stream in a batch.
+/// A stream in a batch.
 #[derive(Clone, Debug)]
 struct Stream {
-    /// Is its work.
+    /// Its work.
     work: Work,
-    /// Is the order of its arrival.
+    /// The order of its arrival.
     arrival: u64,
-    /// Is the number of prompt tokens whose KV cache is there.
+    /// The number of prompt tokens whose KV cache is there.
     computed: u32,
-    /// Is the number of tokens generated since the prompt was computed.
+    /// The number of tokens generated since the prompt was computed.
     generated: u32,
-    /// Is the number of tokens generated in all.
+    /// The number of tokens generated in all.
     emitted: u32,
-    /// Is the number of pieces it holds; 0 while it waits.
+    /// The number of pieces it holds; 0 while it waits.
     held: u32,
 }
 
--- a/crates/cactuslane-standin/src/deployment.rs
+++ b/crates/cactuslane-standin/src/deployment.rs
@@ -2,35 +2,35 @@
 
 use std::time::Duration;
 
-/// Is a deployment.
+/// A deployment.
 #[derive(Clone, Debug)]
 pub struct Deployment {
-    /// Is its name.
+    /// Its name.
     pub name: &'static str,
     /// Holds its failure domains.
     pub domains: [&'static str; 3],
-    /// Is the number of entry instances.
+    /// The number of entry instances.
     pub entries: usize,
-    /// Is its model and the number of its engines.
+    /// Its model and the number of its engines.
     pub model: (&'static str, usize),
-    /// Is its plain service and the number of its workers.
+    /// Its plain service and the number of its workers.
     pub service: (&'static str, usize),
-    /// Is the one-way latency between failure domains.
+    /// The one-way latency between failure domains.
     pub latency: Duration,
-    /// Is the name of its time zone.
+    /// The name of its time zone.
     pub zone: &'static str,
     /// Says whether its engines check fencing numbers.
     pub fencing: bool,
 }
 
-/// Is one target of a deployment.
+/// One target of a deployment.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct TargetSpec {
     /// Names the target.
     pub name: String,
-    /// Is its failure domain.
+    /// Its failure domain.
     pub domain: &'static str,
-    /// Is the model or service that it serves.
+    /// The model or service that it serves.
     pub service: &'static str,
     /// Says whether it is a model engine.
     pub is_engine: bool,
--- a/crates/cactuslane-standin/src/engine.rs
+++ b/crates/cactuslane-standin/src/engine.rs
@@ -30,14 +30,14 @@
 /// How long a crashed engine stays away.
 const CRASH_TIME: Duration = Duration::from_millis(300);
 
-/// Is a running engine.
+/// A running engine.
 #[derive(Debug)]
 pub struct Engine {
-    /// Is the HTTP server.
+    /// The HTTP server.
     server: Server,
-    /// Is the state behind it.
+    /// The state behind it.
     state: Arc<State>,
-    /// Is the task that steps the batch.
+    /// The task that steps the batch.
     task: JoinHandle<()>,
 }
 
@@ -46,21 +46,21 @@
 pub struct EngineSpec {
     /// Names the engine.
     pub name: String,
-    /// Is the model that it has loaded.
+    /// The model that it has loaded.
     pub model: String,
     /// Holds its speeds and sizes.
     pub params: EngineParams,
-    /// Is the factor by which it runs faster than its parameters say.
+    /// The factor by which it runs faster than its parameters say.
     pub pace: f64,
-    /// Is how far its load reports are behind.
+    /// How far its load reports are behind.
     pub lag: Duration,
     /// Says whether it refuses orders with an old fencing number.
     pub checks_fencing: bool,
-    /// Is the time that a role change takes.
+    /// The time that a role change takes.
     pub change_time: Duration,
 }
 
-/// Is the state of an engine.
+/// The state of an engine.
 #[derive(Debug)]
 struct State {
     /// Says how it behaves.
@@ -69,16 +69,16 @@
     inner: Mutex<Inner>,
     /// Wakes the stepping task.
     work: Notify,
-    /// Is the table of faults.
+    /// The table of faults.
     faults: Faults,
 }
 
-/// Is the guarded state.
+/// The guarded state.
 #[derive(Debug)]
 struct Inner {
-    /// Is the batch.
+    /// The batch.
     batch: Batch,
-    /// Is the last stream id.
+    /// The last stream id.
     last_id: StreamId,
     /// Holds where the tokens of each stream go.
     outputs: BTreeMap<StreamId, mpsc::Sender<Progress>>,
@@ -86,11 +86,11 @@
     reports: VecDeque<(Instant, Value)>,
     /// Holds the latest cache events.
     events: VecDeque<Value>,
-    /// Is the number of the last cache event.
+    /// The number of the last cache event.
     last_event: u64,
-    /// Is the state that orders change.
+    /// The state that orders change.
     orders: OrderState,
-    /// Is the time until which the engine is away.
+    /// The time until which the engine is away.
     away_until: Option<Instant>,
     /// Counts how often a request id was started.
     runs: BTreeMap<String, u64>,
@@ -98,7 +98,7 @@
     cut: u64,
 }
 
-/// Is what a stream's reader is told.
+/// What a stream's reader is told.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Progress {
     /// A token with its number from 1.
--- a/crates/cactuslane-standin/src/engine/orders.rs
+++ b/crates/cactuslane-standin/src/engine/orders.rs
@@ -10,37 +10,37 @@
 use crate::faults::FaultKind;
 use crate::http::{self, Answer};
 
-/// Is the state of an engine that orders change.
+/// The state of an engine that orders change.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct OrderState {
-    /// Is the role.
+    /// The role.
     pub role: String,
     /// Holds the loaded models.
     pub models: BTreeSet<String>,
     /// Holds the loaded adapters.
     pub adapters: BTreeSet<String>,
-    /// Is the version that runs.
+    /// The version that runs.
     pub version: String,
-    /// Is the highest fencing number seen.
+    /// The highest fencing number seen.
     pub fencing: u64,
-    /// Is the number of the order that a crash left half done; 0 for none.
+    /// The number of the order that a crash left half done; 0 for none.
     pub half_done: u64,
     /// Holds every order that took effect.
     pub history: Vec<OrderRecord>,
 }
 
-/// Is one order that took effect.
+/// One order that took effect.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct OrderRecord {
-    /// Is the order's number.
+    /// The order's number.
     pub order: u64,
-    /// Is the fencing number that it carried.
+    /// The fencing number that it carried.
     pub fencing: u64,
-    /// Is the order's kind.
+    /// The order's kind.
     pub kind: String,
-    /// Is the name or role that it carried.
+    /// The name or role that it carried.
     pub value: String,
-    /// Is the number of streams that were in progress when it took effect.
+    /// The number of streams that were in progress when it took effect.
     pub streams: usize,
 }
 
--- a/crates/cactuslane-standin/src/engine/prompt.rs
+++ b/crates/cactuslane-standin/src/engine/prompt.rs
@@ -17,26 +17,26 @@
     "survey", "corridor", "baseline", "morning", "square", "tally",
 ];
 
-/// Is a parsed request.
+/// A parsed request.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Ask {
-    /// Is the model's name.
+    /// The model's name.
     pub model: String,
-    /// Is the request's id, given by the sender.
+    /// The request's id, given by the sender.
     pub request: String,
     /// Says whether the answer is streamed.
     pub stream: bool,
     /// Says whether it came over the chat interface.
     pub chat: bool,
-    /// Is the length of the prompt in tokens.
+    /// The length of the prompt in tokens.
     pub prompt: u32,
-    /// Is the number of tokens to generate.
+    /// The number of tokens to generate.
     pub output: u32,
     /// Holds the hashes of the prompt's prefixes.
     pub blocks: Vec<BlockHash>,
-    /// Is the priority; 0 is the most urgent.
+    /// The priority; 0 is the most urgent.
     pub priority: u8,
-    /// Is the number of tokens that the caller already has.
+    /// The number of tokens that the caller already has.
     pub resume_from: u32,
     /// Says which part of the work another engine does.
     pub transfer: Transfer,
--- a/crates/cactuslane-standin/src/faults.rs
+++ b/crates/cactuslane-standin/src/faults.rs
@@ -5,14 +5,14 @@
 
 use serde::{Deserialize, Serialize};
 
-/// Is a table of faults that stand-ins share.
+/// A table of faults that stand-ins share.
 #[derive(Clone, Debug, Default)]
 pub struct Faults {
     /// Holds the entries of the table.
     table: Arc<Mutex<Vec<Fault>>>,
 }
 
-/// Is one entry of the table.
+/// One entry of the table.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Fault {
@@ -20,20 +20,20 @@
     pub target: String,
     /// Names the operation, such as `call`, `order`, `read`, `write` or `list`, or `*` for all.
     pub on: String,
-    /// Is what happens.
+    /// What happens.
     pub kind: FaultKind,
-    /// Is the number of operations that pass first.
+    /// The number of operations that pass first.
     #[serde(default)]
     pub after: u32,
-    /// Is the number of operations that are hit.
+    /// The number of operations that are hit.
     #[serde(default = "one")]
     pub count: u32,
-    /// Is the delay of a slow operation, in milliseconds.
+    /// The delay of a slow operation, in milliseconds.
     #[serde(default)]
     pub delay_ms: u64,
 }
 
-/// Is what a fault does to one operation.
+/// What a fault does to one operation.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "lowercase")]
 pub enum FaultKind {
@@ -108,7 +108,7 @@
     }
 }
 
-/// Is the default number of operations that a fault hits.
+/// The default number of operations that a fault hits.
 fn one() -> u32 {
     1
 }
--- a/crates/cactuslane-standin/src/http.rs
+++ b/crates/cactuslane-standin/src/http.rs
@@ -19,17 +19,17 @@
 
 use crate::faults::{Fault, FaultKind};
 
-/// Is the body of an answer; an error ends the connection.
+/// The body of an answer; an error ends the connection.
 pub type Body = BoxBody<Bytes, io::Error>;
-/// Is an answer, or an error that closes the connection without one.
+/// An answer, or an error that closes the connection without one.
 pub type Answer = io::Result<Response<Body>>;
 
-/// Is a running server; dropping it closes all connections.
+/// A running server; dropping it closes all connections.
 #[derive(Debug)]
 pub struct Server {
-    /// Is the address that it listens on.
+    /// The address that it listens on.
     pub address: SocketAddr,
-    /// Is the task that accepts connections.
+    /// The task that accepts connections.
     task: JoinHandle<()>,
 }
 
@@ -115,7 +115,7 @@
     }
 }
 
-/// Is the error that closes a connection without an answer.
+/// The error that closes a connection without an answer.
 #[must_use]
 pub fn closed() -> io::Error {
     io::Error::new(io::ErrorKind::ConnectionReset, "closed by a fault")
@@ -170,9 +170,9 @@
     PollStream { poll }
 }
 
-/// Is a stream made from a poll function.
+/// A stream made from a poll function.
 struct PollStream<P> {
-    /// Is the function.
+    /// The function.
     poll: P,
 }
 
--- a/crates/cactuslane-standin/src/kv.rs
+++ b/crates/cactuslane-standin/src/kv.rs
@@ -14,48 +14,48 @@
 pub struct Kv {
     /// Holds the keys.
     keys: BTreeMap<Vec<u8>, Item>,
-    /// Is the revision of the last change.
+    /// The revision of the last change.
     revision: u64,
     /// Holds the latest changes.
     log: VecDeque<Change>,
     /// Holds the leases.
     leases: BTreeMap<i64, Lease>,
-    /// Is the last lease id.
+    /// The last lease id.
     last_lease: i64,
-    /// Is the lowest revision that watches can read.
+    /// The lowest revision that watches can read.
     compacted: u64,
 }
 
-/// Is the value of a key.
+/// The value of a key.
 #[derive(Clone, Debug)]
 struct Item {
-    /// Is the value's bytes.
+    /// The value's bytes.
     value: Vec<u8>,
-    /// Is the revision that created the key.
+    /// The revision that created the key.
     created: u64,
-    /// Is the revision of the last change.
+    /// The revision of the last change.
     modified: u64,
-    /// Is the lease that the key lives under; 0 for none.
+    /// The lease that the key lives under; 0 for none.
     lease: i64,
 }
 
-/// Is one change for watches.
+/// One change for watches.
 #[derive(Clone, Debug)]
 struct Change {
-    /// Is the key.
+    /// The key.
     key: Vec<u8>,
-    /// Is the new item; none for a deletion.
+    /// The new item; none for a deletion.
     item: Option<Item>,
-    /// Is the change's revision.
+    /// The change's revision.
     revision: u64,
 }
 
-/// Is a lease.
+/// A lease.
 #[derive(Clone, Copy, Debug)]
 struct Lease {
-    /// Is the time to live, in milliseconds.
+    /// The time to live, in milliseconds.
     ttl: u64,
-    /// Is when it lapses.
+    /// When it lapses.
     until: u64,
 }
 
--- a/crates/cactuslane-standin/src/platform.rs
+++ b/crates/cactuslane-standin/src/platform.rs
@@ -18,22 +18,22 @@
 use crate::http::{self, Answer, Body, Server};
 use crate::kv::{self, Kv};
 
-/// Is the name under which fault tables address the platform.
+/// The name under which fault tables address the platform.
 pub const NAME: &str = "platform";
 
-/// Is a running platform.
+/// A running platform.
 #[derive(Debug)]
 pub struct Platform {
-    /// Is the HTTP server.
+    /// The HTTP server.
     server: Server,
-    /// Is the state behind it.
+    /// The state behind it.
     state: Arc<State>,
 }
 
-/// Is one instance of the list.
+/// One instance of the list.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Instance {
-    /// Is the address that it serves on.
+    /// The address that it serves on.
     pub address: SocketAddr,
     /// Holds its labels.
     pub labels: BTreeMap<String, String>,
@@ -52,25 +52,25 @@
     pub lists: u64,
 }
 
-/// Is the state of a platform.
+/// The state of a platform.
 #[derive(Debug)]
 struct State {
     /// Holds what is guarded.
     inner: Mutex<Inner>,
     /// Wakes watches.
     changed: Notify,
-    /// Is the table of faults.
+    /// The table of faults.
     faults: Faults,
-    /// Is the origin of the clock.
+    /// The origin of the clock.
     start: Instant,
-    /// Is how far the list is behind.
+    /// How far the list is behind.
     lag: Duration,
 }
 
-/// Is the guarded state.
+/// The guarded state.
 #[derive(Debug, Default)]
 struct Inner {
-    /// Is the key-value service.
+    /// The key-value service.
     kv: Kv,
     /// Holds the list, as it is.
     instances: BTreeMap<String, Instance>,
@@ -80,7 +80,7 @@
     down: bool,
     /// Counts the calls.
     counts: Counts,
-    /// Is the time of the next grant of the weight store.
+    /// The time of the next grant of the weight store.
     next_weights: Option<Instant>,
 }
 
--- a/crates/cactuslane-standin/src/service.rs
+++ b/crates/cactuslane-standin/src/service.rs
@@ -18,12 +18,12 @@
 /// Header that identifies a request.
 const REQUEST_HEADER: &str = "x-request-id";
 
-/// Is a running worker.
+/// A running worker.
 #[derive(Debug)]
 pub struct Worker {
-    /// Is the HTTP server.
+    /// The HTTP server.
     server: Server,
-    /// Is the register that it shares with the other workers of its service.
+    /// The register that it shares with the other workers of its service.
     register: Register,
 }
 
--- a/crates/cactuslane-store/src/http.rs
+++ b/crates/cactuslane-store/src/http.rs
@@ -23,7 +23,7 @@
 /// Sends requests over kept connections.
 #[derive(Clone, Debug)]
 pub struct Client {
-    /// Is the pool of connections.
+    /// The pool of connections.
     pool: hyper_util::client::legacy::Client<HttpConnector, Full<Bytes>>,
 }
 
@@ -262,7 +262,7 @@
     Ok(body.to_bytes())
 }
 
-/// Is the error of an answer that did not come in time.
+/// The error of an answer that did not come in time.
 fn late(wait: Duration) -> HttpError {
     HttpError::Broken(format!("no answer within {} ms", wait.as_millis()))
 }
--- a/crates/cactuslane-store/src/lib.rs
+++ b/crates/cactuslane-store/src/lib.rs
@@ -24,10 +24,10 @@
 /// Longest time that one call to the service may take.
 const CALL_TIMEOUT: Duration = Duration::from_secs(2);
 
-/// Is a client of the key-value service; clones share its connections and counters.
+/// A client of the key-value service; clones share its connections and counters.
 #[derive(Clone, Debug)]
 pub struct Store {
-    /// Is the service's address.
+    /// The service's address.
     address: SocketAddr,
     /// Sends the requests.
     client: Client,
@@ -46,20 +46,20 @@
     pub failures: AtomicU64,
 }
 
-/// Is a key's value with the revisions that the service keeps.
+/// A key's value with the revisions that the service keeps.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Record {
-    /// Is the key.
+    /// The key.
     pub key: String,
-    /// Is the value.
+    /// The value.
     pub value: Vec<u8>,
-    /// Is the revision that created the key.
+    /// The revision that created the key.
     pub created: u64,
-    /// Is the revision of the last change.
+    /// The revision of the last change.
     pub modified: u64,
 }
 
-/// Is a condition of a transaction.
+/// A condition of a transaction.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Compare {
     /// The key does not exist.
@@ -70,7 +70,7 @@
     Created(String, u64),
 }
 
-/// Is one step of a transaction.
+/// One step of a transaction.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Op {
     /// Writes a value, under a lease if one is given.
@@ -85,7 +85,7 @@
     Txn(Txn),
 }
 
-/// Is a transaction: the first list if all conditions hold, else the second.
+/// A transaction: the first list if all conditions hold, else the second.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Txn {
     /// Holds the conditions.
@@ -96,12 +96,12 @@
     pub otherwise: Vec<Op>,
 }
 
-/// Is the answer to a transaction.
+/// The answer to a transaction.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct TxnAnswer {
     /// Says whether the conditions held.
     pub held: bool,
-    /// Is the service's revision after the transaction.
+    /// The service's revision after the transaction.
     pub revision: u64,
     /// Holds what each `Get` read, in order.
     pub reads: Vec<Option<Record>>,
--- a/crates/cactuslane-store/src/list.rs
+++ b/crates/cactuslane-store/src/list.rs
@@ -12,26 +12,26 @@
 /// Longest time that reading the list may take.
 const LIST_TIMEOUT: Duration = Duration::from_secs(2);
 
-/// Is one instance of the list.
+/// One instance of the list.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Listed {
     /// Names the instance.
     pub instance: InstanceId,
-    /// Is the address that it serves on.
+    /// The address that it serves on.
     pub address: SocketAddr,
-    /// Is its kind.
+    /// Its kind.
     pub kind: ListedKind,
-    /// Is its failure domain.
+    /// Its failure domain.
     pub domain: DomainName,
-    /// Is the model or plain service that it serves; empty for an entry.
+    /// The model or plain service that it serves; empty for an entry.
     pub service: ServiceName,
     /// Says whether it is leaving.
     pub leaving: bool,
-    /// Is the address for UDP of an entry.
+    /// The address for UDP of an entry.
     pub gossip: Option<SocketAddr>,
 }
 
-/// Is the kind of a listed instance.
+/// The kind of a listed instance.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum ListedKind {
     /// An entry instance of this system.
@@ -42,7 +42,7 @@
     Service,
 }
 
-/// Is one group of the published format.
+/// One group of the published format.
 #[derive(Debug, Deserialize)]
 struct Group {
     /// Holds addresses.
@@ -57,9 +57,9 @@
 pub struct ListReader {
     /// Sends the requests.
     client: Client,
-    /// Is the list's address.
+    /// The list's address.
     address: SocketAddr,
-    /// Is the tag of the list that was read last.
+    /// The tag of the list that was read last.
     tag: Option<String>,
 }
 
--- a/crates/cactuslane-store/tests/contract.rs
+++ b/crates/cactuslane-store/tests/contract.rs
@@ -252,7 +252,7 @@
     });
 }
 
-/// Is an operation on one register.
+/// An operation on one register.
 #[derive(Clone, Debug)]
 enum RegisterOp {
     /// Reads a value, empty where the key is absent; none before the answer.
--- a/crates/cactuslane-types/src/lib.rs
+++ b/crates/cactuslane-types/src/lib.rs
@@ -50,7 +50,7 @@
     }
 }
 
-/// Is the kind of work that a model engine takes.
+/// The kind of work that a model engine takes.
 #[derive(
     Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
 )]
@@ -100,7 +100,7 @@
     }
 }
 
-/// Is the kind of a back end.
+/// The kind of a back end.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 #[serde(rename_all = "lowercase")]
 pub enum TargetKind {
--- a/crates/cactuslane-wire/src/lib.rs
+++ b/crates/cactuslane-wire/src/lib.rs
@@ -21,7 +21,7 @@
 /// Authenticates messages between the instances of one deployment.
 #[derive(Clone)]
 pub struct Key {
-    /// Is the shared secret.
+    /// The shared secret.
     secret: Vec<u8>,
 }
 
--- a/crates/cactuslane-wire/src/replay.rs
+++ b/crates/cactuslane-wire/src/replay.rs
@@ -8,9 +8,9 @@
 /// Remembers which messages of one sender were seen, in constant space.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct ReplayWindow {
-    /// Is the sender's incarnation that the numbers belong to.
+    /// The sender's incarnation that the numbers belong to.
     incarnation: Incarnation,
-    /// Is the highest sequence number seen.
+    /// The highest sequence number seen.
     highest: u64,
     /// Holds a bit for each of the numbers at and below the highest.
     seen: u64,
--- a/crates/cactuslane-wire/src/token.rs
+++ b/crates/cactuslane-wire/src/token.rs
@@ -11,30 +11,30 @@
 /// Carries what another instance needs to take up a stream.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct ResumeToken {
-    /// Is the caller that the stream belongs to.
+    /// The caller that the stream belongs to.
     pub caller: CallerId,
-    /// Is the id under which the engine knows the stream.
+    /// The id under which the engine knows the stream.
     pub request: String,
-    /// Is the hash of the request's body.
+    /// The hash of the request's body.
     pub body: [u8; 32],
-    /// Is the model.
+    /// The model.
     pub model: ServiceName,
-    /// Is the engine that generated the tokens so far.
+    /// The engine that generated the tokens so far.
     pub target: TargetId,
 }
 
-/// Is an idempotency key bound to one incarnation of one instance.
+/// An idempotency key bound to one incarnation of one instance.
 ///
 /// Only that incarnation may execute a call that carries the key.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct IssuedKey {
-    /// Is the caller that the key was issued to.
+    /// The caller that the key was issued to.
     pub caller: CallerId,
-    /// Is the instance that may execute the call.
+    /// The instance that may execute the call.
     pub instance: InstanceId,
-    /// Is the instance's incarnation.
+    /// The instance's incarnation.
     pub incarnation: Incarnation,
-    /// Is the wall-clock time at which it was issued, in milliseconds.
+    /// The wall-clock time at which it was issued, in milliseconds.
     pub issued: Millis,
     /// Makes keys of one caller and incarnation differ.
     pub serial: u64,
@@ -43,19 +43,19 @@
 /// Proves that a forwarded call comes from an instance of the deployment.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct ForwardProof {
-    /// Is the instance that forwards.
+    /// The instance that forwards.
     pub from: InstanceId,
-    /// Is its incarnation.
+    /// Its incarnation.
     pub incarnation: Incarnation,
-    /// Is the number of the forwarded call within that incarnation.
+    /// The number of the forwarded call within that incarnation.
     pub sequence: u64,
-    /// Is the instance that the call is forwarded to.
+    /// The instance that the call is forwarded to.
     pub to: InstanceId,
-    /// Is the incarnation that it is forwarded to.
+    /// The incarnation that it is forwarded to.
     pub to_incarnation: Incarnation,
-    /// Is the caller on whose behalf it is forwarded.
+    /// The caller on whose behalf it is forwarded.
     pub caller: CallerId,
-    /// Is the hash of the call: method, path, key and body.
+    /// The hash of the call: method, path, key and body.
     pub call: [u8; 32],
 }
 
--- a/crates/cactuslane/src/config.rs
+++ b/crates/cactuslane/src/config.rs
@@ -25,7 +25,7 @@
     action: Action,
 }
 
-/// Is what is done with the document.
+/// What is done with the document.
 #[derive(Debug, FromArgs)]
 #[argh(subcommand)]
 enum Action {
--- a/crates/cactuslane/src/main.rs
+++ b/crates/cactuslane/src/main.rs
@@ -24,7 +24,7 @@
     command: Command,
 }
 
-/// Is a command.
+/// A command.
 #[derive(Debug, FromArgs)]
 #[argh(subcommand)]
 enum Command {
--- a/crates/cactuslane/tests/processes.rs
+++ b/crates/cactuslane/tests/processes.rs
@@ -21,11 +21,11 @@
 /// Path of calls that may not be repeated.
 const PATH: &str = "/services/registru-anchete/counts";
 
-/// Is an instance in a process of its own; dropping it kills the process.
+/// An instance in a process of its own; dropping it kills the process.
 struct Process {
-    /// Is the process.
+    /// The process.
     child: Child,
-    /// Is the instance's address for callers.
+    /// The instance's address for callers.
     address: SocketAddr,
 }
 
