Name suspected instances where no other is left

Change: an answer names suspected members where no member is alive; leaving ones and those that are gone stay out.

--- a/crates/cactuslane-member/src/addresses.rs
+++ b/crates/cactuslane-member/src/addresses.rs
@@ -26,7 +26,7 @@
 /// Each caller has home instances, those with the highest hash of both names, so that its limits
 /// are shared between few. Those in the caller's failure domain come first; the seed of the
 /// question turns the order within each group, so that callers of one name spread evenly. Members
-/// that leave, are suspected or gone never stand in an answer.
+/// that leave or are gone never stand in an answer, suspected ones only where no other is left.
 #[must_use]
 pub fn choose<'r>(
     members: impl Iterator<Item = &'r Record>,
@@ -34,7 +34,12 @@
     near: &str,
     seed: u64,
 ) -> Vec<Address> {
-    let mut homes = homes(members, caller);
+    let members: Vec<&Record> = members.collect();
+    let mut homes = homes(members.iter().copied(), caller);
+    if homes.is_empty() {
+        // Whoever hears nobody may be the one that is cut off or slow.
+        homes = ranked(members.into_iter(), caller, Status::Suspect);
+    }
     let rank = |record: &&Record| {
         let mut hasher = DefaultHasher::new();
         hasher.write_u64(seed);
@@ -58,7 +63,16 @@
 /// One instance of each failure domain comes before a second of any.
 #[must_use]
 pub fn homes<'r>(members: impl Iterator<Item = &'r Record>, caller: &str) -> Vec<&'r Record> {
-    let serves = |record: &&Record| record.status == Status::Alive && record.serving.port() != 0;
+    ranked(members, caller, Status::Alive)
+}
+
+/// Returns the home instances among those with a status.
+fn ranked<'r>(
+    members: impl Iterator<Item = &'r Record>,
+    caller: &str,
+    status: Status,
+) -> Vec<&'r Record> {
+    let serves = |record: &&Record| record.status == status && record.serving.port() != 0;
     let mut ranked: Vec<(u64, &Record)> = members
         .filter(serves)
         .map(|record| (home_rank(caller, &record.id), record))
--- a/crates/cactuslane-member/src/lib.rs
+++ b/crates/cactuslane-member/src/lib.rs
@@ -64,7 +64,7 @@
     pub records: usize,
 }
 
-/// Is another member.
+/// Another member.
 #[derive(Clone, Debug)]
 struct Member {
     /// Its record.
--- a/crates/cactuslane-member/tests/spread.rs
+++ b/crates/cactuslane-member/tests/spread.rs
@@ -112,3 +112,17 @@
         "{first:?}"
     );
 }
+
+#[test]
+fn suspected_members_are_named_only_where_no_other_is_left() {
+    let mut members = members(3);
+    for member in &mut members {
+        member.status = Status::Suspect;
+    }
+    let chosen = |members: &[Record]| addresses::choose(members.iter(), "desk", "", 1).len();
+    assert_eq!(chosen(&members), 3);
+    members[1].status = Status::Alive;
+    assert_eq!(chosen(&members), 1);
+    members[1].status = Status::Leaving;
+    assert_eq!(chosen(&members), 2);
+}
