--- a/crates/cactuslane-authority/tests/exploration.rs
+++ b/crates/cactuslane-authority/tests/exploration.rs
@@ -21,7 +21,7 @@
 /// Number of steps without faults after them.
 const CALM_STEPS: usize = 6_000;
 
-/// Is everything that the processes share.
+/// Everything that the processes share.
 struct World {
     /// The time, in milliseconds.
     now: u64,
--- a/crates/cactuslane-bench/src/sim.rs
+++ b/crates/cactuslane-bench/src/sim.rs
@@ -58,7 +58,7 @@
     outcome: Outcome,
 }
 
-/// Is something that happens.
+/// Something that happens.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 enum Event {
     /// A request arrives, for the first time or again.
--- a/crates/cactuslane-gateway/src/lib.rs
+++ b/crates/cactuslane-gateway/src/lib.rs
@@ -22,12 +22,14 @@
 pub mod upstream;
 
 use std::fmt;
+use std::io;
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
 use cactuslane_platform::Settings;
 use log::info;
-use tokio::net::TcpListener;
+use tokio::net::{TcpListener, UdpSocket};
 use tokio::task::JoinHandle;
 
 pub use state::Gateway;
@@ -62,14 +64,15 @@
     /// # Errors
     ///
     /// Returns an error where an address can't be bound.
-    pub async fn spawn(settings: Settings) -> Result<Running, SpawnError> {
-        let front = bind(settings.front, "front").await?;
-        let ready = bind(settings.ready, "ready").await?;
-        let socket = tokio::net::UdpSocket::bind(settings.peer).await;
-        let socket = socket
-            .map_err(|error| SpawnError(format!("peer address {}: {error}", settings.peer)))?;
+    pub async fn spawn(mut settings: Settings) -> Result<Running, SpawnError> {
+        let front = bind(&mut settings.front, "front").await?;
+        let ready = bind(&mut settings.ready, "ready").await?;
+        let failed =
+            |error: io::Error| SpawnError(format!("peer address {}: {error}", settings.peer));
+        let socket = UdpSocket::bind(settings.peer).await.map_err(failed)?;
+        settings.peer = socket.local_addr().map_err(failed)?;
         let directory = match settings.directory {
-            Some(address) => Some(bind(address, "directory").await?),
+            Some(ref mut address) => Some(bind(address, "directory").await?),
             None => None,
         };
         info!(instance = settings.instance, front:% = settings.front; "started");
@@ -115,9 +118,11 @@
     }
 }
 
-/// Binds one address.
-async fn bind(address: std::net::SocketAddr, name: &str) -> Result<TcpListener, SpawnError> {
-    TcpListener::bind(address)
-        .await
-        .map_err(|error| SpawnError(format!("{name} address {address}: {error}")))
+/// Binds one address; port 0 becomes the port that was taken.
+async fn bind(address: &mut SocketAddr, name: &str) -> Result<TcpListener, SpawnError> {
+    let failed = |error: io::Error| SpawnError(format!("{name} address {address}: {error}"));
+    let listener = TcpListener::bind(*address).await.map_err(failed)?;
+    let bound = listener.local_addr().map_err(failed)?;
+    *address = bound;
+    Ok(listener)
 }
--- a/crates/cactuslane-route/src/picture.rs
+++ b/crates/cactuslane-route/src/picture.rs
@@ -102,7 +102,7 @@
     measured: Millis,
     /// Holds this instance's dispatches in progress there.
     own: BTreeMap<DispatchId, (Millis, Work, bool)>,
-    /// Is their sum.
+    /// Their sum.
     own_sum: Share,
     /// The sum of what the other instances have told.
     told: Share,
--- a/crates/cactuslane-standin/src/service.rs
+++ b/crates/cactuslane-standin/src/service.rs
@@ -27,7 +27,7 @@
     register: Register,
 }
 
-/// Is told of each run of a key.
+/// Hears of each run of a key.
 type Observer = dyn Fn(&str) + Send + Sync;
 
 /// Counts the runs of each key, for all workers of one service.
@@ -35,7 +35,7 @@
 pub struct Register {
     /// Holds the counts.
     runs: Arc<Mutex<BTreeMap<String, u64>>>,
-    /// Is told of each run, if somebody observes.
+    /// Hears of each run, if somebody observes.
     observer: Option<Arc<Observer>>,
 }
 
