Do not ask an engine again that another one has replaced

Change: 421 from another id takes the target out of the choice until its entry changes; an engine that gave no prompt counts as tried.

--- a/crates/cactuslane-gateway/src/fleet.rs
+++ b/crates/cactuslane-gateway/src/fleet.rs
@@ -31,6 +31,8 @@
     target: Target,
     /// The time at which it vanished from the store.
     lapsed: Option<Millis>,
+    /// Whether another target was found at its address.
+    replaced: bool,
     /// The role that the store names, where the target's own answers name another.
     stated: Option<Role>,
 }
@@ -94,15 +96,31 @@
         };
         let id = target.id.clone();
         let lapsed = None;
+        let replaced = effect == Effect::Same && self.is_replaced(&id);
         let entry = Entry {
             target,
             lapsed,
+            replaced,
             stated,
         };
         self.targets.insert(id, entry);
         effect
     }
 
+    /// Records that another target was found at a target's address.
+    ///
+    /// It gets no more work until its entry changes.
+    pub fn saw_replaced(&mut self, id: &str) {
+        if let Some(entry) = self.targets.get_mut(id) {
+            entry.replaced = true;
+        }
+    }
+
+    /// Returns whether another target was found at a target's address.
+    fn is_replaced(&self, id: &str) -> bool {
+        self.targets.get(id).is_some_and(|entry| entry.replaced)
+    }
+
     /// Records that a target's own answer shows another role than the store names.
     pub fn saw_role(&mut self, id: &str, role: Role) {
         let Some(entry) = self.targets.get_mut(id) else {
@@ -180,7 +198,7 @@
 
     /// Returns whether a target takes new work, if need be after it vanished.
     fn may_use(&self, entry: &Entry, now: Millis) -> bool {
-        if entry.target.state == TargetState::Draining {
+        if entry.target.state == TargetState::Draining || entry.replaced {
             return false;
         }
         let Some(lapsed) = entry.lapsed else {
--- a/crates/cactuslane-gateway/src/generation.rs
+++ b/crates/cactuslane-gateway/src/generation.rs
@@ -383,6 +383,7 @@
                 Ok(prompt) => self.prompt = Some(prompt),
                 Err((ending, why)) => {
                     info!(request = self.job.ask.id, target_id = prefill.id, why; "no prompt");
+                    self.tried.push(prefill.id);
                     // A prompt that may have been computed is no run of the request.
                     let kept = matches!(ending, Ending::Unsent | Ending::Late);
                     return Err((if kept { ending } else { Ending::Rejected }, None));
--- a/crates/cactuslane-gateway/src/plain.rs
+++ b/crates/cactuslane-gateway/src/plain.rs
@@ -208,9 +208,13 @@
         info!(target_id = target.id, role:? = role; "target has another role");
         gateway.fleet().saw_role(&target.id, role);
     }
+    if verdict == Verdict::Replaced {
+        info!(target_id = target.id; "another target has the address");
+        gateway.fleet().saw_replaced(&target.id);
+    }
     match verdict {
         Verdict::Answer => Ok((lent, response)),
-        Verdict::NotRun | Verdict::WrongRole => {
+        Verdict::NotRun | Verdict::WrongRole | Verdict::Replaced => {
             let keep = exchange::keep_alive(response.headers());
             let body = Limited::new(response.into_body(), MAX_ANSWER)
                 .collect()
--- a/crates/cactuslane-gateway/tests/knowledge.rs
+++ b/crates/cactuslane-gateway/tests/knowledge.rs
@@ -109,6 +109,24 @@
     assert_eq!(role(&fleet), Role::Decode);
 }
 
+#[test]
+fn a_target_whose_address_another_one_has_gets_no_work_until_its_entry_changes() {
+    let mut fleet = Fleet::default();
+    fleet.put(target("i-1", TargetState::Ready));
+    fleet.saw_replaced("i-1");
+    fleet.note_trouble(0);
+    assert!(ids(&fleet, 10).is_empty());
+    // The same old entry is no news.
+    fleet.put(target("i-1", TargetState::Ready));
+    assert!(ids(&fleet, 20).is_empty());
+    let again = Target {
+        born: Some(2),
+        ..target("i-1", TargetState::Ready)
+    };
+    fleet.put(again);
+    assert_eq!(ids(&fleet, 30), ["i-1"]);
+}
+
 /// Creates the entry of an instance.
 fn member(name: &str, leaving: bool) -> Member {
     Member {
--- a/crates/cactuslane-gateway/tests/serving.rs
+++ b/crates/cactuslane-gateway/tests/serving.rs
@@ -303,6 +303,35 @@
     });
 }
 
+#[test]
+fn an_engine_that_was_replaced_while_the_store_is_away_costs_no_request() {
+    run(async {
+        let deployment = deploy().await;
+        let address = deployment.prefill.address;
+        // Another engine has the address now, and the store does not say so.
+        deployment.store.delete("servers/i-p1");
+        let entry = serde_json::json!({
+            "service": "model", "address": address, "zone": "a", "slots": 6, "state": "ready",
+            "stage": "prefill", "born": 1,
+        });
+        deployment.store.write("servers/i-old", &entry);
+        let gateway = deployment.running.gateway.clone();
+        until(|| gateway.target("i-old").is_some()).await;
+        deployment.store.set_mode(Mode::Busy);
+        deployment.prefer_first(&deployment.engines);
+        let streams = Load {
+            running: 20,
+            ..Load::default()
+        };
+        gateway.placer().picture.add("i-d1", streams);
+        for id in 0..3 {
+            let got = deployment.ask("/report/7", &format!("r{id}")).await;
+            assert_eq!((got.whole, got.body), (true, all_events()));
+        }
+        assert!(gateway.target("i-old").is_none());
+    });
+}
+
 #[test]
 fn a_caller_that_leaves_ends_its_run() {
     run(async {
