--- a/crates/cactuslane-gateway/src/generation.rs
+++ b/crates/cactuslane-gateway/src/generation.rs
@@ -191,7 +191,7 @@
                 request = self.job.ask.id,
                 target_id = opened.target,
                 ending:? = ending,
-                last_event:? = scanner.last();
+                last_event = scanner.last().unwrap_or(0);
                 "stream broke off"
             );
             drop(opened);
@@ -269,6 +269,13 @@
                 Placement::Run(plan) => plan,
                 Placement::Overloaded { excess } => {
                     let after = (excess * 2 + LEAST_PAUSE).min(left / 3);
+                    info!(
+                        request = self.job.ask.id,
+                        excess_ms = excess.as_millis() as u64,
+                        left_ms = left.as_millis() as u64,
+                        come_back_ms = after.as_millis() as u64;
+                        "no engine would answer in time"
+                    );
                     return answered(refuse(&self.job, &self.flight, after, "overloaded"));
                 }
                 Placement::NoTarget => {
@@ -285,7 +292,7 @@
             info!(
                 request = self.job.ask.id,
                 target_id = plan.decode,
-                prefill:? = plan.prefill,
+                prefill = plan.prefill.as_deref().unwrap_or(""),
                 ending:? = ending;
                 "attempt failed"
             );
@@ -366,11 +373,13 @@
         info!(
             request = self.job.ask.id,
             target_id = plan.decode,
-            prefill:? = plan.prefill,
-            fetch:? = plan.fetch,
+            prefill = plan.prefill.as_deref().unwrap_or(""),
+            fetch = plan.fetch.as_deref().unwrap_or(""),
             uncached = plan.uncached,
             ahead = plan.ahead,
-            expected_ms = plan.expected as u64;
+            expected_ms = plan.expected as u64,
+            left_ms = left.as_millis() as u64,
+            version = self.job.document.version;
             "placed"
         );
         if let Some(prefill) = &plan.prefill {
@@ -390,7 +399,7 @@
                 }
             }
         }
-        let target = self.gateway.target(&plan.decode);
+        let target = self.decode_target(plan);
         let target = target.ok_or((Ending::Unsent, None))?;
         let again = self.tried.contains(&target.id);
         self.tried.push(target.id.clone());
@@ -411,6 +420,20 @@
         result
     }
 
+    /// Returns the engine that generates: the planned one, unless it is changing by now.
+    fn decode_target(&self, plan: &Plan) -> Option<Target> {
+        let now = self.gateway.now();
+        let planned = self.gateway.target(&plan.decode);
+        let changing = self.gateway.placer().picture.is_changing(&plan.decode, now);
+        if (planned.is_some() && !changing) || self.prompt.is_none() {
+            return planned;
+        }
+        let Placement::Run(again) = self.place(self.flight.left(now)) else {
+            return planned;
+        };
+        self.gateway.target(&again.decode)
+    }
+
     /// Has an engine compute the prompt.
     async fn compute(
         &self,
--- a/crates/cactuslane/src/main.rs
+++ b/crates/cactuslane/src/main.rs
@@ -11,6 +11,7 @@
 mod logs;
 mod run;
 mod status;
+mod story;
 
 use std::process::ExitCode;
 
@@ -38,6 +39,8 @@
     Status(status::StatusCommand),
     /// Explains a request or a target.
     Explain(status::ExplainCommand),
+    /// Tells the story of a request from saved logs.
+    Logs(story::LogsCommand),
     /// Checks a file.
     Check(check::CheckCommand),
     /// Prints the hash of a token.
@@ -87,6 +90,7 @@
     let result = match command {
         Command::Capacity(_) => Ok(()),
         Command::Run(command) => run::execute(command).await,
+        Command::Logs(command) => story::execute(&command),
         Command::Gateway(command) => gateway::execute(command).await,
         Command::Check(command) => check::execute(&command),
         Command::Config(command) => config::execute(command).await,
