Call the store less often in a large fleet, and move memory within a failure domain

Ruled out: renewals (a tenth of a call each).

Change: the pause between watches grows with the fleet, up to a third of the time for a configuration; three instances try for the office first; a prompt is computed in the failure domain of the engine that generates, unless that costs 8 ms more; who finds no engine comes back after 1 s.

One watcher a failure domain that tells the others is the next step for calls.

--- a/crates/cactuslane-gateway/src/caches.rs
+++ b/crates/cactuslane-gateway/src/caches.rs
@@ -80,9 +80,10 @@
     followed
 }
 
-/// Ranks an instance for an engine; the highest follows it.
-fn rank(instance: &str, target: &str) -> u64 {
+/// Ranks an instance for a thing that one instance takes care of; the highest does.
+#[must_use]
+pub fn rank(instance: &str, thing: &str) -> u64 {
     let mut hasher = DefaultHasher::new();
-    (instance, target).hash(&mut hasher);
+    (instance, thing).hash(&mut hasher);
     hasher.finish()
 }
--- a/crates/cactuslane-gateway/src/control.rs
+++ b/crates/cactuslane-gateway/src/control.rs
@@ -23,8 +23,12 @@
 const WATCH_RESERVE: Duration = Duration::from_millis(1800);
 /// Shortest wait of a watch.
 const LEAST_WAIT: Duration = Duration::from_secs(1);
-/// Pause between watches, in which news gather.
+/// Pause between watches of a small fleet, in which news gather.
 const WATCH_PAUSE: Duration = Duration::from_millis(300);
+/// Number of instances that lengthen the pause by its own length, as more news come and more watch.
+const WATCH_FLEET: f64 = 30.0;
+/// Part of the time for a configuration that the pause may take.
+const WATCH_PART: f64 = 0.33;
 /// Range of the pause after a failed call, in milliseconds.
 const PAUSE: std::ops::Range<u64> = 100..300;
 /// Time for which an instance's entry outlives its renewals.
@@ -60,7 +64,7 @@
                         apply(&gateway, change);
                     }
                     revision = changes.revision.max(revision);
-                    tokio::time::sleep(WATCH_PAUSE).await;
+                    tokio::time::sleep(watch_pause(&gateway)).await;
                 }
                 Err(KvError::Compacted) => {
                     info!(revision; "history is gone, reading all keys");
@@ -82,6 +86,13 @@
     wait.saturating_sub(WATCH_RESERVE).max(LEAST_WAIT)
 }
 
+/// Returns the pause between two watches, in which news gather.
+fn watch_pause(gateway: &Gateway) -> Duration {
+    let sharers = gateway.members().sharers() as f64;
+    let pause = WATCH_PAUSE.mul_f64(1.0 + sharers / WATCH_FLEET);
+    pause.min(gateway.settings().apply.mul_f64(WATCH_PART))
+}
+
 /// Keeps the instance registered until the task is ended.
 pub async fn register(gateway: Arc<Gateway>) {
     let mut lease: Option<Lease> = None;
--- a/crates/cactuslane-gateway/src/generation.rs
+++ b/crates/cactuslane-gateway/src/generation.rs
@@ -29,7 +29,7 @@
 /// Pieces that may wait for a slow caller.
 const PIECES: usize = 64;
 /// Time after which a caller may come back when no target takes its request.
-const NO_TARGET_PAUSE: Duration = Duration::from_millis(300);
+const NO_TARGET_PAUSE: Duration = Duration::from_secs(1);
 /// Shortest time after which a caller may come back to an overloaded system.
 const LEAST_PAUSE: Duration = Duration::from_millis(700);
 /// Times the expected time of a prompt after which its engine counts as silent.
--- a/crates/cactuslane-gateway/src/orders.rs
+++ b/crates/cactuslane-gateway/src/orders.rs
@@ -15,6 +15,7 @@
 use rand::Rng;
 use tokio::time::{Instant, sleep, timeout};
 
+use crate::caches::rank;
 use crate::control::LEASE_TTL;
 use crate::engines::{self, CALL_TIMEOUT, CallError};
 use crate::office::{Holder, LEADER, boot_millis};
@@ -24,6 +25,10 @@
 const INTERVAL: Duration = Duration::from_millis(250);
 /// Range of the wait before a vacant office is taken, in milliseconds.
 const VACANCY: std::ops::Range<u64> = 50..900;
+/// Number of instances that try to take a vacant office at first.
+const CANDIDATES: usize = 3;
+/// Time that these have before all others try.
+const CANDIDATES_TIME: Duration = Duration::from_secs(4);
 /// Time in which the other instances hear that an engine is about to change.
 const NOTICE: Duration = Duration::from_millis(300);
 /// Interval between looks at an engine that is changing.
@@ -79,7 +84,9 @@
             continue;
         };
         let random = || Instant::now() + Duration::from_millis(rand::rng().random_range(VACANCY));
-        if Instant::now() < *vacant_until.get_or_insert_with(random) {
+        let until = *vacant_until.get_or_insert_with(random);
+        let stood = Instant::now().saturating_duration_since(until);
+        if Instant::now() < until || (!is_candidate(&gateway) && stood < CANDIDATES_TIME) {
             continue;
         }
         vacant_until = None;
@@ -96,6 +103,15 @@
     }
 }
 
+/// Returns whether this instance is among the first that try to take the office.
+fn is_candidate(gateway: &Gateway) -> bool {
+    let me = gateway.settings().instance.clone();
+    let others = gateway.members().alive(gateway.now());
+    let mine = rank(&me, LEADER);
+    let before = others.iter().filter(|other| rank(other, LEADER) > mine);
+    before.count() < CANDIDATES
+}
+
 /// Gives the office up, if it is held.
 async fn resign(gateway: &Gateway) {
     if !gateway.office().resign() {
--- a/crates/cactuslane-place/src/placer.rs
+++ b/crates/cactuslane-place/src/placer.rs
@@ -41,6 +41,8 @@
 const STALL_WEIGHT: f64 = 0.3;
 /// Weight of the work that a prompt adds for those behind it, against its own wait.
 const REREAD_WEIGHT: f64 = 1.0;
+/// Cost of a transfer between failure domains beside its time, in milliseconds.
+const APART_COST: f64 = 8.0;
 /// Part of the time to compute tokens that fetching them costs, as they displace others.
 const FETCH_WEIGHT: f64 = 0.25;
 /// Fewest tokens that are fetched from another engine.
@@ -371,7 +373,7 @@
         wanted: &Wanted<'_>,
         now: Millis,
     ) -> Option<(f64, Plan)> {
-        let (decode_cost, decode) = self.best_decode(targets, wanted, now)?;
+        let decodes = self.decodes(targets, wanted, now);
         let bytes = f64::from(wanted.ask.prompt) * wanted.engine.token_bytes;
         let link = (wanted.engine.link_mbps * 125.0).max(1.0);
         let transfer = TRANSFER_COST + bytes / link;
@@ -402,11 +404,7 @@
             let computing = waiting + fetching + own;
             let filled = self.caches.get(&target.id).map_or(0, CacheBelief::total);
             let full = filled as f64 / (wanted.engine.memory.max(1)) as f64;
-            let apart = if target.domain == decode.domain {
-                1.0
-            } else {
-                2.0
-            };
+            let (decode_cost, apart, decode) = nearest(&decodes, target, transfer)?;
             let expected = computing + transfer * apart + self.speed.first_ms();
             let cost = expected
                 + self.speed.prefill_ms(f64::from(fetched)) * FETCH_WEIGHT
@@ -437,7 +435,18 @@
         wanted: &Wanted<'_>,
         now: Millis,
     ) -> Option<(f64, &'t Target)> {
-        let mut best: Option<(f64, &Target)> = None;
+        let decodes = self.decodes(targets, wanted, now);
+        decodes.into_iter().min_by(|a, b| a.0.total_cmp(&b.0))
+    }
+
+    /// Returns the engines that generate, each with its cost.
+    fn decodes<'t>(
+        &mut self,
+        targets: &[&'t Target],
+        wanted: &Wanted<'_>,
+        now: Millis,
+    ) -> Vec<(f64, &'t Target)> {
+        let mut decodes = Vec::new();
         for target in targets {
             if target.role != cactuslane_types::Role::Decode {
                 continue;
@@ -446,11 +455,9 @@
             let waiting = self.speed.direct_ms(f64::from(load.prompt));
             let cost =
                 waiting * self.factor(&target.id, now) + self.decode_cost(target, load, wanted);
-            if best.is_none_or(|(least, _)| cost < least) {
-                best = Some((cost, target));
-            }
+            decodes.push((cost, *target));
         }
-        best
+        decodes
     }
 
     /// Returns the cost of one more stream at an engine, in milliseconds.
@@ -511,6 +518,28 @@
     }
 }
 
+/// Returns the engine that generates at the least cost for a prompt computed at another one, with its
+/// cost and the factor by which the transfer takes longer.
+fn nearest<'t>(
+    decodes: &[(f64, &'t Target)],
+    prefill: &Target,
+    transfer: f64,
+) -> Option<(f64, f64, &'t Target)> {
+    let mut best: Option<(f64, f64, &Target)> = None;
+    for (cost, decode) in decodes {
+        let (apart, price) = if decode.domain == prefill.domain {
+            (1.0, 0.0)
+        } else {
+            (2.0, APART_COST)
+        };
+        let cost = cost + transfer * (apart - 1.0) + price;
+        if best.is_none_or(|(least, ..)| cost < least) {
+            best = Some((cost, apart, *decode));
+        }
+    }
+    best
+}
+
 /// Returns the part of an engine's memory that is missing for a request.
 fn shortage(load: Load, wanted: &Wanted<'_>) -> f64 {
     let needed = f64::from(load.memory) + f64::from(wanted.ask.prompt + wanted.ask.output);
