Wait for silent targets where nothing else may run

Change: an attempt is given up for silence only if the request may run once more and a place in the budget is taken first; a stream after three quarters of the time that its callers wait, not after six pauses.

--- a/crates/cactuslane-flight/src/flight.rs
+++ b/crates/cactuslane-flight/src/flight.rs
@@ -96,6 +96,12 @@
         self.runs + self.rejections > 0
     }
 
+    /// Returns whether the request may be sent again if the attempt under way is given up.
+    #[must_use]
+    pub fn may_move(&self) -> bool {
+        self.repeat != Repeat::Never && self.runs + 1 < self.max_attempts
+    }
+
     /// Returns whether a target may have run the request.
     #[must_use]
     pub fn may_have_run(&self) -> bool {
--- a/crates/cactuslane-gateway/src/generation.rs
+++ b/crates/cactuslane-gateway/src/generation.rs
@@ -3,7 +3,6 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use cactuslane_flight::document::Repeat;
 use cactuslane_flight::events::EventScanner;
 use cactuslane_flight::target::Target;
 use cactuslane_flight::{Ending, Flight, Step};
@@ -36,10 +35,8 @@
 const PROMPT_FACTOR: f64 = 3.0;
 /// Least time after which an engine that computes a prompt counts as silent.
 const PROMPT_PATIENCE: Duration = Duration::from_millis(900);
-/// Times the allowed pause between events after which a stream goes on elsewhere.
-const PAUSE_FACTOR: u32 = 6;
-/// Pause between events that is assumed where a route states none.
-const DEFAULT_PAUSE: Duration = Duration::from_millis(250);
+/// Part of the time after which callers leave a silent stream, after which it goes on elsewhere.
+const SILENCE_PART: f64 = 0.75;
 
 /// A request on its way through engines.
 #[derive(Debug)]
@@ -89,8 +86,10 @@
 enum Ended {
     /// At its end.
     Whole,
-    /// The target broke off or fell silent.
+    /// The target broke off.
     Broken,
+    /// The target fell silent, and the request may go on elsewhere.
+    Silent,
     /// The time is over.
     Late,
     /// The caller has left.
@@ -181,7 +180,7 @@
                     info!(request = self.job.ask.id; "caller left");
                     return;
                 }
-                Ended::Broken => Ending::Broken,
+                Ended::Broken | Ended::Silent => Ending::Broken,
                 Ended::Late => Ending::Late,
             };
             let now = self.gateway.now();
@@ -196,7 +195,8 @@
             );
             drop(opened);
             let gateway = self.gateway.clone();
-            let budget = || gateway.take_repeat(&self.job.service);
+            // A silent stream was given up only with a place in the budget.
+            let budget = || ended == Ended::Silent || gateway.take_repeat(&self.job.service);
             let next = match self.flight.after(ending, now, budget) {
                 Step::Again => self.open(scanner.last()).await,
                 Step::Pass | Step::Refuse(_) | Step::Cut => Outcome::Cut,
@@ -217,9 +217,14 @@
         scanner: &mut EventScanner,
         sender: &mpsc::Sender<Result<Bytes, Broken>>,
     ) -> Ended {
+        let mut patient = !self.flight.may_move();
         loop {
             let left = self.flight.left(self.gateway.now());
-            let wait = left.min(self.silence());
+            let wait = if patient {
+                left
+            } else {
+                left.min(self.silence())
+            };
             let frame = tokio::select! {
                 frame = timeout(wait, opened.body.frame()) => frame,
                 () = sender.closed() => return Ended::Left,
@@ -228,7 +233,14 @@
                 Ok(Some(Ok(frame))) => frame,
                 Ok(None) if scanner.at_boundary() => return Ended::Whole,
                 Ok(None | Some(Err(_))) => return Ended::Broken,
-                Err(_) if wait < left => return Ended::Broken,
+                Err(_) if wait < left => {
+                    // Silence alone is no reason to end an answer that can't go on elsewhere.
+                    if self.gateway.take_repeat(&self.job.service) {
+                        return Ended::Silent;
+                    }
+                    patient = true;
+                    continue;
+                }
                 Err(_) => return Ended::Late,
             };
             let Ok(data) = frame.into_data() else {
@@ -244,12 +256,9 @@
         }
     }
 
-    /// Returns the silence after which a stream goes on elsewhere; none ends one that may not.
+    /// Returns the silence after which a stream goes on elsewhere, if it may.
     fn silence(&self) -> Duration {
-        if self.job.route.repeat != Repeat::Resume || self.job.route.max_attempts < 2 {
-            return Duration::MAX;
-        }
-        self.job.route.pause.unwrap_or(DEFAULT_PAUSE) * PAUSE_FACTOR
+        self.job.route.patience.mul_f64(SILENCE_PART)
     }
 
     /// Sends the request to targets until one begins a stream.
@@ -598,7 +607,7 @@
 
     /// Returns how long a target may take to begin a stream that may go on elsewhere.
     fn head_patience(&self, plan: &Plan) -> Duration {
-        if self.silence() == Duration::MAX {
+        if !self.flight.may_move() {
             return Duration::MAX;
         }
         let expected = Duration::from_secs_f64(plan.expected * PROMPT_FACTOR / 1000.0);
--- a/crates/cactuslane-gateway/src/plain.rs
+++ b/crates/cactuslane-gateway/src/plain.rs
@@ -3,7 +3,6 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use cactuslane_flight::document::Repeat;
 use cactuslane_flight::target::Target;
 use cactuslane_flight::{Ending, Flight, Refusal, Step};
 use cactuslane_place::Load;
@@ -36,6 +35,8 @@
     pub ending: Option<Ending>,
     /// The whole answer.
     pub answer: Option<Response<Reply>>,
+    /// Whether a place in the budget was taken for another attempt.
+    pub budgeted: bool,
 }
 
 /// Executes a request and returns its final answer.
@@ -51,7 +52,7 @@
             return refuse(job, &flight, NO_TARGET_PAUSE, "no target");
         };
         tried.push(target.id.clone());
-        let attempt = attempt(gateway, job, &target, left).await;
+        let attempt = attempt(gateway, job, &flight, &target).await;
         let now = gateway.now();
         let Some(ending) = attempt.ending else {
             gateway
@@ -68,7 +69,8 @@
             left_ms = left.as_millis() as u64;
             "attempt failed"
         );
-        match flight.after(ending, now, || gateway.take_repeat(&job.service)) {
+        let budget = || attempt.budgeted || gateway.take_repeat(&job.service);
+        match flight.after(ending, now, budget) {
             Step::Again => {}
             Step::Pass => return attempt.answer.unwrap_or_else(|| unanswered(job)),
             Step::Refuse(refusal) => {
@@ -95,40 +97,44 @@
 }
 
 /// Sends a request to a target and reads its answer.
-async fn attempt(gateway: &Arc<Gateway>, job: &Job, target: &Target, left: Duration) -> Attempt {
+async fn attempt(gateway: &Arc<Gateway>, job: &Job, flight: &Flight, target: &Target) -> Attempt {
+    let left = flight.left(gateway.now());
     let one = Load {
         running: 1,
         ..Load::default()
     };
     let _load = gateway.load(&target.id, one);
     let began = Instant::now();
-    let wait = match job.route.repeat {
-        Repeat::Whole if job.route.max_attempts > 1 => {
-            left.min(job.route.objective * PATIENCE_FACTOR)
-        }
-        _ => left,
-    };
     let sent = Sent {
         target: &target.id,
         left,
         ..Sent::default()
     };
-    let result = timeout(wait, exchange(gateway, job, target, &sent)).await;
+    let exchange = exchange(gateway, job, target, &sent);
+    tokio::pin!(exchange);
+    let patience = job.route.objective * PATIENCE_FACTOR;
+    let mut budgeted = false;
+    let mut result = None;
+    if flight.may_move() && patience < left {
+        result = timeout(patience, &mut exchange).await.ok();
+        // Silence alone is no reason to end what can't be sent elsewhere.
+        budgeted = result.is_none() && gateway.take_repeat(&job.service);
+    }
+    let result = match result {
+        Some(result) => result,
+        None if budgeted => Err((Ending::Broken, "no answer in time".to_owned())),
+        None => timeout(left.saturating_sub(began.elapsed()), exchange)
+            .await
+            .unwrap_or_else(|_| Err((Ending::Late, "no answer in time".to_owned()))),
+    };
     let now = gateway.now();
-    let result = result.unwrap_or_else(|_| {
-        let ending = if wait < left {
-            Ending::Broken
-        } else {
-            Ending::Late
-        };
-        Err((ending, "no answer in time".to_owned()))
-    });
     match result {
         Ok(answer) if answer.status().is_server_error() => {
             gateway.placer().answered_failure(&target.id, now);
             Attempt {
                 ending: Some(Ending::Failed),
                 answer: Some(answer),
+                budgeted,
             }
         }
         Ok(answer) => {
@@ -140,6 +146,7 @@
             Attempt {
                 ending: None,
                 answer: Some(answer),
+                budgeted,
             }
         }
         Err((ending, why)) => {
@@ -150,6 +157,7 @@
             Attempt {
                 ending: Some(ending),
                 answer: None,
+                budgeted,
             }
         }
     }
--- a/crates/cactuslane-gateway/tests/serving.rs
+++ b/crates/cactuslane-gateway/tests/serving.rs
@@ -267,6 +267,28 @@
     });
 }
 
+#[test]
+fn a_slow_target_is_waited_for_where_no_attempt_is_left() {
+    run(async {
+        let deployment = deploy().await;
+        deployment.fault(&deployment.workers, Fault::Slow(1_100));
+        let got = deployment.ask("/lookup/7", "r1").await;
+        assert_eq!((got.status, deployment.runs("r1")), (200, 2));
+    });
+}
+
+#[test]
+fn a_silent_stream_is_waited_for_where_no_attempt_is_left() {
+    run(async {
+        let deployment = deploy().await;
+        deployment.prefer_first(&deployment.engines);
+        deployment.fault(&deployment.engines[..1], Fault::Break(0));
+        deployment.fault(&deployment.engines[1..], Fault::Slow(3_400));
+        let got = deployment.ask("/summary/7", "r1").await;
+        assert_eq!((got.whole, got.body), (true, all_events()));
+    });
+}
+
 #[test]
 fn a_rejected_correction_runs_elsewhere() {
     run(async {
