--- a/crates/cactuslane-gateway/src/generation.rs
+++ b/crates/cactuslane-gateway/src/generation.rs
@@ -1,42 +1,36 @@
 //! Requests that are answered by a stream of events.
 
+mod prompt;
+mod stream;
+
 use std::sync::Arc;
 use std::time::Duration;
 
-use cactuslane_flight::events::EventScanner;
 use cactuslane_flight::target::Target;
 use cactuslane_flight::{Ending, Flight, Step};
 use cactuslane_place::Load;
 use cactuslane_place::placer::{Placement, Plan, Wanted};
 use cactuslane_platform::engine;
 use cactuslane_platform::exchange::{self, Sent, Work};
-use http_body_util::{BodyExt, Either};
-use hyper::body::{Bytes, Incoming};
+use hyper::Response;
+use hyper::body::Incoming;
 use hyper::header::HeaderMap;
-use hyper::{Response, StatusCode};
 use log::info;
-use tokio::sync::mpsc;
 use tokio::time::{Instant, timeout};
 
-use crate::engines;
+use self::prompt::Prompt;
 use crate::ingress::Job;
 use crate::plain::{label, refuse, send, unanswered, whole_body};
-use crate::reply::{self, Broken, Pieces, Reply};
+use crate::reply::{self, Reply};
 use crate::state::{Gateway, LoadGuard};
 use crate::upstream::Lent;
 
-/// Pieces that may wait for a slow caller.
-const PIECES: usize = 64;
 /// Time after which a caller may come back when no target takes its request.
 const NO_TARGET_PAUSE: Duration = Duration::from_secs(1);
 /// Shortest time after which a caller may come back to an overloaded system.
 const LEAST_PAUSE: Duration = Duration::from_millis(700);
 /// Times the expected time of a prompt after which its engine counts as silent.
 const PROMPT_FACTOR: f64 = 3.0;
-/// Least time after which an engine that computes a prompt counts as silent.
-const PROMPT_PATIENCE: Duration = Duration::from_millis(900);
-/// Part of the time after which callers leave a silent stream, after which it goes on elsewhere.
-const SILENCE_PART: f64 = 0.75;
 
 /// A request on its way through engines.
 #[derive(Debug)]
@@ -81,53 +75,6 @@
     Cut,
 }
 
-/// How the reading of a stream ended.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum Ended {
-    /// At its end.
-    Whole,
-    /// The target broke off.
-    Broken,
-    /// The target fell silent, and the request may go on elsewhere.
-    Silent,
-    /// The time is over.
-    Late,
-    /// The caller has left.
-    Left,
-}
-
-/// A computed prompt that is freed unless it was used.
-#[derive(Debug)]
-struct Prompt {
-    /// The instance.
-    gateway: Arc<Gateway>,
-    /// The engine that keeps it.
-    target: Target,
-    /// Its id at the engine.
-    handle: engine::Handle,
-    /// Whether another engine has fetched it.
-    used: bool,
-    /// Whether an engine refused to go on from it.
-    refused: bool,
-}
-
-impl Prompt {
-    /// Records that an engine refused to go on from it.
-    fn refused(mut prompt: Self) -> Self {
-        prompt.refused = true;
-        prompt
-    }
-}
-
-impl Drop for Prompt {
-    fn drop(&mut self) {
-        if !self.used {
-            let gateway = self.gateway.clone();
-            tokio::spawn(release(gateway, self.target.clone(), self.handle.clone()));
-        }
-    }
-}
-
 /// Executes a request and returns its answer, the stream still to come.
 pub async fn execute(gateway: &Arc<Gateway>, job: Job, flight: Flight) -> Response<Reply> {
     let mut run = Run {
@@ -146,121 +93,6 @@
 }
 
 impl Run {
-    /// Answers with a stream that another task pumps.
-    fn stream(mut self, opened: Opened) -> Response<Reply> {
-        self.flight.begin();
-        let metrics = &self.gateway.metrics;
-        metrics
-            .first_byte
-            .observe(self.job.arrived.elapsed().as_secs_f64());
-        let headers = exchange::answer_headers(&opened.headers);
-        let (sender, receiver) = mpsc::channel(PIECES);
-        let guard = self.gateway.count_request();
-        tokio::spawn(async move {
-            self.pump(opened, sender).await;
-            drop(guard);
-        });
-        let mut response = Response::new(Either::Right(Pieces::new(receiver)));
-        *response.headers_mut() = headers;
-        response
-    }
-
-    /// Forwards events until the answer is whole, resuming at another target where that is allowed.
-    async fn pump(mut self, mut opened: Opened, sender: mpsc::Sender<Result<Bytes, Broken>>) {
-        let mut scanner = EventScanner::after(self.job.ask.last_event);
-        loop {
-            let ended = self.forward(&mut opened, &mut scanner, &sender).await;
-            let ending = match ended {
-                Ended::Whole => {
-                    let keep = exchange::keep_alive(&opened.headers);
-                    self.gateway.pool.give_back(opened.connection, keep);
-                    return;
-                }
-                Ended::Left => {
-                    info!(request = self.job.ask.id; "caller left");
-                    return;
-                }
-                Ended::Broken | Ended::Silent => Ending::Broken,
-                Ended::Late => Ending::Late,
-            };
-            let now = self.gateway.now();
-            self.gateway.placer().failed(&opened.target, now);
-            self.gateway.metrics.attempted(label(ending));
-            info!(
-                request = self.job.ask.id,
-                target_id = opened.target,
-                ending:? = ending,
-                last_event = scanner.last().unwrap_or(0);
-                "stream broke off"
-            );
-            drop(opened);
-            let gateway = self.gateway.clone();
-            // A silent stream was given up only with a place in the budget.
-            let budget = || ended == Ended::Silent || gateway.take_repeat(&self.job.service);
-            let next = match self.flight.after(ending, now, budget) {
-                Step::Again => self.open(scanner.last()).await,
-                Step::Pass | Step::Refuse(_) | Step::Cut => Outcome::Cut,
-            };
-            let Outcome::Opened(next) = next else {
-                let _ = sender.send(Err(Broken)).await;
-                return;
-            };
-            scanner = EventScanner::after(scanner.last());
-            opened = *next;
-        }
-    }
-
-    /// Forwards the whole events of one target's stream.
-    async fn forward(
-        &self,
-        opened: &mut Opened,
-        scanner: &mut EventScanner,
-        sender: &mpsc::Sender<Result<Bytes, Broken>>,
-    ) -> Ended {
-        let mut patient = !self.flight.may_move();
-        loop {
-            let left = self.flight.left(self.gateway.now());
-            let wait = if patient {
-                left
-            } else {
-                left.min(self.silence())
-            };
-            let frame = tokio::select! {
-                frame = timeout(wait, opened.body.frame()) => frame,
-                () = sender.closed() => return Ended::Left,
-            };
-            let frame = match frame {
-                Ok(Some(Ok(frame))) => frame,
-                Ok(None) if scanner.at_boundary() => return Ended::Whole,
-                Ok(None | Some(Err(_))) => return Ended::Broken,
-                Err(_) if wait < left => {
-                    // Silence alone is no reason to end an answer that can't go on elsewhere.
-                    if self.gateway.take_repeat(&self.job.service) {
-                        return Ended::Silent;
-                    }
-                    patient = true;
-                    continue;
-                }
-                Err(_) => return Ended::Late,
-            };
-            let Ok(data) = frame.into_data() else {
-                continue;
-            };
-            opened.load.prompt_done();
-            let Ok(events) = scanner.feed(&data) else {
-                return Ended::Broken;
-            };
-            if !events.is_empty() && sender.send(Ok(Bytes::from(events))).await.is_err() {
-                return Ended::Left;
-            }
-        }
-    }
-
-    /// Returns the silence after which a stream goes on elsewhere, if it may.
-    fn silence(&self) -> Duration {
-        self.job.route.patience.mul_f64(SILENCE_PART)
-    }
-
     /// Sends the request to targets until one begins a stream.
     async fn open(&mut self, last_event: Option<u64>) -> Outcome {
         loop {
@@ -443,83 +275,6 @@
         self.gateway.target(&again.decode)
     }
 
-    /// Has an engine compute the prompt.
-    async fn compute(
-        &self,
-        target: &Target,
-        plan: &Plan,
-        left: Duration,
-    ) -> Result<Prompt, (Ending, String)> {
-        let load = Load {
-            prompt: plan.uncached,
-            running: 1,
-            memory: self.job.ask.prompt,
-        };
-        let _load = self.gateway.load(&target.id, load);
-        self.keeps(target, plan.expected);
-        let began = Instant::now();
-        let fetch = plan.fetch.as_ref().and_then(|id| self.gateway.target(id));
-        let patience = Duration::from_secs_f64(plan.expected * PROMPT_FACTOR / 1000.0);
-        let wait = left.min(patience.max(PROMPT_PATIENCE));
-        let sent = Sent {
-            target: &target.id,
-            left,
-            priority: Some(self.job.route.priority),
-            work: Work::Prompt,
-            fetch: fetch.map(|engine| engine.address),
-            last_event: None,
-        };
-        let exchange = async {
-            let (connection, response) = send(&self.gateway, &self.job, target, &sent).await?;
-            let keep = exchange::keep_alive(response.headers());
-            let status = response.status();
-            let body = whole_body(response.into_body()).await?;
-            self.gateway.pool.give_back(connection, keep);
-            if status != StatusCode::OK {
-                return Err((Ending::Broken, format!("status {status}")));
-            }
-            engine::computed(&body).map_err(|why| (Ending::Broken, why))
-        };
-        let result = timeout(wait, exchange).await;
-        let now = self.gateway.now();
-        let result = result.unwrap_or_else(|_| {
-            let ending = if wait < left {
-                Ending::Broken
-            } else {
-                Ending::Late
-            };
-            Err((ending, format!("no prompt within {wait:?}")))
-        });
-        match result {
-            Ok(computed) => {
-                let elapsed = began.elapsed().as_secs_f64() * 1000.0;
-                info!(
-                    request = self.job.ask.id,
-                    target_id = target.id,
-                    elapsed_ms = elapsed as u64,
-                    expected_ms = plan.expected as u64;
-                    "prompt computed"
-                );
-                let mut placer = self.gateway.placer();
-                placer.speed.observe(plan.uncached + plan.ahead, elapsed);
-                placer.answered(&target.id, elapsed, plan.expected, now);
-                Ok(Prompt {
-                    gateway: self.gateway.clone(),
-                    target: target.clone(),
-                    handle: computed.handle,
-                    used: false,
-                    refused: false,
-                })
-            }
-            Err((ending, why)) => {
-                if ending != Ending::Rejected {
-                    self.gateway.placer().failed(&target.id, now);
-                }
-                Err((ending, why))
-            }
-        }
-    }
-
     /// Has a target generate and returns the stream that it has begun.
     async fn generate(
         &self,
@@ -635,10 +390,3 @@
 fn answered(response: Response<Reply>) -> Outcome {
     Outcome::Answer(Box::new(response))
 }
-
-/// Frees a computed prompt that no engine has fetched.
-async fn release(gateway: Arc<Gateway>, target: Target, handle: engine::Handle) {
-    if let Err(error) = engines::release(&gateway, &target, &handle).await {
-        info!(target_id = target.id, error:? = error; "prompt not freed, it lapses by itself");
-    }
-}
--- /dev/null
+++ b/crates/cactuslane-gateway/src/generation/prompt.rs
@@ -0,0 +1,140 @@
+//! Prompts that one engine computes and another one fetches.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use cactuslane_flight::Ending;
+use cactuslane_flight::target::Target;
+use cactuslane_place::Load;
+use cactuslane_place::placer::Plan;
+use cactuslane_platform::engine;
+use cactuslane_platform::exchange::{self, Sent, Work};
+use hyper::StatusCode;
+use log::info;
+use tokio::time::{Instant, timeout};
+
+use super::{PROMPT_FACTOR, Run};
+use crate::engines;
+use crate::plain::{send, whole_body};
+use crate::state::Gateway;
+
+/// Least time after which an engine that computes a prompt counts as silent.
+const PROMPT_PATIENCE: Duration = Duration::from_millis(900);
+
+/// A computed prompt that is freed unless it was used.
+#[derive(Debug)]
+pub(super) struct Prompt {
+    /// The instance.
+    gateway: Arc<Gateway>,
+    /// The engine that keeps it.
+    pub(super) target: Target,
+    /// Its id at the engine.
+    pub(super) handle: engine::Handle,
+    /// Whether another engine has fetched it.
+    pub(super) used: bool,
+    /// Whether an engine refused to go on from it.
+    pub(super) refused: bool,
+}
+
+impl Prompt {
+    /// Records that an engine refused to go on from it.
+    pub(super) fn refused(mut prompt: Self) -> Self {
+        prompt.refused = true;
+        prompt
+    }
+}
+
+impl Drop for Prompt {
+    fn drop(&mut self) {
+        if !self.used {
+            let gateway = self.gateway.clone();
+            tokio::spawn(release(gateway, self.target.clone(), self.handle.clone()));
+        }
+    }
+}
+
+impl Run {
+    /// Has an engine compute the prompt.
+    pub(super) async fn compute(
+        &self,
+        target: &Target,
+        plan: &Plan,
+        left: Duration,
+    ) -> Result<Prompt, (Ending, String)> {
+        let load = Load {
+            prompt: plan.uncached,
+            running: 1,
+            memory: self.job.ask.prompt,
+        };
+        let _load = self.gateway.load(&target.id, load);
+        self.keeps(target, plan.expected);
+        let began = Instant::now();
+        let fetch = plan.fetch.as_ref().and_then(|id| self.gateway.target(id));
+        let patience = Duration::from_secs_f64(plan.expected * PROMPT_FACTOR / 1000.0);
+        let wait = left.min(patience.max(PROMPT_PATIENCE));
+        let sent = Sent {
+            target: &target.id,
+            left,
+            priority: Some(self.job.route.priority),
+            work: Work::Prompt,
+            fetch: fetch.map(|engine| engine.address),
+            last_event: None,
+        };
+        let exchange = async {
+            let (connection, response) = send(&self.gateway, &self.job, target, &sent).await?;
+            let keep = exchange::keep_alive(response.headers());
+            let status = response.status();
+            let body = whole_body(response.into_body()).await?;
+            self.gateway.pool.give_back(connection, keep);
+            if status != StatusCode::OK {
+                return Err((Ending::Broken, format!("status {status}")));
+            }
+            engine::computed(&body).map_err(|why| (Ending::Broken, why))
+        };
+        let result = timeout(wait, exchange).await;
+        let now = self.gateway.now();
+        let result = result.unwrap_or_else(|_| {
+            let ending = if wait < left {
+                Ending::Broken
+            } else {
+                Ending::Late
+            };
+            Err((ending, format!("no prompt within {wait:?}")))
+        });
+        match result {
+            Ok(computed) => {
+                let elapsed = began.elapsed().as_secs_f64() * 1000.0;
+                info!(
+                    request = self.job.ask.id,
+                    target_id = target.id,
+                    elapsed_ms = elapsed as u64,
+                    expected_ms = plan.expected as u64;
+                    "prompt computed"
+                );
+                let mut placer = self.gateway.placer();
+                placer.speed.observe(plan.uncached + plan.ahead, elapsed);
+                placer.answered(&target.id, elapsed, plan.expected, now);
+                Ok(Prompt {
+                    gateway: self.gateway.clone(),
+                    target: target.clone(),
+                    handle: computed.handle,
+                    used: false,
+                    refused: false,
+                })
+            }
+            Err((ending, why)) => {
+                if ending != Ending::Rejected {
+                    self.gateway.placer().failed(&target.id, now);
+                }
+                Err((ending, why))
+            }
+        }
+    }
+}
+
+/// Frees a computed prompt that no engine has fetched.
+async fn release(gateway: Arc<Gateway>, target: Target, handle: engine::Handle) {
+    if let Err(error) = engines::release(&gateway, &target, &handle).await {
+        info!(target_id = target.id, error:? = error; "prompt not freed, it lapses by itself");
+    }
+}
--- a/crates/cactuslane-gateway/src/peers.rs
+++ b/crates/cactuslane-gateway/src/peers.rs
@@ -10,8 +10,10 @@
 
 use crate::state::Gateway;
 
-/// Interval between messages while there is something new to tell.
+/// Interval between messages of a small fleet while there is something new to tell.
 const INTERVAL: Duration = Duration::from_millis(100);
+/// Number of instances that lengthens the interval by its own length, as each hears all others.
+const INTERVAL_FLEET: f64 = 60.0;
 /// Longest silence towards the others.
 const HEARTBEAT: Duration = Duration::from_millis(400);
 /// Largest message that is received, in bytes.
@@ -55,6 +57,12 @@
     /// Tells the others if there is something new, or if they heard nothing for long.
     fn tell(&mut self, gateway: &Gateway, socket: &UdpSocket) {
         let now = gateway.now();
+        let sharers = gateway.members().sharers() as f64;
+        // Half an interval more or less is the granularity of the ticks.
+        let interval = INTERVAL.mul_f64(0.5 + sharers / INTERVAL_FLEET);
+        if self.at.elapsed() < interval {
+            return;
+        }
         for instance in gateway.members().sweep(now) {
             gateway.placer().picture.forget(&instance);
             info!(peer = instance; "instance forgotten");
@@ -65,8 +73,8 @@
         let work = placer.picture.own_placed();
         let changing = placer.picture.own_changing().to_vec();
         drop(placer);
-        let same = loads == self.told && uses.is_empty();
-        if same && self.at.elapsed() < HEARTBEAT {
+        let same = loads == self.told;
+        if same && uses.is_empty() && self.at.elapsed() < HEARTBEAT {
             return;
         }
         uses.truncate(MAX_USES);
--- a/crates/cactuslane-place/src/placer.rs
+++ b/crates/cactuslane-place/src/placer.rs
@@ -1,5 +1,7 @@
 //! The choice of targets.
 
+mod engines;
+
 use std::collections::BTreeMap;
 use std::time::Duration;
 
@@ -12,41 +14,21 @@
 use rand_pcg::Pcg64Mcg;
 
 use crate::cache::CacheBelief;
-use crate::picture::{Load, Picture, Told, Use, heard_parts, told_parts};
+use crate::picture::{Picture, Told, Use, heard_parts, told_parts};
 use crate::speed::PromptSpeed;
 
 /// Cost of a target in another failure domain, in milliseconds.
 const DOMAIN_COST: f64 = 3.0;
-/// Cost of each stream that an engine generates already, in milliseconds.
-const STREAM_COST: f64 = 1.0;
 /// Range of the random cost that spreads equal choices, in milliseconds.
 const NOISE: f64 = 2.0;
 /// Share of the allowed pause between events that a prompt may take at a generating engine.
 const PAUSE_SHARE: f64 = 0.5;
 /// Pause between events that is assumed where a route states none, in milliseconds.
 const DEFAULT_PAUSE: f64 = 150.0;
-/// Share of an engine's memory above which requests are expected to wait for it.
-const MEMORY_SHARE: f64 = 0.8;
-/// Cost of all of an engine's memory that is missing, in milliseconds.
-const SHORTAGE_COST: f64 = 2_000.0;
-/// Time for fixed costs of a transfer between two engines, in milliseconds.
-const TRANSFER_COST: f64 = 10.0;
-/// Weight of a full cache against an empty one in the choice of a new home, in milliseconds.
-const FULL_COST: f64 = 20.0;
 /// Age that the list of an engine's parts may have, in milliseconds.
 const LIST_AGE: Millis = 3_500;
 /// Failures in a row, of a target that answers, after which it is left alone for a while.
 const FAILURE_STREAK: u32 = 4;
-/// Part of a prompt's time at a generating engine that each of its streams loses.
-const STALL_WEIGHT: f64 = 0.3;
-/// Weight of the work that a prompt adds for those behind it, against its own wait.
-const REREAD_WEIGHT: f64 = 1.0;
-/// Cost of a transfer between failure domains beside its time, in milliseconds.
-const APART_COST: f64 = 8.0;
-/// Part of the time to compute tokens that fetching them costs, as they displace others.
-const FETCH_WEIGHT: f64 = 0.25;
-/// Fewest tokens that are fetched from another engine.
-const MIN_FETCH: u32 = 512;
 /// Factor on the expected time above which a request is not taken any more.
 const REFUSE_FACTOR: f64 = 1.0;
 
@@ -331,143 +313,6 @@
         usable
     }
 
-    /// Returns the best engine that does all of a generation, with its cost.
-    fn best_direct(
-        &mut self,
-        targets: &[&Target],
-        wanted: &Wanted<'_>,
-        now: Millis,
-    ) -> Option<(f64, Plan)> {
-        let mut best: Option<(f64, Plan)> = None;
-        for target in targets {
-            if !target.role.decodes() {
-                continue;
-            }
-            let load = self.picture.load(&target.id, now);
-            let uncached = self.uncached(&target.id, wanted.ask);
-            let tokens = f64::from(load.prompt + uncached);
-            let expected =
-                self.speed.direct_ms(tokens) * self.factor(&target.id, now) + self.speed.first_ms();
-            let own = self.speed.direct_ms(f64::from(uncached));
-            let stalled = own * f64::from(load.running) * STALL_WEIGHT;
-            let cost = expected + stalled + self.decode_cost(target, load, wanted);
-            if best.as_ref().is_none_or(|(least, _)| cost < *least) {
-                let plan = Plan {
-                    fetch: None,
-                    prefill: None,
-                    decode: target.id.clone(),
-                    uncached,
-                    ahead: load.prompt,
-                    expected,
-                };
-                best = Some((cost, plan));
-            }
-        }
-        best
-    }
-
-    /// Returns the best pair of engines, with its cost.
-    fn best_split(
-        &mut self,
-        targets: &[&Target],
-        wanted: &Wanted<'_>,
-        now: Millis,
-    ) -> Option<(f64, Plan)> {
-        let decodes = self.decodes(targets, wanted, now);
-        let bytes = f64::from(wanted.ask.prompt) * wanted.engine.token_bytes;
-        let link = (wanted.engine.link_mbps * 125.0).max(1.0);
-        let transfer = TRANSFER_COST + bytes / link;
-        let mut best: Option<(f64, Plan)> = None;
-        for target in targets {
-            if target.role != cactuslane_types::Role::Prefill {
-                continue;
-            }
-            let load = self.picture.load(&target.id, now);
-            let factor = self.factor(&target.id, now);
-            let waiting = self.speed.prefill_ms(f64::from(load.prompt)) * factor;
-            let begins = now + waiting as Millis;
-            let missing = self.uncached(&target.id, wanted.ask);
-            let source = self.source(targets, target, wanted.ask, begins);
-            let (fetch, fetched) = match source {
-                Some((source, ready)) if wanted.ask.prompt - ready < missing => {
-                    (Some(source), missing - (wanted.ask.prompt - ready))
-                }
-                _ => (None, 0),
-            };
-            let uncached = missing - fetched;
-            let fetching = if fetch.is_some() {
-                TRANSFER_COST + f64::from(fetched) * wanted.engine.token_bytes / link
-            } else {
-                0.0
-            };
-            let own = self.speed.prefill_ms(f64::from(uncached)) * factor;
-            let computing = waiting + fetching + own;
-            let filled = self.caches.get(&target.id).map_or(0, CacheBelief::total);
-            let full = filled as f64 / (wanted.engine.memory.max(1)) as f64;
-            let (decode_cost, apart, decode) = nearest(&decodes, target, transfer)?;
-            let expected = computing + transfer * apart + self.speed.first_ms();
-            let cost = expected
-                + self.speed.prefill_ms(f64::from(fetched)) * FETCH_WEIGHT
-                + own * REREAD_WEIGHT
-                + decode_cost
-                + full * FULL_COST
-                + self.place_cost(target)
-                + self.random.random_range(0.0..NOISE);
-            if best.as_ref().is_none_or(|(least, _)| cost < *least) {
-                let plan = Plan {
-                    fetch,
-                    prefill: Some(target.id.clone()),
-                    decode: decode.id.clone(),
-                    uncached,
-                    ahead: load.prompt,
-                    expected,
-                };
-                best = Some((cost, plan));
-            }
-        }
-        best
-    }
-
-    /// Returns the best engine to generate, with its cost.
-    fn best_decode<'t>(
-        &mut self,
-        targets: &[&'t Target],
-        wanted: &Wanted<'_>,
-        now: Millis,
-    ) -> Option<(f64, &'t Target)> {
-        let decodes = self.decodes(targets, wanted, now);
-        decodes.into_iter().min_by(|a, b| a.0.total_cmp(&b.0))
-    }
-
-    /// Returns the engines that generate, each with its cost.
-    fn decodes<'t>(
-        &mut self,
-        targets: &[&'t Target],
-        wanted: &Wanted<'_>,
-        now: Millis,
-    ) -> Vec<(f64, &'t Target)> {
-        let mut decodes = Vec::new();
-        for target in targets {
-            if target.role != cactuslane_types::Role::Decode {
-                continue;
-            }
-            let load = self.picture.load(&target.id, now);
-            let waiting = self.speed.direct_ms(f64::from(load.prompt));
-            let cost =
-                waiting * self.factor(&target.id, now) + self.decode_cost(target, load, wanted);
-            decodes.push((cost, *target));
-        }
-        decodes
-    }
-
-    /// Returns the cost of one more stream at an engine, in milliseconds.
-    fn decode_cost(&mut self, target: &Target, load: Load, wanted: &Wanted<'_>) -> f64 {
-        f64::from(load.running) * STREAM_COST
-            + shortage(load, wanted) * SHORTAGE_COST
-            + self.place_cost(target)
-            + self.random.random_range(0.0..NOISE)
-    }
-
     /// Returns the prompt tokens that an engine would have to compute.
     fn uncached(&self, target: &str, ask: &Ask) -> u32 {
         let cache = self.caches.get(target);
@@ -475,32 +320,6 @@
         ask.prompt.saturating_sub(cached)
     }
 
-    /// Returns the engine from which most of a prompt's shared parts can be fetched at a time, with
-    /// their tokens.
-    fn source(
-        &self,
-        targets: &[&Target],
-        reader: &Target,
-        ask: &Ask,
-        at: Millis,
-    ) -> Option<(TargetId, u32)> {
-        let mut best: Option<(u32, bool, &Target)> = None;
-        for target in targets {
-            let Some(cache) = self.caches.get(&target.id) else {
-                continue;
-            };
-            let ready = cache.ready(ask.shared(), at).min(ask.prompt);
-            let near = target.domain == reader.domain;
-            if target.id == reader.id || ready < MIN_FETCH {
-                continue;
-            }
-            if best.is_none_or(|(most, same, _)| (ready, near) > (most, same)) {
-                best = Some((ready, near, target));
-            }
-        }
-        best.map(|(ready, _, target)| (target.id.clone(), ready))
-    }
-
     /// Returns the factor by which a target is slower than expected.
     fn factor(&self, target: &str, now: Millis) -> f64 {
         self.health
@@ -517,31 +336,3 @@
         }
     }
 }
-
-/// Returns the engine that generates at the least cost for a prompt computed at another one, with its
-/// cost and the factor by which the transfer takes longer.
-fn nearest<'t>(
-    decodes: &[(f64, &'t Target)],
-    prefill: &Target,
-    transfer: f64,
-) -> Option<(f64, f64, &'t Target)> {
-    let mut best: Option<(f64, f64, &Target)> = None;
-    for (cost, decode) in decodes {
-        let (apart, price) = if decode.domain == prefill.domain {
-            (1.0, 0.0)
-        } else {
-            (2.0, APART_COST)
-        };
-        let cost = cost + transfer * (apart - 1.0) + price;
-        if best.is_none_or(|(least, ..)| cost < least) {
-            best = Some((cost, apart, *decode));
-        }
-    }
-    best
-}
-
-/// Returns the part of an engine's memory that is missing for a request.
-fn shortage(load: Load, wanted: &Wanted<'_>) -> f64 {
-    let needed = f64::from(load.memory) + f64::from(wanted.ask.prompt + wanted.ask.output);
-    (needed / wanted.engine.memory.max(1) as f64 - MEMORY_SHARE).max(0.0)
-}
