Read settings that change without a signal

Ruled out: notices from the kernel (not available there).

Change: the file is looked at every 5 s and at SIGHUP; only a text that differs is parsed, and wrong settings leave the old ones in force. The end of a plain attempt is built in one place.

Measured: a gateway process reads changed settings on SIGHUP and without, keeps the old ones beside wrong ones, stops by SIGTERM with exit code 0 and leaves no entry behind.

--- a/crates/cactuslane-gateway/src/plain.rs
+++ b/crates/cactuslane-gateway/src/plain.rs
@@ -128,38 +128,30 @@
             .unwrap_or_else(|_| Err((Ending::Late, "no answer in time".to_owned()))),
     };
     let now = gateway.now();
-    match result {
+    let (ending, answer) = match result {
         Ok(answer) if answer.status().is_server_error() => {
             gateway.placer().answered_failure(&target.id, now);
-            Attempt {
-                ending: Some(Ending::Failed),
-                answer: Some(answer),
-                budgeted,
-            }
+            (Some(Ending::Failed), Some(answer))
         }
         Ok(answer) => {
             let observed = began.elapsed().as_secs_f64() * 1000.0;
             let expected = job.route.objective.as_secs_f64() * 1000.0 * EXPECTED_PART;
-            gateway
-                .placer()
-                .answered(&target.id, observed, expected, now);
-            Attempt {
-                ending: None,
-                answer: Some(answer),
-                budgeted,
-            }
+            let mut placer = gateway.placer();
+            placer.answered(&target.id, observed, expected, now);
+            (None, Some(answer))
         }
         Err((ending, why)) => {
             if ending != Ending::Rejected {
                 gateway.placer().failed(&target.id, now);
             }
             info!(request = job.ask.id, target_id = target.id, why; "no answer of a target");
-            Attempt {
-                ending: Some(ending),
-                answer: None,
-                budgeted,
-            }
+            (Some(ending), None)
         }
+    };
+    Attempt {
+        ending,
+        answer,
+        budgeted,
     }
 }
 
--- a/crates/cactuslane-gateway/tests/serving.rs
+++ b/crates/cactuslane-gateway/tests/serving.rs
@@ -93,7 +93,7 @@
 
 /// Starts an instance.
 async fn start(name: &str, store: &Store) -> Running {
-    let settings = settings(name, store.address, [0; 4]);
+    let settings = settings(name, store.address);
     Gateway::spawn(settings).await.expect("it starts")
 }
 
--- a/crates/cactuslane/src/gateway.rs
+++ b/crates/cactuslane/src/gateway.rs
@@ -1,18 +1,21 @@
 //! Running of one entry instance on the users' platform.
 
+use std::time::Duration;
+
 use argh::FromArgs;
-use cactuslane_gateway::Gateway;
+use cactuslane_gateway::{Gateway, Running};
 use cactuslane_platform::Settings;
 use cactuslane_platform::settings::PATH_VARIABLE;
 use log::{info, warn};
 use tokio::signal::unix::{SignalKind, signal};
+use tokio::time::sleep;
 
 use crate::check::read;
 use crate::run::stop_signal;
 use crate::{CommandError, logs};
 
 /// runs one entry instance with the settings of the platform, until SIGTERM or Ctrl-C; either is a
-/// graceful stop, and SIGHUP reads the settings anew
+/// graceful stop; settings that change are read anew, at once on SIGHUP
 #[derive(Debug, FromArgs)]
 #[argh(subcommand, name = "gateway")]
 pub struct GatewayCommand {
@@ -21,6 +24,9 @@
     settings: Option<String>,
 }
 
+/// Interval at which the settings file is looked at without a signal.
+const LOOK_INTERVAL: Duration = Duration::from_secs(5);
+
 /// Runs one entry instance.
 pub async fn execute(command: GatewayCommand) -> Result<(), CommandError> {
     logs::start_lines();
@@ -31,7 +37,8 @@
             CommandError::Usage(format!("{PATH_VARIABLE} is not set: {cure}"))
         })?,
     };
-    let running = Gateway::spawn(load(&path)?)
+    let mut text = read(&path)?;
+    let running = Gateway::spawn(parse(&path, &text)?)
         .await
         .map_err(|error| CommandError::Failed(error.to_string()))?;
     let mut changed =
@@ -44,21 +51,32 @@
                 result?;
                 break;
             }
-            _ = changed.recv() => match load(&path) {
-                Ok(settings) => {
-                    running.gateway.reload(settings);
-                    info!("settings read anew");
-                }
-                Err(error) => warn!(error:? = error; "settings are unreadable, the old ones stay"),
-            },
+            _ = changed.recv() => reload(&running, &path, &mut text),
+            () = sleep(LOOK_INTERVAL) => reload(&running, &path, &mut text),
         }
     }
     running.stop().await;
     Ok(())
 }
 
-/// Reads and parses settings.
-fn load(path: &str) -> Result<Settings, CommandError> {
-    let text = read(path)?;
-    Settings::parse(&text).map_err(|error| CommandError::Usage(format!("{path}: {error}")))
+/// Puts settings in force if their text has changed.
+fn reload(running: &Running, path: &str, text: &mut String) {
+    let new = match read(path) {
+        Ok(new) if new == *text => return,
+        Ok(new) => new,
+        Err(error) => return warn!(error:? = error; "settings are unreadable, the old ones stay"),
+    };
+    match parse(path, &new) {
+        Ok(settings) => {
+            running.gateway.reload(settings);
+            info!("settings read anew");
+        }
+        Err(error) => warn!(error:? = error; "settings are wrong, the old ones stay"),
+    }
+    *text = new;
+}
+
+/// Parses settings.
+fn parse(path: &str, text: &str) -> Result<Settings, CommandError> {
+    Settings::parse(text).map_err(|error| CommandError::Usage(format!("{path}: {error}")))
 }
--- /dev/null
+++ b/crates/cactuslane/tests/gateway.rs
@@ -0,0 +1,88 @@
+//! The gateway as a process of its own: settings that change, and a stop by signal.
+
+use std::fs;
+use std::io::{BufRead, BufReader};
+use std::path::{Path, PathBuf};
+use std::process::{Child, ChildStdout, Command, Stdio};
+
+use cactuslane_platform_standin::{Store, settings_text};
+
+/// A gateway in a process of its own; dropping it kills the process.
+struct Process {
+    /// The process.
+    child: Child,
+    /// Its log.
+    log: BufReader<ChildStdout>,
+}
+
+impl Process {
+    /// Starts a gateway with a settings file.
+    fn spawn(settings: &Path) -> Self {
+        let mut child = Command::new(env!("CARGO_BIN_EXE_cactuslane"))
+            .arg("gateway")
+            .arg("--settings")
+            .arg(settings)
+            .stdout(Stdio::piped())
+            .spawn()
+            .expect("it starts");
+        let log = BufReader::new(child.stdout.take().expect("it is piped"));
+        Self { child, log }
+    }
+
+    /// Reads the log until a line has an event.
+    fn wait_for(&mut self, event: &str) {
+        let wanted = format!("\"event\":\"{event}\"");
+        let mut line = String::new();
+        while !line.contains(&wanted) {
+            line.clear();
+            let read = self.log.read_line(&mut line).expect("it is text");
+            assert!(read > 0, "the log ended before {event}");
+        }
+    }
+
+    /// Sends a signal by its name.
+    fn signal(&self, name: &str) {
+        let id = self.child.id().to_string();
+        let sent = Command::new("kill").args(["-s", name, &id]).status();
+        assert!(sent.expect("kill runs").success());
+    }
+}
+
+impl Drop for Process {
+    fn drop(&mut self) {
+        // A process that has ended by itself can't be killed any more.
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
+
+/// Returns the path of a settings file.
+fn file() -> PathBuf {
+    let name = format!("cactuslane-gateway-{}.toml", std::process::id());
+    std::env::temp_dir().join(name)
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn settings_that_change_come_in_force_and_wrong_ones_do_not() {
+    let store = Store::bind().await.expect("it binds");
+    let text = settings_text("front-1", store.address);
+    let path = file();
+    fs::write(&path, &text).expect("it is written");
+    let mut process = Process::spawn(&path);
+    process.wait_for("registered");
+    fs::write(&path, text.replace("drain_ms = 2000", "drain_ms = 1500")).expect("it is written");
+    process.signal("HUP");
+    process.wait_for("settings read anew");
+    fs::write(&path, text.replace("grace_s = 8", "grace_s = 'long'")).expect("it is written");
+    process.signal("HUP");
+    process.wait_for("settings are wrong, the old ones stay");
+    // Without a signal the file is looked at now and then.
+    fs::write(&path, text).expect("it is written");
+    process.wait_for("settings read anew");
+    process.signal("TERM");
+    process.wait_for("stopped");
+    let status = process.child.wait().expect("it ends");
+    assert_eq!(status.code(), Some(0));
+    assert!(store.keys("cactuslane/instances/").is_empty());
+    fs::remove_file(&path).expect("it is removed");
+}
