Notice a silent watch while the instance is still excused

The wait had been reckoned from the time for a configuration as well, though an instance is held to news as soon as its excuse ends.

Ruled out: the pause in which news gather (at most 1 s), and the spread of the configuration.

Change: a watch, its grace, a pause and the next watch fit into the time for which an instance is excused after trouble (1.3 s and 2.3 s of wait in place of 3.2 s and 5.2 s).

--- a/crates/cactuslane-gateway/src/control.rs
+++ b/crates/cactuslane-gateway/src/control.rs
@@ -5,7 +5,7 @@
 
 use cactuslane_platform::store::CONFIG_KEY;
 use cactuslane_platform::{document, registry};
-use cactuslane_store::kv::{Change, Item, KvError, Lease, Update};
+use cactuslane_store::kv::{Change, Item, KvError, Lease, Update, WATCH_GRACE};
 use cactuslane_types::Millis;
 use log::{info, warn};
 use rand::Rng;
@@ -19,10 +19,10 @@
 const MEMBERS: &str = "cactuslane/instances/";
 /// The start of all keys.
 const ALL: &str = "";
-/// Time for a failed watch, the next one and its news, within what an instance is excused for.
-const WATCH_RESERVE: Duration = Duration::from_millis(1800);
+/// Time for a pause, the next watch and its news, within what an instance is excused for.
+const WATCH_RESERVE: Duration = Duration::from_secs(1);
 /// Shortest wait of a watch.
-const LEAST_WAIT: Duration = Duration::from_secs(1);
+const LEAST_WAIT: Duration = Duration::from_millis(500);
 /// Pause between watches of a small fleet, in which news gather.
 const WATCH_PAUSE: Duration = Duration::from_millis(300);
 /// Number of instances that lengthen the pause by its own length, as more news come and more watch.
@@ -50,11 +50,8 @@
         };
         let mut well = true;
         loop {
-            match gateway
-                .store
-                .watch(ALL, revision, watch_wait(&gateway))
-                .await
-            {
+            let wait = watch_wait(gateway.settings().excused);
+            match gateway.store.watch(ALL, revision, wait).await {
                 Ok(changes) => {
                     if !well {
                         info!(revision; "store is back");
@@ -79,11 +76,15 @@
     }
 }
 
-/// Returns the longest wait of a watch, after which a silent connection is noticed.
-fn watch_wait(gateway: &Gateway) -> Duration {
-    let settings = gateway.settings();
-    let wait = settings.excused + settings.apply;
-    wait.saturating_sub(WATCH_RESERVE).max(LEAST_WAIT)
+/// Returns the longest wait of a watch, where an instance is excused for a time after trouble.
+///
+/// A watch that hears nothing may stand on a connection that has gone silent. It must be known to
+/// be broken, and the next one must bring the news, before the instance is held to them again.
+#[must_use]
+pub fn watch_wait(excused: Duration) -> Duration {
+    excused
+        .saturating_sub(WATCH_GRACE + WATCH_RESERVE)
+        .max(LEAST_WAIT)
 }
 
 /// Returns the pause between two watches, in which news gather.
--- a/crates/cactuslane-gateway/tests/knowledge.rs
+++ b/crates/cactuslane-gateway/tests/knowledge.rs
@@ -1,11 +1,16 @@
 //! What an instance believes of targets, of the others and of the office.
 
+use std::time::Duration;
+
 use cactuslane_flight::document::Document;
 use cactuslane_flight::target::{Target, TargetState};
+use cactuslane_gateway::control::watch_wait;
 use cactuslane_gateway::fleet::{Effect, Fleet};
 use cactuslane_gateway::members::{Member, Members};
 use cactuslane_gateway::office::{Holder, Office};
+use cactuslane_store::kv::WATCH_GRACE;
 use cactuslane_types::Role;
+use yare::parameterized;
 
 /// Creates a target.
 fn target(id: &str, state: TargetState) -> Target {
@@ -56,7 +61,7 @@
 #[test]
 fn a_vanished_target_is_used_only_where_no_other_is_left_and_not_for_long() {
     let mut fleet = Fleet::default();
-    fleet.set_hold(std::time::Duration::from_secs(2));
+    fleet.set_hold(Duration::from_secs(2));
     fleet.put(target("i-1", TargetState::Ready));
     fleet.put(target("i-2", TargetState::Ready));
     fleet.lapse("i-1", 1_000);
@@ -127,6 +132,19 @@
     assert_eq!(ids(&fleet, 30), ["i-1"]);
 }
 
+/// A watch that was cut without a word just before it would answer is followed by another one
+/// within the time for which an instance is excused.
+#[parameterized(
+    small_fleet = { 3_000 },
+    large_fleet = { 4_000 },
+)]
+fn a_silent_watch_is_noticed_while_the_instance_is_excused(excused: u64) {
+    let excused = Duration::from_millis(excused);
+    let next = Duration::from_millis(900);
+    assert!(watch_wait(excused) + WATCH_GRACE + next <= excused);
+    assert!(watch_wait(excused) >= Duration::from_secs(1));
+}
+
 /// Creates the entry of an instance.
 fn member(name: &str, leaving: bool) -> Member {
     Member {
--- a/crates/cactuslane-store/src/kv.rs
+++ b/crates/cactuslane-store/src/kv.rs
@@ -19,7 +19,7 @@
 /// Longest time that one call may take, waiting watches apart.
 const CALL_TIMEOUT: Duration = Duration::from_millis(1500);
 /// Time beyond its wait after which a watch counts as broken.
-const WATCH_GRACE: Duration = Duration::from_secs(1);
+pub const WATCH_GRACE: Duration = Duration::from_millis(700);
 
 /// A key's value and the revisions that the store keeps.
 #[derive(Clone, Debug, PartialEq, Eq)]
