Let an instance's part of the shared repeats grow after its start

Ruled out: the ratio (it counts requests since the start alone).

Change: the part of the slack grows with the uptime over one window.

--- a/crates/cactuslane-flight/src/budget.rs
+++ b/crates/cactuslane-flight/src/budget.rs
@@ -7,6 +7,9 @@
 /// Number of slices of the window.
 const SLICES: u64 = 20;
 
+/// Part of the shared slack that instances use; the rest covers instances that come and go.
+const USED_PART: f64 = 0.8;
+
 /// Allows repeated sends as a share of the requests of a window, plus a fixed number.
 #[derive(Clone, Debug)]
 pub struct RepeatBudget {
@@ -20,6 +23,16 @@
     slices: VecDeque<(u64, u32, u32)>,
 }
 
+/// Returns one instance's part of the repeated sends that all share beside a ratio of requests.
+///
+/// An instance that has just started knows neither the others nor what was sent again before it
+/// started: its part grows with its uptime until a window is over.
+#[must_use]
+pub fn slack_part(slack: f64, sharers: usize, uptime: Millis, window: Millis) -> f64 {
+    let settled = (uptime as f64 / window.max(1) as f64).min(1.0);
+    slack * USED_PART * settled / sharers.max(1) as f64
+}
+
 impl RepeatBudget {
     /// Creates a budget for a window in milliseconds.
     #[must_use]
--- a/crates/cactuslane-flight/tests/decisions.rs
+++ b/crates/cactuslane-flight/tests/decisions.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use cactuslane_flight::budget::RepeatBudget;
+use cactuslane_flight::budget::{RepeatBudget, slack_part};
 use cactuslane_flight::document::{Document, Repeat, Route};
 use yare::parameterized;
 
@@ -38,6 +38,18 @@
     assert!(repeats.len() > 100);
 }
 
+/// All instances that start at once, and know nobody yet, stay far below what they may share.
+#[test]
+fn instances_that_start_together_keep_to_the_shared_slack() {
+    let (slack, window) = (54.0, 10_000);
+    for uptime in [0, 100, 500] {
+        let all = 7.0 * slack_part(slack, 1, uptime, window);
+        assert!(all < slack * 0.3, "{all} at {uptime} ms");
+    }
+    let settled = 7.0 * slack_part(slack, 7, window, window);
+    assert!(settled <= slack && settled > slack * 0.7);
+}
+
 /// Creates a route.
 fn route(name: &str, prefix: &str, services: &[(&str, u32)]) -> Route {
     Route {
--- a/crates/cactuslane-gateway/src/state.rs
+++ b/crates/cactuslane-gateway/src/state.rs
@@ -5,7 +5,7 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
-use cactuslane_flight::budget::RepeatBudget;
+use cactuslane_flight::budget::{RepeatBudget, slack_part};
 use cactuslane_flight::document::Document;
 use cactuslane_flight::target::Target;
 use cactuslane_place::{Load, Placer};
@@ -20,8 +20,8 @@
 use crate::office::{Holder, Office};
 use crate::upstream::Pool;
 
-/// Part of the shared budget of repeated sends that instances use; the rest covers instances that
-/// come and go within the window.
+/// Part of the ratio of repeated sends that instances use; the rest covers instances that come and
+/// go within the window.
 const BUDGET_PART: f64 = 0.8;
 
 /// The state of one instance.
@@ -217,10 +217,10 @@
     fn with_budget<T>(&self, service: &str, using: impl FnOnce(&mut RepeatBudget) -> T) -> T {
         let settings = self.settings();
         let sharers = self.members().sharers();
-        let slack = settings.repeat_slack * BUDGET_PART / sharers as f64;
+        let window = settings.repeat_window.as_millis() as Millis;
+        let slack = slack_part(settings.repeat_slack, sharers, self.now(), window);
         let mut budgets = lock(&self.budgets);
         let budget = budgets.entry(service.to_owned()).or_insert_with(|| {
-            let window = settings.repeat_window.as_millis() as Millis;
             RepeatBudget::new(settings.repeat_ratio * BUDGET_PART, slack, window)
         });
         budget.set_slack(slack);
