Wait for parts of an exchange in one place, and drop what nobody reads

Cause: the last reading found the same wait for a prompt and for a head written twice, three copies of 'heard lately', a counter of connections and a silence that nobody reads.

Change: within, Known::is_heard; the counter and Picture::silence are gone. Behaviour stays.

--- a/crates/cactuslane-gateway/src/generation.rs
+++ b/crates/cactuslane-gateway/src/generation.rs
@@ -301,16 +301,9 @@
         };
         let began = Instant::now();
         let wait = left.min(self.head_patience(plan));
-        let result = timeout(wait, send(&self.gateway, &self.job, target, &sent)).await;
+        let head = send(&self.gateway, &self.job, target, &sent);
+        let result = within(wait, left, "head", head).await;
         let now = self.gateway.now();
-        let result = result.unwrap_or_else(|_| {
-            let ending = if wait < left {
-                Ending::Broken
-            } else {
-                Ending::Late
-            };
-            Err((ending, format!("no head within {wait:?}")))
-        });
         let (connection, response) = match result {
             Ok(exchange) => exchange,
             Err((ending, why)) => {
@@ -386,6 +379,22 @@
     }
 }
 
+/// Waits for a part of an exchange: a target is silent where time is left, else the time is over.
+async fn within<T>(
+    wait: Duration,
+    left: Duration,
+    part: &str,
+    exchange: impl Future<Output = Result<T, (Ending, String)>>,
+) -> Result<T, (Ending, String)> {
+    let ending = if wait < left {
+        Ending::Broken
+    } else {
+        Ending::Late
+    };
+    let silent = Err((ending, format!("no {part} within {wait:?}")));
+    timeout(wait, exchange).await.unwrap_or(silent)
+}
+
 /// Returns the outcome of a request that is answered without a stream.
 fn answered(response: Response<Reply>) -> Outcome {
     Outcome::Answer(Box::new(response))
--- a/crates/cactuslane-gateway/src/generation/prompt.rs
+++ b/crates/cactuslane-gateway/src/generation/prompt.rs
@@ -11,9 +11,9 @@
 use cactuslane_platform::exchange::{self, Sent, Work};
 use hyper::StatusCode;
 use log::info;
-use tokio::time::{Instant, timeout};
+use tokio::time::Instant;
 
-use super::{PROMPT_FACTOR, Run};
+use super::{PROMPT_FACTOR, Run, within};
 use crate::engines;
 use crate::plain::{send, whole_body};
 use crate::state::Gateway;
@@ -91,16 +91,8 @@
             }
             engine::computed(&body).map_err(|why| (Ending::Broken, why))
         };
-        let result = timeout(wait, exchange).await;
+        let result = within(wait, left, "prompt", exchange).await;
         let now = self.gateway.now();
-        let result = result.unwrap_or_else(|_| {
-            let ending = if wait < left {
-                Ending::Broken
-            } else {
-                Ending::Late
-            };
-            Err((ending, format!("no prompt within {wait:?}")))
-        });
         match result {
             Ok(computed) => {
                 let elapsed = began.elapsed().as_secs_f64() * 1000.0;
--- a/crates/cactuslane-gateway/src/members.rs
+++ b/crates/cactuslane-gateway/src/members.rs
@@ -48,6 +48,13 @@
     lapsed: Option<Millis>,
 }
 
+impl Known {
+    /// Returns whether the instance was heard lately.
+    fn is_heard(&self, now: Millis) -> bool {
+        self.heard.is_some_and(|heard| now <= heard + SILENCE)
+    }
+}
+
 impl Members {
     /// Takes an instance's entry.
     pub fn put(&mut self, member: Member, now: Millis) {
@@ -103,10 +110,8 @@
     /// Forgets instances that vanished long ago.
     pub fn sweep(&mut self, now: Millis) -> Vec<InstanceId> {
         let gone = |known: &Known| {
-            let silent = known.heard.is_none_or(|heard| now > heard + SILENCE);
-            known
-                .lapsed
-                .is_some_and(|lapsed| now > lapsed + KEEP && silent)
+            let lapsed = known.lapsed.is_some_and(|lapsed| now > lapsed + KEEP);
+            lapsed && !known.is_heard(now)
         };
         let mut removed = Vec::new();
         self.members.retain(|instance, known| {
@@ -124,8 +129,7 @@
     pub fn alive(&self, now: Millis) -> Vec<InstanceId> {
         let mut alive = Vec::new();
         for (instance, known) in &self.members {
-            let heard = known.heard.is_some_and(|heard| now <= heard + SILENCE);
-            if heard && !known.member.leaving {
+            if known.is_heard(now) && !known.member.leaving {
                 alive.push(instance.clone());
             }
         }
@@ -138,12 +142,11 @@
     /// all that it knows.
     #[must_use]
     pub fn serving(&self, now: Millis) -> Vec<(SocketAddr, DomainName)> {
-        let hears = |known: &Known| known.heard.is_some_and(|heard| now <= heard + SILENCE);
-        let alone = !self.members.values().any(hears);
+        let alone = !self.members.values().any(|known| known.is_heard(now));
         let mut serving = Vec::new();
         for known in self.members.values() {
             let fresh = known.heard.is_none() && now <= known.since + SILENCE;
-            let lives = hears(known) || (known.lapsed.is_none() && (fresh || alone));
+            let lives = known.is_heard(now) || (known.lapsed.is_none() && (fresh || alone));
             if known.member.leaving || !lives {
                 continue;
             }
--- a/crates/cactuslane-gateway/src/upstream.rs
+++ b/crates/cactuslane-gateway/src/upstream.rs
@@ -2,7 +2,6 @@
 
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
-use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::{Mutex, PoisonError};
 use std::time::Duration;
 
@@ -30,8 +29,6 @@
 pub struct Pool {
     /// The idle connections by target.
     idle: Mutex<BTreeMap<TargetId, Vec<Lent>>>,
-    /// The number of connections that were made.
-    made: AtomicUsize,
 }
 
 /// A connection that one request uses.
@@ -64,7 +61,6 @@
         if let Some(lent) = self.take_idle(target) {
             return Ok(lent);
         }
-        self.made.fetch_add(1, Ordering::Relaxed);
         let unsent = |error: String| SendError::Unsent(error);
         let connecting = timeout(CONNECT_TIMEOUT, TcpStream::connect(address)).await;
         let stream = connecting
--- a/crates/cactuslane-place/src/picture.rs
+++ b/crates/cactuslane-place/src/picture.rs
@@ -204,13 +204,6 @@
                 .any(|peer| named(&peer.changing))
     }
 
-    /// Returns the time for which an instance was not heard, in milliseconds; none if it never was.
-    #[must_use]
-    pub fn silence(&self, instance: &str, now: Millis) -> Option<Millis> {
-        let peer = self.peers.get(instance)?;
-        Some(now.saturating_sub(peer.heard))
-    }
-
     /// Forgets an instance that is gone.
     pub fn forget(&mut self, instance: &str) {
         self.peers.remove(instance);
