Look for other entries soon after a start

Cause: `an_entry_stops_gracefully` failed beside load. Traced with the records at the failing answer: the entry knew itself alone. Entries are listed one by one as a fleet starts; whoever reads the list before the others are on it counts it as read, is ready, and reads it again only a second later. The pings of a second are one, so that even listed members have no serving address for long.

Change: an instance that is listed alone reads the list again after 150 ms for its first ten seconds; one that has heard no other asks four at once every 300 ms until one is heard. Probing has a file of its own.

--- a/crates/cactuslane-entry/src/fleet.rs
+++ b/crates/cactuslane-entry/src/fleet.rs
@@ -4,6 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use cactuslane_member::spread::list_pause;
 use cactuslane_route::Load;
 use cactuslane_store::http::Client;
 use cactuslane_store::list::{ListReader, Listed, ListedKind};
@@ -15,10 +16,6 @@
 use crate::routing::ListedTarget;
 use crate::shared::Shared;
 
-/// Least time between two readings of the instance list.
-const LIST_INTERVAL: Duration = Duration::from_secs(1);
-/// Number of instances for which the time between readings grows by a second.
-const LIST_SHARE: usize = 100;
 /// Least time between two rounds of load reports.
 const LOAD_INTERVAL: Duration = Duration::from_secs(4);
 /// Number of targets for which the time between rounds grows by the least time.
@@ -45,9 +42,8 @@
             Err(error) => log::debug!("the instance list was not read: {error}"),
         }
         let instances = shared.members().records().count();
-        let share = instances as f64 / LIST_SHARE as f64;
-        let wait = LIST_INTERVAL.mul_f64(share.max(1.0));
-        sleep(wait.mul_f64(0.9 + 0.2 * rand::random::<f64>())).await;
+        let pause = list_pause(instances, shared.now(), rand::random());
+        sleep(Duration::from_millis(pause)).await;
     }
 }
 
--- a/crates/cactuslane-member/src/lib.rs
+++ b/crates/cactuslane-member/src/lib.rs
@@ -6,6 +6,7 @@
 
 pub mod addresses;
 pub mod message;
+mod probing;
 pub mod record;
 pub mod spread;
 
@@ -13,15 +14,20 @@
 use std::net::SocketAddr;
 
 use cactuslane_types::{DomainName, Incarnation, InstanceId, Millis};
-use rand::{Rng, SeedableRng};
+use rand::SeedableRng;
 use rand_pcg::Pcg64Mcg;
 
 pub use message::{DemandRecord, Message, Packet, ShareRecord};
 pub use record::{Record, Revisions, Status};
 
+use probing::Probe;
+
 /// Number of times that a new member's record is put on messages for others.
 const ARRIVAL_SENDS: u32 = 4;
 
+/// Number of members that urgent news goes to, so that a few lost datagrams do not hold it up.
+const FANOUT: usize = 4;
+
 /// The membership as one instance sees it.
 #[derive(Clone, Debug)]
 pub struct Membership {
@@ -39,6 +45,8 @@
     relays: BTreeMap<u64, (SocketAddr, u64, Millis)>,
     /// The time of the next period.
     next_period: Millis,
+    /// The earliest time to ask for the records of others again.
+    next_join: Millis,
     /// The last sequence number.
     sequence: u64,
     /// Says whether a suspicion was refuted that the others have to hear of.
@@ -75,21 +83,6 @@
     sends: u32,
 }
 
-/// A ping that waits for its answer.
-#[derive(Clone, Debug)]
-struct Probe {
-    /// The member.
-    target: InstanceId,
-    /// The sequence number of the ping.
-    sequence: u64,
-    /// When others are asked.
-    ask_at: Millis,
-    /// Holds the sequence numbers of the questions to others.
-    asked: Vec<u64>,
-    /// When the member is suspected.
-    until: Millis,
-}
-
 /// What the driver does for the membership.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Action {
@@ -126,6 +119,7 @@
             probe: None,
             relays: BTreeMap::new(),
             next_period: 0,
+            next_join: 0,
             sequence: 0,
             refuted: false,
             random: Pcg64Mcg::seed_from_u64(seed),
@@ -162,8 +156,6 @@
 
     /// Returns packets that carry the newest records at once, to some members.
     pub fn urgent(&mut self) -> Vec<Action> {
-        /// Number of members that are told at once.
-        const FANOUT: usize = 4;
         let ids = self.pick(FANOUT, "");
         ids.iter().filter_map(|id| self.ping(id)).collect()
     }
@@ -176,6 +168,10 @@
         }
         self.check_probe(now, &mut actions);
         self.bury(now, &mut actions);
+        if now >= self.next_join && self.is_joining() {
+            self.next_join = now + self.params.direct_wait;
+            actions.extend(self.urgent());
+        }
         if now >= self.next_period {
             self.next_period = now + self.params.period;
             self.start_probe(now, &mut actions);
@@ -251,131 +247,6 @@
     }
 }
 
-/// Probing.
-impl Membership {
-    /// Pings the next member of the round.
-    fn start_probe(&mut self, now: Millis, actions: &mut Vec<Action>) {
-        let Some(target) = self.next_target() else {
-            return;
-        };
-        let Some(action) = self.ping(&target) else {
-            return;
-        };
-        actions.push(action);
-        self.probe = Some(Probe {
-            target,
-            sequence: self.sequence,
-            ask_at: now + self.params.direct_wait,
-            asked: Vec::new(),
-            until: now + self.params.period.saturating_sub(1),
-        });
-    }
-
-    /// Asks others about a silent member, then suspects it.
-    fn check_probe(&mut self, now: Millis, actions: &mut Vec<Action>) {
-        let Some(probe) = self.probe.clone() else {
-            return;
-        };
-        if now >= probe.until {
-            self.probe = None;
-            self.suspect(&probe.target, now, actions);
-            return;
-        }
-        if now < probe.ask_at || !probe.asked.is_empty() {
-            return;
-        }
-        for helper in self.pick(self.params.helpers, &probe.target) {
-            let Some(address) = self.members.get(&helper).map(|m| m.record.gossip) else {
-                continue;
-            };
-            let packet = self.packet(Message::PingFor(probe.target.clone()), Some(&helper));
-            if let Some(probe) = &mut self.probe {
-                probe.asked.push(packet.sequence);
-            }
-            actions.push(Action::Send(address, packet));
-        }
-    }
-
-    /// Ends the probe that an acknowledgement answers, or passes it on.
-    fn acknowledged(&mut self, sequence: u64, from: &InstanceId, actions: &mut Vec<Action>) {
-        if let Some((asker, theirs, _)) = self.relays.remove(&sequence) {
-            let packet = self.packet(Message::Ack(theirs), None);
-            actions.push(Action::Send(asker, packet));
-            return;
-        }
-        let answered = self.probe.as_ref().is_some_and(|probe| {
-            let direct = probe.sequence == sequence && probe.target == *from;
-            direct || probe.asked.contains(&sequence)
-        });
-        if answered {
-            self.probe = None;
-        }
-    }
-
-    /// Pings a member for another one.
-    fn relay(
-        &mut self,
-        asker: SocketAddr,
-        theirs: u64,
-        id: &InstanceId,
-        now: Millis,
-        actions: &mut Vec<Action>,
-    ) {
-        let Some(action) = self.ping(id) else { return };
-        self.relays.retain(|_, (_, _, until)| *until > now);
-        self.relays
-            .insert(self.sequence, (asker, theirs, now + self.params.period));
-        actions.push(action);
-    }
-
-    /// Builds a ping for a member.
-    fn ping(&mut self, id: &str) -> Option<Action> {
-        let member = self.members.get(id)?;
-        let address = member.record.gossip;
-        let id = id.to_owned();
-        let packet = self.packet(Message::Ping, Some(&id));
-        Some(Action::Send(address, packet))
-    }
-
-    /// Returns the next member to ping, in rounds of random order.
-    fn next_target(&mut self) -> Option<InstanceId> {
-        while let Some(id) = self.round.pop() {
-            let known = self.members.get(&id);
-            if known.is_some_and(|member| member.record.status != Status::Gone) {
-                return Some(id);
-            }
-        }
-        let mut round: Vec<InstanceId> = Vec::new();
-        for (id, member) in &self.members {
-            if member.record.status != Status::Gone {
-                round.push(id.clone());
-            }
-        }
-        for index in (1..round.len()).rev() {
-            round.swap(index, self.random.random_range(0..=index));
-        }
-        self.round = round;
-        self.round.pop()
-    }
-
-    /// Returns some random members that are not gone, other than one.
-    fn pick(&mut self, count: usize, except: &str) -> Vec<InstanceId> {
-        let mut ids: Vec<InstanceId> = Vec::new();
-        for (id, member) in &self.members {
-            if id != except && member.record.status != Status::Gone {
-                ids.push(id.clone());
-            }
-        }
-        let count = count.min(ids.len());
-        for index in 0..count {
-            let other = self.random.random_range(index..ids.len());
-            ids.swap(index, other);
-        }
-        ids.truncate(count);
-        ids
-    }
-}
-
 /// Records.
 impl Membership {
     /// Takes in one record if it is newer than what is known.
--- a/crates/cactuslane-member/src/spread.rs
+++ b/crates/cactuslane-member/src/spread.rs
@@ -14,6 +14,15 @@
 pub const BACKSTOP: Millis = 60_000;
 /// Time between two readings by an instance that is cut from its peers, in milliseconds.
 pub const ALONE_INTERVAL: Millis = 5_000;
+/// Least time between two readings of the instance list, in milliseconds.
+pub const LIST_INTERVAL: Millis = 1_000;
+/// Number of instances for which the time between readings grows by the least time.
+const LIST_SHARE: usize = 100;
+/// Time between readings by an instance that has just started and is listed alone, in milliseconds:
+/// a fleet that starts at once is listed one by one.
+const LIST_JOINING: Millis = 150;
+/// Time after its start in which an instance that is listed alone expects others, in milliseconds.
+const JOINING_TIME: Millis = 10_000;
 
 /// What one instance was last in contact with.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
@@ -79,6 +88,21 @@
     now + (mean as f64 * (0.5 + random)) as Millis
 }
 
+/// Returns the time until the instance list is read next, in milliseconds.
+///
+/// `instances` counts all that are known, this one included, `uptime` is the time since the start,
+/// and `random` a random share.
+#[must_use]
+pub fn list_pause(instances: usize, uptime: Millis, random: f64) -> Millis {
+    let share = instances as f64 / LIST_SHARE as f64;
+    let mean = if instances <= 1 && uptime < JOINING_TIME {
+        LIST_JOINING as f64
+    } else {
+        LIST_INTERVAL as f64 * share.max(1.0)
+    };
+    (mean * (0.9 + 0.2 * random)) as Millis
+}
+
 /// Ranks an instance as a watcher.
 fn watch_rank(id: &str) -> u64 {
     let mut hasher = DefaultHasher::new();
--- a/crates/cactuslane-member/tests/spread.rs
+++ b/crates/cactuslane-member/tests/spread.rs
@@ -4,7 +4,9 @@
 use std::net::SocketAddr;
 
 use cactuslane_member::addresses;
-use cactuslane_member::spread::{CONTACT_LIMIT, Contact, Standing, WATCHERS, standing, watches};
+use cactuslane_member::spread::{
+    CONTACT_LIMIT, Contact, LIST_INTERVAL, Standing, WATCHERS, list_pause, standing, watches,
+};
 use cactuslane_member::{Record, Status};
 use yare::parameterized;
 
@@ -126,3 +128,23 @@
     members[1].status = Status::Leaving;
     assert_eq!(chosen(&members), 2);
 }
+
+/// An instance that is listed alone after its start looks for others soon; one that stays alone, or
+/// knows others, reads the list as rarely as any.
+#[parameterized(
+    starting_alone = { 1, 500, 100, 300 },
+    long_alone = { 1, 60_000, LIST_INTERVAL * 9 / 10, LIST_INTERVAL * 11 / 10 },
+    starting_with_others = { 2, 500, LIST_INTERVAL * 9 / 10, LIST_INTERVAL * 11 / 10 },
+    many = { 330, 500, LIST_INTERVAL * 29 / 10, LIST_INTERVAL * 37 / 10 },
+)]
+fn an_instance_that_is_listed_alone_reads_again_soon(
+    instances: usize,
+    uptime: u64,
+    least: u64,
+    most: u64,
+) {
+    for random in [0.0, 0.5, 0.999] {
+        let pause = list_pause(instances, uptime, random);
+        assert!((least..=most).contains(&pause), "{pause}");
+    }
+}
