--- a/crates/cactuslane-flight/src/budget.rs
+++ b/crates/cactuslane-flight/src/budget.rs
@@ -7,8 +7,9 @@
 /// Number of slices of the window.
 const SLICES: u64 = 20;
 
-/// Part of the shared slack that instances use; the rest covers instances that come and go.
-const USED_PART: f64 = 0.8;
+/// Part of what is allowed that instances use; the rest covers instances that come and go within
+/// the window.
+pub const USED_PART: f64 = 0.8;
 
 /// Allows repeated sends as a share of the requests of a window, plus a fixed number.
 #[derive(Clone, Debug)]
--- a/crates/cactuslane-gateway/src/generation.rs
+++ b/crates/cactuslane-gateway/src/generation.rs
@@ -185,7 +185,14 @@
         if self.prompt.is_some() {
             return placer.decode(&targets, &wanted, now);
         }
-        let placement = placer.generation(&targets, &wanted, now);
+        let mut placement = placer.generation(&targets, &wanted, now);
+        if placement == Placement::NoTarget && !self.tried.is_empty() {
+            let again = Wanted {
+                tried: &[],
+                ..wanted
+            };
+            placement = placer.generation(&targets, &again, now);
+        }
         if let Placement::Run(plan) = &placement {
             let shared: u32 = job.ask.shared().iter().map(|part| part.tokens).sum();
             let own = job.ask.prompt.saturating_sub(shared);
@@ -193,14 +200,7 @@
             let missing = plan.uncached.saturating_sub(own) / 2;
             placer.picture.placed(own + missing);
         }
-        if placement != Placement::NoTarget || self.tried.is_empty() {
-            return placement;
-        }
-        let again = Wanted {
-            tried: &[],
-            ..wanted
-        };
-        placer.generation(&targets, &again, now)
+        placement
     }
 
     /// Sends the request to the chosen targets.
--- a/crates/cactuslane-gateway/src/peers.rs
+++ b/crates/cactuslane-gateway/src/peers.rs
@@ -18,7 +18,7 @@
 const HEARTBEAT: Duration = Duration::from_millis(400);
 /// Largest message that is received, in bytes.
 const MAX_MESSAGE: usize = 32 << 10;
-/// Most uses of prompt parts in one message.
+/// Most uses of prompt parts in one message, so that it fits; the rest goes with the next one.
 const MAX_USES: usize = 100;
 
 /// Tells the others and hears them until the task is ended.
@@ -69,7 +69,7 @@
         }
         gateway.pool.sweep();
         let mut placer = gateway.placer();
-        let (loads, mut uses) = (placer.picture.loads(), placer.take_untold());
+        let (loads, uses) = (placer.picture.loads(), placer.take_untold(MAX_USES));
         let work = placer.picture.own_placed();
         let changing = placer.picture.own_changing().to_vec();
         drop(placer);
@@ -77,7 +77,6 @@
         if same && uses.is_empty() && self.at.elapsed() < HEARTBEAT {
             return;
         }
-        uses.truncate(MAX_USES);
         self.sequence += 1;
         let told = Told {
             instance: gateway.settings().instance.clone(),
--- a/crates/cactuslane-gateway/src/state.rs
+++ b/crates/cactuslane-gateway/src/state.rs
@@ -5,7 +5,7 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
-use cactuslane_flight::budget::{RepeatBudget, slack_part};
+use cactuslane_flight::budget::{RepeatBudget, USED_PART, slack_part};
 use cactuslane_flight::document::Document;
 use cactuslane_flight::target::Target;
 use cactuslane_place::{Load, Placer};
@@ -20,10 +20,6 @@
 use crate::office::{Holder, Office};
 use crate::upstream::Pool;
 
-/// Part of the ratio of repeated sends that instances use; the rest covers instances that come and
-/// go within the window.
-const BUDGET_PART: f64 = 0.8;
-
 /// The state of one instance.
 #[derive(Debug)]
 pub struct Gateway {
@@ -67,11 +63,13 @@
             .as_millis() as u64;
         let store = KvClient::open(settings.store, cactuslane_platform::store::codec());
         let placer = Placer::new(settings.domain.clone(), rand::random());
+        let mut fleet = Fleet::default();
+        fleet.set_hold(settings.drain);
         Self {
             settings: Mutex::new(Arc::new(settings)),
             origin: Instant::now(),
             started,
-            fleet: Mutex::default(),
+            fleet: Mutex::new(fleet),
             members: Mutex::default(),
             office: Mutex::default(),
             placer: Mutex::new(placer),
@@ -93,6 +91,7 @@
 
     /// Puts new settings in force; addresses that are bound stay as they are.
     pub fn reload(&self, settings: Settings) {
+        self.fleet().set_hold(settings.drain);
         *lock(&self.settings) = Arc::new(settings);
     }
 
@@ -220,9 +219,9 @@
         let window = settings.repeat_window.as_millis() as Millis;
         let slack = slack_part(settings.repeat_slack, sharers, self.now(), window);
         let mut budgets = lock(&self.budgets);
-        let budget = budgets.entry(service.to_owned()).or_insert_with(|| {
-            RepeatBudget::new(settings.repeat_ratio * BUDGET_PART, slack, window)
-        });
+        let budget = budgets
+            .entry(service.to_owned())
+            .or_insert_with(|| RepeatBudget::new(settings.repeat_ratio * USED_PART, slack, window));
         budget.set_slack(slack);
         using(budget)
     }
--- a/crates/cactuslane-gateway/tests/knowledge.rs
+++ b/crates/cactuslane-gateway/tests/knowledge.rs
@@ -4,6 +4,7 @@
 
 use cactuslane_flight::document::Document;
 use cactuslane_flight::target::{Target, TargetState};
+use cactuslane_gateway::Gateway;
 use cactuslane_gateway::control::watch_wait;
 use cactuslane_gateway::fleet::{Effect, Fleet};
 use cactuslane_gateway::members::{Member, Members};
@@ -240,3 +241,20 @@
     office.observed(Some(me.clone()), 12, &me, 7_300, 1_200);
     assert!(office.is_held(1_200) && office.may_order(1_200).is_none());
 }
+
+#[tokio::test]
+async fn an_instance_holds_vanished_targets_by_its_settings() {
+    let mut settings = cactuslane_platform_standin::settings(
+        "front-1",
+        "127.0.0.1:1".parse().expect("it is an address"),
+    );
+    settings.drain = Duration::from_secs(2);
+    let gateway = Gateway::new(settings.clone());
+    gateway.fleet().put(target("i-1", TargetState::Ready));
+    gateway.fleet().lapse("i-1", 1_000);
+    assert_eq!(ids(&gateway.fleet(), 1_900), ["i-1"]);
+    assert!(ids(&gateway.fleet(), 2_000).is_empty());
+    settings.drain = Duration::from_secs(4);
+    gateway.reload(settings);
+    assert_eq!(ids(&gateway.fleet(), 2_900), ["i-1"]);
+}
--- /dev/null
+++ b/crates/cactuslane-gateway/tests/serving/control.rs
@@ -0,0 +1,154 @@
+//! Configurations, targets and instances that come and go, and the store in trouble.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use cactuslane_platform_standin::{Mode, Store, caller, document};
+use cactuslane_store::http::Client;
+use http_body_util::Full;
+use hyper::Request;
+use hyper::body::Bytes;
+use tokio::time::sleep;
+use yare::parameterized;
+
+use crate::deployment::{all_events, deploy, read, run, start, until};
+
+#[test]
+fn an_instance_without_configuration_says_not_run() {
+    run(async {
+        let store = Store::bind().await.expect("it binds");
+        let running = start("front-1", &store).await;
+        let front = running.gateway.settings().front;
+        let request = || caller::request(front, "/lookup/7", "r1");
+        let client = Client::open();
+        let got = read(client.send(request()).await.expect("it is answered")).await;
+        assert_eq!((got.status, got.come_back), (503, true));
+        store.configure(&document(3));
+        until(|| running.gateway.document().is_some()).await;
+        // There is a route now, and no target.
+        let got = read(client.send(request()).await.expect("it is answered")).await;
+        assert_eq!((got.status, got.come_back), (503, true));
+    });
+}
+
+#[test]
+fn configurations_come_in_force_and_never_go_back() {
+    run(async {
+        let deployment = deploy().await;
+        assert_eq!(deployment.ask("/new/7", "r1").await.status, 404);
+        let mut newer = document(9);
+        newer["routes"][0]["prefix"] = "/new/".into();
+        deployment.store.configure(&newer);
+        let gateway = deployment.running.gateway.clone();
+        let version = || gateway.document().map(|document| document.version);
+        until(|| version() == Some(9)).await;
+        assert_eq!(deployment.ask("/new/7", "r2").await.status, 200);
+        deployment.store.configure(&document(3));
+        deployment
+            .store
+            .configure(&serde_json::json!({ "version": "none" }));
+        deployment.store.garble_target("i-x");
+        // The history goes in the middle of all this.
+        deployment.store.compact();
+        newer["version"] = 12.into();
+        deployment.store.configure(&newer);
+        until(|| version() != Some(9)).await;
+        assert_eq!(version(), Some(12));
+    });
+}
+
+#[test]
+fn a_draining_target_gets_no_new_work() {
+    run(async {
+        let deployment = deploy().await;
+        deployment.workers[0].register(&deployment.store, "draining");
+        let gateway = deployment.running.gateway.clone();
+        until(|| gateway.target("i-w1").is_none()).await;
+        let before = deployment.workers[0].all_runs();
+        for id in 0..8 {
+            let got = deployment.ask("/lookup/7", &format!("r{id}")).await;
+            assert_eq!(got.status, 200);
+        }
+        assert_eq!(deployment.workers[0].all_runs(), before);
+    });
+}
+
+#[parameterized(
+    refusing = { Mode::Busy },
+    silent = { Mode::Silent },
+    losing = { Mode::Losing },
+)]
+fn requests_are_served_while_the_store_is_away(mode: Mode) {
+    run(async {
+        let deployment = deploy().await;
+        deployment.store.set_mode(mode);
+        // Targets lapse with the store, as their entries are not renewed.
+        for id in 0..6 {
+            let got = deployment.ask("/correction/7", &format!("r{id}")).await;
+            assert_eq!(got.status, 200);
+        }
+        deployment.store.set_mode(Mode::Serving);
+        deployment.store.configure(&document(8));
+        let gateway = deployment.running.gateway.clone();
+        until(|| {
+            gateway
+                .document()
+                .is_some_and(|document| document.version == 8)
+        })
+        .await;
+    });
+}
+
+/// Asks an instance for addresses, or whether it is ready.
+async fn question(address: SocketAddr, path: &str) -> (u16, String) {
+    let request = Request::get(format!("http://{address}{path}"))
+        .body(Full::new(Bytes::new()))
+        .expect("it is a request");
+    let got = read(Client::open().send(request).await.expect("it is answered")).await;
+    (got.status, got.body)
+}
+
+#[test]
+fn instances_find_each_other_and_an_instance_that_leaves_is_named_no_more() {
+    run(async {
+        let deployment = deploy().await;
+        let other = start("front-2", &deployment.store).await;
+        let here = deployment.running.gateway.settings();
+        let there = other.gateway.settings();
+        let directory = here.directory.expect("it answers callers");
+        let named = async || question(directory, caller::ADDRESSES).await.1;
+        let both = |text: &str| {
+            text.contains(&here.front.to_string()) && text.contains(&there.front.to_string())
+        };
+        while !both(&named().await) {
+            sleep(Duration::from_millis(20)).await;
+        }
+        let ready = there.ready;
+        assert_eq!(question(ready, caller::READY).await.0, 200);
+        let stopping = tokio::spawn(other.stop());
+        while both(&named().await) {
+            sleep(Duration::from_millis(20)).await;
+        }
+        assert_eq!(question(ready, caller::READY).await.0, 503);
+        // Callers that still hold its address are served, and told to go.
+        let request = caller::request(there.front, "/lookup/7", "r1");
+        let response = Client::open().send(request).await.expect("it is answered");
+        assert_eq!(response.status(), 200);
+        assert_eq!(response.headers()["connection"], "close");
+        stopping.await.expect("it stops");
+        let instances = deployment.store.keys("cactuslane/instances/");
+        assert_eq!(instances, ["cactuslane/instances/front-1"]);
+    });
+}
+
+#[test]
+fn a_planned_stop_cuts_no_stream() {
+    run(async {
+        let deployment = deploy().await;
+        let response = deployment.send("/report/7", "r1").await;
+        let stopping = tokio::spawn(deployment.running.stop());
+        let got = read(response).await;
+        assert_eq!((got.whole, got.body), (true, all_events()));
+        stopping.await.expect("it stops");
+    });
+}
--- /dev/null
+++ b/crates/cactuslane-gateway/tests/serving/main.rs
@@ -0,0 +1,6 @@
+//! Whole instances against stand-ins of the platform: what callers and targets see.
+
+mod control;
+mod deployment;
+mod plain;
+mod streams;
--- /dev/null
+++ b/crates/cactuslane-gateway/tests/serving/plain.rs
@@ -0,0 +1,78 @@
+//! Requests that are answered whole, and callers that leave.
+
+use cactuslane_platform_standin::{Fault, Target};
+use yare::parameterized;
+
+use crate::deployment::{deploy, run, until};
+
+#[parameterized(
+    answer_lost = { Fault::Lose, 502, 1 },
+    answer_of_another = { Fault::Cross, 502, 1 },
+    unsigned = { Fault::Unsigned, 502, 1 },
+    failure = { Fault::Fail, 500, 1 },
+    rejected = { Fault::Reject, 503, 0 },
+)]
+fn what_may_not_be_repeated_runs_at_most_once(fault: Fault, status: u16, runs: u32) {
+    run(async {
+        let deployment = deploy().await;
+        for _ in 0..4 {
+            deployment.fault(&deployment.workers, fault);
+        }
+        let got = deployment.ask("/correction/7", "r1").await;
+        assert_eq!((got.status, deployment.runs("r1")), (status, runs));
+        assert_eq!(got.come_back, status == 503);
+    });
+}
+
+#[parameterized(
+    answer_lost = { Fault::Lose },
+    answer_of_another = { Fault::Cross },
+    unsigned = { Fault::Unsigned },
+    failure = { Fault::Fail },
+    rejected = { Fault::Reject },
+)]
+fn what_may_be_repeated_is_sent_to_another_target(fault: Fault) {
+    run(async {
+        let deployment = deploy().await;
+        deployment.prefer_first(&deployment.workers);
+        deployment.fault(&deployment.workers[..1], fault);
+        let got = deployment.ask("/lookup/7", "r1").await;
+        assert_eq!(got.status, 200, "{got:?}");
+        assert_eq!(deployment.workers[1].runs("r1"), 1);
+    });
+}
+
+#[test]
+fn a_slow_target_is_waited_for_where_no_attempt_is_left() {
+    run(async {
+        let deployment = deploy().await;
+        deployment.fault(&deployment.workers, Fault::Slow(1_100));
+        let got = deployment.ask("/lookup/7", "r1").await;
+        assert_eq!((got.status, deployment.runs("r1")), (200, 2));
+    });
+}
+
+#[test]
+fn a_rejected_correction_runs_elsewhere() {
+    run(async {
+        let deployment = deploy().await;
+        deployment.prefer_first(&deployment.workers);
+        deployment.fault(&deployment.workers[..1], Fault::Reject);
+        assert_eq!(deployment.ask("/correction/7", "r1").await.status, 200);
+        assert_eq!(deployment.workers[1].runs("r1"), 1);
+    });
+}
+
+#[test]
+fn a_caller_that_leaves_ends_its_run() {
+    run(async {
+        let deployment = deploy().await;
+        deployment.fault(&deployment.engines, Fault::Mute(1));
+        let response = deployment.send("/report/7", "r1").await;
+        let streams = || deployment.engines.iter().map(Target::streams).sum::<u32>();
+        assert_eq!(streams(), 1);
+        drop(response);
+        drop(deployment.client.clone());
+        until(|| streams() == 0).await;
+    });
+}
--- a/crates/cactuslane-place/src/placer.rs
+++ b/crates/cactuslane-place/src/placer.rs
@@ -185,8 +185,13 @@
 
     /// Chooses the engine that generates from a prompt that was computed elsewhere.
     pub fn decode(&mut self, targets: &[&Target], wanted: &Wanted<'_>, now: Millis) -> Placement {
-        let usable = self.usable(targets, wanted.tried, now);
-        let Some((_, decode)) = self.best_decode(&usable, wanted, now) else {
+        let mut best = None;
+        // An engine that was tried is better than to lose the prompt.
+        for tried in [wanted.tried, &[]] {
+            let usable = self.usable(targets, tried, now);
+            best = best.or_else(|| self.best_decode(&usable, wanted, now));
+        }
+        let Some((_, decode)) = best else {
             return Placement::NoTarget;
         };
         Placement::Run(Plan {
@@ -265,9 +270,10 @@
         }
     }
 
-    /// Returns the uses that the other instances have not been told, and forgets them.
-    pub fn take_untold(&mut self) -> Vec<Use> {
-        std::mem::take(&mut self.untold)
+    /// Takes the oldest uses that the other instances have not been told, at most a number of them.
+    pub fn take_untold(&mut self, most: usize) -> Vec<Use> {
+        let most = most.min(self.untold.len());
+        self.untold.drain(..most).collect()
     }
 
     /// Forgets a target that is gone or has started anew.
--- a/crates/cactuslane-place/tests/placing.rs
+++ b/crates/cactuslane-place/tests/placing.rs
@@ -246,3 +246,43 @@
     assert_eq!(cache.ready(&[part(2)], 40), 0);
     assert_eq!(cache.ready(&[part(2)], 50), 100);
 }
+
+#[test]
+fn a_computed_prompt_goes_to_a_tried_engine_rather_than_to_none() {
+    let mut placer = Placer::new("a".to_owned(), 1);
+    let (targets, ask, measures) = (fleet(), ask(300, 1_000), measures());
+    let targets: Vec<&Target> = targets.iter().collect();
+    let tried = ["d1".to_owned(), "d2".to_owned()];
+    let wanted = Wanted {
+        ask: &ask,
+        engine: &measures,
+        pause: None,
+        objective: Duration::from_millis(600),
+        left: Duration::from_secs(6),
+        split: true,
+        tried: &tried,
+    };
+    assert!(matches!(
+        placer.decode(&targets, &wanted, 0),
+        Placement::Run(_)
+    ));
+    let fresh = Wanted {
+        tried: &tried[..1],
+        ..wanted
+    };
+    match placer.decode(&targets, &fresh, 0) {
+        Placement::Run(plan) => assert_eq!(plan.decode, "d2"),
+        other => panic!("{other:?}"),
+    }
+}
+
+#[test]
+fn uses_beyond_one_message_go_with_the_next() {
+    let mut placer = Placer::new("a".to_owned(), 1);
+    for _ in 0..5 {
+        placer.keeps("p1", &ask(300, 1_000).parts, 490_000, 0.0, 0);
+    }
+    assert_eq!(placer.take_untold(3).len(), 3);
+    assert_eq!(placer.take_untold(3).len(), 2);
+    assert!(placer.take_untold(3).is_empty());
+}
--- a/crates/cactuslane-store/src/kv.rs
+++ b/crates/cactuslane-store/src/kv.rs
@@ -3,18 +3,21 @@
 use std::fmt;
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
 
 use http_body_util::Full;
 use hyper::Request;
 use hyper::body::Bytes;
+use prometheus_client::metrics::counter::Counter;
+use prometheus_client::metrics::family::Family;
 use tokio::time::timeout;
 
 use crate::http::{Client, HttpError};
 
 /// Identifies a lease.
 pub type Lease = u64;
+/// The labels of a counter of calls.
+pub type CallLabels = [(&'static str, &'static str); 2];
 
 /// Longest time that one call may take, waiting watches apart.
 const CALL_TIMEOUT: Duration = Duration::from_millis(1500);
@@ -111,8 +114,6 @@
     pub read_grant: fn(u16, &[u8]) -> Result<Lease, KvError>,
     /// Builds the call that renews a lease.
     pub renew: fn(Lease) -> Call,
-    /// Builds the call that ends a lease.
-    pub revoke: fn(Lease) -> Call,
     /// Reads an answer that carries nothing.
     pub read_done: fn(u16, &[u8]) -> Result<(), KvError>,
 }
@@ -150,6 +151,22 @@
     }
 }
 
+impl KvError {
+    /// Returns the word for it in metrics.
+    #[must_use]
+    pub fn label(&self) -> &'static str {
+        match self {
+            Self::Unreachable(_) => "unreachable",
+            Self::Lost(_) => "lost",
+            Self::Refused(_) => "refused",
+            Self::Compacted => "compacted",
+            Self::Conflict => "conflict",
+            Self::NoLease => "no_lease",
+            Self::Malformed(_) => "malformed",
+        }
+    }
+}
+
 /// A client of the store; clones share its connections and counters.
 #[derive(Clone, Debug)]
 pub struct KvClient {
@@ -159,8 +176,8 @@
     codec: Arc<Codec>,
     /// The connections.
     client: Client,
-    /// The number of calls that were sent.
-    calls: Arc<AtomicU64>,
+    /// The calls that have ended, by verb and result.
+    pub calls: Family<CallLabels, Counter>,
 }
 
 impl KvClient {
@@ -171,16 +188,10 @@
             address,
             codec: Arc::new(codec),
             client: Client::open(),
-            calls: Arc::default(),
+            calls: Family::default(),
         }
     }
 
-    /// Returns the number of calls that were sent.
-    #[must_use]
-    pub fn calls(&self) -> u64 {
-        self.calls.load(Ordering::Relaxed)
-    }
-
     /// Reads all items with a prefix, and the store's revision before the first page.
     ///
     /// The pages are no snapshot: a watch from the returned revision reports what changed meanwhile.
@@ -194,8 +205,8 @@
         loop {
             let after = items.last().map(|item| item.key.clone());
             let call = (self.codec.range)(prefix, after.as_deref());
-            let (status, body) = self.send(call, CALL_TIMEOUT).await?;
-            let page = (self.codec.read_page)(status, &body)?;
+            let read = self.codec.read_page;
+            let page = self.call("range", call, CALL_TIMEOUT, read).await?;
             let revision = *first.get_or_insert(page.revision);
             let empty = page.items.is_empty();
             items.extend(page.items);
@@ -217,8 +228,8 @@
         wait: Duration,
     ) -> Result<Changes, KvError> {
         let call = (self.codec.watch)(prefix, after, wait);
-        let (status, body) = self.send(call, wait + WATCH_GRACE).await?;
-        (self.codec.read_changes)(status, &body)
+        let read = self.codec.read_changes;
+        self.call("watch", call, wait + WATCH_GRACE, read).await
     }
 
     /// Makes an update and returns its revision.
@@ -227,8 +238,8 @@
     ///
     /// Returns [`KvError::Lost`] where the update may have taken effect.
     pub async fn update(&self, update: &Update) -> Result<u64, KvError> {
-        let (status, body) = self.send((self.codec.update)(update), CALL_TIMEOUT).await?;
-        (self.codec.read_update)(status, &body)
+        let (call, read) = ((self.codec.update)(update), self.codec.read_update);
+        self.call("update", call, CALL_TIMEOUT, read).await
     }
 
     /// Grants a lease.
@@ -237,8 +248,8 @@
     ///
     /// Returns an error where no lease was granted, or nobody knows.
     pub async fn grant(&self, ttl: Duration) -> Result<Lease, KvError> {
-        let (status, body) = self.send((self.codec.grant)(ttl), CALL_TIMEOUT).await?;
-        (self.codec.read_grant)(status, &body)
+        let (call, read) = ((self.codec.grant)(ttl), self.codec.read_grant);
+        self.call("grant", call, CALL_TIMEOUT, read).await
     }
 
     /// Renews a lease.
@@ -247,23 +258,28 @@
     ///
     /// Returns [`KvError::NoLease`] where the lease has ended.
     pub async fn renew(&self, lease: Lease) -> Result<(), KvError> {
-        let (status, body) = self.send((self.codec.renew)(lease), CALL_TIMEOUT).await?;
-        (self.codec.read_done)(status, &body)
+        let (call, read) = ((self.codec.renew)(lease), self.codec.read_done);
+        self.call("renew", call, CALL_TIMEOUT, read).await
     }
 
-    /// Ends a lease, which deletes its keys.
-    ///
-    /// # Errors
-    ///
-    /// Returns an error where the store gave no answer.
-    pub async fn revoke(&self, lease: Lease) -> Result<(), KvError> {
-        let (status, body) = self.send((self.codec.revoke)(lease), CALL_TIMEOUT).await?;
-        (self.codec.read_done)(status, &body)
+    /// Sends one call, reads its answer and counts its result.
+    async fn call<T>(
+        &self,
+        verb: &'static str,
+        call: Call,
+        wait: Duration,
+        read: fn(u16, &[u8]) -> Result<T, KvError>,
+    ) -> Result<T, KvError> {
+        let sent = self.send(call, wait).await;
+        let result = sent.and_then(|(status, body)| read(status, &body));
+        let label = result.as_ref().err().map_or("ok", KvError::label);
+        let labels = [("call", verb), ("result", label)];
+        self.calls.get_or_create(&labels).inc();
+        result
     }
 
     /// Sends one call and returns the status and the body of the answer.
     async fn send(&self, call: Call, wait: Duration) -> Result<(u16, Bytes), KvError> {
-        self.calls.fetch_add(1, Ordering::Relaxed);
         let body = Bytes::from(call.body.unwrap_or_default());
         let request = Request::builder()
             .method(call.method)
