Give each refusal and failure one line with its cause, and count what operators ask for

Refusals were logged in seven places, some twice and some not at all (a body that came late, an answer cut after a break), and never with what the caller waited; when lines had to be dropped the latest went, whatever it said; metrics were three.

Ruled out: a line for each success: the last one of a whole stream says nothing that `stream begun` and the absence of a warning don't.

Change: an answer carries its cause to the place that logs and counts all final answers; broken streams have a line of their own. `cactuslane-log` holds the bounded queue: lines below a warning leave the last 500 places to warnings. Metrics by kind, cause, ending, transfers, orders, store calls and beliefs.

--- a/crates/cactuslane-flight/src/ask.rs
+++ b/crates/cactuslane-flight/src/ask.rs
@@ -39,4 +39,11 @@
     pub fn shared(&self) -> &[Part] {
         self.parts.split_last().map_or(&[], |(_, shared)| shared)
     }
+
+    /// Returns the prompt tokens that no other request shares.
+    #[must_use]
+    pub fn own(&self) -> u32 {
+        let shared: u32 = self.shared().iter().map(|part| part.tokens).sum();
+        self.prompt.saturating_sub(shared)
+    }
 }
--- a/crates/cactuslane-gateway/src/control.rs
+++ b/crates/cactuslane-gateway/src/control.rs
@@ -53,6 +53,7 @@
             let wait = watch_wait(gateway.settings().excused);
             match gateway.store.watch(ALL, revision, wait).await {
                 Ok(changes) => {
+                    gateway.fleet().note_heard(gateway.now());
                     if !well {
                         info!(revision; "store is back");
                         well = true;
@@ -175,6 +176,7 @@
 async fn read_all(gateway: &Gateway) -> Result<u64, KvError> {
     let (items, revision) = gateway.store.range(ALL).await?;
     let now = gateway.now();
+    gateway.fleet().note_heard(now);
     let mut targets = Vec::new();
     let mut instances = Vec::new();
     for item in &items {
--- a/crates/cactuslane-gateway/src/directory.rs
+++ b/crates/cactuslane-gateway/src/directory.rs
@@ -63,7 +63,7 @@
         READY_PATH if gateway.is_ready() => text(StatusCode::OK, String::new()),
         READY_PATH => text(StatusCode::SERVICE_UNAVAILABLE, String::new()),
         RESOLVE_PATH => resolve(gateway, request.uri().query().unwrap_or_default()),
-        METRICS_PATH => text(StatusCode::OK, gateway.metrics.text()),
+        METRICS_PATH => text(StatusCode::OK, gateway.metrics.text(gateway)),
         _ => text(StatusCode::NOT_FOUND, String::new()),
     }
 }
--- a/crates/cactuslane-gateway/src/fleet.rs
+++ b/crates/cactuslane-gateway/src/fleet.rs
@@ -18,6 +18,8 @@
     document: Option<Arc<Document>>,
     /// The targets by id.
     targets: BTreeMap<TargetId, Entry>,
+    /// The time at which the store last answered.
+    heard: Option<Millis>,
     /// The time until which the store was in trouble.
     trouble: Option<Millis>,
     /// The time for which a target that vanished from the store may be used if no other is left.
@@ -76,6 +78,24 @@
         self.trouble = Some(now);
     }
 
+    /// Records that the store answers now.
+    pub fn note_heard(&mut self, now: Millis) {
+        self.heard = Some(now);
+    }
+
+    /// Returns the time at which the store last answered, if it ever did.
+    #[must_use]
+    pub fn heard(&self) -> Option<Millis> {
+        self.heard
+    }
+
+    /// Returns the number of targets that take new work.
+    #[must_use]
+    pub fn count(&self, now: Millis) -> usize {
+        let usable = |entry: &&Entry| self.may_use(entry, now);
+        self.targets.values().filter(usable).count()
+    }
+
     /// Takes a target's entry.
     pub fn put(&mut self, target: Target) -> Effect {
         let old = self.targets.get(&target.id);
--- a/crates/cactuslane-gateway/src/generation.rs
+++ b/crates/cactuslane-gateway/src/generation.rs
@@ -144,7 +144,8 @@
                 (Step::Pass, None) => return answered(unanswered(&self.job)),
                 (Step::Refuse(refusal), _) => {
                     let id = &self.job.ask.id;
-                    return answered(reply::refusal(id, refusal, NO_TARGET_PAUSE));
+                    let cause = label(ending);
+                    return answered(reply::refusal(id, refusal, NO_TARGET_PAUSE, cause));
                 }
                 (Step::Cut, _) => return Outcome::Cut,
             }
@@ -194,8 +195,7 @@
             placement = placer.generation(&targets, &again, now);
         }
         if let Placement::Run(plan) = &placement {
-            let shared: u32 = job.ask.shared().iter().map(|part| part.tokens).sum();
-            let own = job.ask.prompt.saturating_sub(shared);
+            let own = job.ask.own();
             // Shared parts that are missing now will be there later.
             let missing = plan.uncached.saturating_sub(own) / 2;
             placer.picture.placed(own + missing);
@@ -211,6 +211,7 @@
         last_event: Option<u64>,
     ) -> Result<Opened, (Ending, Option<Response<Reply>>)> {
         let unsent = (Ending::Unsent, None);
+        self.gateway.metrics.placed(plan, self.job.ask.prompt);
         info!(
             request = self.job.ask.id,
             target_id = plan.decode,
--- a/crates/cactuslane-gateway/src/generation/stream.rs
+++ b/crates/cactuslane-gateway/src/generation/stream.rs
@@ -8,11 +8,12 @@
 use http_body_util::{BodyExt, Either};
 use hyper::Response;
 use hyper::body::Bytes;
-use log::info;
+use log::{info, warn};
 use tokio::sync::mpsc;
-use tokio::time::timeout;
+use tokio::time::{Instant, timeout};
 
 use super::{Opened, Outcome, Run};
+use crate::metrics;
 use crate::plain::label;
 use crate::reply::{Broken, Pieces, Reply};
 
@@ -40,10 +41,9 @@
     /// Answers with a stream that another task pumps.
     pub(super) fn stream(mut self, opened: Opened) -> Response<Reply> {
         self.flight.begin();
-        let metrics = &self.gateway.metrics;
-        metrics
-            .first_byte
-            .observe(self.job.arrived.elapsed().as_secs_f64());
+        let seconds = self.job.arrived.elapsed().as_secs_f64();
+        let kind = metrics::kind(&self.job.route);
+        self.gateway.metrics.began(kind, seconds);
         let headers = exchange::answer_headers(&opened.headers);
         let (sender, receiver) = mpsc::channel(PIECES);
         let guard = self.gateway.count_request();
@@ -93,6 +93,15 @@
                 Step::Pass | Step::Refuse(_) | Step::Cut => Outcome::Cut,
             };
             let Outcome::Opened(next) = next else {
+                self.gateway.metrics.cut_streams.inc();
+                warn!(
+                    request = self.job.ask.id,
+                    cause = label(ending),
+                    last_event = scanner.last().unwrap_or(0),
+                    since_arrival_ms = self.job.arrived.elapsed().as_millis() as u64;
+                    "answer cut"
+                );
+                // A caller that is gone needs no sign that the answer broke off.
                 let _ = sender.send(Err(Broken)).await;
                 return;
             };
@@ -109,6 +118,7 @@
         sender: &mpsc::Sender<Result<Bytes, Broken>>,
     ) -> Ended {
         let mut patient = !self.flight.may_move();
+        let mut last = Instant::now();
         loop {
             let left = self.flight.left(self.gateway.now());
             let wait = if patient {
@@ -138,6 +148,9 @@
                 continue;
             };
             opened.load.prompt_done();
+            let now = Instant::now();
+            let pause = now - std::mem::replace(&mut last, now);
+            self.gateway.metrics.pauses.observe(pause.as_secs_f64());
             let Ok(events) = scanner.feed(&data) else {
                 return Ended::Broken;
             };
--- a/crates/cactuslane-gateway/src/ingress.rs
+++ b/crates/cactuslane-gateway/src/ingress.rs
@@ -14,14 +14,14 @@
 use hyper::service::service_fn;
 use hyper::{Method, Request, Response, StatusCode, Uri};
 use hyper_util::rt::{TokioIo, TokioTimer};
-use log::{debug, info};
+use log::{debug, info, warn};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::time::Instant;
 
-use crate::reply::{self, Reply};
+use crate::reply::{self, Cause, Reply};
 use crate::state::Gateway;
 use crate::upstream::set_options;
-use crate::{generation, plain};
+use crate::{generation, metrics, plain};
 
 /// Pause after a connection that could not be accepted.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
@@ -94,16 +94,25 @@
 /// Answers one request.
 async fn respond(gateway: &Arc<Gateway>, request: Request<Incoming>) -> Response<Reply> {
     let guard = gateway.count_request();
+    let arrived = Instant::now();
     let ask = exchange::ask(request.headers());
     let id = ask.id.clone();
-    let mut response = match read(gateway, ask, request).await {
-        Ok(job) => execute(gateway, job).await,
-        Err(response) => response,
+    let (kind, mut response) = match read(gateway, ask, request).await {
+        Ok(job) => (metrics::kind(&job.route), execute(gateway, job).await),
+        Err(response) => ("none", response),
     };
     drop(guard);
-    gateway.metrics.answered(outcome(response.status()));
-    if response.status().is_client_error() || response.status().is_server_error() {
-        info!(request = id, status = response.status().as_u16(); "answered without success");
+    let status = response.status();
+    let cause = response.extensions().get::<Cause>().map(|cause| cause.0);
+    gateway.metrics.answered(kind, outcome(status), cause);
+    if status.is_client_error() || status.is_server_error() {
+        warn!(
+            request = id,
+            status = status.as_u16(),
+            cause = cause.unwrap_or("the target's answer"),
+            since_arrival_ms = arrived.elapsed().as_millis() as u64;
+            "answered without success"
+        );
     }
     if gateway.is_leaving() {
         let close = HeaderValue::from_static("close");
@@ -120,17 +129,28 @@
 ) -> Result<Job, Response<Reply>> {
     let arrived = Instant::now();
     let Some(document) = gateway.document() else {
-        info!(request = ask.id; "refused: no configuration is known");
-        return Err(reply::refusal(&ask.id, Refusal::NotRun, UNCONFIGURED_PAUSE));
+        let cause = "no configuration is known";
+        return Err(reply::refusal(
+            &ask.id,
+            Refusal::NotRun,
+            UNCONFIGURED_PAUSE,
+            cause,
+        ));
     };
     let host = host(&request);
     let Some(route) = document.find(&host, request.uri().path()).cloned() else {
-        info!(request = ask.id, host, version = document.version; "refused: no route");
+        info!(request = ask.id, host, version = document.version; "no route fits");
         return Err(reply::error(&ask.id, StatusCode::NOT_FOUND, "no route"));
     };
     let Some(service) = route.service(rand::random()).cloned() else {
-        info!(request = ask.id, route = route.name; "refused: the route has no service");
-        return Err(reply::refusal(&ask.id, Refusal::NotRun, UNCONFIGURED_PAUSE));
+        info!(request = ask.id, route = route.name; "route has no service");
+        let cause = "the route has no service";
+        return Err(reply::refusal(
+            &ask.id,
+            Refusal::NotRun,
+            UNCONFIGURED_PAUSE,
+            cause,
+        ));
     };
     let (parts, body) = request.into_parts();
     let wait = ask.patience.unwrap_or(route.timeout);
@@ -142,7 +162,7 @@
             return Err(reply::error(&ask.id, status, "the body is too large"));
         }
         Ok(Err(error)) => {
-            info!(request = ask.id, error:% = error; "refused: the body can't be read");
+            info!(request = ask.id, error:% = error; "body not read");
             return Err(reply::error(
                 &ask.id,
                 StatusCode::BAD_REQUEST,
@@ -150,7 +170,6 @@
             ));
         }
         Err(_) => {
-            info!(request = ask.id; "refused: the body did not come in time");
             let status = StatusCode::REQUEST_TIMEOUT;
             return Err(reply::error(
                 &ask.id,
@@ -182,8 +201,8 @@
     if let Some(since) = gateway.stopping_since()
         && !stopping::takes(since, grace, patience)
     {
-        info!(request = job.ask.id, since_ms = since.as_millis() as u64; "refused: stopping");
-        return reply::refusal(&job.ask.id, Refusal::NotRun, STOPPING_PAUSE);
+        info!(request = job.ask.id, since_ms = since.as_millis() as u64; "not taken while stopping");
+        return reply::refusal(&job.ask.id, Refusal::NotRun, STOPPING_PAUSE, "stopping");
     }
     gateway.count_for(&job.service);
     let now = gateway.now();
--- a/crates/cactuslane-gateway/src/lib.rs
+++ b/crates/cactuslane-gateway/src/lib.rs
@@ -75,7 +75,12 @@
             Some(ref mut address) => Some(bind(address, "directory").await?),
             None => None,
         };
-        info!(instance = settings.instance, front:% = settings.front; "started");
+        info!(
+            instance = settings.instance,
+            front:% = settings.front,
+            ready:% = settings.ready;
+            "started"
+        );
         let gateway = Arc::new(Gateway::new(settings));
         let mut tasks = vec![
             tokio::spawn(control::follow(gateway.clone())),
--- a/crates/cactuslane-gateway/src/plain.rs
+++ b/crates/cactuslane-gateway/src/plain.rs
@@ -15,6 +15,7 @@
 use tokio::time::{Instant, timeout};
 
 use crate::ingress::Job;
+use crate::metrics;
 use crate::reply::{self, Reply};
 use crate::state::Gateway;
 use crate::upstream::{Lent, SendError};
@@ -55,10 +56,8 @@
         let attempt = attempt(gateway, job, &flight, &target).await;
         let now = gateway.now();
         let Some(ending) = attempt.ending else {
-            gateway
-                .metrics
-                .first_byte
-                .observe(job.arrived.elapsed().as_secs_f64());
+            let seconds = job.arrived.elapsed().as_secs_f64();
+            gateway.metrics.began(metrics::kind(&job.route), seconds);
             return attempt.answer.unwrap_or_else(|| unanswered(job));
         };
         gateway.metrics.attempted(label(ending));
@@ -74,7 +73,8 @@
             Step::Again => {}
             Step::Pass => return attempt.answer.unwrap_or_else(|| unanswered(job)),
             Step::Refuse(refusal) => {
-                return reply::refusal(&job.ask.id, refusal, NO_TARGET_PAUSE);
+                let cause = label(ending);
+                return reply::refusal(&job.ask.id, refusal, NO_TARGET_PAUSE, cause);
             }
             Step::Cut => return unanswered(job),
         }
@@ -229,10 +229,8 @@
 }
 
 /// Returns the refusal that is true now.
-pub fn refuse(job: &Job, flight: &Flight, after: Duration, why: &str) -> Response<Reply> {
-    let refusal = flight.refusal();
-    info!(request = job.ask.id, refusal:? = refusal, why; "refused");
-    reply::refusal(&job.ask.id, refusal, after)
+pub fn refuse(job: &Job, flight: &Flight, after: Duration, cause: &'static str) -> Response<Reply> {
+    reply::refusal(&job.ask.id, flight.refusal(), after, cause)
 }
 
 /// Returns the label of an attempt's end.
@@ -249,7 +247,8 @@
 
 /// Returns the answer where none of a target is at hand.
 pub fn unanswered(job: &Job) -> Response<Reply> {
-    reply::refusal(&job.ask.id, Refusal::Unknown, Duration::ZERO)
+    let cause = "no whole answer";
+    reply::refusal(&job.ask.id, Refusal::Unknown, Duration::ZERO, cause)
 }
 
 /// Returns a URI without its host.
--- a/crates/cactuslane-gateway/src/reply.rs
+++ b/crates/cactuslane-gateway/src/reply.rs
@@ -65,9 +65,20 @@
     response
 }
 
-/// Returns the answer to a request that was refused.
+/// The cause of an answer of the system's own that is no success, in a few words.
+///
+/// It stands in the answer's extensions, for the line and the counter of the final answer.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Cause(pub &'static str);
+
+/// Returns the answer to a request that was refused for a cause.
 #[must_use]
-pub fn refusal(id: &str, refusal: Refusal, after: Duration) -> Response<Reply> {
+pub fn refusal(
+    id: &str,
+    refusal: Refusal,
+    after: Duration,
+    cause: &'static str,
+) -> Response<Reply> {
     let (status, text) = match refusal {
         Refusal::NotRun => (StatusCode::SERVICE_UNAVAILABLE, "not run"),
         Refusal::Unknown => (StatusCode::BAD_GATEWAY, "no whole answer from a target"),
@@ -78,14 +89,17 @@
         let (name, value) = exchange::come_back(after);
         response.headers_mut().insert(name, value);
     }
+    response.extensions_mut().insert(Cause(cause));
     response
 }
 
-/// Returns an error of this system.
+/// Returns an error of this system; its text is the cause.
 #[must_use]
-pub fn error(id: &str, status: StatusCode, text: &str) -> Response<Reply> {
+pub fn error(id: &str, status: StatusCode, text: &'static str) -> Response<Reply> {
     let mut headers = exchange::own_headers(id);
     headers.insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
     let body = serde_json::json!({ "error": text }).to_string();
-    whole(status, headers, Bytes::from(body))
+    let mut response = whole(status, headers, Bytes::from(body));
+    response.extensions_mut().insert(Cause(text));
+    response
 }
--- a/crates/cactuslane-gateway/src/state.rs
+++ b/crates/cactuslane-gateway/src/state.rs
@@ -63,6 +63,7 @@
             .as_millis() as u64;
         let store = KvClient::open(settings.store, cactuslane_platform::store::codec());
         let placer = Placer::new(settings.domain.clone(), rand::random());
+        let metrics = Metrics::new(&store.calls);
         let mut fleet = Fleet::default();
         fleet.set_hold(settings.drain);
         Self {
@@ -76,7 +77,7 @@
             budgets: Mutex::default(),
             pool: Pool::default(),
             store,
-            metrics: Metrics::default(),
+            metrics,
             leaving: Mutex::default(),
             requests: AtomicUsize::new(0),
             connections: AtomicUsize::new(0),
--- /dev/null
+++ b/crates/cactuslane-gateway/tests/serving/lines.rs
@@ -0,0 +1,138 @@
+//! Log lines of requests that end without success.
+
+use std::collections::BTreeMap;
+use std::sync::{Mutex, Once, PoisonError};
+
+use cactuslane_platform_standin::{Fault, Mode};
+use log::kv::{Error, Key, Value, VisitSource};
+use log::{LevelFilter, Log, Metadata, Record};
+use rand::{Rng, SeedableRng};
+use rand_pcg::Pcg64Mcg;
+use yare::parameterized;
+
+use crate::deployment::{Got, deploy, run};
+
+/// Number of requests of one sequence.
+const REQUESTS: u32 = 40;
+/// The paths of all kinds of routes, and of none.
+const PATHS: [&str; 5] = [
+    "/report/7",
+    "/summary/7",
+    "/lookup/7",
+    "/correction/7",
+    "/none/7",
+];
+/// The faults that end an attempt at once.
+const FAULTS: [Fault; 6] = [
+    Fault::Reject,
+    Fault::Fail,
+    Fault::Lose,
+    Fault::Cross,
+    Fault::Break(3),
+    Fault::Unsigned,
+];
+
+/// The warnings of all instances of this process by request.
+static WARNINGS: Mutex<BTreeMap<String, Vec<Warning>>> = Mutex::new(BTreeMap::new());
+
+/// A line about a request that ended without success.
+#[derive(Clone, Debug, Default)]
+struct Warning {
+    /// The event.
+    event: String,
+    /// The fields.
+    fields: BTreeMap<String, String>,
+}
+
+impl<'kvs> VisitSource<'kvs> for Warning {
+    fn visit_pair(&mut self, key: Key<'kvs>, value: Value<'kvs>) -> Result<(), Error> {
+        self.fields.insert(key.to_string(), value.to_string());
+        Ok(())
+    }
+}
+
+/// Keeps warnings.
+struct Keeper;
+
+impl Log for Keeper {
+    fn enabled(&self, _: &Metadata<'_>) -> bool {
+        true
+    }
+
+    fn log(&self, record: &Record<'_>) {
+        let mut warning = Warning {
+            event: record.args().to_string(),
+            ..Warning::default()
+        };
+        let fields = record.key_values().visit(&mut warning);
+        fields.expect("fields can be read");
+        if let Some(request) = warning.fields.get("request") {
+            let mut warnings = WARNINGS.lock().unwrap_or_else(PoisonError::into_inner);
+            warnings.entry(request.clone()).or_default().push(warning);
+        }
+    }
+
+    fn flush(&self) {}
+}
+
+/// Keeps the warnings of this process from now on.
+fn keep_warnings() {
+    static STARTED: Once = Once::new();
+    STARTED.call_once(|| {
+        log::set_boxed_logger(Box::new(Keeper)).expect("no other logger is set");
+        log::set_max_level(LevelFilter::Warn);
+    });
+}
+
+/// Checks that an answer without success has one line with its cause, and a success has none.
+fn check(id: &str, got: &Got) {
+    let warnings = WARNINGS.lock().unwrap_or_else(PoisonError::into_inner);
+    let warnings = warnings.get(id).cloned().unwrap_or_default();
+    let event = match (got.status, got.whole) {
+        (200, true) => {
+            assert!(warnings.is_empty(), "{id} {got:?} {warnings:?}");
+            return;
+        }
+        (200, false) => "answer cut",
+        _ => "answered without success",
+    };
+    let [warning] = &warnings[..] else {
+        panic!("{id} {got:?} {warnings:?}");
+    };
+    assert_eq!(warning.event, event, "{id}");
+    assert!(!warning.fields["cause"].is_empty(), "{id} {warning:?}");
+    if got.status != 200 {
+        assert_eq!(warning.fields["status"], got.status.to_string(), "{id}");
+    }
+}
+
+/// Whatever targets and the store do, a caller's refusal or failure has its line.
+#[parameterized(
+    first = { 1, Mode::Serving },
+    second = { 2, Mode::Serving },
+    third = { 3, Mode::Serving },
+    store_away = { 4, Mode::Busy },
+)]
+fn each_answer_without_success_has_its_line(seed: u64, mode: Mode) {
+    keep_warnings();
+    run(async {
+        let mut random = Pcg64Mcg::seed_from_u64(seed);
+        let deployment = deploy().await;
+        deployment.store.set_mode(mode);
+        let mut failed = 0;
+        for number in 0..REQUESTS {
+            for target in deployment.workers.iter().chain(&deployment.engines) {
+                for _ in 0..random.random_range(0..3) {
+                    target.fault(FAULTS[random.random_range(0..FAULTS.len())]);
+                }
+            }
+            let id = format!("lines-{seed}-{number}");
+            let got = deployment
+                .ask(PATHS[random.random_range(0..PATHS.len())], &id)
+                .await;
+            check(&id, &got);
+            failed += u32::from(got.status != 200 || !got.whole);
+        }
+        assert!(failed > REQUESTS / 4, "only {failed} requests failed");
+    });
+}
--- a/crates/cactuslane-gateway/tests/serving/main.rs
+++ b/crates/cactuslane-gateway/tests/serving/main.rs
@@ -2,5 +2,6 @@
 
 mod control;
 mod deployment;
+mod lines;
 mod plain;
 mod streams;
--- /dev/null
+++ b/crates/cactuslane-log/src/lib.rs
@@ -0,0 +1,150 @@
+//! JSON lines on an output that may never be waited for.
+//!
+//! Lines wait in a bounded queue for a thread that writes them. Where the output is not read, lines
+//! are dropped and counted; news of what went well is dropped first.
+
+use std::io::Write;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering};
+use std::sync::mpsc::{Receiver, SyncSender, sync_channel};
+use std::time::{SystemTime, UNIX_EPOCH};
+
+use log::kv::{Error, Key, Value, VisitSource};
+use log::{Level, Log, Metadata, Record};
+use prometheus_client::metrics::counter::Counter;
+use serde_json::{Map, json};
+
+/// Lines that may wait for the output, in all.
+pub const MAX_LINES: usize = 2000;
+/// Lines that may wait before those that are no warnings are dropped.
+pub const MAX_NEWS: usize = 1500;
+/// Bytes that are written at once.
+const WRITE_BYTES: usize = 32 << 10;
+
+/// A logger that never waits for its output.
+#[derive(Debug)]
+pub struct Lines {
+    /// Takes the lines to the writer.
+    sender: SyncSender<String>,
+    /// The number of lines that wait.
+    waiting: Arc<AtomicUsize>,
+    /// The lines that were dropped since one was taken.
+    unsaid: AtomicU64,
+    /// The lines that were dropped in all.
+    dropped: Counter,
+}
+
+/// The fields of a record.
+struct Fields<'m>(&'m mut Map<String, serde_json::Value>);
+
+impl Lines {
+    /// Opens an output and starts the thread that writes to it, until the logger is dropped or the
+    /// output is closed.
+    pub fn open(output: impl Write + Send + 'static) -> Self {
+        let (sender, receiver) = sync_channel(MAX_LINES);
+        let waiting = Arc::new(AtomicUsize::new(0));
+        let counted = waiting.clone();
+        std::thread::spawn(move || write_lines(output, &receiver, &counted));
+        Self {
+            sender,
+            waiting,
+            unsaid: AtomicU64::new(0),
+            dropped: Counter::default(),
+        }
+    }
+
+    /// Returns the counter of dropped lines.
+    #[must_use]
+    pub fn dropped(&self) -> Counter {
+        self.dropped.clone()
+    }
+
+    /// Takes a line if there is room for its level.
+    fn take(&self, level: Level, line: String) -> bool {
+        let room = if level <= Level::Warn {
+            MAX_LINES
+        } else {
+            MAX_NEWS
+        };
+        if self.waiting.load(Ordering::Relaxed) >= room {
+            return false;
+        }
+        self.waiting.fetch_add(1, Ordering::Relaxed);
+        let taken = self.sender.try_send(line).is_ok();
+        if !taken {
+            self.waiting.fetch_sub(1, Ordering::Relaxed);
+        }
+        taken
+    }
+}
+
+impl<'kvs> VisitSource<'kvs> for Fields<'_> {
+    fn visit_pair(&mut self, key: Key<'kvs>, value: Value<'kvs>) -> Result<(), Error> {
+        let value = if let Some(number) = value.to_u64() {
+            json!(number)
+        } else if let Some(flag) = value.to_bool() {
+            json!(flag)
+        } else {
+            json!(value.to_string())
+        };
+        self.0.insert(key.to_string(), value);
+        Ok(())
+    }
+}
+
+impl Log for Lines {
+    fn enabled(&self, metadata: &Metadata<'_>) -> bool {
+        metadata.target().starts_with("cactuslane")
+    }
+
+    fn log(&self, record: &Record<'_>) {
+        if !self.enabled(record.metadata()) {
+            return;
+        }
+        let mut fields = Map::new();
+        fields.insert("at_ms".to_owned(), json!(unix_millis()));
+        fields.insert("level".to_owned(), json!(record.level().as_str()));
+        fields.insert("event".to_owned(), json!(record.args().to_string()));
+        if record.key_values().visit(&mut Fields(&mut fields)).is_err() {
+            fields.insert("fields_lost".to_owned(), json!(true));
+        }
+        let unsaid = self.unsaid.swap(0, Ordering::Relaxed);
+        if unsaid > 0 {
+            fields.insert("lines_dropped".to_owned(), json!(unsaid));
+        }
+        let line = serde_json::Value::Object(fields).to_string();
+        if !self.take(record.level(), line) {
+            self.unsaid.fetch_add(unsaid + 1, Ordering::Relaxed);
+            self.dropped.inc();
+        }
+    }
+
+    fn flush(&self) {}
+}
+
+/// Writes lines until the logger is gone or the output is closed.
+fn write_lines(mut output: impl Write, receiver: &Receiver<String>, waiting: &AtomicUsize) {
+    while let Ok(line) = receiver.recv() {
+        let (mut text, mut lines) = (line, 1);
+        text.push('\n');
+        while text.len() < WRITE_BYTES {
+            let Ok(line) = receiver.try_recv() else {
+                break;
+            };
+            text.push_str(&line);
+            text.push('\n');
+            lines += 1;
+        }
+        waiting.fetch_sub(lines, Ordering::Relaxed);
+        if output.write_all(text.as_bytes()).is_err() {
+            return;
+        }
+    }
+}
+
+/// Returns the time of day in Unix milliseconds.
+#[must_use]
+pub fn unix_millis() -> u64 {
+    let since = SystemTime::now().duration_since(UNIX_EPOCH);
+    since.unwrap_or_default().as_millis() as u64
+}
--- /dev/null
+++ b/crates/cactuslane/benches/lines.rs
@@ -0,0 +1,147 @@
+//! What log lines cost: the time of a request while the output is read and while nobody reads it,
+//! and the time of one line. Figures of one run are compared as ratios.
+
+use std::fs;
+use std::io::{BufRead, BufReader, Write, sink};
+use std::net::SocketAddr;
+use std::process::{Child, Command, Stdio};
+use std::time::{Duration, Instant};
+
+use cactuslane_log::Lines;
+use cactuslane_platform_standin::{Store, caller, settings_text};
+use cactuslane_store::http::Client;
+use hdrhistogram::Histogram;
+use log::{Level, Log, Record};
+use serde_json::Value;
+
+/// Requests before the measurement, which fill the pipe and the queue of the unread output.
+const WARM_UP: u32 = 4_000;
+/// Requests that are measured at each process.
+const REQUESTS: u32 = 4_000;
+/// Lines that are measured.
+const LINES: u32 = 200_000;
+
+/// A gateway in a process of its own; dropping it kills the process.
+struct Process {
+    /// The process.
+    child: Child,
+    /// The address for callers.
+    front: SocketAddr,
+}
+
+impl Process {
+    /// Starts a gateway and reads its output to the end, or its first line only.
+    fn spawn(name: &str, store: &Store, reads: bool) -> Self {
+        let path = std::env::temp_dir().join(format!("{name}-{}.toml", std::process::id()));
+        fs::write(&path, settings_text(name, store.address)).expect("it is written");
+        let mut child = Command::new(env!("CARGO_BIN_EXE_cactuslane"))
+            .args(["gateway", "--settings"])
+            .arg(&path)
+            .stdout(Stdio::piped())
+            .spawn()
+            .expect("it starts");
+        let mut output = BufReader::new(child.stdout.take().expect("it is piped"));
+        let mut line = String::new();
+        output.read_line(&mut line).expect("it is text");
+        let started: Value = serde_json::from_str(&line).expect("it is an object");
+        let front = started["front"].as_str().and_then(|text| text.parse().ok());
+        std::thread::spawn(move || {
+            if reads {
+                while output.read_line(&mut line).is_ok_and(|read| read > 0) {
+                    line.clear();
+                }
+            } else {
+                loop {
+                    std::thread::park();
+                }
+            }
+        });
+        Self {
+            child,
+            front: front.expect("the first line has it"),
+        }
+    }
+}
+
+impl Drop for Process {
+    fn drop(&mut self) {
+        // A process that has ended by itself can't be killed any more.
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
+
+/// Measures requests at both processes by turns.
+async fn requests(processes: &[Process; 2]) -> [Histogram<u64>; 2] {
+    let client = Client::open();
+    let histogram = || Histogram::new(3).expect("three digits are allowed");
+    let mut times = [histogram(), histogram()];
+    for number in 0..WARM_UP + REQUESTS {
+        for (process, times) in processes.iter().zip(&mut times) {
+            let request = caller::request(process.front, "/lookup/7", &format!("b{number}"));
+            let began = Instant::now();
+            client.whole(request).await.expect("it is answered");
+            if number >= WARM_UP {
+                times.saturating_record(began.elapsed().as_nanos() as u64);
+            }
+        }
+    }
+    times
+}
+
+/// Returns the mean time of one line.
+fn line_time(output: impl Write + Send + 'static) -> Duration {
+    let lines = Lines::open(output);
+    let fields = [
+        ("request", "r1"),
+        ("target_id", "i-1"),
+        ("uncached", "17020"),
+    ];
+    let began = Instant::now();
+    for _ in 0..LINES {
+        let record = Record::builder()
+            .level(Level::Warn)
+            .target("cactuslane")
+            .key_values(&fields)
+            .args(format_args!("placed"))
+            .build();
+        lines.log(&record);
+    }
+    began.elapsed() / LINES
+}
+
+/// An output that is never read.
+struct Unread;
+
+impl Write for Unread {
+    fn write(&mut self, _: &[u8]) -> std::io::Result<usize> {
+        loop {
+            std::thread::park();
+        }
+    }
+
+    fn flush(&mut self) -> std::io::Result<()> {
+        Ok(())
+    }
+}
+
+fn main() {
+    let runtime = tokio::runtime::Runtime::new().expect("the runtime starts");
+    let times = runtime.block_on(async {
+        let store = Store::bind().await.expect("it binds");
+        let processes = [true, false].map(|reads| Process::spawn("front-1", &store, reads));
+        requests(&processes).await
+    });
+    let [read, unread] = times;
+    println!("{REQUESTS} refused requests, each with a line, output unread / output read:");
+    for quantile in [0.5, 0.95, 0.99] {
+        let (a, b) = (
+            read.value_at_quantile(quantile),
+            unread.value_at_quantile(quantile),
+        );
+        println!("  {quantile}: {:.2}", b as f64 / a as f64);
+    }
+    let (read, unread) = (line_time(sink()), line_time(Unread));
+    let ratio = unread.as_secs_f64() / read.as_secs_f64();
+    println!("a line: {read:?} read, {unread:?} unread ({ratio:.2})");
+}
--- a/crates/cactuslane/src/gateway.rs
+++ b/crates/cactuslane/src/gateway.rs
@@ -29,7 +29,7 @@
 
 /// Runs one entry instance.
 pub async fn execute(command: GatewayCommand) -> Result<(), CommandError> {
-    logs::start_lines();
+    let dropped = logs::start_lines();
     let path = match command.settings {
         Some(path) => path,
         None => std::env::var(PATH_VARIABLE).map_err(|_| {
@@ -41,6 +41,11 @@
     let running = Gateway::spawn(parse(&path, &text)?)
         .await
         .map_err(|error| CommandError::Failed(error.to_string()))?;
+    let help = "Log lines that were dropped as the output was not read";
+    running
+        .gateway
+        .metrics
+        .add("log_lines_dropped", help, dropped);
     let mut changed =
         signal(SignalKind::hangup()).map_err(|error| CommandError::Failed(error.to_string()))?;
     let stop = stop_signal();
--- a/crates/cactuslane/tests/gateway.rs
+++ b/crates/cactuslane/tests/gateway.rs
@@ -5,7 +5,12 @@
 use std::path::{Path, PathBuf};
 use std::process::{Child, ChildStdout, Command, Stdio};
 
-use cactuslane_platform_standin::{Store, settings_text};
+use cactuslane_platform_standin::{Store, caller, settings_text};
+use cactuslane_store::http::Client;
+use http_body_util::Full;
+use hyper::Request;
+use hyper::body::Bytes;
+use serde_json::Value;
 
 /// A gateway in a process of its own; dropping it kills the process.
 struct Process {
@@ -29,8 +34,8 @@
         Self { child, log }
     }
 
-    /// Reads the log until a line has an event.
-    fn wait_for(&mut self, event: &str) {
+    /// Reads the log until a line has an event, and returns the line.
+    fn wait_for(&mut self, event: &str) -> Value {
         let wanted = format!("\"event\":\"{event}\"");
         let mut line = String::new();
         while !line.contains(&wanted) {
@@ -38,6 +43,7 @@
             let read = self.log.read_line(&mut line).expect("it is text");
             assert!(read > 0, "the log ended before {event}");
         }
+        serde_json::from_str(&line).expect("it is an object")
     }
 
     /// Sends a signal by its name.
@@ -57,8 +63,8 @@
 }
 
 /// Returns the path of a settings file.
-fn file() -> PathBuf {
-    let name = format!("cactuslane-gateway-{}.toml", std::process::id());
+fn file(test: &str) -> PathBuf {
+    let name = format!("cactuslane-gateway-{test}-{}.toml", std::process::id());
     std::env::temp_dir().join(name)
 }
 
@@ -66,7 +72,7 @@
 async fn settings_that_change_come_in_force_and_wrong_ones_do_not() {
     let store = Store::bind().await.expect("it binds");
     let text = settings_text("front-1", store.address);
-    let path = file();
+    let path = file("changes");
     fs::write(&path, &text).expect("it is written");
     let mut process = Process::spawn(&path);
     process.wait_for("registered");
@@ -86,3 +92,44 @@
     assert!(store.keys("cactuslane/instances/").is_empty());
     fs::remove_file(&path).expect("it is removed");
 }
+
+/// Returns a number of the metrics.
+async fn metric(client: &Client, ready: &str, name: &str) -> u64 {
+    let request = Request::get(format!("http://{ready}/metrics"));
+    let request = request
+        .body(Full::new(Bytes::new()))
+        .expect("it is a request");
+    let (status, text) = client.whole(request).await.expect("it is answered");
+    assert_eq!(status, 200);
+    let text = String::from_utf8(text.to_vec()).expect("it is text");
+    let line = text.lines().find(|line| line.starts_with(name));
+    let value = line.and_then(|line| line.rsplit(' ').next());
+    value
+        .and_then(|value| value.parse().ok())
+        .expect("the metric is there")
+}
+
+/// An output that nobody reads holds no request up; lines are dropped and counted.
+#[tokio::test(flavor = "multi_thread")]
+async fn an_unread_output_holds_no_request_up() {
+    let store = Store::bind().await.expect("it binds");
+    let path = file("unread");
+    fs::write(&path, settings_text("front-1", store.address)).expect("it is written");
+    let mut process = Process::spawn(&path);
+    let started = process.wait_for("started");
+    let text = |name: &str| started[name].as_str().expect("it is there").to_owned();
+    let (front, ready) = (text("front"), text("ready"));
+    let front = front.parse().expect("it is an address");
+    let client = Client::open();
+    let mut sent = 0;
+    // Every refusal is a line: at some time the pipe and the queue are full.
+    while sent < 100 || metric(&client, &ready, "cactuslane_log_lines_dropped").await < 100 {
+        for _ in 0..100 {
+            let request = caller::request(front, "/lookup/7", &format!("unread-{sent}"));
+            let (status, _) = client.whole(request).await.expect("it is answered");
+            assert_eq!(status, 503);
+            sent += 1;
+        }
+    }
+    fs::remove_file(&path).expect("it is removed");
+}
