Plan roles over all engines, and undo a change where engines were lost

Change: ordered engines count with their new role while the order is under way; a change may be reversed at once where fewer engines of the other role are left than it left.

The case of `roles.rs` fails before.

--- a/crates/cactuslane-gateway/src/orders.rs
+++ b/crates/cactuslane-gateway/src/orders.rs
@@ -35,8 +35,6 @@
 const LOOK_INTERVAL: Duration = Duration::from_millis(700);
 /// Time after which an engine that did not change is used as it is.
 const CHANGE_TIMEOUT: Duration = Duration::from_secs(9);
-/// Time for which an order without an answer may still be carried out, in milliseconds.
-const DOUBT: Millis = 16_000;
 /// Part of the engines of a service that may change at once.
 const CHANGING_PART: f64 = 0.25;
 
@@ -45,8 +43,8 @@
 struct Desk {
     /// The plans by service.
     plans: BTreeMap<ServiceName, RolePlan>,
-    /// The engines that are changing or may be, until a time.
-    busy: BTreeMap<TargetId, Millis>,
+    /// The engines that were to change, with their new role.
+    ordered: BTreeMap<TargetId, Role>,
 }
 
 /// The engines of one service.
@@ -131,9 +129,10 @@
     /// Orders the changes that pay now.
     fn work(&mut self, gateway: &Arc<Gateway>) {
         let now = gateway.now();
-        self.busy.retain(|_, until| *until > now);
+        let changing = gateway.placer().picture.own_changing().to_vec();
+        self.ordered.retain(|id, _| changing.contains(id));
         for group in groups(gateway) {
-            let engines = engines(gateway, &group, now);
+            let mut engines = engines(gateway, &group, now);
             let plan = self.plans.entry(group.service.clone()).or_default();
             let placed = gateway.placer().picture.all_placed();
             let (streams, memory) = generating(gateway, &group, now);
@@ -143,28 +142,31 @@
                 continue;
             }
             let bound = (engines.len() as f64 * CHANGING_PART).ceil() as usize;
-            let changing = engines
-                .keys()
-                .filter(|id| self.busy.contains_key(*id))
-                .count();
+            let mut changing = 0;
+            for (id, (role, _)) in &mut engines {
+                if let Some(ordered) = self.ordered.get(id) {
+                    *role = *ordered;
+                    changing += 1;
+                }
+            }
             let most = bound.saturating_sub(changing);
-            let mut free = engines;
-            free.retain(|id, _| !self.busy.contains_key(id));
             let speed = gateway.placer().speed;
-            for change in plan.changes(&free, &group.engine, speed, most, now) {
+            for change in plan.changes(&engines, &group.engine, speed, most, now) {
                 let Some(target) = group.targets.iter().find(|t| t.id == change.target) else {
                     continue;
                 };
-                self.busy.insert(target.id.clone(), now + DOUBT);
+                self.ordered.insert(target.id.clone(), change.role);
                 info!(
                     target_id = target.id,
                     role:? = change.role,
                     engines = group.targets.len(),
+                    token_us = (speed.prefill_ms(1.0) * 1000.0) as u64,
                     prompts:% = plan.demand().prefill,
                     streams:% = plan.demand().decode;
                     "role change planned"
                 );
-                let task = carry_out(gateway.clone(), target.clone(), change.role);
+                let guard = ChangingGuard::new(gateway, &target.id);
+                let task = carry_out(guard, target.clone(), change.role);
                 tokio::spawn(task);
             }
         }
@@ -225,8 +227,8 @@
 }
 
 /// Changes the role of one engine, and keeps work away from it meanwhile.
-async fn carry_out(gateway: Arc<Gateway>, target: Target, role: Role) {
-    let _guard = ChangingGuard::new(&gateway, &target.id);
+async fn carry_out(guard: ChangingGuard, target: Target, role: Role) {
+    let gateway = guard.gateway.clone();
     sleep(NOTICE).await;
     let report = match engines::report(&gateway, &target).await {
         Ok(report) => report,
@@ -240,16 +242,22 @@
         return;
     }
     let answered = match order(&gateway, &target, role, report.orders).await {
-        Ok(OrderAnswer::Accepted | OrderAnswer::Holds) => true,
+        Ok(OrderAnswer::Accepted | OrderAnswer::Holds) => {
+            gateway.metrics.ordered("accepted");
+            true
+        }
         Ok(answer) => {
+            gateway.metrics.ordered("refused");
             info!(target_id = target.id, answer:? = answer; "order not accepted");
             return;
         }
         Err(CallError::Unsent(why)) => {
+            gateway.metrics.ordered("unsent");
             info!(target_id = target.id, why; "order not sent");
             return;
         }
         Err(CallError::Unknown(why)) => {
+            gateway.metrics.ordered("unanswered");
             warn!(target_id = target.id, why; "order may or may not be carried out");
             false
         }
--- a/crates/cactuslane-place/src/roles.rs
+++ b/crates/cactuslane-place/src/roles.rs
@@ -27,7 +27,7 @@
 const CHANGE_WEIGHT: f64 = 3.0;
 /// Time for which a change must pay, in milliseconds.
 const PAYBACK_MS: f64 = 60_000.0;
-/// Time after a change in which none goes the other way, in milliseconds.
+/// Time after a change in which none goes the other way, unless engines were lost, in milliseconds.
 const REVERSE_PAUSE: Millis = 20_000;
 /// Smallest part of the engines that keep either role.
 const LEAST_PART: f64 = 0.25;
@@ -47,8 +47,19 @@
     last: Option<(Placed, Millis)>,
     /// The time that was observed, in milliseconds.
     observed: Millis,
-    /// The role and time of the last change.
-    turned: Option<(Role, Millis)>,
+    /// The last change.
+    turned: Option<Turn>,
+}
+
+/// A change of role, for what may follow it.
+#[derive(Clone, Copy, Debug)]
+struct Turn {
+    /// The role that gained an engine.
+    role: Role,
+    /// Its time.
+    at: Millis,
+    /// The engines that were left with the other role.
+    left: usize,
 }
 
 impl Default for RolePlan {
@@ -134,18 +145,22 @@
             let Some(change) = self.planner.plan_for(&roles, mix, DOUBT, now) else {
                 break;
             };
-            let reverse = |(role, at): (Role, Millis)| {
-                role != change.role && now.saturating_sub(at) < REVERSE_PAUSE
+            let gaining = roles.values().filter(|(role, _)| *role == change.role);
+            let gaining = gaining.count();
+            let losing = roles.len() - gaining;
+            let reverses = |turn: Turn| {
+                let early = now.saturating_sub(turn.at) < REVERSE_PAUSE;
+                turn.role != change.role && early && gaining >= turn.left
             };
-            let same = roles
-                .values()
-                .filter(|(role, _)| *role != change.role)
-                .count();
             let least = (roles.len() as f64 * LEAST_PART).ceil() as usize;
-            if self.turned.is_some_and(reverse) || same <= least {
+            if self.turned.is_some_and(reverses) || losing <= least {
                 break;
             }
-            self.turned = Some((change.role, now));
+            self.turned = Some(Turn {
+                role: change.role,
+                at: now,
+                left: losing - 1,
+            });
             if let Some((role, _)) = roles.get_mut(&change.target) {
                 *role = change.role;
             }
--- a/crates/cactuslane-place/tests/roles.rs
+++ b/crates/cactuslane-place/tests/roles.rs
@@ -83,3 +83,48 @@
     let (prefill, _) = play(12, 4, |_| (2_000_000, 4));
     assert_eq!(prefill, 9);
 }
+
+/// Engines that generate are lost soon after others were ordered away from it: the change is undone.
+#[test]
+fn a_change_is_undone_at_once_where_engines_were_lost_since() {
+    let mut engines = engines(12, 4);
+    let (mut plan, mut placed, mut turned) = (RolePlan::default(), Placed::default(), Vec::new());
+    for now in (0..16_000).step_by(250) {
+        let (prompt, streams) = if now < 4_000 {
+            (240_000, 52)
+        } else {
+            (180_000, 90)
+        };
+        placed.prompt += prompt / 4;
+        placed.streams += streams / 4;
+        if now == 6_000 {
+            let generating =
+                |(_, (role, _)): &(&TargetId, &mut (Role, usize))| *role == Role::Decode;
+            let lost: Vec<TargetId> = engines
+                .iter_mut()
+                .filter(generating)
+                .map(|(id, _)| id.clone())
+                .collect();
+            for id in &lost[..3] {
+                engines.remove(id);
+            }
+        }
+        plan.observe(placed, streams as usize, 0, &measures(), now);
+        for change in plan.changes(&engines, &measures(), PromptSpeed::default(), 2, now) {
+            turned.push((now, change.role));
+            engines.insert(change.target, (change.role, 0));
+        }
+    }
+    assert!(
+        turned
+            .iter()
+            .any(|(now, role)| *now < 4_000 && *role == Role::Prefill),
+        "{turned:?}"
+    );
+    assert!(
+        turned
+            .iter()
+            .any(|(now, role)| *now > 6_000 && *role == Role::Decode),
+        "{turned:?}"
+    );
+}
