Add a soak of real processes under random faults, and the load of callers

Change: `cactuslane soak` starts instances as processes of their own beside the stand-ins of the platform, plays faults drawn from a seed (kill, stop, freeze, reload, store in three kinds of trouble and without history, links reset, hushed, silent, cut one way or late, targets that go wrong or leave, new configurations; a quarter of the runs planned changes alone), and checks nine promises by what callers and targets saw. A report is a file and a page with a plot. `cactuslane load` is its open-loop load, and `compare` sets two side by side with intervals.

Also put right: the benchmark of lines kept its times in a histogram that did not grow, so that its ratios of 1.00 said nothing.

Left out: clocks that jump, datagrams between instances, orders to engines.

--- /dev/null
+++ b/crates/cactuslane-soak/src/compare.rs
@@ -0,0 +1,100 @@
+//! The comparison of two loads: what callers got, side by side, with intervals and a plot.
+
+use std::fmt::Write as _;
+use std::io;
+
+use plotters::prelude::*;
+
+use crate::figures::{Figures, KindFigures, median_ratio};
+
+/// Size of a plot, in pixels.
+const SIZE: (u32, u32) = (1000, 320);
+/// Seed of the samples from which intervals are estimated.
+const SEED: u64 = 1;
+
+/// Returns a table of two loads, a line for each kind of request that both have.
+///
+/// # Errors
+///
+/// Returns an error where the loads have no kind in common.
+pub fn table(before: &Figures, after: &Figures) -> Result<String, String> {
+    let mut text = String::new();
+    let mut write = |line: String| {
+        text.push_str(&line);
+        text.push('\n');
+    };
+    write(format!(
+        "{:24} {:>9} {:>9} {:>10} {:>10}  median ratio (95 in 100)",
+        "path", "served", "served", "p95 ms", "p95 ms"
+    ));
+    let mut common = 0;
+    for (path, old) in &before.kinds {
+        let Some(new) = after.kinds.get(path) else {
+            continue;
+        };
+        common += 1;
+        let ratio = median_ratio(&old.sample, &new.sample, SEED);
+        let ratio = ratio.map_or_else(
+            || "no answers".to_owned(),
+            |(ratio, low, high)| format!("{ratio:.2} ({low:.2} to {high:.2})"),
+        );
+        write(format!(
+            "{path:24} {:>9.3} {:>9.3} {:>10.1} {:>10.1}  {ratio}",
+            share(old),
+            share(new),
+            p95(old),
+            p95(new)
+        ));
+    }
+    if common == 0 {
+        return Err("the loads have no kind of request in common".to_owned());
+    }
+    Ok(text)
+}
+
+/// Returns a page with the table and a plot of the requests served in each second.
+///
+/// # Errors
+///
+/// Returns an error where the plot can't be drawn.
+pub fn page(table: &str, before: &Figures, after: &Figures) -> io::Result<String> {
+    let mut text = String::new();
+    let seconds = before.seconds.len().max(after.seconds.len());
+    let served = |figures: &Figures| figures.seconds.iter().map(|second| second.1).max();
+    let most = served(before).max(served(after)).unwrap_or(1).max(1);
+    {
+        let area = SVGBackend::with_string(&mut text, SIZE).into_drawing_area();
+        let failed = |error: DrawingAreaErrorKind<_>| io::Error::other(error.to_string());
+        let mut chart = ChartBuilder::on(&area)
+            .margin(10)
+            .build_cartesian_2d(0.0..seconds as f64, 0.0..most as f64 * 1.1)
+            .map_err(failed)?;
+        for (figures, color) in [(before, BLACK), (after, BLUE)] {
+            let point =
+                |(second, counts): (usize, &(u64, u64))| (second as f64 + 0.5, counts.1 as f64);
+            let points = figures.seconds.iter().enumerate().map(point);
+            chart
+                .draw_series(LineSeries::new(points, color))
+                .map_err(failed)?;
+        }
+        area.present().map_err(failed)?;
+    }
+    let mut page = String::new();
+    let written = writeln!(
+        page,
+        "<!doctype html><meta charset=utf-8><title>Two loads</title>\n<pre>{table}</pre>\n\
+         <p>Requests served a second: before in black, after in blue.</p>\n{text}"
+    );
+    written.map_err(io::Error::other)?;
+    Ok(page)
+}
+
+/// Returns the share of requests that were served.
+fn share(kind: &KindFigures) -> f64 {
+    kind.served as f64 / (kind.sent.max(1)) as f64
+}
+
+/// Returns the time within which 95 in 100 first bytes came, in milliseconds.
+fn p95(kind: &KindFigures) -> f64 {
+    kind.first_ms.get("p95").copied().unwrap_or(f64::NAN)
+}
--- /dev/null
+++ b/crates/cactuslane-soak/src/plan.rs
@@ -0,0 +1,221 @@
+//! The faults and planned changes of one run, drawn from a seed.
+
+use std::time::Duration;
+
+use rand::seq::IndexedRandom;
+use rand::{Rng, SeedableRng};
+use rand_pcg::Pcg64Mcg;
+use serde::Serialize;
+
+/// Mean time between two steps of the plan.
+const MEAN_GAP: Duration = Duration::from_millis(900);
+/// Time at the start without faults, in which everything starts.
+pub const CALM_START: Duration = Duration::from_secs(2);
+/// Part of the run at its end without faults, in which everything recovers.
+const CALM_END: f64 = 0.3;
+
+/// One step of a plan.
+#[derive(Clone, Debug, PartialEq, Serialize)]
+pub struct PlanStep {
+    /// Its time since the start.
+    pub at: Duration,
+    /// What is done.
+    pub action: Action,
+}
+
+/// What a step does; numbers count instances and targets from 0.
+#[derive(Clone, Debug, PartialEq, Serialize)]
+pub enum Action {
+    /// An instance is killed, and starts again after a time.
+    Kill(usize, Duration),
+    /// An instance is told to stop, and starts again when it has.
+    Stop(usize),
+    /// An instance is frozen for a time.
+    Freeze(usize, Duration),
+    /// An instance's settings change, and it is told so.
+    Reload(usize),
+    /// The store treats calls in a way for a time.
+    Store(StoreTrouble, Duration),
+    /// The store forgets its history.
+    Compact,
+    /// The connections between an instance and the store are harmed for a time.
+    StoreLink(usize, Link, Duration),
+    /// The connections to a target are harmed for a time.
+    TargetLink(usize, Link, Duration),
+    /// The next requests at a target go wrong.
+    Target(usize, TargetTrouble, u32),
+    /// A target is drained, and serves again after a time.
+    Drain(usize, Duration),
+    /// A new configuration is written.
+    Configure,
+}
+
+/// How the store treats calls.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize)]
+pub enum StoreTrouble {
+    /// It refuses them.
+    Busy,
+    /// It does not answer them.
+    Silent,
+    /// It executes updates and does not answer them.
+    Losing,
+}
+
+/// What a target does to a request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize)]
+pub enum TargetTrouble {
+    /// It does not run it, and says so.
+    Reject,
+    /// It runs it and answers with a failure.
+    Fail,
+    /// It runs it and closes the connection without an answer.
+    Lose,
+    /// It answers for another request.
+    Cross,
+    /// It breaks off in the middle of an event.
+    Break,
+    /// It does not sign its answer.
+    Unsigned,
+    /// It takes longer than callers like.
+    Slow,
+}
+
+/// What happens to connections.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize)]
+pub enum Link {
+    /// Those that are open are reset; new ones work.
+    Reset,
+    /// Those that are open fall silent for good; new ones work.
+    Hush,
+    /// Nothing passes either way.
+    Silent,
+    /// Nothing passes to the server.
+    CutUp,
+    /// Nothing passes from the server.
+    CutDown,
+    /// Everything comes late by this time.
+    Late(Duration),
+}
+
+impl Action {
+    /// Returns whether operators do this as a matter of course.
+    #[must_use]
+    pub fn is_planned(&self) -> bool {
+        matches!(
+            self,
+            Self::Stop(_) | Self::Reload(_) | Self::Drain(..) | Self::Configure
+        )
+    }
+
+    /// Returns how long it lasts, as far as that is known before.
+    #[must_use]
+    pub fn lasts(&self) -> Duration {
+        match self {
+            Self::Kill(_, time)
+            | Self::Freeze(_, time)
+            | Self::Store(_, time)
+            | Self::StoreLink(_, _, time)
+            | Self::TargetLink(_, _, time)
+            | Self::Drain(_, time) => *time,
+            Self::Stop(_)
+            | Self::Reload(_)
+            | Self::Compact
+            | Self::Target(..)
+            | Self::Configure => Duration::ZERO,
+        }
+    }
+}
+
+/// Draws the plan of a run of some length with some instances and targets.
+///
+/// The same seed gives the same plan.
+#[must_use]
+pub fn draw(seed: u64, length: Duration, instances: usize, targets: usize) -> Vec<PlanStep> {
+    let mut random = Pcg64Mcg::seed_from_u64(seed);
+    let end = length.mul_f64(1.0 - CALM_END);
+    let mut steps = Vec::new();
+    let mut at = CALM_START;
+    // Some runs have planned changes alone.
+    let planned_only = random.random_bool(0.25);
+    loop {
+        at += MEAN_GAP.mul_f64(random.random_range(0.1..1.9));
+        if at >= end {
+            return steps;
+        }
+        // Some steps come in series, and overlap.
+        let series = if random.random_bool(0.2) { 3 } else { 1 };
+        for _ in 0..series {
+            let action = draw_action(&mut random, instances, targets, planned_only);
+            let left = end.saturating_sub(at);
+            if action.lasts() <= left {
+                steps.push(PlanStep { at, action });
+            }
+        }
+    }
+}
+
+/// Draws one action.
+fn draw_action(
+    random: &mut Pcg64Mcg,
+    instances: usize,
+    targets: usize,
+    planned_only: bool,
+) -> Action {
+    let instance = random.random_range(0..instances);
+    let target = random.random_range(0..targets);
+    let mut time =
+        |range: std::ops::Range<f64>| Duration::from_secs_f64(random.random_range(range));
+    let (short, long) = (time(0.1..1.5), time(0.5..4.0));
+    let kind = random.random_range(0..if planned_only { 4 } else { 12 });
+    match kind {
+        0 => Action::Stop(instance),
+        1 => Action::Reload(instance),
+        2 => Action::Drain(target, long + Duration::from_secs(3)),
+        3 => Action::Configure,
+        4 => Action::Kill(instance, short),
+        5 => Action::Freeze(instance, long),
+        6 => {
+            let troubles = [
+                StoreTrouble::Busy,
+                StoreTrouble::Silent,
+                StoreTrouble::Losing,
+            ];
+            Action::Store(pick(random, &troubles), long)
+        }
+        7 => Action::Compact,
+        8 => Action::StoreLink(instance, draw_link(random), long),
+        9 => Action::TargetLink(target, draw_link(random), short),
+        _ => {
+            let troubles = [
+                TargetTrouble::Reject,
+                TargetTrouble::Fail,
+                TargetTrouble::Lose,
+                TargetTrouble::Cross,
+                TargetTrouble::Break,
+                TargetTrouble::Unsigned,
+                TargetTrouble::Slow,
+            ];
+            let trouble = pick(random, &troubles);
+            Action::Target(target, trouble, random.random_range(1..12))
+        }
+    }
+}
+
+/// Draws what happens to connections.
+fn draw_link(random: &mut Pcg64Mcg) -> Link {
+    let late = Duration::from_millis(random.random_range(5..200));
+    let links = [
+        Link::Reset,
+        Link::Hush,
+        Link::Silent,
+        Link::CutUp,
+        Link::CutDown,
+        Link::Late(late),
+    ];
+    pick(random, &links)
+}
+
+/// Returns one of some things.
+fn pick<T: Copy>(random: &mut Pcg64Mcg, things: &[T]) -> T {
+    *things.choose(random).expect("there are some")
+}
--- /dev/null
+++ b/crates/cactuslane-soak/src/report.rs
@@ -0,0 +1,135 @@
+//! The report of a run: a file for machines and a page for people.
+
+use std::fmt::Write as _;
+use std::fs;
+use std::io;
+use std::path::Path;
+use std::time::Duration;
+
+use plotters::prelude::*;
+use serde::Serialize;
+
+use crate::check::{Broken, Checked};
+use crate::figures::{Figures, words};
+use crate::plan::PlanStep;
+
+/// Size of a plot, in pixels.
+const SIZE: (u32, u32) = (1000, 320);
+
+/// What a run saw.
+#[derive(Clone, Debug, Serialize)]
+pub struct Report {
+    /// The seed.
+    pub seed: u64,
+    /// The length.
+    pub length: Duration,
+    /// The number of instances.
+    pub instances: usize,
+    /// The faults and changes that were played.
+    pub steps: Vec<PlanStep>,
+    /// The promises that were broken.
+    pub broken: Vec<Broken>,
+    /// How often each promise was checked.
+    pub checked: Checked,
+    /// What callers got.
+    pub figures: Figures,
+}
+
+impl Report {
+    /// Writes the report into a folder, as `report.json` and `report.html`.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error where a file can't be written.
+    pub fn write(&self, folder: &Path) -> io::Result<()> {
+        let text = serde_json::to_string_pretty(self).map_err(io::Error::other)?;
+        fs::write(folder.join("report.json"), text)?;
+        fs::write(folder.join("report.html"), self.page()?)
+    }
+
+    /// Returns the result in one line.
+    #[must_use]
+    pub fn summary(&self) -> String {
+        let sent: u64 = self.figures.seconds.iter().map(|second| second.0).sum();
+        let served: u64 = self.figures.seconds.iter().map(|second| second.1).sum();
+        let checks: u64 = self.checked.values().sum();
+        format!(
+            "seed {}: {} steps, {served} of {sent} requests served, {checks} checks, {} broken",
+            self.seed,
+            self.steps.len(),
+            self.broken.len()
+        )
+    }
+
+    /// Returns the page.
+    fn page(&self) -> io::Result<String> {
+        let mut rows = String::new();
+        for step in &self.steps {
+            let at = words(step.at);
+            writeln!(rows, "<tr><td>{at}</td><td>{:?}</td></tr>", step.action)
+                .map_err(io::Error::other)?;
+        }
+        let mut broken = String::new();
+        for one in &self.broken {
+            let text = format!("{}: {}: {}", one.promise, one.about, one.seen);
+            let text = text.replace('<', "&lt;");
+            writeln!(broken, "<li>{text}</li>").map_err(io::Error::other)?;
+        }
+        let mut checked = String::new();
+        for (promise, count) in &self.checked {
+            writeln!(checked, "<tr><td>{promise}</td><td>{count}</td></tr>")
+                .map_err(io::Error::other)?;
+        }
+        let mut kinds = String::new();
+        for (path, kind) in &self.figures.kinds {
+            let row = writeln!(
+                kinds,
+                "<tr><td>{path}</td><td>{}</td><td>{}</td><td>{}</td><td>{}</td><td>{:?}</td></tr>",
+                kind.sent, kind.served, kind.refused, kind.failed, kind.first_ms
+            );
+            row.map_err(io::Error::other)?;
+        }
+        Ok(format!(
+            "<!doctype html><meta charset=utf-8><title>Soak {}</title>\n<h1>{}</h1>\n<ul>{broken}</ul>\n{}\n\
+             <h2>Requests</h2><table>\n<tr><th>path<th>sent<th>served<th>refused<th>failed<th>first \
+             byte, ms</tr>\n{kinds}</table>\n<h2>Checks</h2><table>{checked}</table>\n\
+             <h2>Faults and changes</h2><table>{rows}</table>\n",
+            self.seed,
+            self.summary(),
+            self.plot()?,
+        ))
+    }
+
+    /// Returns the plot of requests a second, with the faults as lines.
+    fn plot(&self) -> io::Result<String> {
+        let mut text = String::new();
+        let most = self.figures.seconds.iter().map(|second| second.0).max();
+        let (width, height) = (self.length.as_secs_f64(), most.unwrap_or(1) as f64 * 1.1);
+        {
+            let area = SVGBackend::with_string(&mut text, SIZE).into_drawing_area();
+            let failed = |error: DrawingAreaErrorKind<_>| io::Error::other(error.to_string());
+            let mut chart = ChartBuilder::on(&area)
+                .margin(10)
+                .build_cartesian_2d(0.0..width, 0.0..height)
+                .map_err(failed)?;
+            for step in &self.steps {
+                let color = if step.action.is_planned() { BLUE } else { RED };
+                let at = step.at.as_secs_f64();
+                let line = LineSeries::new([(at, 0.0), (at, height)], color.mix(0.3));
+                chart.draw_series(line).map_err(failed)?;
+            }
+            for (served, color) in [(false, BLACK), (true, GREEN)] {
+                let point = |(second, (sent, good)): (usize, &(u64, u64))| {
+                    let count = if served { *good } else { *sent };
+                    (second as f64 + 0.5, count as f64)
+                };
+                let points = self.figures.seconds.iter().enumerate().map(point);
+                chart
+                    .draw_series(LineSeries::new(points, color))
+                    .map_err(failed)?;
+            }
+            area.present().map_err(failed)?;
+        }
+        Ok(text)
+    }
+}
--- /dev/null
+++ b/crates/cactuslane-soak/tests/load.rs
@@ -0,0 +1,110 @@
+//! Arrivals, plans and figures are those of their seeds and numbers.
+
+use std::time::Duration;
+
+use cactuslane_soak::compare;
+use cactuslane_soak::figures::{Figures, median_ratio};
+use cactuslane_soak::load::{Outcome, Seen};
+use cactuslane_soak::{Kind, LoadSpec, plan};
+use tokio::time::Instant;
+
+/// Returns a load of two kinds with a burst.
+fn spec() -> LoadSpec {
+    let kind = |path: &str, weight| Kind {
+        path: path.to_owned(),
+        weight,
+        stream: false,
+        once: false,
+    };
+    LoadSpec {
+        length: Duration::from_secs(100),
+        rate: 20.0,
+        bursts: vec![(Duration::from_secs(50), Duration::from_secs(10), 4.0)],
+        kinds: vec![kind("/a/1", 3), kind("/b/1", 1)],
+        seed: 5,
+    }
+}
+
+#[test]
+fn arrivals_follow_rate_burst_and_weights() {
+    let arrivals = spec().arrivals();
+    assert_eq!(arrivals, spec().arrivals());
+    let burst = arrivals
+        .iter()
+        .filter(|(at, _)| (50..60).contains(&at.as_secs()))
+        .count();
+    let rest = arrivals.len() - burst;
+    assert!((600..1_000).contains(&burst), "{burst}");
+    assert!((1_600..2_000).contains(&rest), "{rest}");
+    let first = arrivals.iter().filter(|(_, kind)| *kind == 0).count();
+    let share = first as f64 / arrivals.len() as f64;
+    assert!((0.7..0.8).contains(&share), "{share}");
+}
+
+#[test]
+fn a_plan_is_that_of_its_seed_and_ends_early() {
+    let length = Duration::from_mins(1);
+    let plan = |seed| plan::draw(seed, length, 4, 8);
+    assert_eq!(plan(3), plan(3));
+    assert_ne!(plan(3), plan(4));
+    for seed in 0..40 {
+        for step in plan(seed) {
+            assert!(step.at >= plan::CALM_START);
+            assert!(
+                step.at + step.action.lasts() <= length.mul_f64(0.7),
+                "{step:?}"
+            );
+        }
+    }
+}
+
+/// Returns the figures of requests with first bytes after some milliseconds.
+fn figures(waits: impl Iterator<Item = u64>) -> Figures {
+    let began = Instant::now();
+    let seen = |wait| Seen {
+        id: "r".to_owned(),
+        kind: 0,
+        front: None,
+        due: began,
+        ended: began,
+        first: Some(began + Duration::from_millis(wait)),
+        outcome: Outcome::Whole {
+            status: 200,
+            signed: true,
+            body: Vec::new(),
+        },
+    };
+    Figures::of(&waits.map(seen).collect::<Vec<_>>(), &spec(), began)
+}
+
+#[test]
+fn waits_count_from_when_requests_were_due() {
+    let figures = figures(1..=1_000);
+    let kind = &figures.kinds["/a/1"];
+    assert_eq!(
+        (kind.sent, kind.served, figures.seconds[0]),
+        (1_000, 1_000, (1_000, 1_000))
+    );
+    for (name, expected) in [("p50", 500.0), ("p95", 950.0), ("p99", 990.0)] {
+        let value = kind.first_ms[name];
+        assert!((value - expected).abs() < 2.0, "{name} {value}");
+    }
+}
+
+#[test]
+fn a_comparison_has_an_interval_and_a_plot() {
+    let (before, after) = (figures(100..200), figures(200..400));
+    let sample = |figures: &Figures| figures.kinds["/a/1"].sample.clone();
+    let (ratio, low, high) =
+        median_ratio(&sample(&before), &sample(&after), 1).expect("both have answers");
+    assert!(
+        low < ratio && ratio < high && low > 1.7 && high < 2.3,
+        "{low} {ratio} {high}"
+    );
+    assert!(median_ratio(&[], &sample(&after), 1).is_none());
+    let table = compare::table(&before, &after).expect("they have a kind in common");
+    assert!(table.contains("/a/1"), "{table}");
+    let page = compare::page(&table, &before, &after).expect("it is drawn");
+    assert!(page.contains("<svg") && page.contains("polyline"));
+    assert!(compare::table(&Figures::default(), &after).is_err());
+}
--- a/crates/cactuslane/benches/lines.rs
+++ b/crates/cactuslane/benches/lines.rs
@@ -82,7 +82,8 @@
             let began = Instant::now();
             client.whole(request).await.expect("it is answered");
             if number >= WARM_UP {
-                times.saturating_record(began.elapsed().as_nanos() as u64);
+                let wide = times.record(began.elapsed().as_nanos() as u64);
+                wide.expect("the histogram grows with its values");
             }
         }
     }
@@ -139,7 +140,8 @@
             read.value_at_quantile(quantile),
             unread.value_at_quantile(quantile),
         );
-        println!("  {quantile}: {:.2}", b as f64 / a as f64);
+        let read = Duration::from_nanos(a);
+        println!("  {quantile}: {:.2} ({read:?} read)", b as f64 / a as f64);
     }
     let (read, unread) = (line_time(sink()), line_time(Unread));
     let ratio = unread.as_secs_f64() / read.as_secs_f64();
--- a/crates/cactuslane/src/main.rs
+++ b/crates/cactuslane/src/main.rs
@@ -8,8 +8,10 @@
 mod config;
 mod demo;
 mod gateway;
+mod load;
 mod logs;
 mod run;
+mod soak;
 mod status;
 mod story;
 
@@ -41,6 +43,12 @@
     Explain(status::ExplainCommand),
     /// Tells the story of a request from saved logs.
     Logs(story::LogsCommand),
+    /// Plays random faults against real processes.
+    Soak(soak::SoakCommand),
+    /// Sends a load to instances.
+    Load(load::LoadCommand),
+    /// Compares two loads.
+    Compare(load::CompareCommand),
     /// Checks a file.
     Check(check::CheckCommand),
     /// Prints the hash of a token.
@@ -92,6 +100,9 @@
         Command::Run(command) => run::execute(command).await,
         Command::Logs(command) => story::execute(&command),
         Command::Gateway(command) => gateway::execute(command).await,
+        Command::Soak(command) => soak::execute(&command).await,
+        Command::Load(command) => load::execute(&command).await,
+        Command::Compare(command) => load::execute_compare(&command),
         Command::Check(command) => check::execute(&command),
         Command::Config(command) => config::execute(command).await,
         Command::Status(command) => status::status(&command).await,
