Write the last log lines before a process ends

Ruled out: the stop itself (exit code 0, entry withdrawn).

Change: lines wait until they are written; the gateway flushes before it ends, for 250 ms at most, as the output may not be read.

--- a/crates/cactuslane-log/src/lib.rs
+++ b/crates/cactuslane-log/src/lib.rs
@@ -7,7 +7,7 @@
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering};
 use std::sync::mpsc::{Receiver, SyncSender, sync_channel};
-use std::time::{SystemTime, UNIX_EPOCH};
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 use log::kv::{Error, Key, Value, VisitSource};
 use log::{Level, Log, Metadata, Record};
@@ -18,6 +18,10 @@
 pub const MAX_LINES: usize = 2000;
 /// Lines that may wait before those that are no warnings are dropped.
 pub const MAX_NEWS: usize = 1500;
+/// Longest time for the last lines of a process, within the end of its grace.
+const FLUSH_TIME: Duration = Duration::from_millis(250);
+/// Interval at which a flush looks for its end.
+const FLUSH_CHECK: Duration = Duration::from_millis(1);
 /// Bytes that are written at once.
 const WRITE_BYTES: usize = 32 << 10;
 
@@ -26,7 +30,7 @@
 pub struct Lines {
     /// Takes the lines to the writer.
     sender: SyncSender<String>,
-    /// The number of lines that wait.
+    /// The number of lines that wait or are being written.
     waiting: Arc<AtomicUsize>,
     /// The lines that were dropped since one was taken.
     unsaid: AtomicU64,
@@ -119,7 +123,14 @@
         }
     }
 
-    fn flush(&self) {}
+    /// Waits until all lines are written, as at the end of a process, but not for long: the output
+    /// may not be read.
+    fn flush(&self) {
+        let began = Instant::now();
+        while self.waiting.load(Ordering::Relaxed) > 0 && began.elapsed() < FLUSH_TIME {
+            std::thread::sleep(FLUSH_CHECK);
+        }
+    }
 }
 
 /// Writes lines until the logger is gone or the output is closed.
@@ -135,10 +146,11 @@
             text.push('\n');
             lines += 1;
         }
-        waiting.fetch_sub(lines, Ordering::Relaxed);
-        if output.write_all(text.as_bytes()).is_err() {
+        let written = output.write_all(text.as_bytes());
+        if written.and_then(|()| output.flush()).is_err() {
             return;
         }
+        waiting.fetch_sub(lines, Ordering::Relaxed);
     }
 }
 
--- a/crates/cactuslane/src/gateway.rs
+++ b/crates/cactuslane/src/gateway.rs
@@ -61,6 +61,7 @@
         }
     }
     running.stop().await;
+    log::logger().flush();
     Ok(())
 }
 
