--- a/crates/cactuslane-gateway/src/generation.rs
+++ b/crates/cactuslane-gateway/src/generation.rs
@@ -30,7 +30,7 @@
 /// Shortest time after which a caller may come back to an overloaded system.
 const LEAST_PAUSE: Duration = Duration::from_millis(700);
 /// Times the expected time of a prompt after which its engine counts as silent.
-const PROMPT_FACTOR: f64 = 3.0;
+const PROMPT_FACTOR: f64 = 5.0;
 
 /// A request on its way through engines.
 #[derive(Debug)]
--- a/crates/cactuslane-gateway/src/generation/prompt.rs
+++ b/crates/cactuslane-gateway/src/generation/prompt.rs
@@ -19,7 +19,7 @@
 use crate::state::Gateway;
 
 /// Least time after which an engine that computes a prompt counts as silent.
-const PROMPT_PATIENCE: Duration = Duration::from_millis(900);
+const PROMPT_PATIENCE: Duration = Duration::from_millis(1500);
 
 /// A computed prompt that is freed unless it was used.
 #[derive(Debug)]
