Tell other instances what was seen of targets, and pass the store's changes on

Change: messages between instances carry what was seen of a target: its role, that it is changing, that another one has its address, that it failed (believed from two instances). An engine that shows one role and soon the other gets no work for a second. In fleets of more than a dozen, two instances of a failure domain watch the store and pass its changes on; the others read it where something is missing, nothing comes for 1.5 s, or 20 s have passed. There, instances that are not about to give orders take leases of 9 s. Messages between instances have a new form: two versions that run side by side do not hear each other and place by what each sees alone.

Cases in `relay.rs`, `knowledge.rs`, `placing.rs` and `serving` fail before.

--- a/crates/cactuslane-gateway/src/control.rs
+++ b/crates/cactuslane-gateway/src/control.rs
@@ -5,7 +5,7 @@
 
 use cactuslane_platform::store::CONFIG_KEY;
 use cactuslane_platform::{document, registry};
-use cactuslane_store::kv::{Change, Item, KvError, Lease, Update, WATCH_GRACE};
+use cactuslane_store::kv::{Change, Item, KvError, Lease, Update};
 use cactuslane_types::Millis;
 use log::{info, warn};
 use rand::Rng;
@@ -13,88 +13,25 @@
 use crate::fleet::Effect;
 use crate::members::Member;
 use crate::office::{Holder, LAST_LEADER, LEADER, boot_millis};
+use crate::orders::is_candidate;
+use crate::relay::is_small;
 use crate::state::Gateway;
+use crate::watch::ALL;
 
 /// The start of the keys of instances.
 const MEMBERS: &str = "cactuslane/instances/";
-/// The start of all keys.
-const ALL: &str = "";
-/// Time for a pause, the next watch and its news, within what an instance is excused for.
-const WATCH_RESERVE: Duration = Duration::from_secs(1);
-/// Shortest wait of a watch.
-const LEAST_WAIT: Duration = Duration::from_millis(500);
-/// Pause between watches of a small fleet, in which news gather.
-const WATCH_PAUSE: Duration = Duration::from_millis(300);
-/// Number of instances that lengthen the pause by its own length, as more news come and more watch.
-const WATCH_FLEET: f64 = 30.0;
-/// Part of the time for a configuration that the pause may take.
-const WATCH_PART: f64 = 0.33;
 /// Range of the pause after a failed call, in milliseconds.
 const PAUSE: std::ops::Range<u64> = 100..300;
-/// Time for which an instance's entry outlives its renewals.
+/// Time for which an instance believes in its lease after a renewal, and its entry outlives it.
 pub const LEASE_TTL: Duration = Duration::from_secs(4);
-/// Interval between renewals.
-const RENEW_INTERVAL: Duration = Duration::from_millis(1300);
+/// Time for which the entry of an instance of a large fleet outlives its renewals, if it is not
+/// about to give orders: the others hear of its end by its silence.
+const LONG_TTL: Duration = Duration::from_secs(9);
+/// Part of its time to live after which a lease is renewed, so that two renewals may be lost.
+const RENEW_PART: f64 = 0.325;
 /// Attempts to announce that the instance is leaving.
 const ANNOUNCE_ATTEMPTS: u32 = 4;
 
-/// Follows the store until the task is ended.
-pub async fn follow(gateway: Arc<Gateway>) {
-    loop {
-        let mut revision = match read_all(&gateway).await {
-            Ok(revision) => revision,
-            Err(error) => {
-                trouble(&gateway, "read", &error).await;
-                continue;
-            }
-        };
-        let mut well = true;
-        loop {
-            let wait = watch_wait(gateway.settings().excused);
-            match gateway.store.watch(ALL, revision, wait).await {
-                Ok(changes) => {
-                    gateway.fleet().note_heard(gateway.now());
-                    if !well {
-                        info!(revision; "store is back");
-                        well = true;
-                    }
-                    for change in changes.changes {
-                        apply(&gateway, change);
-                    }
-                    revision = changes.revision.max(revision);
-                    tokio::time::sleep(watch_pause(&gateway)).await;
-                }
-                Err(KvError::Compacted) => {
-                    info!(revision; "history is gone, reading all keys");
-                    break;
-                }
-                Err(error) => {
-                    well = false;
-                    trouble(&gateway, "watch", &error).await;
-                }
-            }
-        }
-    }
-}
-
-/// Returns the longest wait of a watch, where an instance is excused for a time after trouble.
-///
-/// A watch that hears nothing may stand on a connection that has gone silent. It must be known to
-/// be broken, and the next one must bring the news, before the instance is held to them again.
-#[must_use]
-pub fn watch_wait(excused: Duration) -> Duration {
-    excused
-        .saturating_sub(WATCH_GRACE + WATCH_RESERVE)
-        .max(LEAST_WAIT)
-}
-
-/// Returns the pause between two watches, in which news gather.
-fn watch_pause(gateway: &Gateway) -> Duration {
-    let sharers = gateway.members().sharers() as f64;
-    let pause = WATCH_PAUSE.mul_f64(1.0 + sharers / WATCH_FLEET);
-    pause.min(gateway.settings().apply.mul_f64(WATCH_PART))
-}
-
 /// Keeps the instance registered until the task is ended.
 pub async fn register(gateway: Arc<Gateway>) {
     let mut lease: Option<Lease> = None;
@@ -115,7 +52,7 @@
                 lease = Some(current);
                 let ttl = LEASE_TTL.as_millis() as Millis;
                 gateway.office().renewed(current, sent, ttl);
-                RENEW_INTERVAL
+                lease_ttl(&gateway).mul_f64(RENEW_PART)
             }
             Err(KvError::NoLease) => {
                 info!(lease:? = lease; "registration lapsed");
@@ -158,9 +95,20 @@
     }
 }
 
+/// Returns the time to live of a lease that is granted now, by which it is renewed as well.
+fn lease_ttl(gateway: &Gateway) -> Duration {
+    let others = gateway.members().alive(gateway.now()).len();
+    let gives_orders = is_candidate(gateway) || gateway.office().is_held(boot_millis());
+    if is_small(others) || gives_orders {
+        LEASE_TTL
+    } else {
+        LONG_TTL
+    }
+}
+
 /// Registers the instance under a new lease.
 async fn enter(gateway: &Gateway) -> Result<Lease, KvError> {
-    let lease = gateway.store.grant(LEASE_TTL).await?;
+    let lease = gateway.store.grant(lease_ttl(gateway)).await?;
     if gateway.is_leaving() {
         return Ok(lease);
     }
@@ -173,7 +121,11 @@
 }
 
 /// Reads all keys and returns the revision from which to watch.
-async fn read_all(gateway: &Gateway) -> Result<u64, KvError> {
+///
+/// # Errors
+///
+/// Returns an error where any key was not read.
+pub async fn read_all(gateway: &Gateway) -> Result<u64, KvError> {
     let (items, revision) = gateway.store.range(ALL).await?;
     let now = gateway.now();
     gateway.fleet().note_heard(now);
@@ -204,7 +156,7 @@
 }
 
 /// Applies one change.
-fn apply(gateway: &Gateway, change: Change) {
+pub fn apply(gateway: &Gateway, change: Change) {
     let now = gateway.now();
     let (key, revision) = match change {
         Change::Written(item) => return written(gateway, &item, now),
@@ -292,14 +244,6 @@
     }
 }
 
-/// Records trouble with the store and pauses.
-async fn trouble(gateway: &Gateway, call: &str, error: &KvError) {
-    let now = gateway.now();
-    gateway.fleet().note_trouble(now);
-    warn!(call, error:% = error; "store in trouble");
-    tokio::time::sleep(random_pause()).await;
-}
-
 /// Returns the key of the instance's entry.
 fn member_key(gateway: &Gateway) -> String {
     format!("{MEMBERS}{}", gateway.settings().instance)
@@ -320,6 +264,7 @@
 }
 
 /// Returns a pause of random length, so that instances don't call in step.
-fn random_pause() -> Duration {
+#[must_use]
+pub fn random_pause() -> Duration {
     Duration::from_millis(rand::rng().random_range(PAUSE))
 }
--- a/crates/cactuslane-gateway/src/fleet.rs
+++ b/crates/cactuslane-gateway/src/fleet.rs
@@ -6,8 +6,15 @@
 
 use cactuslane_flight::document::Document;
 use cactuslane_flight::target::{Target, TargetState};
+use cactuslane_place::Sight;
 use cactuslane_types::{Millis, Role, TargetId};
 
+/// Time in which an engine that showed one role and then the other counts as changing, in
+/// milliseconds.
+const CONTRADICTION: Millis = 3_000;
+/// Time for which an engine that is changing gets no work, in milliseconds; then one request shows
+/// whether it is done.
+const CHANGING_PAUSE: Millis = 1_000;
 /// Time after the return of the store within which lapsed targets register again, in milliseconds.
 const REGISTER_TIME: Millis = 2200;
 
@@ -37,6 +44,10 @@
     replaced: bool,
     /// The role that the store names, where the target's own answers name another.
     stated: Option<Role>,
+    /// When its own answer last showed a role.
+    shown: Option<Millis>,
+    /// Until when it gets no work, as it seems to be changing its role.
+    changing: Millis,
 }
 
 /// What a change made of a target.
@@ -122,6 +133,8 @@
             lapsed,
             replaced,
             stated,
+            shown: seen.and_then(|old| old.shown),
+            changing: seen.map_or(0, |old| old.changing),
         };
         self.targets.insert(id, entry);
         effect
@@ -129,11 +142,14 @@
 
     /// Records that another target was found at a target's address.
     ///
-    /// It gets no more work until its entry changes.
-    pub fn saw_replaced(&mut self, id: &str) {
-        if let Some(entry) = self.targets.get_mut(id) {
-            entry.replaced = true;
-        }
+    /// It gets no more work until its entry changes. The sight is of the process that started at a
+    /// time; false if it is no news of the one that is known.
+    pub fn saw_replaced(&mut self, id: &str, born: Option<u64>) -> bool {
+        let known = self.targets.get_mut(id);
+        let Some(entry) = known.filter(|entry| entry.target.born == born) else {
+            return false;
+        };
+        !std::mem::replace(&mut entry.replaced, true)
     }
 
     /// Returns whether another target was found at a target's address.
@@ -142,15 +158,42 @@
     }
 
     /// Records that a target's own answer shows another role than the store names.
-    pub fn saw_role(&mut self, id: &str, role: Role) {
-        let Some(entry) = self.targets.get_mut(id) else {
-            return;
-        };
-        if entry.target.role == role {
-            return;
+    ///
+    /// An engine that shows one role and soon the other is changing: it refuses work of either kind,
+    /// and gets none for a while. The sight is of the process that started at a time; nothing is
+    /// returned if it is no news of the one that is known.
+    pub fn saw_role(
+        &mut self,
+        id: &str,
+        born: Option<u64>,
+        role: Role,
+        now: Millis,
+    ) -> Option<Sight> {
+        let known = self.targets.get_mut(id);
+        let entry = known.filter(|entry| entry.target.born == born)?;
+        if entry.target.role == role || now < entry.changing {
+            return None;
         }
+        let before = entry.shown.replace(now);
         entry.stated.get_or_insert(entry.target.role);
         entry.target.role = role;
+        if before.is_some_and(|before| now < before + CONTRADICTION) {
+            entry.changing = now + CHANGING_PAUSE;
+            return Some(Sight::Changing);
+        }
+        Some(Sight::Role(role))
+    }
+
+    /// Records that another instance saw that a target is changing its role; false if it is no news.
+    pub fn heard_changing(&mut self, id: &str, born: Option<u64>, now: Millis) -> bool {
+        let known = self.targets.get_mut(id);
+        let Some(entry) = known.filter(|entry| entry.target.born == born) else {
+            return false;
+        };
+        let news = now >= entry.changing;
+        entry.shown = Some(now);
+        entry.changing = now + CHANGING_PAUSE;
+        news
     }
 
     /// Removes a target whose entry can't be read.
@@ -218,7 +261,8 @@
 
     /// Returns whether a target takes new work, if need be after it vanished.
     fn may_use(&self, entry: &Entry, now: Millis) -> bool {
-        if entry.target.state == TargetState::Draining || entry.replaced {
+        let leaving = entry.target.state == TargetState::Draining;
+        if leaving || entry.replaced || now < entry.changing {
             return false;
         }
         let Some(lapsed) = entry.lapsed else {
--- a/crates/cactuslane-gateway/src/lib.rs
+++ b/crates/cactuslane-gateway/src/lib.rs
@@ -17,9 +17,11 @@
 pub mod orders;
 pub mod peers;
 pub mod plain;
+pub mod relay;
 pub mod reply;
 pub mod state;
 pub mod upstream;
+pub mod watch;
 
 use std::fmt;
 use std::io;
@@ -82,12 +84,15 @@
             "started"
         );
         let gateway = Arc::new(Gateway::new(settings));
+        // It is set once: the state is new.
+        let _ = gateway.socket.set(socket);
+        let (relays, heard) = watch::relays();
         let mut tasks = vec![
-            tokio::spawn(control::follow(gateway.clone())),
+            tokio::spawn(watch::follow(gateway.clone(), heard)),
             tokio::spawn(control::register(gateway.clone())),
             tokio::spawn(caches::follow(gateway.clone())),
             tokio::spawn(orders::hold_office(gateway.clone())),
-            tokio::spawn(peers::exchange(gateway.clone(), socket)),
+            tokio::spawn(peers::exchange(gateway.clone(), relays)),
             tokio::spawn(ingress::serve(gateway.clone(), front)),
             tokio::spawn(directory::serve(gateway.clone(), ready)),
         ];
--- a/crates/cactuslane-gateway/src/members.rs
+++ b/crates/cactuslane-gateway/src/members.rs
@@ -136,6 +136,22 @@
         alive
     }
 
+    /// Returns those of them in a failure domain.
+    #[must_use]
+    pub fn neighbours(&self, domain: &DomainName, now: Millis) -> Vec<InstanceId> {
+        let mut neighbours = self.alive(now);
+        neighbours.retain(|instance| self.members[instance].member.domain == *domain);
+        neighbours
+    }
+
+    /// Returns the addresses for messages to the others in a failure domain.
+    #[must_use]
+    pub fn near_peers(&self, domain: &DomainName) -> Vec<SocketAddr> {
+        let near = |known: &&Known| known.member.domain == *domain;
+        let members = self.members.values().filter(near);
+        members.map(|known| known.member.peer).collect()
+    }
+
     /// Returns the addresses for callers of the instances that seem to serve.
     ///
     /// An instance that hears none of the others can't tell which of them are gone, and returns
--- a/crates/cactuslane-gateway/src/orders.rs
+++ b/crates/cactuslane-gateway/src/orders.rs
@@ -102,7 +102,8 @@
 }
 
 /// Returns whether this instance is among the first that try to take the office.
-fn is_candidate(gateway: &Gateway) -> bool {
+#[must_use]
+pub fn is_candidate(gateway: &Gateway) -> bool {
     let me = gateway.settings().instance.clone();
     let others = gateway.members().alive(gateway.now());
     let mine = rank(&me, LEADER);
--- a/crates/cactuslane-gateway/src/peers.rs
+++ b/crates/cactuslane-gateway/src/peers.rs
@@ -1,14 +1,18 @@
 //! Messages by which instances tell each other their load.
 
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
 use cactuslane_place::picture::Told;
+use cactuslane_place::{News, Sight};
 use log::{debug, info, warn};
-use tokio::net::UdpSocket;
+use serde::{Deserialize, Serialize};
 use tokio::time::{Instant, MissedTickBehavior, interval};
 
+use crate::relay::Relay;
 use crate::state::Gateway;
+use crate::watch::RelaySender;
 
 /// Interval between messages of a small fleet while there is something new to tell.
 const INTERVAL: Duration = Duration::from_millis(100);
@@ -18,11 +22,25 @@
 const HEARTBEAT: Duration = Duration::from_millis(400);
 /// Largest message that is received, in bytes.
 const MAX_MESSAGE: usize = 32 << 10;
+/// Most news of targets in one message, so that it fits; the rest goes with the next one.
+const MAX_NEWS: usize = 50;
 /// Most uses of prompt parts in one message, so that it fits; the rest goes with the next one.
 const MAX_USES: usize = 100;
 
+/// A message between instances.
+#[derive(Debug, Serialize, Deserialize)]
+enum Message {
+    /// What the sender knows of targets.
+    Told(Told),
+    /// What the sender read in the store.
+    Relay(Relay),
+}
+
 /// Tells the others and hears them until the task is ended.
-pub async fn exchange(gateway: Arc<Gateway>, socket: UdpSocket) {
+pub async fn exchange(gateway: Arc<Gateway>, relays: RelaySender) {
+    let Some(socket) = gateway.socket.get() else {
+        return;
+    };
     let mut ticks = interval(INTERVAL);
     ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
     let mut buffer = vec![0; MAX_MESSAGE];
@@ -34,10 +52,10 @@
     loop {
         tokio::select! {
             received = socket.recv_from(&mut buffer) => match received {
-                Ok((length, _)) => hear(&gateway, &buffer[..length]),
+                Ok((length, _)) => hear(&gateway, &buffer[..length], &relays),
                 Err(error) => debug!(error:% = error; "message not received"),
             },
-            _ = ticks.tick() => speaker.tell(&gateway, &socket),
+            _ = ticks.tick() => speaker.tell(&gateway),
         }
     }
 }
@@ -55,7 +73,7 @@
 
 impl Speaker {
     /// Tells the others if there is something new, or if they heard nothing for long.
-    fn tell(&mut self, gateway: &Gateway, socket: &UdpSocket) {
+    fn tell(&mut self, gateway: &Gateway) {
         let now = gateway.now();
         let sharers = gateway.members().sharers() as f64;
         // Half an interval more or less is the granularity of the ticks.
@@ -72,9 +90,10 @@
         let (loads, uses) = (placer.picture.loads(), placer.take_untold(MAX_USES));
         let work = placer.picture.own_placed();
         let changing = placer.picture.own_changing().to_vec();
+        let news = placer.news.take(MAX_NEWS);
         drop(placer);
         let same = loads == self.told;
-        if same && uses.is_empty() && self.at.elapsed() < HEARTBEAT {
+        if same && uses.is_empty() && news.is_empty() && self.at.elapsed() < HEARTBEAT {
             return;
         }
         self.sequence += 1;
@@ -86,28 +105,51 @@
             uses,
             placed: work,
             changing,
+            news,
         };
-        let message = match postcard::to_stdvec(&told) {
-            Ok(message) => message,
-            Err(error) => {
-                warn!(error:% = error; "message not encoded");
-                return;
-            }
-        };
-        for peer in gateway.members().peers() {
-            if let Err(error) = socket.try_send_to(&message, peer) {
-                debug!(peer:% = peer, error:% = error; "message not sent");
-            }
-        }
-        self.told = told.loads;
+        self.told.clone_from(&told.loads);
         self.at = Instant::now();
+        send(gateway, &Message::Told(told), &gateway.members().peers());
+    }
+}
+
+/// Passes on what was read in the store to the instances of the same failure domain.
+pub fn relay(gateway: &Gateway, relays: Vec<Relay>) {
+    let peers = gateway.members().near_peers(&gateway.settings().domain);
+    for relay in relays {
+        send(gateway, &Message::Relay(relay), &peers);
+    }
+}
+
+/// Sends a message to some instances.
+fn send(gateway: &Gateway, message: &Message, peers: &[SocketAddr]) {
+    let Some(socket) = gateway.socket.get() else {
+        return;
+    };
+    let message = match postcard::to_stdvec(message) {
+        Ok(message) => message,
+        Err(error) => {
+            warn!(error:% = error; "message not encoded");
+            return;
+        }
+    };
+    for peer in peers {
+        if let Err(error) = socket.try_send_to(&message, *peer) {
+            debug!(peer:% = peer, error:% = error; "message not sent");
+        }
     }
 }
 
 /// Takes a message of another instance.
-fn hear(gateway: &Gateway, message: &[u8]) {
-    let told: Told = match postcard::from_bytes(message) {
-        Ok(told) => told,
+fn hear(gateway: &Gateway, message: &[u8], relays: &RelaySender) {
+    let told = match postcard::from_bytes(message) {
+        Ok(Message::Told(told)) => told,
+        Ok(Message::Relay(relay)) => {
+            if relays.try_send(relay).is_err() {
+                debug!("relay dropped, the next one shows the gap");
+            }
+            return;
+        }
         Err(error) => {
             debug!(error:% = error; "message is unreadable");
             return;
@@ -121,6 +163,24 @@
         found.map_or(0, |(_, memory)| *memory)
     };
     gateway.placer().hear(&told, memory, now);
+    for news in &told.news {
+        hear_news(gateway, news, &told.instance);
+    }
+}
+
+/// Takes what another instance saw of a target.
+fn hear_news(gateway: &Gateway, news: &News, peer: &str) {
+    let now = gateway.now();
+    let mut fleet = gateway.fleet();
+    let believed = match news.sight {
+        Sight::Role(role) => fleet.saw_role(&news.target, news.born, role, now).is_some(),
+        Sight::Changing => fleet.heard_changing(&news.target, news.born, now),
+        Sight::Replaced => fleet.saw_replaced(&news.target, news.born),
+        Sight::Failed => false,
+    };
+    if believed {
+        info!(target_id = news.target, peer, sight:? = news.sight; "heard of a target");
+    }
 }
 
 /// Returns the memory of the engines that a message names, in tokens.
--- a/crates/cactuslane-gateway/src/plain.rs
+++ b/crates/cactuslane-gateway/src/plain.rs
@@ -5,7 +5,7 @@
 
 use cactuslane_flight::target::Target;
 use cactuslane_flight::{Ending, Flight, Refusal, Step};
-use cactuslane_place::Load;
+use cactuslane_place::{Load, News, Sight};
 use cactuslane_platform::exchange::{self, Sent, Verdict};
 use cactuslane_types::Role;
 use http_body_util::{BodyExt, Full, Limited};
@@ -205,12 +205,18 @@
             Role::Decode => Role::Prefill,
             Role::Mixed => Role::Mixed,
         };
-        info!(target_id = target.id, role:? = role; "target has another role");
-        gateway.fleet().saw_role(&target.id, role);
+        let sight = gateway
+            .fleet()
+            .saw_role(&target.id, target.born, role, gateway.now());
+        if let Some(sight) = sight {
+            info!(target_id = target.id, sight:? = sight; "target has another role");
+            tell(gateway, target, sight);
+        }
     }
-    if verdict == Verdict::Replaced {
+    let replaced = verdict == Verdict::Replaced;
+    if replaced && gateway.fleet().saw_replaced(&target.id, target.born) {
         info!(target_id = target.id; "another target has the address");
-        gateway.fleet().saw_replaced(&target.id);
+        tell(gateway, target, Sight::Replaced);
     }
     match verdict {
         Verdict::Answer => Ok((lent, response)),
@@ -228,6 +234,15 @@
     }
 }
 
+/// Tells the other instances what was seen of a target.
+fn tell(gateway: &Gateway, target: &Target, sight: Sight) {
+    gateway.placer().news.add(News {
+        target: target.id.clone(),
+        born: target.born,
+        sight,
+    });
+}
+
 /// Returns the refusal that is true now.
 pub fn refuse(job: &Job, flight: &Flight, after: Duration, cause: &'static str) -> Response<Reply> {
     reply::refusal(&job.ask.id, flight.refusal(), after, cause)
--- a/crates/cactuslane-gateway/src/state.rs
+++ b/crates/cactuslane-gateway/src/state.rs
@@ -2,7 +2,7 @@
 
 use std::collections::BTreeMap;
 use std::sync::atomic::{AtomicUsize, Ordering};
-use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::sync::{Arc, Mutex, MutexGuard, OnceLock, PoisonError};
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
 use cactuslane_flight::budget::{RepeatBudget, USED_PART, slack_part};
@@ -12,6 +12,7 @@
 use cactuslane_platform::Settings;
 use cactuslane_store::kv::KvClient;
 use cactuslane_types::{Millis, ServiceName, TargetId};
+use tokio::net::UdpSocket;
 use tokio::time::Instant;
 
 use crate::fleet::Fleet;
@@ -39,6 +40,8 @@
     placer: Mutex<Placer>,
     /// The budgets of repeated sends by service.
     budgets: Mutex<BTreeMap<ServiceName, RepeatBudget>>,
+    /// The socket for messages between instances, once it is bound.
+    pub socket: OnceLock<UdpSocket>,
     /// The connections to targets.
     pub pool: Pool,
     /// The client of the store.
@@ -75,6 +78,7 @@
             office: Mutex::default(),
             placer: Mutex::new(placer),
             budgets: Mutex::default(),
+            socket: OnceLock::new(),
             pool: Pool::default(),
             store,
             metrics,
--- a/crates/cactuslane-gateway/tests/knowledge.rs
+++ b/crates/cactuslane-gateway/tests/knowledge.rs
@@ -5,10 +5,11 @@
 use cactuslane_flight::document::Document;
 use cactuslane_flight::target::{Target, TargetState};
 use cactuslane_gateway::Gateway;
-use cactuslane_gateway::control::watch_wait;
 use cactuslane_gateway::fleet::{Effect, Fleet};
 use cactuslane_gateway::members::{Member, Members};
 use cactuslane_gateway::office::{Holder, Office};
+use cactuslane_gateway::watch::watch_wait;
+use cactuslane_place::Sight;
 use cactuslane_store::kv::WATCH_GRACE;
 use cactuslane_types::Role;
 use yare::parameterized;
@@ -102,7 +103,7 @@
 fn a_role_that_a_target_shows_outlives_its_old_entry() {
     let mut fleet = Fleet::default();
     fleet.put(target("i-1", TargetState::Ready));
-    fleet.saw_role("i-1", Role::Prefill);
+    assert!(fleet.saw_role("i-1", Some(1), Role::Prefill, 0).is_some());
     let role = |fleet: &Fleet| fleet.known("i-1").expect("it is known").role;
     fleet.put(target("i-1", TargetState::Ready));
     assert_eq!(role(&fleet), Role::Prefill);
@@ -119,7 +120,7 @@
 fn a_target_whose_address_another_one_has_gets_no_work_until_its_entry_changes() {
     let mut fleet = Fleet::default();
     fleet.put(target("i-1", TargetState::Ready));
-    fleet.saw_replaced("i-1");
+    fleet.saw_replaced("i-1", Some(1));
     fleet.note_trouble(0);
     assert!(ids(&fleet, 10).is_empty());
     // The same old entry is no news.
@@ -258,3 +259,41 @@
     gateway.reload(settings);
     assert_eq!(ids(&gateway.fleet(), 2_900), ["i-1"]);
 }
+
+#[test]
+fn news_of_an_earlier_process_is_no_news() {
+    let mut fleet = Fleet::default();
+    fleet.put(target("i-1", TargetState::Ready));
+    assert!(fleet.saw_role("i-1", Some(7), Role::Prefill, 0).is_none());
+    assert!(!fleet.saw_replaced("i-1", None));
+    assert_eq!(ids(&fleet, 0), ["i-1"]);
+    assert!(fleet.saw_replaced("i-1", Some(1)));
+    assert!(!fleet.saw_replaced("i-1", Some(1)));
+    assert!(ids(&fleet, 0).is_empty());
+}
+
+#[test]
+fn an_engine_that_shows_either_role_gets_no_work_for_a_while() {
+    let mut fleet = Fleet::default();
+    fleet.put(target("i-1", TargetState::Ready));
+    let saw = |fleet: &mut Fleet, role, now| fleet.saw_role("i-1", Some(1), role, now);
+    assert_eq!(
+        saw(&mut fleet, Role::Prefill, 1_000),
+        Some(Sight::Role(Role::Prefill))
+    );
+    assert_eq!(ids(&fleet, 1_100), ["i-1"]);
+    assert_eq!(saw(&mut fleet, Role::Decode, 1_200), Some(Sight::Changing));
+    assert!(ids(&fleet, 2_100).is_empty());
+    // What was sent before says nothing new.
+    assert_eq!(saw(&mut fleet, Role::Prefill, 1_300), None);
+    assert_eq!(ids(&fleet, 2_200), ["i-1"]);
+    assert_eq!(saw(&mut fleet, Role::Prefill, 2_300), Some(Sight::Changing));
+    // Long after, one answer is believed again.
+    assert_eq!(
+        saw(&mut fleet, Role::Decode, 9_000),
+        Some(Sight::Role(Role::Decode))
+    );
+    assert!(fleet.heard_changing("i-1", Some(1), 9_100));
+    assert!(!fleet.heard_changing("i-1", Some(1), 9_200));
+    assert!(ids(&fleet, 9_300).is_empty());
+}
--- a/crates/cactuslane-gateway/tests/serving/control.rs
+++ b/crates/cactuslane-gateway/tests/serving/control.rs
@@ -152,3 +152,48 @@
         stopping.await.expect("it stops");
     });
 }
+
+/// Returns the number of watches that an instance has made.
+fn watches(running: &cactuslane_gateway::Running) -> u64 {
+    let calls = &running.gateway.store.calls;
+    calls
+        .get_or_create(&[("call", "watch"), ("result", "ok")])
+        .get()
+}
+
+/// In a large fleet a configuration reaches instances that have not read the store for it.
+#[test]
+fn a_configuration_is_passed_on_in_a_large_fleet() {
+    /// Number of instances.
+    const FLEET: usize = 16;
+    run(async {
+        let store = Store::bind().await.expect("it binds");
+        store.configure(&document(3));
+        let mut fleet = Vec::new();
+        for number in 0..FLEET {
+            fleet.push(start(&format!("front-{number}"), &store).await);
+        }
+        let knows_all = |running: &cactuslane_gateway::Running| {
+            let gateway = &running.gateway;
+            gateway.members().alive(gateway.now()).len() == FLEET - 1
+        };
+        until(|| fleet.iter().all(knows_all)).await;
+        // Watches that began before all were known end first.
+        let mut before: Vec<u64> = Vec::new();
+        let mut version = 3;
+        let mut passed = 0;
+        while passed < FLEET / 2 {
+            version += 1;
+            before.clear();
+            before.extend(fleet.iter().map(watches));
+            store.configure(&document(version));
+            let has = |running: &cactuslane_gateway::Running| {
+                let document = running.gateway.document();
+                document.is_some_and(|document| document.version == version)
+            };
+            until(|| fleet.iter().all(has)).await;
+            let after: Vec<u64> = fleet.iter().map(watches).collect();
+            passed = before.iter().zip(&after).filter(|(a, b)| a == b).count();
+        }
+    });
+}
--- a/crates/cactuslane-place/src/picture.rs
+++ b/crates/cactuslane-place/src/picture.rs
@@ -6,6 +6,8 @@
 use cactuslane_types::{InstanceId, Millis, TargetId};
 use serde::{Deserialize, Serialize};
 
+use crate::news::News;
+
 /// Age at which what another instance told no longer counts, in milliseconds.
 const TOLD_LIFETIME: Millis = 1500;
 
@@ -59,6 +61,8 @@
     pub placed: Placed,
     /// The engines whose role it is changing.
     pub changing: Vec<TargetId>,
+    /// What it saw of targets since the message before.
+    pub news: Vec<News>,
 }
 
 /// What one other instance told last.
--- a/crates/cactuslane-place/src/placer.rs
+++ b/crates/cactuslane-place/src/placer.rs
@@ -14,6 +14,7 @@
 use rand_pcg::Pcg64Mcg;
 
 use crate::cache::CacheBelief;
+use crate::news::{Newsroom, Sight};
 use crate::picture::{Picture, Told, Use, heard_parts, told_parts};
 use crate::speed::PromptSpeed;
 
@@ -43,6 +44,8 @@
     caches: BTreeMap<TargetId, CacheBelief>,
     /// The health of the targets.
     health: BTreeMap<TargetId, Condition>,
+    /// What instances tell each other of targets.
+    pub news: Newsroom,
     /// The uses that the other instances have not been told.
     untold: Vec<Use>,
     /// The failure domain of this instance.
@@ -119,6 +122,7 @@
             speed: PromptSpeed::default(),
             caches: BTreeMap::new(),
             health: BTreeMap::new(),
+            news: Newsroom::default(),
             untold: Vec::new(),
             domain,
             random: Pcg64Mcg::seed_from_u64(seed),
@@ -222,6 +226,7 @@
 
     /// Records that a target gave no whole answer.
     pub fn failed(&mut self, target: &str, now: Millis) {
+        self.news.failed(target, now);
         let condition = self.health.entry(target.to_owned()).or_default();
         condition.health.failed(now);
     }
@@ -256,7 +261,13 @@
     /// Takes what another instance told.
     pub fn hear(&mut self, told: &Told, memory: impl Fn(&str) -> u64, now: Millis) {
         // Uses count even from a message that came late.
-        self.picture.hear(told, now);
+        if self.picture.hear(told, now) {
+            for news in &told.news {
+                if news.sight == Sight::Failed {
+                    self.hear_failed(&news.target, &told.instance, now);
+                }
+            }
+        }
         for told_use in &told.uses {
             let cache = self.caches.entry(told_use.target.clone()).or_default();
             if told_use.all {
@@ -270,6 +281,17 @@
         }
     }
 
+    /// Leaves a target alone for a while that fails others, unless it is in doubt here already.
+    fn hear_failed(&mut self, target: &str, instance: &str, now: Millis) {
+        if !self.news.hear_failed(target, instance, now) {
+            return;
+        }
+        let condition = self.health.entry(target.to_owned()).or_default();
+        if condition.health.usable(now) == Usable::Free {
+            condition.health.failed(now);
+        }
+    }
+
     /// Takes the oldest uses that the other instances have not been told, at most a number of them.
     pub fn take_untold(&mut self, most: usize) -> Vec<Use> {
         let most = most.min(self.untold.len());
--- a/crates/cactuslane-place/tests/placing.rs
+++ b/crates/cactuslane-place/tests/placing.rs
@@ -6,7 +6,7 @@
 use cactuslane_flight::document::Engine;
 use cactuslane_flight::target::{Target, TargetState};
 use cactuslane_place::picture::Told;
-use cactuslane_place::{CacheBelief, Load, Placed, Placement, Placer, Plan, Wanted};
+use cactuslane_place::{CacheBelief, Load, News, Placed, Placement, Placer, Plan, Sight, Wanted};
 use cactuslane_types::Role;
 use yare::parameterized;
 
@@ -149,6 +149,7 @@
         uses: Vec::new(),
         placed: Placed::default(),
         changing: vec!["d1".to_owned()],
+        news: Vec::new(),
     };
     placer.hear(&told, |_| 0, 10_000);
     let plan = place(&mut placer, &fleet(), &ask(0, 4_000));
@@ -286,3 +287,44 @@
     assert_eq!(placer.take_untold(3).len(), 2);
     assert!(placer.take_untold(3).is_empty());
 }
+
+/// Returns what an instance tells of failures of the first engine that computes prompts.
+fn failing(instance: &str) -> Told {
+    Told {
+        instance: instance.to_owned(),
+        started: 1,
+        sequence: 1,
+        loads: Vec::new(),
+        uses: Vec::new(),
+        placed: Placed::default(),
+        changing: Vec::new(),
+        news: vec![News {
+            target: "p1".to_owned(),
+            born: None,
+            sight: Sight::Failed,
+        }],
+    }
+}
+
+/// An engine that fails two other instances is left alone before it fails this one.
+#[test]
+fn an_engine_that_fails_others_is_left_alone() {
+    let mut placer = Placer::new("a".to_owned(), 1);
+    placer.picture.add("p2", load(9_000, 1, 9_000));
+    let ask = ask(0, 4_000);
+    let chosen = |placer: &mut Placer| place(placer, &fleet(), &ask).prefill;
+    placer.hear(&failing("b"), |_| 0, 9_950);
+    assert_eq!(chosen(&mut placer).as_deref(), Some("p1"));
+    placer.hear(&failing("c"), |_| 0, 9_950);
+    assert_eq!(chosen(&mut placer).as_deref(), Some("p2"));
+}
+
+#[test]
+fn a_failure_is_told_once_a_second() {
+    let mut placer = Placer::new("a".to_owned(), 1);
+    for now in [0, 400, 900, 1_100] {
+        placer.failed("p1", now);
+    }
+    assert_eq!(placer.news.take(9).len(), 2);
+    assert!(placer.news.take(9).is_empty());
+}
