--- a/crates/cactuslane-log/src/lib.rs
+++ b/crates/cactuslane-log/src/lib.rs
@@ -4,6 +4,7 @@
 //! are dropped and counted; news of what went well is dropped first.
 
 use std::io::Write;
+use std::str::FromStr;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering};
 use std::sync::mpsc::{Receiver, SyncSender, sync_channel};
@@ -28,6 +29,8 @@
 /// A logger that never waits for its output.
 #[derive(Debug)]
 pub struct Lines {
+    /// The form of the lines.
+    form: Form,
     /// Takes the lines to the writer.
     sender: SyncSender<String>,
     /// The number of lines that wait or are being written.
@@ -38,18 +41,66 @@
     dropped: Counter,
 }
 
+/// The form of lines.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum Form {
+    /// A JSON object.
+    #[default]
+    Json,
+    /// Words for people: time, level, event, then names and values.
+    Text,
+}
+
+impl FromStr for Form {
+    type Err = String;
+
+    fn from_str(text: &str) -> Result<Self, String> {
+        match text {
+            "json" => Ok(Self::Json),
+            "text" => Ok(Self::Text),
+            _ => Err(format!("`{text}` is no form of lines; write json or text")),
+        }
+    }
+}
+
+impl Form {
+    /// Returns the line of some fields, the first three of which all lines have.
+    fn line(self, fields: &Map<String, serde_json::Value>) -> String {
+        let plain = |value: &serde_json::Value| {
+            let text = value.as_str().map(str::to_owned);
+            text.unwrap_or_else(|| value.to_string())
+        };
+        match self {
+            Self::Json => serde_json::to_string(fields).unwrap_or_default(),
+            Self::Text => {
+                let mut words = Vec::new();
+                for (place, (name, value)) in fields.iter().enumerate() {
+                    let value = plain(value);
+                    words.push(if place < 3 {
+                        value
+                    } else {
+                        format!("{name}={value}")
+                    });
+                }
+                words.join(" ")
+            }
+        }
+    }
+}
+
 /// The fields of a record.
 struct Fields<'m>(&'m mut Map<String, serde_json::Value>);
 
 impl Lines {
     /// Opens an output and starts the thread that writes to it, until the logger is dropped or the
     /// output is closed.
-    pub fn open(output: impl Write + Send + 'static) -> Self {
+    pub fn open(output: impl Write + Send + 'static, form: Form) -> Self {
         let (sender, receiver) = sync_channel(MAX_LINES);
         let waiting = Arc::new(AtomicUsize::new(0));
         let counted = waiting.clone();
         std::thread::spawn(move || write_lines(output, &receiver, &counted));
         Self {
+            form,
             sender,
             waiting,
             unsaid: AtomicU64::new(0),
@@ -116,7 +167,7 @@
         if unsaid > 0 {
             fields.insert("lines_dropped".to_owned(), json!(unsaid));
         }
-        let line = serde_json::Value::Object(fields).to_string();
+        let line = self.form.line(&fields);
         if !self.take(record.level(), line) {
             self.unsaid.fetch_add(unsaid + 1, Ordering::Relaxed);
             self.dropped.inc();
--- a/crates/cactuslane-log/tests/flood.rs
+++ b/crates/cactuslane-log/tests/flood.rs
@@ -3,7 +3,7 @@
 use std::io::{self, Write};
 use std::sync::mpsc::{Receiver, Sender, channel};
 
-use cactuslane_log::{Lines, MAX_LINES, MAX_NEWS};
+use cactuslane_log::{Form, Lines, MAX_LINES, MAX_NEWS};
 use log::{Level, Log, Record};
 use serde_json::Value;
 
@@ -35,7 +35,7 @@
 /// Opens lines on an output.
 fn open(unread: bool) -> (Lines, Receiver<Vec<u8>>) {
     let (sender, receiver) = channel();
-    (Lines::open(Output { sender, unread }), receiver)
+    (Lines::open(Output { sender, unread }, Form::Json), receiver)
 }
 
 /// Logs one line.
@@ -102,3 +102,21 @@
     log(&lines, Level::Info, "cactuslane", 0);
     lines.flush();
 }
+
+#[test]
+fn a_line_for_people_has_words() {
+    let (sender, receiver) = channel();
+    let output = Output {
+        sender,
+        unread: false,
+    };
+    let lines = Lines::open(output, "text".parse().expect("it is a form"));
+    log(&lines, Level::Warn, "cactuslane", 7);
+    let line = receiver.recv().expect("a line comes");
+    let line = String::from_utf8(line).expect("it is text");
+    assert!(
+        line.ends_with(" WARN something happened number=7\n"),
+        "{line}"
+    );
+    assert!("xml".parse::<Form>().is_err());
+}
--- a/crates/cactuslane-soak/src/plan.rs
+++ b/crates/cactuslane-soak/src/plan.rs
@@ -147,13 +147,27 @@
         for _ in 0..series {
             let action = draw_action(&mut random, instances, targets, planned_only);
             let left = end.saturating_sub(at);
-            if action.lasts() <= left {
-                steps.push(PlanStep { at, action });
+            let step = PlanStep { at, action };
+            if step.action.lasts() <= left && !is_leaving(&steps, &step) {
+                steps.push(step);
             }
         }
     }
 }
 
+/// Returns whether a step drains a target that is leaving already: the end of the first time would
+/// have it serve within the second.
+fn is_leaving(steps: &[PlanStep], step: &PlanStep) -> bool {
+    let Action::Drain(target, _) = step.action else {
+        return false;
+    };
+    let same = |earlier: &PlanStep| match earlier.action {
+        Action::Drain(other, time) => other == target && step.at <= earlier.at + time,
+        _ => false,
+    };
+    steps.iter().any(same)
+}
+
 /// Draws one action.
 fn draw_action(
     random: &mut Pcg64Mcg,
--- a/crates/cactuslane-soak/tests/load.rs
+++ b/crates/cactuslane-soak/tests/load.rs
@@ -5,6 +5,7 @@
 use cactuslane_soak::compare;
 use cactuslane_soak::figures::{Figures, median_ratio};
 use cactuslane_soak::load::{Outcome, Seen};
+use cactuslane_soak::plan::Action;
 use cactuslane_soak::{Kind, LoadSpec, plan};
 use tokio::time::Instant;
 
@@ -58,6 +59,26 @@
     }
 }
 
+/// Seed 240 once drained a target three times at once, so that the check of leaving targets saw runs
+/// which were allowed.
+#[test]
+fn a_target_leaves_once_at_a_time() {
+    for seed in 0..300 {
+        let mut leaving: Vec<(usize, Duration)> = Vec::new();
+        for step in plan::draw(seed, Duration::from_secs(30), 4, 8) {
+            let Action::Drain(target, time) = step.action else {
+                continue;
+            };
+            let overlaps = |(other, end): &(usize, Duration)| *other == target && step.at <= *end;
+            assert!(
+                !leaving.iter().any(overlaps),
+                "seed {seed}, target {target}"
+            );
+            leaving.push((target, step.at + time));
+        }
+    }
+}
+
 /// Returns the figures of requests with first bytes after some milliseconds.
 fn figures(waits: impl Iterator<Item = u64>) -> Figures {
     let began = Instant::now();
--- a/crates/cactuslane/src/check.rs
+++ b/crates/cactuslane/src/check.rs
@@ -6,14 +6,17 @@
 
 use crate::CommandError;
 
-/// checks a configuration document, or settings with --settings; every fault is printed with its
-/// place and a hint
+/// checks a configuration document, or settings with --settings, for `run` or, with --gateway, for
+/// `gateway`; faults are printed with their place and a hint
 #[derive(Debug, FromArgs)]
 #[argh(subcommand, name = "check")]
 pub struct CheckCommand {
     /// the file holds settings of an instance
     #[argh(switch)]
     settings: bool,
+    /// the file is one that `gateway` reads
+    #[argh(switch)]
+    gateway: bool,
     /// the file
     #[argh(positional)]
     file: String,
@@ -31,7 +34,9 @@
 /// Checks a file.
 pub fn execute(command: &CheckCommand) -> Result<(), CommandError> {
     let text = read(&command.file)?;
-    if command.settings {
+    if command.gateway {
+        check_gateway(command, &text)?;
+    } else if command.settings {
         Settings::parse(&command.file, &text).map_err(|faults| report(&faults))?;
     } else {
         Document::parse(&command.file, &text).map_err(|faults| report(&faults))?;
@@ -40,6 +45,17 @@
     Ok(())
 }
 
+/// Checks a file that `gateway` reads.
+fn check_gateway(command: &CheckCommand, text: &str) -> Result<(), CommandError> {
+    let result = if command.settings {
+        let settings = cactuslane_platform::Settings::parse(text);
+        settings.map(|_| ()).map_err(|fault| fault.to_string())
+    } else {
+        cactuslane_platform::document::decode(text.as_bytes()).map(|_| ())
+    };
+    result.map_err(|fault| CommandError::Usage(format!("{}: {fault}", command.file)))
+}
+
 /// Prints the hash of a token.
 pub fn hash_token(command: &HashTokenCommand) -> Result<(), CommandError> {
     if command.token.is_empty() {
--- a/crates/cactuslane/src/gateway.rs
+++ b/crates/cactuslane/src/gateway.rs
@@ -4,9 +4,10 @@
 
 use argh::FromArgs;
 use cactuslane_gateway::{Gateway, Running};
+use cactuslane_log::Form;
 use cactuslane_platform::Settings;
 use cactuslane_platform::settings::PATH_VARIABLE;
-use log::{info, warn};
+use log::{LevelFilter, info, warn};
 use tokio::signal::unix::{SignalKind, signal};
 use tokio::time::sleep;
 
@@ -22,6 +23,12 @@
     /// the settings file; by default the one that the platform's environment variable names
     #[argh(option)]
     settings: Option<String>,
+    /// least important lines that are written: error, warn, info or debug (default: info)
+    #[argh(option, default = "LevelFilter::Info")]
+    log_level: LevelFilter,
+    /// form of the lines: json, or text for people (default: json)
+    #[argh(option, default = "Form::Json")]
+    log_format: Form,
 }
 
 /// Interval at which the settings file is looked at without a signal.
@@ -29,7 +36,7 @@
 
 /// Runs one entry instance.
 pub async fn execute(command: GatewayCommand) -> Result<(), CommandError> {
-    let dropped = logs::start_lines();
+    let dropped = logs::start_lines(command.log_level, command.log_format);
     let path = match command.settings {
         Some(path) => path,
         None => std::env::var(PATH_VARIABLE).map_err(|_| {
--- a/crates/cactuslane/src/main.rs
+++ b/crates/cactuslane/src/main.rs
@@ -22,9 +22,12 @@
 /// Serves language models and plain services on a fixed fleet.
 #[derive(Debug, FromArgs)]
 struct Arguments {
+    /// print the version
+    #[argh(switch)]
+    version: bool,
     /// what to do
     #[argh(subcommand)]
-    command: Command,
+    command: Option<Command>,
 }
 
 /// A command.
@@ -72,12 +75,20 @@
 
 fn main() -> ExitCode {
     let arguments: Arguments = argh::from_env();
+    if arguments.version {
+        println!("cactuslane {}", env!("CARGO_PKG_VERSION"));
+        return ExitCode::SUCCESS;
+    }
+    let Some(command) = arguments.command else {
+        let message = "no command: see cactuslane --help".to_owned();
+        return exit_code(Err(CommandError::Usage(message)));
+    };
     // Measurements make runtimes of their own.
-    if let Command::Capacity(command) = &arguments.command {
+    if let Command::Capacity(command) = &command {
         return exit_code(capacity::execute(command));
     }
     // A gateway has a part of one core; the other commands may use all of them.
-    let runtime = match &arguments.command {
+    let runtime = match &command {
         Command::Gateway(_) => tokio::runtime::Builder::new_current_thread()
             .enable_all()
             .build(),
@@ -90,7 +101,7 @@
             return ExitCode::FAILURE;
         }
     };
-    runtime.block_on(execute(arguments.command))
+    runtime.block_on(execute(command))
 }
 
 /// Executes a command and returns its exit code.
--- /dev/null
+++ b/crates/cactuslane/tests/surface.rs
@@ -0,0 +1,113 @@
+//! What the command line says, and its exit codes.
+
+use std::fs;
+use std::process::{Command, Output};
+
+use cactuslane_platform_standin::{document, settings_text};
+use yare::parameterized;
+
+/// Runs the program.
+fn cactuslane(arguments: &[&str]) -> Output {
+    let command = Command::new(env!("CARGO_BIN_EXE_cactuslane"))
+        .args(arguments)
+        .output();
+    command.expect("it runs")
+}
+
+/// Returns what was printed.
+fn text(bytes: Vec<u8>) -> String {
+    String::from_utf8(bytes).expect("it is text")
+}
+
+#[test]
+fn the_version_is_printed() {
+    let output = cactuslane(&["--version"]);
+    assert_eq!(output.status.code(), Some(0));
+    let version = env!("CARGO_PKG_VERSION");
+    assert_eq!(text(output.stdout), format!("cactuslane {version}\n"));
+}
+
+#[parameterized(
+    run = { "run" },
+    gateway = { "gateway" },
+    config = { "config" },
+    status = { "status" },
+    explain = { "explain" },
+    logs = { "logs" },
+    soak = { "soak" },
+    load = { "load" },
+    compare = { "compare" },
+    check = { "check" },
+    hash_token = { "hash-token" },
+    capacity = { "capacity" },
+    bench = { "bench" },
+    demo = { "demo" },
+)]
+fn each_command_has_help_for_80_columns(name: &str) {
+    let output = cactuslane(&[name, "--help"]);
+    assert_eq!(output.status.code(), Some(0));
+    let help = text(output.stdout);
+    assert!(
+        help.starts_with(&format!("Usage: cactuslane {name}")),
+        "{help}"
+    );
+    let options = help.lines().skip_while(|line| *line != "Options:");
+    assert!(options.clone().count() > 1, "{help}");
+    for line in options {
+        assert!(line.len() <= 80, "{line}");
+    }
+}
+
+#[parameterized(
+    none = { &[], 2, "no command" },
+    no_files = { &["logs", "r1"], 2, "no log files" },
+    no_address = { &["load"], 2, "name one or several addresses" },
+    no_weight = { &["load", "127.0.0.1:1", "--kinds", "/a"], 2, "PATH:WEIGHT" },
+    bad_burst = { &["load", "127.0.0.1:1", "--burst", "1:2"], 2, "START:SECONDS:FACTOR" },
+    no_figures = { &["compare", "/nowhere/a", "/nowhere/b"], 2, "/nowhere/a" },
+    no_instance = { &["soak", "--instances", "0"], 2, "at least one instance" },
+    no_settings = { &["check", "--gateway", "--settings", "/nowhere/a"], 2, "check the path" },
+)]
+fn a_wrong_call_has_a_cure(arguments: &[&str], code: i32, cure: &str) {
+    let output = cactuslane(arguments);
+    assert_eq!(output.status.code(), Some(code));
+    let error = text(output.stderr);
+    assert!(error.contains(cure), "{error}");
+}
+
+#[test]
+fn files_of_the_gateway_are_checked() {
+    let folder = std::env::temp_dir().join(format!("cactuslane-check-{}", std::process::id()));
+    fs::create_dir_all(&folder).expect("it is made");
+    let check = |name: &str, content: &str, settings: bool| {
+        let path = folder.join(name);
+        fs::write(&path, content).expect("it is written");
+        let mut arguments = vec!["check", "--gateway"];
+        if settings {
+            arguments.push("--settings");
+        }
+        arguments.push(path.to_str().expect("it is text"));
+        let output = cactuslane(&arguments);
+        (output.status.code(), text(output.stderr))
+    };
+    let settings = settings_text("front-1", "127.0.0.1:1".parse().expect("it is an address"));
+    assert_eq!(check("good.toml", &settings, true).0, Some(0));
+    let (code, error) = check(
+        "bad.toml",
+        &settings.replace("grace_s = 8", "grace_s = 'x'"),
+        true,
+    );
+    assert_eq!(code, Some(2));
+    assert!(
+        error.contains("bad.toml") && error.contains("grace_s"),
+        "{error}"
+    );
+    assert_eq!(
+        check("good.json", &document(3).to_string(), false).0,
+        Some(0)
+    );
+    let (code, error) = check("bad.json", "{ \"version\": \"x\" }", false);
+    assert_eq!(code, Some(2));
+    assert!(error.contains("bad.json"), "{error}");
+    fs::remove_dir_all(&folder).expect("it is removed");
+}
