Renew entries less often in a large fleet while the store is in trouble

Ruled out: the watches, which wait 1.5 s for news of others anyway.

Change: the pause after a renewal that failed grows with the instances that are heard beyond eight, up to eight times.

--- a/crates/cactuslane-gateway/src/control.rs
+++ b/crates/cactuslane-gateway/src/control.rs
@@ -29,6 +29,10 @@
 const LONG_TTL: Duration = Duration::from_secs(9);
 /// Part of its time to live after which a lease is renewed, so that two renewals may be lost.
 const RENEW_PART: f64 = 0.325;
+/// Instances that call a store in trouble as often as they can; more share these calls.
+const CALLERS: f64 = 8.0;
+/// Largest factor on a pause: within a lease there must be time for several calls.
+const MAX_FACTOR: f64 = 8.0;
 /// Attempts to announce that the instance is leaving.
 const ANNOUNCE_ATTEMPTS: u32 = 4;
 
@@ -62,7 +66,8 @@
             }
             Err(error) => {
                 warn!(error:% = error; "registration not renewed");
-                random_pause()
+                let others = gateway.members().alive(gateway.now()).len();
+                random_pause().mul_f64(fleet_factor(others))
             }
         };
         tokio::time::sleep(pause).await;
@@ -263,6 +268,17 @@
     serde_json::to_vec(&member).unwrap_or_default()
 }
 
+/// Returns the factor on pauses after failed calls with which a fleet calls as often as a small one.
+///
+/// `others` are the other instances that were heard lately.
+#[must_use]
+pub fn fleet_factor(others: usize) -> f64 {
+    if is_small(others) {
+        return 1.0;
+    }
+    (others as f64 / CALLERS).clamp(1.0, MAX_FACTOR)
+}
+
 /// Returns a pause of random length, so that instances don't call in step.
 #[must_use]
 pub fn random_pause() -> Duration {
--- a/crates/cactuslane-gateway/tests/relay.rs
+++ b/crates/cactuslane-gateway/tests/relay.rs
@@ -1,5 +1,6 @@
 //! Changes of the store that instances pass on to each other.
 
+use cactuslane_gateway::control::fleet_factor;
 use cactuslane_gateway::relay::{Relay, Taken, watches};
 use cactuslane_store::kv::{Change, Changes, Item};
 use yare::parameterized;
@@ -110,3 +111,15 @@
     }
     assert_eq!(watching, expected);
 }
+
+/// A fleet registers anew with a store in trouble about as often as a dozen instances, up to a factor.
+#[parameterized(
+    small = { 6, 12.0 },
+    large = { 72, 12.0 },
+    target = { 329, 42.0 },
+)]
+fn a_store_in_trouble_is_called_as_by_few(others: usize, most: f64) {
+    let calls = (others + 1) as f64 / fleet_factor(others);
+    assert!(calls <= most, "{calls}");
+    assert!(fleet_factor(others) <= 8.0);
+}
