Name observations and stalled links by the usual terms

Cause: reading as a newcomer: what instances saw of targets was called news and sights, a connection that passes nothing any more hushed.

Change: names and comments alone.

Measured: the cases of the three crates pass.

--- a/crates/cactuslane-gateway/src/fleet.rs
+++ b/crates/cactuslane-gateway/src/fleet.rs
@@ -6,7 +6,7 @@
 
 use cactuslane_flight::document::Document;
 use cactuslane_flight::target::{Target, TargetState};
-use cactuslane_place::Sight;
+use cactuslane_place::Observed;
 use cactuslane_types::{Millis, Role, TargetId};
 
 /// Time in which an engine that showed one role and then the other counts as changing, in
@@ -142,8 +142,8 @@
 
     /// Records that another target was found at a target's address.
     ///
-    /// It gets no more work until its entry changes. The sight is of the process that started at a
-    /// time; false if it is no news of the one that is known.
+    /// It gets no more work until its entry changes. The observation is of the process that started
+    /// at a time; false if it changes nothing for the one that is known.
     pub fn saw_replaced(&mut self, id: &str, born: Option<u64>) -> bool {
         let known = self.targets.get_mut(id);
         let Some(entry) = known.filter(|entry| entry.target.born == born) else {
@@ -160,15 +160,15 @@
     /// Records that a target's own answer shows another role than the store names.
     ///
     /// An engine that shows one role and soon the other is changing: it refuses work of either kind,
-    /// and gets none for a while. The sight is of the process that started at a time; nothing is
-    /// returned if it is no news of the one that is known.
+    /// and gets none for a while. The observation is of the process that started at a time;
+    /// nothing is returned if it changes nothing for the one that is known.
     pub fn saw_role(
         &mut self,
         id: &str,
         born: Option<u64>,
         role: Role,
         now: Millis,
-    ) -> Option<Sight> {
+    ) -> Option<Observed> {
         let known = self.targets.get_mut(id);
         let entry = known.filter(|entry| entry.target.born == born)?;
         if entry.target.role == role || now < entry.changing {
@@ -179,21 +179,22 @@
         entry.target.role = role;
         if before.is_some_and(|before| now < before + CONTRADICTION) {
             entry.changing = now + CHANGING_PAUSE;
-            return Some(Sight::Changing);
+            return Some(Observed::Changing);
         }
-        Some(Sight::Role(role))
+        Some(Observed::Role(role))
     }
 
-    /// Records that another instance saw that a target is changing its role; false if it is no news.
+    /// Records that another instance saw that a target is changing its role; false if that
+    /// was known.
     pub fn heard_changing(&mut self, id: &str, born: Option<u64>, now: Millis) -> bool {
         let known = self.targets.get_mut(id);
         let Some(entry) = known.filter(|entry| entry.target.born == born) else {
             return false;
         };
-        let news = now >= entry.changing;
+        let new = now >= entry.changing;
         entry.shown = Some(now);
         entry.changing = now + CHANGING_PAUSE;
-        news
+        new
     }
 
     /// Removes a target whose entry can't be read.
--- a/crates/cactuslane-gateway/src/office.rs
+++ b/crates/cactuslane-gateway/src/office.rs
@@ -61,7 +61,7 @@
 
     /// Takes what the store says of the holder, with the revision that says so.
     ///
-    /// News from before this process took the office is old. An office that this process took
+    /// Observation from before this process took the office is old. An office that this process took
     /// without getting the answer is found here; it settles for `settle` milliseconds.
     pub fn observed(
         &mut self,
--- a/crates/cactuslane-gateway/src/peers.rs
+++ b/crates/cactuslane-gateway/src/peers.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use cactuslane_place::picture::Told;
-use cactuslane_place::{News, Sight};
+use cactuslane_place::{Observation, Observed};
 use log::{debug, info, warn};
 use serde::{Deserialize, Serialize};
 use tokio::time::{Instant, MissedTickBehavior, interval};
@@ -22,8 +22,8 @@
 const HEARTBEAT: Duration = Duration::from_millis(400);
 /// Largest message that is received, in bytes.
 const MAX_MESSAGE: usize = 32 << 10;
-/// Most news of targets in one message, so that it fits; the rest goes with the next one.
-const MAX_NEWS: usize = 50;
+/// Most observations of targets in one message, so that it fits; the rest goes with the next one.
+const MAX_OBSERVATIONS: usize = 50;
 /// Most uses of prompt parts in one message, so that it fits; the rest goes with the next one.
 const MAX_USES: usize = 100;
 
@@ -90,10 +90,10 @@
         let (loads, uses) = (placer.picture.loads(), placer.take_untold(MAX_USES));
         let work = placer.picture.own_placed();
         let changing = placer.picture.own_changing().to_vec();
-        let news = placer.news.take(MAX_NEWS);
+        let observations = placer.observations.take(MAX_OBSERVATIONS);
         drop(placer);
         let same = loads == self.told;
-        if same && uses.is_empty() && news.is_empty() && self.at.elapsed() < HEARTBEAT {
+        if same && uses.is_empty() && observations.is_empty() && self.at.elapsed() < HEARTBEAT {
             return;
         }
         self.sequence += 1;
@@ -105,7 +105,7 @@
             uses,
             placed: work,
             changing,
-            news,
+            observations,
         };
         self.told.clone_from(&told.loads);
         self.at = Instant::now();
@@ -163,23 +163,25 @@
         found.map_or(0, |(_, memory)| *memory)
     };
     gateway.placer().hear(&told, memory, now);
-    for news in &told.news {
-        hear_news(gateway, news, &told.instance);
+    for observation in &told.observations {
+        hear_observation(gateway, observation, &told.instance);
     }
 }
 
 /// Takes what another instance saw of a target.
-fn hear_news(gateway: &Gateway, news: &News, peer: &str) {
+fn hear_observation(gateway: &Gateway, observation: &Observation, peer: &str) {
     let now = gateway.now();
     let mut fleet = gateway.fleet();
-    let believed = match news.sight {
-        Sight::Role(role) => fleet.saw_role(&news.target, news.born, role, now).is_some(),
-        Sight::Changing => fleet.heard_changing(&news.target, news.born, now),
-        Sight::Replaced => fleet.saw_replaced(&news.target, news.born),
-        Sight::Failed => false,
+    let believed = match observation.observed {
+        Observed::Role(role) => fleet
+            .saw_role(&observation.target, observation.born, role, now)
+            .is_some(),
+        Observed::Changing => fleet.heard_changing(&observation.target, observation.born, now),
+        Observed::Replaced => fleet.saw_replaced(&observation.target, observation.born),
+        Observed::Failed => false,
     };
     if believed {
-        info!(target_id = news.target, peer, sight:? = news.sight; "heard of a target");
+        info!(target_id = observation.target, peer, observed:? = observation.observed; "heard of a target");
     }
 }
 
--- a/crates/cactuslane-gateway/src/plain.rs
+++ b/crates/cactuslane-gateway/src/plain.rs
@@ -5,7 +5,7 @@
 
 use cactuslane_flight::target::Target;
 use cactuslane_flight::{Ending, Flight, Refusal, Step};
-use cactuslane_place::{Load, News, Sight};
+use cactuslane_place::{Load, Observation, Observed};
 use cactuslane_platform::exchange::{self, Sent, Verdict};
 use cactuslane_types::Role;
 use http_body_util::{BodyExt, Full, Limited};
@@ -205,18 +205,18 @@
             Role::Decode => Role::Prefill,
             Role::Mixed => Role::Mixed,
         };
-        let sight = gateway
+        let observed = gateway
             .fleet()
             .saw_role(&target.id, target.born, role, gateway.now());
-        if let Some(sight) = sight {
-            info!(target_id = target.id, sight:? = sight; "target has another role");
-            tell(gateway, target, sight);
+        if let Some(observed) = observed {
+            info!(target_id = target.id, observed:? = observed; "target has another role");
+            tell(gateway, target, observed);
         }
     }
     let replaced = verdict == Verdict::Replaced;
     if replaced && gateway.fleet().saw_replaced(&target.id, target.born) {
         info!(target_id = target.id; "another target has the address");
-        tell(gateway, target, Sight::Replaced);
+        tell(gateway, target, Observed::Replaced);
     }
     match verdict {
         Verdict::Answer => Ok((lent, response)),
@@ -235,11 +235,11 @@
 }
 
 /// Tells the other instances what was seen of a target.
-fn tell(gateway: &Gateway, target: &Target, sight: Sight) {
-    gateway.placer().news.add(News {
+fn tell(gateway: &Gateway, target: &Target, observed: Observed) {
+    gateway.placer().observations.add(Observation {
         target: target.id.clone(),
         born: target.born,
-        sight,
+        observed,
     });
 }
 
--- a/crates/cactuslane-gateway/tests/knowledge.rs
+++ b/crates/cactuslane-gateway/tests/knowledge.rs
@@ -9,7 +9,7 @@
 use cactuslane_gateway::members::{Member, Members};
 use cactuslane_gateway::office::{Holder, Office};
 use cactuslane_gateway::watch::watch_wait;
-use cactuslane_place::Sight;
+use cactuslane_place::Observed;
 use cactuslane_store::kv::WATCH_GRACE;
 use cactuslane_types::Role;
 use yare::parameterized;
@@ -279,19 +279,25 @@
     let saw = |fleet: &mut Fleet, role, now| fleet.saw_role("i-1", Some(1), role, now);
     assert_eq!(
         saw(&mut fleet, Role::Prefill, 1_000),
-        Some(Sight::Role(Role::Prefill))
+        Some(Observed::Role(Role::Prefill))
     );
     assert_eq!(ids(&fleet, 1_100), ["i-1"]);
-    assert_eq!(saw(&mut fleet, Role::Decode, 1_200), Some(Sight::Changing));
+    assert_eq!(
+        saw(&mut fleet, Role::Decode, 1_200),
+        Some(Observed::Changing)
+    );
     assert!(ids(&fleet, 2_100).is_empty());
     // What was sent before says nothing new.
     assert_eq!(saw(&mut fleet, Role::Prefill, 1_300), None);
     assert_eq!(ids(&fleet, 2_200), ["i-1"]);
-    assert_eq!(saw(&mut fleet, Role::Prefill, 2_300), Some(Sight::Changing));
+    assert_eq!(
+        saw(&mut fleet, Role::Prefill, 2_300),
+        Some(Observed::Changing)
+    );
     // Long after, one answer is believed again.
     assert_eq!(
         saw(&mut fleet, Role::Decode, 9_000),
-        Some(Sight::Role(Role::Decode))
+        Some(Observed::Role(Role::Decode))
     );
     assert!(fleet.heard_changing("i-1", Some(1), 9_100));
     assert!(!fleet.heard_changing("i-1", Some(1), 9_200));
--- a/crates/cactuslane-place/src/lib.rs
+++ b/crates/cactuslane-place/src/lib.rs
@@ -4,14 +4,14 @@
 //! and from what it believes of their prefix caches ([`CacheBelief`]).
 
 pub mod cache;
-pub mod news;
+pub mod observations;
 pub mod picture;
 pub mod placer;
 pub mod roles;
 pub mod speed;
 
 pub use cache::CacheBelief;
-pub use news::{News, Sight};
+pub use observations::{Observation, Observed};
 pub use picture::{Load, Picture, Placed, Told, Use};
 pub use placer::{Placement, Placer, Plan, Wanted};
 pub use roles::RolePlan;
--- a/crates/cactuslane-place/src/picture.rs
+++ b/crates/cactuslane-place/src/picture.rs
@@ -6,7 +6,7 @@
 use cactuslane_types::{InstanceId, Millis, TargetId};
 use serde::{Deserialize, Serialize};
 
-use crate::news::News;
+use crate::observations::Observation;
 
 /// Age at which what another instance told no longer counts, in milliseconds.
 const TOLD_LIFETIME: Millis = 1500;
@@ -62,7 +62,7 @@
     /// The engines whose role it is changing.
     pub changing: Vec<TargetId>,
     /// What it saw of targets since the message before.
-    pub news: Vec<News>,
+    pub observations: Vec<Observation>,
 }
 
 /// What one other instance told last.
--- a/crates/cactuslane-place/src/placer.rs
+++ b/crates/cactuslane-place/src/placer.rs
@@ -14,7 +14,7 @@
 use rand_pcg::Pcg64Mcg;
 
 use crate::cache::CacheBelief;
-use crate::news::{Newsroom, Sight};
+use crate::observations::{Observations, Observed};
 use crate::picture::{Picture, Told, Use, heard_parts, told_parts};
 use crate::speed::PromptSpeed;
 
@@ -45,7 +45,7 @@
     /// The health of the targets.
     health: BTreeMap<TargetId, Condition>,
     /// What instances tell each other of targets.
-    pub news: Newsroom,
+    pub observations: Observations,
     /// The uses that the other instances have not been told.
     untold: Vec<Use>,
     /// The failure domain of this instance.
@@ -122,7 +122,7 @@
             speed: PromptSpeed::default(),
             caches: BTreeMap::new(),
             health: BTreeMap::new(),
-            news: Newsroom::default(),
+            observations: Observations::default(),
             untold: Vec::new(),
             domain,
             random: Pcg64Mcg::seed_from_u64(seed),
@@ -226,7 +226,7 @@
 
     /// Records that a target gave no whole answer.
     pub fn failed(&mut self, target: &str, now: Millis) {
-        self.news.failed(target, now);
+        self.observations.failed(target, now);
         let condition = self.health.entry(target.to_owned()).or_default();
         condition.health.failed(now);
     }
@@ -262,9 +262,9 @@
     pub fn hear(&mut self, told: &Told, memory: impl Fn(&str) -> u64, now: Millis) {
         // Uses count even from a message that came late.
         if self.picture.hear(told, now) {
-            for news in &told.news {
-                if news.sight == Sight::Failed {
-                    self.hear_failed(&news.target, &told.instance, now);
+            for observation in &told.observations {
+                if observation.observed == Observed::Failed {
+                    self.hear_failed(&observation.target, &told.instance, now);
                 }
             }
         }
@@ -283,7 +283,7 @@
 
     /// Leaves a target alone for a while that fails others, unless it is in doubt here already.
     fn hear_failed(&mut self, target: &str, instance: &str, now: Millis) {
-        if !self.news.hear_failed(target, instance, now) {
+        if !self.observations.hear_failed(target, instance, now) {
             return;
         }
         let condition = self.health.entry(target.to_owned()).or_default();
--- a/crates/cactuslane-place/tests/placing.rs
+++ b/crates/cactuslane-place/tests/placing.rs
@@ -6,7 +6,9 @@
 use cactuslane_flight::document::Engine;
 use cactuslane_flight::target::{Target, TargetState};
 use cactuslane_place::picture::Told;
-use cactuslane_place::{CacheBelief, Load, News, Placed, Placement, Placer, Plan, Sight, Wanted};
+use cactuslane_place::{
+    CacheBelief, Load, Observation, Observed, Placed, Placement, Placer, Plan, Wanted,
+};
 use cactuslane_types::Role;
 use yare::parameterized;
 
@@ -149,7 +151,7 @@
         uses: Vec::new(),
         placed: Placed::default(),
         changing: vec!["d1".to_owned()],
-        news: Vec::new(),
+        observations: Vec::new(),
     };
     placer.hear(&told, |_| 0, 10_000);
     let plan = place(&mut placer, &fleet(), &ask(0, 4_000));
@@ -298,10 +300,10 @@
         uses: Vec::new(),
         placed: Placed::default(),
         changing: Vec::new(),
-        news: vec![News {
+        observations: vec![Observation {
             target: "p1".to_owned(),
             born: None,
-            sight: Sight::Failed,
+            observed: Observed::Failed,
         }],
     }
 }
@@ -325,6 +327,6 @@
     for now in [0, 400, 900, 1_100] {
         placer.failed("p1", now);
     }
-    assert_eq!(placer.news.take(9).len(), 2);
-    assert!(placer.news.take(9).is_empty());
+    assert_eq!(placer.observations.take(9).len(), 2);
+    assert!(placer.observations.take(9).is_empty());
 }
--- a/crates/cactuslane-soak/src/plan.rs
+++ b/crates/cactuslane-soak/src/plan.rs
@@ -85,8 +85,8 @@
 pub enum Link {
     /// Those that are open are reset; new ones work.
     Reset,
-    /// Those that are open fall silent for good; new ones work.
-    Hush,
+    /// Those that are open stall for good; new ones work.
+    Stall,
     /// Nothing passes either way.
     Silent,
     /// Nothing passes to the server.
@@ -220,7 +220,7 @@
     let late = Duration::from_millis(random.random_range(5..200));
     let links = [
         Link::Reset,
-        Link::Hush,
+        Link::Stall,
         Link::Silent,
         Link::CutUp,
         Link::CutDown,
--- a/crates/cactuslane-soak/src/proxy.rs
+++ b/crates/cactuslane-soak/src/proxy.rs
@@ -57,11 +57,11 @@
         })
     }
 
-    /// Harms connections until [`Self::heal`] is called; resets and hushes happen once.
+    /// Harms connections until [`Self::heal`] is called; resets and stalls happen once.
     pub fn harm(&self, link: Link) {
         match link {
             Link::Reset => self.reset(),
-            Link::Hush => self.hush(),
+            Link::Stall => self.stall(),
             _ => {
                 self.state.harm.send_replace(Some(link));
             }
@@ -84,10 +84,10 @@
     }
 
     /// Makes all open connections silent for good.
-    fn hush(&self) {
+    fn stall(&self) {
         let open = self.state.open.lock();
-        for (_, hushed) in open.unwrap_or_else(PoisonError::into_inner).iter() {
-            hushed.send_replace(true);
+        for (_, stalled) in open.unwrap_or_else(PoisonError::into_inner).iter() {
+            stalled.send_replace(true);
         }
     }
 
@@ -108,12 +108,12 @@
 /// Accepts connections until the task is aborted.
 async fn accept(listener: TcpListener, server: SocketAddr, state: Arc<State>) {
     while let Ok((client, _)) = listener.accept().await {
-        let (hush, hushed) = watch::channel(false);
+        let (stall, stalled) = watch::channel(false);
         let harm = state.harm.subscribe();
-        let task = tokio::spawn(pass(client, server, harm, hushed));
+        let task = tokio::spawn(pass(client, server, harm, stalled));
         let mut open = state.open.lock().unwrap_or_else(PoisonError::into_inner);
         open.retain(|(task, _)| !task.is_finished());
-        open.push((task, hush));
+        open.push((task, stall));
     }
 }
 
@@ -122,7 +122,7 @@
     client: TcpStream,
     server: SocketAddr,
     harm: watch::Receiver<Option<Link>>,
-    hushed: watch::Receiver<bool>,
+    stalled: watch::Receiver<bool>,
 ) {
     // An aborted task resets both connections, as a broken path does.
     let reset = |stream: &TcpStream| {
@@ -140,14 +140,14 @@
         &mut from_client,
         &mut to_server,
         &harm,
-        &hushed,
+        &stalled,
         Link::CutUp,
     );
     let down = pump(
         &mut from_server,
         &mut to_client,
         &harm,
-        &hushed,
+        &stalled,
         Link::CutDown,
     );
     tokio::join!(up, down);
@@ -158,7 +158,7 @@
     from: &mut (impl AsyncRead + Unpin),
     to: &mut (impl AsyncWrite + Unpin),
     harm: &watch::Receiver<Option<Link>>,
-    hushed: &watch::Receiver<bool>,
+    stalled: &watch::Receiver<bool>,
     cut: Link,
 ) {
     let mut buffer = vec![0; BUFFER];
@@ -168,7 +168,7 @@
             Ok(read) => read,
         };
         let harm = *harm.borrow();
-        if *hushed.borrow() || harm == Some(Link::Silent) || harm == Some(cut) {
+        if *stalled.borrow() || harm == Some(Link::Silent) || harm == Some(cut) {
             continue;
         }
         if let Some(Link::Late(time)) = harm {
--- a/crates/cactuslane-soak/tests/proxy.rs
+++ b/crates/cactuslane-soak/tests/proxy.rs
@@ -43,7 +43,7 @@
 
 #[parameterized(
     reset = { Link::Reset, false, true },
-    hushed = { Link::Hush, true, true },
+    stalled = { Link::Stall, true, true },
     silent = { Link::Silent, true, false },
     cut_up = { Link::CutUp, true, false },
     cut_down = { Link::CutDown, true, false },
