Leave engines alone that reject again and again, and send prompts where they are on time

And a request whose caller left while it had no answer left no line.

Ruled out: the engines' load as told (they had none).

Change: two rejections in a row without an answer between count as a failure, which is told; what two others tell of a target prolongs the time for which it is left alone, also after a first pause. A prompt that is expected within 0.7 of its time at an engine that computes prompts goes there, whatever an engine that generates would take. Requests that are dropped unanswered are logged and counted.

--- a/crates/cactuslane-gateway/src/generation.rs
+++ b/crates/cactuslane-gateway/src/generation.rs
@@ -308,9 +308,7 @@
         let (connection, response) = match result {
             Ok(exchange) => exchange,
             Err((ending, why)) => {
-                if ending != Ending::Rejected {
-                    self.gateway.placer().failed(&target.id, now);
-                }
+                self.gateway.unanswered(&target.id, ending);
                 info!(request = self.job.ask.id, target_id = target.id, why; "no stream");
                 return Err((ending, None));
             }
--- a/crates/cactuslane-gateway/src/generation/prompt.rs
+++ b/crates/cactuslane-gateway/src/generation/prompt.rs
@@ -115,9 +115,7 @@
                 })
             }
             Err((ending, why)) => {
-                if ending != Ending::Rejected {
-                    self.gateway.placer().failed(&target.id, now);
-                }
+                self.gateway.unanswered(&target.id, ending);
                 Err((ending, why))
             }
         }
--- a/crates/cactuslane-gateway/src/ingress.rs
+++ b/crates/cactuslane-gateway/src/ingress.rs
@@ -55,6 +55,33 @@
     pub arrived: Instant,
 }
 
+/// A request that has no answer yet; dropping it before says that its caller has left.
+#[derive(Debug)]
+struct Unanswered {
+    /// The instance.
+    gateway: Arc<Gateway>,
+    /// The request's id.
+    request: String,
+    /// The time of its arrival.
+    arrived: Instant,
+    /// Whether it was answered.
+    over: bool,
+}
+
+impl Drop for Unanswered {
+    fn drop(&mut self) {
+        if self.over {
+            return;
+        }
+        self.gateway.metrics.answered("none", "left", None);
+        info!(
+            request = self.request,
+            since_arrival_ms = self.arrived.elapsed().as_millis() as u64;
+            "caller left without an answer"
+        );
+    }
+}
+
 /// Accepts callers until the task is ended.
 pub async fn serve(gateway: Arc<Gateway>, listener: TcpListener) {
     loop {
@@ -97,11 +124,18 @@
     let arrived = Instant::now();
     let ask = exchange::ask(request.headers());
     let id = ask.id.clone();
+    let mut unanswered = Unanswered {
+        gateway: gateway.clone(),
+        request: id.clone(),
+        arrived,
+        over: false,
+    };
     let (kind, mut response) = match read(gateway, ask, request).await {
         Ok(job) => (metrics::kind(&job.route), execute(gateway, job).await),
         Err(response) => ("none", response),
     };
     drop(guard);
+    unanswered.over = true;
     let status = response.status();
     let cause = response.extensions().get::<Cause>().map(|cause| cause.0);
     gateway.metrics.answered(kind, outcome(status), cause);
--- a/crates/cactuslane-gateway/src/plain.rs
+++ b/crates/cactuslane-gateway/src/plain.rs
@@ -141,9 +141,7 @@
             (None, Some(answer))
         }
         Err((ending, why)) => {
-            if ending != Ending::Rejected {
-                gateway.placer().failed(&target.id, now);
-            }
+            gateway.unanswered(&target.id, ending);
             info!(request = job.ask.id, target_id = target.id, why; "no answer of a target");
             (Some(ending), None)
         }
--- a/crates/cactuslane-gateway/src/state.rs
+++ b/crates/cactuslane-gateway/src/state.rs
@@ -5,6 +5,7 @@
 use std::sync::{Arc, Mutex, MutexGuard, OnceLock, PoisonError};
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
+use cactuslane_flight::Ending;
 use cactuslane_flight::budget::{RepeatBudget, USED_PART, slack_part};
 use cactuslane_flight::document::Document;
 use cactuslane_flight::target::Target;
@@ -206,6 +207,16 @@
         self.with_budget(service, |budget| budget.take(now))
     }
 
+    /// Records that an attempt at a target ended without an answer to the request.
+    pub fn unanswered(&self, target: &str, ending: Ending) {
+        let now = self.now();
+        if ending == Ending::Rejected {
+            self.placer().rejected(target, now);
+        } else {
+            self.placer().failed(target, now);
+        }
+    }
+
     /// Records work at a target until the guard is dropped.
     #[must_use]
     pub fn load(self: &Arc<Self>, target: &str, load: Load) -> LoadGuard {
--- a/crates/cactuslane-place/src/placer.rs
+++ b/crates/cactuslane-place/src/placer.rs
@@ -26,10 +26,16 @@
 const PAUSE_SHARE: f64 = 0.5;
 /// Pause between events that is assumed where a route states none, in milliseconds.
 const DEFAULT_PAUSE: f64 = 150.0;
+/// Part of the time for a first event within which a prompt that is computed elsewhere is surely on
+/// time.
+const ON_TIME_PART: f64 = 0.7;
 /// Age that the list of an engine's parts may have, in milliseconds.
 const LIST_AGE: Millis = 3_500;
 /// Failures in a row, of a target that answers, after which it is left alone for a while.
 const FAILURE_STREAK: u32 = 4;
+/// Rejections in a row after which a target is left alone for a while: one that rejects at once looks
+/// idle, and would draw ever more work.
+const REJECTION_STREAK: u32 = 2;
 /// Factor on the expected time above which a request is not taken any more.
 const REFUSE_FACTOR: f64 = 1.0;
 
@@ -61,6 +67,8 @@
     health: Health,
     /// The failures that it answered in a row.
     streak: u32,
+    /// The requests that it rejected in a row.
+    rejections: u32,
 }
 
 /// A generation to place.
@@ -176,6 +184,8 @@
         };
         let plan = match split {
             Some((cost, split)) if cost <= direct_cost => split,
+            // What is on time elsewhere need not hold up the streams of an engine that generates.
+            Some((_, split)) if split.expected <= objective * ON_TIME_PART => split,
             // A prompt that is too long here is better late elsewhere, but not far too late.
             Some((_, split)) if !fits && split.expected <= objective * 1.5 => split,
             _ => direct,
@@ -212,6 +222,7 @@
     pub fn answered(&mut self, target: &str, observed_ms: f64, expected_ms: f64, now: Millis) {
         let condition = self.health.entry(target.to_owned()).or_default();
         condition.streak = 0;
+        condition.rejections = 0;
         condition.health.answered(observed_ms, expected_ms, now);
     }
 
@@ -224,6 +235,16 @@
         }
     }
 
+    /// Records that a target rejected a request although its entry says that it takes work.
+    pub fn rejected(&mut self, target: &str, now: Millis) {
+        let condition = self.health.entry(target.to_owned()).or_default();
+        condition.rejections += 1;
+        if condition.rejections >= REJECTION_STREAK {
+            condition.health.failed(now);
+            self.observations.failed(target, now);
+        }
+    }
+
     /// Records that a target gave no whole answer.
     pub fn failed(&mut self, target: &str, now: Millis) {
         self.observations.failed(target, now);
@@ -281,13 +302,13 @@
         }
     }
 
-    /// Leaves a target alone for a while that fails others, unless it is in doubt here already.
+    /// Leaves a target alone for a while that fails others, unless it is left alone here already.
     fn hear_failed(&mut self, target: &str, instance: &str, now: Millis) {
         if !self.observations.hear_failed(target, instance, now) {
             return;
         }
         let condition = self.health.entry(target.to_owned()).or_default();
-        if condition.health.usable(now) == Usable::Free {
+        if condition.health.usable(now) != Usable::Never {
             condition.health.failed(now);
         }
     }
--- a/crates/cactuslane-place/tests/placing.rs
+++ b/crates/cactuslane-place/tests/placing.rs
@@ -330,3 +330,36 @@
     assert_eq!(placer.observations.take(9).len(), 2);
     assert!(placer.observations.take(9).is_empty());
 }
+
+/// An engine that rejects at once looks idle: it must not draw all work.
+#[test]
+fn an_engine_that_rejects_again_and_again_is_left_alone() {
+    let mut placer = Placer::new("a".to_owned(), 1);
+    placer.picture.add("p2", load(9_000, 1, 9_000));
+    let ask = ask(0, 4_000);
+    let chosen = |placer: &mut Placer| place(placer, &fleet(), &ask).prefill;
+    placer.rejected("p1", 9_900);
+    assert_eq!(chosen(&mut placer).as_deref(), Some("p1"));
+    placer.answered("p1", 1.0, 1.0, 9_910);
+    placer.rejected("p1", 9_920);
+    assert_eq!(chosen(&mut placer).as_deref(), Some("p1"));
+    placer.rejected("p1", 9_930);
+    assert_eq!(chosen(&mut placer).as_deref(), Some("p2"));
+}
+
+/// A prompt that is on time at an engine that computes prompts does not hold up streams, even where an
+/// idle engine that generates would begin sooner.
+#[test]
+fn a_prompt_that_is_on_time_elsewhere_goes_there() {
+    let mut placer = Placer::new("a".to_owned(), 1);
+    for id in ["p1", "p2"] {
+        placer.picture.add(id, load(9_000, 1, 9_000));
+    }
+    let plan = place(&mut placer, &fleet(), &ask(0, 1_100));
+    assert!(plan.prefill.is_some());
+    for id in ["p1", "p2"] {
+        placer.picture.add(id, load(40_000, 4, 40_000));
+    }
+    let plan = place(&mut placer, &fleet(), &ask(0, 1_100));
+    assert!(plan.prefill.is_none());
+}
