Count none of an update as known where one of its changes is too large to pass on

Cause: read in the code. An update may make several changes at one revision; a relay that ended before a large one said that it went up to that revision, so that the large change was never read.

Ruled out: updates with a large change first, which left a gap.

Change: the relay before a change that is too large ends before its revision, and the rest of that update is left out.

Measured: `an_update_with_a_large_change_is_a_gap_as_a_whole`, large change last, fails before.

Conclusion: mended.

--- a/crates/cactuslane-gateway/src/relay.rs
+++ b/crates/cactuslane-gateway/src/relay.rs
@@ -69,10 +69,15 @@
             let relayed = RelayedChange::of(change);
             let size = relayed.key.len() + relayed.value.as_ref().map_or(0, Vec::len);
             if size > MAX_BYTES {
-                relays.push(std::mem::replace(&mut relay, Self::after(relayed.revision)));
+                let next = Self::after(relayed.revision);
+                relays.push(std::mem::replace(&mut relay, next).before(relayed.revision));
                 bytes = 0;
                 continue;
             }
+            if relayed.revision <= relay.from {
+                // It belongs to an update of which something was too large.
+                continue;
+            }
             // A relay ends between two revisions, as one update may make several changes.
             if bytes + size > MAX_BYTES && relayed.revision > relay.to {
                 let next = Self::after(relay.to);
@@ -98,6 +103,13 @@
         }
     }
 
+    /// Returns the part of the relay before a revision, an update of which is missing in it.
+    fn before(mut self, revision: u64) -> Self {
+        self.changes.retain(|change| change.revision < revision);
+        self.to = self.to.min(revision - 1).max(self.from);
+        self
+    }
+
     /// Returns what an instance that knows all up to a revision makes of the relay.
     #[must_use]
     pub fn take(self, known: u64) -> Taken {
--- a/crates/cactuslane-gateway/tests/relay.rs
+++ b/crates/cactuslane-gateway/tests/relay.rs
@@ -112,6 +112,27 @@
     assert_eq!(watching, expected);
 }
 
+/// All of an update is missing where one of its changes is too large: none of it counts as known.
+#[parameterized(
+    large_first = { true },
+    large_last = { false },
+)]
+fn an_update_with_a_large_change_is_a_gap_as_a_whole(first: bool) {
+    let mut update = vec![written(5, 100_000), deleted(5)];
+    if !first {
+        update.reverse();
+    }
+    let changes = [vec![written(4, 10)], update, vec![written(6, 10)]].concat();
+    let packed = Changes {
+        changes,
+        revision: 6,
+    };
+    let relays = Relay::pack(3, &packed);
+    let (all, known, gap) = play(relays.clone(), 3);
+    assert_eq!((all, known, gap), (vec![written(4, 10)], 4, true));
+    assert_eq!(play(relays, 5), (vec![written(6, 10)], 6, false));
+}
+
 /// A fleet registers anew with a store in trouble about as often as a dozen instances, up to a factor.
 #[parameterized(
     small = { 6, 12.0 },
