Call one piece where the change had written a thing twice, and drop what nothing calls

Ruled out: one loop for whole answers and streams (they share the decisions of `Flight` and differ in what they do with an answer), and one wrapper for processes in tests, benchmark and soak (they differ in who reads the output, which is what two of them test).

--- a/crates/cactuslane-flight/src/flight.rs
+++ b/crates/cactuslane-flight/src/flight.rs
@@ -102,12 +102,6 @@
         self.repeat != Repeat::Never && self.runs + 1 < self.max_attempts
     }
 
-    /// Returns whether a target may have run the request.
-    #[must_use]
-    pub fn may_have_run(&self) -> bool {
-        self.runs > 0
-    }
-
     /// Records that the caller has the head of an answer.
     pub fn begin(&mut self) {
         self.began = true;
--- a/crates/cactuslane-gateway/src/caches.rs
+++ b/crates/cactuslane-gateway/src/caches.rs
@@ -4,7 +4,6 @@
 //! and an instance that has just started learns what the engines kept before.
 
 use std::collections::BTreeMap;
-use std::hash::{DefaultHasher, Hash, Hasher};
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -14,6 +13,7 @@
 use tokio::time::{Instant, sleep};
 
 use crate::engines;
+use crate::ranking::is_among;
 use crate::state::Gateway;
 
 /// Interval between looks for engines whose list is old.
@@ -71,19 +71,10 @@
             continue;
         }
         for target in fleet.targets(name, None, now) {
-            let mine = rank(&me, &target.id);
-            if others.iter().all(|other| rank(other, &target.id) < mine) {
+            if is_among(&me, &others, &target.id, 1) {
                 followed.push(target.clone());
             }
         }
     }
     followed
 }
-
-/// Ranks an instance for a thing that one instance takes care of; the highest does.
-#[must_use]
-pub fn rank(instance: &str, thing: &str) -> u64 {
-    let mut hasher = DefaultHasher::new();
-    (instance, thing).hash(&mut hasher);
-    hasher.finish()
-}
--- a/crates/cactuslane-gateway/src/control.rs
+++ b/crates/cactuslane-gateway/src/control.rs
@@ -66,8 +66,7 @@
             }
             Err(error) => {
                 warn!(error:% = error; "registration not renewed");
-                let others = gateway.members().alive(gateway.now()).len();
-                random_pause().mul_f64(fleet_factor(others))
+                random_pause().mul_f64(fleet_factor(gateway.others()))
             }
         };
         tokio::time::sleep(pause).await;
@@ -102,9 +101,8 @@
 
 /// Returns the time to live of a lease that is granted now, by which it is renewed as well.
 fn lease_ttl(gateway: &Gateway) -> Duration {
-    let others = gateway.members().alive(gateway.now()).len();
     let gives_orders = is_candidate(gateway) || gateway.office().is_held(boot_millis());
-    if is_small(others) || gives_orders {
+    if is_small(gateway.others()) || gives_orders {
         LEASE_TTL
     } else {
         LONG_TTL
--- a/crates/cactuslane-gateway/src/fleet.rs
+++ b/crates/cactuslane-gateway/src/fleet.rs
@@ -145,13 +145,18 @@
     /// It gets no more work until its entry changes. The observation is of the process that started
     /// at a time; false if it changes nothing for the one that is known.
     pub fn saw_replaced(&mut self, id: &str, born: Option<u64>) -> bool {
-        let known = self.targets.get_mut(id);
-        let Some(entry) = known.filter(|entry| entry.target.born == born) else {
+        let Some(entry) = self.process(id, born) else {
             return false;
         };
         !std::mem::replace(&mut entry.replaced, true)
     }
 
+    /// Returns the entry of a target if it is that of the process that started at a time.
+    fn process(&mut self, id: &str, born: Option<u64>) -> Option<&mut Entry> {
+        let known = self.targets.get_mut(id);
+        known.filter(|entry| entry.target.born == born)
+    }
+
     /// Returns whether another target was found at a target's address.
     fn is_replaced(&self, id: &str) -> bool {
         self.targets.get(id).is_some_and(|entry| entry.replaced)
@@ -169,8 +174,7 @@
         role: Role,
         now: Millis,
     ) -> Option<Observed> {
-        let known = self.targets.get_mut(id);
-        let entry = known.filter(|entry| entry.target.born == born)?;
+        let entry = self.process(id, born)?;
         if entry.target.role == role || now < entry.changing {
             return None;
         }
@@ -187,8 +191,7 @@
     /// Records that another instance saw that a target is changing its role; false if that
     /// was known.
     pub fn heard_changing(&mut self, id: &str, born: Option<u64>, now: Millis) -> bool {
-        let known = self.targets.get_mut(id);
-        let Some(entry) = known.filter(|entry| entry.target.born == born) else {
+        let Some(entry) = self.process(id, born) else {
             return false;
         };
         let new = now >= entry.changing;
--- a/crates/cactuslane-gateway/src/lib.rs
+++ b/crates/cactuslane-gateway/src/lib.rs
@@ -17,6 +17,7 @@
 pub mod orders;
 pub mod peers;
 pub mod plain;
+pub mod ranking;
 pub mod relay;
 pub mod reply;
 pub mod state;
@@ -84,15 +85,14 @@
             "started"
         );
         let gateway = Arc::new(Gateway::new(settings));
-        // It is set once: the state is new.
-        let _ = gateway.socket.set(socket);
+        let socket = Arc::new(socket);
         let (relays, heard) = watch::relays();
         let mut tasks = vec![
-            tokio::spawn(watch::follow(gateway.clone(), heard)),
+            tokio::spawn(watch::follow(gateway.clone(), socket.clone(), heard)),
             tokio::spawn(control::register(gateway.clone())),
             tokio::spawn(caches::follow(gateway.clone())),
             tokio::spawn(orders::hold_office(gateway.clone())),
-            tokio::spawn(peers::exchange(gateway.clone(), relays)),
+            tokio::spawn(peers::exchange(gateway.clone(), socket, relays)),
             tokio::spawn(ingress::serve(gateway.clone(), front)),
             tokio::spawn(directory::serve(gateway.clone(), ready)),
         ];
--- a/crates/cactuslane-gateway/src/members.rs
+++ b/crates/cactuslane-gateway/src/members.rs
@@ -53,6 +53,11 @@
     fn is_heard(&self, now: Millis) -> bool {
         self.heard.is_some_and(|heard| now <= heard + SILENCE)
     }
+
+    /// Returns whether the instance was heard lately and is not leaving.
+    fn is_alive(&self, now: Millis) -> bool {
+        self.is_heard(now) && !self.member.leaving
+    }
 }
 
 impl Members {
@@ -129,13 +134,20 @@
     pub fn alive(&self, now: Millis) -> Vec<InstanceId> {
         let mut alive = Vec::new();
         for (instance, known) in &self.members {
-            if known.is_heard(now) && !known.member.leaving {
+            if known.is_alive(now) {
                 alive.push(instance.clone());
             }
         }
         alive
     }
 
+    /// Returns the number of instances that were heard lately and are not leaving.
+    #[must_use]
+    pub fn count_alive(&self, now: Millis) -> usize {
+        let members = self.members.values();
+        members.filter(|known| known.is_alive(now)).count()
+    }
+
     /// Returns those of them in a failure domain.
     #[must_use]
     pub fn neighbours(&self, domain: &DomainName, now: Millis) -> Vec<InstanceId> {
--- a/crates/cactuslane-gateway/src/metrics.rs
+++ b/crates/cactuslane-gateway/src/metrics.rs
@@ -93,24 +93,43 @@
     /// Adds all metrics to the registry.
     fn register(&self, store_calls: &Family<CallLabels, Counter>) {
         let mut registry = self.registry.lock().unwrap_or_else(PoisonError::into_inner);
-        let help = "Final answers by kind of route and outcome";
-        registry.register("answers", help, self.answers.clone());
-        let help = "Final answers of the system's own that are no success, by cause";
-        registry.register("failures", help, self.failures.clone());
-        let help = "Attempts at targets that did not succeed, by their end";
-        registry.register("attempts", help, self.attempts.clone());
+        let counters = [
+            (
+                "answers",
+                "Final answers by kind of route and outcome",
+                &self.answers,
+            ),
+            (
+                "failures",
+                "Final answers of the system's own that are no success, by cause",
+                &self.failures,
+            ),
+            (
+                "attempts",
+                "Attempts at targets that did not succeed, by their end",
+                &self.attempts,
+            ),
+            (
+                "prompt_tokens",
+                "Prompt tokens of placed generations by source",
+                &self.prompt_tokens,
+            ),
+            (
+                "transfers",
+                "Transfers between engines that were asked for",
+                &self.transfers,
+            ),
+            ("orders", "Orders to engines by result", &self.orders),
+        ];
+        for (name, help, counter) in counters {
+            registry.register(name, help, counter.clone());
+        }
         let help = "Answers that broke off after they had begun";
         registry.register("cut_streams", help, self.cut_streams.clone());
         let help = "Time to the first byte of an answer";
         registry.register("first_byte_seconds", help, self.first_byte.clone());
         let help = "Time between the pieces of a stream";
         registry.register("pause_seconds", help, self.pauses.clone());
-        let help = "Prompt tokens of placed generations by source";
-        registry.register("prompt_tokens", help, self.prompt_tokens.clone());
-        let help = "Transfers between engines that were asked for";
-        registry.register("transfers", help, self.transfers.clone());
-        let help = "Orders to engines by result";
-        registry.register("orders", help, self.orders.clone());
         let help = "Calls to the store by verb and result";
         registry.register("store_calls", help, store_calls.clone());
         let gauges = &self.gauges;
--- a/crates/cactuslane-gateway/src/orders.rs
+++ b/crates/cactuslane-gateway/src/orders.rs
@@ -15,10 +15,10 @@
 use rand::Rng;
 use tokio::time::{Instant, sleep, timeout};
 
-use crate::caches::rank;
 use crate::control::LEASE_TTL;
 use crate::engines::{self, CALL_TIMEOUT, CallError};
 use crate::office::{Holder, LEADER, boot_millis};
+use crate::ranking::is_among;
 use crate::state::Gateway;
 
 /// Interval between looks at the office and the demand.
@@ -106,9 +106,7 @@
 pub fn is_candidate(gateway: &Gateway) -> bool {
     let me = gateway.settings().instance.clone();
     let others = gateway.members().alive(gateway.now());
-    let mine = rank(&me, LEADER);
-    let before = others.iter().filter(|other| rank(other, LEADER) > mine);
-    before.count() < CANDIDATES
+    is_among(&me, &others, LEADER, CANDIDATES)
 }
 
 /// Gives the office up, if it is held.
--- a/crates/cactuslane-gateway/src/peers.rs
+++ b/crates/cactuslane-gateway/src/peers.rs
@@ -8,6 +8,7 @@
 use cactuslane_place::{Observation, Observed};
 use log::{debug, info, warn};
 use serde::{Deserialize, Serialize};
+use tokio::net::UdpSocket;
 use tokio::time::{Instant, MissedTickBehavior, interval};
 
 use crate::relay::Relay;
@@ -37,10 +38,7 @@
 }
 
 /// Tells the others and hears them until the task is ended.
-pub async fn exchange(gateway: Arc<Gateway>, relays: RelaySender) {
-    let Some(socket) = gateway.socket.get() else {
-        return;
-    };
+pub async fn exchange(gateway: Arc<Gateway>, socket: Arc<UdpSocket>, relays: RelaySender) {
     let mut ticks = interval(INTERVAL);
     ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
     let mut buffer = vec![0; MAX_MESSAGE];
@@ -55,7 +53,7 @@
                 Ok((length, _)) => hear(&gateway, &buffer[..length], &relays),
                 Err(error) => debug!(error:% = error; "message not received"),
             },
-            _ = ticks.tick() => speaker.tell(&gateway),
+            _ = ticks.tick() => speaker.tell(&gateway, &socket),
         }
     }
 }
@@ -73,7 +71,7 @@
 
 impl Speaker {
     /// Tells the others if there is something new, or if they heard nothing for long.
-    fn tell(&mut self, gateway: &Gateway) {
+    fn tell(&mut self, gateway: &Gateway, socket: &UdpSocket) {
         let now = gateway.now();
         let sharers = gateway.members().sharers() as f64;
         // Half an interval more or less is the granularity of the ticks.
@@ -109,23 +107,20 @@
         };
         self.told.clone_from(&told.loads);
         self.at = Instant::now();
-        send(gateway, &Message::Told(told), &gateway.members().peers());
+        send(socket, &Message::Told(told), &gateway.members().peers());
     }
 }
 
 /// Passes on what was read in the store to the instances of the same failure domain.
-pub fn relay(gateway: &Gateway, relays: Vec<Relay>) {
+pub fn pass_on(gateway: &Gateway, socket: &UdpSocket, relays: Vec<Relay>) {
     let peers = gateway.members().near_peers(&gateway.settings().domain);
     for relay in relays {
-        send(gateway, &Message::Relay(relay), &peers);
+        send(socket, &Message::Relay(relay), &peers);
     }
 }
 
 /// Sends a message to some instances.
-fn send(gateway: &Gateway, message: &Message, peers: &[SocketAddr]) {
-    let Some(socket) = gateway.socket.get() else {
-        return;
-    };
+fn send(socket: &UdpSocket, message: &Message, peers: &[SocketAddr]) {
     let message = match postcard::to_stdvec(message) {
         Ok(message) => message,
         Err(error) => {
--- a/crates/cactuslane-gateway/src/relay.rs
+++ b/crates/cactuslane-gateway/src/relay.rs
@@ -7,7 +7,7 @@
 use cactuslane_types::{InstanceId, Millis};
 use serde::{Deserialize, Serialize};
 
-use crate::caches::rank;
+use crate::ranking::is_among;
 
 /// Instances up to which all read the store themselves: few calls are saved among so few.
 const SMALL_FLEET: usize = 12;
@@ -165,14 +165,7 @@
 /// `others` are the other instances that were heard lately, `neighbours` those of its domain.
 #[must_use]
 pub fn watches(me: &str, others: usize, neighbours: &[InstanceId]) -> bool {
-    if others < SMALL_FLEET {
-        return true;
-    }
-    let mine = rank(me, "watch");
-    let ahead = neighbours
-        .iter()
-        .filter(|other| rank(other, "watch") > mine);
-    ahead.count() < WATCHERS
+    is_small(others) || is_among(me, neighbours, "watch", WATCHERS)
 }
 
 /// Returns whether a fleet is so small that all its instances do all themselves.
--- a/crates/cactuslane-gateway/src/state.rs
+++ b/crates/cactuslane-gateway/src/state.rs
@@ -2,7 +2,7 @@
 
 use std::collections::BTreeMap;
 use std::sync::atomic::{AtomicUsize, Ordering};
-use std::sync::{Arc, Mutex, MutexGuard, OnceLock, PoisonError};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
 use cactuslane_flight::Ending;
@@ -13,7 +13,6 @@
 use cactuslane_platform::Settings;
 use cactuslane_store::kv::KvClient;
 use cactuslane_types::{Millis, ServiceName, TargetId};
-use tokio::net::UdpSocket;
 use tokio::time::Instant;
 
 use crate::fleet::Fleet;
@@ -41,8 +40,6 @@
     placer: Mutex<Placer>,
     /// The budgets of repeated sends by service.
     budgets: Mutex<BTreeMap<ServiceName, RepeatBudget>>,
-    /// The socket for messages between instances, once it is bound.
-    pub socket: OnceLock<UdpSocket>,
     /// The connections to targets.
     pub pool: Pool,
     /// The client of the store.
@@ -79,7 +76,6 @@
             office: Mutex::default(),
             placer: Mutex::new(placer),
             budgets: Mutex::default(),
-            socket: OnceLock::new(),
             pool: Pool::default(),
             store,
             metrics,
@@ -117,6 +113,12 @@
         lock(&self.members)
     }
 
+    /// Returns the number of other instances that were heard lately.
+    #[must_use]
+    pub fn others(&self) -> usize {
+        self.members().count_alive(self.now())
+    }
+
     /// Locks the office of the instance that gives orders.
     pub fn office(&self) -> MutexGuard<'_, Office> {
         lock(&self.office)
@@ -280,6 +282,9 @@
 impl LoadGuard {
     /// Records that the prompt is computed.
     pub fn prompt_done(&mut self) {
+        if self.load.prompt == 0 {
+            return;
+        }
         let done = Load {
             prompt: self.load.prompt,
             ..Load::default()
--- a/crates/cactuslane-gateway/src/watch.rs
+++ b/crates/cactuslane-gateway/src/watch.rs
@@ -6,11 +6,12 @@
 use cactuslane_store::kv::{Changes, KvError, WATCH_GRACE};
 use cactuslane_types::Millis;
 use log::{info, warn};
+use tokio::net::UdpSocket;
 use tokio::sync::mpsc;
 use tokio::time::{sleep, timeout};
 
 use crate::control::{apply, random_pause, read_all};
-use crate::peers::relay;
+use crate::peers::pass_on;
 use crate::relay::{self, Relay, SILENCE, Taken};
 use crate::state::Gateway;
 
@@ -45,11 +46,24 @@
     mpsc::channel(MAX_RELAYS)
 }
 
+/// How an instance gets to know of the store's changes.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Duty {
+    /// It watches the store for itself.
+    Watch,
+    /// It watches the store and passes the changes on.
+    Share,
+    /// It hears of them, and reads the store only where it does not.
+    Hear,
+}
+
 /// What an instance knows of the store.
 #[derive(Debug)]
 struct Follower {
     /// The instance.
     gateway: Arc<Gateway>,
+    /// The socket for messages to the others.
+    socket: Arc<UdpSocket>,
     /// The revision up to which all is known.
     revision: u64,
     /// Whether the last call succeeded.
@@ -59,7 +73,11 @@
 }
 
 /// Follows the store until the task is ended.
-pub async fn follow(gateway: Arc<Gateway>, mut relays: mpsc::Receiver<Relay>) {
+pub async fn follow(
+    gateway: Arc<Gateway>,
+    socket: Arc<UdpSocket>,
+    mut relays: mpsc::Receiver<Relay>,
+) {
     let mut well = true;
     loop {
         let revision = match read_all(&gateway).await {
@@ -72,6 +90,7 @@
         };
         let mut follower = Follower {
             gateway: gateway.clone(),
+            socket: socket.clone(),
             revision,
             well,
             read: gateway.now(),
@@ -85,14 +104,14 @@
     /// Follows the store until its history is gone.
     async fn run(&mut self, relays: &mut mpsc::Receiver<Relay>) {
         loop {
-            let watches = self.watches();
-            let pause = if watches {
-                watch_pause(&self.gateway)
-            } else {
-                Duration::ZERO
+            let duty = self.duty();
+            let pause = match duty {
+                Duty::Hear => Duration::ZERO,
+                Duty::Share => WATCH_PAUSE,
+                Duty::Watch => watch_pause(&self.gateway),
             };
-            let read = if watches || self.hear(relays).await {
-                self.read(watches).await
+            let read = if duty != Duty::Hear || self.hear(relays).await {
+                self.read(duty).await
             } else {
                 Ok(())
             };
@@ -110,13 +129,20 @@
         }
     }
 
-    /// Returns whether this instance reads the store for its failure domain.
-    fn watches(&self) -> bool {
+    /// Returns how this instance gets to know of changes now.
+    fn duty(&self) -> Duty {
         let now = self.gateway.now();
         let settings = self.gateway.settings();
         let members = self.gateway.members();
+        let others = members.count_alive(now);
         let neighbours = members.neighbours(&settings.domain, now);
-        relay::watches(&settings.instance, members.alive(now).len(), &neighbours)
+        if !relay::watches(&settings.instance, others, &neighbours) {
+            Duty::Hear
+        } else if relay::is_small(others) {
+            Duty::Watch
+        } else {
+            Duty::Share
+        }
     }
 
     /// Waits for what others pass on and takes it; true where the store has to be read.
@@ -145,13 +171,11 @@
     }
 
     /// Reads what has changed, and passes it on if others wait for it.
-    async fn read(&mut self, watches: bool) -> Result<(), KvError> {
-        let others = self.gateway.members().alive(self.gateway.now()).len();
-        let shared = watches && !relay::is_small(others);
-        let wait = match (watches, shared) {
-            (false, _) => NO_WAIT,
-            (true, true) => RELAY_WAIT,
-            (true, false) => watch_wait(self.gateway.settings().excused),
+    async fn read(&mut self, duty: Duty) -> Result<(), KvError> {
+        let wait = match duty {
+            Duty::Hear => NO_WAIT,
+            Duty::Share => RELAY_WAIT,
+            Duty::Watch => watch_wait(self.gateway.settings().excused),
         };
         let changes = self.gateway.store.watch(ALL, self.revision, wait).await?;
         let recovered = !std::mem::replace(&mut self.well, true);
@@ -160,12 +184,12 @@
         }
         self.read = self.gateway.now();
         self.gateway.fleet().note_heard(self.read);
-        if shared {
+        if duty == Duty::Share {
             let mut relays = Relay::pack(self.revision, &changes);
             for relay in &mut relays {
                 relay.recovered = recovered;
             }
-            relay(&self.gateway, relays);
+            pass_on(&self.gateway, &self.socket, relays);
         }
         self.take(changes);
         Ok(())
@@ -191,13 +215,9 @@
         .max(LEAST_WAIT)
 }
 
-/// Returns the pause between two watches, in which news gather.
+/// Returns the pause between two watches where all instances watch, in which news gather.
 fn watch_pause(gateway: &Gateway) -> Duration {
-    let others = gateway.members().alive(gateway.now()).len();
-    if !relay::is_small(others) {
-        return WATCH_PAUSE;
-    }
-    let pause = WATCH_PAUSE.mul_f64(1.0 + others as f64 / WATCH_FLEET);
+    let pause = WATCH_PAUSE.mul_f64(1.0 + gateway.others() as f64 / WATCH_FLEET);
     pause.min(gateway.settings().apply.mul_f64(WATCH_PART))
 }
 
--- a/crates/cactuslane-soak/src/compare.rs
+++ b/crates/cactuslane-soak/src/compare.rs
@@ -3,12 +3,11 @@
 use std::fmt::Write as _;
 use std::io;
 
-use plotters::prelude::*;
+use plotters::style::{BLACK, BLUE};
 
 use crate::figures::{Figures, KindFigures, median_ratio};
+use crate::plot;
 
-/// Size of a plot, in pixels.
-const SIZE: (u32, u32) = (1000, 320);
 /// Seed of the samples from which intervals are estimated.
 const SEED: u64 = 1;
 
@@ -58,27 +57,13 @@
 ///
 /// Returns an error where the plot can't be drawn.
 pub fn page(table: &str, before: &Figures, after: &Figures) -> io::Result<String> {
-    let mut text = String::new();
     let seconds = before.seconds.len().max(after.seconds.len());
-    let served = |figures: &Figures| figures.seconds.iter().map(|second| second.1).max();
-    let most = served(before).max(served(after)).unwrap_or(1).max(1);
-    {
-        let area = SVGBackend::with_string(&mut text, SIZE).into_drawing_area();
-        let failed = |error: DrawingAreaErrorKind<_>| io::Error::other(error.to_string());
-        let mut chart = ChartBuilder::on(&area)
-            .margin(10)
-            .build_cartesian_2d(0.0..seconds as f64, 0.0..most as f64 * 1.1)
-            .map_err(failed)?;
-        for (figures, color) in [(before, BLACK), (after, BLUE)] {
-            let point =
-                |(second, counts): (usize, &(u64, u64))| (second as f64 + 0.5, counts.1 as f64);
-            let points = figures.seconds.iter().enumerate().map(point);
-            chart
-                .draw_series(LineSeries::new(points, color))
-                .map_err(failed)?;
-        }
-        area.present().map_err(failed)?;
-    }
+    let served =
+        |figures: &Figures| -> Vec<u64> { figures.seconds.iter().map(|second| second.1).collect() };
+    let series = [(served(before), BLACK), (served(after), BLUE)];
+    let numbers = series.iter().flat_map(|(numbers, _)| numbers);
+    let most = numbers.max().copied().unwrap_or(1).max(1);
+    let text = plot::draw(seconds as f64, most, &[], &series)?;
     let mut page = String::new();
     let written = writeln!(
         page,
--- a/crates/cactuslane-soak/src/lib.rs
+++ b/crates/cactuslane-soak/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod figures;
 pub mod load;
 pub mod plan;
+pub mod plot;
 pub mod process;
 pub mod proxy;
 pub mod report;
--- /dev/null
+++ b/crates/cactuslane-soak/src/plot.rs
@@ -0,0 +1,48 @@
+//! Plots of what happened in each second of a load.
+
+use std::io;
+
+use plotters::prelude::*;
+
+/// Size of a plot, in pixels.
+const SIZE: (u32, u32) = (1000, 320);
+/// Opacity of marks, so that the lines stand out.
+const MARK_OPACITY: f64 = 0.3;
+
+/// A line of one number a second, with its color.
+pub type Series = (Vec<u64>, RGBColor);
+
+/// Draws numbers a second as lines, up to a highest one, and marks at some seconds.
+///
+/// # Errors
+///
+/// Returns an error where the plot can't be drawn.
+pub fn draw(
+    seconds: f64,
+    most: u64,
+    marks: &[(f64, RGBColor)],
+    series: &[Series],
+) -> io::Result<String> {
+    let mut text = String::new();
+    let height = most as f64 * 1.1;
+    {
+        let area = SVGBackend::with_string(&mut text, SIZE).into_drawing_area();
+        let failed = |error: DrawingAreaErrorKind<_>| io::Error::other(error.to_string());
+        let mut chart = ChartBuilder::on(&area)
+            .margin(10)
+            .build_cartesian_2d(0.0..seconds, 0.0..height)
+            .map_err(failed)?;
+        for (at, color) in marks {
+            let line = LineSeries::new([(*at, 0.0), (*at, height)], color.mix(MARK_OPACITY));
+            chart.draw_series(line).map_err(failed)?;
+        }
+        for (numbers, color) in series {
+            let point = |(second, number): (usize, &u64)| (second as f64 + 0.5, *number as f64);
+            let points = numbers.iter().enumerate().map(point);
+            let line = LineSeries::new(points, color);
+            chart.draw_series(line).map_err(failed)?;
+        }
+        area.present().map_err(failed)?;
+    }
+    Ok(text)
+}
--- a/crates/cactuslane-soak/src/report.rs
+++ b/crates/cactuslane-soak/src/report.rs
@@ -6,15 +6,13 @@
 use std::path::Path;
 use std::time::Duration;
 
-use plotters::prelude::*;
+use plotters::style::{BLACK, BLUE, GREEN, RED};
 use serde::Serialize;
 
 use crate::check::{Broken, Checked};
 use crate::figures::{Figures, words};
 use crate::plan::PlanStep;
-
-/// Size of a plot, in pixels.
-const SIZE: (u32, u32) = (1000, 320);
+use crate::plot;
 
 /// What a run saw.
 #[derive(Clone, Debug, Serialize)]
@@ -102,34 +100,21 @@
 
     /// Returns the plot of requests a second, with the faults as lines.
     fn plot(&self) -> io::Result<String> {
-        let mut text = String::new();
-        let most = self.figures.seconds.iter().map(|second| second.0).max();
-        let (width, height) = (self.length.as_secs_f64(), most.unwrap_or(1) as f64 * 1.1);
-        {
-            let area = SVGBackend::with_string(&mut text, SIZE).into_drawing_area();
-            let failed = |error: DrawingAreaErrorKind<_>| io::Error::other(error.to_string());
-            let mut chart = ChartBuilder::on(&area)
-                .margin(10)
-                .build_cartesian_2d(0.0..width, 0.0..height)
-                .map_err(failed)?;
-            for step in &self.steps {
-                let color = if step.action.is_planned() { BLUE } else { RED };
-                let at = step.at.as_secs_f64();
-                let line = LineSeries::new([(at, 0.0), (at, height)], color.mix(0.3));
-                chart.draw_series(line).map_err(failed)?;
-            }
-            for (served, color) in [(false, BLACK), (true, GREEN)] {
-                let point = |(second, (sent, good)): (usize, &(u64, u64))| {
-                    let count = if served { *good } else { *sent };
-                    (second as f64 + 0.5, count as f64)
-                };
-                let points = self.figures.seconds.iter().enumerate().map(point);
-                chart
-                    .draw_series(LineSeries::new(points, color))
-                    .map_err(failed)?;
-            }
-            area.present().map_err(failed)?;
+        let seconds = &self.figures.seconds;
+        let most = seconds.iter().map(|second| second.0).max();
+        let mut marks = Vec::new();
+        for step in &self.steps {
+            let color = if step.action.is_planned() { BLUE } else { RED };
+            marks.push((step.at.as_secs_f64(), color));
         }
-        Ok(text)
+        let sent = seconds.iter().map(|second| second.0).collect();
+        let served = seconds.iter().map(|second| second.1).collect();
+        let series = [(sent, BLACK), (served, GREEN)];
+        plot::draw(
+            self.length.as_secs_f64(),
+            most.unwrap_or(1),
+            &marks,
+            &series,
+        )
     }
 }
--- a/crates/cactuslane-soak/src/run.rs
+++ b/crates/cactuslane-soak/src/run.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeMap;
 use std::io;
 use std::path::PathBuf;
-use std::sync::{Arc, PoisonError};
+use std::sync::PoisonError;
 use std::time::Duration;
 
 use cactuslane_platform_standin::{Fault, Mode, Store, Target, TargetKind, caller, document};
@@ -88,7 +88,7 @@
     HealStoreLink(usize),
     /// The connections to a target are healed.
     HealTargetLink(usize),
-    /// A target that left serves again; it began to leave at a time, after some runs.
+    /// A target that left serves again; it began to leave at a time.
     Serve(usize, Instant),
 }
 
@@ -405,7 +405,7 @@
 /// Asks an instance a question; nothing if it gives no whole answer in time.
 async fn question(address: &str) -> Option<Bytes> {
     let request = Request::get(address).body(Full::new(Bytes::new())).ok()?;
-    let client = Arc::new(Client::open_fresh());
+    let client = Client::open_fresh();
     let answer = timeout(QUESTION_TIMEOUT, client.whole(request)).await;
     let (status, body) = answer.ok()?.ok()?;
     (status == 200).then_some(body)
