--- a/crates/cactuslane-gateway/src/generation.rs
+++ b/crates/cactuslane-gateway/src/generation.rs
@@ -121,15 +121,13 @@
             }
             let plan = match self.place(left) {
                 Placement::Run(plan) => plan,
-                Placement::Overloaded { excess } => {
+                Placement::Overloaded {
+                    plan,
+                    excess,
+                    other_ms,
+                } => {
                     let after = (excess * 2 + OVERLOAD_RETRY_AFTER).min(left / 3);
-                    info!(
-                        request = self.request.info.id,
-                        excess_ms = excess.as_millis() as u64,
-                        left_ms = left.as_millis() as u64,
-                        come_back_ms = after.as_millis() as u64;
-                        "no engine would answer in time"
-                    );
+                    self.log_overload(&plan, excess, other_ms, left, after);
                     return final_answer(refuse(&self.request, &self.state, after, "overloaded"));
                 }
                 Placement::NoTarget => {
@@ -231,6 +229,42 @@
         placement
     }
 
+    /// Logs a refusal with the plan that would have been the best one, and the age of the beliefs
+    /// behind it.
+    fn log_overload(
+        &self,
+        plan: &Plan,
+        excess: Duration,
+        other_ms: Option<f64>,
+        left: Duration,
+        after: Duration,
+    ) {
+        let now = self.gateway.now();
+        let placer = self.gateway.placer();
+        let (peers, oldest) = placer.load_view.update_age(now);
+        let computing = plan.prefill.as_ref().unwrap_or(&plan.decode);
+        let load = placer.load_view.load(computing, now);
+        info!(
+            request = self.request.info.id,
+            route = self.request.route.name,
+            prompt = self.request.info.prompt_tokens,
+            target_id = plan.decode,
+            prefill = plan.prefill.as_deref().unwrap_or(""),
+            uncached = plan.uncached,
+            ahead = plan.ahead,
+            running = load.running,
+            expected_ms = plan.expected as u64,
+            other_ms = other_ms.map_or(0, |other_ms| other_ms as u64),
+            token_us = (placer.speed.prefill_ms(1.0) * 1000.0) as u64,
+            peers,
+            oldest_update_ms = oldest,
+            excess_ms = excess.as_millis() as u64,
+            left_ms = left.as_millis() as u64,
+            come_back_ms = after.as_millis() as u64;
+            "no engine would answer in time"
+        );
+    }
+
     /// Sends the request to the targets of a plan: to the prefill engine, if there is one, and then
     /// to the target that generates.
     ///
@@ -247,6 +281,8 @@
             .count_placement(plan, self.request.info.prompt_tokens);
         info!(
             request = self.request.info.id,
+            route = self.request.route.name,
+            prompt = self.request.info.prompt_tokens,
             target_id = plan.decode,
             prefill = plan.prefill.as_deref().unwrap_or(""),
             fetch = plan.fetch.as_deref().unwrap_or(""),
--- a/crates/cactuslane-place/src/load_view.rs
+++ b/crates/cactuslane-place/src/load_view.rs
@@ -229,6 +229,21 @@
         self.peers.remove(instance);
     }
 
+    /// Returns the number of other instances whose last updates count, and the age of the oldest
+    /// of these updates in milliseconds; 0 if there are none.
+    #[must_use]
+    pub fn update_age(&self, now: Millis) -> (usize, Millis) {
+        let (mut count, mut oldest) = (0, 0);
+        for peer in self.peers.values() {
+            let age = now.saturating_sub(peer.received);
+            if age <= PEER_LIFETIME {
+                count += 1;
+                oldest = oldest.max(age);
+            }
+        }
+        (count, oldest)
+    }
+
     /// Returns the load of this instance at a target and that of all others whose last update is
     /// recent.
     #[must_use]
--- a/crates/cactuslane-place/src/placer.rs
+++ b/crates/cactuslane-place/src/placer.rs
@@ -118,8 +118,13 @@
     Run(Plan),
     /// The first event of the best plan is expected only after the time left has passed.
     Overloaded {
+        /// Best plan, which is not carried out.
+        plan: Plan,
         /// Time by which the expected time to the first event exceeds the time left.
         excess: Duration,
+        /// Expected time to the first event of the plan that is not the best one, if there are two:
+        /// one with a prefill engine and one without.
+        other_ms: Option<f64>,
     },
     /// No usable target can serve the request.
     NoTarget,
@@ -193,6 +198,10 @@
         } else {
             None
         };
+        let times = (
+            direct.expected,
+            split.as_ref().map(|(_, split)| split.expected),
+        );
         let plan = match split {
             Some((cost, split)) if cost <= direct_cost => split,
             // A prompt that a prefill engine computes in time need not delay the streams of an
@@ -205,7 +214,17 @@
         };
         if plan.expected > left * REFUSE_FACTOR {
             let excess = Duration::from_secs_f64((plan.expected - left).max(0.0) / 1000.0);
-            return Placement::Overloaded { excess };
+            let (direct_ms, split_ms) = times;
+            let other_ms = if plan.prefill.is_some() {
+                Some(direct_ms)
+            } else {
+                split_ms
+            };
+            return Placement::Overloaded {
+                plan,
+                excess,
+                other_ms,
+            };
         }
         Placement::Run(plan)
     }
--- a/crates/cactuslane-place/tests/placing.rs
+++ b/crates/cactuslane-place/tests/placing.rs
@@ -220,7 +220,7 @@
         &info(0, 4_000),
         Duration::from_secs(2),
     );
-    let Placement::Overloaded { excess } = placement else {
+    let Placement::Overloaded { excess, .. } = placement else {
         panic!("{placement:?}");
     };
     assert!(excess > Duration::from_secs(1));
