Estimate the time of a prompt by a line over its tokens

Cause: the estimate was one time for each token, averaged over all prompts of 1,000 tokens and more. A prompt of 32,500 tokens was expected after 3.6 s and refused; 800 of 933 refused plans had no tokens ahead, the engine ran nothing (median), all 72 peers' updates were at most 0.55 s old. As the prompt was never computed, its shared part never came into a cache, and later requests with it were refused as well.

Change: PromptSpeed fits a line by least squares with decaying weights; the slope is the time for each token, the intercept the time that does not depend on the length. The planner of roles uses the slope, the expected time both.

Test: a_long_prompt_is_not_refused_because_short_ones_wait failed before (expected 11.3 s for 40,000 tokens, Overloaded), passes now.

--- a/crates/cactuslane-place/src/placer/engines.rs
+++ b/crates/cactuslane-place/src/placer/engines.rs
@@ -52,6 +52,7 @@
             let uncached = self.uncached(&target.id, request.info);
             let tokens = f64::from(load.prompt_tokens + uncached);
             let expected = self.speed.direct_ms(tokens) * self.slowdown(&target.id, now)
+                + self.speed.fixed_ms()
                 + self.speed.first_ms();
             let prompt_ms = self.speed.direct_ms(f64::from(uncached));
             let stalled = prompt_ms * f64::from(load.running) * STALL_WEIGHT;
@@ -108,7 +109,7 @@
                 0.0
             };
             let prompt_ms = self.speed.prefill_ms(f64::from(uncached)) * slowdown;
-            let computing = waiting + fetching + prompt_ms;
+            let computing = waiting + fetching + prompt_ms + self.speed.fixed_ms();
             let filled = self.caches.get(&target.id).map_or(0, CacheEstimate::total);
             let full = filled as f64 / (request.engine.kv_capacity.max(1)) as f64;
             let (decode_cost, transfer_factor, decode) =
--- a/crates/cactuslane-place/tests/placing.rs
+++ b/crates/cactuslane-place/tests/placing.rs
@@ -394,3 +394,31 @@
     let plan = place(&mut placer, &fleet(), &info(0, 1_100));
     assert!(plan.prefill.is_none());
 }
+
+/// Guards against an estimate by which the waiting times of short prompts grow with the length of a
+/// long one.
+#[parameterized(
+    mostly_short = { 50 },
+    short_alone = { 0 },
+)]
+fn a_long_prompt_is_not_refused_because_short_ones_wait(every: u32) {
+    let mut placer = Placer::new("a".to_owned(), 1);
+    for number in 1..=400 {
+        // Each prompt waits for 200 ms and takes 25 ms for 1,000 tokens.
+        let long = every > 0 && number % every == 0;
+        let tokens = if long {
+            20_000
+        } else {
+            500 + number % 10 * 200
+        };
+        placer
+            .speed
+            .observe(tokens, 200.0 + f64::from(tokens) * 0.025);
+    }
+    let (whole, fixed) = (placer.speed.prefill_ms(40_000.0), placer.speed.fixed_ms());
+    assert!((950.0..1_050.0).contains(&whole), "{whole}");
+    assert!((150.0..250.0).contains(&fixed), "{fixed}");
+    let left = Duration::from_millis(2_400);
+    let placement = placement(&mut placer, &fleet(), &info(0, 40_000), left);
+    assert!(matches!(placement, Placement::Run(_)), "{placement:?}");
+}
