Keep the bound addresses when settings are read anew

Cause: the settings of the soak have port 0, which becomes the bound port at the start. A reload replaced the settings as a whole, so the instance told callers port 0, and would have registered it with the store. On a platform with fixed ports, a changed address in the file would have been told to callers although nobody listens there before the next start.

Change: a reload keeps the addresses to listen on. a_reload_keeps_the_addresses_that_are_bound failed before (port 1 instead of the bound one).

--- a/crates/cactuslane-gateway/src/state.rs
+++ b/crates/cactuslane-gateway/src/state.rs
@@ -91,8 +91,14 @@
         lock(&self.settings).clone()
     }
 
-    /// Replaces the settings; addresses that are already bound are not bound again.
-    pub fn reload(&self, settings: Settings) {
+    /// Replaces the settings, except for the addresses to listen on: those that were bound at the
+    /// start stay in force.
+    pub fn reload(&self, mut settings: Settings) {
+        let bound = self.settings();
+        settings.front = bound.front;
+        settings.ready = bound.ready;
+        settings.directory = bound.directory;
+        settings.peer = bound.peer;
         self.fleet().set_fallback_period(settings.drain_limit);
         *lock(&self.settings) = Arc::new(settings);
     }
--- a/crates/cactuslane-gateway/tests/instance_state.rs
+++ b/crates/cactuslane-gateway/tests/instance_state.rs
@@ -268,6 +268,36 @@
     assert_eq!(ids(&gateway.fleet(), 2_900), ["i-1"]);
 }
 
+/// Guards against an instance that tells callers an address at which it does not listen.
+#[tokio::test]
+async fn a_reload_keeps_the_addresses_that_are_bound() {
+    let store = "127.0.0.1:1".parse().expect("it is an address");
+    let started = cactuslane_platform_standin::settings("front-1", store);
+    let gateway = Gateway::new(started.clone());
+    let mut changed = started.clone();
+    for address in [&mut changed.front, &mut changed.ready, &mut changed.peer] {
+        address.set_port(address.port().wrapping_add(1));
+    }
+    changed.directory = None;
+    changed.drain_limit = Duration::from_secs(9);
+    gateway.reload(changed);
+    let settings = gateway.settings();
+    assert_eq!(settings.drain_limit, Duration::from_secs(9));
+    let expected = (
+        started.front,
+        started.ready,
+        started.peer,
+        started.directory,
+    );
+    let kept = (
+        settings.front,
+        settings.ready,
+        settings.peer,
+        settings.directory,
+    );
+    assert_eq!(kept, expected);
+}
+
 #[test]
 fn observations_of_an_earlier_process_are_ignored() {
     let mut fleet = Fleet::default();
