Take the speed of engines from the fastest of the long prompts

Its tokens included those queued ahead, which urgent prompts overtake, and prompts that waited until their callers left were never observed.

Change: the time for one token is the tenth percentile over the last prompts of 4,000 uncached tokens or more, as waiting only adds to a prompt's time; the rest of the time is averaged by priority and may be negative. A long prompt goes to a prefill engine also if it would be even later on a generating engine: with a true estimate of 1.3 s for 40,000 tokens the plan was to compute them in 2.3 s between the tokens of streams.

--- a/crates/cactuslane-gateway/src/generation.rs
+++ b/crates/cactuslane-gateway/src/generation.rs
@@ -199,6 +199,7 @@
             engine,
             max_pause: request.route.max_pause,
             latency_objective: request.route.latency_objective,
+            priority: request.route.priority,
             left: left.min(
                 request
                     .route
--- a/crates/cactuslane-gateway/src/generation/prompt.rs
+++ b/crates/cactuslane-gateway/src/generation/prompt.rs
@@ -112,7 +112,10 @@
                     "prompt computed"
                 );
                 let mut placer = self.gateway.placer();
-                placer.speed.observe(plan.uncached + plan.ahead, elapsed);
+                let priority = self.request.route.priority;
+                placer
+                    .speed
+                    .observe(priority, plan.uncached, plan.ahead, elapsed);
                 placer.answered(&target.id, elapsed, plan.expected, now);
                 Ok(ComputedPrompt {
                     gateway: self.gateway.clone(),
--- a/crates/cactuslane-gateway/src/orders.rs
+++ b/crates/cactuslane-gateway/src/orders.rs
@@ -160,8 +160,8 @@
                 }
             }
             let allowed = limit.saturating_sub(changing);
-            let speed = gateway.placer().speed;
-            for change in planner.changes(&engines, &group.engine, speed, allowed, now) {
+            let speed = gateway.placer().speed.clone();
+            for change in planner.changes(&engines, &group.engine, &speed, allowed, now) {
                 let Some(target) = group.targets.iter().find(|t| t.id == change.target) else {
                     continue;
                 };
@@ -170,7 +170,7 @@
                     target_id = target.id,
                     role:? = change.role,
                     engines = group.targets.len(),
-                    token_us = (speed.prefill_ms(1.0) * 1000.0) as u64,
+                    token_us = (speed.waiting_token_ms() * 1000.0) as u64,
                     prompts:% = planner.demand().prefill,
                     streams:% = planner.demand().decode;
                     "role change planned"
--- a/crates/cactuslane-place/src/placer.rs
+++ b/crates/cactuslane-place/src/placer.rs
@@ -85,6 +85,8 @@
     pub max_pause: Option<Duration>,
     /// Latency objective for the first event.
     pub latency_objective: Duration,
+    /// Priority of the request at the engines; 0 is the most urgent.
+    pub priority: u8,
     /// Time left until the deadline, or until the caller is expected to disconnect if that comes
     /// first.
     pub left: Duration,
@@ -175,7 +177,7 @@
     /// Either one engine does all of it, or a prefill engine computes the prompt and another engine
     /// generates. The split is taken where it costs no more, where it meets the objective with a
     /// margin, or where the prompt would interrupt the streams of a generating engine for too long
-    /// and the split misses the objective by at most half.
+    /// and the split is sooner or misses the objective by at most half.
     pub fn place_generation(
         &mut self,
         targets: &[&Target],
@@ -208,8 +210,13 @@
             // engine that generates.
             Some((_, split)) if split.expected <= objective * ON_TIME_SHARE => split,
             // A prompt that would interrupt streams for too long goes to a prefill engine even if
-            // it misses the objective there, but by at most half of the objective.
-            Some((_, split)) if !fits_pause && split.expected <= objective * 1.5 => split,
+            // it misses the objective there, but by at most half of the objective, or if it would
+            // be even later on an engine that generates.
+            Some((_, split))
+                if !fits_pause && split.expected <= direct.expected.max(objective * 1.5) =>
+            {
+                split
+            }
             _ => direct,
         };
         if plan.expected > left * REFUSE_FACTOR {
--- a/crates/cactuslane-place/src/placer/engines.rs
+++ b/crates/cactuslane-place/src/placer/engines.rs
@@ -51,8 +51,9 @@
             let load = self.load_view.load(&target.id, now);
             let uncached = self.uncached(&target.id, request.info);
             let tokens = f64::from(load.prompt_tokens + uncached);
+            let fixed = self.speed.fixed_ms(request.priority);
             let expected = self.speed.direct_ms(tokens) * self.slowdown(&target.id, now)
-                + self.speed.fixed_ms()
+                + fixed.max(0.0)
                 + self.speed.first_ms();
             let prompt_ms = self.speed.direct_ms(f64::from(uncached));
             let stalled = prompt_ms * f64::from(load.running) * STALL_WEIGHT;
@@ -109,7 +110,8 @@
                 0.0
             };
             let prompt_ms = self.speed.prefill_ms(f64::from(uncached)) * slowdown;
-            let computing = waiting + fetching + prompt_ms + self.speed.fixed_ms();
+            let fixed = self.speed.fixed_ms(request.priority);
+            let computing = (waiting + fixed).max(0.0) + fetching + prompt_ms;
             let filled = self.caches.get(&target.id).map_or(0, CacheEstimate::total);
             let full = filled as f64 / (request.engine.kv_capacity.max(1)) as f64;
             let (decode_cost, transfer_factor, decode) =
--- a/crates/cactuslane-place/src/roles.rs
+++ b/crates/cactuslane-place/src/roles.rs
@@ -141,7 +141,7 @@
         &mut self,
         engines: &BTreeMap<TargetId, (Role, usize)>,
         engine: &EngineSpec,
-        speed: PromptSpeed,
+        speed: &PromptSpeed,
         limit: usize,
         now: Millis,
     ) -> Vec<RoleAssignment> {
@@ -149,7 +149,8 @@
         if self.observed < MIN_OBSERVED {
             return changes;
         }
-        self.planner.params.costs.prefill = speed.prefill_ms(1.0);
+        // Waiting counts as work, so that engines are added where prompts queue.
+        self.planner.params.costs.prefill = speed.waiting_token_ms();
         self.planner.params.costs.decode = 1.0 / (f64::from(engine.slots) * SLOT_SHARE).max(1.0);
         let mix = self.demand();
         let mut roles = engines.clone();
--- a/crates/cactuslane-place/src/speed.rs
+++ b/crates/cactuslane-place/src/speed.rs
@@ -1,5 +1,7 @@
 //! Speed at which engines compute prompts, estimated from their response times.
 
+use std::collections::{BTreeMap, VecDeque};
+
 /// Initial estimate of the time for one prompt token, in milliseconds.
 const INITIAL_TOKEN_MS: f64 = 0.025;
 /// Initial estimate of the time that a prompt takes regardless of its length, in milliseconds.
@@ -10,53 +12,51 @@
 const FIRST_WEIGHT: f64 = 0.1;
 /// Bounds of the estimated time for one prompt token, in milliseconds.
 const TOKEN_MS_RANGE: (f64, f64) = (0.002, 0.5);
-/// Factor on the weights of all earlier observations of prompts with each new one.
-const DECAY: f64 = 0.995;
-/// Sum of squared deviations of the numbers of tokens that the initial estimate of the time for one
-/// token always counts for, as observations of similar lengths alone give no slope.
-const INITIAL_SPREAD: f64 = 5e8;
+/// Weight of a new observation in the moving averages of the time beyond that for tokens.
+const FIXED_WEIGHT: f64 = 0.05;
+/// Weight of a new observation in the moving average of the time for one token with waiting.
+const WAITING_WEIGHT: f64 = 0.05;
+/// Smallest number of tokens of an observation that counts for that average.
+const MIN_WAITING_TOKENS: u32 = 1_000;
+/// Smallest number of uncached tokens of a prompt that shows the time for one token; that of shorter
+/// ones is dominated by overhead and waiting.
+const MIN_TOKENS: u32 = 4_000;
+/// Number of the last observations that show the time for one token.
+const SAMPLES: usize = 60;
+/// Number of assumed observations from which the estimate of the time for one token starts.
+const INITIAL_SAMPLES: usize = 20;
+/// Quantile of the observed times for one token that is taken as the speed of an engine.
+const SPEED_QUANTILE: f64 = 0.1;
 /// Factor by which prompts take longer on an engine that also generates than on one that only
 /// computes prompts.
 const GENERATING_SLOWDOWN: f64 = 2.0;
 
 /// Estimated times that engines take for prompts, over all engines.
 ///
-/// The time of a prompt is a line over its number of tokens, fitted by least squares. Most prompts
-/// are short and mostly wait, so that their time per token says nothing about a long one.
-#[derive(Clone, Copy, Debug)]
+/// Waiting only adds to the time of a prompt, and hardly depends on its length. The fastest of the
+/// long prompts therefore show the time for one token, and the rest of the time is averaged by
+/// priority.
+#[derive(Clone, Debug)]
 pub struct PromptSpeed {
-    /// Line through the observed times of prompts.
-    line: Line,
+    /// Times for one token of the last long prompts in milliseconds, oldest first.
+    samples: VecDeque<f64>,
+    /// Time for one prompt token on an engine that only computes prompts, in milliseconds.
+    token_ms: f64,
+    /// Moving average of the time for one prompt token with the time of waiting, in milliseconds.
+    waiting_token_ms: f64,
+    /// Time beyond that for tokens by priority, in milliseconds.
+    fixed_ms: BTreeMap<u8, f64>,
     /// Time from a computed prompt to the first event, in milliseconds.
     first_ms: f64,
 }
 
-/// Line fitted to observed times of prompts over their numbers of tokens.
-#[derive(Clone, Copy, Debug)]
-struct Line {
-    /// Sum of the decayed weights of the observations.
-    weight: f64,
-    /// Mean number of tokens.
-    tokens: f64,
-    /// Mean time, in milliseconds.
-    elapsed: f64,
-    /// Sum of the squared deviations of the numbers of tokens from their mean.
-    spread: f64,
-    /// Sum of the products of the deviations of the numbers of tokens and of the times.
-    joint: f64,
-}
-
 impl Default for PromptSpeed {
     fn default() -> Self {
-        let line = Line {
-            weight: 0.0,
-            tokens: 0.0,
-            elapsed: INITIAL_FIXED_MS,
-            spread: 0.0,
-            joint: 0.0,
-        };
         Self {
-            line,
+            samples: VecDeque::from([INITIAL_TOKEN_MS; INITIAL_SAMPLES]),
+            token_ms: INITIAL_TOKEN_MS,
+            waiting_token_ms: INITIAL_TOKEN_MS,
+            fixed_ms: BTreeMap::new(),
             first_ms: INITIAL_FIRST_MS,
         }
     }
@@ -67,7 +67,7 @@
     /// in milliseconds, without [`Self::fixed_ms`].
     #[must_use]
     pub fn prefill_ms(&self, tokens: f64) -> f64 {
-        tokens * self.line.slope()
+        tokens * self.token_ms
     }
 
     /// Returns the time to compute `tokens` prompt tokens on an engine that also generates, in
@@ -77,11 +77,23 @@
         self.prefill_ms(tokens) * GENERATING_SLOWDOWN
     }
 
-    /// Returns the time that a prompt takes regardless of its length, in milliseconds: overhead,
-    /// and waiting for work that this instance does not know of.
+    /// Returns the time for one prompt token with the time of waiting, in milliseconds.
+    ///
+    /// It grows with the queues at the engines that compute prompts.
+    #[must_use]
+    pub fn waiting_token_ms(&self) -> f64 {
+        self.waiting_token_ms
+    }
+
+    /// Returns the time that a prompt of a priority takes beyond that for its tokens and those
+    /// queued ahead of it, in milliseconds.
+    ///
+    /// It holds overhead and waiting for work that this instance does not know of, and is negative
+    /// where prompts overtake those that are queued ahead.
     #[must_use]
-    pub fn fixed_ms(&self) -> f64 {
-        self.line.intercept()
+    pub fn fixed_ms(&self, priority: u8) -> f64 {
+        let fixed = self.fixed_ms.get(&priority).copied();
+        fixed.unwrap_or(INITIAL_FIXED_MS)
     }
 
     /// Returns the time from a computed prompt to the first event, in milliseconds.
@@ -97,32 +109,31 @@
 
     /// Records the time that a prefill engine took for a prompt, in milliseconds.
     ///
-    /// `tokens` counts the prompt tokens that were queued ahead of it and its own uncached tokens.
-    pub fn observe(&mut self, tokens: u32, elapsed_ms: f64) {
-        self.line.add(f64::from(tokens), elapsed_ms);
-    }
-}
-
-impl Line {
-    /// Adds an observation and reduces the weights of the earlier ones.
-    fn add(&mut self, tokens: f64, elapsed: f64) {
-        self.weight = self.weight * DECAY + 1.0;
-        let deviation = tokens - self.tokens;
-        self.tokens += deviation / self.weight;
-        self.elapsed += (elapsed - self.elapsed) / self.weight;
-        self.spread = self.spread * DECAY + deviation * (tokens - self.tokens);
-        self.joint = self.joint * DECAY + deviation * (elapsed - self.elapsed);
+    /// `uncached` counts the prompt's own uncached tokens, `ahead` those that were queued ahead.
+    pub fn observe(&mut self, priority: u8, uncached: u32, ahead: u32, elapsed_ms: f64) {
+        if uncached >= MIN_TOKENS {
+            self.add_sample(elapsed_ms / f64::from(uncached));
+        }
+        let tokens = uncached + ahead;
+        if tokens >= MIN_WAITING_TOKENS {
+            let (low, high) = TOKEN_MS_RANGE;
+            let sample = (elapsed_ms / f64::from(tokens)).clamp(low, high);
+            self.waiting_token_ms += (sample - self.waiting_token_ms) * WAITING_WEIGHT;
+        }
+        let computing = self.prefill_ms(f64::from(uncached) + f64::from(ahead));
+        let fixed = self.fixed_ms.entry(priority).or_insert(INITIAL_FIXED_MS);
+        *fixed += (elapsed_ms - computing - *fixed) * FIXED_WEIGHT;
     }
 
-    /// Returns the slope, in milliseconds for each token.
-    fn slope(&self) -> f64 {
+    /// Adds an observed time for one token and estimates it anew.
+    fn add_sample(&mut self, token_ms: f64) {
         let (low, high) = TOKEN_MS_RANGE;
-        let joint = self.joint + INITIAL_SPREAD * INITIAL_TOKEN_MS;
-        (joint / (self.spread + INITIAL_SPREAD)).clamp(low, high)
-    }
-
-    /// Returns the height at 0 tokens, in milliseconds, at least 0.
-    fn intercept(&self) -> f64 {
-        (self.elapsed - self.slope() * self.tokens).max(0.0)
+        if self.samples.len() >= SAMPLES {
+            self.samples.pop_front();
+        }
+        self.samples.push_back(token_ms.clamp(low, high));
+        let mut sorted: Vec<f64> = self.samples.iter().copied().collect();
+        sorted.sort_by(f64::total_cmp);
+        self.token_ms = sorted[(sorted.len() as f64 * SPEED_QUANTILE) as usize];
     }
 }
