Spread requests by the work that other instances place unseen

What callers saw: on the grown Cluj site prompts of all sizes waited at a few engines while others were idle, most in the first eight seconds; callers of zi-intreaga left after 2.4 s without an event.

Cause: 73 instances hear of each other's dispatches every 200 ms, and each chose the engine with the lowest cost of the last updates.

Change: each instance estimates the work that others have placed since their last updates, from the rates of their counters and the ages of the updates. The engines with the lowest costs are filled up to a common level by that work, and each is chosen with the probability of its share, for prompts, streams and prompts computed by generating engines. With nothing unseen the cheapest engine is chosen as before.

--- a/crates/cactuslane-place/src/load_view.rs
+++ b/crates/cactuslane-place/src/load_view.rs
@@ -10,6 +10,9 @@
 
 /// Time for which another instance's last update counts after its arrival, in milliseconds.
 const PEER_LIFETIME: Millis = 1500;
+/// Half-life of the observations behind the rate at which another instance places work, in
+/// milliseconds.
+const RATE_HALF_LIFE: f64 = 1_000.0;
 
 /// Requests in progress at a target, of one instance or of several together.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
@@ -81,10 +84,30 @@
     loads: BTreeMap<TargetId, Load>,
     /// Work that the instance has placed since its start.
     placed: PlacedWork,
+    /// Rate at which the instance places work.
+    rate: PlacedRate,
     /// Engines whose role the instance is changing.
     changing: Vec<TargetId>,
 }
 
+/// Work that is placed per millisecond, as a moving average.
+#[derive(Clone, Copy, Debug, Default)]
+struct PlacedRate {
+    /// Prompt tokens to compute.
+    prompt_tokens: f64,
+    /// Generations.
+    streams: f64,
+}
+
+/// Estimate of the work that other instances have placed since their last updates.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct UnseenWork {
+    /// Prompt tokens to compute.
+    pub prompt_tokens: f64,
+    /// Number of generations.
+    pub streams: f64,
+}
+
 /// Load of all targets, as far as this instance knows it.
 #[derive(Clone, Debug, Default)]
 pub struct LoadView {
@@ -156,20 +179,28 @@
         if known.is_some_and(|peer| peer.version >= version) {
             return false;
         }
+        let known = known.filter(|peer| peer.version.0 == update.started);
+        let before = known.map_or(update.placed, |peer| peer.placed);
+        let added = PlacedWork {
+            prompt_tokens: update
+                .placed
+                .prompt_tokens
+                .saturating_sub(before.prompt_tokens),
+            streams: update.placed.streams.saturating_sub(before.streams),
+        };
+        let rate = known.map_or(PlacedRate::default(), |peer| {
+            peer.rate.observe(added, now.saturating_sub(peer.received))
+        });
         let peer = Peer {
             version,
             received: now,
             loads: update.loads.iter().cloned().collect(),
             placed: update.placed,
+            rate,
             changing: update.changing.clone(),
         };
-        let before = known.filter(|peer| peer.version.0 == update.started);
-        let before = before.map_or(update.placed, |peer| peer.placed);
-        self.peers_placed.prompt_tokens += update
-            .placed
-            .prompt_tokens
-            .saturating_sub(before.prompt_tokens);
-        self.peers_placed.streams += update.placed.streams.saturating_sub(before.streams);
+        self.peers_placed.prompt_tokens += added.prompt_tokens;
+        self.peers_placed.streams += added.streams;
         self.peers.insert(update.instance.clone(), peer);
         true
     }
@@ -229,6 +260,21 @@
         self.peers.remove(instance);
     }
 
+    /// Estimates the work that other instances have placed since their last updates, by their rates
+    /// before.
+    #[must_use]
+    pub fn unseen(&self, now: Millis) -> UnseenWork {
+        let mut unseen = UnseenWork::default();
+        for peer in self.peers.values() {
+            let age = now.saturating_sub(peer.received);
+            if age <= PEER_LIFETIME {
+                unseen.prompt_tokens += peer.rate.prompt_tokens * age as f64;
+                unseen.streams += peer.rate.streams * age as f64;
+            }
+        }
+        unseen
+    }
+
     /// Returns the number of other instances whose last updates count, and the age of the oldest
     /// of these updates in milliseconds; 0 if there are none.
     #[must_use]
@@ -259,6 +305,19 @@
     }
 }
 
+impl PlacedRate {
+    /// Returns the rate after work that was placed within `elapsed` milliseconds.
+    fn observe(self, added: PlacedWork, elapsed: Millis) -> Self {
+        let elapsed = elapsed.max(1) as f64;
+        let part = 1.0 - 0.5_f64.powf(elapsed / RATE_HALF_LIFE);
+        let update = |old: f64, added: u64| old + (added as f64 / elapsed - old) * part;
+        Self {
+            prompt_tokens: update(self.prompt_tokens, added.prompt_tokens),
+            streams: update(self.streams, added.streams),
+        }
+    }
+}
+
 /// Converts prompt parts to the form that a [`CacheUpdate`] holds.
 #[must_use]
 pub fn encode_parts(parts: &[PromptPart]) -> Vec<(u64, u32)> {
--- a/crates/cactuslane-place/src/placer.rs
+++ b/crates/cactuslane-place/src/placer.rs
@@ -1,6 +1,7 @@
 //! Choice of targets for requests, with the records of load, caches and health behind it.
 
 mod engines;
+mod spread;
 
 use std::collections::BTreeMap;
 use std::time::Duration;
@@ -249,7 +250,7 @@
             let usable = self.usable(targets, tried, now);
             best = best.or_else(|| self.best_decode(&usable, request, now));
         }
-        let Some((_, decode)) = best else {
+        let Some(decode) = best else {
             return Placement::NoTarget;
         };
         Placement::Run(Plan {
--- a/crates/cactuslane-place/src/placer/engines.rs
+++ b/crates/cactuslane-place/src/placer/engines.rs
@@ -2,10 +2,10 @@
 
 use cactuslane_flight::request_info::RequestInfo;
 use cactuslane_flight::target::Target;
-use cactuslane_types::{Millis, Role, TargetId};
+use cactuslane_types::{Millis, Role};
 use rand::Rng;
 
-use super::{PlacementRequest, Placer, Plan, RANDOM_COST};
+use super::{PlacementRequest, Placer, Plan, RANDOM_COST, spread};
 use crate::cache::CacheEstimate;
 use crate::load_view::Load;
 
@@ -34,16 +34,33 @@
 /// Smallest number of tokens for which a fetch from another engine is considered.
 const MIN_FETCH: u32 = 512;
 
+/// An engine that could compute the prompt of a request.
+#[derive(Debug)]
+struct Candidate<'t> {
+    /// Cost in milliseconds.
+    cost: f64,
+    /// Engine that computes the prompt.
+    target: &'t Target,
+    /// Engine from which it first fetches shared prompt parts, if that saves time.
+    fetch: Option<&'t Target>,
+    /// Number of prompt tokens to compute.
+    uncached: u32,
+    /// Number of prompt tokens queued ahead.
+    ahead: u32,
+    /// Expected time to the first event, in milliseconds.
+    expected: f64,
+}
+
 impl Placer {
-    /// Returns the best plan in which one engine computes the prompt and generates, with its cost
-    /// in milliseconds.
+    /// Returns a plan in which one engine computes the prompt and generates, with its cost in
+    /// milliseconds.
     pub(super) fn best_direct(
         &mut self,
         targets: &[&Target],
         request: &PlacementRequest<'_>,
         now: Millis,
     ) -> Option<(f64, Plan)> {
-        let mut best: Option<(f64, Plan)> = None;
+        let mut candidates = Vec::new();
         for target in targets {
             if !target.role.decodes() {
                 continue;
@@ -57,36 +74,42 @@
                 + self.speed.first_ms();
             let prompt_ms = self.speed.direct_ms(f64::from(uncached));
             let stalled = prompt_ms * f64::from(load.running) * STALL_WEIGHT;
-            let cost = expected + stalled + self.decode_cost(target, load, request);
-            if best.as_ref().is_none_or(|(least, _)| cost < *least) {
-                let plan = Plan {
-                    fetch: None,
-                    prefill: None,
-                    decode: target.id.clone(),
-                    uncached,
-                    ahead: load.prompt_tokens,
-                    expected,
-                };
-                best = Some((cost, plan));
-            }
+            candidates.push(Candidate {
+                cost: expected + stalled + self.decode_cost(target, load, request),
+                target,
+                fetch: None,
+                uncached,
+                ahead: load.prompt_tokens,
+                expected,
+            });
         }
-        best
+        let unseen_ms = self.load_view.unseen(now).streams * STREAM_COST;
+        let chosen = self.choose(&candidates, |candidate| candidate.cost, unseen_ms)?;
+        let plan = Plan {
+            fetch: None,
+            prefill: None,
+            decode: chosen.target.id.clone(),
+            uncached: chosen.uncached,
+            ahead: chosen.ahead,
+            expected: chosen.expected,
+        };
+        Some((chosen.cost, plan))
     }
 
-    /// Returns the best plan in which a prefill engine computes the prompt and another engine
-    /// generates, with its cost in milliseconds.
+    /// Returns a plan in which a prefill engine computes the prompt and another engine generates,
+    /// with its cost in milliseconds.
     pub(super) fn best_split(
         &mut self,
         targets: &[&Target],
         request: &PlacementRequest<'_>,
         now: Millis,
     ) -> Option<(f64, Plan)> {
-        let candidates = self.decode_costs(targets, request, now);
+        let decoders = self.decode_costs(targets, request, now);
         let bytes = f64::from(request.info.prompt_tokens) * request.engine.token_bytes;
         // 1 Mbit/s is 125 bytes per millisecond.
         let bytes_per_ms = (request.engine.link_mbps * 125.0).max(1.0);
         let transfer = TRANSFER_OVERHEAD + bytes / bytes_per_ms;
-        let mut best: Option<(f64, Plan)> = None;
+        let mut candidates = Vec::new();
         for target in targets {
             if target.role != Role::Prefill {
                 continue;
@@ -114,8 +137,7 @@
             let computing = (waiting + fixed).max(0.0) + fetching + prompt_ms;
             let filled = self.caches.get(&target.id).map_or(0, CacheEstimate::total);
             let full = filled as f64 / (request.engine.kv_capacity.max(1)) as f64;
-            let (decode_cost, transfer_factor, decode) =
-                cheapest_decode(&candidates, target, transfer)?;
+            let (decode_cost, transfer_factor) = cheapest_decode(&decoders, target, transfer)?;
             let expected = computing + transfer * transfer_factor + self.speed.first_ms();
             let cost = expected
                 + self.speed.prefill_ms(f64::from(fetched)) * FETCH_WEIGHT
@@ -124,30 +146,58 @@
                 + full * FULL_CACHE_COST
                 + self.domain_cost(target)
                 + self.random.random_range(0.0..RANDOM_COST);
-            if best.as_ref().is_none_or(|(least, _)| cost < *least) {
-                let plan = Plan {
-                    fetch,
-                    prefill: Some(target.id.clone()),
-                    decode: decode.id.clone(),
-                    uncached,
-                    ahead: load.prompt_tokens,
-                    expected,
-                };
-                best = Some((cost, plan));
-            }
+            candidates.push(Candidate {
+                cost,
+                target,
+                fetch,
+                uncached,
+                ahead: load.prompt_tokens,
+                expected,
+            });
         }
-        best
+        let unseen = self.load_view.unseen(now);
+        let unseen_ms = self.speed.prefill_ms(unseen.prompt_tokens);
+        let chosen = self.choose(&candidates, |candidate| candidate.cost, unseen_ms)?;
+        let unseen_ms = unseen.streams * STREAM_COST;
+        let decode_cost = |(cost, decode): &(f64, &Target)| {
+            cost + transfer_cost(chosen.target, decode, transfer).1
+        };
+        let (_, decode) = self.choose(&decoders, decode_cost, unseen_ms)?;
+        let plan = Plan {
+            fetch: chosen.fetch.map(|source| source.id.clone()),
+            prefill: Some(chosen.target.id.clone()),
+            decode: decode.id.clone(),
+            uncached: chosen.uncached,
+            ahead: chosen.ahead,
+            expected: chosen.expected,
+        };
+        Some((chosen.cost, plan))
     }
 
-    /// Returns the decode engine with the lowest cost, with the cost in milliseconds.
+    /// Returns a decode engine with a low cost.
     pub(super) fn best_decode<'t>(
         &mut self,
         targets: &[&'t Target],
         request: &PlacementRequest<'_>,
         now: Millis,
-    ) -> Option<(f64, &'t Target)> {
+    ) -> Option<&'t Target> {
         let candidates = self.decode_costs(targets, request, now);
-        candidates.into_iter().min_by(|a, b| a.0.total_cmp(&b.0))
+        let unseen_ms = self.load_view.unseen(now).streams * STREAM_COST;
+        let (_, decode) = self.choose(&candidates, |(cost, _)| *cost, unseen_ms)?;
+        Some(decode)
+    }
+
+    /// Chooses among candidates by their costs and by the cost that other instances have added
+    /// unseen, both in milliseconds.
+    fn choose<'c, C>(
+        &mut self,
+        candidates: &'c [C],
+        cost: impl Fn(&C) -> f64,
+        unseen_ms: f64,
+    ) -> Option<&'c C> {
+        let costs: Vec<f64> = candidates.iter().map(cost).collect();
+        let chosen = spread::choose(&costs, unseen_ms, self.random.random_range(0.0..1.0))?;
+        candidates.get(chosen)
     }
 
     /// Returns the decode engines, each with its cost in milliseconds.
@@ -185,14 +235,14 @@
     /// time `at`, with their length in tokens.
     ///
     /// Among equals, an engine in the prefill engine's failure domain is preferred.
-    fn fetch_source(
+    fn fetch_source<'t>(
         &self,
-        targets: &[&Target],
+        targets: &[&'t Target],
         prefill: &Target,
         info: &RequestInfo,
         at: Millis,
-    ) -> Option<(TargetId, u32)> {
-        let mut best: Option<(u32, bool, &Target)> = None;
+    ) -> Option<(&'t Target, u32)> {
+        let mut best: Option<(u32, bool, &'t Target)> = None;
         for target in targets {
             let Some(cache) = self.caches.get(&target.id) else {
                 continue;
@@ -208,35 +258,39 @@
                 best = Some((ready, near, target));
             }
         }
-        best.map(|(ready, _, target)| (target.id.clone(), ready))
+        best.map(|(ready, _, target)| (target, ready))
     }
 }
 
-/// Returns the cheapest decode engine for a prompt computed on a prefill engine.
+/// Returns the lowest cost of a decode engine for a prompt computed on a prefill engine, in
+/// milliseconds, and the factor on the time of the transfer to it.
 ///
-/// The result is its cost in milliseconds, the factor on the transfer time (2 between failure
-/// domains, else 1) and the engine. `transfer` is the transfer time within a failure domain, in
-/// milliseconds.
-fn cheapest_decode<'t>(
-    candidates: &[(f64, &'t Target)],
+/// `transfer` is the transfer time within a failure domain, in milliseconds.
+fn cheapest_decode(
+    decoders: &[(f64, &Target)],
     prefill: &Target,
     transfer: f64,
-) -> Option<(f64, f64, &'t Target)> {
-    let mut best: Option<(f64, f64, &Target)> = None;
-    for (cost, decode) in candidates {
-        let (transfer_factor, surcharge) = if decode.domain == prefill.domain {
-            (1.0, 0.0)
-        } else {
-            (2.0, CROSS_DOMAIN_COST)
-        };
-        let cost = cost + transfer * (transfer_factor - 1.0) + surcharge;
-        if best.is_none_or(|(least, ..)| cost < least) {
-            best = Some((cost, transfer_factor, *decode));
+) -> Option<(f64, f64)> {
+    let mut best: Option<(f64, f64)> = None;
+    for (cost, decode) in decoders {
+        let (transfer_factor, surcharge) = transfer_cost(prefill, decode, transfer);
+        if best.is_none_or(|(least, _)| cost + surcharge < least) {
+            best = Some((cost + surcharge, transfer_factor));
         }
     }
     best
 }
 
+/// Returns the factor on the time of a transfer between two engines, which is 2 between failure
+/// domains, and the cost of the transfer beyond one within a failure domain, in milliseconds.
+fn transfer_cost(prefill: &Target, decode: &Target, transfer: f64) -> (f64, f64) {
+    if decode.domain == prefill.domain {
+        (1.0, 0.0)
+    } else {
+        (2.0, transfer + CROSS_DOMAIN_COST)
+    }
+}
+
 /// Returns the share of an engine's KV capacity by which the reserved space, with that of the
 /// request, would exceed [`MEMORY_THRESHOLD`].
 fn memory_shortage(load: Load, request: &PlacementRequest<'_>) -> f64 {
