Keep prompts that stall streams away from generating engines

Cause: with true estimates a prompt of 2,000 tokens passed as short enough to be computed between the tokens of streams, whatever else the engine computed; several at once, and long ones where the prefill engines were busy, stalled all streams of the engine beyond the allowed pause.

Change: the prompts that the engine computes already count for the pause. A prompt that does not fit goes to a prefill engine if its first event is expected within half of the time left there, or sooner than on the generating engine; before, within 1.5 times its objective.

Test: prompts_that_stall_streams_go_to_a_prefill_engine_that_is_in_time failed before for several short prompts.

--- a/crates/cactuslane-place/src/placer.rs
+++ b/crates/cactuslane-place/src/placer.rs
@@ -31,6 +31,9 @@
 /// Share of the route's latency objective for the first event: a prompt goes to a prefill engine,
 /// even at a higher cost, if the first event is expected within this share. The rest is a margin.
 const ON_TIME_SHARE: f64 = 0.7;
+/// Share of the time left for a request within which its first event counts as in time with a
+/// margin: more urgent prompts may yet overtake it at a prefill engine.
+const IN_TIME_SHARE: f64 = 0.5;
 /// Largest assumed age of an engine's list of cached parts when it is applied, in milliseconds:
 /// parts that were used or computed since then may be missing from the list.
 const MAX_LIST_AGE: Millis = 3_500;
@@ -178,7 +181,7 @@
     /// Either one engine does all of it, or a prefill engine computes the prompt and another engine
     /// generates. The split is taken where it costs no more, where it meets the objective with a
     /// margin, or where the prompt would interrupt the streams of a generating engine for too long
-    /// and the split is sooner or misses the objective by at most half.
+    /// and the split is sooner or in time with a margin.
     pub fn place_generation(
         &mut self,
         targets: &[&Target],
@@ -194,27 +197,27 @@
             .map_or(DEFAULT_PAUSE, |pause| pause.as_secs_f64() * 1000.0);
         let objective = request.latency_objective.as_secs_f64() * 1000.0;
         let left = request.left.as_secs_f64() * 1000.0;
-        let prompt_ms = self.speed.direct_ms(f64::from(direct.uncached));
+        // Prompts that the engine computes already interrupt its streams as well.
+        let prompt_ms = self
+            .speed
+            .direct_ms(f64::from(direct.ahead + direct.uncached));
         let fits_pause = prompt_ms <= pause * PAUSE_SHARE;
         let split = if request.split {
             self.best_split(&usable, request, now)
         } else {
             None
         };
-        let times = (
-            direct.expected,
-            split.as_ref().map(|(_, split)| split.expected),
-        );
+        let direct_ms = direct.expected;
+        let split_ms = split.as_ref().map(|(_, split)| split.expected);
         let plan = match split {
             Some((cost, split)) if cost <= direct_cost => split,
             // A prompt that a prefill engine computes in time need not delay the streams of an
             // engine that generates.
             Some((_, split)) if split.expected <= objective * ON_TIME_SHARE => split,
             // A prompt that would interrupt streams for too long goes to a prefill engine even if
-            // it misses the objective there, but by at most half of the objective, or if it would
-            // be even later on an engine that generates.
+            // it misses the objective there: one late answer is better than several.
             Some((_, split))
-                if !fits_pause && split.expected <= direct.expected.max(objective * 1.5) =>
+                if !fits_pause && split.expected <= direct_ms.max(left * IN_TIME_SHARE) =>
             {
                 split
             }
@@ -222,7 +225,6 @@
         };
         if plan.expected > left * REFUSE_FACTOR {
             let excess = Duration::from_secs_f64((plan.expected - left).max(0.0) / 1000.0);
-            let (direct_ms, split_ms) = times;
             let other_ms = if plan.prefill.is_some() {
                 Some(direct_ms)
             } else {
--- a/crates/cactuslane-place/tests/placing.rs
+++ b/crates/cactuslane-place/tests/placing.rs
@@ -462,6 +462,29 @@
     assert!(plan.prefill.is_none(), "{plan:?}");
 }
 
+/// Guards against stalling streams by prompts that a prefill engine would compute in time, though
+/// later.
+#[parameterized(
+    one_long = { 0, 20_000 },
+    several_short = { 10_000, 1_500 },
+)]
+fn prompts_that_stall_streams_go_to_a_prefill_engine_that_is_in_time(ahead: u32, tokens: u32) {
+    let mut placer = Placer::new("a".to_owned(), 1);
+    for id in ["p1", "p2"] {
+        placer.load_view.add(id, load(40_000, 4, 40_000));
+    }
+    for id in ["d1", "d2"] {
+        placer.load_view.add(id, load(ahead, 4, 40_000));
+    }
+    let plan = place(&mut placer, &fleet(), &info(0, tokens));
+    assert!(plan.prefill.is_some(), "{plan:?}");
+    for id in ["p1", "p2"] {
+        placer.load_view.add(id, load(400_000, 40, 400_000));
+    }
+    let plan = place(&mut placer, &fleet(), &info(0, tokens));
+    assert!(plan.prefill.is_none(), "{plan:?}");
+}
+
 /// Guards against instances that all choose the engine that looks best in the last updates.
 #[test]
 fn instances_do_not_all_choose_the_same_engine_between_updates() {
