--- a/crates/cactuslane-gateway/src/generation.rs
+++ b/crates/cactuslane-gateway/src/generation.rs
@@ -1,5 +1,6 @@
 //! Requests whose answers are event streams: their placement, attempts and retries.
 
+mod overload;
 mod prompt;
 mod stream;
 
@@ -230,42 +231,6 @@
         placement
     }
 
-    /// Logs a refusal with the plan that would have been the best one, and the age of the beliefs
-    /// behind it.
-    fn log_overload(
-        &self,
-        plan: &Plan,
-        excess: Duration,
-        other_ms: Option<f64>,
-        left: Duration,
-        after: Duration,
-    ) {
-        let now = self.gateway.now();
-        let placer = self.gateway.placer();
-        let (peers, oldest) = placer.load_view.update_age(now);
-        let computing = plan.prefill.as_ref().unwrap_or(&plan.decode);
-        let load = placer.load_view.load(computing, now);
-        info!(
-            request = self.request.info.id,
-            route = self.request.route.name,
-            prompt = self.request.info.prompt_tokens,
-            target_id = plan.decode,
-            prefill = plan.prefill.as_deref().unwrap_or(""),
-            uncached = plan.uncached,
-            ahead = plan.ahead,
-            running = load.running,
-            expected_ms = plan.expected as u64,
-            other_ms = other_ms.map_or(0, |other_ms| other_ms as u64),
-            token_us = (placer.speed.prefill_ms(1.0) * 1000.0) as u64,
-            peers,
-            oldest_update_ms = oldest,
-            excess_ms = excess.as_millis() as u64,
-            left_ms = left.as_millis() as u64,
-            come_back_ms = after.as_millis() as u64;
-            "no engine would answer in time"
-        );
-    }
-
     /// Sends the request to the targets of a plan: to the prefill engine, if there is one, and then
     /// to the target that generates.
     ///
@@ -428,10 +393,13 @@
                 .observe_first(began.elapsed().as_secs_f64() * 1000.0);
         }
         drop(placer);
+        let load_text = exchange::target_load(&head.headers)
+            .map(|(running, waiting)| format!("{running} running, {waiting} waiting"));
         info!(
             request = self.request.info.id,
             target_id = target.id,
-            since_arrival_ms = self.request.arrived.elapsed().as_millis() as u64;
+            since_arrival_ms = self.request.arrived.elapsed().as_millis() as u64,
+            target_load = load_text.as_deref().unwrap_or("");
             "stream begun"
         );
         self.record_cached(target, 0.0);
--- a/crates/cactuslane-gateway/src/generation/prompt.rs
+++ b/crates/cactuslane-gateway/src/generation/prompt.rs
@@ -87,28 +87,24 @@
             let (connection, response) =
                 send(&self.gateway, &self.request, target, &params).await?;
             let keep_alive = exchange::keep_alive_timeout(response.headers());
-            let target_load = exchange::target_load(response.headers());
             let status = response.status();
             let body = read_body(response.into_body()).await?;
             self.gateway.pool.check_in(connection, keep_alive);
             if status != StatusCode::OK {
                 return Err((AttemptFailure::Broken, format!("status {status}")));
             }
-            let computed = engine::decode_computed(&body);
-            let computed = computed.map_err(|why| (AttemptFailure::Broken, why))?;
-            Ok((computed, target_load))
+            engine::decode_computed(&body).map_err(|why| (AttemptFailure::Broken, why))
         };
         let result = with_timeout(wait, left, "prompt", exchange).await;
         let now = self.gateway.now();
         match result {
-            Ok((computed, target_load)) => {
+            Ok(computed) => {
                 let elapsed = began.elapsed().as_secs_f64() * 1000.0;
                 info!(
                     request = self.request.info.id,
                     target_id = target.id,
                     elapsed_ms = elapsed as u64,
-                    expected_ms = plan.expected as u64,
-                    target_load:? = target_load;
+                    expected_ms = plan.expected as u64;
                     "prompt computed"
                 );
                 let mut placer = self.gateway.placer();
--- a/crates/cactuslane-place/tests/placing.rs
+++ b/crates/cactuslane-place/tests/placing.rs
@@ -194,7 +194,9 @@
     };
     placer.apply_update(&old, |_| 0, 10_000);
     assert_eq!(placer.load_view.load("p1", 10_000).prompt_tokens, 30_000);
+    assert_eq!(placer.load_view.update_age(10_400), (1, 400));
     // An update that arrived 10 s ago no longer counts.
+    assert_eq!(placer.load_view.update_age(20_000), (0, 0));
     assert_eq!(placer.load_view.load("p1", 20_000).prompt_tokens, 0);
 }
 
@@ -222,10 +224,14 @@
         &info(0, 4_000),
         Duration::from_secs(2),
     );
-    let Placement::Overloaded { excess, .. } = placement else {
+    let Placement::Overloaded {
+        excess, other_ms, ..
+    } = placement
+    else {
         panic!("{placement:?}");
     };
     assert!(excess > Duration::from_secs(1));
+    assert!(other_ms.is_some_and(|other_ms| other_ms > 2_000.0));
 }
 
 #[parameterized(
