Treat entries that vanished before a store failure as gone

Cause: the store turned a third of the machines away from 5 to 12 s and served the others. These saw the workers' entries vanish at once (9.4 s). When the refused machines came back, their relays said that the store had recovered, and a recent failure excused every vanished entry, whenever it had vanished: from 11.9 s on the workers got new work again.

Change: a failure excuses only entries that vanished since its disruption began; failures less than 2.2 s apart, the time to register again, are one disruption.

Test: a_target_that_vanished_before_the_store_failed_stays_gone failed before.

--- a/crates/cactuslane-gateway/src/fleet.rs
+++ b/crates/cactuslane-gateway/src/fleet.rs
@@ -34,6 +34,8 @@
     /// The time at which reading or watching the store last failed, or another instance last
     /// reported that the store had recovered.
     store_failure: Option<Millis>,
+    /// The time of the first failure of the disruption that `store_failure` belongs to.
+    disrupted_since: Millis,
     /// The time for which a target whose entry vanished may be used if no other target is left, in
     /// milliseconds.
     fallback_period: Millis,
@@ -95,7 +97,12 @@
 
     /// Records that reading or watching the store failed, or that a relay reported that the store
     /// had recovered.
+    ///
+    /// Failures that follow each other within the time to register again are one disruption.
     pub fn record_store_failure(&mut self, now: Millis) {
+        if !self.store_failed_recently(now) {
+            self.disrupted_since = now;
+        }
         self.store_failure = Some(now);
     }
 
@@ -261,9 +268,9 @@
 
     /// Returns the targets of a service that take new work and serve `model`, if one is given.
     ///
-    /// Targets whose entries vanished are returned only if the store failed recently, or if there
-    /// are no others and the fallback period has not passed. A target that lists no models serves
-    /// any.
+    /// Targets whose entries vanished are returned only if that may be due to a recent failure of
+    /// the store, or if there are no others and the fallback period has not passed. A target that
+    /// lists no models serves any.
     #[must_use]
     pub fn targets(&self, service: &str, model: Option<&str>, now: Millis) -> Vec<&Target> {
         let mut ready = Vec::new();
@@ -276,7 +283,7 @@
             if target.service != service || !serves || !self.may_use(entry, now) {
                 continue;
             }
-            if entry.lapsed.is_none() || self.store_failed_recently(now) {
+            if entry.lapsed.is_none_or(|at| self.is_excused(at, now)) {
                 ready.push(target);
             } else {
                 lapsed.push(target);
@@ -286,7 +293,7 @@
     }
 
     /// Returns whether a target takes new work; one whose entry vanished does for the fallback
-    /// period, or while the store has failed recently.
+    /// period, or if that may be due to a recent failure of the store.
     fn may_use(&self, entry: &Entry, now: Millis) -> bool {
         let leaving = entry.target.state == TargetState::Draining;
         if leaving || entry.replaced || now < entry.changing_until {
@@ -295,7 +302,13 @@
         let Some(lapsed) = entry.lapsed else {
             return true;
         };
-        now < lapsed + self.fallback_period || self.store_failed_recently(now)
+        now < lapsed + self.fallback_period || self.is_excused(lapsed, now)
+    }
+
+    /// Returns whether an entry may have vanished at `lapsed` only because the store failed: not if
+    /// it vanished before the disruption, as its target is then gone.
+    fn is_excused(&self, lapsed: Millis, now: Millis) -> bool {
+        lapsed >= self.disrupted_since && self.store_failed_recently(now)
     }
 
     /// Returns whether the store failed so recently that entries may be missing or out of date.
--- a/crates/cactuslane-gateway/tests/instance_state.rs
+++ b/crates/cactuslane-gateway/tests/instance_state.rs
@@ -84,6 +84,26 @@
     assert_eq!(ids(&fleet, 7_300), ["i-2"]);
 }
 
+/// Guards against new work for a target that left without draining, once other instances report
+/// that they reach the store again.
+#[test]
+fn a_target_that_vanished_before_the_store_failed_stays_gone() {
+    let mut fleet = Fleet::default();
+    fleet.set_fallback_period(Duration::from_secs(2));
+    fleet.put(target("i-1", TargetState::Ready));
+    fleet.put(target("i-2", TargetState::Ready));
+    fleet.lapse("i-1", 1_000);
+    fleet.record_store_failure(3_500);
+    assert_eq!(ids(&fleet, 3_600), ["i-2"]);
+    assert!(fleet.target("i-1", 3_600).is_none());
+    // Failures less than 2.2 s apart belong to the same disruption.
+    fleet.lapse("i-2", 5_000);
+    fleet.record_store_failure(5_500);
+    fleet.record_store_failure(7_500);
+    assert_eq!(ids(&fleet, 9_600), ["i-2"]);
+    assert!(ids(&fleet, 9_700).is_empty());
+}
+
 #[test]
 fn a_restart_under_the_same_id_is_detected() {
     let mut fleet = Fleet::default();
