Count prompts that are computed again in the retry budget

Cause: a retry takes one arrival from the budget. Where its prompt is computed again by a prefill engine, two calls arrive: the prompt and the run.

Change: a prompt computed again for a retry takes a second one from the budget; without one left, the request is placed on an engine that computes the prompt itself.

--- a/crates/cactuslane-gateway/src/generation.rs
+++ b/crates/cactuslane-gateway/src/generation.rs
@@ -51,6 +51,10 @@
     prompt: Option<ComputedPrompt>,
     /// Number of prompt computations that prefill engines accepted or may have accepted.
     prompt_attempts: u32,
+    /// Number of attempts at targets that generate.
+    runs: u32,
+    /// Whether the retry budget allows no further computation of the prompt by a prefill engine.
+    prompt_denied: bool,
 }
 
 /// An answer of a target whose head has arrived and whose stream is to be forwarded.
@@ -89,6 +93,8 @@
         gateway: gateway.clone(),
         prompt: None,
         prompt_attempts: 0,
+        runs: 0,
+        prompt_denied: false,
         request: Arc::new(request),
         state,
         tried: Vec::new(),
@@ -141,6 +147,14 @@
                     ));
                 }
             };
+            // The retry that follows a run is counted already, but not a prompt computed again
+            // for it.
+            let repeats_prompt =
+                plan.prefill.is_some() && self.prompt_attempts > 0 && self.runs > 0;
+            if repeats_prompt && !self.gateway.take_retry(&self.request.service) {
+                self.prompt_denied = true;
+                continue;
+            }
             let (ending, answer) = match self.attempt(&plan, left, last_event).await {
                 Ok(opened) => return Outcome::Opened(Box::new(opened)),
                 Err(failure) => failure,
@@ -207,7 +221,9 @@
                     .silence_limit
                     .saturating_sub(request.arrived.elapsed()),
             ),
-            split: request.route.prompt_aware && self.prompt_attempts < request.route.max_attempts,
+            split: request.route.prompt_aware
+                && self.prompt_attempts < request.route.max_attempts
+                && !self.prompt_denied,
             tried: &self.tried,
         };
         if self.prompt.is_some() {
@@ -291,6 +307,7 @@
         let target = target.ok_or((AttemptFailure::Unsent, None))?;
         let retried = self.tried.contains(&target.id);
         self.tried.push(target.id.clone());
+        self.runs += 1;
         let prompt = self.prompt.take();
         let result = self
             .generate(&target, plan, prompt.as_ref(), last_event)
--- a/crates/cactuslane-gateway/tests/serving/streams.rs
+++ b/crates/cactuslane-gateway/tests/serving/streams.rs
@@ -1,5 +1,7 @@
 //! Requests that are answered by event streams.
 
+use std::time::Duration;
+
 use cactuslane_place::Load;
 use cactuslane_platform_standin::{Fault, Mode, Target, TargetKind, target};
 use hyper::body::Bytes;
@@ -125,3 +127,35 @@
         assert!(gateway.target("i-old").is_none());
     });
 }
+
+/// Guards against prompts that are computed again beyond the retry budget.
+#[test]
+fn prompts_computed_again_count_in_the_retry_budget() {
+    const REQUESTS: u32 = 40;
+    const RATIO: f64 = 0.5;
+    run_test(async {
+        let deployment = deploy().await;
+        let gateway = &deployment.running.gateway;
+        let mut settings = (*gateway.settings()).clone();
+        settings.retry_ratio = RATIO;
+        settings.retry_slack = 0.0;
+        settings.retry_window = Duration::from_mins(10);
+        gateway.reload(settings);
+        for _ in 0..REQUESTS {
+            deployment.inject_fault(&deployment.engines, Fault::Break(3));
+        }
+        for number in 0..REQUESTS {
+            deployment.ask("/summary/7", &format!("r{number}")).await;
+        }
+        let runs: u32 = deployment.engines.iter().map(Target::total_runs).sum();
+        let prompts = deployment.prefill.prompts();
+        // The first computation of a prompt and the first run of a request are no retries.
+        let extra = runs.saturating_sub(REQUESTS) + prompts.saturating_sub(REQUESTS);
+        let allowed = f64::from(REQUESTS) * RATIO;
+        assert!(runs > REQUESTS, "{runs} runs");
+        assert!(
+            f64::from(extra) <= allowed,
+            "{runs} runs, {prompts} prompts"
+        );
+    });
+}
