Split the tests of placement by what they test

Tests of the estimated times and of many instances move to files of their own; no test changes (26 cases before and after).

--- a/crates/cactuslane-place/tests/placing.rs
+++ b/crates/cactuslane-place/tests/placing/main.rs
@@ -1,7 +1,9 @@
 //! Choice of engines by load, prefix caches and failures, with capacities as on the platform's
 //! stand-in.
 
-use std::collections::BTreeMap;
+mod speed;
+mod spread;
+
 use std::time::Duration;
 
 use cactuslane_flight::request_info::{PromptPart, RequestInfo};
@@ -404,35 +406,6 @@
     assert!(plan.prefill.is_none());
 }
 
-/// Guards against an estimate by which the waiting times of short prompts grow with the length of a
-/// long one.
-#[parameterized(
-    mostly_short = { 50 },
-    short_alone = { 0 },
-)]
-fn a_long_prompt_is_not_refused_because_short_ones_wait(every: u32) {
-    let mut placer = Placer::new("a".to_owned(), 1);
-    for number in 1..=400 {
-        // Each prompt waits for up to 360 ms and takes 25 ms for 1,000 tokens.
-        let wait = f64::from(number / 50 % 10) * 40.0;
-        let long = every > 0 && number % every == 0;
-        let tokens = if long {
-            20_000
-        } else {
-            500 + number % 10 * 200
-        };
-        placer
-            .speed
-            .observe(2, tokens, 0, wait + f64::from(tokens) * 0.025);
-    }
-    let (whole, fixed) = (placer.speed.prefill_ms(40_000.0), placer.speed.fixed_ms(2));
-    assert!((950.0..1_050.0).contains(&whole), "{whole}");
-    assert!((0.0..400.0).contains(&fixed), "{fixed}");
-    let left = Duration::from_millis(2_400);
-    let placement = placement(&mut placer, &fleet(), &info(0, 40_000), left);
-    assert!(matches!(placement, Placement::Run(_)), "{placement:?}");
-}
-
 /// Guards against an estimate of the time for a token by waits that differ between priorities.
 #[test]
 fn prompts_that_overtake_others_do_not_look_fast() {
@@ -490,80 +463,3 @@
     let plan = place(&mut placer, &fleet(), &info(0, tokens));
     assert!(plan.prefill.is_none(), "{plan:?}");
 }
-
-/// Guards against instances that all choose the engine that looks best in the last updates.
-#[test]
-fn instances_do_not_all_choose_the_same_engine_between_updates() {
-    const INSTANCES: u32 = 60;
-    const ENGINES: u32 = 20;
-    const INTERVAL: u64 = 200;
-    let engines = |prefix: &str, role: Role| -> Vec<Target> {
-        let ids = 0..ENGINES;
-        ids.map(|number| engine(&format!("{prefix}{number}"), role))
-            .collect()
-    };
-    let mut targets = engines("p", Role::Prefill);
-    targets.extend(engines("d", Role::Decode));
-    let targets: Vec<&Target> = targets.iter().collect();
-    let capacities = capacities();
-    let mut placers = Vec::new();
-    for instance in 0..INSTANCES {
-        let mut placer = Placer::new("a".to_owned(), u64::from(instance));
-        // The caches of the engines are full to different degrees.
-        for number in 0..ENGINES {
-            let part = PromptPart {
-                id: 1_000 + u64::from(number),
-                tokens: 20_000 * number,
-            };
-            let target = format!("p{number}");
-            placer.record_cached(&target, &[part], capacities.kv_capacity, 0.0, 0);
-        }
-        placers.push(placer);
-    }
-    let mut chosen = BTreeMap::new();
-    for round in 1..=20 {
-        let now = 10_000 + round * INTERVAL;
-        chosen.clear();
-        let mut updates = Vec::new();
-        for (instance, placer) in placers.iter_mut().enumerate() {
-            let info = info(0, 2_000);
-            let request = PlacementRequest {
-                info: &info,
-                engine: &capacities,
-                max_pause: None,
-                latency_objective: Duration::from_millis(600),
-                priority: 2,
-                left: Duration::from_millis(2_400),
-                split: true,
-                tried: &[],
-            };
-            let Placement::Run(plan) = placer.place_generation(&targets, &request, now) else {
-                panic!("no plan");
-            };
-            placer.load_view.record_placed(plan.uncached);
-            *chosen
-                .entry(plan.prefill.unwrap_or(plan.decode))
-                .or_default() += 1;
-            // The prompts of a round are computed by its end.
-            updates.push(PeerUpdate {
-                instance: format!("i{instance}"),
-                started: 1,
-                sequence: round,
-                loads: Vec::new(),
-                cache_updates: Vec::new(),
-                placed: placer.load_view.own_placed(),
-                changing: Vec::new(),
-                observations: Vec::new(),
-            });
-        }
-        for (instance, placer) in placers.iter_mut().enumerate() {
-            for (sender, update) in updates.iter().enumerate() {
-                if sender != instance {
-                    placer.apply_update(update, |_| 0, now + INTERVAL / 2);
-                }
-            }
-        }
-    }
-    let busiest: u32 = chosen.values().copied().max().unwrap_or_default();
-    assert!(busiest <= 4 * INSTANCES / ENGINES, "{chosen:?}");
-}
