--- a/crates/cactuslane-gateway/src/generation/overload.rs
+++ b/crates/cactuslane-gateway/src/generation/overload.rs
@@ -8,8 +8,7 @@
 use super::StreamRequest;
 
 impl StreamRequest {
-    /// Logs a refusal with the plan that would have been the best one, and the age of the beliefs
-    /// behind it.
+    /// Logs a refusal with the preferred plan and the age of the load updates that it was based on.
     pub(super) fn log_overload(
         &self,
         plan: &Plan,
--- a/crates/cactuslane-place/src/placer.rs
+++ b/crates/cactuslane-place/src/placer.rs
@@ -124,12 +124,12 @@
     Run(Plan),
     /// The first event of the best plan is expected only after the time left has passed.
     Overloaded {
-        /// Best plan, which is not carried out.
+        /// Preferred plan, which is not carried out.
         plan: Plan,
         /// Time by which the expected time to the first event exceeds the time left.
         excess: Duration,
-        /// Expected time to the first event of the plan that is not the best one, if there are two:
-        /// one with a prefill engine and one without.
+        /// Expected time to the first event of the other plan, in milliseconds, if there are two: one
+        /// with a prefill engine and one without.
         other_ms: Option<f64>,
     },
     /// No usable target can serve the request.
@@ -189,7 +189,7 @@
         now: Millis,
     ) -> Placement {
         let usable = self.usable(targets, request.tried, now);
-        let Some((direct_cost, direct)) = self.best_direct(&usable, request, now) else {
+        let Some((direct_cost, direct)) = self.plan_direct(&usable, request, now) else {
             return Placement::NoTarget;
         };
         let pause = request
@@ -203,7 +203,7 @@
             .direct_ms(f64::from(direct.ahead + direct.uncached));
         let fits_pause = prompt_ms <= pause * PAUSE_SHARE;
         let split = if request.split {
-            self.best_split(&usable, request, now)
+            self.plan_split(&usable, request, now)
         } else {
             None
         };
@@ -250,7 +250,7 @@
         // Retrying an engine is better than discarding the computed prompt.
         for tried in [request.tried, &[]] {
             let usable = self.usable(targets, tried, now);
-            best = best.or_else(|| self.best_decode(&usable, request, now));
+            best = best.or_else(|| self.choose_decode(&usable, request, now));
         }
         let Some(decode) = best else {
             return Placement::NoTarget;
--- a/crates/cactuslane-place/src/placer/engines.rs
+++ b/crates/cactuslane-place/src/placer/engines.rs
@@ -54,7 +54,7 @@
 impl Placer {
     /// Returns a plan in which one engine computes the prompt and generates, with its cost in
     /// milliseconds.
-    pub(super) fn best_direct(
+    pub(super) fn plan_direct(
         &mut self,
         targets: &[&Target],
         request: &PlacementRequest<'_>,
@@ -98,7 +98,7 @@
 
     /// Returns a plan in which a prefill engine computes the prompt and another engine generates,
     /// with its cost in milliseconds.
-    pub(super) fn best_split(
+    pub(super) fn plan_split(
         &mut self,
         targets: &[&Target],
         request: &PlacementRequest<'_>,
@@ -175,7 +175,7 @@
     }
 
     /// Returns a decode engine with a low cost.
-    pub(super) fn best_decode<'t>(
+    pub(super) fn choose_decode<'t>(
         &mut self,
         targets: &[&'t Target],
         request: &PlacementRequest<'_>,
--- a/crates/cactuslane-place/src/speed.rs
+++ b/crates/cactuslane-place/src/speed.rs
@@ -16,7 +16,7 @@
 const FIXED_WEIGHT: f64 = 0.05;
 /// Weight of a new observation in the moving average of the time for one token with waiting.
 const WAITING_WEIGHT: f64 = 0.05;
-/// Smallest number of tokens of an observation that counts for that average.
+/// Smallest number of tokens of an observation that counts for the time for one token with waiting.
 const MIN_WAITING_TOKENS: u32 = 1_000;
 /// Smallest number of uncached tokens of a prompt that shows the time for one token; that of shorter
 /// ones is dominated by overhead and waiting.
