Log the limits that targets name, and serve metrics at a fixed port

Change: Server-Limit is decoded and tracked; 'limit of a target changed' and 'sent to a target with a limit' are logged, two metrics count them. No decision changes.

--- a/crates/cactuslane-gateway/src/engines.rs
+++ b/crates/cactuslane-gateway/src/engines.rs
@@ -11,6 +11,7 @@
 use hyper::{Method, Request, StatusCode};
 use tokio::time::timeout;
 
+use crate::limits::{self, Purpose};
 use crate::plain::read_body;
 use crate::state::Gateway;
 use crate::upstream::SendError;
@@ -101,11 +102,14 @@
 ) -> Result<Bytes, CallError> {
     let answer = async {
         let mut connection = gateway.pool.checkout(&target.id, target.address).await?;
+        let sent = gateway.now();
+        limits::record_send(gateway, target, Purpose::Call, "");
         let response = connection
             .send(build_call(target, method, path, String::new()))
             .await?;
-        let keep_alive = exchange::keep_alive_timeout(response.headers());
-        let status = response.status();
+        let (status, headers) = (response.status(), response.headers());
+        limits::observe_answer(gateway, target, Purpose::Call, status, headers, sent);
+        let keep_alive = exchange::keep_alive_timeout(headers);
         let body = read_body(response.into_body()).await;
         let body = body.map_err(|(_, why)| CallError::Unknown(why))?;
         if status != StatusCode::OK {
--- a/crates/cactuslane-gateway/src/lib.rs
+++ b/crates/cactuslane-gateway/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod generation;
 pub mod ingress;
 pub mod leadership;
+pub mod limits;
 pub mod members;
 pub mod metrics;
 pub mod orders;
@@ -33,7 +34,7 @@
 use std::time::Duration;
 
 use cactuslane_platform::Settings;
-use log::info;
+use log::{info, warn};
 use tokio::net::{TcpListener, UdpSocket};
 use tokio::task::JoinHandle;
 
@@ -109,6 +110,20 @@
 }
 
 impl GatewayHandle {
+    /// Serves the metrics at another port as well, until [`GatewayHandle::stop`].
+    ///
+    /// If the port cannot be bound, this is logged and the instance runs without it.
+    pub async fn serve_metrics(&mut self, port: u16) {
+        let address = SocketAddr::new(self.gateway.settings().ready.ip(), port);
+        match TcpListener::bind(address).await {
+            Ok(listener) => {
+                let task = directory::serve(self.gateway.clone(), listener);
+                self.tasks.push(tokio::spawn(task));
+            }
+            Err(error) => warn!(address:%, error:% = error; "metrics are not served there"),
+        }
+    }
+
     /// Announces that the instance is leaving, serves requests in progress and those that still
     /// arrive, and stops within the grace period.
     ///
--- a/crates/cactuslane-gateway/src/metrics.rs
+++ b/crates/cactuslane-gateway/src/metrics.rs
@@ -33,6 +33,8 @@
     attempts: Family<Labels, Counter>,
     /// Answers that were aborted after they had begun.
     pub cut_streams: Counter,
+    /// Requests and calls sent to targets that have a limit.
+    pub limited_sends: Counter,
     /// Times from the arrival of a request until its answer can be forwarded, in seconds, by kind
     /// of route.
     first_byte: Family<Labels, Histogram>,
@@ -58,6 +60,8 @@
     version: Gauge,
     /// Number of targets that accept new requests.
     targets: Gauge,
+    /// Number of targets that have named a limit.
+    limited: Gauge,
     /// Number of known instances, this one included.
     instances: Gauge,
     /// Number of requests in progress.
@@ -81,6 +85,7 @@
             failures: Family::default(),
             attempts: Family::default(),
             cut_streams: Counter::default(),
+            limited_sends: Counter::default(),
             first_byte: Family::new_with_constructor(histogram as fn() -> Histogram),
             pauses: histogram(),
             prompt_tokens: Family::default(),
@@ -129,6 +134,8 @@
         }
         let help = "Answers that broke off after they had begun";
         registry.register("cut_streams", help, self.cut_streams.clone());
+        let help = "Requests and calls sent to targets that have a limit";
+        registry.register("limited_sends", help, self.limited_sends.clone());
         let help = "Time to the first byte of an answer";
         registry.register("first_byte_seconds", help, self.first_byte.clone());
         let help = "Time between the pieces of a stream";
@@ -139,6 +146,7 @@
         let gauges_by_name = [
             ("configuration_version", "Version in force", &gauges.version),
             ("targets", "Targets that take new work", &gauges.targets),
+            ("limited_targets", "Targets with a limit", &gauges.limited),
             ("instances", "Instances known", &gauges.instances),
             ("requests", "Requests under way", &gauges.requests),
             ("connections", "Connections of callers", &gauges.connections),
@@ -228,6 +236,7 @@
         self.targets.set(fleet.count_usable(now) as i64);
         let last_contact = fleet.store_contact().unwrap_or(0);
         drop(fleet);
+        self.limited.set(gateway.limits().count() as i64);
         self.store_age.set(now.saturating_sub(last_contact) as i64);
         self.instances
             .set(gateway.members().instance_count() as i64);
--- a/crates/cactuslane-gateway/src/orders.rs
+++ b/crates/cactuslane-gateway/src/orders.rs
@@ -18,6 +18,7 @@
 use crate::control::LEASE_TTL;
 use crate::engines::{self, CALL_TIMEOUT, CallError};
 use crate::leadership::{LEADER_KEY, LeaderRecord, boot_millis};
+use crate::limits::{self, Purpose};
 use crate::ranking::is_top_ranked;
 use crate::state::Gateway;
 
@@ -325,10 +326,14 @@
     let LeaderRecord { instance, .. } = gateway.leader_record();
     let body = engine::encode_order(role, &instance, fencing, orders);
     let request = engines::build_call(target, Method::POST, engine::ORDER_PATH, body);
+    let sent = gateway.now();
+    limits::record_send(gateway, target, Purpose::Call, "");
     let response = timeout(CALL_TIMEOUT, connection.send(request)).await;
     let response = response.map_err(|_| CallError::Unknown("no answer in time".to_owned()))?;
     let response = response.map_err(CallError::from)?;
-    let status = response.status().as_u16();
+    let (status, headers) = (response.status(), response.headers());
+    limits::observe_answer(gateway, target, Purpose::Call, status, headers, sent);
+    let status = status.as_u16();
     info!(target_id = target.id, role:? = role, fencing, orders, status; "order sent");
     Ok(engine::decode_order_answer(status))
 }
--- a/crates/cactuslane-gateway/src/peers.rs
+++ b/crates/cactuslane-gateway/src/peers.rs
@@ -94,6 +94,9 @@
             info!(peer = instance; "instance forgotten");
         }
         gateway.pool.remove_expired();
+        let fleet = gateway.fleet();
+        gateway.limits().retain(|id| fleet.known(id).is_some());
+        drop(fleet);
         let mut placer = gateway.placer();
         let (loads, cache_updates) = (
             placer.load_view.loads(),
--- a/crates/cactuslane-gateway/src/plain.rs
+++ b/crates/cactuslane-gateway/src/plain.rs
@@ -15,6 +15,7 @@
 use tokio::time::{Instant, timeout};
 
 use crate::ingress::CallerRequest;
+use crate::limits::{self, Purpose};
 use crate::metrics;
 use crate::reply::{self, AnswerBody};
 use crate::state::Gateway;
@@ -217,9 +218,15 @@
     *outgoing.method_mut() = request.method.clone();
     *outgoing.uri_mut() = origin_form(&request.uri);
     *outgoing.headers_mut() = exchange::request_headers(&request.headers, params);
+    let sent = gateway.now();
+    limits::record_send(gateway, target, Purpose::Request, &request.info.id);
     let response = connection.send(outgoing).await.map_err(attempt_failure)?;
     let status = response.status().as_u16();
     let verdict = exchange::verdict(&request.info.id, &target.id, status, response.headers());
+    if !matches!(verdict, Verdict::Foreign | Verdict::Replaced) {
+        let (status, headers) = (response.status(), response.headers());
+        limits::observe_answer(gateway, target, Purpose::Request, status, headers, sent);
+    }
     if verdict == Verdict::WrongRole {
         let role = match target.role {
             Role::Prefill => Role::Decode,
--- a/crates/cactuslane-gateway/src/state.rs
+++ b/crates/cactuslane-gateway/src/state.rs
@@ -9,6 +9,7 @@
 use cactuslane_flight::budget::{USED_SHARE, WindowedRetryBudget, slack_share};
 use cactuslane_flight::routing_config::RoutingConfig;
 use cactuslane_flight::target::Target;
+use cactuslane_flight::target_limits::TargetLimits;
 use cactuslane_place::{Load, Placer};
 use cactuslane_platform::Settings;
 use cactuslane_store::kv::KvClient;
@@ -38,6 +39,8 @@
     leadership: Mutex<Leadership>,
     /// Placer that chooses targets, with its records of load, caches and health.
     placer: Mutex<Placer>,
+    /// Limits that targets have named.
+    limits: Mutex<TargetLimits>,
     /// Retry budgets by service.
     retry_budgets: Mutex<BTreeMap<ServiceName, WindowedRetryBudget>>,
     /// Idle connections to targets.
@@ -75,6 +78,7 @@
             members: Mutex::default(),
             leadership: Mutex::default(),
             placer: Mutex::new(placer),
+            limits: Mutex::default(),
             retry_budgets: Mutex::default(),
             pool: ConnectionPool::default(),
             store,
@@ -144,6 +148,11 @@
         lock(&self.placer)
     }
 
+    /// Locks the limits of the targets.
+    pub fn limits(&self) -> MutexGuard<'_, TargetLimits> {
+        lock(&self.limits)
+    }
+
     /// Returns the routing configuration in force; `None` until one was read.
     #[must_use]
     pub fn routing_config(&self) -> Option<Arc<RoutingConfig>> {
--- a/crates/cactuslane/src/gateway.rs
+++ b/crates/cactuslane/src/gateway.rs
@@ -24,6 +24,9 @@
     /// settings file (default: the path in the platform's environment variable)
     #[argh(option)]
     settings: Option<String>,
+    /// port at which the metrics are served too, on the address of the settings for callers
+    #[argh(option)]
+    metrics_port: Option<u16>,
     /// lowest level of the log lines that are written: error, warn, info or debug (default: info)
     #[argh(option, default = "LevelFilter::Info")]
     log_level: LevelFilter,
@@ -46,9 +49,12 @@
         })?,
     };
     let mut text = read_file(&path)?;
-    let handle = Gateway::spawn(parse_settings(&path, &text)?)
+    let mut handle = Gateway::spawn(parse_settings(&path, &text)?)
         .await
         .map_err(|error| CommandError::Failed(error.to_string()))?;
+    if let Some(port) = command.metrics_port {
+        handle.serve_metrics(port).await;
+    }
     let help = "Log lines that were dropped as the output was not read";
     handle
         .gateway
