--- /dev/null
+++ b/crates/cactuslane-gateway/tests/serving/limits.rs
@@ -0,0 +1,107 @@
+//! Limits that targets name for the requests of all instances together.
+
+use std::time::Duration;
+
+use cactuslane_gateway::GatewayHandle;
+use cactuslane_platform_standin::{Target, caller};
+use hyper::Response;
+use hyper::body::Incoming;
+use tokio::task::JoinSet;
+use tokio::time::{Instant, sleep};
+use yare::parameterized;
+
+use crate::deployment::{Deployment, deploy, read_answer, run_test, start_instance, wait_until};
+
+/// Number of instances.
+const INSTANCES: usize = 6;
+/// Number of requests by which an instance should have got an answer that names the limit.
+const FIRST_REQUESTS: usize = 20;
+/// Number of requests to each instance while the limit is observed.
+const REQUESTS: usize = 20;
+/// Time after an answer that names a limit from which an instance must keep it.
+const REACTION_TIME: Duration = Duration::from_millis(500);
+/// Length of the window in which the limit is observed, in seconds.
+const WINDOW: f64 = 4.0;
+
+/// Starts more instances beside that of a deployment and waits until all know each other.
+async fn start_fleet(deployment: &Deployment) -> Vec<GatewayHandle> {
+    let mut others = Vec::new();
+    for number in 2..=INSTANCES {
+        let name = format!("front-{number}");
+        others.push(start_instance(&name, &deployment.store).await);
+    }
+    let ready = |running: &GatewayHandle| {
+        let gateway = &running.gateway;
+        let known = gateway.members().alive(gateway.now()).len();
+        known == INSTANCES - 1 && gateway.is_ready() && gateway.target("i-d2").is_some()
+    };
+    wait_until(|| others.iter().chain([&deployment.running]).all(ready)).await;
+    others
+}
+
+/// Sends a request to an instance and returns the answer once its head has arrived.
+async fn send(
+    deployment: &Deployment,
+    to: &GatewayHandle,
+    path: &str,
+    id: &str,
+) -> Response<Incoming> {
+    let request = caller::request(to.gateway.settings().front, path, id);
+    let response = deployment.client.send(request).await;
+    response.expect("the request is answered")
+}
+
+/// Guards against instances that go on sending at their own rates to a target that has named a
+/// limit for all of them together.
+#[parameterized(
+    plain = { "/lookup/7", |deployment| &deployment.workers[0], 2.0 },
+    decode_engine = { "/summary/7", |deployment| &deployment.engines[0], 2.0 },
+    prefill_engine = { "/summary/7", |deployment| &deployment.prefill, 2.0 },
+    below_one_request_an_instance = { "/lookup/7", |deployment| &deployment.workers[0], 0.5 },
+)]
+fn a_target_gets_no_more_than_its_limit_from_all_instances(
+    path: &str,
+    limited: fn(&Deployment) -> &Target,
+    limit: f64,
+) {
+    run_test(async {
+        let deployment = deploy().await;
+        let others = start_fleet(&deployment).await;
+        let fleet: Vec<&GatewayHandle> = others.iter().chain([&deployment.running]).collect();
+        limited(&deployment).name_limit(Some(limit));
+        for (number, instance) in fleet.iter().enumerate() {
+            for request in 0..FIRST_REQUESTS {
+                let id = format!("first-{number}-{request}");
+                let response = send(&deployment, instance, path, &id).await;
+                let told = response.headers().contains_key(caller::LIMIT_HEADER);
+                read_answer(response).await;
+                if told {
+                    break;
+                }
+            }
+        }
+        sleep(REACTION_TIME).await;
+        let began = Instant::now();
+        let mut requests = JoinSet::new();
+        for (number, instance) in fleet.iter().enumerate() {
+            let front = instance.gateway.settings().front;
+            for request in 0..REQUESTS {
+                let id = format!("later-{number}-{request}");
+                let request = caller::request(front, path, &id);
+                let client = deployment.client.clone();
+                requests.spawn(async move {
+                    let response = client.send(request).await;
+                    read_answer(response.expect("the request is answered")).await
+                });
+            }
+        }
+        while let Some(answer) = requests.join_next().await {
+            assert_eq!(answer.expect("the request is sent").status, 200);
+        }
+        let window = began.elapsed().as_secs_f64().max(WINDOW);
+        let allowed = limit * window * 1.5 + 5.0;
+        let arrivals = limited(&deployment).arrivals();
+        let arrived = arrivals.iter().filter(|at| **at >= began).count();
+        assert!(arrived as f64 <= allowed, "{arrived} of {allowed} allowed");
+    });
+}
--- a/crates/cactuslane-gateway/tests/serving/main.rs
+++ b/crates/cactuslane-gateway/tests/serving/main.rs
@@ -2,6 +2,7 @@
 
 mod control;
 mod deployment;
+mod limits;
 mod lines;
 mod plain;
 mod streams;
