Keep the limits that targets name by permits

What callers and operators saw: targets that had named a limit of 4 and 3.8 requests a second went on getting 12 to 21.

Cause: nothing read the limit. Each instance chose targets by load alone; and a limit for all instances together cannot be kept by each of them for itself: with 6.8 a second and 73 instances each would have less than one request in ten seconds, while callers come to any of them.

Change: three instances, chosen for each target by rendezvous hash, issue permits, each out of a third of the limit. Every request and call to a target with a limit, whatever it is for, takes a permit, as the connection sends nothing without one; an instance asks the issuers by a message and goes elsewhere if they have none. A limit is told to all instances when an answer shows it, and ends with an answer that names none to a request sent after the last one that did. Requests for which only targets without permits are left are refused at once. Lists of cached parts and role changes leave limited engines alone.

--- a/crates/cactuslane-flight/src/lib.rs
+++ b/crates/cactuslane-flight/src/lib.rs
@@ -7,8 +7,7 @@
 //! [`routing_config`] holds the routing configuration, [`request_info`] the parameters of a
 //! caller's request and [`target`] the targets. [`events`] splits event streams at event
 //! boundaries, [`budget`] limits retries to a share of the requests, and [`stopping`] decides which
-//! requests an instance still accepts after the signal to stop. [`target_limits`] tracks the limits
-//! that targets name.
+//! requests an instance still accepts after the signal to stop.
 
 pub mod budget;
 pub mod events;
@@ -17,7 +16,6 @@
 pub mod routing_config;
 pub mod stopping;
 pub mod target;
-pub mod target_limits;
 
 pub use budget::WindowedRetryBudget;
 pub use events::EventScanner;
@@ -25,4 +23,3 @@
 pub use request_state::{AttemptFailure, Refusal, RequestState, Step};
 pub use routing_config::{EngineSpec, Limits, RetryPolicy, Route, RoutingConfig, Service};
 pub use target::{Target, TargetState};
-pub use target_limits::{LimitAnswer, TargetLimits};
--- a/crates/cactuslane-gateway/src/caches.rs
+++ b/crates/cactuslane-gateway/src/caches.rs
@@ -58,7 +58,7 @@
 }
 
 /// Returns the engines that are assigned to this instance, by rendezvous hash over the instances
-/// that are reachable and not leaving.
+/// that are reachable and not leaving; without those that have a limit, which is left to requests.
 fn assigned_engines(gateway: &Gateway) -> Vec<Target> {
     let now = gateway.now();
     let me = gateway.settings().instance.clone();
@@ -73,7 +73,8 @@
             continue;
         }
         for target in fleet.targets(name, None, now) {
-            if is_top_ranked(&me, &others, &target.id, 1) {
+            let limited = gateway.placer().limits.rate(target).is_some();
+            if !limited && is_top_ranked(&me, &others, &target.id, 1) {
                 assigned.push(target.clone());
             }
         }
--- a/crates/cactuslane-gateway/src/engines.rs
+++ b/crates/cactuslane-gateway/src/engines.rs
@@ -101,12 +101,14 @@
     path: &str,
 ) -> Result<Bytes, CallError> {
     let answer = async {
+        let permit = limits::acquire(gateway, target, "").await;
+        let permit = permit.map_err(|wait| {
+            CallError::Unsent(format!("the target's limit allows no call for {wait:?}"))
+        })?;
         let mut connection = gateway.pool.checkout(&target.id, target.address).await?;
         let sent = gateway.now();
-        limits::record_send(gateway, target, Purpose::Call, "");
-        let response = connection
-            .send(build_call(target, method, path, String::new()))
-            .await?;
+        let call = build_call(target, method, path, String::new());
+        let response = connection.send(call, permit).await?;
         let (status, headers) = (response.status(), response.headers());
         limits::observe_answer(gateway, target, Purpose::Call, status, headers, sent);
         let keep_alive = exchange::keep_alive_timeout(headers);
--- a/crates/cactuslane-gateway/src/generation.rs
+++ b/crates/cactuslane-gateway/src/generation.rs
@@ -1,6 +1,7 @@
 //! Requests whose answers are event streams: their placement, attempts and retries.
 
 mod overload;
+mod permits;
 mod prompt;
 mod stream;
 
@@ -21,6 +22,7 @@
 
 use self::prompt::ComputedPrompt;
 use crate::ingress::CallerRequest;
+use crate::limits::{MAX_DENIALS, Permit};
 use crate::plain::{failure_label, read_body, refuse, send, unknown_outcome};
 use crate::reply::{self, AnswerBody};
 use crate::state::{Gateway, LoadGuard};
@@ -115,6 +117,7 @@
     ///
     /// `last_event` is the id of the last event that the caller has received, if any.
     async fn open_stream(&mut self, last_event: Option<u64>) -> Outcome {
+        let mut denials = 0;
         loop {
             let now = self.gateway.now();
             let left = self.state.remaining(now);
@@ -137,15 +140,14 @@
                     self.log_overload(&plan, excess, other_ms, left, after);
                     return final_answer(refuse(&self.request, &self.state, after, "overloaded"));
                 }
-                Placement::NoTarget => {
-                    let why = "no target";
-                    return final_answer(refuse(
-                        &self.request,
-                        &self.state,
-                        NO_TARGET_RETRY_AFTER,
-                        why,
-                    ));
-                }
+                Placement::NoTarget => return final_answer(self.refuse_without_target()),
+            };
+            if denials >= MAX_DENIALS {
+                return final_answer(self.refuse_without_target());
+            }
+            let Ok(permit) = self.acquire_first(&plan).await else {
+                denials += 1;
+                continue;
             };
             // The retry that follows a run is counted already, but not a prompt computed again
             // for it.
@@ -155,7 +157,7 @@
                 self.prompt_denied = true;
                 continue;
             }
-            let (ending, answer) = match self.attempt(&plan, left, last_event).await {
+            let (ending, answer) = match self.attempt(&plan, permit, left, last_event).await {
                 Ok(opened) => return Outcome::Opened(Box::new(opened)),
                 Err(failure) => failure,
             };
@@ -248,12 +250,13 @@
     }
 
     /// Sends the request to the targets of a plan: to the prefill engine, if there is one, and then
-    /// to the target that generates.
+    /// to the target that generates. `permit` is for the first of them, if that is known.
     ///
     /// A failure comes with the answer for the caller if the target sent an error.
     async fn attempt(
         &mut self,
         plan: &Plan,
+        mut permit: Option<Permit>,
         left: Duration,
         last_event: Option<u64>,
     ) -> Result<OpenStream, (AttemptFailure, Option<Response<AnswerBody>>)> {
@@ -277,7 +280,8 @@
         );
         if let Some(prefill) = &plan.prefill {
             let prefill = self.gateway.target(prefill).ok_or(unsent)?;
-            let computed = self.compute_prompt(&prefill, plan, left).await;
+            let permit = permit.take().ok_or((AttemptFailure::Unsent, None))?;
+            let computed = self.compute_prompt(&prefill, plan, left, permit).await;
             if !matches!(
                 computed,
                 Err((AttemptFailure::Unsent | AttemptFailure::Rejected, _))
@@ -303,14 +307,20 @@
                 }
             }
         }
-        let target = self.decode_target(plan);
-        let target = target.ok_or((AttemptFailure::Unsent, None))?;
+        let generating = match permit {
+            Some(permit) => self
+                .gateway
+                .target(&plan.decode)
+                .map(|target| (target, permit)),
+            None => self.acquire_decode(plan).await,
+        };
+        let (target, permit) = generating.ok_or((AttemptFailure::Unsent, None))?;
         let retried = self.tried.contains(&target.id);
         self.tried.push(target.id.clone());
         self.runs += 1;
         let prompt = self.prompt.take();
         let result = self
-            .generate(&target, plan, prompt.as_ref(), last_event)
+            .generate(&target, plan, prompt.as_ref(), last_event, permit)
             .await;
         match (&result, prompt) {
             (Ok(_), Some(mut prompt)) => prompt.used = true,
@@ -326,28 +336,6 @@
         result
     }
 
-    /// Returns the target that generates.
-    ///
-    /// It is the planned one, unless that is gone or changing its role by the time the prompt is
-    /// computed; another one is then chosen. If none can be, the planned one is returned unless it
-    /// is gone.
-    fn decode_target(&self, plan: &Plan) -> Option<Target> {
-        let now = self.gateway.now();
-        let planned = self.gateway.target(&plan.decode);
-        let changing = self
-            .gateway
-            .placer()
-            .load_view
-            .is_changing(&plan.decode, now);
-        if (planned.is_some() && !changing) || self.prompt.is_none() {
-            return planned;
-        }
-        let Placement::Run(replacement) = self.place(self.state.remaining(now)) else {
-            return planned;
-        };
-        self.gateway.target(&replacement.decode)
-    }
-
     /// Sends the request to the target that generates and returns the stream once its head has
     /// arrived.
     async fn generate(
@@ -356,6 +344,7 @@
         plan: &Plan,
         prompt: Option<&ComputedPrompt>,
         last_event: Option<u64>,
+        permit: Permit,
     ) -> Result<OpenStream, (AttemptFailure, Option<Response<AnswerBody>>)> {
         let load = Load {
             prompt_tokens: if prompt.is_some() { 0 } else { plan.uncached },
@@ -376,7 +365,7 @@
         };
         let began = Instant::now();
         let wait = left.min(self.head_timeout(plan));
-        let head = send(&self.gateway, &self.request, target, &params);
+        let head = send(&self.gateway, &self.request, target, &params, permit);
         let result = with_timeout(wait, left, "head", head).await;
         let now = self.gateway.now();
         let (connection, response) = match result {
--- a/crates/cactuslane-gateway/src/generation/prompt.rs
+++ b/crates/cactuslane-gateway/src/generation/prompt.rs
@@ -15,6 +15,7 @@
 
 use super::{PROMPT_TIMEOUT_FACTOR, StreamRequest, with_timeout};
 use crate::engines;
+use crate::limits::Permit;
 use crate::plain::{read_body, send};
 use crate::state::Gateway;
 
@@ -63,6 +64,7 @@
         target: &Target,
         plan: &Plan,
         left: Duration,
+        permit: Permit,
     ) -> Result<ComputedPrompt, (AttemptFailure, String)> {
         let load = Load {
             prompt_tokens: plan.uncached,
@@ -85,7 +87,7 @@
         };
         let exchange = async {
             let (connection, response) =
-                send(&self.gateway, &self.request, target, &params).await?;
+                send(&self.gateway, &self.request, target, &params, permit).await?;
             let keep_alive = exchange::keep_alive_timeout(response.headers());
             let status = response.status();
             let body = read_body(response.into_body()).await?;
--- a/crates/cactuslane-gateway/src/lib.rs
+++ b/crates/cactuslane-gateway/src/lib.rs
@@ -92,6 +92,7 @@
         );
         let gateway = Arc::new(Gateway::new(settings));
         let socket = Arc::new(socket);
+        gateway.peer_socket.get_or_init(|| socket.clone());
         let (relay_sender, relays) = watch::relay_channel();
         let mut tasks = vec![
             tokio::spawn(watch::follow(gateway.clone(), socket.clone(), relays)),
--- a/crates/cactuslane-gateway/src/limits.rs
+++ b/crates/cactuslane-gateway/src/limits.rs
@@ -1,16 +1,35 @@
-//! Limits that targets name in their answers.
+//! Limits that targets name in their answers, and the permits by which all instances together keep
+//! them.
+
+use std::collections::BTreeMap;
+use std::sync::{Mutex, PoisonError};
+use std::time::Duration;
 
 use cactuslane_flight::target::Target;
-use cactuslane_flight::target_limits::LimitAnswer;
+use cactuslane_place::limits::ISSUERS;
+use cactuslane_place::{LimitAnswer, LimitNotice, PermitAnswer};
 use cactuslane_platform::exchange;
-use cactuslane_types::Millis;
+use cactuslane_types::{InstanceId, Millis, TargetId};
 use hyper::StatusCode;
 use hyper::header::HeaderMap;
 use log::{info, warn};
+use serde::{Deserialize, Serialize};
+use tokio::sync::oneshot;
+use tokio::time::timeout;
 
+use crate::peers;
+use crate::ranking::top_ranked;
 use crate::state::Gateway;
 
-/// What an exchange with a target was for.
+/// Maximum time to wait for the answer of an issuer.
+const ASK_TIMEOUT: Duration = Duration::from_millis(100);
+/// Largest number of denied permits after which a request is placed anew.
+pub const MAX_DENIALS: u32 = 4;
+
+/// Number of a request for a permit, unique within the process that asks.
+type CallNumber = u64;
+
+/// What an exchange with a target is for.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Purpose {
     /// A request of a caller, or the computation of its prompt.
@@ -19,7 +38,155 @@
     Call,
 }
 
-/// Records the limit that an answer of a target names or does not name.
+/// Permission to send one request or call to a target now.
+#[derive(Debug)]
+#[must_use]
+pub struct Permit {
+    /// Target that it applies to.
+    target: TargetId,
+}
+
+impl Permit {
+    /// Returns whether the permit applies to a target.
+    #[must_use]
+    pub fn applies_to(&self, target: &str) -> bool {
+        self.target == target
+    }
+}
+
+/// A request to another instance for a permit.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct PermitRequest {
+    /// Number that the answer repeats.
+    pub number: CallNumber,
+    /// What the sender knows of the target's limit.
+    pub notice: LimitNotice,
+}
+
+/// Requests for permits that have not been answered.
+#[derive(Debug, Default)]
+pub struct PermitCalls {
+    /// Receivers of the answers, and the number of the last request.
+    calls: Mutex<(
+        BTreeMap<CallNumber, oneshot::Sender<PermitAnswer>>,
+        CallNumber,
+    )>,
+}
+
+impl PermitCalls {
+    /// Registers a request and returns its number and the receiver of the answer.
+    fn open(&self) -> (CallNumber, oneshot::Receiver<PermitAnswer>) {
+        let (sender, receiver) = oneshot::channel();
+        let mut calls = self.calls.lock().unwrap_or_else(PoisonError::into_inner);
+        calls.1 += 1;
+        let number = calls.1;
+        calls.0.insert(number, sender);
+        (number, receiver)
+    }
+
+    /// Removes a request; returns the sender of its answer if none has arrived.
+    fn close(&self, number: CallNumber) -> Option<oneshot::Sender<PermitAnswer>> {
+        let mut calls = self.calls.lock().unwrap_or_else(PoisonError::into_inner);
+        calls.0.remove(&number)
+    }
+
+    /// Passes an answer on to the task that waits for it; a late one is discarded.
+    pub fn answer(&self, number: CallNumber, answer: PermitAnswer) {
+        if let Some(sender) = self.close(number) {
+            // The task may have stopped waiting just now; the permit is lost then.
+            let _ = sender.send(answer);
+        }
+    }
+}
+
+/// Guard that removes a request for a permit once its task no longer waits.
+struct CallGuard<'a> {
+    /// State of the instance, which holds the request.
+    gateway: &'a Gateway,
+    /// Number of the request.
+    number: CallNumber,
+}
+
+impl Drop for CallGuard<'_> {
+    fn drop(&mut self) {
+        self.gateway.permit_calls.close(self.number);
+    }
+}
+
+/// Acquires the permission to send one request or call to a target, which must then be sent without
+/// delay.
+///
+/// `request` is the id of the caller's request for the log, empty for a call.
+///
+/// # Errors
+///
+/// Returns the time until a permit is expected if none can be had now.
+pub async fn acquire(
+    gateway: &Gateway,
+    target: &Target,
+    request: &str,
+) -> Result<Permit, Duration> {
+    let Some(per_second) = gateway.placer().limits.rate(target) else {
+        return Ok(Permit {
+            target: target.id.clone(),
+        });
+    };
+    let me = gateway.settings().instance.clone();
+    let issuers = issuers(gateway, &target.id);
+    let draw = rand::random_range(0..ISSUERS);
+    let now = gateway.now();
+    let order = gateway
+        .placer()
+        .limits
+        .ask_order(target, &me, &issuers, draw, now);
+    for issuer in &order {
+        let answer = if *issuer == me {
+            let mut placer = gateway.placer();
+            let limits = &mut placer.limits;
+            Some(limits.issue(&target.id, target.started_at, issuers.len(), gateway.now()))
+        } else {
+            ask(gateway, target, issuer).await
+        };
+        let wait = match answer {
+            Some(PermitAnswer::Granted) => {
+                gateway.metrics.count_permit("granted");
+                info!(request, target_id = target.id, per_second, issuer; "permit granted");
+                return Ok(Permit {
+                    target: target.id.clone(),
+                });
+            }
+            Some(PermitAnswer::Denied(wait)) => Some(Duration::from_millis(u64::from(wait))),
+            None => None,
+        };
+        let result = if wait.is_some() {
+            "denied"
+        } else {
+            "unanswered"
+        };
+        gateway.metrics.count_permit(result);
+        let now = gateway.now();
+        let mut placer = gateway.placer();
+        placer.limits.record_denial(target, issuer, wait, now);
+    }
+    let now = gateway.now();
+    let wait = gateway
+        .placer()
+        .limits
+        .record_exhausted(target, &issuers, now);
+    info!(
+        request,
+        target_id = target.id,
+        per_second,
+        asked = order.len(),
+        issuers = issuers.len(),
+        wait_ms = wait.as_millis() as u64;
+        "no permit"
+    );
+    Err(wait)
+}
+
+/// Records the limit that an answer of a target names or does not name, and notifies the other
+/// instances of a change.
 ///
 /// `sent` is the time at which the request was sent, on the clock of the instance.
 pub fn observe_answer(
@@ -43,32 +210,69 @@
         conclusive: purpose == Purpose::Request && status.is_success(),
         sent,
     };
-    let mut limits = gateway.limits();
-    let before = limits.rate(target);
-    if limits.observe_answer(target, answer, now) {
+    let mut placer = gateway.placer();
+    let before = placer.limits.rate(target);
+    if !placer.limits.observe_answer(target, answer, now) {
+        return;
+    }
+    let notice = placer.limits.notice(target, now);
+    drop(placer);
+    info!(
+        target_id = target.id,
+        per_second:? = rate,
+        before:? = before,
+        purpose:? = purpose,
+        status = status.as_u16(),
+        sent_ms_ago = now.saturating_sub(sent);
+        "limit of a target changed"
+    );
+    if let Some(notice) = notice {
+        peers::notify_limit(gateway, notice);
+    }
+}
+
+/// Applies another instance's notice on a limit.
+pub fn apply_notice(gateway: &Gateway, notice: &LimitNotice, peer: &str) {
+    let now = gateway.now();
+    if gateway.placer().limits.apply_notice(notice, now) {
         info!(
-            target_id = target.id,
-            per_second:? = rate,
-            before:? = before,
-            purpose:? = purpose,
-            status = status.as_u16(),
-            sent_ms_ago = now.saturating_sub(sent);
-            "limit of a target changed"
+            target_id = notice.target,
+            per_second:? = notice.rate,
+            age_ms = notice.age,
+            peer;
+            "heard of the limit of a target"
         );
     }
 }
 
-/// Records that a request is about to be sent to a target, and logs it if the target has a limit.
-pub fn record_send(gateway: &Gateway, target: &Target, purpose: Purpose, request: &str) {
-    let Some(rate) = gateway.limits().rate(target) else {
-        return;
-    };
-    gateway.metrics.limited_sends.inc();
-    info!(
-        request,
-        target_id = target.id,
-        per_second = rate,
-        purpose:? = purpose;
-        "sent to a target with a limit"
-    );
+/// Answers another instance's request for a permit.
+pub fn answer_request(gateway: &Gateway, request: &PermitRequest, peer: &str) -> PermitAnswer {
+    let notice = &request.notice;
+    apply_notice(gateway, notice, peer);
+    let issuers = issuers(gateway, &notice.target);
+    let now = gateway.now();
+    if !issuers.contains(&gateway.settings().instance) {
+        return PermitAnswer::Denied(ASK_TIMEOUT.as_millis() as u32);
+    }
+    let mut placer = gateway.placer();
+    let limits = &mut placer.limits;
+    limits.issue(&notice.target, notice.process, issuers.len(), now)
+}
+
+/// Asks another instance for a permit; returns `None` if it does not answer in time.
+async fn ask(gateway: &Gateway, target: &Target, issuer: &str) -> Option<PermitAnswer> {
+    let notice = gateway.placer().limits.notice(target, gateway.now())?;
+    let (number, receiver) = gateway.permit_calls.open();
+    let _guard = CallGuard { gateway, number };
+    peers::request_permit(gateway, issuer, PermitRequest { number, notice });
+    timeout(ASK_TIMEOUT, receiver).await.ok()?.ok()
+}
+
+/// Returns the instances that issue permits for a target.
+fn issuers(gateway: &Gateway, target: &str) -> Vec<InstanceId> {
+    let mut candidates = gateway.members().issuer_candidates(gateway.now());
+    if !gateway.is_leaving() {
+        candidates.push(gateway.settings().instance.clone());
+    }
+    top_ranked(candidates, target, ISSUERS)
 }
--- a/crates/cactuslane-gateway/src/members.rs
+++ b/crates/cactuslane-gateway/src/members.rs
@@ -9,6 +9,9 @@
 /// Time without messages after which an instance no longer counts as reachable, in milliseconds.
 /// Relays do not count as messages here.
 const MESSAGE_TIMEOUT: Millis = 1300;
+/// Time without messages after which another instance issues permits in place of one, in
+/// milliseconds.
+const ISSUER_TIMEOUT: Millis = 2500;
 /// Time for which an instance is kept after its store entry vanished, in milliseconds; it is kept
 /// longer while its messages still arrive.
 const LAPSED_RETENTION: Millis = 6000;
@@ -119,6 +122,35 @@
         self.members.len() + 1
     }
 
+    /// Returns the instances that may issue permits for targets: those that are not leaving and
+    /// have sent a message recently.
+    ///
+    /// If half of the instances or more are silent, the fault may lie with this one, and all that
+    /// are not leaving are returned, so that it does not take over from those that it cannot reach.
+    #[must_use]
+    pub fn issuer_candidates(&self, now: Millis) -> Vec<InstanceId> {
+        let is_heard = |known: &MemberState| {
+            let heard = known.last_message.unwrap_or(known.since);
+            now <= heard + ISSUER_TIMEOUT
+        };
+        let silent = self.members.values().filter(|known| !is_heard(known));
+        let isolated = silent.count() * 2 >= self.instance_count();
+        let mut candidates = Vec::new();
+        for (instance, known) in &self.members {
+            if !known.member.leaving && (isolated || is_heard(known)) {
+                candidates.push(instance.clone());
+            }
+        }
+        candidates
+    }
+
+    /// Returns the address for messages to an instance, if the instance is reachable.
+    #[must_use]
+    pub fn reachable_address(&self, instance: &str, now: Millis) -> Option<SocketAddr> {
+        let known = self.members.get(instance)?;
+        known.is_reachable(now).then_some(known.member.peer)
+    }
+
     /// Removes and returns the instances whose entries vanished more than 6 s ago and that are not
     /// reachable.
     pub fn sweep(&mut self, now: Millis) -> Vec<InstanceId> {
--- a/crates/cactuslane-gateway/src/metrics.rs
+++ b/crates/cactuslane-gateway/src/metrics.rs
@@ -33,8 +33,8 @@
     attempts: Family<Labels, Counter>,
     /// Answers that were aborted after they had begun.
     pub cut_streams: Counter,
-    /// Requests and calls sent to targets that have a limit.
-    pub limited_sends: Counter,
+    /// Requests for permits for targets that have a limit, by result.
+    permits: Family<Labels, Counter>,
     /// Times from the arrival of a request until its answer can be forwarded, in seconds, by kind
     /// of route.
     first_byte: Family<Labels, Histogram>,
@@ -85,7 +85,7 @@
             failures: Family::default(),
             attempts: Family::default(),
             cut_streams: Counter::default(),
-            limited_sends: Counter::default(),
+            permits: Family::default(),
             first_byte: Family::new_with_constructor(histogram as fn() -> Histogram),
             pauses: histogram(),
             prompt_tokens: Family::default(),
@@ -128,14 +128,17 @@
                 &self.transfers,
             ),
             ("orders", "Orders to engines by result", &self.orders),
+            (
+                "permits",
+                "Requests for permits for targets with a limit, by result",
+                &self.permits,
+            ),
         ];
         for (name, help, counter) in counters {
             registry.register(name, help, counter.clone());
         }
         let help = "Answers that broke off after they had begun";
         registry.register("cut_streams", help, self.cut_streams.clone());
-        let help = "Requests and calls sent to targets that have a limit";
-        registry.register("limited_sends", help, self.limited_sends.clone());
         let help = "Time to the first byte of an answer";
         registry.register("first_byte_seconds", help, self.first_byte.clone());
         let help = "Time between the pieces of a stream";
@@ -211,6 +214,11 @@
         self.orders.get_or_create(&vec![("result", result)]).inc();
     }
 
+    /// Counts a request for a permit by its result.
+    pub fn count_permit(&self, result: &'static str) {
+        self.permits.get_or_create(&vec![("result", result)]).inc();
+    }
+
     /// Returns the metrics in the text format that Prometheus reads.
     #[must_use]
     pub fn text(&self, gateway: &Gateway) -> String {
@@ -236,7 +244,7 @@
         self.targets.set(fleet.count_usable(now) as i64);
         let last_contact = fleet.store_contact().unwrap_or(0);
         drop(fleet);
-        self.limited.set(gateway.limits().count() as i64);
+        self.limited.set(gateway.placer().limits.count() as i64);
         self.store_age.set(now.saturating_sub(last_contact) as i64);
         self.instances
             .set(gateway.members().instance_count() as i64);
--- a/crates/cactuslane-gateway/src/orders.rs
+++ b/crates/cactuslane-gateway/src/orders.rs
@@ -185,7 +185,7 @@
 }
 
 /// Returns the engines whose roles can be changed, by service: all that take new work except
-/// those with the mixed role.
+/// those with the mixed role and those with a limit, which the calls of a change would use up.
 fn engine_groups(gateway: &Gateway) -> Vec<EngineGroup> {
     let now = gateway.now();
     let fleet = gateway.fleet();
@@ -199,7 +199,8 @@
         };
         let mut targets = Vec::new();
         for target in fleet.targets(name, None, now) {
-            if target.role != Role::Mixed {
+            let limited = gateway.placer().limits.rate(target).is_some();
+            if target.role != Role::Mixed && !limited {
                 targets.push(target.clone());
             }
         }
@@ -318,6 +319,10 @@
     role: Role,
     orders: u64,
 ) -> Result<OrderAnswer, CallError> {
+    let permit = limits::acquire(gateway, target, "").await;
+    let permit = permit.map_err(|wait| {
+        CallError::Unsent(format!("the target's limit allows no order for {wait:?}"))
+    })?;
     let connection = gateway.pool.checkout(&target.id, target.address).await;
     let mut connection = connection.map_err(CallError::from)?;
     let Some(fencing) = gateway.leadership().may_order(boot_millis()) else {
@@ -327,8 +332,7 @@
     let body = engine::encode_order(role, &instance, fencing, orders);
     let request = engines::build_call(target, Method::POST, engine::ORDER_PATH, body);
     let sent = gateway.now();
-    limits::record_send(gateway, target, Purpose::Call, "");
-    let response = timeout(CALL_TIMEOUT, connection.send(request)).await;
+    let response = timeout(CALL_TIMEOUT, connection.send(request, permit)).await;
     let response = response.map_err(|_| CallError::Unknown("no answer in time".to_owned()))?;
     let response = response.map_err(CallError::from)?;
     let (status, headers) = (response.status(), response.headers());
--- a/crates/cactuslane-gateway/src/peers.rs
+++ b/crates/cactuslane-gateway/src/peers.rs
@@ -5,12 +5,14 @@
 use std::time::Duration;
 
 use cactuslane_place::load_view::PeerUpdate;
-use cactuslane_place::{Observation, Observed};
+use cactuslane_place::{LimitNotice, Observation, Observed, PermitAnswer};
+use cactuslane_types::InstanceId;
 use log::{debug, info, warn};
 use serde::{Deserialize, Serialize};
 use tokio::net::UdpSocket;
 use tokio::time::{Instant, MissedTickBehavior, interval};
 
+use crate::limits::{self, PermitRequest};
 use crate::relay::Relay;
 use crate::state::Gateway;
 use crate::watch::RelaySender;
@@ -40,6 +42,12 @@
     Update(PeerUpdate),
     /// Store changes that the sender read.
     Relay(Relay),
+    /// The limit of a target, as the sender has just learned it.
+    Limit(InstanceId, LimitNotice),
+    /// A request for a permit to send a request to a target with a limit.
+    PermitRequest(InstanceId, PermitRequest),
+    /// The answer to the permit request with this number.
+    Permit(u64, PermitAnswer),
 }
 
 /// Sends updates to the other instances and handles their messages, until the task is aborted.
@@ -55,7 +63,7 @@
     loop {
         tokio::select! {
             received = socket.recv_from(&mut buffer) => match received {
-                Ok((length, _)) => receive(&gateway, &buffer[..length], &relays),
+                Ok((length, from)) => receive(&gateway, &socket, &buffer[..length], from, &relays),
                 Err(error) => debug!(error:% = error; "message not received"),
             },
             _ = ticks.tick() => sender.send_update(&gateway, &socket),
@@ -95,7 +103,10 @@
         }
         gateway.pool.remove_expired();
         let fleet = gateway.fleet();
-        gateway.limits().retain(|id| fleet.known(id).is_some());
+        gateway
+            .placer()
+            .limits
+            .retain(|id| fleet.known(id).is_some());
         drop(fleet);
         let mut placer = gateway.placer();
         let (loads, cache_updates) = (
@@ -145,6 +156,24 @@
     }
 }
 
+/// Notifies the other instances of the limit of a target.
+pub fn notify_limit(gateway: &Gateway, notice: LimitNotice) {
+    let Some(socket) = gateway.peer_socket.get() else {
+        return;
+    };
+    let message = Message::Limit(gateway.settings().instance.clone(), notice);
+    send(socket, &message, &gateway.members().peer_addresses());
+}
+
+/// Sends a request for a permit to an instance, if that is reachable.
+pub fn request_permit(gateway: &Gateway, issuer: &str, request: PermitRequest) {
+    let address = gateway.members().reachable_address(issuer, gateway.now());
+    if let (Some(address), Some(socket)) = (address, gateway.peer_socket.get()) {
+        let me = gateway.settings().instance.clone();
+        send(socket, &Message::PermitRequest(me, request), &[address]);
+    }
+}
+
 /// Sends a message to some instances; one that cannot be sent is dropped.
 fn send(socket: &UdpSocket, message: &Message, peers: &[SocketAddr]) {
     let message = match postcard::to_stdvec(message) {
@@ -162,7 +191,13 @@
 }
 
 /// Decodes and applies a message of another instance; relays go to the task that tracks the store.
-fn receive(gateway: &Gateway, message: &[u8], relays: &RelaySender) {
+fn receive(
+    gateway: &Gateway,
+    socket: &UdpSocket,
+    message: &[u8],
+    from: SocketAddr,
+    relays: &RelaySender,
+) {
     let update = match postcard::from_bytes(message) {
         Ok(Message::Update(update)) => update,
         Ok(Message::Relay(relay)) => {
@@ -171,6 +206,12 @@
             }
             return;
         }
+        Ok(Message::Limit(peer, notice)) => return limits::apply_notice(gateway, &notice, &peer),
+        Ok(Message::PermitRequest(peer, request)) => {
+            let answer = limits::answer_request(gateway, &request, &peer);
+            return send(socket, &Message::Permit(request.number, answer), &[from]);
+        }
+        Ok(Message::Permit(number, answer)) => return gateway.permit_calls.answer(number, answer),
         Err(error) => {
             debug!(error:% = error; "message is unreadable");
             return;
--- a/crates/cactuslane-gateway/src/plain.rs
+++ b/crates/cactuslane-gateway/src/plain.rs
@@ -15,7 +15,7 @@
 use tokio::time::{Instant, timeout};
 
 use crate::ingress::CallerRequest;
-use crate::limits::{self, Purpose};
+use crate::limits::{self, MAX_DENIALS, Permit, Purpose};
 use crate::metrics;
 use crate::reply::{self, AnswerBody};
 use crate::state::Gateway;
@@ -50,17 +50,23 @@
     mut state: RequestState,
 ) -> Response<AnswerBody> {
     let mut tried: Vec<String> = Vec::new();
+    let mut denials = 0;
     loop {
         let now = gateway.now();
         let left = state.remaining(now);
         if left.is_zero() {
             return refuse(request, &state, Duration::ZERO, "the time is over");
         }
-        let Some(target) = choose_target(gateway, request, &tried) else {
-            return refuse(request, &state, NO_TARGET_RETRY_AFTER, "no target");
+        let target = choose_target(gateway, request, &tried);
+        let Some(target) = target.filter(|_| denials < MAX_DENIALS) else {
+            return refuse_without_target(gateway, request, &state, NO_TARGET_RETRY_AFTER);
+        };
+        let Ok(permit) = limits::acquire(gateway, &target, &request.info.id).await else {
+            denials += 1;
+            continue;
         };
         tried.push(target.id.clone());
-        let attempt = attempt(gateway, request, &state, &target).await;
+        let attempt = attempt(gateway, request, &state, &target, permit).await;
         let now = gateway.now();
         let Some(ending) = attempt.ending else {
             let seconds = request.arrived.elapsed().as_secs_f64();
@@ -113,6 +119,7 @@
     request: &CallerRequest,
     state: &RequestState,
     target: &Target,
+    permit: Permit,
 ) -> Attempt {
     let left = state.remaining(gateway.now());
     let load = Load {
@@ -126,7 +133,7 @@
         timeout: left,
         ..SendParams::default()
     };
-    let pending = send_and_read(gateway, request, target, &params);
+    let pending = send_and_read(gateway, request, target, &params, permit);
     tokio::pin!(pending);
     let slow_after = request.route.latency_objective * SLOW_ANSWER_FACTOR;
     let mut budget_taken = false;
@@ -176,8 +183,9 @@
     request: &CallerRequest,
     target: &Target,
     params: &SendParams<'_>,
+    permit: Permit,
 ) -> Result<Response<AnswerBody>, (AttemptFailure, String)> {
-    let (connection, response) = send(gateway, request, target, params).await?;
+    let (connection, response) = send(gateway, request, target, params, permit).await?;
     let keep_alive = exchange::keep_alive_timeout(response.headers());
     let (head, body) = response.into_parts();
     let body = Limited::new(body, MAX_ANSWER_BYTES).collect().await;
@@ -207,6 +215,7 @@
     request: &CallerRequest,
     target: &Target,
     params: &SendParams<'_>,
+    permit: Permit,
 ) -> Result<(PooledConnection, Response<Incoming>), (AttemptFailure, String)> {
     let connection = gateway.pool.checkout(&target.id, target.address).await;
     let mut connection = connection.map_err(attempt_failure)?;
@@ -219,8 +228,8 @@
     *outgoing.uri_mut() = origin_form(&request.uri);
     *outgoing.headers_mut() = exchange::request_headers(&request.headers, params);
     let sent = gateway.now();
-    limits::record_send(gateway, target, Purpose::Request, &request.info.id);
-    let response = connection.send(outgoing).await.map_err(attempt_failure)?;
+    let response = connection.send(outgoing, permit).await;
+    let response = response.map_err(attempt_failure)?;
     let status = response.status().as_u16();
     let verdict = exchange::verdict(&request.info.id, &target.id, status, response.headers());
     if !matches!(verdict, Verdict::Foreign | Verdict::Replaced) {
@@ -293,6 +302,34 @@
     reply::refusal(&request.info.id, state.refusal(), after, cause)
 }
 
+/// Returns the answer to a request for which there is no target, or only such whose limits allow
+/// no request now.
+///
+/// The caller is told to come back when a limit allows one, but not before `after`, which is
+/// shortened to a third of the time left.
+pub fn refuse_without_target(
+    gateway: &Gateway,
+    request: &CallerRequest,
+    state: &RequestState,
+    after: Duration,
+) -> Response<AnswerBody> {
+    let now = gateway.now();
+    let fleet = gateway.fleet();
+    let model = request.info.model.as_deref();
+    let targets = fleet.targets(&request.service, model, now);
+    let placer = gateway.placer();
+    let waits = targets
+        .iter()
+        .filter_map(|target| placer.limits.wait(target, now));
+    match waits.min() {
+        Some(wait) => {
+            let after = wait.max(after).min(state.remaining(now) / 3);
+            refuse(request, state, after, "limited")
+        }
+        None => refuse(request, state, after, "no target"),
+    }
+}
+
 /// Returns the metric label for a kind of failure, which is also the cause of a refusal after it.
 #[must_use]
 pub fn failure_label(ending: AttemptFailure) -> &'static str {
--- a/crates/cactuslane-gateway/src/ranking.rs
+++ b/crates/cactuslane-gateway/src/ranking.rs
@@ -1,5 +1,6 @@
 //! Choice of the instances that perform a task, by rendezvous hashing and without communication.
 
+use std::cmp::Reverse;
 use std::hash::{DefaultHasher, Hash, Hasher};
 
 use cactuslane_types::InstanceId;
@@ -16,6 +17,16 @@
     ahead.take(count).count() < count
 }
 
+/// Returns the `count` instances that rank highest for the task that `key` identifies, the highest
+/// first.
+#[must_use]
+pub fn top_ranked(candidates: Vec<InstanceId>, key: &str, count: usize) -> Vec<InstanceId> {
+    let mut ranked = candidates;
+    ranked.sort_by_cached_key(|instance| Reverse(rank(instance, key)));
+    ranked.truncate(count);
+    ranked
+}
+
 /// Returns the rank of an instance for a task, a hash of the instance's id and the task's key.
 fn rank(instance: &str, key: &str) -> u64 {
     let mut hasher = DefaultHasher::new();
--- a/crates/cactuslane-gateway/src/state.rs
+++ b/crates/cactuslane-gateway/src/state.rs
@@ -2,22 +2,23 @@
 
 use std::collections::BTreeMap;
 use std::sync::atomic::{AtomicUsize, Ordering};
-use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::sync::{Arc, Mutex, MutexGuard, OnceLock, PoisonError};
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
 use cactuslane_flight::AttemptFailure;
 use cactuslane_flight::budget::{USED_SHARE, WindowedRetryBudget, slack_share};
 use cactuslane_flight::routing_config::RoutingConfig;
 use cactuslane_flight::target::Target;
-use cactuslane_flight::target_limits::TargetLimits;
 use cactuslane_place::{Load, Placer};
 use cactuslane_platform::Settings;
 use cactuslane_store::kv::KvClient;
 use cactuslane_types::{Millis, ServiceName, TargetId};
+use tokio::net::UdpSocket;
 use tokio::time::Instant;
 
 use crate::fleet::Fleet;
 use crate::leadership::{LeaderRecord, Leadership};
+use crate::limits::PermitCalls;
 use crate::members::Members;
 use crate::metrics::Metrics;
 use crate::upstream::ConnectionPool;
@@ -39,8 +40,10 @@
     leadership: Mutex<Leadership>,
     /// Placer that chooses targets, with its records of load, caches and health.
     placer: Mutex<Placer>,
-    /// Limits that targets have named.
-    limits: Mutex<TargetLimits>,
+    /// Requests for permits that other instances have not answered yet.
+    pub permit_calls: PermitCalls,
+    /// Socket for messages to the other instances, once it is bound.
+    pub peer_socket: OnceLock<Arc<UdpSocket>>,
     /// Retry budgets by service.
     retry_budgets: Mutex<BTreeMap<ServiceName, WindowedRetryBudget>>,
     /// Idle connections to targets.
@@ -78,7 +81,8 @@
             members: Mutex::default(),
             leadership: Mutex::default(),
             placer: Mutex::new(placer),
-            limits: Mutex::default(),
+            permit_calls: PermitCalls::default(),
+            peer_socket: OnceLock::new(),
             retry_budgets: Mutex::default(),
             pool: ConnectionPool::default(),
             store,
@@ -148,11 +152,6 @@
         lock(&self.placer)
     }
 
-    /// Locks the limits of the targets.
-    pub fn limits(&self) -> MutexGuard<'_, TargetLimits> {
-        lock(&self.limits)
-    }
-
     /// Returns the routing configuration in force; `None` until one was read.
     #[must_use]
     pub fn routing_config(&self) -> Option<Arc<RoutingConfig>> {
--- a/crates/cactuslane-gateway/src/upstream.rs
+++ b/crates/cactuslane-gateway/src/upstream.rs
@@ -15,6 +15,8 @@
 use tokio::net::TcpStream;
 use tokio::time::{Instant, timeout};
 
+use crate::limits::Permit;
+
 /// Maximum time to establish a connection.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(450);
 /// Maximum time for which sent data may remain unacknowledged before the kernel closes the
@@ -143,10 +145,16 @@
     /// # Errors
     ///
     /// Returns [`SendError::Unsent`] only if no byte was sent, otherwise [`SendError::Broken`].
+    /// Nothing is sent if the permit is for another target.
     pub async fn send(
         &mut self,
         request: Request<Full<Bytes>>,
+        permit: Permit,
     ) -> Result<Response<Incoming>, SendError> {
+        if !permit.applies_to(&self.target) {
+            let text = format!("the permit is not for {}", self.target);
+            return Err(SendError::Unsent(text));
+        }
         self.sender
             .try_send_request(request)
             .await
--- a/crates/cactuslane-place/src/lib.rs
+++ b/crates/cactuslane-place/src/lib.rs
@@ -1,9 +1,11 @@
 //! Placement of requests on targets, as decisions without I/O.
 //!
 //! [`Placer`] chooses targets by their load ([`LoadView`]), which instances exchange with each
-//! other, and by the estimated contents of their prefix caches ([`CacheEstimate`]).
+//! other, and by the estimated contents of their prefix caches ([`CacheEstimate`]). [`TargetLimits`]
+//! keeps the limits that targets name for all instances together.
 
 pub mod cache;
+pub mod limits;
 pub mod load_view;
 pub mod observations;
 pub mod placer;
@@ -11,6 +13,7 @@
 pub mod speed;
 
 pub use cache::CacheEstimate;
+pub use limits::{LimitAnswer, LimitNotice, PermitAnswer, TargetLimits};
 pub use load_view::{CacheUpdate, Load, LoadView, PeerUpdate, PlacedWork};
 pub use observations::{Observation, Observed};
 pub use placer::{Placement, PlacementRequest, Placer, Plan};
--- a/crates/cactuslane-place/src/placer.rs
+++ b/crates/cactuslane-place/src/placer.rs
@@ -15,6 +15,7 @@
 use rand_pcg::Pcg64Mcg;
 
 use crate::cache::CacheEstimate;
+use crate::limits::TargetLimits;
 use crate::load_view::{CacheUpdate, LoadView, PeerUpdate, decode_parts, encode_parts};
 use crate::observations::{Observations, Observed};
 use crate::speed::PromptSpeed;
@@ -50,6 +51,8 @@
 pub struct Placer {
     /// Load of the targets.
     pub load_view: LoadView,
+    /// Limits that targets have named.
+    pub limits: TargetLimits,
     /// Estimated speed of the engines.
     pub speed: PromptSpeed,
     /// Estimated contents of the engines' prefix caches.
@@ -142,6 +145,7 @@
     pub fn new(domain: DomainName, seed: u64) -> Self {
         Self {
             load_view: LoadView::default(),
+            limits: TargetLimits::default(),
             speed: PromptSpeed::default(),
             caches: BTreeMap::new(),
             health: BTreeMap::new(),
@@ -405,7 +409,8 @@
     ///
     /// A target that failed or is slow is probed with one request of this instance at a time.
     /// Targets that are paused or busy with a probe are added only if no other target can generate,
-    /// and targets whose role is changing only if none of those can either.
+    /// and targets whose role is changing only if none of those can either. Targets for which no
+    /// permit is expected now are left out in any case.
     fn usable<'t>(
         &self,
         targets: &[&'t Target],
@@ -416,7 +421,7 @@
         let mut rest = Vec::new();
         let mut changing = Vec::new();
         for target in targets {
-            if tried.contains(&target.id) {
+            if tried.contains(&target.id) || self.limits.wait(target, now).is_some() {
                 continue;
             }
             if self.load_view.is_changing(&target.id, now) {
