Ask only reachable issuers, and pass on the time left after a permit

A request for a permit to an issuer that has been silent for 1.3 s waited 100 ms for an answer that could not come. And the time that a target is given for a prompt was that of before the permit.

--- a/crates/cactuslane-gateway/src/generation.rs
+++ b/crates/cactuslane-gateway/src/generation.rs
@@ -149,6 +149,11 @@
                 denials += 1;
                 continue;
             };
+            // Acquiring a permit may have taken some of it.
+            let left = self.state.remaining(self.gateway.now());
+            if left.is_zero() {
+                continue;
+            }
             // The retry that follows a run is counted already, but not a prompt computed again
             // for it.
             let repeats_prompt =
--- a/crates/cactuslane-gateway/src/limits.rs
+++ b/crates/cactuslane-gateway/src/limits.rs
@@ -259,12 +259,15 @@
     limits.issue(&notice.target, notice.process, issuers.len(), now)
 }
 
-/// Asks another instance for a permit; returns `None` if it does not answer in time.
+/// Asks another instance for a permit; returns `None` if it is not reachable or does not answer in
+/// time.
 async fn ask(gateway: &Gateway, target: &Target, issuer: &str) -> Option<PermitAnswer> {
     let notice = gateway.placer().limits.notice(target, gateway.now())?;
     let (number, receiver) = gateway.permit_calls.open();
     let _guard = CallGuard { gateway, number };
-    peers::request_permit(gateway, issuer, PermitRequest { number, notice });
+    if !peers::request_permit(gateway, issuer, PermitRequest { number, notice }) {
+        return None;
+    }
     timeout(ASK_TIMEOUT, receiver).await.ok()?.ok()
 }
 
--- a/crates/cactuslane-gateway/src/peers.rs
+++ b/crates/cactuslane-gateway/src/peers.rs
@@ -194,13 +194,16 @@
     send(socket, &message, &gateway.members().peer_addresses());
 }
 
-/// Sends a request for a permit to an instance, if that is reachable.
-pub fn request_permit(gateway: &Gateway, issuer: &str, request: PermitRequest) {
+/// Sends a request for a permit to an instance; returns false if that is not reachable.
+#[must_use]
+pub fn request_permit(gateway: &Gateway, issuer: &str, request: PermitRequest) -> bool {
     let address = gateway.members().reachable_address(issuer, gateway.now());
-    if let (Some(address), Some(socket)) = (address, gateway.peer_socket.get()) {
-        let me = gateway.settings().instance.clone();
-        send(socket, &Message::PermitRequest(me, request), &[address]);
-    }
+    let (Some(address), Some(socket)) = (address, gateway.peer_socket.get()) else {
+        return false;
+    };
+    let me = gateway.settings().instance.clone();
+    send(socket, &Message::PermitRequest(me, request), &[address]);
+    true
 }
 
 /// Sends a message to some instances; one that cannot be sent is dropped.
