Let targets of the soak name limits, and check that these hold

A target at a time names a limit of 0.3 to 6 requests a second for 9 to 14 s, while instances are killed, stopped, frozen and cut off; no window of 4 s later than 3 s after that may have more than one and a half times the limit and 5 requests. The other steps of a seed stay as they were.

Traced: the end of a limit removed the next one of the same target, which then named none, as the logs of the instances show. Limits now lie a second apart; a test keeps the seeds.

--- a/crates/cactuslane-soak/src/check.rs
+++ b/crates/cactuslane-soak/src/check.rs
@@ -15,6 +15,12 @@
 /// Time after a target's entry is set to draining during which instances may still send it
 /// requests, because they may not know of the drain yet.
 pub const DRAIN_GRACE: Duration = Duration::from_secs(2);
+/// Time after a target first names a limit from which the limit must hold.
+pub const LIMIT_GRACE: Duration = Duration::from_secs(3);
+/// Length of the window in which the requests at a target with a limit are counted.
+pub const LIMIT_WINDOW: Duration = Duration::from_secs(4);
+/// Number of requests that such a window may have beyond one and a half times the limit.
+const LIMIT_SLACK: f64 = 5.0;
 /// Maximum time from the due time of a request to its failure if the instance closed the connection
 /// while the request was being sent.
 pub const CLOSE_RACE_TIME: Duration = Duration::from_millis(200);
@@ -49,6 +55,9 @@
     /// Start and end of each drain of a target, with the start times of the target's runs since
     /// that start.
     pub drains: Vec<(Instant, Instant, Vec<Instant>)>,
+    /// Start of each time in which a target named a limit, the limit in requests a second and the
+    /// arrival times of requests and calls at the target.
+    pub limits: Vec<(Instant, f64, Vec<Instant>)>,
     /// Configuration versions in force in each process, with the times at which they were read, in
     /// order.
     pub versions: BTreeMap<String, Vec<(Instant, u64)>>,
@@ -63,7 +72,7 @@
 /// Number of checks of each guarantee, by its name.
 pub type CheckCounts = BTreeMap<&'static str, u64>;
 
-/// Verifies all guarantees, those that bound a time (drains and recovery) only if `timed` is set.
+/// Verifies all guarantees, those that bound a time (drains, limits and recovery) only if `timed` is set.
 ///
 /// Returns the violations and the number of checks. `kinds` are those of the load that `records`
 /// belong to.
@@ -86,6 +95,7 @@
     checker.check_exits();
     if timed {
         checker.check_drains();
+        checker.check_limits();
         checker.check_recovery(records);
     }
     (checker.violations, checker.check_counts)
@@ -202,6 +212,26 @@
         }
     }
 
+    /// Checks that no target gets more than half as much again as its limit allows, and
+    /// [`LIMIT_SLACK`] requests, in any [`LIMIT_WINDOW`] that begins later than [`LIMIT_GRACE`]
+    /// after it first named the limit.
+    fn check_limits(&mut self) {
+        for (from, rate, arrivals) in &self.observations.limits {
+            let allowed = rate * LIMIT_WINDOW.as_secs_f64() * 1.5 + LIMIT_SLACK;
+            let mut most = 0;
+            for (first, begin) in arrivals.iter().enumerate() {
+                if *begin < *from + LIMIT_GRACE {
+                    continue;
+                }
+                let within = |at: &&Instant| **at < *begin + LIMIT_WINDOW;
+                most = most.max(arrivals[first..].iter().take_while(within).count());
+            }
+            let observed = || format!("{most} requests of {allowed:.1}, limit {rate:.1}/s");
+            let holds = most as f64 <= allowed;
+            self.record_check("limits of targets hold", holds, "a target", observed);
+        }
+    }
+
     /// Checks that requests are served again once [`RECOVERY_TIME`] has passed since the last fault
     /// or planned change; does nothing if there was none.
     fn check_recovery(&mut self, records: &[RequestRecord]) {
--- a/crates/cactuslane-soak/src/plan.rs
+++ b/crates/cactuslane-soak/src/plan.rs
@@ -13,6 +13,15 @@
 /// Time at the start of a run without faults or planned changes, in which the load starts; the
 /// instances have started before.
 pub const WARM_UP: Duration = Duration::from_secs(2);
+/// Range of the times for which a target names a limit, in seconds.
+const LIMIT_SECONDS: std::ops::Range<f64> = 9.0..14.0;
+/// Time between two limits, so that the end of one is not taken for that of the next one of the same
+/// target.
+const LIMIT_GAP: Duration = Duration::from_secs(1);
+/// Range of the limits, in requests a second.
+const LIMIT_RATE: std::ops::Range<f64> = 0.3..6.0;
+/// Part of the seed of the limits that tells it from that of the other steps.
+const LIMITS_SEED: u64 = 0x6c69_6d69_7473;
 /// Share of a run at its end without faults or planned changes, in which the system recovers.
 const RECOVERY_SHARE: f64 = 0.3;
 
@@ -50,6 +59,8 @@
     Target(usize, TargetFault, u32),
     /// Sets the state of a target to draining, and back to ready after a time.
     Drain(usize, Duration),
+    /// Lets a target name a limit of this number of requests a second for a time.
+    Limit(usize, f64, Duration),
     /// Writes a configuration with the next version number.
     Configure,
 }
@@ -126,6 +137,7 @@
             | Self::Store(_, time)
             | Self::StoreLink(_, _, time)
             | Self::TargetLink(_, _, time)
+            | Self::Limit(_, _, time)
             | Self::Drain(_, time) => *time,
             Self::Stop(_)
             | Self::Reload(_)
@@ -151,7 +163,7 @@
     loop {
         at += MEAN_GAP.mul_f64(rng.random_range(0.1..1.9));
         if at >= end {
-            return steps;
+            break;
         }
         // At about a fifth of the times three actions start together, so that faults and changes
         // overlap.
@@ -165,6 +177,29 @@
             }
         }
     }
+    steps.extend(draw_limits(seed, end, targets));
+    steps.sort_by_key(|step| step.at);
+    steps
+}
+
+/// Draws the steps in which targets name limits, one after the other until `end`.
+///
+/// They have a random generator of their own, so that the other steps do not depend on them.
+fn draw_limits(seed: u64, end: Duration, targets: usize) -> Vec<PlanStep> {
+    let mut rng = Pcg64Mcg::seed_from_u64(seed ^ LIMITS_SEED);
+    let mut steps = Vec::new();
+    let mut at = WARM_UP;
+    loop {
+        let time = Duration::from_secs_f64(rng.random_range(LIMIT_SECONDS));
+        if at + time > end {
+            return steps;
+        }
+        let rate = rng.random_range(LIMIT_RATE);
+        let target = rng.random_range(0..targets);
+        let action = Action::Limit(target, rate, time);
+        steps.push(PlanStep { at, action });
+        at += time + LIMIT_GAP;
+    }
 }
 
 /// Returns whether a step drains a target that is still draining: the end of the first drain would
--- a/crates/cactuslane-soak/src/run.rs
+++ b/crates/cactuslane-soak/src/run.rs
@@ -94,6 +94,8 @@
     HealTargetLink(usize),
     /// Ends the drain of a target that started at the given time.
     EndDrain(usize, Instant),
+    /// Ends the limit of a target, in requests a second, that it has named since the given time.
+    EndLimit(usize, f64, Instant),
 }
 
 /// Performs one run and returns its report.
@@ -269,7 +271,7 @@
         let until = now + action.duration();
         self.observations.disruption_end = self.observations.disruption_end.max(Some(until));
         let planned = action.is_planned();
-        if !planned && !matches!(action, Action::Target(..)) {
+        if !planned && !matches!(action, Action::Target(..) | Action::Limit(..)) {
             self.observations.faults.push((now, until));
         }
         match *action {
@@ -312,6 +314,11 @@
                 self.follow_ups
                     .push((until, FollowUp::EndDrain(number, now)));
             }
+            Action::Limit(number, rate, _) => {
+                self.targets[number].name_limit(Some(rate));
+                self.follow_ups
+                    .push((until, FollowUp::EndLimit(number, rate, now)));
+            }
             Action::Configure => {
                 self.version += 1;
                 self.store.configure(&document(self.version));
@@ -338,6 +345,12 @@
                 self.observations.drains.push((from, Instant::now(), runs));
                 self.register(number, "ready");
             }
+            FollowUp::EndLimit(number, rate, from) => {
+                let arrivals = self.targets[number].arrivals();
+                let arrivals = arrivals.into_iter().filter(|at| *at >= from).collect();
+                self.observations.limits.push((from, rate, arrivals));
+                self.targets[number].name_limit(None);
+            }
         }
         Ok(())
     }
--- a/crates/cactuslane-soak/tests/checks.rs
+++ b/crates/cactuslane-soak/tests/checks.rs
@@ -128,3 +128,24 @@
     assert_eq!(guarantees(&observations, true), [untimed, timed].concat());
     assert_eq!(guarantees(&observations, false), untimed);
 }
+
+#[parameterized(
+    within = { 17, 100, true },
+    beyond = { 18, 100, false },
+    spread = { 40, 1_000, true },
+)]
+fn a_target_with_a_limit_of_two_gets_seventeen_requests_in_four_seconds(
+    count: u32,
+    gap_ms: u64,
+    holds: bool,
+) {
+    let named = Instant::now();
+    let begin = named + check::LIMIT_GRACE;
+    let arrivals = (0..count).map(|number| begin + Duration::from_millis(gap_ms) * number);
+    let observations = Observations {
+        limits: vec![(named, 2.0, arrivals.collect())],
+        ..Observations::default()
+    };
+    let (violations, _) = check::check(&[], &[], &observations, true);
+    assert_eq!(violations.is_empty(), holds, "{violations:?}");
+}
--- a/crates/cactuslane-soak/tests/load.rs
+++ b/crates/cactuslane-soak/tests/load.rs
@@ -128,3 +128,18 @@
     assert!(page.contains("<svg") && page.contains("polyline"));
     assert!(compare::table(&Figures::default(), &after).is_err());
 }
+
+// Seeds 11002, 31002 and 31004 had a target name a limit again when the previous one ended, which
+// removed the new one.
+#[test]
+fn limits_of_targets_do_not_touch() {
+    for seed in [11_002, 31_002, 31_004] {
+        let mut end = Duration::ZERO;
+        for step in plan::draw(seed, Duration::from_secs(45), 4, 8) {
+            if let Action::Limit(_, _, time) = step.action {
+                assert!(step.at > end, "seed {seed}: {:?} after {end:?}", step.at);
+                end = step.at + time;
+            }
+        }
+    }
+}
