Learn the speed of engines from short prompts while there is no long one

Change: until there is a long prompt, a line along the fastest tenth of the last 60 short prompts that had none ahead (quantile regression) gives the time for one token, every 20 prompts. What waiting adds is then not in its slope.

--- a/crates/cactuslane-place/src/speed.rs
+++ b/crates/cactuslane-place/src/speed.rs
@@ -1,7 +1,11 @@
 //! Speed at which engines compute prompts, estimated from their response times.
 
+mod short_prompts;
+
 use std::collections::{BTreeMap, VecDeque};
 
+use self::short_prompts::ShortPrompts;
+
 /// Initial estimate of the time for one prompt token, in milliseconds.
 const INITIAL_TOKEN_MS: f64 = 0.025;
 /// Initial estimate of the time that a prompt takes regardless of its length, in milliseconds.
@@ -23,7 +27,8 @@
 const MIN_TOKENS: u32 = 4_000;
 /// Number of the last observations that show the time for one token.
 const SAMPLES: usize = 60;
-/// Number of assumed observations from which the estimate of the time for one token starts.
+/// Number of assumed observations from which the estimate of the time for one token by long prompts
+/// starts.
 const INITIAL_SAMPLES: usize = 20;
 /// Quantile of the observed times for one token that is taken as the speed of an engine.
 const SPEED_QUANTILE: f64 = 0.1;
@@ -35,11 +40,13 @@
 ///
 /// Waiting only adds to the time of a prompt, and hardly depends on its length. The fastest of the
 /// long prompts therefore show the time for one token, and the rest of the time is averaged by
-/// priority.
+/// priority. Until there is a long prompt, a line along the fastest of the short ones shows it.
 #[derive(Clone, Debug)]
 pub struct PromptSpeed {
     /// Times for one token of the last long prompts in milliseconds, oldest first.
     samples: VecDeque<f64>,
+    /// Short prompts, until there is a long one.
+    short: Option<ShortPrompts>,
     /// Time for one prompt token on an engine that only computes prompts, in milliseconds.
     token_ms: f64,
     /// Moving average of the time for one prompt token with the time of waiting, in milliseconds.
@@ -54,6 +61,7 @@
     fn default() -> Self {
         Self {
             samples: VecDeque::from([INITIAL_TOKEN_MS; INITIAL_SAMPLES]),
+            short: Some(ShortPrompts::default()),
             token_ms: INITIAL_TOKEN_MS,
             waiting_token_ms: INITIAL_TOKEN_MS,
             fixed_ms: BTreeMap::new(),
@@ -112,7 +120,13 @@
     /// `uncached` counts the prompt's own uncached tokens, `ahead` those that were queued ahead.
     pub fn observe(&mut self, priority: u8, uncached: u32, ahead: u32, elapsed_ms: f64) {
         if uncached >= MIN_TOKENS {
+            self.short = None;
             self.add_sample(elapsed_ms / f64::from(uncached));
+        } else if ahead == 0 {
+            let short = self.short.as_mut();
+            if let Some(token_ms) = short.and_then(|short| short.add(uncached, elapsed_ms)) {
+                self.start_from(token_ms);
+            }
         }
         let tokens = uncached + ahead;
         if tokens >= MIN_WAITING_TOKENS {
@@ -125,6 +139,13 @@
         *fixed += (elapsed_ms - computing - *fixed) * FIXED_WEIGHT;
     }
 
+    /// Replaces the assumed time for one token.
+    fn start_from(&mut self, token_ms: f64) {
+        let (low, high) = TOKEN_MS_RANGE;
+        self.token_ms = token_ms.clamp(low, high);
+        self.samples = VecDeque::from([self.token_ms; INITIAL_SAMPLES]);
+    }
+
     /// Adds an observed time for one token and estimates it anew.
     fn add_sample(&mut self, token_ms: f64) {
         let (low, high) = TOKEN_MS_RANGE;
