--- a/crates/cactuslane-place/src/speed/short_prompts.rs
+++ b/crates/cactuslane-place/src/speed/short_prompts.rs
@@ -16,7 +16,7 @@
 #[derive(Clone, Debug, Default)]
 pub(super) struct ShortPrompts {
     /// Number of tokens and time in milliseconds of each, oldest first.
-    samples: VecDeque<(f64, f64)>,
+    samples: VecDeque<(u32, f64)>,
     /// Number of prompts added since the last estimate.
     added: usize,
 }
@@ -28,13 +28,13 @@
         if self.samples.len() >= SAMPLES {
             self.samples.pop_front();
         }
-        self.samples.push_back((f64::from(tokens), elapsed_ms));
+        self.samples.push_back((tokens, elapsed_ms));
         self.added += 1;
         if self.samples.len() < SAMPLES || self.added < INTERVAL {
             return None;
         }
         self.added = 0;
-        let lengths = || self.samples.iter().map(|(tokens, _)| *tokens);
+        let lengths = || self.samples.iter().map(|(tokens, _)| f64::from(*tokens));
         let shortest = lengths().fold(f64::INFINITY, f64::min);
         let longest = lengths().fold(0.0, f64::max);
         if longest < shortest * MIN_SPREAD {
@@ -52,6 +52,7 @@
                 if x == other_x {
                     continue;
                 }
+                let (x, other_x) = (f64::from(*x), f64::from(*other_x));
                 let slope = (other_y - y) / (other_x - x);
                 let loss = self.loss(slope, y - slope * x);
                 if slope > 0.0 && best.is_none_or(|(least, _)| loss < least) {
@@ -66,7 +67,7 @@
     fn loss(&self, slope: f64, intercept: f64) -> f64 {
         let mut loss = 0.0;
         for (x, y) in &self.samples {
-            let above = y - slope * x - intercept;
+            let above = y - slope * f64::from(*x) - intercept;
             loss += above
                 * if above > 0.0 {
                     QUANTILE
