Send requests to targets without a limit before refusing them

What callers saw: requests refused as limited while engines without a limit took work. Cause: after four denied permits a request was refused at once; a limited target looks idle to each instance, so that with many of them the first four choices are all limited. Change: after three denials a request is placed on targets without a limit only, and is refused if there are none. A planned engine without permits is not used for want of another one.

Evidence: no_request_is_refused_for_limits_while_a_target_without_one_is_left failed before (503 for a request that the seventh target would take) and passes.

--- a/crates/cactuslane-gateway/src/generation.rs
+++ b/crates/cactuslane-gateway/src/generation.rs
@@ -22,7 +22,7 @@
 
 use self::prompt::ComputedPrompt;
 use crate::ingress::CallerRequest;
-use crate::limits::{MAX_DENIALS, Permit};
+use crate::limits::{Denials, Permit};
 use crate::plain::{failure_label, read_body, refuse, send, unknown_outcome};
 use crate::reply::{self, AnswerBody};
 use crate::state::{Gateway, LoadGuard};
@@ -55,6 +55,8 @@
     prompt_attempts: u32,
     /// Number of attempts at targets that generate.
     runs: u32,
+    /// Permits that the request was denied since it was last sent.
+    denials: Denials,
     /// Whether the retry budget allows no further computation of the prompt by a prefill engine.
     prompt_denied: bool,
 }
@@ -96,6 +98,7 @@
         prompt: None,
         prompt_attempts: 0,
         runs: 0,
+        denials: Denials::default(),
         prompt_denied: false,
         request: Arc::new(request),
         state,
@@ -117,7 +120,6 @@
     ///
     /// `last_event` is the id of the last event that the caller has received, if any.
     async fn open_stream(&mut self, last_event: Option<u64>) -> Outcome {
-        let mut denials = 0;
         loop {
             let now = self.gateway.now();
             let left = self.state.remaining(now);
@@ -142,13 +144,11 @@
                 }
                 Placement::NoTarget => return final_answer(self.refuse_without_target()),
             };
-            if denials >= MAX_DENIALS {
-                return final_answer(self.refuse_without_target());
-            }
             let Ok(permit) = self.acquire_first(&plan).await else {
-                denials += 1;
+                self.denials.add();
                 continue;
             };
+            self.denials = Denials::default();
             // Acquiring a permit may have taken some of it.
             let left = self.state.remaining(self.gateway.now());
             if left.is_zero() {
@@ -200,8 +200,9 @@
         let request = &self.request;
         let fleet = self.gateway.fleet();
         let model = request.info.model.as_deref();
-        let targets = fleet.targets(&request.service, model, now);
+        let mut targets = fleet.targets(&request.service, model, now);
         let mut placer = self.gateway.placer();
+        self.denials.filter(&mut targets, &placer.limits);
         let service = request.config.services.get(&request.service);
         let Some(engine) = service.and_then(|service| service.engine.as_ref()) else {
             let chosen = placer.place_plain(&targets, &self.tried, now);
--- a/crates/cactuslane-gateway/src/generation/permits.rs
+++ b/crates/cactuslane-gateway/src/generation/permits.rs
@@ -7,7 +7,7 @@
 use hyper::Response;
 
 use super::{NO_TARGET_RETRY_AFTER, StreamRequest};
-use crate::limits::{self, MAX_DENIALS, Permit};
+use crate::limits::{self, Denials, Permit};
 use crate::plain::refuse_without_target;
 use crate::reply::AnswerBody;
 
@@ -28,13 +28,15 @@
     }
 
     /// Returns the target that generates, with a permit for it, or `None` if there is none.
-    pub(super) async fn acquire_decode(&self, plan: &Plan) -> Option<(Target, Permit)> {
-        for _ in 0..MAX_DENIALS {
+    pub(super) async fn acquire_decode(&mut self, plan: &Plan) -> Option<(Target, Permit)> {
+        while !self.state.remaining(self.gateway.now()).is_zero() {
             let target = self.decode_target(plan)?;
             let id = &self.request.info.id;
             if let Ok(permit) = limits::acquire(&self.gateway, &target, id).await {
+                self.denials = Denials::default();
                 return Some((target, permit));
             }
+            self.denials.add();
         }
         None
     }
@@ -50,18 +52,15 @@
     ///
     /// It is the planned one, unless that is gone, changing its role or out of permits by the time
     /// the prompt is computed; another one is then chosen. If none can be, the planned one is
-    /// returned unless it is gone.
+    /// returned unless it is gone or out of permits.
     fn decode_target(&self, plan: &Plan) -> Option<Target> {
         let now = self.gateway.now();
         let planned = self.gateway.target(&plan.decode);
         let placer = self.gateway.placer();
-        let is_free = |target: &Target| {
-            !placer.load_view.is_changing(&target.id, now)
-                && placer.limits.wait(target, now).is_none()
-        };
-        let usable = planned.as_ref().is_some_and(is_free);
+        let planned = planned.filter(|target| placer.limits.wait(target, now).is_none());
+        let changing = placer.load_view.is_changing(&plan.decode, now);
         drop(placer);
-        if usable || self.prompt.is_none() {
+        if (planned.is_some() && !changing) || self.prompt.is_none() {
             return planned;
         }
         let Placement::Run(replacement) = self.place(self.state.remaining(now)) else {
--- a/crates/cactuslane-gateway/src/limits.rs
+++ b/crates/cactuslane-gateway/src/limits.rs
@@ -7,7 +7,7 @@
 
 use cactuslane_flight::target::Target;
 use cactuslane_place::limits::ISSUERS;
-use cactuslane_place::{LimitAnswer, LimitNotice, PermitAnswer};
+use cactuslane_place::{LimitAnswer, LimitNotice, PermitAnswer, TargetLimits};
 use cactuslane_platform::exchange;
 use cactuslane_types::{InstanceId, Millis, TargetId};
 use hyper::StatusCode;
@@ -23,8 +23,8 @@
 
 /// Maximum time to wait for the answer of an issuer.
 const ASK_TIMEOUT: Duration = Duration::from_millis(100);
-/// Largest number of denied permits after which a request is placed anew.
-pub const MAX_DENIALS: u32 = 4;
+/// Number of denied permits after which a request is placed only on targets without a limit.
+const MAX_DENIALS: u32 = 3;
 
 /// Number of a request for a permit, unique within the process that asks.
 type CallNumber = u64;
@@ -54,6 +54,25 @@
     }
 }
 
+/// Permits that one request was denied since it was last sent.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Denials(u32);
+
+impl Denials {
+    /// Counts a denied permit.
+    pub fn add(&mut self) {
+        self.0 += 1;
+    }
+
+    /// Removes the targets that the request is not to be placed on any more: those with a limit,
+    /// after several denied permits.
+    pub fn filter(self, targets: &mut Vec<&Target>, limits: &TargetLimits) {
+        if self.0 >= MAX_DENIALS {
+            targets.retain(|target| limits.rate(target).is_none());
+        }
+    }
+}
+
 /// A request to another instance for a permit.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct PermitRequest {
--- a/crates/cactuslane-gateway/src/plain.rs
+++ b/crates/cactuslane-gateway/src/plain.rs
@@ -15,7 +15,7 @@
 use tokio::time::{Instant, timeout};
 
 use crate::ingress::CallerRequest;
-use crate::limits::{self, MAX_DENIALS, Permit, Purpose};
+use crate::limits::{self, Denials, Permit, Purpose};
 use crate::metrics;
 use crate::reply::{self, AnswerBody};
 use crate::state::Gateway;
@@ -50,21 +50,21 @@
     mut state: RequestState,
 ) -> Response<AnswerBody> {
     let mut tried: Vec<String> = Vec::new();
-    let mut denials = 0;
+    let mut denials = Denials::default();
     loop {
         let now = gateway.now();
         let left = state.remaining(now);
         if left.is_zero() {
             return refuse(request, &state, Duration::ZERO, "the time is over");
         }
-        let target = choose_target(gateway, request, &tried);
-        let Some(target) = target.filter(|_| denials < MAX_DENIALS) else {
+        let Some(target) = choose_target(gateway, request, &tried, denials) else {
             return refuse_without_target(gateway, request, &state, NO_TARGET_RETRY_AFTER);
         };
         let Ok(permit) = limits::acquire(gateway, &target, &request.info.id).await else {
-            denials += 1;
+            denials.add();
             continue;
         };
+        denials = Denials::default();
         tried.push(target.id.clone());
         let attempt = attempt(gateway, request, &state, &target, permit).await;
         let now = gateway.now();
@@ -99,11 +99,17 @@
 }
 
 /// Returns the target of the next attempt; one that was tried before only if no other is left.
-fn choose_target(gateway: &Gateway, request: &CallerRequest, tried: &[String]) -> Option<Target> {
+fn choose_target(
+    gateway: &Gateway,
+    request: &CallerRequest,
+    tried: &[String],
+    denials: Denials,
+) -> Option<Target> {
     let now = gateway.now();
     let fleet = gateway.fleet();
-    let targets = fleet.targets(&request.service, None, now);
+    let mut targets = fleet.targets(&request.service, None, now);
     let mut placer = gateway.placer();
+    denials.filter(&mut targets, &placer.limits);
     let chosen = placer
         .place_plain(&targets, tried, now)
         .or_else(|| placer.place_plain(&targets, &[], now))?;
--- a/crates/cactuslane-gateway/tests/serving/limits.rs
+++ b/crates/cactuslane-gateway/tests/serving/limits.rs
@@ -3,7 +3,8 @@
 use std::time::Duration;
 
 use cactuslane_gateway::GatewayHandle;
-use cactuslane_platform_standin::{Target, caller};
+use cactuslane_place::Load;
+use cactuslane_platform_standin::{Target, TargetKind, caller};
 use hyper::Response;
 use hyper::body::Incoming;
 use tokio::task::JoinSet;
@@ -144,6 +145,35 @@
     });
 }
 
+#[test]
+fn no_request_is_refused_for_limits_while_a_target_without_one_is_left() {
+    run_test(async {
+        let deployment = deploy().await;
+        let mut limited = Vec::new();
+        for number in 3..9 {
+            let id = format!("i-w{number}");
+            let worker = Target::bind(&id, TargetKind::Plain, &deployment.store).await;
+            limited.push(worker.expect("a port can be bound"));
+            limited[number - 3].name_limit(Some(0.2));
+        }
+        deployment.workers[1].name_limit(Some(0.2));
+        let gateway = deployment.running.gateway.clone();
+        wait_until(|| gateway.target("i-w8").is_some()).await;
+        learn_limits(&deployment, limited.len() + 1).await;
+        // The target without a limit looks busy, so that the others are chosen first.
+        let busy = Load {
+            running: 30,
+            ..Load::default()
+        };
+        let id = &deployment.workers[0].id;
+        gateway.placer().load_view.add(id, busy);
+        for number in 0..10 {
+            let answer = deployment.ask("/lookup/7", &format!("r{number}")).await;
+            assert_eq!(answer.status, 200);
+        }
+    });
+}
+
 #[test]
 fn a_limit_ends_when_the_target_names_none() {
     run_test(async {
