Let engines change that were held back from a change

Cause: the planner of roles notes a change as made when it proposes it, so that the engine keeps its role for a minute. The caller holds back changes that would undo one of the last 20 s, and the note stayed. After some seconds of held-back changes no engine was left that might change, and when all engines that generate named limits, no other one took their place. Class: a decision recorded before it is carried out.

Change: a change that is held back is withdrawn.

Evidence: engines_generate_again_when_all_that_did_are_lost failed before and passes.

--- a/crates/cactuslane-place/src/roles.rs
+++ b/crates/cactuslane-place/src/roles.rs
@@ -167,6 +167,7 @@
             };
             let least = (roles.len() as f64 * MIN_ROLE_SHARE).ceil() as usize;
             if self.last_change.is_some_and(reverses) || losing <= least {
+                self.planner.withdraw(&change);
                 break;
             }
             self.last_change = Some(RoleChange {
--- a/crates/cactuslane-place/tests/roles.rs
+++ b/crates/cactuslane-place/tests/roles.rs
@@ -135,3 +135,29 @@
         "{changes:?}"
     );
 }
+
+/// Guards against changes that were held back as too early and still keep their engines from
+/// changing when all engines that generate are lost.
+#[test]
+fn engines_generate_again_when_all_that_did_are_lost() {
+    let mut engines = engines(12, 5);
+    let (mut planner, mut placed) = (RolePlanner::default(), PlacedWork::default());
+    for now in (0..18_000).step_by(250) {
+        let (prompt, streams) = if now < 4_000 {
+            (240_000, 52)
+        } else {
+            (150_000, 90)
+        };
+        placed.prompt_tokens += prompt / 4;
+        placed.streams += streams / 4;
+        if now == 14_000 {
+            engines.retain(|_, (role, _)| *role == Role::Prefill);
+        }
+        planner.observe(placed, streams as usize, 0, &capacities(), now);
+        for change in planner.changes(&engines, &capacities(), &PromptSpeed::default(), 2, now) {
+            engines.insert(change.target, (change.role, 0));
+        }
+    }
+    let decode = engines.values().filter(|(role, _)| role.decodes()).count();
+    assert!(decode > 0, "{engines:?}");
+}
--- a/crates/cactuslane-roles/src/lib.rs
+++ b/crates/cactuslane-roles/src/lib.rs
@@ -154,6 +154,11 @@
         self.last_changes.insert(target.to_owned(), at);
     }
 
+    /// Withdraws a change that was returned but is not carried out, so that its engine may change.
+    pub fn withdraw(&mut self, change: &RoleAssignment) {
+        self.last_changes.remove(&change.target);
+    }
+
     /// Returns the split with the lowest worst-case utilization, and that utilization plus 1e-6
     /// for each change that leads there.
     fn best_split(
