Compute no prompt for an engine with a limit

Cause: a prompt that a prefill engine computes needs a permit for the engine that generates only when it is done, and there may be none by then. Change: engines with a limit generate from prompts that they compute themselves, with one permit that is used at once; a limited engine runs few streams that the prompt could interrupt. Only a prompt that is already computed may still go to one.

Evidence: no_prompt_is_computed_for_an_engine_with_a_limit and an_engine_with_a_limit_computes_a_short_prompt_itself failed before and pass.

--- a/crates/cactuslane-place/src/placer.rs
+++ b/crates/cactuslane-place/src/placer.rs
@@ -182,8 +182,8 @@
 
     /// Chooses the engines of a generation, or refuses it if its first event would come too late.
     ///
-    /// Either one engine does all of it, or a prefill engine computes the prompt and another engine
-    /// generates. The split is taken where it costs no more, where it meets the objective with a
+    /// Either one engine does all of it, or a prefill engine computes the prompt and another engine,
+    /// without a limit, generates. The split is taken where it costs no more, where it meets the objective with a
     /// margin, or where the prompt would interrupt the streams of a generating engine for too long
     /// and the split is sooner or in time with a margin.
     pub fn place_generation(
@@ -213,7 +213,12 @@
         };
         let direct_ms = direct.expected;
         let split_ms = split.as_ref().map(|(_, split)| split.expected);
+        let decode = usable.iter().find(|target| target.id == direct.decode);
+        let is_limited = decode.is_some_and(|target| self.limits.rate(target).is_some());
+        let on_time = direct_ms <= objective * ON_TIME_SHARE;
         let plan = match split {
+            // An engine with a limit runs few streams that the prompt could interrupt.
+            Some((cost, _)) if is_limited && on_time && direct_cost <= cost => direct,
             Some((cost, split)) if cost <= direct_cost => split,
             // A prompt that a prefill engine computes in time need not delay the streams of an
             // engine that generates.
@@ -251,10 +256,11 @@
         now: Millis,
     ) -> Placement {
         let mut best = None;
-        // Retrying an engine is better than discarding the computed prompt.
-        for tried in [request.tried, &[]] {
+        // Retrying an engine, or using one with a limit, is better than discarding the computed
+        // prompt.
+        for (tried, limited) in [(request.tried, false), (request.tried, true), (&[], true)] {
             let usable = self.usable(targets, tried, now);
-            best = best.or_else(|| self.choose_decode(&usable, request, now));
+            best = best.or_else(|| self.choose_decode(&usable, request, limited, now));
         }
         let Some(decode) = best else {
             return Placement::NoTarget;
--- a/crates/cactuslane-place/src/placer/engines.rs
+++ b/crates/cactuslane-place/src/placer/engines.rs
@@ -104,7 +104,7 @@
         request: &PlacementRequest<'_>,
         now: Millis,
     ) -> Option<(f64, Plan)> {
-        let decoders = self.decode_costs(targets, request, now);
+        let decoders = self.decode_costs(targets, request, false, now);
         let bytes = f64::from(request.info.prompt_tokens) * request.engine.token_bytes;
         // 1 Mbit/s is 125 bytes per millisecond.
         let bytes_per_ms = (request.engine.link_mbps * 125.0).max(1.0);
@@ -174,14 +174,15 @@
         Some((chosen.cost, plan))
     }
 
-    /// Returns a decode engine with a low cost.
+    /// Returns a decode engine with a low cost; one with a limit only if `limited` is set.
     pub(super) fn choose_decode<'t>(
         &mut self,
         targets: &[&'t Target],
         request: &PlacementRequest<'_>,
+        limited: bool,
         now: Millis,
     ) -> Option<&'t Target> {
-        let candidates = self.decode_costs(targets, request, now);
+        let candidates = self.decode_costs(targets, request, limited, now);
         let unseen_ms = self.load_view.unseen(now).streams * STREAM_COST;
         let (_, decode) = self.choose(&candidates, |(cost, _)| *cost, unseen_ms)?;
         Some(decode)
@@ -202,16 +203,18 @@
 
     /// Returns the decode engines, each with its cost in milliseconds.
     ///
-    /// Mixed engines are left out: only decode engines import KV caches.
+    /// Mixed engines are left out: only decode engines import KV caches. Engines with a limit are
+    /// left out unless `limited` is set: there may be no permit by the time the prompt is computed.
     fn decode_costs<'t>(
         &mut self,
         targets: &[&'t Target],
         request: &PlacementRequest<'_>,
+        limited: bool,
         now: Millis,
     ) -> Vec<(f64, &'t Target)> {
         let mut candidates = Vec::new();
         for target in targets {
-            if target.role != Role::Decode {
+            if target.role != Role::Decode || (!limited && self.limits.rate(target).is_some()) {
                 continue;
             }
             let load = self.load_view.load(&target.id, now);
--- a/crates/cactuslane-place/tests/placing/main.rs
+++ b/crates/cactuslane-place/tests/placing/main.rs
@@ -1,6 +1,7 @@
 //! Choice of engines by load, prefix caches and failures, with capacities as on the platform's
 //! stand-in.
 
+mod limits;
 mod speed;
 mod spread;
 
