--- a/crates/cactuslane-gateway/src/generation.rs
+++ b/crates/cactuslane-gateway/src/generation.rs
@@ -1,5 +1,6 @@
 //! Requests whose answers are event streams: their placement, attempts and retries.
 
+mod lost;
 mod overload;
 mod permits;
 mod prompt;
@@ -74,6 +75,8 @@
     target: String,
     /// Load of the request at the target, recorded until the stream ends.
     load: LoadGuard,
+    /// Time at which the request was sent to the target.
+    sent: Instant,
 }
 
 /// Result of the attempts to open a stream.
@@ -379,6 +382,9 @@
             Err((ending, why)) => {
                 self.gateway.record_failure(&target.id, ending);
                 info!(request = self.request.info.id, target_id = target.id, why; "no stream");
+                if ending == AttemptFailure::Broken {
+                    self.log_lost(&target.id, began, &why);
+                }
                 return Err((ending, None));
             }
         };
@@ -421,6 +427,7 @@
             connection,
             target: target.id.clone(),
             load,
+            sent: began,
         })
     }
 
--- a/crates/cactuslane-gateway/src/generation/stream.rs
+++ b/crates/cactuslane-gateway/src/generation/stream.rs
@@ -30,6 +30,8 @@
     Complete,
     /// The connection to the target failed, or the stream ended within an event or was invalid.
     Broken,
+    /// The connection to the target failed before a complete event.
+    Lost,
     /// The target was silent for too long, and a retry was taken from the budget.
     Silent,
     /// The deadline of the request passed.
@@ -79,6 +81,10 @@
                     info!(request = self.request.info.id; "caller left");
                     return;
                 }
+                StreamEnd::Lost => {
+                    self.log_lost(&opened.target, opened.sent, "no event");
+                    AttemptFailure::Broken
+                }
                 StreamEnd::Broken | StreamEnd::Silent => AttemptFailure::Broken,
                 StreamEnd::DeadlinePassed => AttemptFailure::Late,
             };
@@ -130,6 +136,7 @@
     ) -> StreamEnd {
         let mut ignore_silence = !self.state.may_retry();
         let mut last_received = Instant::now();
+        let mut has_event = false;
         loop {
             let left = self.state.remaining(self.gateway.now());
             let wait = if ignore_silence {
@@ -144,7 +151,8 @@
             let frame = match frame {
                 Ok(Some(Ok(frame))) => frame,
                 Ok(None) if scanner.at_boundary() => return StreamEnd::Complete,
-                Ok(None | Some(Err(_))) => return StreamEnd::Broken,
+                Ok(None | Some(Err(_))) if has_event => return StreamEnd::Broken,
+                Ok(None | Some(Err(_))) => return StreamEnd::Lost,
                 Err(_) if wait < left => {
                     // Silence alone is no reason to abort an answer: if the budget does not allow
                     // the stream to be resumed elsewhere, it is read until the deadline.
@@ -166,6 +174,7 @@
             let Ok(events) = scanner.feed(&data) else {
                 return StreamEnd::Broken;
             };
+            has_event |= !events.is_empty();
             if !events.is_empty() && sender.send(Ok(Bytes::from(events))).await.is_err() {
                 return StreamEnd::CallerLeft;
             }
