--- a/crates/cactuslane-gateway/tests/serving/deployment.rs
+++ b/crates/cactuslane-gateway/tests/serving/deployment.rs
@@ -18,6 +18,8 @@
 /// Time after which a test counts as hung and fails.
 const TEST_TIMEOUT: Duration = Duration::from_secs(30);
 
+/// Number of instances of a fleet.
+const INSTANCES: usize = 6;
 /// Window of the retry budget in the settings of the stand-in, in milliseconds.
 const BUDGET_WINDOW: u64 = 100;
 
@@ -106,6 +108,22 @@
     Gateway::spawn(settings).await.expect("the instance starts")
 }
 
+/// Starts more instances beside that of a deployment and waits until all know each other.
+pub async fn start_fleet(deployment: &Deployment) -> Vec<GatewayHandle> {
+    let mut others = Vec::new();
+    for number in 2..=INSTANCES {
+        let name = format!("front-{number}");
+        others.push(start_instance(&name, &deployment.store).await);
+    }
+    let ready = |running: &GatewayHandle| {
+        let gateway = &running.gateway;
+        let known = gateway.members().alive(gateway.now()).len();
+        known == INSTANCES - 1 && gateway.is_ready() && gateway.target("i-d2").is_some()
+    };
+    wait_until(|| others.iter().chain([&deployment.running]).all(ready)).await;
+    others
+}
+
 impl Deployment {
     /// Returns the address at which the instance accepts callers.
     pub fn front(&self) -> SocketAddr {
--- a/crates/cactuslane-gateway/tests/serving/limits.rs
+++ b/crates/cactuslane-gateway/tests/serving/limits.rs
@@ -11,10 +11,10 @@
 use tokio::time::{Instant, sleep};
 use yare::parameterized;
 
-use crate::deployment::{Deployment, deploy, read_answer, run_test, start_instance, wait_until};
+use crate::deployment::{
+    Deployment, deploy, read_answer, run_test, start_fleet, start_instance, wait_until,
+};
 
-/// Number of instances.
-const INSTANCES: usize = 6;
 /// Number of requests by which an instance should have got an answer that names the limit.
 const FIRST_REQUESTS: usize = 5;
 /// Number of requests to each instance while the limit is observed.
@@ -24,22 +24,6 @@
 /// Length of the window in which the limit is observed, in seconds.
 const WINDOW: f64 = 4.0;
 
-/// Starts more instances beside that of a deployment and waits until all know each other.
-async fn start_fleet(deployment: &Deployment) -> Vec<GatewayHandle> {
-    let mut others = Vec::new();
-    for number in 2..=INSTANCES {
-        let name = format!("front-{number}");
-        others.push(start_instance(&name, &deployment.store).await);
-    }
-    let ready = |running: &GatewayHandle| {
-        let gateway = &running.gateway;
-        let known = gateway.members().alive(gateway.now()).len();
-        known == INSTANCES - 1 && gateway.is_ready() && gateway.target("i-d2").is_some()
-    };
-    wait_until(|| others.iter().chain([&deployment.running]).all(ready)).await;
-    others
-}
-
 /// Sends a request to an instance and returns the answer once its head has arrived.
 async fn send(
     deployment: &Deployment,
--- a/crates/cactuslane-gateway/tests/serving/streams.rs
+++ b/crates/cactuslane-gateway/tests/serving/streams.rs
@@ -110,7 +110,7 @@
         // The store lists an engine `i-old` at the address where `i-p1` answers.
         deployment.store.remove_target("i-p1");
         let kind = TargetKind::Prefill;
-        target::register(&deployment.store, "i-old", kind, address, "ready");
+        target::register(&deployment.store, "i-old", kind, 1, address, "ready");
         let gateway = deployment.running.gateway.clone();
         wait_until(|| gateway.target("i-old").is_some()).await;
         deployment.store.set_mode(Mode::Busy);
