Hold prompt parts on which targets crash

Nothing learned from a crash what the target had been about to answer, so that each instance sent the next request with the same part, and the same request again, to another engine.

Instances now report the shared parts of the requests that a crashed target had not begun (a refused connection tells a crash from a reset), and which of these parts targets have begun since. A part in three crashes that no target has begun (five, if one had begun it before) is held by all: requests with it are refused at once, prompts are not computed, attempts under way end, and one trial at a time follows after 10 s, 5 min, 4 h and 24 h. A target that begins the part releases it. Updates between instances carry all of it; held parts lie in the store too, so that they outlast a restart of all instances.

--- a/crates/cactuslane-gateway/src/generation.rs
+++ b/crates/cactuslane-gateway/src/generation.rs
@@ -1,10 +1,10 @@
 //! Requests whose answers are event streams: their placement, attempts and retries.
 
-mod lost;
 mod overload;
 mod permits;
 mod prompt;
 mod stream;
+mod waiting;
 
 use std::sync::Arc;
 use std::time::Duration;
@@ -19,9 +19,11 @@
 use hyper::body::Incoming;
 use hyper::header::HeaderMap;
 use log::info;
-use tokio::time::{Instant, timeout};
+use tokio::time::Instant;
 
 use self::prompt::ComputedPrompt;
+use self::waiting::{HELD, with_timeout};
+use crate::crashes;
 use crate::ingress::CallerRequest;
 use crate::limits::{Denials, Permit};
 use crate::plain::{failure_label, read_body, refuse, send, unknown_outcome};
@@ -34,10 +36,6 @@
 /// Base of `Retry-After` when the engines are overloaded. Twice the time by which the first event
 /// is expected too late is added; the sum is limited to a third of the time left.
 const OVERLOAD_RETRY_AFTER: Duration = Duration::from_millis(700);
-/// Factor on a plan's expected time to the first event. An engine that has not answered after the
-/// product, or after a minimum if that is longer, counts as silent.
-const PROMPT_TIMEOUT_FACTOR: f64 = 5.0;
-
 /// A request to be answered by a stream, with the progress of its attempts.
 #[derive(Debug)]
 struct StreamRequest {
@@ -71,12 +69,14 @@
     body: Incoming,
     /// Connection to the target, reusable after a complete answer.
     connection: PooledConnection,
-    /// Id of the target.
-    target: String,
+    /// The target.
+    target: Target,
     /// Load of the request at the target, recorded until the stream ends.
     load: LoadGuard,
     /// Time at which the request was sent to the target.
     sent: Instant,
+    /// Guard of the attempt, settled at the first event.
+    attempt: crashes::SentAttempt,
 }
 
 /// Result of the attempts to open a stream.
@@ -134,6 +134,9 @@
                     "time is over",
                 ));
             }
+            if let Err(wait) = crashes::admit(&self.gateway, &self.request.info).await {
+                return final_answer(refuse(&self.request, &self.state, wait, HELD));
+            }
             let plan = match self.place(left) {
                 Placement::Run(plan) => plan,
                 Placement::Overloaded {
@@ -316,6 +319,9 @@
                 }
             }
         }
+        if crashes::is_held(&self.gateway, &self.request.info) {
+            return Err((AttemptFailure::Rejected, None));
+        }
         let generating = match permit {
             Some(permit) => self
                 .gateway
@@ -374,22 +380,33 @@
         };
         let began = Instant::now();
         let wait = left.min(self.head_timeout(plan));
-        let head = send(&self.gateway, &self.request, target, &params, permit);
+        let mut attempt = crashes::SentAttempt::new(&self.gateway, &self.request.info, target);
+        let head = async {
+            let head = send(&self.gateway, &self.request, target, &params, permit).await;
+            if let Err((ending, _)) = &head {
+                attempt.settle();
+                if *ending == AttemptFailure::Broken {
+                    crashes::check_lost(&self.gateway, &self.request.info, target, began);
+                }
+            }
+            head
+        };
+        let head = self.unless_held(head);
         let result = with_timeout(wait, left, "head", head).await;
         let now = self.gateway.now();
         let (connection, response) = match result {
             Ok(exchange) => exchange,
             Err((ending, why)) => {
-                self.gateway.record_failure(&target.id, ending);
-                info!(request = self.request.info.id, target_id = target.id, why; "no stream");
-                if ending == AttemptFailure::Broken {
-                    self.log_lost(&target.id, began, &why);
+                if why != HELD {
+                    self.gateway.record_failure(&target.id, ending);
                 }
+                info!(request = self.request.info.id, target_id = target.id, why; "no stream");
                 return Err((ending, None));
             }
         };
         let (head, body) = response.into_parts();
         if !head.status.is_success() {
+            attempt.settle();
             self.gateway.placer().answered_failure(&target.id, now);
             let body = read_body(body)
                 .await
@@ -425,22 +442,13 @@
             headers: head.headers,
             body,
             connection,
-            target: target.id.clone(),
+            target: target.clone(),
             load,
             sent: began,
+            attempt,
         })
     }
 
-    /// Returns how long a target may take to send the head of an answer before the request is sent
-    /// to another target; unlimited if no retry is allowed.
-    fn head_timeout(&self, plan: &Plan) -> Duration {
-        if !self.state.may_retry() {
-            return Duration::MAX;
-        }
-        let expected = Duration::from_secs_f64(plan.expected * PROMPT_TIMEOUT_FACTOR / 1000.0);
-        self.request.route.silence_limit.max(expected)
-    }
-
     /// Records that an engine caches the parts of the prompt, or will do so in `ready_in`
     /// milliseconds.
     fn record_cached(&self, target: &Target, ready_in: f64) {
@@ -459,25 +467,6 @@
     }
 }
 
-/// Waits for a part of an exchange with a target, at most for `wait`.
-///
-/// A time-out counts as [`AttemptFailure::Broken`] if `wait` is shorter than the time left for the
-/// request, so that the request may be sent again, and as [`AttemptFailure::Late`] otherwise.
-async fn with_timeout<T>(
-    wait: Duration,
-    left: Duration,
-    part: &str,
-    exchange: impl Future<Output = Result<T, (AttemptFailure, String)>>,
-) -> Result<T, (AttemptFailure, String)> {
-    let ending = if wait < left {
-        AttemptFailure::Broken
-    } else {
-        AttemptFailure::Late
-    };
-    let silent = Err((ending, format!("no {part} within {wait:?}")));
-    timeout(wait, exchange).await.unwrap_or(silent)
-}
-
 /// Returns the outcome for a request that is answered without a stream.
 fn final_answer(response: Response<AnswerBody>) -> Outcome {
     Outcome::Answer(Box::new(response))
--- a/crates/cactuslane-gateway/src/generation/prompt.rs
+++ b/crates/cactuslane-gateway/src/generation/prompt.rs
@@ -13,7 +13,8 @@
 use log::info;
 use tokio::time::Instant;
 
-use super::{PROMPT_TIMEOUT_FACTOR, StreamRequest, with_timeout};
+use super::StreamRequest;
+use super::waiting::{PROMPT_TIMEOUT_FACTOR, with_timeout};
 use crate::engines;
 use crate::limits::Permit;
 use crate::plain::{read_body, send};
@@ -97,7 +98,7 @@
             }
             engine::decode_computed(&body).map_err(|why| (AttemptFailure::Broken, why))
         };
-        let result = with_timeout(wait, left, "prompt", exchange).await;
+        let result = with_timeout(wait, left, "prompt", self.unless_held(exchange)).await;
         let now = self.gateway.now();
         match result {
             Ok(computed) => {
--- a/crates/cactuslane-gateway/src/generation/stream.rs
+++ b/crates/cactuslane-gateway/src/generation/stream.rs
@@ -5,6 +5,7 @@
 use cactuslane_flight::events::EventScanner;
 use cactuslane_flight::{AttemptFailure, Step};
 use cactuslane_platform::exchange;
+use cactuslane_types::Millis;
 use http_body_util::{BodyExt, Either};
 use hyper::Response;
 use hyper::body::Bytes;
@@ -13,6 +14,7 @@
 use tokio::time::{Instant, timeout};
 
 use super::{OpenStream, Outcome, StreamRequest};
+use crate::crashes;
 use crate::metrics;
 use crate::plain::failure_label;
 use crate::reply::{AnswerAborted, AnswerBody, ChunkStream};
@@ -23,6 +25,10 @@
 /// limit, at which callers are expected to disconnect.
 const SILENCE_SHARE: f64 = 0.75;
 
+/// Time after the first event of a stream from which the end of its target is no longer put down to
+/// the request, in milliseconds.
+const SETTLING_TIME: Millis = 200;
+
 /// How the forwarding of one target's stream ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum StreamEnd {
@@ -30,8 +36,11 @@
     Complete,
     /// The connection to the target failed, or the stream ended within an event or was invalid.
     Broken,
-    /// The connection to the target failed before a complete event.
+    /// The connection to the target failed before a complete event, or so shortly after the first
+    /// one that the target may have crashed on the request.
     Lost,
+    /// A part of the prompt is held, and no event had arrived.
+    Held,
     /// The target was silent for too long, and a retry was taken from the budget.
     Silent,
     /// The deadline of the request passed.
@@ -40,6 +49,22 @@
     CallerLeft,
 }
 
+/// What is known of the beginning of a target's stream.
+#[derive(Clone, Copy, Debug, Default)]
+struct Beginning {
+    /// Time at which the first event arrived, on the clock of the instance.
+    first: Option<Millis>,
+    /// Whether the beginning was recorded.
+    recorded: bool,
+}
+
+impl Beginning {
+    /// Returns whether the first event arrived so long ago that the target did not crash on it.
+    fn is_settled(self, now: Millis) -> bool {
+        self.first.is_some_and(|first| now >= first + SETTLING_TIME)
+    }
+}
+
 impl StreamRequest {
     /// Returns the answer, and starts a task that forwards the events to its body.
     pub(super) fn start_answer(mut self, opened: OpenStream) -> Response<AnswerBody> {
@@ -81,21 +106,26 @@
                     info!(request = self.request.info.id; "caller left");
                     return;
                 }
-                StreamEnd::Lost => {
-                    self.log_lost(&opened.target, opened.sent, "no event");
+                StreamEnd::Broken | StreamEnd::Lost | StreamEnd::Silent | StreamEnd::Held => {
                     AttemptFailure::Broken
                 }
-                StreamEnd::Broken | StreamEnd::Silent => AttemptFailure::Broken,
                 StreamEnd::DeadlinePassed => AttemptFailure::Late,
             };
             let now = self.gateway.now();
-            self.gateway.placer().failed(&opened.target, now);
+            if stream_end != StreamEnd::Held {
+                self.gateway.placer().failed(&opened.target.id, now);
+            }
+            if stream_end == StreamEnd::Lost {
+                opened.attempt.settle();
+                let info = &self.request.info;
+                crashes::check_lost(&self.gateway, info, &opened.target, opened.sent);
+            }
             self.gateway
                 .metrics
                 .count_failed_attempt(failure_label(ending));
             info!(
                 request = self.request.info.id,
-                target_id = opened.target,
+                target_id = opened.target.id,
                 ending:? = ending,
                 last_event = scanner.last_id().unwrap_or(0);
                 "stream broke off"
@@ -136,7 +166,8 @@
     ) -> StreamEnd {
         let mut ignore_silence = !self.state.may_retry();
         let mut last_received = Instant::now();
-        let mut has_event = false;
+        let mut beginning = Beginning::default();
+        let framed = exchange::is_framed(&opened.headers);
         loop {
             let left = self.state.remaining(self.gateway.now());
             let wait = if ignore_silence {
@@ -147,11 +178,19 @@
             let frame = tokio::select! {
                 frame = timeout(wait, opened.body.frame()) => frame,
                 () = sender.closed() => return StreamEnd::CallerLeft,
+                () = crashes::until_held(&self.gateway, &self.request.info),
+                    if beginning.first.is_none() => return StreamEnd::Held,
             };
+            let now = self.gateway.now();
             let frame = match frame {
                 Ok(Some(Ok(frame))) => frame,
-                Ok(None) if scanner.at_boundary() => return StreamEnd::Complete,
-                Ok(None | Some(Err(_))) if has_event => return StreamEnd::Broken,
+                // An answer without a length that has no event may be one that broke off.
+                Ok(None) if scanner.at_boundary() && (framed || beginning.first.is_some()) => {
+                    self.record_begun(&mut beginning);
+                    opened.attempt.settle();
+                    return StreamEnd::Complete;
+                }
+                Ok(None | Some(Err(_))) if beginning.is_settled(now) => return StreamEnd::Broken,
                 Ok(None | Some(Err(_))) => return StreamEnd::Lost,
                 Err(_) if wait < left => {
                     // Silence alone is no reason to abort an answer: if the budget does not allow
@@ -168,19 +207,34 @@
                 continue;
             };
             opened.load.prompt_done();
-            let now = Instant::now();
-            let pause = now - std::mem::replace(&mut last_received, now);
+            let received = Instant::now();
+            let pause = received - std::mem::replace(&mut last_received, received);
             self.gateway.metrics.pauses.observe(pause.as_secs_f64());
             let Ok(events) = scanner.feed(&data) else {
                 return StreamEnd::Broken;
             };
-            has_event |= !events.is_empty();
+            if !events.is_empty() {
+                beginning.first.get_or_insert(now);
+                opened.attempt.settle();
+            }
+            if beginning.is_settled(now) {
+                self.record_begun(&mut beginning);
+            }
             if !events.is_empty() && sender.send(Ok(Bytes::from(events))).await.is_err() {
                 return StreamEnd::CallerLeft;
             }
         }
     }
 
+    /// Records, once, that the target began to answer the request and did not crash on it.
+    fn record_begun(&self, beginning: &mut Beginning) {
+        if let Some(first) = beginning.first
+            && !std::mem::replace(&mut beginning.recorded, true)
+        {
+            crashes::record_begun(&self.gateway, &self.request.info, first);
+        }
+    }
+
     /// Returns the silence after which a stream is resumed at another target, if that is allowed.
     fn silence_timeout(&self) -> Duration {
         self.request.route.silence_limit.mul_f64(SILENCE_SHARE)
--- a/crates/cactuslane-gateway/src/lib.rs
+++ b/crates/cactuslane-gateway/src/lib.rs
@@ -8,6 +8,7 @@
 
 pub mod caches;
 pub mod control;
+pub mod crashes;
 pub mod directory;
 pub mod engines;
 pub mod fleet;
@@ -98,6 +99,7 @@
             tokio::spawn(watch::follow(gateway.clone(), socket.clone(), relays)),
             tokio::spawn(control::register(gateway.clone())),
             tokio::spawn(caches::refresh_lists(gateway.clone())),
+            tokio::spawn(crashes::store_held(gateway.clone())),
             tokio::spawn(orders::run_leader(gateway.clone())),
             tokio::spawn(peers::exchange(gateway.clone(), socket, relay_sender)),
             tokio::spawn(ingress::serve(gateway.clone(), front)),
--- a/crates/cactuslane-gateway/src/limits.rs
+++ b/crates/cactuslane-gateway/src/limits.rs
@@ -27,7 +27,7 @@
 const MAX_DENIALS: u32 = 3;
 
 /// Number of a request for a permit, unique within the process that asks.
-type CallNumber = u64;
+pub type CallNumber = u64;
 
 /// What an exchange with a target is for.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -282,9 +282,21 @@
 /// time.
 async fn ask(gateway: &Gateway, target: &Target, issuer: &str) -> Option<PermitAnswer> {
     let notice = gateway.placer().limits.notice(target, gateway.now())?;
+    ask_peer(gateway, |number| {
+        peers::request_permit(gateway, issuer, PermitRequest { number, notice })
+    })
+    .await
+}
+
+/// Waits for another instance's answer to the request that `send` sends with a number; returns
+/// `None` if the instance is not reachable or does not answer in time.
+pub async fn ask_peer(
+    gateway: &Gateway,
+    send: impl FnOnce(CallNumber) -> bool,
+) -> Option<PermitAnswer> {
     let (number, receiver) = gateway.permit_calls.open();
     let _guard = CallGuard { gateway, number };
-    if !peers::request_permit(gateway, issuer, PermitRequest { number, notice }) {
+    if !send(number) {
         return None;
     }
     timeout(ASK_TIMEOUT, receiver).await.ok()?.ok()
--- a/crates/cactuslane-gateway/src/metrics.rs
+++ b/crates/cactuslane-gateway/src/metrics.rs
@@ -35,6 +35,8 @@
     pub cut_streams: Counter,
     /// Requests for permits for targets that have a limit, by result.
     permits: Family<Labels, Counter>,
+    /// Prompt parts on which targets crash, by what happened to them or to a request with one.
+    held_parts: Family<Labels, Counter>,
     /// Times from the arrival of a request until its answer can be forwarded, in seconds, by kind
     /// of route.
     first_byte: Family<Labels, Histogram>,
@@ -86,6 +88,7 @@
             attempts: Family::default(),
             cut_streams: Counter::default(),
             permits: Family::default(),
+            held_parts: Family::default(),
             first_byte: Family::new_with_constructor(histogram as fn() -> Histogram),
             pauses: histogram(),
             prompt_tokens: Family::default(),
@@ -133,6 +136,11 @@
                 "Requests for permits for targets with a limit, by result",
                 &self.permits,
             ),
+            (
+                "held_parts",
+                "Prompt parts on which targets crash, and requests with them, by event",
+                &self.held_parts,
+            ),
         ];
         for (name, help, counter) in counters {
             registry.register(name, help, counter.clone());
@@ -219,6 +227,11 @@
         self.permits.get_or_create(&vec![("result", result)]).inc();
     }
 
+    /// Counts an event of a prompt part on which targets crash.
+    pub fn count_held(&self, event: &'static str) {
+        self.held_parts.get_or_create(&vec![("event", event)]).inc();
+    }
+
     /// Returns the metrics in the text format that Prometheus reads.
     #[must_use]
     pub fn text(&self, gateway: &Gateway) -> String {
--- a/crates/cactuslane-gateway/src/peers.rs
+++ b/crates/cactuslane-gateway/src/peers.rs
@@ -4,6 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use cactuslane_flight::request_info::PartId;
 use cactuslane_place::load_view::PeerUpdate;
 use cactuslane_place::{LimitNotice, Observation, Observed, PermitAnswer};
 use cactuslane_types::InstanceId;
@@ -13,7 +14,8 @@
 use tokio::net::UdpSocket;
 use tokio::time::{Instant, MissedTickBehavior, interval};
 
-use crate::limits::{self, PermitRequest};
+use crate::crashes;
+use crate::limits::{self, CallNumber, PermitRequest};
 use crate::relay::Relay;
 use crate::state::Gateway;
 use crate::watch::RelaySender;
@@ -53,8 +55,10 @@
     LimitQuery,
     /// A request for a permit to send a request to a target with a limit.
     PermitRequest(InstanceId, PermitRequest),
-    /// The answer to the permit request with this number.
+    /// The answer to the request for a permit or a trial with this number.
     Permit(u64, PermitAnswer),
+    /// A request, with this number, for a trial of a held prompt part.
+    TrialRequest(u64, PartId),
 }
 
 /// Sends updates to the other instances and handles their messages, until the task is aborted.
@@ -119,6 +123,7 @@
     /// the target has closed.
     fn send_update(&mut self, gateway: &Gateway, socket: &UdpSocket) {
         let now = gateway.now();
+        crashes::sweep(gateway);
         let instances = gateway.members().instance_count() as f64;
         // Updates are sent at ticks. Half a tick is subtracted from the intended interval of
         // 1 + n / 60 ticks for n instances, so that the actual one is at most half a tick off.
@@ -150,6 +155,7 @@
         if loads_unchanged
             && cache_updates.is_empty()
             && observations.is_empty()
+            && !gateway.crashes().has_news()
             && self.sent_at.elapsed() < HEARTBEAT_INTERVAL
         {
             return;
@@ -164,6 +170,7 @@
             placed: own_placed,
             changing,
             observations,
+            crashes: gateway.crashes().update(now),
         };
         self.sent_loads.clone_from(&update.loads);
         self.sent_at = Instant::now();
@@ -206,6 +213,18 @@
     true
 }
 
+/// Sends a request for a trial of a held prompt part to an instance; returns false if that is not
+/// reachable.
+#[must_use]
+pub fn request_trial(gateway: &Gateway, owner: &str, number: CallNumber, part: PartId) -> bool {
+    let address = gateway.members().reachable_address(owner, gateway.now());
+    let (Some(address), Some(socket)) = (address, gateway.peer_socket.get()) else {
+        return false;
+    };
+    send(socket, &Message::TrialRequest(number, part), &[address]);
+    true
+}
+
 /// Sends a message to some instances; one that cannot be sent is dropped.
 fn send(socket: &UdpSocket, message: &Message, peers: &[SocketAddr]) {
     let message = match postcard::to_stdvec(message) {
@@ -251,6 +270,10 @@
             let answer = limits::answer_request(gateway, &request, &peer);
             return send(socket, &Message::Permit(request.number, answer), &[from]);
         }
+        Ok(Message::TrialRequest(number, part)) => {
+            let answer = crashes::answer_trial(gateway, part);
+            return send(socket, &Message::Permit(number, answer), &[from]);
+        }
         Ok(Message::Permit(number, answer)) => return gateway.permit_calls.answer(number, answer),
         Err(error) => {
             debug!(error:% = error; "message is unreadable");
@@ -265,6 +288,7 @@
         found.map_or(0, |(_, capacity)| *capacity)
     };
     gateway.placer().apply_update(&update, kv_capacity, now);
+    gateway.crashes().apply(&update.crashes, now);
     for observation in &update.observations {
         apply_observation(gateway, observation, &update.instance);
     }
--- a/crates/cactuslane-gateway/src/plain.rs
+++ b/crates/cactuslane-gateway/src/plain.rs
@@ -14,6 +14,7 @@
 use log::info;
 use tokio::time::{Instant, timeout};
 
+use crate::crashes;
 use crate::ingress::CallerRequest;
 use crate::limits::{self, Denials, Permit, Purpose};
 use crate::metrics;
@@ -57,6 +58,9 @@
         if left.is_zero() {
             return refuse(request, &state, Duration::ZERO, "the time is over");
         }
+        if let Err(wait) = crashes::admit(gateway, &request.info).await {
+            return refuse(request, &state, wait, "part held");
+        }
         let Some(target) = choose_target(gateway, request, &tried, denials) else {
             return refuse_without_target(gateway, request, &state, NO_TARGET_RETRY_AFTER);
         };
--- a/crates/cactuslane-gateway/src/state.rs
+++ b/crates/cactuslane-gateway/src/state.rs
@@ -9,11 +9,12 @@
 use cactuslane_flight::budget::{USED_SHARE, WindowedRetryBudget, slack_share};
 use cactuslane_flight::routing_config::RoutingConfig;
 use cactuslane_flight::target::Target;
-use cactuslane_place::{Load, Placer};
+use cactuslane_place::{CrashTracker, Load, Placer};
 use cactuslane_platform::Settings;
 use cactuslane_store::kv::KvClient;
 use cactuslane_types::{Millis, ServiceName, TargetId};
 use tokio::net::UdpSocket;
+use tokio::sync::Notify;
 use tokio::time::Instant;
 
 use crate::fleet::Fleet;
@@ -40,6 +41,10 @@
     leadership: Mutex<Leadership>,
     /// Placer that chooses targets, with its records of load, caches and health.
     placer: Mutex<Placer>,
+    /// Crashes of targets, and the prompt parts that are held because of them.
+    crashes: Mutex<CrashTracker>,
+    /// Wakes the tasks that wait for a change of the held parts.
+    pub held_changed: Notify,
     /// Requests for permits that other instances have not answered yet.
     pub permit_calls: PermitCalls,
     /// Socket for messages to the other instances, once it is bound.
@@ -81,6 +86,8 @@
             members: Mutex::default(),
             leadership: Mutex::default(),
             placer: Mutex::new(placer),
+            crashes: Mutex::default(),
+            held_changed: Notify::new(),
             permit_calls: PermitCalls::default(),
             peer_socket: OnceLock::new(),
             retry_budgets: Mutex::default(),
@@ -152,6 +159,11 @@
         lock(&self.placer)
     }
 
+    /// Locks the records of crashes.
+    pub fn crashes(&self) -> MutexGuard<'_, CrashTracker> {
+        lock(&self.crashes)
+    }
+
     /// Returns the routing configuration in force; `None` until one was read.
     #[must_use]
     pub fn routing_config(&self) -> Option<Arc<RoutingConfig>> {
--- a/crates/cactuslane-place/src/lib.rs
+++ b/crates/cactuslane-place/src/lib.rs
@@ -2,9 +2,11 @@
 //!
 //! [`Placer`] chooses targets by their load ([`LoadView`]), which instances exchange with each
 //! other, and by the estimated contents of their prefix caches ([`CacheEstimate`]). [`TargetLimits`]
-//! keeps the limits that targets name for all instances together.
+//! keeps the limits that targets name for all instances together. [`CrashTracker`] finds prompt
+//! parts on which targets crash.
 
 pub mod cache;
+pub mod crashes;
 pub mod limits;
 pub mod load_view;
 pub mod observations;
@@ -13,6 +15,7 @@
 pub mod speed;
 
 pub use cache::CacheEstimate;
+pub use crashes::{CrashTracker, CrashUpdate, HoldChange, Screening, StoreChange};
 pub use limits::{LimitAnswer, LimitNotice, PermitAnswer, TargetLimits};
 pub use load_view::{CacheUpdate, Load, LoadView, PeerUpdate, PlacedWork};
 pub use observations::{Observation, Observed};
--- a/crates/cactuslane-place/src/load_view.rs
+++ b/crates/cactuslane-place/src/load_view.rs
@@ -6,6 +6,7 @@
 use cactuslane_types::{InstanceId, Millis, TargetId};
 use serde::{Deserialize, Serialize};
 
+use crate::crashes::CrashUpdate;
 use crate::observations::Observation;
 
 /// Time for which another instance's last update counts after its arrival, in milliseconds.
@@ -71,6 +72,8 @@
     pub changing: Vec<TargetId>,
     /// Observations of targets that the sender has not reported before, oldest first.
     pub observations: Vec<Observation>,
+    /// Crashes of targets, and the prompt parts that are held because of them.
+    pub crashes: CrashUpdate,
 }
 
 /// Contents of the last update of another instance.
--- a/crates/cactuslane-place/tests/placing/main.rs
+++ b/crates/cactuslane-place/tests/placing/main.rs
@@ -12,8 +12,8 @@
 use cactuslane_flight::target::{Target, TargetState};
 use cactuslane_place::load_view::PeerUpdate;
 use cactuslane_place::{
-    CacheEstimate, Load, Observation, Observed, PlacedWork, Placement, PlacementRequest, Placer,
-    Plan,
+    CacheEstimate, CrashUpdate, Load, Observation, Observed, PlacedWork, Placement,
+    PlacementRequest, Placer, Plan,
 };
 use cactuslane_types::Role;
 use yare::parameterized;
@@ -182,6 +182,7 @@
         placed: PlacedWork::default(),
         changing: vec!["d1".to_owned()],
         observations: Vec::new(),
+        crashes: CrashUpdate::default(),
     };
     placer.apply_update(&update, |_| 0, 10_000);
     let plan = place(&mut placer, &fleet(), &info(0, 4_000));
@@ -346,6 +347,7 @@
             started_at: None,
             observed: Observed::Failed,
         }],
+        crashes: CrashUpdate::default(),
     }
 }
 
--- a/crates/cactuslane-place/tests/placing/spread.rs
+++ b/crates/cactuslane-place/tests/placing/spread.rs
@@ -6,7 +6,7 @@
 use cactuslane_flight::request_info::PromptPart;
 use cactuslane_flight::target::Target;
 use cactuslane_place::load_view::PeerUpdate;
-use cactuslane_place::{Placement, PlacementRequest, Placer};
+use cactuslane_place::{CrashUpdate, Placement, PlacementRequest, Placer};
 use cactuslane_types::Role;
 
 use crate::{capacities, engine, info};
@@ -74,6 +74,7 @@
                 placed: placer.load_view.own_placed(),
                 changing: Vec::new(),
                 observations: Vec::new(),
+                crashes: CrashUpdate::default(),
             });
         }
         for (instance, placer) in placers.iter_mut().enumerate() {
