Count no event that is dropped with a fault of its stream

The id of the last event now counts only what was returned. events_that_are_dropped_with_a_fault_are_not_skipped_by_a_resumed_stream failed before.

--- a/crates/cactuslane-flight/src/events.rs
+++ b/crates/cactuslane-flight/src/events.rs
@@ -1,7 +1,7 @@
 //! Splitting of server-sent event streams at event boundaries.
 
 /// Maximum size of an incomplete event that is buffered, in bytes.
-const MAX_PARTIAL_EVENT: usize = 1 << 20;
+const MAX_PARTIAL_EVENT: usize = 256 << 10;
 
 /// Returns only complete server-sent events of a stream and tracks their ids.
 ///
@@ -17,7 +17,7 @@
 /// The reason why a stream is not valid.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum EventError {
-    /// An incomplete event exceeds the buffer limit of 1 MiB.
+    /// An incomplete event exceeds the buffer limit of 256 KiB.
     TooLong,
     /// An event's id is not larger than the previous one.
     OutOfOrder,
@@ -38,25 +38,27 @@
     ///
     /// # Errors
     ///
-    /// Returns an error if event ids don't increase or an incomplete event exceeds 1 MiB; events
+    /// Returns an error if event ids don't increase or an incomplete event exceeds 256 KiB; events
     /// that earlier calls returned stay valid. Complete events that this call found before the
-    /// fault are not returned, but `last_id` counts them.
+    /// fault are neither returned nor counted by `last_id`.
     pub fn feed(&mut self, bytes: &[u8]) -> Result<Vec<u8>, EventError> {
         self.partial.extend_from_slice(bytes);
         let mut complete = 0;
+        let mut last_id = self.last_id;
         while let Some(end) = event_end(&self.partial[complete..]) {
             let event = &self.partial[complete..complete + end];
             if let Some(id) = event_id(event) {
-                if self.last_id.is_some_and(|last| id <= last) {
+                if last_id.is_some_and(|last| id <= last) {
                     return Err(EventError::OutOfOrder);
                 }
-                self.last_id = Some(id);
+                last_id = Some(id);
             }
             complete += end;
         }
         if self.partial.len() - complete > MAX_PARTIAL_EVENT {
             return Err(EventError::TooLong);
         }
+        self.last_id = last_id;
         let left = self.partial.split_off(complete);
         Ok(std::mem::replace(&mut self.partial, left))
     }
--- a/crates/cactuslane-flight/tests/events.rs
+++ b/crates/cactuslane-flight/tests/events.rs
@@ -61,3 +61,14 @@
         prop_assert!(scanner.at_boundary());
     }
 }
+
+/// Guards against streams that resume after events that were found before a fault but not returned.
+#[test]
+fn events_that_are_dropped_with_a_fault_are_not_skipped_by_a_resumed_stream() {
+    let mut scanner = EventScanner::default();
+    let events = b"id: 1\ndata: a\n\nid: 2\ndata: b\n\n";
+    assert_eq!(scanner.feed(events), Ok(events.to_vec()));
+    let faulty = b"id: 3\ndata: c\n\nid: 1\ndata: x\n\n";
+    assert_eq!(scanner.feed(faulty), Err(EventError::OutOfOrder));
+    assert_eq!(scanner.last_id(), Some(2));
+}
