Promise that a request did not run only if that is certain

The users saw requests run that were refused with a promise (8 and 12 cases, real processes, no logs). Five ways to it were found by reading and each reproduced by a case of no_answer_promises_that_a_request_did_not_run_which_did, which all failed before:

- A target that ran a request and failed it with 503, 429 or 408 had this status passed on.
- A rejection without the id of its request was believed, and may belong to another one.
- A request that was rejected was sent again on the same connection, where a second copy of the rejection has the same id and was taken for the answer to the new attempt, which ran.

Which of them the users saw is not known.

--- a/crates/cactuslane-gateway/src/generation.rs
+++ b/crates/cactuslane-gateway/src/generation.rs
@@ -421,6 +421,10 @@
             let body = with_timeout(left, left, "body", reading)
                 .await
                 .map_err(|(ending, _)| (ending, None))?;
+            // The target ran the request, so that its status must not promise the opposite.
+            if exchange::promises_not_run(head.status.as_u16()) {
+                return Err((AttemptFailure::Failed, None));
+            }
             let headers = exchange::answer_headers(&head.headers);
             return Err((
                 AttemptFailure::Failed,
--- a/crates/cactuslane-gateway/src/ingress.rs
+++ b/crates/cactuslane-gateway/src/ingress.rs
@@ -1,12 +1,14 @@
 //! Callers' connections, and the reading and answering of their requests.
 
+use std::collections::BTreeSet;
 use std::convert::Infallible;
-use std::sync::Arc;
+use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 
 use cactuslane_flight::routing_config::{Limits, Route, RoutingConfig};
 use cactuslane_flight::{Refusal, RequestInfo, RequestState, stopping};
 use cactuslane_platform::exchange;
+use cactuslane_types::TargetId;
 use http_body_util::{BodyExt, LengthLimitError, Limited};
 use hyper::body::{Bytes, Incoming};
 use hyper::header::{CONNECTION, HOST, HeaderMap, HeaderValue};
@@ -54,6 +56,17 @@
     pub body: Bytes,
     /// Time at which the head had arrived.
     pub arrived: Instant,
+    /// Targets to which it was sent.
+    targets: Mutex<BTreeSet<TargetId>>,
+}
+
+impl CallerRequest {
+    /// Records that the request is sent to a target; returns whether it is the first time.
+    #[must_use]
+    pub fn record_send(&self, target: &str) -> bool {
+        let mut targets = self.targets.lock().unwrap_or_else(PoisonError::into_inner);
+        targets.insert(target.to_owned())
+    }
 }
 
 /// Guard that logs and counts a request that gets no answer.
@@ -231,6 +244,7 @@
         headers: parts.headers,
         body,
         arrived,
+        targets: Mutex::default(),
     })
 }
 
--- a/crates/cactuslane-gateway/src/plain.rs
+++ b/crates/cactuslane-gateway/src/plain.rs
@@ -170,6 +170,11 @@
     };
     let now = gateway.now();
     let (ending, answer) = match result {
+        // The target ran the request, so that its status must not promise the opposite.
+        Ok(answer) if exchange::promises_not_run(answer.status().as_u16()) => {
+            gateway.placer().answered_failure(&target.id, now);
+            (Some(AttemptFailure::Failed), None)
+        }
         Ok(answer) if answer.status().is_server_error() => {
             gateway.placer().answered_failure(&target.id, now);
             (Some(AttemptFailure::Failed), Some(answer))
@@ -234,7 +239,13 @@
     params: &SendParams<'_>,
     permit: Permit,
 ) -> Result<(PooledConnection, Response<Incoming>), (AttemptFailure, String)> {
-    let connection = gateway.pool.checkout(&target.id, target.address).await;
+    // A target may answer twice, and on the same connection the second copy of a rejection would
+    // be taken for the answer to the repeated request, which has the same id.
+    let connection = if request.record_send(&target.id) {
+        gateway.pool.checkout(&target.id, target.address).await
+    } else {
+        gateway.pool.connect(&target.id, target.address).await
+    };
     let mut connection = connection.map_err(attempt_failure)?;
     // The target may have begun to drain while the connection was being established.
     if gateway.target(&target.id).is_none() {
--- a/crates/cactuslane-gateway/tests/serving/invalid.rs
+++ b/crates/cactuslane-gateway/tests/serving/invalid.rs
@@ -26,6 +26,42 @@
     (deployment, raw)
 }
 
+/// Returns a script that sends an answer.
+const fn answer(first: &'static str) -> Script {
+    Script {
+        first,
+        endless: "",
+        closes: false,
+        runs: true,
+    }
+}
+
+const REJECTION: &str =
+    "HTTP/1.1 503 Busy\r\nx-request-id: {id}\r\nx-not-executed: 1\r\ncontent-length: 0\r\n\r\n";
+
+/// Guards against answers that promise callers that a request did not run though a target ran it.
+#[parameterized(
+    unavailable = { |_| answer("HTTP/1.1 503 Failed\r\nx-request-id: {id}\r\nx-server-stamp: s\r\ncontent-length: 0\r\n\r\n") },
+    too_many = { |_| answer("HTTP/1.1 429 Failed\r\nx-request-id: {id}\r\nx-server-stamp: s\r\ncontent-length: 0\r\n\r\n") },
+    timed_out = { |_| answer("HTTP/1.1 408 Failed\r\nx-request-id: {id}\r\nx-server-stamp: s\r\ncontent-length: 0\r\n\r\n") },
+    rejection_without_id = { |_| answer("HTTP/1.1 503 Busy\r\nx-not-executed: 1\r\ncontent-length: 0\r\n\r\n") },
+    rejection_sent_twice = { |request| if request == 1 {
+        Script { runs: false, ..answer(REJECTION) }
+    } else {
+        // The second copy of the first rejection arrives when this request has been sent.
+        answer(REJECTION)
+    } },
+)]
+fn no_answer_promises_that_a_request_did_not_run_which_did(script: fn(usize) -> Script) {
+    run_test(async {
+        let (deployment, raw) = deploy_raw(TargetKind::Plain, script).await;
+        let answer = deployment.ask("/correction/7", "r1").await;
+        assert!(raw.requests() > 0);
+        let promises = [408, 421, 429, 503].contains(&answer.status);
+        assert!(raw.runs() == 0 || !promises, "{answer:?}");
+    });
+}
+
 #[parameterized(
     head = { "/lookup/7", TargetKind::Plain, |_| Script { first: "HTTP/1.1 200 OK\r\nx-a: ", endless: "a", closes: false, runs: true } },
     header_lines = { "/lookup/7", TargetKind::Plain, |_| Script { first: "HTTP/1.1 200 OK\r\n", endless: "x-a: a\r\n", closes: false, runs: true } },
