Let engines generate where none does, whatever the demand

The last engine that generated drained while the leader was cut off. A new leader plans changes once it has observed placed work, and none can be placed without an engine that generates, so it waited for ever.

A service without such an engine now gets a quarter of its engines back at once. The test failed before with 7 of 7 engines computing prompts.

--- a/crates/cactuslane-place/src/roles.rs
+++ b/crates/cactuslane-place/src/roles.rs
@@ -145,6 +145,10 @@
         limit: usize,
         now: Millis,
     ) -> Vec<RoleAssignment> {
+        let generates = |(role, _): &(Role, usize)| role.decodes();
+        if limit > 0 && !engines.is_empty() && !engines.values().any(generates) {
+            return self.restore_generation(engines, limit, now);
+        }
         let mut changes = Vec::new();
         if self.observed < MIN_OBSERVED {
             return changes;
@@ -183,6 +187,37 @@
         changes
     }
 
+    /// Returns the changes that let the least loaded engines generate, where none does. They do not
+    /// depend on the demand, as no work can be placed and so none is observed.
+    fn restore_generation(
+        &mut self,
+        engines: &BTreeMap<TargetId, (Role, usize)>,
+        limit: usize,
+        now: Millis,
+    ) -> Vec<RoleAssignment> {
+        let least = (engines.len() as f64 * MIN_ROLE_SHARE).ceil() as usize;
+        let mut targets: Vec<(usize, &TargetId)> = Vec::new();
+        for (target, (_, requests)) in engines {
+            targets.push((*requests, target));
+        }
+        targets.sort();
+        targets.truncate(least.min(limit));
+        let mut changes = Vec::new();
+        for (_, target) in targets {
+            self.planner.record_change(target, now);
+            changes.push(RoleAssignment {
+                target: target.clone(),
+                role: Role::Decode,
+            });
+        }
+        self.last_change = Some(RoleChange {
+            role: Role::Decode,
+            at: now,
+            remaining: engines.len() - changes.len(),
+        });
+        changes
+    }
+
     /// Returns the demand: prompt tokens per millisecond in `prefill`, and the number of concurrent
     /// streams in `decode`.
     #[must_use]
--- a/crates/cactuslane-place/tests/roles.rs
+++ b/crates/cactuslane-place/tests/roles.rs
@@ -161,3 +161,19 @@
     let decode = engines.values().filter(|(role, _)| role.decodes()).count();
     assert!(decode > 0, "{engines:?}");
 }
+
+/// Guards against a new leader that waits for work to be placed while no engine is left on which
+/// any could be.
+#[test]
+fn engines_generate_again_though_nothing_is_placed_while_none_does() {
+    let mut engines = engines(7, 7);
+    let mut planner = RolePlanner::default();
+    for now in (0..3_000).step_by(250) {
+        planner.observe(PlacedWork::default(), 0, 0, &capacities(), now);
+        for change in planner.changes(&engines, &capacities(), &PromptSpeed::default(), 2, now) {
+            engines.insert(change.target, (change.role, 0));
+        }
+    }
+    let decode = engines.values().filter(|(role, _)| role.decodes()).count();
+    assert!((2..=4).contains(&decode), "{engines:?}");
+}
