Send no new work to targets that say they are leaving

Answers of any purpose (requests, prompts, reports, lists, orders) pass answers::observe. What a target said holds for its process: its entry in the store or a later answer does not take it back, a new process does.

--- /dev/null
+++ b/crates/cactuslane-gateway/src/answers.rs
@@ -0,0 +1,43 @@
+//! What targets say of themselves in their answers, of whatever purpose.
+
+use cactuslane_flight::target::Target;
+use cactuslane_place::Observed;
+use cactuslane_platform::exchange;
+use cactuslane_types::Millis;
+use hyper::StatusCode;
+use hyper::header::HeaderMap;
+use log::info;
+
+use crate::limits::{self, Purpose};
+use crate::plain::queue_observation;
+use crate::state::Gateway;
+
+/// Applies what the head of an answer says of its target.
+///
+/// `sent` is the time at which the request was sent, on the clock of the instance.
+pub fn observe(
+    gateway: &Gateway,
+    target: &Target,
+    purpose: Purpose,
+    status: StatusCode,
+    headers: &HeaderMap,
+    sent: Millis,
+) {
+    limits::observe_answer(gateway, target, purpose, status, headers, sent);
+    if !exchange::is_leaving(headers) {
+        return;
+    }
+    let is_new = gateway
+        .fleet()
+        .observe_leaving(&target.id, target.started_at);
+    if is_new {
+        info!(
+            target_id = target.id,
+            purpose:? = purpose,
+            status = status.as_u16(),
+            sent_ms_ago = gateway.now().saturating_sub(sent);
+            "target says that it is leaving"
+        );
+        queue_observation(gateway, target, Observed::Leaving);
+    }
+}
--- a/crates/cactuslane-gateway/src/engines.rs
+++ b/crates/cactuslane-gateway/src/engines.rs
@@ -11,6 +11,7 @@
 use hyper::{Method, Request, StatusCode};
 use tokio::time::timeout;
 
+use crate::answers;
 use crate::limits::{self, Purpose};
 use crate::plain::read_body;
 use crate::state::Gateway;
@@ -113,7 +114,7 @@
         let call = build_call(target, method, path, String::new());
         let response = connection.send(call, permit).await?;
         let (status, headers) = (response.status(), response.headers());
-        limits::observe_answer(gateway, target, Purpose::Call, status, headers, sent);
+        answers::observe(gateway, target, Purpose::Call, status, headers, sent);
         let keep_alive = exchange::keep_alive_timeout(headers);
         connection.allow(MAX_CALL_BYTES);
         let body = read_body(gateway, response.into_body()).await;
--- a/crates/cactuslane-gateway/src/fleet.rs
+++ b/crates/cactuslane-gateway/src/fleet.rs
@@ -50,6 +50,8 @@
     lapsed: Option<Millis>,
     /// Whether another target answered at its address.
     replaced: bool,
+    /// Whether an answer of its process said that it is leaving.
+    leaving: bool,
     /// The role in the store entry, if an answer of the target has shown another one since.
     stated_role: Option<Role>,
     /// The time at which an answer last contradicted the known role, or another instance last
@@ -148,10 +150,12 @@
         let id = target.id.clone();
         let lapsed = None;
         let replaced = effect == Effect::Same && self.is_replaced(&id);
+        let leaving = effect != Effect::Started && self.is_leaving(&id);
         let entry = Entry {
             target,
             lapsed,
             replaced,
+            leaving,
             stated_role,
             contradicted_at: unchanged.and_then(|old| old.contradicted_at),
             changing_until: unchanged.map_or(0, |old| old.changing_until),
@@ -171,6 +175,30 @@
         !std::mem::replace(&mut entry.replaced, true)
     }
 
+    /// Records that an answer of a target's process said that it is leaving: it gets no new work
+    /// until another process of it registers. Returns whether this was new.
+    pub fn observe_leaving(&mut self, id: &str, started_at: Option<u64>) -> bool {
+        let Some(entry) = self.entry_of_process(id, started_at) else {
+            return false;
+        };
+        !std::mem::replace(&mut entry.leaving, true)
+    }
+
+    /// Returns the targets whose answers said that they are leaving, with the starts of their
+    /// processes.
+    #[must_use]
+    pub fn leaving(&self) -> Vec<(TargetId, Option<u64>)> {
+        let leaving = self.targets.iter().filter(|(_, entry)| entry.leaving);
+        leaving
+            .map(|(id, entry)| (id.clone(), entry.target.started_at))
+            .collect()
+    }
+
+    /// Returns whether an answer of a target's process said that it is leaving.
+    fn is_leaving(&self, id: &str) -> bool {
+        self.targets.get(id).is_some_and(|entry| entry.leaving)
+    }
+
     /// Returns the entry of a target if it belongs to the process that started at `started_at`.
     fn entry_of_process(&mut self, id: &str, started_at: Option<u64>) -> Option<&mut Entry> {
         let known = self.targets.get_mut(id);
@@ -296,7 +324,7 @@
     /// period, or if that may be due to a recent failure of the store.
     fn may_use(&self, entry: &Entry, now: Millis) -> bool {
         let leaving = entry.target.state == TargetState::Draining;
-        if leaving || entry.replaced || now < entry.changing_until {
+        if leaving || entry.leaving || entry.replaced || now < entry.changing_until {
             return false;
         }
         let Some(lapsed) = entry.lapsed else {
--- a/crates/cactuslane-gateway/src/lib.rs
+++ b/crates/cactuslane-gateway/src/lib.rs
@@ -6,6 +6,7 @@
 //! instances. The decisions on requests are made in `cactuslane-flight` and `cactuslane-place`,
 //! without I/O.
 
+pub mod answers;
 pub mod caches;
 pub mod control;
 pub mod crashes;
--- a/crates/cactuslane-gateway/src/orders.rs
+++ b/crates/cactuslane-gateway/src/orders.rs
@@ -15,6 +15,7 @@
 use rand::Rng;
 use tokio::time::{Instant, sleep, timeout};
 
+use crate::answers;
 use crate::control::LEASE_TTL;
 use crate::engines::{self, CALL_TIMEOUT, CallError};
 use crate::leadership::{LEADER_KEY, LeaderRecord, boot_millis};
@@ -336,7 +337,7 @@
     let response = response.map_err(|_| CallError::Unknown("no answer in time".to_owned()))?;
     let response = response.map_err(CallError::from)?;
     let (status, headers) = (response.status(), response.headers());
-    limits::observe_answer(gateway, target, Purpose::Call, status, headers, sent);
+    answers::observe(gateway, target, Purpose::Call, status, headers, sent);
     let status = status.as_u16();
     info!(target_id = target.id, role:? = role, fencing, orders, status; "order sent");
     Ok(engine::decode_order_answer(status))
--- a/crates/cactuslane-gateway/src/peers.rs
+++ b/crates/cactuslane-gateway/src/peers.rs
@@ -51,7 +51,7 @@
     Relay(Relay),
     /// The limit of a target, as the sender has just learned it.
     Limit(InstanceId, LimitNotice),
-    /// A request for the limits that the receiver knows.
+    /// A request for the limits and the leaving targets that the receiver knows.
     LimitQuery,
     /// A request for a permit to send a request to a target with a limit.
     PermitRequest(InstanceId, PermitRequest),
@@ -59,6 +59,8 @@
     Permit(u64, PermitAnswer),
     /// A request, with this number, for a trial of a held prompt part.
     TrialRequest(u64, PartId),
+    /// Observations of targets that the sender knows, in answer to a query.
+    Observations(InstanceId, Vec<Observation>),
 }
 
 /// Sends updates to the other instances and handles their messages, until the task is aborted.
@@ -264,12 +266,30 @@
             for notice in notices {
                 send(socket, &Message::Limit(me.clone(), notice), &[from]);
             }
+            let mut observations = Vec::new();
+            for (target, started_at) in gateway.fleet().leaving() {
+                observations.push(Observation {
+                    target,
+                    started_at,
+                    observed: Observed::Leaving,
+                });
+            }
+            for some in observations.chunks(MAX_OBSERVATIONS) {
+                let message = Message::Observations(me.clone(), some.to_vec());
+                send(socket, &message, &[from]);
+            }
             return;
         }
         Ok(Message::PermitRequest(peer, request)) => {
             let answer = limits::answer_request(gateway, &request, &peer);
             return send(socket, &Message::Permit(request.number, answer), &[from]);
         }
+        Ok(Message::Observations(peer, observations)) => {
+            for observation in &observations {
+                apply_observation(gateway, observation, &peer);
+            }
+            return;
+        }
         Ok(Message::TrialRequest(number, part)) => {
             let answer = crashes::answer_trial(gateway, part);
             return send(socket, &Message::Permit(number, answer), &[from]);
@@ -306,6 +326,7 @@
             fleet.observe_changing(&observation.target, observation.started_at, now)
         }
         Observed::Replaced => fleet.observe_replaced(&observation.target, observation.started_at),
+        Observed::Leaving => fleet.observe_leaving(&observation.target, observation.started_at),
         Observed::Failed => false,
     };
     if applied {
--- a/crates/cactuslane-gateway/src/plain.rs
+++ b/crates/cactuslane-gateway/src/plain.rs
@@ -15,13 +15,13 @@
 use log::info;
 use tokio::time::{Instant, timeout};
 
-use crate::crashes;
 use crate::ingress::CallerRequest;
 use crate::limits::{self, Denials, Permit, Purpose};
 use crate::metrics;
 use crate::reply::{self, AnswerBody};
 use crate::state::Gateway;
 use crate::upstream::{PooledConnection, SendError};
+use crate::{answers, crashes};
 
 /// Maximum size of an answer that is held in memory, in bytes.
 const MAX_ANSWER_BYTES: usize = 16 << 20;
@@ -262,7 +262,7 @@
     let verdict = exchange::verdict(&request.info.id, &target.id, status, response.headers());
     if !matches!(verdict, Verdict::Foreign | Verdict::Replaced) {
         let (status, headers) = (response.status(), response.headers());
-        limits::observe_answer(gateway, target, Purpose::Request, status, headers, sent);
+        answers::observe(gateway, target, Purpose::Request, status, headers, sent);
     }
     if verdict == Verdict::WrongRole {
         let role = match target.role {
@@ -311,7 +311,7 @@
 }
 
 /// Queues an observation of a target for sending to the other instances.
-fn queue_observation(gateway: &Gateway, target: &Target, observed: Observed) {
+pub fn queue_observation(gateway: &Gateway, target: &Target, observed: Observed) {
     gateway.placer().observations.add(Observation {
         target: target.id.clone(),
         started_at: target.started_at,
--- a/crates/cactuslane-gateway/tests/serving/main.rs
+++ b/crates/cactuslane-gateway/tests/serving/main.rs
@@ -4,6 +4,7 @@
 mod crashes;
 mod deployment;
 mod invalid;
+mod leaving;
 mod limits;
 mod lines;
 mod plain;
--- a/crates/cactuslane-place/src/observations.rs
+++ b/crates/cactuslane-place/src/observations.rs
@@ -37,6 +37,8 @@
     Replaced,
     /// The target gave no complete answer, or rejected several requests in a row.
     Failed,
+    /// An answer of the target says that it is leaving.
+    Leaving,
 }
 
 /// Observations to send to the other instances, and failure reports received from them.
