Send nothing to targets that have asked for a pause

Such a target is left out of the choice until the time is over, with 20 ms added and 60 s at most; reports, lists, orders and the freeing of prompts are not sent either. If a service has no other target, requests are refused at once (cause paused) with the time until the first pause ends. Values that are no number of seconds are logged and ignored, a date as well. a_target_that_wants_a_pause_gets_no_request_until_its_end shows it.

--- a/crates/cactuslane-gateway/src/answers.rs
+++ b/crates/cactuslane-gateway/src/answers.rs
@@ -6,7 +6,7 @@
 use cactuslane_types::Millis;
 use hyper::StatusCode;
 use hyper::header::HeaderMap;
-use log::info;
+use log::{info, warn};
 
 use crate::limits::{self, Purpose};
 use crate::plain::queue_observation;
@@ -24,6 +24,7 @@
     sent: Millis,
 ) {
     limits::observe_answer(gateway, target, purpose, status, headers, sent);
+    observe_pause(gateway, target, status, headers);
     if !exchange::is_leaving(headers) {
         return;
     }
@@ -41,3 +42,26 @@
         queue_observation(gateway, target, Observed::Leaving);
     }
 }
+
+/// Applies the pause that a target asks for when it turns a request away.
+fn observe_pause(gateway: &Gateway, target: &Target, status: StatusCode, headers: &HeaderMap) {
+    let pause = match exchange::requested_pause(status.as_u16(), headers) {
+        Ok(Some(pause)) => pause,
+        Ok(None) => return,
+        Err(value) => {
+            warn!(target_id = target.id, value; "pause of a target is unreadable, there is none");
+            return;
+        }
+    };
+    let now = gateway.now();
+    let is_new = gateway
+        .fleet()
+        .observe_pause(&target.id, target.started_at, pause, now);
+    if is_new {
+        info!(
+            target_id = target.id,
+            pause_ms = pause.as_millis() as u64;
+            "target wants a pause"
+        );
+    }
+}
--- a/crates/cactuslane-gateway/src/engines.rs
+++ b/crates/cactuslane-gateway/src/engines.rs
@@ -105,6 +105,12 @@
     path: &str,
 ) -> Result<Bytes, CallError> {
     let answer = async {
+        let pause = gateway.fleet().pause_left(&target.id, gateway.now());
+        if !pause.is_zero() {
+            return Err(CallError::Unsent(format!(
+                "the target wants a pause of {pause:?}"
+            )));
+        }
         let permit = limits::acquire(gateway, target, "").await;
         let permit = permit.map_err(|wait| {
             CallError::Unsent(format!("the target's limit allows no call for {wait:?}"))
--- a/crates/cactuslane-gateway/src/fleet.rs
+++ b/crates/cactuslane-gateway/src/fleet.rs
@@ -16,6 +16,10 @@
 /// Time for which an engine that is changing its role gets no new work, in milliseconds; the next
 /// request then shows whether the change is complete.
 const CHANGING_PAUSE: Millis = 1_000;
+/// Longest pause of a target that counts, in milliseconds; then a request shows whether it goes on.
+const MAX_PAUSE: Millis = 60_000;
+/// Time added to a pause, in milliseconds, as the target's clock may be slower.
+const PAUSE_MARGIN: Millis = 20;
 /// Time after the last store failure within which targets whose entries lapsed meanwhile are
 /// expected to register again, in milliseconds.
 const REREGISTRATION_TIME: Millis = 2200;
@@ -52,6 +56,8 @@
     replaced: bool,
     /// Whether an answer of its process said that it is leaving.
     leaving: bool,
+    /// The time until which it wants no request from this instance.
+    paused_until: Millis,
     /// The role in the store entry, if an answer of the target has shown another one since.
     stated_role: Option<Role>,
     /// The time at which an answer last contradicted the known role, or another instance last
@@ -150,12 +156,15 @@
         let id = target.id.clone();
         let lapsed = None;
         let replaced = effect == Effect::Same && self.is_replaced(&id);
-        let leaving = effect != Effect::Started && self.is_leaving(&id);
+        let same_process = self.targets.get(&id).filter(|_| effect != Effect::Started);
+        let leaving = same_process.is_some_and(|old| old.leaving);
+        let paused_until = same_process.map_or(0, |old| old.paused_until);
         let entry = Entry {
             target,
             lapsed,
             replaced,
             leaving,
+            paused_until,
             stated_role,
             contradicted_at: unchanged.and_then(|old| old.contradicted_at),
             changing_until: unchanged.map_or(0, |old| old.changing_until),
@@ -194,9 +203,46 @@
             .collect()
     }
 
-    /// Returns whether an answer of a target's process said that it is leaving.
-    fn is_leaving(&self, id: &str) -> bool {
-        self.targets.get(id).is_some_and(|entry| entry.leaving)
+    /// Records that a target's process wants no request from this instance for a time, of which at
+    /// most [`MAX_PAUSE`] counts. Returns whether the target had no pause.
+    pub fn observe_pause(
+        &mut self,
+        id: &str,
+        started_at: Option<u64>,
+        pause: Duration,
+        now: Millis,
+    ) -> bool {
+        let Some(entry) = self.entry_of_process(id, started_at) else {
+            return false;
+        };
+        let is_new = now >= entry.paused_until;
+        let pause = pause.as_millis().min(u128::from(MAX_PAUSE)) as Millis;
+        entry.paused_until = entry.paused_until.max(now + pause + PAUSE_MARGIN);
+        is_new
+    }
+
+    /// Returns the time for which a target wants no request from this instance; zero if it has no
+    /// pause.
+    #[must_use]
+    pub fn pause_left(&self, id: &str, now: Millis) -> Duration {
+        let until = self.targets.get(id).map_or(0, |entry| entry.paused_until);
+        Duration::from_millis(until.saturating_sub(now))
+    }
+
+    /// Returns the time until the first target of a service has no pause, if all that take new work
+    /// otherwise have one.
+    #[must_use]
+    pub fn service_pause(&self, service: &str, now: Millis) -> Option<Duration> {
+        let mut least = None;
+        for entry in self.targets.values() {
+            let paused = entry.paused_until > now;
+            if entry.target.service == service && paused && self.may_use(entry, entry.paused_until)
+            {
+                let left = Duration::from_millis(entry.paused_until - now);
+                least = Some(least.map_or(left, |least: Duration| least.min(left)));
+            }
+        }
+        least
     }
 
     /// Returns the entry of a target if it belongs to the process that started at `started_at`.
@@ -324,7 +370,8 @@
     /// period, or if that may be due to a recent failure of the store.
     fn may_use(&self, entry: &Entry, now: Millis) -> bool {
         let leaving = entry.target.state == TargetState::Draining;
-        if leaving || entry.leaving || entry.replaced || now < entry.changing_until {
+        let held_back = now < entry.changing_until.max(entry.paused_until);
+        if leaving || entry.leaving || entry.replaced || held_back {
             return false;
         }
         let Some(lapsed) = entry.lapsed else {
--- a/crates/cactuslane-gateway/src/orders.rs
+++ b/crates/cactuslane-gateway/src/orders.rs
@@ -320,6 +320,12 @@
     role: Role,
     orders: u64,
 ) -> Result<OrderAnswer, CallError> {
+    let pause = gateway.fleet().pause_left(&target.id, gateway.now());
+    if !pause.is_zero() {
+        return Err(CallError::Unsent(format!(
+            "the target wants a pause of {pause:?}"
+        )));
+    }
     let permit = limits::acquire(gateway, target, "").await;
     let permit = permit.map_err(|wait| {
         CallError::Unsent(format!("the target's limit allows no order for {wait:?}"))
--- a/crates/cactuslane-gateway/src/plain.rs
+++ b/crates/cactuslane-gateway/src/plain.rs
@@ -354,7 +354,13 @@
             let after = wait.max(after).min(state.remaining(now) / 3);
             refuse(request, state, after, "limited")
         }
-        None => refuse(request, state, after, "no target"),
+        None => match fleet.service_pause(&request.service, now) {
+            Some(pause) => {
+                let after = pause.max(after).min(state.remaining(now) / 3);
+                refuse(request, state, after, "paused")
+            }
+            None => refuse(request, state, after, "no target"),
+        },
     }
 }
 
--- a/crates/cactuslane-gateway/tests/serving/leaving.rs
+++ b/crates/cactuslane-gateway/tests/serving/leaving.rs
@@ -1,4 +1,4 @@
-//! Targets that say in their answers that they are leaving.
+//! Targets that say in their answers that they are leaving, or that they want a pause.
 
 use cactuslane_gateway::GatewayHandle;
 use cactuslane_platform_standin::{TargetKind, target};
@@ -69,3 +69,58 @@
         wait_until(|| uses(&deployment.running) && uses(&other) && uses(&late)).await;
     });
 }
+
+/// Returns what a target sends that wants a pause of 1.2 s.
+fn pausing(_request: usize) -> Script {
+    Script {
+        first: "HTTP/1.1 503 Busy\r\nx-request-id: {id}\r\nx-not-executed: 1\r\nretry-after: 1.2\r\ncontent-length: 0\r\n\r\n",
+        endless: "",
+        closes: false,
+        runs: false,
+    }
+}
+
+/// Guards against requests to a target that has turned one away and asked for a pause.
+#[test]
+fn a_target_that_wants_a_pause_gets_no_request_until_its_end() {
+    run_test(async {
+        let deployment = deploy().await;
+        let gateway = deployment.running.gateway.clone();
+        let raw = RawTarget::bind("i-raw", TargetKind::Plain, &deployment.store, pausing).await;
+        wait_until(|| gateway.target("i-raw").is_some()).await;
+        let mut number = 0;
+        while raw.requests() == 0 {
+            number += 1;
+            deployment
+                .ask("/lookup/7", &format!("first-{number}"))
+                .await;
+        }
+        assert!(gateway.target("i-raw").is_none());
+        // Without another target requests are refused at once, with the time to come back.
+        for worker in &deployment.workers {
+            worker.register(&deployment.store, "draining");
+        }
+        wait_until(|| {
+            deployment
+                .workers
+                .iter()
+                .all(|worker| gateway.target(&worker.id).is_none())
+        })
+        .await;
+        let left = || gateway.fleet().pause_left("i-raw", gateway.now());
+        loop {
+            let before = left();
+            number += 1;
+            let answer = deployment
+                .ask("/lookup/7", &format!("later-{number}"))
+                .await;
+            if before.is_zero() || left() > before {
+                // The pause had ended, and the target has asked for another one.
+                break;
+            }
+            assert_eq!((answer.status, answer.retry_after), (503, true));
+            assert_eq!(raw.requests(), 1);
+        }
+        assert_eq!(raw.requests(), 2);
+    });
+}
