Try requests with one held part before those with several

A request with one held part is tried first, one with several after six times the time, and a crash is put down to the part that has failed more trials. The test failed before (a trial of both was allowed).

--- a/crates/cactuslane-place/src/crashes.rs
+++ b/crates/cactuslane-place/src/crashes.rs
@@ -146,20 +146,26 @@
     }
 
     /// Returns what may be done with a request with these shared parts.
+    ///
+    /// A request with several held parts is tried much later than one with a single one, as it does
+    /// not show which of them crashes targets.
     #[must_use]
     pub fn screen(&self, parts: &[PromptPart], now: Millis) -> Screening {
-        let mut screening = Screening::Clear;
-        for part in parts {
-            let Some(held) = self.held.get(&part.id) else {
-                continue;
-            };
-            let wait = held.until() - now as Time;
-            if wait > 0 {
-                return Screening::Held(part.id, Duration::from_millis(wait as u64));
-            }
-            screening = Screening::Trial(part.id);
+        let now = now as Time;
+        let held = parts.iter().filter_map(|part| {
+            let held = self.held.get(&part.id)?;
+            Some((part.id, held))
+        });
+        let held: Vec<(PartId, &HeldPart)> = held.collect();
+        let several = held.len() > 1;
+        let wait = |held: &HeldPart| held.trial_time(several) - now;
+        let Some((part, last)) = held.into_iter().max_by_key(|(_, held)| wait(held)) else {
+            return Screening::Clear;
+        };
+        match wait(last) {
+            wait if wait > 0 => Screening::Held(part, Duration::from_millis(wait as u64)),
+            _ => Screening::Trial(part),
         }
-        screening
     }
 
     /// Decides on a trial of a part, as the only instance that grants trials of it.
@@ -265,7 +271,11 @@
             if crash.parts.len() >= MAX_CRASH_PARTS || !crash.parts.insert(*part) {
                 continue;
             }
-            if let Some(held) = self.held.get_mut(part) {
+            // A part that has failed a trial explains the crash better than one that has not.
+            let failed = |part: &PartId| self.held.get(part).map_or(0, |held| held.failed);
+            let most = crash.parts.iter().chain(parts).map(failed).max();
+            let explained = failed(part) < most.unwrap_or(0);
+            if let Some(held) = self.held.get_mut(part).filter(|_| !explained) {
                 held.add_crash(at);
                 let wait = Duration::from_millis((held.until() - now).max(0) as u64);
                 let change = HoldChange::Held(*part, held.crashes, wait);
--- a/crates/cactuslane-place/src/crashes/held.rs
+++ b/crates/cactuslane-place/src/crashes/held.rs
@@ -18,6 +18,9 @@
 /// Time after a crash within which another one is of a request that was under way and not of a
 /// trial, in milliseconds.
 const UNDER_WAY_TIME: Time = 2_000;
+/// Factor on the time for which a part is held, by which trials of requests with several held parts
+/// are made later.
+const SEVERAL_FACTOR: Time = 5;
 /// Time after which another trial is granted if the last one has shown nothing, in milliseconds.
 const TRIAL_TIME: Time = 5_000;
 /// Time after the end of a hold after which the part is discarded, in milliseconds.
@@ -97,6 +100,17 @@
         self.last + HOLD_TIMES[index.min(HOLD_TIMES.len() - 1)]
     }
 
+    /// Returns the time from which a request with the part may be a trial, which is later if it has
+    /// `several` held parts.
+    pub(super) fn trial_time(&self, several: bool) -> Time {
+        let until = self.until();
+        if several {
+            until + (until - self.last) * SEVERAL_FACTOR
+        } else {
+            until
+        }
+    }
+
     /// Returns whether the hold ended so long ago that the part is discarded.
     pub(super) fn is_lapsed(&self, now: Time) -> bool {
         now > self.until() + HELD_RETENTION
--- a/crates/cactuslane-place/tests/crashes/main.rs
+++ b/crates/cactuslane-place/tests/crashes/main.rs
@@ -234,3 +234,29 @@
     assert!(tracker.held_parts().len() <= 256);
     assert!(tracker.update(now).held.len() <= 32);
 }
+
+/// Guards against a sound part that is held longer with each trial of the part beside it.
+#[test]
+fn a_trial_tells_a_sound_part_from_the_deadly_one_beside_it() {
+    let (mut tracker, mut now) = (CrashTracker::default(), 1_000);
+    crash(&mut tracker, &[1, DEADLY], 3, &mut now);
+    now += 10_000;
+    // Only a request with one of the parts shows which of them is deadly.
+    assert!(matches!(
+        tracker.screen(&prompt(&[1, DEADLY]), now),
+        Screening::Held(..)
+    ));
+    assert_eq!(tracker.screen(&prompt(&[1]), now), Screening::Trial(1));
+    crash(&mut tracker, &[DEADLY], 1, &mut now);
+    tracker.record_begun(&prompt(&[1]), now, now);
+    tracker.sweep(now);
+    assert_eq!(tracker.screen(&prompt(&[1]), now), Screening::Clear);
+    // Once the deadly part has failed a trial, further crashes with both are put down to it.
+    let (mut tracker, mut now) = (CrashTracker::default(), 1_000);
+    crash(&mut tracker, &[1, DEADLY], 3, &mut now);
+    now += 10_000;
+    crash(&mut tracker, &[DEADLY], 1, &mut now);
+    now += 5_000;
+    crash(&mut tracker, &[1, DEADLY], 1, &mut now);
+    assert_eq!(tracker.screen(&prompt(&[1]), now), Screening::Trial(1));
+}
