--- a/crates/cactuslane-place/src/roles.rs
+++ b/crates/cactuslane-place/src/roles.rs
@@ -32,6 +32,9 @@
 /// Time after a role change during which none in the other direction is made, unless engines were
 /// lost, in milliseconds.
 const REVERSAL_DELAY: Millis = 20_000;
+/// Time without an engine that generates after which some are made to, in milliseconds; engines
+/// that start may not be known yet.
+const RESTORE_DELAY: Millis = 2_000;
 /// Smallest share of the engines that each role keeps.
 const MIN_ROLE_SHARE: f64 = 0.25;
 /// Number of streams that is assumed if fewer are observed, so that some engines keep generating.
@@ -52,6 +55,8 @@
     observed: Millis,
     /// Last role change that was planned.
     last_change: Option<RoleChange>,
+    /// Time since which no engine generates.
+    idle_since: Option<Millis>,
 }
 
 /// A planned role change, kept to prevent its early reversal.
@@ -88,6 +93,7 @@
             last: None,
             observed: 0,
             last_change: None,
+            idle_since: None,
         }
     }
 }
@@ -146,8 +152,13 @@
         now: Millis,
     ) -> Vec<RoleAssignment> {
         let generates = |(role, _): &(Role, usize)| role.decodes();
-        if limit > 0 && !engines.is_empty() && !engines.values().any(generates) {
-            return self.restore_generation(engines, limit, now);
+        if engines.is_empty() || engines.values().any(generates) {
+            self.idle_since = None;
+        } else {
+            let since = *self.idle_since.get_or_insert(now);
+            if limit > 0 && now >= since + RESTORE_DELAY {
+                return self.restore_generation(engines, limit, now);
+            }
         }
         let mut changes = Vec::new();
         if self.observed < MIN_OBSERVED {
--- a/crates/cactuslane-place/tests/roles.rs
+++ b/crates/cactuslane-place/tests/roles.rs
@@ -177,3 +177,16 @@
     let decode = engines.values().filter(|(role, _)| role.decodes()).count();
     assert!((2..=4).contains(&decode), "{engines:?}");
 }
+
+/// Guards against role changes at the start of a deployment, while few engines are known.
+#[test]
+fn no_role_is_changed_while_the_first_engines_become_known() {
+    let mut planner = RolePlanner::default();
+    for (known, now) in (0..1_500).step_by(250).enumerate() {
+        let all = engines(9, 4);
+        let known: BTreeMap<_, _> = all.into_iter().take(known.min(4)).collect();
+        planner.observe(PlacedWork::default(), 0, 0, &capacities(), now);
+        let changes = planner.changes(&known, &capacities(), &PromptSpeed::default(), 1, now);
+        assert!(changes.is_empty(), "{changes:?} with {known:?}");
+    }
+}
