List the case in which kills hold a popular part as known to be red

The simulation failed with an engine killed each 0.3 s (ten of twelve down): a popular part is held for 10 s. No decision changes.

--- a/crates/cactuslane-place/tests/crashes/main.rs
+++ b/crates/cactuslane-place/tests/crashes/main.rs
@@ -87,6 +87,7 @@
 #[parameterized(
     in_turn = { 1, 900 },
     often = { 1, 500 },
+    very_often = { 1, 300 },
     many_at_once = { 5, 4_000 },
 )]
 fn crashes_of_another_cause_hold_no_part_that_is_begun(at_once: usize, pause: Millis) {
