Log a fingerprint of requests that are lost with their target

No line said which requests are equal, so that a request that crashes each target under changing ids could not be told from bystanders, and crashes of plain targets stood in no line of their own. The fingerprint is a hash of method, host, path, credentials and body; plain attempts whose connection closes are checked like streams. No decision changes.

--- a/crates/cactuslane-flight/src/request_info.rs
+++ b/crates/cactuslane-flight/src/request_info.rs
@@ -2,9 +2,15 @@
 
 use std::time::Duration;
 
+use sha2::{Digest, Sha256};
+
 /// Identifier of a prompt part; requests that share a part of their prompts send the same one.
 pub type PartId = u64;
 
+/// Identifier of what a request asks for, the same for equal requests: a hash of the method, host,
+/// path, caller and body, without the id.
+pub type Fingerprint = u64;
+
 /// The parameters of a caller's request that routing and retry decisions depend on.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct RequestInfo {
@@ -23,6 +29,8 @@
     pub parts: Vec<PromptPart>,
     /// Id of the last event that the caller already received, if it resumes a stream.
     pub last_event: Option<u64>,
+    /// Fingerprint of the request; 0 until its body was read.
+    pub fingerprint: Fingerprint,
 }
 
 /// One part of a prompt, the unit in which prompt prefixes are cached and shared.
@@ -48,3 +56,18 @@
         self.prompt_tokens.saturating_sub(shared)
     }
 }
+
+/// Returns the fingerprint of a request with these values, which is the same at all instances.
+#[must_use]
+pub fn fingerprint(fields: &[&[u8]]) -> Fingerprint {
+    let mut hasher = Sha256::new();
+    for field in fields {
+        hasher.update((field.len() as u64).to_be_bytes());
+        hasher.update(field);
+    }
+    let hash = hasher.finalize();
+    let (first, _) = hash.split_at(size_of::<Fingerprint>());
+    first
+        .iter()
+        .fold(0, |value, byte| value << 8 | u64::from(*byte))
+}
--- a/crates/cactuslane-gateway/src/crashes.rs
+++ b/crates/cactuslane-gateway/src/crashes.rs
@@ -126,13 +126,14 @@
     }
 }
 
-/// Finds out whether a target crashed that closed a connection before the first event of a request,
-/// and records the shared parts of the prompt if so.
+/// Finds out whether a target crashed that closed a connection before it had answered a request, or
+/// before the first event of a stream, and records the shared parts of the prompt if so.
 ///
 /// A target that accepts a connection still runs.
 pub fn check_lost(gateway: &Arc<Gateway>, info: &RequestInfo, target: &Target, sent: Instant) {
     let (gateway, target) = (gateway.clone(), target.clone());
     let (request, parts) = (info.id.clone(), info.shared_parts().to_vec());
+    let fingerprint = info.fingerprint;
     let sent_ms = sent.elapsed().as_millis() as u64;
     tokio::spawn(async move {
         let connecting = timeout(CONNECT_TIMEOUT, TcpStream::connect(target.address)).await;
@@ -142,6 +143,7 @@
             request,
             target_id = target.id,
             process:? = target.started_at,
+            fingerprint = format!("{fingerprint:x}"),
             parts = names.join(","),
             sent_ms_ago = sent_ms,
             crashed;
--- a/crates/cactuslane-gateway/src/ingress.rs
+++ b/crates/cactuslane-gateway/src/ingress.rs
@@ -5,6 +5,7 @@
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 
+use cactuslane_flight::request_info::fingerprint;
 use cactuslane_flight::routing_config::{Limits, Route, RoutingConfig};
 use cactuslane_flight::{Refusal, RequestInfo, RequestState, stopping};
 use cactuslane_platform::exchange;
@@ -12,6 +13,7 @@
 use http_body_util::{BodyExt, LengthLimitError, Limited};
 use hyper::body::{Bytes, Incoming};
 use hyper::header::{CONNECTION, HOST, HeaderMap, HeaderValue};
+use hyper::http::uri::PathAndQuery;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper::{Method, Request, Response, StatusCode, Uri};
@@ -234,6 +236,17 @@
             ));
         }
     };
+    let path = parts.uri.path_and_query();
+    let info = RequestInfo {
+        fingerprint: fingerprint(&[
+            parts.method.as_str().as_bytes(),
+            host.as_bytes(),
+            path.map_or("/", PathAndQuery::as_str).as_bytes(),
+            exchange::credentials(&parts.headers),
+            &body,
+        ]),
+        ..info
+    };
     Ok(CallerRequest {
         info,
         route,
--- a/crates/cactuslane-gateway/src/plain.rs
+++ b/crates/cactuslane-gateway/src/plain.rs
@@ -150,7 +150,13 @@
         timeout: left,
         ..SendParams::default()
     };
-    let pending = send_and_read(gateway, request, target, &params, permit);
+    let pending = async {
+        let answer = send_and_read(gateway, request, target, &params, permit).await;
+        if matches!(answer, Err((AttemptFailure::Broken, _))) {
+            crashes::check_lost(gateway, &request.info, target, began);
+        }
+        answer
+    };
     tokio::pin!(pending);
     let slow_after = request.route.latency_objective * SLOW_ANSWER_FACTOR;
     let mut budget_taken = false;
