Reproduce equal requests that crash one target after the other

The stand-in targets crash on a path; six instances get requests with it under new ids. On this code 8 (idempotent and not repeatable) and 20 (streams) of them reach targets later than 3 s after the third crash, of 3 that may.

--- a/crates/cactuslane-gateway/tests/serving/crashes.rs
+++ b/crates/cactuslane-gateway/tests/serving/crashes.rs
@@ -1,10 +1,11 @@
-//! Requests with a prompt part on which engines crash.
+//! Requests with a prompt part on which engines crash, and requests that crash targets as a whole.
 
 use std::time::Duration;
 
 use cactuslane_gateway::GatewayHandle;
 use cactuslane_platform_standin::{Target, TargetKind, caller};
 use tokio::time::{Instant, sleep};
+use yare::parameterized;
 
 use crate::deployment::{CallerAnswer, Deployment, deploy, read_answer, run_test, start_fleet};
 
@@ -14,6 +15,8 @@
 const ENGINES: usize = 6;
 /// Number of crashes after which no more requests with the part may be sent.
 const CRASHES: usize = 5;
+/// Number of crashes after which a request may no longer be sent that crashes targets as a whole.
+const REQUEST_CRASHES: usize = 3;
 /// Time after these crashes from which that holds.
 const REACTION_TIME: Duration = Duration::from_secs(3);
 /// Number of requests with the part that may still arrive then.
@@ -45,9 +48,6 @@
                 .push(engine.expect("a port can be bound"));
         }
         let others = start_fleet(&deployment).await;
-        for engine in deployment.engines.iter().chain([&deployment.prefill]) {
-            engine.crash_on(Some(DEADLY));
-        }
         Self {
             deployment,
             others,
@@ -58,11 +58,18 @@
 
     /// Sends a request with these shared parts to the next instance, and returns the answer.
     async fn ask(&mut self, shared: &[&str]) -> CallerAnswer {
+        self.ask_path("/summary/7", shared).await
+    }
+
+    /// Sends a request with this path and these shared parts to the next instance, and returns the
+    /// answer.
+    async fn ask_path(&mut self, path: &str, shared: &[&str]) -> CallerAnswer {
         sleep(INTERVAL).await;
         let crashes = self.crashes().len();
         if crashes > self.registered {
             self.registered = crashes;
-            for engine in &self.deployment.engines {
+            let engines = self.deployment.engines.iter();
+            for engine in engines.chain(&self.deployment.workers) {
                 engine.register(&self.deployment.store, "ready");
             }
         }
@@ -73,15 +80,16 @@
         };
         let front = instance.gateway.settings().front;
         let id = format!("r{}", self.sent);
-        let request = caller::request_with_parts(front, "/summary/7", &id, shared);
+        let request = caller::request_with_parts(front, path, &id, shared);
         let response = self.deployment.client.send(request).await;
         read_answer(response.expect("the request is answered")).await
     }
 
     /// Returns the times of all crashes, in order.
     fn crashes(&self) -> Vec<Instant> {
-        let engines = self.deployment.engines.iter();
-        let mut crashes: Vec<Instant> = engines.flat_map(Target::crashes).collect();
+        let targets = self.deployment.engines.iter();
+        let targets = targets.chain(&self.deployment.workers);
+        let mut crashes: Vec<Instant> = targets.flat_map(Target::crashes).collect();
         crashes.sort();
         crashes
     }
@@ -89,7 +97,8 @@
     /// Returns the number of requests with the part that reached a target after a time.
     fn arrived_since(&self, since: Instant) -> usize {
         let engines = self.deployment.engines.iter();
-        let targets = engines.chain([&self.deployment.prefill]);
+        let targets = engines.chain(&self.deployment.workers);
+        let targets = targets.chain([&self.deployment.prefill]);
         let arrivals = targets.flat_map(Target::deadly_arrivals);
         arrivals.filter(|at| *at > since).count()
     }
@@ -100,6 +109,10 @@
 fn requests_with_a_part_that_crashes_engines_stop_after_five_crashes() {
     run_test(async {
         let mut fleet = Crashing::start().await;
+        let engines = fleet.deployment.engines.iter();
+        for engine in engines.chain([&fleet.deployment.prefill]) {
+            engine.crash_on(Some(DEADLY));
+        }
         let began = Instant::now();
         while began.elapsed() < REACTION_TIME * 4 {
             fleet.ask(&["a1", DEADLY]).await;
@@ -120,3 +133,41 @@
         }
     });
 }
+
+/// Guards against equal requests that go on crashing one target after the other.
+#[parameterized(
+    idempotent = { "/lookup/" },
+    not_repeatable = { "/correction/" },
+    stream = { "/summary/" },
+)]
+fn equal_requests_that_crash_targets_stop_after_three_crashes(prefix: &str) {
+    run_test(async {
+        let mut fleet = Crashing::start().await;
+        let (deadly, sound) = (format!("{prefix}dead"), format!("{prefix}7"));
+        for target in fleet
+            .deployment
+            .engines
+            .iter()
+            .chain(&fleet.deployment.workers)
+        {
+            target.crash_on_path(&deadly);
+        }
+        let began = Instant::now();
+        while began.elapsed() < REACTION_TIME * 4 {
+            fleet.ask_path(&deadly, &["a1"]).await;
+            fleet.ask_path(&sound, &["a1"]).await;
+            let third = fleet.crashes().get(REQUEST_CRASHES - 1).copied();
+            if third.is_some_and(|third| third.elapsed() > REACTION_TIME * 2) {
+                break;
+            }
+        }
+        let crashes = fleet.crashes();
+        let third = crashes.get(REQUEST_CRASHES - 1).expect("targets crash");
+        let late = fleet.arrived_since(*third + REACTION_TIME);
+        assert!(late <= ALLOWED, "{late} after {} crashes", crashes.len());
+        for _ in 0..20 {
+            let answer = fleet.ask_path(&sound, &["a1"]).await;
+            assert_eq!((answer.status, answer.complete), (200, true));
+        }
+    });
+}
