Hold requests on which targets crash, as a whole

Callers of a plain service got 502 and 503 for seconds, again and again: one request under changing ids crashed each target that ran it. Cause: crashes were put down to prompt parts alone. Plain requests have none, and the parts of a deadly stream are sound ones that targets begin in between. Class: evidence kept at one of the levels at which an input can be bad.

What crashes have in common is now a suspect, a prompt part or the fingerprint of a request, in one tracker. A request is held after three crashes, also if they follow each other at once; an equal one that is answered clears it. Once lost, equal requests are sent one at a time until one is answered, so that few are under way at the third crash. A part is not held while a single request is in all its crashes; a hold ends when reports show that another suspect explains its crashes. Trials, store, updates and the end of holds are those of parts.

--- a/crates/cactuslane-gateway/src/control.rs
+++ b/crates/cactuslane-gateway/src/control.rs
@@ -11,7 +11,7 @@
 use log::{info, warn};
 use rand::Rng;
 
-use crate::crashes::{self, HELD_PREFIX};
+use crate::crashes;
 use crate::fleet::Effect;
 use crate::leadership::{LAST_LEADER_KEY, LEADER_KEY, LeaderRecord, boot_millis};
 use crate::members::Member;
@@ -160,11 +160,9 @@
         if let Some(id) = item.key.strip_prefix(MEMBER_PREFIX) {
             instances.push(id.to_owned());
         }
-        if let Some(id) = item.key.strip_prefix(HELD_PREFIX) {
-            held.push(id.to_owned());
-        }
+        held.extend(crashes::stored_suspect(&item.key));
     }
-    crashes::retain_stored(gateway, &held);
+    gateway.crashes().retain_stored(&held);
     gateway.fleet().retain(&targets, now);
     gateway.members().retain(&instances, now);
     let has = |key: &str| items.iter().any(|item| item.key == key);
@@ -195,8 +193,8 @@
     } else if let Some(id) = key.strip_prefix(MEMBER_PREFIX) {
         gateway.members().lapse(id, now);
         info!(peer = id, revision; "instance vanished");
-    } else if let Some(id) = key.strip_prefix(HELD_PREFIX) {
-        crashes::apply_deleted(gateway, id);
+    } else if let Some(suspect) = crashes::stored_suspect(&key) {
+        gateway.crashes().record_deleted(suspect);
     } else if key == LEADER_KEY {
         info!(revision; "office is vacant");
         observe_leader(gateway, None, revision);
@@ -220,8 +218,8 @@
         gateway
             .leadership()
             .observe_last_leader(Some(instance), item.revision);
-    } else if let Some(id) = item.key.strip_prefix(HELD_PREFIX) {
-        crashes::apply_stored(gateway, id, item);
+    } else if let Some(suspect) = crashes::stored_suspect(&item.key) {
+        crashes::apply_stored(gateway, suspect, item);
     } else if let Some(id) = item.key.strip_prefix(MEMBER_PREFIX) {
         match serde_json::from_slice::<Member>(&item.value) {
             Ok(member) if member.instance == gateway.settings().instance => {}
--- a/crates/cactuslane-gateway/src/crashes.rs
+++ b/crates/cactuslane-gateway/src/crashes.rs
@@ -1,13 +1,14 @@
-//! Requests whose prompts have parts on which targets crash: what shows a crash, and which requests
-//! are not sent because of it.
+//! Requests on which targets crash, as a whole or by a part of their prompt: what shows a crash, and
+//! which requests are not sent because of it.
 
 use std::sync::Arc;
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
-use cactuslane_flight::request_info::{PartId, PromptPart, RequestInfo};
+use cactuslane_flight::AttemptFailure;
+use cactuslane_flight::request_info::RequestInfo;
 use cactuslane_flight::target::Target;
-use cactuslane_place::crashes::StoredPart;
-use cactuslane_place::{HoldChange, PermitAnswer, Screening, StoreChange};
+use cactuslane_place::crashes::{Attempt, StoredSuspect};
+use cactuslane_place::{HoldChange, PermitAnswer, Screening, StoreChange, Suspect};
 use cactuslane_store::kv::{Item, KvError, Update};
 use cactuslane_types::{Millis, TargetId};
 use log::{info, warn};
@@ -21,12 +22,14 @@
 use crate::state::Gateway;
 
 /// Prefix of the keys of held parts in the store, followed by the part's id in hexadecimal.
-pub const HELD_PREFIX: &str = "cactuslane/held-parts/";
+const PARTS_PREFIX: &str = "cactuslane/held-parts/";
+/// Prefix of the keys of held requests in the store, followed by the fingerprint in hexadecimal.
+const REQUESTS_PREFIX: &str = "cactuslane/held-requests/";
 /// Maximum time to wait for a connection that shows whether a target still runs.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(450);
-/// Interval at which the store's copy of the held parts is compared with those known here.
+/// Interval at which the store's copy of the held suspects is compared with those known here.
 const STORE_INTERVAL: Duration = Duration::from_millis(500);
-/// Value of `Retry-After` while the instance that grants trials of a part does not answer.
+/// Value of `Retry-After` while the instance that grants trials of a suspect does not answer.
 const TRIAL_RETRY_AFTER: Duration = Duration::from_secs(1);
 
 /// Guard of an attempt that was sent to a target; unless it is settled, its drop records that the
@@ -37,38 +40,60 @@
     gateway: Arc<Gateway>,
     /// Target to which the request was sent.
     target: TargetId,
-    /// Shared parts of the prompt.
-    parts: Vec<PromptPart>,
+    /// The attempt, until it is settled.
+    attempt: Option<Attempt>,
 }
 
 impl SentAttempt {
-    /// Creates the guard of an attempt.
+    /// Creates the guard of an attempt that is sent now.
     #[must_use]
     pub fn new(gateway: &Arc<Gateway>, info: &RequestInfo, target: &Target) -> Self {
         Self {
             gateway: gateway.clone(),
             target: target.id.clone(),
-            parts: info.shared_parts().to_vec(),
+            attempt: Some(Attempt::new(info, gateway.now())),
         }
     }
 
     /// Records that the target has answered or ended the attempt.
     pub fn settle(&mut self) {
-        self.parts.clear();
+        self.attempt = None;
     }
 }
 
 impl Drop for SentAttempt {
     fn drop(&mut self) {
-        if !self.parts.is_empty() {
+        if let Some(attempt) = self.attempt.take() {
             let now = self.gateway.now();
             let mut crashes = self.gateway.crashes();
-            crashes.record_abandoned(&self.target, &self.parts, now);
+            crashes.record_abandoned(&self.target, attempt, now);
         }
     }
 }
 
-/// Value of a held part's key in the store.
+/// The grant of a trial, which lasts until the request was sent.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct TrialGrant(Option<Suspect>);
+
+impl TrialGrant {
+    /// Records how an attempt ended; a grant is used up unless nothing was sent.
+    pub fn record(&mut self, ending: AttemptFailure) {
+        if ending != AttemptFailure::Unsent {
+            self.0 = None;
+        }
+    }
+}
+
+/// Why a request is not sent, and for how long.
+#[derive(Clone, Copy, Debug)]
+pub struct Withheld {
+    /// Cause of the refusal, for logs and metrics.
+    pub cause: &'static str,
+    /// Time after which the caller may come back.
+    pub wait: Duration,
+}
+
+/// Value of a held suspect's key in the store.
 #[derive(Debug, Serialize, Deserialize)]
 struct StoredValue {
     /// Number of crashes.
@@ -79,43 +104,67 @@
     last: u64,
 }
 
-/// Decides whether a request may be sent, as far as its prompt parts are concerned.
+/// Decides whether a request may be sent, as far as earlier crashes of targets are concerned.
 ///
 /// # Errors
 ///
-/// Returns the time after which the caller may come back if a part is held.
-pub async fn admit(gateway: &Gateway, info: &RequestInfo) -> Result<(), Duration> {
+/// Returns why not if the request or a part of its prompt is held.
+pub async fn admit(
+    gateway: &Gateway,
+    info: &RequestInfo,
+    trial: &mut TrialGrant,
+) -> Result<(), Withheld> {
     let screening = screen(gateway, info);
-    let (part, wait) = match screening {
+    let (suspect, wait) = match screening {
         Screening::Clear => return Ok(()),
-        Screening::Held(part, wait) => (part, wait),
-        Screening::Trial(part) => match request_trial(gateway, part).await {
-            Ok(()) => {
-                gateway.metrics.count_held("trial");
-                info!(request = info.id, part = format!("{part:x}"); "trial of a held part");
+        Screening::Held(suspect, wait) => (suspect, wait),
+        Screening::Trial(suspect) | Screening::Suspected(suspect) => {
+            if trial.0 == Some(suspect) {
                 return Ok(());
             }
-            Err(wait) => (part, wait),
-        },
+            let answer = request_trial(gateway, suspect).await;
+            let is_held = matches!(screening, Screening::Trial(_));
+            match answer {
+                Some(PermitAnswer::Granted) => {
+                    trial.0 = Some(suspect);
+                    log_trial(gateway, info, suspect, is_held);
+                    return Ok(());
+                }
+                None if !is_held => return Ok(()),
+                Some(PermitAnswer::Denied(wait)) => {
+                    (suspect, Duration::from_millis(u64::from(wait)))
+                }
+                None => (suspect, TRIAL_RETRY_AFTER),
+            }
+        }
     };
     gateway.metrics.count_held("refused");
-    info!(
-        request = info.id,
-        part = format!("{part:x}"),
-        wait_ms = wait.as_millis() as u64,
-        trial = matches!(screening, Screening::Trial(_));
-        "prompt part is held"
+    let (wait_ms, trial) = (
+        wait.as_millis() as u64,
+        !matches!(screening, Screening::Held(..)),
     );
-    Err(wait)
+    let cause = match suspect {
+        Suspect::Part(part) => {
+            let part = format!("{part:x}");
+            info!(request = info.id, part, wait_ms, trial; "prompt part is held");
+            "part held"
+        }
+        Suspect::Request(fingerprint) => {
+            let fingerprint = format!("{fingerprint:x}");
+            info!(request = info.id, fingerprint, wait_ms, trial; "request is held");
+            "request held"
+        }
+    };
+    Err(Withheld { cause, wait })
 }
 
-/// Returns whether a part of a request's prompt is held now.
+/// Returns whether a request or a part of its prompt is held now.
 #[must_use]
 pub fn is_held(gateway: &Gateway, info: &RequestInfo) -> bool {
     matches!(screen(gateway, info), Screening::Held(..))
 }
 
-/// Waits until a part of a request's prompt is held.
+/// Waits until a request or a part of its prompt is held.
 pub async fn until_held(gateway: &Gateway, info: &RequestInfo) {
     loop {
         let changed = gateway.held_changed.notified();
@@ -127,108 +176,136 @@
 }
 
 /// Finds out whether a target crashed that closed a connection before it had answered a request, or
-/// before the first event of a stream, and records the shared parts of the prompt if so.
+/// before the first event of a stream, and records the attempt if so.
 ///
 /// A target that accepts a connection still runs.
 pub fn check_lost(gateway: &Arc<Gateway>, info: &RequestInfo, target: &Target, sent: Instant) {
     let (gateway, target) = (gateway.clone(), target.clone());
-    let (request, parts) = (info.id.clone(), info.shared_parts().to_vec());
-    let fingerprint = info.fingerprint;
+    let request = info.id.clone();
     let sent_ms = sent.elapsed().as_millis() as u64;
+    let attempt = Attempt::new(info, gateway.now().saturating_sub(sent_ms));
     tokio::spawn(async move {
         let connecting = timeout(CONNECT_TIMEOUT, TcpStream::connect(target.address)).await;
         let crashed = !matches!(connecting, Ok(Ok(_)));
-        let names: Vec<String> = parts.iter().map(|part| format!("{:x}", part.id)).collect();
+        let names: Vec<String> = attempt.parts.iter().map(|id| format!("{id:x}")).collect();
         info!(
             request,
             target_id = target.id,
             process:? = target.started_at,
-            fingerprint = format!("{fingerprint:x}"),
+            fingerprint = format!("{:x}", attempt.request),
             parts = names.join(","),
             sent_ms_ago = sent_ms,
             crashed;
             "lost before its first event"
         );
-        if crashed && !parts.is_empty() {
+        if crashed {
             let now = gateway.now();
             let process = target.started_at;
             gateway
                 .crashes()
-                .record_crash(&target.id, process, &parts, now);
+                .record_crash(&target.id, process, &attempt, now);
         }
     });
 }
 
-/// Records that a target sent the first event of a request at `at`, on the clock of the instance,
-/// and went on.
+/// Records that a target answered a request, or sent its first event and went on, at `at`, on the
+/// clock of the instance.
 pub fn record_begun(gateway: &Gateway, info: &RequestInfo, at: Millis) {
     let now = gateway.now();
-    let parts = info.shared_parts();
-    gateway.crashes().record_begun(parts, at, now);
+    let suspects = Suspect::all(info);
+    gateway.crashes().record_begun(&suspects, at, now);
 }
 
 /// Applies what has been learned of crashes, and logs the changes.
 pub fn sweep(gateway: &Gateway) {
     let changes = gateway.crashes().sweep(gateway.now());
     for change in &changes {
-        match change {
-            HoldChange::Held(part, crashes, wait) => {
-                gateway.metrics.count_held("held");
-                warn!(
+        log_change(gateway, *change);
+    }
+    if !changes.is_empty() {
+        gateway.held_changed.notify_waiters();
+    }
+}
+
+/// Counts and logs a change of the held suspects.
+fn log_change(gateway: &Gateway, change: HoldChange) {
+    let (released, why) = match change {
+        HoldChange::Held(suspect, crashes, wait) => {
+            gateway.metrics.count_held("held");
+            let wait_ms = wait.as_millis() as u64;
+            match suspect {
+                Suspect::Part(part) => warn!(
                     part = format!("{part:x}"),
                     crashes,
-                    wait_ms = wait.as_millis() as u64;
+                    wait_ms;
                     "targets crash on a prompt part, requests with it are not sent"
-                );
-            }
-            HoldChange::Begun(part) => {
-                gateway.metrics.count_held("released");
-                info!(part = format!("{part:x}"), why = "a target has begun it"; "prompt part is released");
-            }
-            HoldChange::Discarded(part) => {
-                info!(part = format!("{part:x}"), why = "not tried for long, or too many"; "prompt part is released");
+                ),
+                Suspect::Request(fingerprint) => warn!(
+                    fingerprint = format!("{fingerprint:x}"),
+                    crashes,
+                    wait_ms;
+                    "targets crash on a request, it is not sent again"
+                ),
             }
+            return;
+        }
+        HoldChange::Begun(suspect) => {
+            gateway.metrics.count_held("released");
+            (suspect, "a target has begun it")
+        }
+        HoldChange::Explained(suspect, _) => (suspect, "crashes are explained by another"),
+        HoldChange::Discarded(suspect) => (suspect, "not tried for long, or too many"),
+    };
+    match released {
+        Suspect::Part(part) => info!(part = format!("{part:x}"), why; "prompt part is released"),
+        Suspect::Request(fingerprint) => {
+            info!(fingerprint = format!("{fingerprint:x}"), why; "request is released");
         }
-    }
-    if !changes.is_empty() {
-        gateway.held_changed.notify_waiters();
     }
 }
 
-/// Decides on another instance's request for a trial of a part.
-pub fn answer_trial(gateway: &Gateway, part: PartId) -> PermitAnswer {
-    if owner(gateway, part) != gateway.settings().instance {
+/// Decides on another instance's request for a trial of a suspect.
+pub fn answer_trial(gateway: &Gateway, suspect: Suspect) -> PermitAnswer {
+    if owner(gateway, suspect) != gateway.settings().instance {
         return PermitAnswer::Denied(TRIAL_RETRY_AFTER.as_millis() as u32);
     }
-    gateway.crashes().grant_trial(part, gateway.now())
+    gateway.crashes().grant_trial(suspect, gateway.now())
 }
 
-/// Keeps the store's copy of the held parts up to date, until the task is aborted.
+/// Keeps the store's copy of the held suspects up to date, until the task is aborted.
 pub async fn store_held(gateway: Arc<Gateway>) {
     loop {
         sleep(STORE_INTERVAL).await;
         let me = gateway.settings().instance.clone();
-        let owns = |part: PartId| owner(&gateway, part) == me;
+        let owns = |suspect: Suspect| owner(&gateway, suspect) == me;
         let changes = gateway.crashes().store_changes(owns, gateway.now());
         if changes.is_empty() {
             continue;
         }
         if let Err(error) = store_changes(&gateway, &changes).await {
-            warn!(error:% = error; "held parts not stored, this is tried again");
+            warn!(error:% = error; "held suspects not stored, this is tried again");
         }
     }
 }
 
-/// Applies an item of the store that lists a held part; one that cannot be decoded is ignored.
-pub fn apply_stored(gateway: &Gateway, id: &str, item: &Item) {
-    let part = PartId::from_str_radix(id, 16);
-    let stored = serde_json::from_slice::<StoredValue>(&item.value);
-    let (Ok(part), Ok(stored)) = (part, stored) else {
-        warn!(key = item.key; "entry of a held part is unreadable");
+/// Returns the suspect that a key of the store lists as held, if it is such a key.
+#[must_use]
+pub fn stored_suspect(key: &str) -> Option<Suspect> {
+    if let Some(id) = key.strip_prefix(PARTS_PREFIX) {
+        return Some(Suspect::Part(u64::from_str_radix(id, 16).ok()?));
+    }
+    let id = key.strip_prefix(REQUESTS_PREFIX)?;
+    Some(Suspect::Request(u64::from_str_radix(id, 16).ok()?))
+}
+
+/// Applies an item of the store that lists a suspect as held; one that cannot be decoded is ignored.
+pub fn apply_stored(gateway: &Gateway, suspect: Suspect, item: &Item) {
+    let Ok(stored) = serde_json::from_slice::<StoredValue>(&item.value) else {
+        warn!(key = item.key; "entry of a held suspect is unreadable");
         return;
     };
-    let stored = StoredPart {
-        part,
+    let stored = StoredSuspect {
+        suspect,
         crashes: stored.crashes,
         failed: stored.failed,
         age: Duration::from_millis(unix_millis().saturating_sub(stored.last)),
@@ -236,63 +313,51 @@
     gateway.crashes().record_stored(stored, gateway.now());
 }
 
-/// Records that the store no longer lists a part as held.
-pub fn apply_deleted(gateway: &Gateway, id: &str) {
-    if let Ok(part) = PartId::from_str_radix(id, 16) {
-        gateway.crashes().record_deleted(part);
-    }
-}
-
-/// Records that the store lists no other parts as held than those with these ids.
-pub fn retain_stored(gateway: &Gateway, ids: &[String]) {
-    let parts = ids.iter().map(|id| PartId::from_str_radix(id, 16));
-    let parts: Vec<PartId> = parts.filter_map(Result::ok).collect();
-    gateway.crashes().retain_stored(&parts);
+/// Returns what may be done with a request, as far as its suspects decide.
+fn screen(gateway: &Gateway, info: &RequestInfo) -> Screening {
+    let suspects = Suspect::all(info);
+    gateway.crashes().screen(&suspects, gateway.now())
 }
 
-/// Returns what may be done with a request, as far as its prompt parts decide.
-fn screen(gateway: &Gateway, info: &RequestInfo) -> Screening {
-    let parts = info.shared_parts();
-    if parts.is_empty() {
-        return Screening::Clear;
+/// Requests a trial of a suspect from the instance that grants it; returns `None` if that does not
+/// answer.
+async fn request_trial(gateway: &Gateway, suspect: Suspect) -> Option<PermitAnswer> {
+    let owner = owner(gateway, suspect);
+    if owner == gateway.settings().instance {
+        return Some(gateway.crashes().grant_trial(suspect, gateway.now()));
     }
-    gateway.crashes().screen(parts, gateway.now())
+    limits::ask_peer(gateway, |number| {
+        peers::request_trial(gateway, &owner, number, suspect)
+    })
+    .await
 }
 
-/// Requests a trial of a part from the instance that grants it.
-///
-/// # Errors
-///
-/// Returns the time after which another trial may be requested.
-async fn request_trial(gateway: &Gateway, part: PartId) -> Result<(), Duration> {
-    let owner = owner(gateway, part);
-    let answer = if owner == gateway.settings().instance {
-        Some(gateway.crashes().grant_trial(part, gateway.now()))
-    } else {
-        limits::ask_peer(gateway, |number| {
-            peers::request_trial(gateway, &owner, number, part)
-        })
-        .await
-    };
-    match answer {
-        Some(PermitAnswer::Granted) => Ok(()),
-        Some(PermitAnswer::Denied(wait)) => Err(Duration::from_millis(u64::from(wait))),
-        None => Err(TRIAL_RETRY_AFTER),
+/// Counts and logs the trial of a suspect that is held or only suspected.
+fn log_trial(gateway: &Gateway, info: &RequestInfo, suspect: Suspect, is_held: bool) {
+    gateway.metrics.count_held("trial");
+    match suspect {
+        Suspect::Part(part) => {
+            info!(request = info.id, part = format!("{part:x}"); "trial of a held part");
+        }
+        Suspect::Request(fingerprint) => {
+            let fingerprint = format!("{fingerprint:x}");
+            info!(request = info.id, fingerprint, is_held; "trial of a request");
+        }
     }
 }
 
-/// Returns the instance that grants trials of a part and keeps the store's copy of it.
-fn owner(gateway: &Gateway, part: PartId) -> String {
+/// Returns the instance that grants trials of a suspect and keeps the store's copy of it.
+fn owner(gateway: &Gateway, suspect: Suspect) -> String {
     let me = gateway.settings().instance.clone();
     let mut candidates = gateway.members().issuer_candidates(gateway.now());
     if !gateway.is_leaving() {
         candidates.push(me.clone());
     }
-    let ranked = top_ranked(candidates, &format!("{part:x}"), 1);
+    let ranked = top_ranked(candidates, &suspect.to_string(), 1);
     ranked.into_iter().next().unwrap_or(me)
 }
 
-/// Makes changes in the store's copy of the held parts.
+/// Makes changes in the store's copy of the held suspects.
 async fn store_changes(gateway: &Gateway, changes: &[StoreChange]) -> Result<(), KvError> {
     let mut update = Update::default();
     for change in changes {
@@ -305,18 +370,21 @@
                     last: unix_millis().saturating_sub(age),
                 };
                 let value = serde_json::to_vec(&value).unwrap_or_default();
-                update.writes.push((key(stored.part), value, None));
+                update.writes.push((key(stored.suspect), value, None));
             }
-            StoreChange::Delete(part) => update.deletes.push(key(*part)),
+            StoreChange::Delete(suspect) => update.deletes.push(key(*suspect)),
         }
     }
     gateway.store.update(&update).await?;
     Ok(())
 }
 
-/// Returns the store key of a held part.
-fn key(part: PartId) -> String {
-    format!("{HELD_PREFIX}{part:x}")
+/// Returns the store key of a held suspect.
+fn key(suspect: Suspect) -> String {
+    match suspect {
+        Suspect::Part(part) => format!("{PARTS_PREFIX}{part:x}"),
+        Suspect::Request(fingerprint) => format!("{REQUESTS_PREFIX}{fingerprint:x}"),
+    }
 }
 
 /// Returns the Unix time in milliseconds.
--- a/crates/cactuslane-gateway/src/generation.rs
+++ b/crates/cactuslane-gateway/src/generation.rs
@@ -126,6 +126,7 @@
     ///
     /// `last_event` is the id of the last event that the caller has received, if any.
     async fn open_stream(&mut self, last_event: Option<u64>) -> Outcome {
+        let mut trial = crashes::TrialGrant::default();
         loop {
             let now = self.gateway.now();
             let left = self.state.remaining(now);
@@ -137,8 +138,11 @@
                     "time is over",
                 ));
             }
-            if let Err(wait) = crashes::admit(&self.gateway, &self.request.info).await {
-                return final_answer(refuse(&self.request, &self.state, wait, HELD));
+            if let Err(withheld) =
+                crashes::admit(&self.gateway, &self.request.info, &mut trial).await
+            {
+                let (wait, cause) = (withheld.wait, withheld.cause);
+                return final_answer(refuse(&self.request, &self.state, wait, cause));
             }
             let plan = match self.place(left) {
                 Placement::Run(plan) => plan,
@@ -176,6 +180,7 @@
                 Err(failure) => failure,
             };
             let now = self.gateway.now();
+            trial.record(ending);
             self.gateway
                 .metrics
                 .count_failed_attempt(failure_label(ending));
--- a/crates/cactuslane-gateway/src/generation/stream.rs
+++ b/crates/cactuslane-gateway/src/generation/stream.rs
@@ -39,7 +39,7 @@
     /// The connection to the target failed before a complete event, or so shortly after the first
     /// one that the target may have crashed on the request.
     Lost,
-    /// A part of the prompt is held, and no event had arrived.
+    /// The request or a part of its prompt is held, and no event had arrived.
     Held,
     /// The target was silent for too long, and a retry was taken from the budget.
     Silent,
--- a/crates/cactuslane-gateway/src/generation/waiting.rs
+++ b/crates/cactuslane-gateway/src/generation/waiting.rs
@@ -9,15 +9,14 @@
 use super::StreamRequest;
 use crate::crashes;
 
-/// Cause of the refusal of a request, or of the end of an attempt, because a part of its prompt is
-/// held.
-pub(super) const HELD: &str = "part held";
+/// Cause of the end of an attempt because the request or a part of its prompt is held.
+pub(super) const HELD: &str = "held";
 /// Factor on a plan's expected time to the first event. An engine that has not answered after the
 /// product, or after a minimum if that is longer, counts as silent.
 pub(super) const PROMPT_TIMEOUT_FACTOR: f64 = 5.0;
 
 impl StreamRequest {
-    /// Runs a part of an attempt until a part of the prompt is held, and ends it then as broken.
+    /// Runs a part of an attempt until the request or a part of its prompt is held, and ends it then as broken.
     pub(super) async fn unless_held<T>(
         &self,
         exchange: impl Future<Output = Result<T, (AttemptFailure, String)>>,
--- a/crates/cactuslane-gateway/src/peers.rs
+++ b/crates/cactuslane-gateway/src/peers.rs
@@ -4,9 +4,8 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use cactuslane_flight::request_info::PartId;
 use cactuslane_place::load_view::PeerUpdate;
-use cactuslane_place::{LimitNotice, Observation, Observed, PermitAnswer};
+use cactuslane_place::{LimitNotice, Observation, Observed, PermitAnswer, Suspect};
 use cactuslane_types::InstanceId;
 use log::{debug, info, warn};
 use rand::seq::SliceRandom;
@@ -57,8 +56,8 @@
     PermitRequest(InstanceId, PermitRequest),
     /// The answer to the request for a permit or a trial with this number.
     Permit(u64, PermitAnswer),
-    /// A request, with this number, for a trial of a held prompt part.
-    TrialRequest(u64, PartId),
+    /// A request, with this number, for a trial of a held suspect.
+    TrialRequest(u64, Suspect),
     /// Observations of targets that the sender knows, in answer to a query.
     Observations(InstanceId, Vec<Observation>),
 }
@@ -215,15 +214,15 @@
     true
 }
 
-/// Sends a request for a trial of a held prompt part to an instance; returns false if that is not
+/// Sends a request for a trial of a held suspect to an instance; returns false if that is not
 /// reachable.
 #[must_use]
-pub fn request_trial(gateway: &Gateway, owner: &str, number: CallNumber, part: PartId) -> bool {
+pub fn request_trial(gateway: &Gateway, owner: &str, number: CallNumber, suspect: Suspect) -> bool {
     let address = gateway.members().reachable_address(owner, gateway.now());
     let (Some(address), Some(socket)) = (address, gateway.peer_socket.get()) else {
         return false;
     };
-    send(socket, &Message::TrialRequest(number, part), &[address]);
+    send(socket, &Message::TrialRequest(number, suspect), &[address]);
     true
 }
 
@@ -290,8 +289,8 @@
             }
             return;
         }
-        Ok(Message::TrialRequest(number, part)) => {
-            let answer = crashes::answer_trial(gateway, part);
+        Ok(Message::TrialRequest(number, suspect)) => {
+            let answer = crashes::answer_trial(gateway, suspect);
             return send(socket, &Message::Permit(number, answer), &[from]);
         }
         Ok(Message::Permit(number, answer)) => return gateway.permit_calls.answer(number, answer),
--- a/crates/cactuslane-gateway/src/plain.rs
+++ b/crates/cactuslane-gateway/src/plain.rs
@@ -59,14 +59,15 @@
 ) -> Response<AnswerBody> {
     let mut tried: Vec<String> = Vec::new();
     let mut denials = Denials::default();
+    let mut trial = crashes::TrialGrant::default();
     loop {
         let now = gateway.now();
         let left = state.remaining(now);
         if left.is_zero() {
             return refuse(request, &state, Duration::ZERO, "the time is over");
         }
-        if let Err(wait) = crashes::admit(gateway, &request.info).await {
-            return refuse(request, &state, wait, "part held");
+        if let Err(withheld) = crashes::admit(gateway, &request.info, &mut trial).await {
+            return refuse(request, &state, withheld.wait, withheld.cause);
         }
         let Some(target) = choose_target(gateway, request, &tried, denials) else {
             return refuse_without_target(gateway, request, &state, NO_TARGET_RETRY_AFTER);
@@ -86,6 +87,7 @@
                 .observe_first_byte(metrics::route_kind(&request.route), seconds);
             return attempt.answer.unwrap_or_else(|| unknown_outcome(request));
         };
+        trial.record(ending);
         gateway.metrics.count_failed_attempt(failure_label(ending));
         info!(
             request = request.info.id,
@@ -150,8 +152,10 @@
         timeout: left,
         ..SendParams::default()
     };
+    let mut sent = crashes::SentAttempt::new(gateway, &request.info, target);
     let pending = async {
         let answer = send_and_read(gateway, request, target, &params, permit).await;
+        sent.settle();
         if matches!(answer, Err((AttemptFailure::Broken, _))) {
             crashes::check_lost(gateway, &request.info, target, began);
         }
@@ -190,6 +194,8 @@
             let expected = request.route.latency_objective.as_secs_f64() * 1000.0 * EXPECTED_SHARE;
             let mut placer = gateway.placer();
             placer.answered(&target.id, observed, expected, now);
+            drop(placer);
+            crashes::record_begun(gateway, &request.info, now);
             (None, Some(answer))
         }
         Err((ending, why)) => {
--- a/crates/cactuslane-place/src/crashes/begun.rs
+++ b/crates/cactuslane-place/src/crashes/begun.rs
@@ -1,43 +1,66 @@
-//! The last time at which a target began to answer a request with each part.
+//! The last time at which a target began to answer a request with each suspect.
 
 use std::collections::{BTreeMap, BTreeSet};
 
-use cactuslane_flight::request_info::PartId;
-
 use super::Time;
+use super::suspect::Suspect;
 
-/// Largest number of parts; those begun longest ago are discarded.
-const MAX_PARTS: usize = 4096;
+/// Largest number of prompt parts and of requests; those begun longest ago are discarded.
+const MAX_KEPT: usize = 4096;
 
-/// Parts that targets have begun to answer requests with.
+/// Suspects that targets have begun to answer requests with.
 #[derive(Debug, Default)]
-pub(super) struct BegunParts {
-    /// Time of the last beginning by part.
-    last: BTreeMap<PartId, Time>,
+pub(super) struct BegunSuspects {
+    /// Prompt parts.
+    parts: LatestTimes,
+    /// Whole requests, kept apart as there are more of them.
+    requests: LatestTimes,
+}
+
+impl BegunSuspects {
+    /// Records that a target began to answer a request with a suspect.
+    pub(super) fn record(&mut self, suspect: Suspect, at: Time) {
+        let (times, id) = match suspect {
+            Suspect::Part(part) => (&mut self.parts, part),
+            Suspect::Request(request) => (&mut self.requests, request),
+        };
+        times.record(id, at);
+    }
+
+    /// Returns the time at which a target last began to answer a request with a suspect.
+    pub(super) fn last(&self, suspect: Suspect) -> Option<Time> {
+        let (times, id) = match suspect {
+            Suspect::Part(part) => (&self.parts, part),
+            Suspect::Request(request) => (&self.requests, request),
+        };
+        times.last.get(&id).copied()
+    }
+}
+
+/// The latest time for each of a bounded number of ids.
+#[derive(Debug, Default)]
+struct LatestTimes {
+    /// Latest time by id.
+    last: BTreeMap<u64, Time>,
     /// The same entries in the order of their times.
-    order: BTreeSet<(Time, PartId)>,
+    order: BTreeSet<(Time, u64)>,
 }
 
-impl BegunParts {
-    /// Records that a target began to answer a request with a part.
-    pub(super) fn record(&mut self, part: PartId, at: Time) {
-        if let Some(last) = self.last.get(&part) {
+impl LatestTimes {
+    /// Records a time for an id.
+    fn record(&mut self, id: u64, at: Time) {
+        if let Some(last) = self.last.get(&id) {
             if *last >= at {
                 return;
             }
-            self.order.remove(&(*last, part));
+            self.order.remove(&(*last, id));
         }
-        self.last.insert(part, at);
-        self.order.insert((at, part));
-        if self.order.len() > MAX_PARTS
+        self.last.insert(id, at);
+        self.order.insert((at, id));
+        if self.order.len() > MAX_KEPT
             && let Some((_, oldest)) = self.order.pop_first()
         {
             self.last.remove(&oldest);
         }
     }
-
-    /// Returns the time at which a target last began to answer a request with a part.
-    pub(super) fn last(&self, part: PartId) -> Option<Time> {
-        self.last.get(&part).copied()
-    }
 }
--- a/crates/cactuslane-place/src/lib.rs
+++ b/crates/cactuslane-place/src/lib.rs
@@ -2,8 +2,8 @@
 //!
 //! [`Placer`] chooses targets by their load ([`LoadView`]), which instances exchange with each
 //! other, and by the estimated contents of their prefix caches ([`CacheEstimate`]). [`TargetLimits`]
-//! keeps the limits that targets name for all instances together. [`CrashTracker`] finds prompt
-//! parts on which targets crash.
+//! keeps the limits that targets name for all instances together. [`CrashTracker`] finds requests
+//! and prompt parts on which targets crash.
 
 pub mod cache;
 pub mod crashes;
@@ -15,7 +15,7 @@
 pub mod speed;
 
 pub use cache::CacheEstimate;
-pub use crashes::{CrashTracker, CrashUpdate, HoldChange, Screening, StoreChange};
+pub use crashes::{CrashTracker, CrashUpdate, HoldChange, Screening, StoreChange, Suspect};
 pub use limits::{LimitAnswer, LimitNotice, PermitAnswer, TargetLimits};
 pub use load_view::{CacheUpdate, Load, LoadView, PeerUpdate, PlacedWork};
 pub use observations::{Observation, Observed};
