Log the software versions between which streams go on

No line named the version of a target or the attempt that a caller takes up, so that an instance's own resumptions could not be told from those of callers. The registry's version is decoded with the target, Resumes with the request.

--- a/crates/cactuslane-flight/src/request_info.rs
+++ b/crates/cactuslane-flight/src/request_info.rs
@@ -29,6 +29,8 @@
     pub parts: Vec<PromptPart>,
     /// Id of the last event that the caller already received, if it resumes a stream.
     pub last_event: Option<u64>,
+    /// Id of the caller's attempt that brought the first event, if it resumes a stream and says so.
+    pub resumes: Option<String>,
     /// Fingerprint of the request; 0 until its body was read.
     pub fingerprint: Fingerprint,
 }
--- a/crates/cactuslane-flight/src/target.rs
+++ b/crates/cactuslane-flight/src/target.rs
@@ -2,7 +2,7 @@
 
 use std::net::SocketAddr;
 
-use cactuslane_types::{DomainName, Role, ServiceName, TargetId};
+use cactuslane_types::{DomainName, Role, ServiceName, SoftwareVersion, TargetId};
 
 /// A target, as it registered itself in the store.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -25,6 +25,8 @@
     pub started_at: Option<u64>,
     /// Names of the models that the target serves; if empty, it is used for any model.
     pub models: Vec<String>,
+    /// Version of the software that the target's process runs, if registered; not that of a model.
+    pub version: Option<SoftwareVersion>,
 }
 
 /// Whether a target accepts new requests, as it registered.
--- a/crates/cactuslane-gateway/src/generation.rs
+++ b/crates/cactuslane-gateway/src/generation.rs
@@ -295,6 +295,8 @@
             ahead = plan.ahead,
             expected_ms = plan.expected as u64,
             left_ms = left.as_millis() as u64,
+            last_event = last_event.unwrap_or(0),
+            resumes = self.request.info.resumes.as_deref().unwrap_or(""),
             version = self.request.config.version;
             "placed"
         );
@@ -447,15 +449,7 @@
                 .observe_first(began.elapsed().as_secs_f64() * 1000.0);
         }
         drop(placer);
-        let load_text = exchange::target_load(&head.headers)
-            .map(|(running, waiting)| format!("{running} running, {waiting} waiting"));
-        info!(
-            request = self.request.info.id,
-            target_id = target.id,
-            since_arrival_ms = self.request.arrived.elapsed().as_millis() as u64,
-            target_load = load_text.as_deref().unwrap_or("");
-            "stream begun"
-        );
+        self.log_begun(target, &head.headers, last_event);
         self.record_cached(target, 0.0);
         Ok(OpenStream {
             headers: head.headers,
@@ -468,6 +462,22 @@
         })
     }
 
+    /// Logs that a target begins a stream, after the event with this id if it resumes one.
+    fn log_begun(&self, target: &Target, headers: &HeaderMap, last_event: Option<u64>) {
+        let load = exchange::target_load(headers)
+            .map(|(running, waiting)| format!("{running} running, {waiting} waiting"));
+        info!(
+            request = self.request.info.id,
+            target_id = target.id,
+            since_arrival_ms = self.request.arrived.elapsed().as_millis() as u64,
+            target_load = load.as_deref().unwrap_or(""),
+            target_version = target.version.as_deref().unwrap_or(""),
+            process:? = target.started_at,
+            last_event = last_event.unwrap_or(0);
+            "stream begun"
+        );
+    }
+
     /// Records that an engine caches the parts of the prompt, or will do so in `ready_in`
     /// milliseconds.
     fn record_cached(&self, target: &Target, ready_in: f64) {
--- a/crates/cactuslane-gateway/tests/instance_state.rs
+++ b/crates/cactuslane-gateway/tests/instance_state.rs
@@ -26,6 +26,7 @@
         state,
         started_at: Some(1),
         models: vec!["m".to_owned()],
+        version: Some("v1".to_owned()),
     }
 }
 
--- a/crates/cactuslane-gateway/tests/permits/fleet.rs
+++ b/crates/cactuslane-gateway/tests/permits/fleet.rs
@@ -496,5 +496,6 @@
         state: TargetState::Ready,
         started_at: Some(1),
         models: Vec::new(),
+        version: Some("v1".to_owned()),
     }
 }
--- a/crates/cactuslane-place/tests/placing/main.rs
+++ b/crates/cactuslane-place/tests/placing/main.rs
@@ -30,6 +30,7 @@
         state: TargetState::Ready,
         started_at: None,
         models: Vec::new(),
+        version: Some("v1".to_owned()),
     }
 }
 
--- a/crates/cactuslane-types/src/lib.rs
+++ b/crates/cactuslane-types/src/lib.rs
@@ -9,6 +9,9 @@
 pub type InstanceId = String;
 /// Id of a target: a model engine or a worker of a plain service.
 pub type TargetId = String;
+
+/// Version of the software of a target.
+pub type SoftwareVersion = String;
 /// Id of a customer: the key of its entry in the `callers` section of the configuration document.
 pub type CallerId = String;
 /// Name of a model or a plain service.
