Reproduce streams that go on at another software version

The stand-in targets state a version. In nine cases a stream with events of v1 is resumed by the instance or taken up by its caller, at the same instance, another or a new one; on this code all of them go on at v2.

--- a/crates/cactuslane-gateway/tests/serving/main.rs
+++ b/crates/cactuslane-gateway/tests/serving/main.rs
@@ -10,3 +10,4 @@
 mod plain;
 mod raw;
 mod streams;
+mod versions;
