Let streams go on only at the software version that began them

Callers got answers with events of two versions, from one answer or over their own tries. Cause: a stream was taken to be the same at any target of its service. An instance that resumed one looked at load and role, and one that a caller came to placed it like a new stream; nothing read the version or Resumes. Class: state of a target's process used as if it were that of the service.

StreamOrigin is the one check: it allows any version until the caller has an event, then the version that began the stream, and none if that is not known. Placement, prompts, the choice after a prompt and the send itself go through it. The version is that of the target's process as registered at the first event; three instances by rendezvous hash are told it before the caller gets that event, and an instance that does not know it asks five. Without an answer it is the only version that the service has had for twice the route's time-out, if the store shows all targets, else the request is rejected at once, not run. A send checks after connecting that the target has not started again.

The calls between instances for permits and versions share one table. generation is split, as the file had grown.

--- a/crates/cactuslane-flight/src/lib.rs
+++ b/crates/cactuslane-flight/src/lib.rs
@@ -6,11 +6,12 @@
 //!
 //! [`routing_config`] holds the routing configuration, [`request_info`] the parameters of a
 //! caller's request and [`target`] the targets. [`events`] splits event streams at event
-//! boundaries, [`budget`] limits retries to a share of the requests, and [`stopping`] decides which
+//! boundaries, [`origin`] keeps the versions that began streams, [`budget`] limits retries to a share of the requests, and [`stopping`] decides which
 //! requests an instance still accepts after the signal to stop.
 
 pub mod budget;
 pub mod events;
+pub mod origin;
 pub mod request_info;
 pub mod request_state;
 pub mod routing_config;
@@ -19,6 +20,7 @@
 
 pub use budget::WindowedRetryBudget;
 pub use events::EventScanner;
+pub use origin::{OriginTable, StreamOrigin, VersionHistory};
 pub use request_info::{PromptPart, RequestInfo};
 pub use request_state::{AttemptFailure, Refusal, RequestState, Step};
 pub use routing_config::{EngineSpec, Limits, RetryPolicy, Route, RoutingConfig, Service};
--- a/crates/cactuslane-gateway/src/control.rs
+++ b/crates/cactuslane-gateway/src/control.rs
@@ -176,6 +176,7 @@
     for item in items {
         apply_item(gateway, &item, now);
     }
+    gateway.fleet().record_listing(now);
     Ok(revision)
 }
 
@@ -261,13 +262,20 @@
         Ok(target) => target,
         Err(error) => {
             warn!(target_id = id, error; "entry of a target is unreadable");
-            gateway.fleet().remove(id);
+            let mut fleet = gateway.fleet();
+            fleet.record_version(id, gateway.now());
+            fleet.remove(id);
             return;
         }
     };
     let state = target.state;
     let role = target.role;
-    let effect = gateway.fleet().put(target);
+    let mut fleet = gateway.fleet();
+    let now = gateway.now();
+    fleet.record_version(id, now);
+    let effect = fleet.put(target);
+    fleet.record_version(id, now);
+    drop(fleet);
     if effect == Effect::Started {
         gateway.placer().forget(id);
         gateway.pool.close_idle(id);
--- a/crates/cactuslane-gateway/src/fleet.rs
+++ b/crates/cactuslane-gateway/src/fleet.rs
@@ -5,10 +5,11 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use cactuslane_flight::VersionHistory;
 use cactuslane_flight::routing_config::RoutingConfig;
 use cactuslane_flight::target::{Target, TargetState};
 use cactuslane_place::Observed;
-use cactuslane_types::{Millis, Role, TargetId};
+use cactuslane_types::{Millis, Role, SoftwareVersion, TargetId};
 
 /// Time within which an engine whose answers show first one role and then the other is considered
 /// to be changing its role, in milliseconds.
@@ -33,6 +34,8 @@
     routing_config: Option<Arc<RoutingConfig>>,
     /// The targets by id.
     targets: BTreeMap<TargetId, Entry>,
+    /// The software versions that targets have had.
+    versions: VersionHistory,
     /// The time at which the store last answered, or a relay of its changes was last applied.
     store_contact: Option<Millis>,
     /// The time at which reading or watching the store last failed, or another instance last
@@ -133,6 +136,37 @@
         self.targets.values().filter(usable).count()
     }
 
+    /// Records that all targets were listed at `now`.
+    pub fn record_listing(&mut self, now: Millis) {
+        self.versions.record_listing(now);
+    }
+
+    /// Returns the software version that all targets of a service have had for a period, if it is
+    /// only one and the store did not fail recently.
+    #[must_use]
+    pub fn only_version(
+        &self,
+        service: &str,
+        period: Duration,
+        now: Millis,
+    ) -> Option<SoftwareVersion> {
+        if self.store_failed_recently(now) {
+            return None;
+        }
+        let present = self.targets.values();
+        let present = present
+            .filter(|entry| entry.lapsed.is_none() && entry.target.service == service)
+            .map(|entry| &entry.target);
+        self.versions.only_version(service, present, period, now)
+    }
+
+    /// Records that a target has its version at `now`, before and after its entry changes.
+    pub fn record_version(&mut self, id: &str, now: Millis) {
+        if let Some(entry) = self.targets.get(id) {
+            self.versions.record(&entry.target, now);
+        }
+    }
+
     /// Applies a target's registry entry.
     pub fn put(&mut self, target: Target) -> Effect {
         let old = self.targets.get(&target.id);
@@ -309,6 +343,9 @@
         let Some(entry) = self.targets.get_mut(id) else {
             return false;
         };
+        if entry.lapsed.is_none() {
+            self.versions.record(&entry.target, now);
+        }
         if entry.target.state == TargetState::Draining {
             self.targets.remove(id);
             return true;
--- a/crates/cactuslane-gateway/src/generation.rs
+++ b/crates/cactuslane-gateway/src/generation.rs
@@ -1,5 +1,6 @@
 //! Requests whose answers are event streams: their placement, attempts and retries.
 
+mod attempt;
 mod overload;
 mod permits;
 mod prompt;
@@ -10,11 +11,8 @@
 use std::time::Duration;
 
 use cactuslane_flight::target::Target;
-use cactuslane_flight::{AttemptFailure, RequestState, Step};
-use cactuslane_place::Load;
+use cactuslane_flight::{AttemptFailure, RequestState, Step, StreamOrigin};
 use cactuslane_place::placer::{Placement, PlacementRequest, Plan};
-use cactuslane_platform::engine;
-use cactuslane_platform::exchange::{self, Phases, SendParams};
 use hyper::Response;
 use hyper::body::Incoming;
 use hyper::header::HeaderMap;
@@ -22,22 +20,19 @@
 use tokio::time::Instant;
 
 use self::prompt::ComputedPrompt;
-use self::waiting::{HELD, with_timeout};
-use crate::crashes;
 use crate::ingress::CallerRequest;
 use crate::limits::{Denials, Permit};
-use crate::plain::{failure_label, read_body, refuse, send, unknown_outcome};
+use crate::plain::{failure_label, refuse, unknown_outcome};
 use crate::reply::{self, AnswerBody};
 use crate::state::{Gateway, LoadGuard};
 use crate::upstream::PooledConnection;
+use crate::{crashes, origins};
 
 /// Value of `Retry-After` when no target can serve a request.
 const NO_TARGET_RETRY_AFTER: Duration = Duration::from_secs(1);
 /// Base of `Retry-After` when the engines are overloaded. Twice the time by which the first event
 /// is expected too late is added; the sum is limited to a third of the time left.
 const OVERLOAD_RETRY_AFTER: Duration = Duration::from_millis(700);
-/// Maximum size of the body of a target's failure, in bytes.
-const MAX_FAILURE_BYTES: usize = 1 << 20;
 
 /// A request to be answered by a stream, with the progress of its attempts.
 #[derive(Debug)]
@@ -59,6 +54,8 @@
     runs: u32,
     /// Permits that the request was denied since it was last sent.
     denials: Denials,
+    /// Version at which the stream may begin or go on.
+    origin: StreamOrigin,
     /// Whether the retry budget allows no further computation of the prompt by a prefill engine.
     prompt_denied: bool,
 }
@@ -99,8 +96,13 @@
     request: CallerRequest,
     state: RequestState,
 ) -> Response<AnswerBody> {
+    let origin = origins::find(gateway, &request).await;
+    if origin == StreamOrigin::Unknown {
+        return refuse(&request, &state, NO_TARGET_RETRY_AFTER, "version unknown");
+    }
     let mut stream_request = StreamRequest {
         gateway: gateway.clone(),
+        origin,
         prompt: None,
         prompt_attempts: 0,
         runs: 0,
@@ -208,6 +210,12 @@
         }
     }
 
+    /// Returns a target if it takes new work and the stream may begin or go on there.
+    fn usable_target(&self, id: &str) -> Option<Target> {
+        let target = self.gateway.target(id);
+        target.filter(|target| self.origin.allows(target))
+    }
+
     /// Chooses the targets of the next attempt; `left` is the time until the deadline.
     fn place(&self, left: Duration) -> Placement {
         let now = self.gateway.now();
@@ -215,6 +223,7 @@
         let fleet = self.gateway.fleet();
         let model = request.info.model.as_deref();
         let mut targets = fleet.targets(&request.service, model, now);
+        targets.retain(|target| self.origin.allows(target));
         let mut placer = self.gateway.placer();
         self.denials.filter(&mut targets, &placer.limits);
         let service = request.config.services.get(&request.service);
@@ -301,7 +310,7 @@
             "placed"
         );
         if let Some(prefill) = &plan.prefill {
-            let prefill = self.gateway.target(prefill).ok_or(unsent)?;
+            let prefill = self.usable_target(prefill).ok_or(unsent)?;
             let permit = permit.take().ok_or((AttemptFailure::Unsent, None))?;
             let computed = self.compute_prompt(&prefill, plan, left, permit).await;
             if !matches!(
@@ -334,8 +343,7 @@
         }
         let generating = match permit {
             Some(permit) => self
-                .gateway
-                .target(&plan.decode)
+                .usable_target(&plan.decode)
                 .map(|target| (target, permit)),
             None => self.acquire_decode(plan).await,
         };
@@ -360,140 +368,6 @@
         }
         result
     }
-
-    /// Sends the request to the target that generates and returns the stream once its head has
-    /// arrived.
-    async fn generate(
-        &self,
-        target: &Target,
-        plan: &Plan,
-        prompt: Option<&ComputedPrompt>,
-        last_event: Option<u64>,
-        permit: Permit,
-    ) -> Result<OpenStream, (AttemptFailure, Option<Response<AnswerBody>>)> {
-        let load = Load {
-            prompt_tokens: if prompt.is_some() { 0 } else { plan.uncached },
-            running: 1,
-            kv_tokens: self.request.info.prompt_tokens + self.request.info.max_output,
-        };
-        let load = self.gateway.track_load(&target.id, load);
-        let source =
-            prompt.map(|prompt| engine::prompt_source(prompt.target.address, &prompt.handle));
-        let left = self.state.remaining(self.gateway.now());
-        let params = SendParams {
-            target: &target.id,
-            timeout: left,
-            priority: Some(self.request.route.priority),
-            phases: source.as_deref().map_or(Phases::All, Phases::Decode),
-            fetch: None,
-            last_event,
-        };
-        let began = Instant::now();
-        let wait = left.min(self.head_timeout(plan));
-        let mut attempt = crashes::SentAttempt::new(&self.gateway, &self.request.info, target);
-        let head = async {
-            let head = send(&self.gateway, &self.request, target, &params, permit).await;
-            if let Err((ending, _)) = &head {
-                attempt.settle();
-                if *ending == AttemptFailure::Broken {
-                    crashes::check_lost(&self.gateway, &self.request.info, target, began);
-                }
-            }
-            head
-        };
-        let head = self.unless_held(head);
-        let result = with_timeout(wait, left, "head", head).await;
-        let now = self.gateway.now();
-        let (connection, response) = match result {
-            Ok(exchange) => exchange,
-            Err((ending, why)) => {
-                if why != HELD {
-                    self.gateway.record_failure(&target.id, ending);
-                }
-                info!(request = self.request.info.id, target_id = target.id, why; "no stream");
-                return Err((ending, None));
-            }
-        };
-        let (head, body) = response.into_parts();
-        connection.allow(if head.status.is_success() {
-            usize::MAX
-        } else {
-            MAX_FAILURE_BYTES
-        });
-        if !head.status.is_success() {
-            attempt.settle();
-            self.gateway.placer().answered_failure(&target.id, now);
-            let reading = read_body(&self.gateway, body);
-            let left = self.state.remaining(self.gateway.now());
-            let body = with_timeout(left, left, "body", reading)
-                .await
-                .map_err(|(ending, _)| (ending, None))?;
-            // The target ran the request, so that its status must not promise the opposite.
-            if exchange::promises_not_run(head.status.as_u16()) {
-                return Err((AttemptFailure::Failed, None));
-            }
-            let headers = exchange::answer_headers(&head.headers);
-            return Err((
-                AttemptFailure::Failed,
-                Some(reply::buffered(head.status, headers, body)),
-            ));
-        }
-        if !exchange::is_signed(&head.headers) {
-            return Err((AttemptFailure::Broken, None));
-        }
-        let mut placer = self.gateway.placer();
-        placer.answered(&target.id, 1.0, 1.0, now);
-        if prompt.is_some() {
-            placer
-                .speed
-                .observe_first(began.elapsed().as_secs_f64() * 1000.0);
-        }
-        drop(placer);
-        self.log_begun(target, &head.headers, last_event);
-        self.record_cached(target, 0.0);
-        Ok(OpenStream {
-            headers: head.headers,
-            body,
-            connection,
-            target: target.clone(),
-            load,
-            sent: began,
-            attempt,
-        })
-    }
-
-    /// Logs that a target begins a stream, after the event with this id if it resumes one.
-    fn log_begun(&self, target: &Target, headers: &HeaderMap, last_event: Option<u64>) {
-        let load = exchange::target_load(headers)
-            .map(|(running, waiting)| format!("{running} running, {waiting} waiting"));
-        info!(
-            request = self.request.info.id,
-            target_id = target.id,
-            since_arrival_ms = self.request.arrived.elapsed().as_millis() as u64,
-            target_load = load.as_deref().unwrap_or(""),
-            target_version = target.version.as_deref().unwrap_or(""),
-            process:? = target.started_at,
-            last_event = last_event.unwrap_or(0);
-            "stream begun"
-        );
-    }
-
-    /// Records that an engine caches the parts of the prompt, or will do so in `ready_in`
-    /// milliseconds.
-    fn record_cached(&self, target: &Target, ready_in: f64) {
-        let service = self.request.config.services.get(&self.request.service);
-        let Some(engine) = service.and_then(|service| service.engine.as_ref()) else {
-            return;
-        };
-        let now = self.gateway.now();
-        self.gateway.placer().record_cached(
-            &target.id,
-            &self.request.info.parts,
-            engine.kv_capacity,
-            ready_in,
-            now,
-        );
-    }
 }
 
 /// Returns the outcome for a request that is answered without a stream.
--- a/crates/cactuslane-gateway/src/generation/permits.rs
+++ b/crates/cactuslane-gateway/src/generation/permits.rs
@@ -20,7 +20,7 @@
     /// Returns the time until a permit is expected if none can be had now.
     pub(super) async fn acquire_first(&self, plan: &Plan) -> Result<Option<Permit>, Duration> {
         let first = plan.prefill.as_ref().unwrap_or(&plan.decode);
-        let Some(target) = self.gateway.target(first) else {
+        let Some(target) = self.usable_target(first) else {
             return Ok(None);
         };
         let id = &self.request.info.id;
@@ -55,7 +55,7 @@
     /// returned unless it is gone or out of permits.
     fn decode_target(&self, plan: &Plan) -> Option<Target> {
         let now = self.gateway.now();
-        let planned = self.gateway.target(&plan.decode);
+        let planned = self.usable_target(&plan.decode);
         let placer = self.gateway.placer();
         let planned = planned.filter(|target| placer.limits.wait(target, now).is_none());
         let changing = placer.load_view.is_changing(&plan.decode, now);
@@ -66,6 +66,6 @@
         let Placement::Run(replacement) = self.place(self.state.remaining(now)) else {
             return planned;
         };
-        self.gateway.target(&replacement.decode)
+        self.usable_target(&replacement.decode)
     }
 }
--- a/crates/cactuslane-gateway/src/generation/stream.rs
+++ b/crates/cactuslane-gateway/src/generation/stream.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use cactuslane_flight::events::EventScanner;
-use cactuslane_flight::{AttemptFailure, Step};
+use cactuslane_flight::{AttemptFailure, Step, StreamOrigin};
 use cactuslane_platform::exchange;
 use cactuslane_types::Millis;
 use http_body_util::{BodyExt, Either};
@@ -14,10 +14,10 @@
 use tokio::time::{Instant, timeout};
 
 use super::{OpenStream, Outcome, StreamRequest};
-use crate::crashes;
 use crate::metrics;
 use crate::plain::failure_label;
 use crate::reply::{AnswerAborted, AnswerBody, ChunkStream};
+use crate::{crashes, origins};
 
 /// Maximum number of chunks that are queued for a slow caller.
 const CHANNEL_CAPACITY: usize = 64;
@@ -159,7 +159,7 @@
 
     /// Forwards the complete events of one target's stream until it ends.
     async fn forward_events(
-        &self,
+        &mut self,
         opened: &mut OpenStream,
         scanner: &mut EventScanner,
         sender: &mpsc::Sender<Result<Bytes, AnswerAborted>>,
@@ -216,6 +216,10 @@
             if !events.is_empty() {
                 beginning.first.get_or_insert(now);
                 opened.attempt.settle();
+                if self.origin == StreamOrigin::NotBegun {
+                    let (gateway, target) = (&self.gateway, &opened.target);
+                    self.origin = origins::record_begun(gateway, &self.request, target);
+                }
             }
             if beginning.is_settled(now) {
                 self.record_begun(&mut beginning);
--- a/crates/cactuslane-gateway/src/lib.rs
+++ b/crates/cactuslane-gateway/src/lib.rs
@@ -8,6 +8,7 @@
 
 pub mod answers;
 pub mod caches;
+pub mod calls;
 pub mod control;
 pub mod crashes;
 pub mod directory;
@@ -21,6 +22,7 @@
 pub mod metered;
 pub mod metrics;
 pub mod orders;
+pub mod origins;
 pub mod peers;
 pub mod plain;
 pub mod ranking;
--- a/crates/cactuslane-gateway/src/limits.rs
+++ b/crates/cactuslane-gateway/src/limits.rs
@@ -1,8 +1,6 @@
 //! Limits that targets name in their answers, and the permits by which all instances together keep
 //! them.
 
-use std::collections::BTreeMap;
-use std::sync::{Mutex, PoisonError};
 use std::time::Duration;
 
 use cactuslane_flight::target::Target;
@@ -14,9 +12,9 @@
 use hyper::header::HeaderMap;
 use log::{info, warn};
 use serde::{Deserialize, Serialize};
-use tokio::sync::oneshot;
 use tokio::time::timeout;
 
+use crate::calls::CallNumber;
 use crate::peers;
 use crate::ranking::top_ranked;
 use crate::state::Gateway;
@@ -26,9 +24,6 @@
 /// Number of denied permits after which a request is placed only on targets without a limit.
 const MAX_DENIALS: u32 = 3;
 
-/// Number of a request for a permit, unique within the process that asks.
-pub type CallNumber = u64;
-
 /// What an exchange with a target is for.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Purpose {
@@ -82,56 +77,6 @@
     pub notice: LimitNotice,
 }
 
-/// Requests for permits that have not been answered.
-#[derive(Debug, Default)]
-pub struct PermitCalls {
-    /// Receivers of the answers, and the number of the last request.
-    calls: Mutex<(
-        BTreeMap<CallNumber, oneshot::Sender<PermitAnswer>>,
-        CallNumber,
-    )>,
-}
-
-impl PermitCalls {
-    /// Registers a request and returns its number and the receiver of the answer.
-    fn open(&self) -> (CallNumber, oneshot::Receiver<PermitAnswer>) {
-        let (sender, receiver) = oneshot::channel();
-        let mut calls = self.calls.lock().unwrap_or_else(PoisonError::into_inner);
-        calls.1 += 1;
-        let number = calls.1;
-        calls.0.insert(number, sender);
-        (number, receiver)
-    }
-
-    /// Removes a request; returns the sender of its answer if none has arrived.
-    fn close(&self, number: CallNumber) -> Option<oneshot::Sender<PermitAnswer>> {
-        let mut calls = self.calls.lock().unwrap_or_else(PoisonError::into_inner);
-        calls.0.remove(&number)
-    }
-
-    /// Passes an answer on to the task that waits for it; a late one is discarded.
-    pub fn answer(&self, number: CallNumber, answer: PermitAnswer) {
-        if let Some(sender) = self.close(number) {
-            // The task may have stopped waiting just now; the permit is lost then.
-            let _ = sender.send(answer);
-        }
-    }
-}
-
-/// Guard that removes a request for a permit once its task no longer waits.
-struct CallGuard<'a> {
-    /// State of the instance, which holds the request.
-    gateway: &'a Gateway,
-    /// Number of the request.
-    number: CallNumber,
-}
-
-impl Drop for CallGuard<'_> {
-    fn drop(&mut self) {
-        self.gateway.permit_calls.close(self.number);
-    }
-}
-
 /// Acquires the permission to send one request or call to a target, which must then be sent without
 /// delay.
 ///
@@ -294,12 +239,11 @@
     gateway: &Gateway,
     send: impl FnOnce(CallNumber) -> bool,
 ) -> Option<PermitAnswer> {
-    let (number, receiver) = gateway.permit_calls.open();
-    let _guard = CallGuard { gateway, number };
-    if !send(number) {
+    let mut call = gateway.permit_calls.open(1);
+    if !send(call.number) {
         return None;
     }
-    timeout(ASK_TIMEOUT, receiver).await.ok()?.ok()
+    timeout(ASK_TIMEOUT, call.answers.recv()).await.ok()?
 }
 
 /// Returns the instances that issue permits for a target.
--- /dev/null
+++ b/crates/cactuslane-gateway/src/origins.rs
@@ -0,0 +1,121 @@
+//! Which software version began a stream: what instances tell each other of it, and where a caller
+//! may take the stream up again.
+
+use std::time::Duration;
+
+use cactuslane_flight::origin::{StreamId, StreamOrigin, stream_id};
+use cactuslane_flight::target::Target;
+use cactuslane_types::SoftwareVersion;
+use log::{info, warn};
+use tokio::time::timeout;
+
+use crate::ingress::CallerRequest;
+use crate::peers;
+use crate::ranking::top_ranked;
+use crate::state::Gateway;
+
+/// Number of instances, besides the one that forwards a stream, that keep its version.
+const KEEPERS: usize = 3;
+/// Number of instances that are asked for it; more than keep it, as instances may have come or gone
+/// since.
+const ASKED: usize = 5;
+/// Maximum time to wait for their answers.
+const ASK_TIMEOUT: Duration = Duration::from_millis(100);
+/// Factor on a route's time-out for the longest time since the beginning of a stream that a caller
+/// takes up.
+const LIFETIME_FACTOR: u32 = 2;
+
+/// Records that a target sent the first event of the stream of a request, and tells the instances
+/// that keep its version.
+///
+/// Returns the origin of the stream, which is unknown if another process of the target has
+/// registered meanwhile.
+pub fn record_begun(gateway: &Gateway, request: &CallerRequest, target: &Target) -> StreamOrigin {
+    let registered = gateway.fleet().known(&target.id).cloned();
+    let same = registered.is_some_and(|known| known.started_at == target.started_at);
+    let version = target.version.clone().filter(|_| same);
+    let Some(version) = version else {
+        warn!(
+            request = request.info.id,
+            target_id = target.id,
+            process:? = target.started_at;
+            "stream begun at an unknown version"
+        );
+        return StreamOrigin::Unknown;
+    };
+    let stream = stream_id(&request.info.id);
+    let now = gateway.now();
+    gateway.origins().record(stream, &version, now);
+    let keepers = keepers(gateway, stream, KEEPERS);
+    peers::notify_begun(gateway, stream, &version, &keepers);
+    StreamOrigin::Version(version)
+}
+
+/// Returns at which version a request may begin or go on.
+///
+/// A request that takes up a stream goes on at the version that began it, as this instance or one
+/// that keeps it knows, or at the only version that the service has had since.
+pub async fn find(gateway: &Gateway, request: &CallerRequest) -> StreamOrigin {
+    if request.info.last_event.unwrap_or(0) == 0 {
+        return StreamOrigin::NotBegun;
+    }
+    let began = request.info.resumes.as_deref().unwrap_or_default();
+    let stream = stream_id(began);
+    let known = gateway.origins().version(stream).cloned();
+    let (version, source) = match known {
+        Some(version) => (Some(version), "own"),
+        None if began.is_empty() => (None, "not named"),
+        None => (ask(gateway, stream).await, "asked"),
+    };
+    let (version, source) = match version {
+        Some(version) => (Some(version), source),
+        None => (only_version(gateway, request), "only version"),
+    };
+    info!(
+        request = request.info.id,
+        resumes = began,
+        target_version = version.as_deref().unwrap_or(""),
+        source,
+        last_event = request.info.last_event.unwrap_or(0);
+        "stream is taken up"
+    );
+    version.map_or(StreamOrigin::Unknown, StreamOrigin::Version)
+}
+
+/// Returns the version that began a stream, for an instance that asks.
+#[must_use]
+pub fn answer_query(gateway: &Gateway, stream: StreamId) -> Option<SoftwareVersion> {
+    gateway.origins().version(stream).cloned()
+}
+
+/// Asks the instances that keep the version of a stream.
+async fn ask(gateway: &Gateway, stream: StreamId) -> Option<SoftwareVersion> {
+    let keepers = keepers(gateway, stream, ASKED);
+    let mut call = gateway.origin_calls.open(keepers.len());
+    let asked = peers::query_origin(gateway, call.number, stream, &keepers);
+    let answers = async {
+        for _ in 0..asked {
+            if let Some(version) = call.answers.recv().await? {
+                return Some(version);
+            }
+        }
+        None
+    };
+    timeout(ASK_TIMEOUT, answers).await.ok()?
+}
+
+/// Returns the version of all targets of a request's service since the stream can have begun, if
+/// there was only one and the store shows all targets.
+fn only_version(gateway: &Gateway, request: &CallerRequest) -> Option<SoftwareVersion> {
+    let lifetime = request.route.timeout * LIFETIME_FACTOR;
+    let now = gateway.now();
+    gateway
+        .fleet()
+        .only_version(&request.service, lifetime, now)
+}
+
+/// Returns the instances, without this one, that keep the version of a stream.
+fn keepers(gateway: &Gateway, stream: StreamId, count: usize) -> Vec<String> {
+    let candidates = gateway.members().issuer_candidates(gateway.now());
+    top_ranked(candidates, &format!("stream {stream:x}"), count)
+}
--- a/crates/cactuslane-gateway/src/peers.rs
+++ b/crates/cactuslane-gateway/src/peers.rs
@@ -4,20 +4,22 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use cactuslane_flight::origin::StreamId;
 use cactuslane_place::load_view::PeerUpdate;
 use cactuslane_place::{LimitNotice, Observation, Observed, PermitAnswer, Suspect};
-use cactuslane_types::InstanceId;
+use cactuslane_types::{InstanceId, SoftwareVersion};
 use log::{debug, info, warn};
 use rand::seq::SliceRandom;
 use serde::{Deserialize, Serialize};
 use tokio::net::UdpSocket;
 use tokio::time::{Instant, MissedTickBehavior, interval};
 
-use crate::crashes;
-use crate::limits::{self, CallNumber, PermitRequest};
+use crate::calls::CallNumber;
+use crate::limits::{self, PermitRequest};
 use crate::relay::Relay;
 use crate::state::Gateway;
 use crate::watch::RelaySender;
+use crate::{crashes, origins};
 
 /// Interval between the updates of an instance while there is something new to send, in a
 /// deployment of few instances compared with [`INTERVAL_SCALE`]; also the interval of the ticks at
@@ -60,6 +62,12 @@
     TrialRequest(u64, Suspect),
     /// Observations of targets that the sender knows, in answer to a query.
     Observations(InstanceId, Vec<Observation>),
+    /// A software version that began a stream.
+    StreamBegun(StreamId, SoftwareVersion),
+    /// A query, with this number, for the version that began a stream.
+    OriginQuery(CallNumber, StreamId),
+    /// The answer to the query with this number.
+    Origin(CallNumber, Option<SoftwareVersion>),
 }
 
 /// Sends updates to the other instances and handles their messages, until the task is aborted.
@@ -226,6 +234,40 @@
     true
 }
 
+/// Tells instances which version began a stream.
+pub fn notify_begun(gateway: &Gateway, stream: StreamId, version: &str, keepers: &[InstanceId]) {
+    send_to(
+        gateway,
+        &Message::StreamBegun(stream, version.to_owned()),
+        keepers,
+    );
+}
+
+/// Asks instances which version began a stream; returns the number of those that are reachable.
+#[must_use]
+pub fn query_origin(
+    gateway: &Gateway,
+    number: CallNumber,
+    stream: StreamId,
+    keepers: &[InstanceId],
+) -> usize {
+    send_to(gateway, &Message::OriginQuery(number, stream), keepers)
+}
+
+/// Sends a message to those of some instances that are reachable, and returns their number.
+fn send_to(gateway: &Gateway, message: &Message, instances: &[InstanceId]) -> usize {
+    let Some(socket) = gateway.peer_socket.get() else {
+        return 0;
+    };
+    let (members, now) = (gateway.members(), gateway.now());
+    let addresses = instances.iter();
+    let addresses = addresses.filter_map(|instance| members.reachable_address(instance, now));
+    let addresses: Vec<SocketAddr> = addresses.collect();
+    drop(members);
+    send(socket, message, &addresses);
+    addresses.len()
+}
+
 /// Sends a message to some instances; one that cannot be sent is dropped.
 fn send(socket: &UdpSocket, message: &Message, peers: &[SocketAddr]) {
     let message = match postcard::to_stdvec(message) {
@@ -293,6 +335,17 @@
             let answer = crashes::answer_trial(gateway, suspect);
             return send(socket, &Message::Permit(number, answer), &[from]);
         }
+        Ok(Message::StreamBegun(stream, version)) => {
+            let now = gateway.now();
+            return gateway.origins().record(stream, &version, now);
+        }
+        Ok(Message::OriginQuery(number, stream)) => {
+            let version = origins::answer_query(gateway, stream);
+            return send(socket, &Message::Origin(number, version), &[from]);
+        }
+        Ok(Message::Origin(number, version)) => {
+            return gateway.origin_calls.answer(number, version);
+        }
         Ok(Message::Permit(number, answer)) => return gateway.permit_calls.answer(number, answer),
         Err(error) => {
             debug!(error:% = error; "message is unreadable");
--- a/crates/cactuslane-gateway/src/plain.rs
+++ b/crates/cactuslane-gateway/src/plain.rs
@@ -259,9 +259,12 @@
         gateway.pool.connect(&target.id, target.address).await
     };
     let mut connection = connection.map_err(attempt_failure)?;
-    // The target may have begun to drain while the connection was being established.
-    if gateway.target(&target.id).is_none() {
-        return Err((AttemptFailure::Unsent, "the target is leaving".to_owned()));
+    // The target may have begun to drain, or may have been started again, while the connection was
+    // being established.
+    let usable = gateway.target(&target.id);
+    if usable.is_none_or(|usable| usable.started_at != target.started_at) {
+        let why = "the target is leaving or was started again";
+        return Err((AttemptFailure::Unsent, why.to_owned()));
     }
     let mut outgoing = Request::new(Full::new(request.body.clone()));
     *outgoing.method_mut() = request.method.clone();
--- a/crates/cactuslane-gateway/src/state.rs
+++ b/crates/cactuslane-gateway/src/state.rs
@@ -5,21 +5,21 @@
 use std::sync::{Arc, Mutex, MutexGuard, OnceLock, PoisonError};
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
-use cactuslane_flight::AttemptFailure;
 use cactuslane_flight::budget::{USED_SHARE, WindowedRetryBudget, slack_share};
 use cactuslane_flight::routing_config::RoutingConfig;
 use cactuslane_flight::target::Target;
-use cactuslane_place::{CrashTracker, Load, Placer};
+use cactuslane_flight::{AttemptFailure, OriginTable};
+use cactuslane_place::{CrashTracker, Load, PermitAnswer, Placer};
 use cactuslane_platform::Settings;
 use cactuslane_store::kv::KvClient;
-use cactuslane_types::{Millis, ServiceName, TargetId};
+use cactuslane_types::{Millis, ServiceName, SoftwareVersion, TargetId};
 use tokio::net::UdpSocket;
 use tokio::sync::Notify;
 use tokio::time::Instant;
 
+use crate::calls::PeerCalls;
 use crate::fleet::Fleet;
 use crate::leadership::{LeaderRecord, Leadership};
-use crate::limits::PermitCalls;
 use crate::members::Members;
 use crate::metrics::Metrics;
 use crate::upstream::ConnectionPool;
@@ -45,8 +45,12 @@
     crashes: Mutex<CrashTracker>,
     /// Wakes the tasks that wait for a change of the held parts.
     pub held_changed: Notify,
-    /// Requests for permits that other instances have not answered yet.
-    pub permit_calls: PermitCalls,
+    /// Requests for permits and trials that other instances have not answered yet.
+    pub permit_calls: PeerCalls<PermitAnswer>,
+    /// Queries for the versions of streams that other instances have not answered yet.
+    pub origin_calls: PeerCalls<Option<SoftwareVersion>>,
+    /// Versions of the streams that have begun.
+    origins: Mutex<OriginTable>,
     /// Socket for messages to the other instances, once it is bound.
     pub peer_socket: OnceLock<Arc<UdpSocket>>,
     /// Retry budgets by service.
@@ -90,7 +94,9 @@
             placer: Mutex::new(placer),
             crashes: Mutex::default(),
             held_changed: Notify::new(),
-            permit_calls: PermitCalls::default(),
+            permit_calls: PeerCalls::default(),
+            origin_calls: PeerCalls::default(),
+            origins: Mutex::default(),
             peer_socket: OnceLock::new(),
             retry_budgets: Mutex::default(),
             pool: ConnectionPool::default(),
@@ -167,6 +173,11 @@
         lock(&self.crashes)
     }
 
+    /// Locks the versions of the streams that have begun.
+    pub fn origins(&self) -> MutexGuard<'_, OriginTable> {
+        lock(&self.origins)
+    }
+
     /// Returns the routing configuration in force; `None` until one was read.
     #[must_use]
     pub fn routing_config(&self) -> Option<Arc<RoutingConfig>> {
--- a/crates/cactuslane-gateway/tests/serving/versions.rs
+++ b/crates/cactuslane-gateway/tests/serving/versions.rs
@@ -102,9 +102,12 @@
     run_test(async {
         let versions = Versions::start(is_left).await;
         let engines = &versions.deployment.engines;
-        versions
-            .deployment
-            .inject_fault(&engines[..1], Fault::Break(EVENTS));
+        // The first engine, which is left in any case, breaks off twice.
+        for _ in 0..2 {
+            versions
+                .deployment
+                .inject_fault(&engines[..1], Fault::Break(EVENTS));
+        }
         let answer = versions.deployment.ask("/summary/7", "r1").await;
         assert_eq!(engines[1].runs("r1"), 0);
         assert_eq!(answer.complete, is_left);
