Use prompts and cached parts only at the version that wrote them

A prefill engine is paired with decode engines of its version, an engine fetches parts from engines of its version, and a computed prompt is kept for its version. An engine that states none pairs with none.

--- a/crates/cactuslane-flight/src/target.rs
+++ b/crates/cactuslane-flight/src/target.rs
@@ -29,6 +29,15 @@
     pub version: Option<SoftwareVersion>,
 }
 
+impl Target {
+    /// Returns whether both targets are known to run the same version of the software, so that one
+    /// may use what the other has written.
+    #[must_use]
+    pub fn has_version_of(&self, other: &Self) -> bool {
+        self.version.is_some() && self.version == other.version
+    }
+}
+
 /// Whether a target accepts new requests, as it registered.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum TargetState {
--- a/crates/cactuslane-gateway/src/generation.rs
+++ b/crates/cactuslane-gateway/src/generation.rs
@@ -257,7 +257,8 @@
                 && !self.prompt_denied,
             tried: &self.tried,
         };
-        if self.prompt.is_some() {
+        if let Some(prompt) = &self.prompt {
+            targets.retain(|target| target.has_version_of(&prompt.target));
             return placer.place_decode(&targets, &placement_request, now);
         }
         let mut placement = placer.place_generation(&targets, &placement_request, now);
--- a/crates/cactuslane-place/src/placer/engines.rs
+++ b/crates/cactuslane-place/src/placer/engines.rs
@@ -137,7 +137,10 @@
             let computing = (waiting + fixed).max(0.0) + fetching + prompt_ms;
             let filled = self.caches.get(&target.id).map_or(0, CacheEstimate::total);
             let full = filled as f64 / (request.engine.kv_capacity.max(1)) as f64;
-            let (decode_cost, transfer_factor) = cheapest_decode(&decoders, target, transfer)?;
+            let Some((decode_cost, transfer_factor)) = cheapest_decode(&decoders, target, transfer)
+            else {
+                continue;
+            };
             let expected = computing + transfer * transfer_factor + self.speed.first_ms();
             let cost = expected
                 + self.speed.prefill_ms(f64::from(fetched)) * FETCH_WEIGHT
@@ -159,6 +162,8 @@
         let unseen_ms = self.speed.prefill_ms(unseen.prompt_tokens);
         let chosen = self.choose(&candidates, |candidate| candidate.cost, unseen_ms)?;
         let unseen_ms = unseen.streams * STREAM_COST;
+        let mut decoders = decoders;
+        decoders.retain(|(_, decode)| decode.has_version_of(chosen.target));
         let decode_cost = |(cost, decode): &(f64, &Target)| {
             cost + transfer_cost(chosen.target, decode, transfer).1
         };
@@ -254,7 +259,8 @@
                 .fetchable(info.shared_parts(), at)
                 .min(info.prompt_tokens);
             let near = target.domain == prefill.domain;
-            if target.id == prefill.id || ready < MIN_FETCH {
+            let usable = target.id != prefill.id && target.has_version_of(prefill);
+            if !usable || ready < MIN_FETCH {
                 continue;
             }
             if best.is_none_or(|(most, same, _)| (ready, near) > (most, same)) {
@@ -265,8 +271,8 @@
     }
 }
 
-/// Returns the lowest cost of a decode engine for a prompt computed on a prefill engine, in
-/// milliseconds, and the factor on the time of the transfer to it.
+/// Returns the lowest cost of a decode engine with the software version of a prefill engine, for a
+/// prompt computed there, in milliseconds, and the factor on the time of the transfer to it.
 ///
 /// `transfer` is the transfer time within a failure domain, in milliseconds.
 fn cheapest_decode(
@@ -276,6 +282,9 @@
 ) -> Option<(f64, f64)> {
     let mut best: Option<(f64, f64)> = None;
     for (cost, decode) in decoders {
+        if !decode.has_version_of(prefill) {
+            continue;
+        }
         let (transfer_factor, surcharge) = transfer_cost(prefill, decode, transfer);
         if best.is_none_or(|(least, _)| cost + surcharge < least) {
             best = Some((cost + surcharge, transfer_factor));
--- a/crates/cactuslane-place/tests/placing/main.rs
+++ b/crates/cactuslane-place/tests/placing/main.rs
@@ -4,6 +4,7 @@
 mod limits;
 mod speed;
 mod spread;
+mod versions;
 
 use std::time::Duration;
 
