Bound the prompt parts that are kept of a lost attempt

A request may name any number of parts, and each lost attempt kept and reported all of them: 40 crashes with 64 requests of 1,000 parts made an update of 192 attempts with 1,000 parts each, far above the 32 KiB of a message, which is then not received. The first 16 are kept.

--- a/crates/cactuslane-place/src/crashes/suspect.rs
+++ b/crates/cactuslane-place/src/crashes/suspect.rs
@@ -3,10 +3,14 @@
 use std::fmt;
 
 use cactuslane_flight::request_info::{Fingerprint, PartId, RequestInfo};
+use cactuslane_types::Millis;
 use serde::{Deserialize, Serialize};
 
 use super::Time;
 
+/// Largest number of parts that are kept of one attempt, the first ones.
+const MAX_PARTS: usize = 16;
+
 /// Something that requests have in common and on which targets may crash.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 pub enum Suspect {
@@ -53,10 +57,12 @@
     /// Creates the record of an attempt that was sent at `sent`, in milliseconds on the clock of the
     /// instance.
     #[must_use]
-    pub fn new(info: &RequestInfo, sent: cactuslane_types::Millis) -> Self {
+    pub fn new(info: &RequestInfo, sent: Millis) -> Self {
+        let parts = info.shared_parts().iter().map(|part| part.id);
+        let parts = parts.take(MAX_PARTS);
         Self {
             request: info.fingerprint,
-            parts: info.shared_parts().iter().map(|part| part.id).collect(),
+            parts: parts.collect(),
             sent: sent as Time,
         }
     }
--- a/crates/cactuslane-place/tests/crashes/main.rs
+++ b/crates/cactuslane-place/tests/crashes/main.rs
@@ -443,3 +443,21 @@
         assert_eq!(fleet.wrongly_held, [], "seed {seed}");
     }
 }
+
+#[test]
+fn an_update_is_bounded_against_requests_of_many_parts() {
+    let mut tracker = CrashTracker::default();
+    for target in 0..40 {
+        let now = 1_000 + target * 10;
+        for request in 0..64 {
+            let parts: Vec<PartId> = (0..1_000).map(|part| u64::MAX - part).collect();
+            let lost = attempt(u64::MAX - request, &parts, now);
+            tracker.record_crash(&format!("i-{target}"), Some(now), &lost, now);
+        }
+    }
+    let update = tracker.update(1_400);
+    let attempts = update.reports.iter().flat_map(|report| &report.attempts);
+    assert!(!update.reports.is_empty());
+    assert!(attempts.clone().count() <= 192);
+    assert!(attempts.map(|attempt| attempt.parts.len()).max() <= Some(16));
+}
