--- a/crates/cactuslane-gateway/tests/serving/versions.rs
+++ b/crates/cactuslane-gateway/tests/serving/versions.rs
@@ -2,7 +2,7 @@
 
 use cactuslane_gateway::GatewayHandle;
 use cactuslane_place::Load;
-use cactuslane_platform_standin::{Fault, Target, TargetKind, caller};
+use cactuslane_platform_standin::{Fault, Target, TargetKind, caller, target};
 use http_body_util::BodyExt;
 use yare::parameterized;
 
@@ -179,3 +179,51 @@
         assert_eq!(versions.deployment.runs("r2"), 0);
     });
 }
+
+/// Guards against a version that is taken from a target's id instead of its process.
+#[test]
+fn a_stream_does_not_go_on_at_a_target_that_has_another_version_now() {
+    run_test(async {
+        let versions = Versions::start(false).await;
+        versions.begin("r1").await;
+        let first = &versions.deployment.engines[0];
+        first.set_version("v3");
+        first.register(&versions.deployment.store, "ready");
+        let gateway = &versions.deployment.running.gateway;
+        let version = || gateway.target("i-d1")?.version;
+        wait_until(|| version().as_deref() == Some("v3")).await;
+        let answer = versions
+            .resume(&versions.deployment.running, "r2", "r1")
+            .await;
+        assert_eq!((answer.status, answer.retry_after), (503, true));
+        assert_eq!(versions.deployment.runs("r2"), 0);
+    });
+}
+
+/// Guards against the version of a process that ended before the stream began.
+#[test]
+fn a_stream_whose_target_started_again_before_its_first_event_has_no_known_version() {
+    run_test(async {
+        let versions = Versions::start(true).await;
+        let deployment = &versions.deployment;
+        let first = &deployment.engines[0];
+        deployment.inject_fault(&deployment.engines[..1], Fault::Slow(400));
+        let response = deployment.send("/summary/7", "r1").await;
+        let address = first.address;
+        target::register(
+            &deployment.store,
+            "i-d1",
+            TargetKind::Decode,
+            2,
+            address,
+            "ready",
+        );
+        let gateway = &deployment.running.gateway;
+        let process = || gateway.target("i-d1")?.started_at;
+        wait_until(|| process() == Some(2)).await;
+        assert_eq!(read_answer(response).await.body, all_events());
+        let answer = versions.resume(&deployment.running, "r2", "r1").await;
+        assert_eq!((answer.status, answer.retry_after), (503, true));
+        assert_eq!(deployment.runs("r2"), 0);
+    });
+}
