Count a crash for a request though another one is held that is in it

Cause: a crash that a held suspect was in did not count for any other. One of three crashes of the request was shared with a held one, then a bystander's part was held for the others; and the hold of the second request ended as the first was in one of its three crashes. Class: an explanation of one crash taken as one of all.

A request is held after three crashes of which two have no held suspect, and a hold ends as explained only if the other is in all its crashes.

two_requests_that_crash_targets_once_together_are_both_held failed before.

--- a/crates/cactuslane-place/src/crashes.rs
+++ b/crates/cactuslane-place/src/crashes.rs
@@ -281,7 +281,7 @@
     fn explains(&self, better: Suspect, suspect: Suspect) -> bool {
         let left = self.crashes.count_without(suspect, better, &self.begun);
         self.held.contains_key(&better)
-            && left < HOLDING_CRASHES
+            && left == 0
             && self.strength(suspect) < self.strength(better)
     }
 
--- a/crates/cactuslane-place/src/crashes/evidence.rs
+++ b/crates/cactuslane-place/src/crashes/evidence.rs
@@ -16,6 +16,8 @@
 /// Number of crashes since its last beginning after which a part is held that a target has begun
 /// before, as it is more likely in all of them by chance.
 const BEGUN_HOLDING_CRASHES: usize = 5;
+/// Number of the crashes of a request that no held suspect is in.
+const UNEXPLAINED_CRASHES: usize = 2;
 /// Time between crashes that count separately for a part, in milliseconds, unless an attempt with it
 /// was sent in between: targets that end at the same moment have a common cause, which no single
 /// request is.
@@ -227,8 +229,7 @@
         without.count()
     }
 
-    /// Returns the suspects to hold next, if any: those with the most crashes that no held suspect
-    /// explains.
+    /// Returns the suspects to hold next, if any: those with the most crashes.
     ///
     /// Suspects that no target is known to have begun go first, as the attempts beside them are
     /// sound ones. Of the others it is the one whose last beginning is longest ago.
@@ -245,9 +246,9 @@
             if held.contains_key(suspect) {
                 continue;
             }
-            let crashes = self.counting(*suspect, &explained, begun, now);
+            let crashes = self.counting(*suspect, begun, now);
             let last = begun.last(*suspect);
-            if !is_enough(*suspect, &crashes, begun) {
+            if !is_enough(*suspect, &crashes, &explained, begun) {
                 continue;
             }
             match last {
@@ -265,9 +266,7 @@
         oldest.map(|(_, suspect)| vec![suspect])
     }
 
-    /// Returns the crashes that have a held suspect, each with whether it is a part.
-    ///
-    /// A held request explains a crash for other requests alone, see [`is_enough`].
+    /// Returns the crashes that a held suspect is in, each with whether one of those is a part.
     fn explained(&self, held: &BTreeMap<Suspect, HeldSuspect>) -> BTreeMap<CrashId, bool> {
         let mut explained = BTreeMap::new();
         for suspect in held.keys() {
@@ -283,28 +282,26 @@
     fn counting(
         &self,
         suspect: Suspect,
-        explained: &BTreeMap<CrashId, bool>,
         begun: &BegunSuspects,
         now: Time,
-    ) -> Vec<&Crash> {
+    ) -> Vec<(CrashId, &Crash)> {
         let is_request = matches!(suspect, Suspect::Request(_));
         let last = begun.last(suspect);
         let mut crashes = Vec::new();
         for (id, crash) in self.with(suspect) {
             let cleared = last.is_some_and(|last| last >= crash.at);
-            let is_explained = explained.get(&id).is_some_and(|part| *part || is_request);
-            if !cleared && !is_explained && now >= crash.at + REPORTING_TIME {
-                crashes.push(crash);
+            if !cleared && now >= crash.at + REPORTING_TIME {
+                crashes.push((id, crash));
             }
         }
-        crashes.sort_by_key(|crash| crash.at);
+        crashes.sort_by_key(|(_, crash)| crash.at);
         let spacing = if is_request {
             REQUEST_CRASH_SPACING
         } else {
             CRASH_SPACING
         };
         let mut before: Option<Time> = None;
-        crashes.retain(|crash| {
+        crashes.retain(|(_, crash)| {
             let mut with = crash.attempts.iter().filter(|attempt| attempt.has(suspect));
             let separate = before.is_none_or(|before| {
                 crash.at >= before + spacing || with.any(|attempt| attempt.sent >= before)
@@ -332,22 +329,32 @@
 
 /// Returns whether the crashes that speak against a suspect are enough to hold it.
 ///
-/// A part is not held as long as a single request may explain all its crashes.
-fn is_enough(suspect: Suspect, crashes: &[&Crash], begun: &BegunSuspects) -> bool {
-    let needed = match suspect {
-        Suspect::Part(_) if begun.last(suspect).is_some() => BEGUN_HOLDING_CRASHES,
-        _ => HOLDING_CRASHES,
+/// For a request, some of them must be without a held suspect; for a part, all without a held part,
+/// and no single request may be in all of them.
+fn is_enough(
+    suspect: Suspect,
+    crashes: &[(CrashId, &Crash)],
+    explained: &BTreeMap<CrashId, bool>,
+    begun: &BegunSuspects,
+) -> bool {
+    let Suspect::Part(_) = suspect else {
+        let unexplained = crashes.iter().filter(|(id, _)| !explained.contains_key(id));
+        return crashes.len() >= HOLDING_CRASHES && unexplained.count() >= UNEXPLAINED_CRASHES;
     };
-    if crashes.len() < needed {
-        return false;
-    }
-    if matches!(suspect, Suspect::Request(_)) {
-        return true;
-    }
-    let mut common = crashes[0].unbegun(begun);
-    for crash in crashes {
+    let needed = match begun.last(suspect) {
+        Some(_) => BEGUN_HOLDING_CRASHES,
+        None => HOLDING_CRASHES,
+    };
+    let mut common: Option<BTreeSet<Fingerprint>> = None;
+    let mut count = 0;
+    for (id, crash) in crashes {
+        if explained.get(id) == Some(&true) {
+            continue;
+        }
+        count += 1;
         let unbegun = crash.unbegun(begun);
+        let common = common.get_or_insert_with(|| unbegun.clone());
         common.retain(|request| unbegun.contains(request));
     }
-    common.is_empty()
+    count >= needed && common.is_some_and(|common| common.is_empty())
 }
--- a/crates/cactuslane-place/tests/crashes/main.rs
+++ b/crates/cactuslane-place/tests/crashes/main.rs
@@ -461,3 +461,24 @@
     assert!(attempts.clone().count() <= 192);
     assert!(attempts.map(|attempt| attempt.parts.len()).max() <= Some(16));
 }
+
+/// Guards against the belief that a held request explains all crashes that it is in.
+#[test]
+fn two_requests_that_crash_targets_once_together_are_both_held() {
+    let mut tracker = CrashTracker::default();
+    crash_on(&mut tracker, &[7], 950, 1_000);
+    for now in [2_000, 3_000] {
+        crash_on(&mut tracker, &[8], now - 50, now);
+    }
+    crash_on(&mut tracker, &[7, 8], 3_950, 4_000);
+    tracker.sweep(4_600);
+    assert!(matches!(screen(&tracker, 8, 4_600), Screening::Held(..)));
+    for now in [5_000, 6_000, 7_000] {
+        crash_on(&mut tracker, &[7], now - 50, now);
+        tracker.sweep(now + 600);
+        for request in [7, 8] {
+            let held = screen(&tracker, request, now + 600);
+            assert!(matches!(held, Screening::Held(..)), "{request} at {now}");
+        }
+    }
+}
