--- a/crates/cactuslane-place/tests/crashes/main.rs
+++ b/crates/cactuslane-place/tests/crashes/main.rs
@@ -51,40 +51,54 @@
 /// A fault of instances or engines.
 type Fault = fn(&mut Fleet);
 
+/// Returns a fault by its name.
+fn fault(name: &str) -> Fault {
+    match name {
+        "none" => |fleet| fleet.run(10_000),
+        "cut" => |fleet| {
+            fleet.cut(1, 8_000);
+            fleet.cut(2, 12_000);
+            fleet.run(10_000);
+        },
+        "frozen" => |fleet| {
+            fleet.run(2_000);
+            fleet.freeze(1, 6_000);
+            fleet.freeze(3, 9_000);
+            fleet.run(10_000);
+        },
+        "restarted in turn" => |fleet| {
+            for number in 0..6 {
+                fleet.run(2_500);
+                fleet.restart(number);
+            }
+        },
+        "all restarted" => |fleet| {
+            fleet.run(9_000);
+            for number in 0..fleet.instances.len() {
+                fleet.restart(number);
+            }
+            fleet.run(5_000);
+        },
+        "targets killed" => |fleet| {
+            for engine in 0..10 {
+                fleet.kill_engine(engine);
+                fleet.run(700);
+            }
+        },
+        other => panic!("there is no fault {other}"),
+    }
+}
+
 #[parameterized(
-    none = { |fleet| fleet.run(10_000) },
-    cut = { |fleet| {
-        fleet.cut(1, 8_000);
-        fleet.cut(2, 12_000);
-        fleet.run(10_000);
-    } },
-    frozen = { |fleet| {
-        fleet.run(2_000);
-        fleet.freeze(1, 6_000);
-        fleet.freeze(3, 9_000);
-        fleet.run(10_000);
-    } },
-    restarted_in_turn = { |fleet| {
-        for number in 0..6 {
-            fleet.run(2_500);
-            fleet.restart(number);
-        }
-    } },
-    all_restarted = { |fleet| {
-        fleet.run(9_000);
-        for number in 0..fleet.instances.len() {
-            fleet.restart(number);
-        }
-        fleet.run(5_000);
-    } },
-    engines_killed = { |fleet| {
-        for engine in 0..10 {
-            fleet.kill_engine(engine);
-            fleet.run(700);
-        }
-    } },
+    none = { "none" },
+    cut = { "cut" },
+    frozen = { "frozen" },
+    restarted_in_turn = { "restarted in turn" },
+    all_restarted = { "all restarted" },
+    engines_killed = { "targets killed" },
 )]
-fn requests_with_a_deadly_part_stop_in_all_instances_together(fault: Fault) {
+fn requests_with_a_deadly_part_stop_in_all_instances_together(name: &str) {
+    let fault = fault(name);
     for seed in 0..6 {
         for rate in [0.8, 4.0] {
             check_fleet(Cause::Part, 7, rate, seed, fault);
@@ -95,39 +109,15 @@
 
 /// Guards against a request that goes on crashing targets under other ids, at other instances.
 #[parameterized(
-    none = { |fleet| fleet.run(10_000) },
-    cut = { |fleet| {
-        fleet.cut(1, 8_000);
-        fleet.cut(2, 12_000);
-        fleet.run(10_000);
-    } },
-    frozen = { |fleet| {
-        fleet.run(2_000);
-        fleet.freeze(1, 6_000);
-        fleet.freeze(3, 9_000);
-        fleet.run(10_000);
-    } },
-    restarted_in_turn = { |fleet| {
-        for number in 0..6 {
-            fleet.run(2_500);
-            fleet.restart(number);
-        }
-    } },
-    all_restarted = { |fleet| {
-        fleet.run(9_000);
-        for number in 0..fleet.instances.len() {
-            fleet.restart(number);
-        }
-        fleet.run(5_000);
-    } },
-    targets_killed = { |fleet| {
-        for engine in 0..10 {
-            fleet.kill_engine(engine);
-            fleet.run(700);
-        }
-    } },
+    none = { "none" },
+    cut = { "cut" },
+    frozen = { "frozen" },
+    restarted_in_turn = { "restarted in turn" },
+    all_restarted = { "all restarted" },
+    targets_killed = { "targets killed" },
 )]
-fn equal_requests_that_crash_targets_stop_in_all_instances_together(fault: Fault) {
+fn equal_requests_that_crash_targets_stop_in_all_instances_together(name: &str) {
+    let fault = fault(name);
     for cause in [Cause::Request, Cause::PlainRequest] {
         for seed in 0..6 {
             for rate in [0.8, 4.0] {
