Store what is held as soon as it is held

All instances may restart right after the third crash; a held request was in the store up to 0.5 s after the hold, which follows the crash by 0.5 s. The task that keeps the store's copy now also runs when a hold changes.

--- a/crates/cactuslane-gateway/src/crashes.rs
+++ b/crates/cactuslane-gateway/src/crashes.rs
@@ -275,7 +275,11 @@
 /// Keeps the store's copy of the held suspects up to date, until the task is aborted.
 pub async fn store_held(gateway: Arc<Gateway>) {
     loop {
-        sleep(STORE_INTERVAL).await;
+        // What is held is written at once, as all instances may restart.
+        tokio::select! {
+            () = sleep(STORE_INTERVAL) => {}
+            () = gateway.held_changed.notified() => {}
+        }
         let me = gateway.settings().instance.clone();
         let owns = |suspect: Suspect| owner(&gateway, suspect) == me;
         let changes = gateway.crashes().store_changes(owns, gateway.now());
