Log how much of a response of the store had come before a timeout

An instance that read a large document logged only that no complete response came within 701 ms, so that a store that does not answer could not be told from a response that takes longer.

--- a/crates/cactuslane-store/src/http.rs
+++ b/crates/cactuslane-store/src/http.rs
@@ -18,7 +18,7 @@
 /// Time after which an unused pooled connection is closed.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(20);
 /// Maximum size of a response body, in bytes; in a streamed response, of the unparsed part.
-const MAX_RESPONSE_BYTES: usize = 8 << 20;
+pub const MAX_RESPONSE_BYTES: usize = 8 << 20;
 
 /// An HTTP client with a connection pool; clones share the pool.
 #[derive(Clone, Debug)]
--- a/crates/cactuslane-store/src/kv.rs
+++ b/crates/cactuslane-store/src/kv.rs
@@ -5,14 +5,14 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use http_body_util::Full;
+use http_body_util::{BodyExt, Full};
 use hyper::Request;
-use hyper::body::Bytes;
+use hyper::body::{Body, Bytes};
 use prometheus_client::metrics::counter::Counter;
 use prometheus_client::metrics::family::Family;
-use tokio::time::timeout;
+use tokio::time::{Instant, timeout_at};
 
-use crate::http::{Client, HttpError};
+use crate::http::{Client, HttpError, MAX_RESPONSE_BYTES};
 
 /// Identifies a lease granted by [`KvClient::grant`].
 pub type Lease = u64;
@@ -293,13 +293,36 @@
             .header("content-type", "application/json")
             .body(Full::new(body))
             .map_err(|error| KvError::Malformed(error.to_string()))?;
-        match timeout(wait, self.client.send_and_collect(request)).await {
-            Ok(Ok(response)) => Ok(response),
-            Ok(Err(HttpError::Connect(why))) => Err(KvError::Unreachable(why)),
-            Ok(Err(HttpError::Broken(why))) => Err(KvError::Lost(why)),
-            Err(_) => Err(KvError::Lost(format!(
-                "no complete response within {wait:?}"
-            ))),
+        let deadline = Instant::now() + wait;
+        let response = match timeout_at(deadline, self.client.send(request)).await {
+            Ok(Ok(response)) => response,
+            Ok(Err(HttpError::Connect(why))) => return Err(KvError::Unreachable(why)),
+            Ok(Err(HttpError::Broken(why))) => return Err(KvError::Lost(why)),
+            Err(_) => return Err(KvError::Lost(format!("no response within {wait:?}"))),
+        };
+        let status = response.status().as_u16();
+        let expected = response.body().size_hint().exact();
+        let mut body = response.into_body();
+        let mut received = Vec::new();
+        loop {
+            let Ok(frame) = timeout_at(deadline, body.frame()).await else {
+                let (length, expected) = (received.len(), expected.unwrap_or_default());
+                return Err(KvError::Lost(format!(
+                    "{length} of {expected} bytes received within {wait:?}"
+                )));
+            };
+            let Some(frame) = frame else {
+                return Ok((status, received.into()));
+            };
+            let frame = frame.map_err(|error| KvError::Lost(error.to_string()))?;
+            if let Ok(data) = frame.into_data() {
+                received.extend_from_slice(&data);
+            }
+            if received.len() > MAX_RESPONSE_BYTES {
+                return Err(KvError::Lost(format!(
+                    "response of more than {MAX_RESPONSE_BYTES} bytes"
+                )));
+            }
         }
     }
 }
