Reproduce reads of a large document that never end

Sixteen instances, a store whose responses take a time on the caller's link: a document that takes 1.5 s never comes into force at those that receive relays, and a target that leaves after it stays in use.

--- a/crates/cactuslane-gateway/tests/serving/control.rs
+++ b/crates/cactuslane-gateway/tests/serving/control.rs
@@ -3,6 +3,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use cactuslane_gateway::GatewayHandle;
 use cactuslane_platform_standin::{Mode, Store, caller, document};
 use cactuslane_store::http::Client;
 use http_body_util::Full;
@@ -11,7 +12,12 @@
 use tokio::time::sleep;
 use yare::parameterized;
 
-use crate::deployment::{all_events, deploy, read_answer, run_test, start_instance, wait_until};
+use crate::deployment::{
+    Deployment, all_events, deploy, read_answer, run_test, start_instance, wait_until,
+};
+
+/// Number of instances in a deployment in which only some watch the store.
+const RELAYED_FLEET: usize = 16;
 
 #[test]
 fn an_instance_without_configuration_refuses_requests() {
@@ -220,3 +226,77 @@
         }
     });
 }
+
+/// Guards against reads of a large document that begin again before they are complete.
+#[test]
+fn a_document_that_takes_longer_than_a_timeout_comes_into_force_at_all_instances() {
+    run_test(async {
+        let deployment = deploy().await;
+        let fleet = start_instances(&deployment, RELAYED_FLEET).await;
+        // 25 parts of 16 KiB take 1.5 s.
+        deployment.store.set_part_time(Duration::from_millis(60));
+        deployment.store.configure(&large_document(9, 1200));
+        let version = |running: &GatewayHandle| {
+            let config = running.gateway.routing_config();
+            config.map(|config| config.version)
+        };
+        wait_until(|| fleet.iter().all(|running| version(running) == Some(9))).await;
+        deployment.store.configure(&large_document(12, 1200));
+        wait_until(|| fleet.iter().all(|running| version(running) == Some(12))).await;
+    });
+}
+
+/// Guards against changes of targets that wait until a large document has been received.
+#[test]
+fn a_target_that_leaves_is_known_before_a_large_document_is_received() {
+    run_test(async {
+        let deployment = deploy().await;
+        let fleet = start_instances(&deployment, RELAYED_FLEET).await;
+        // The document takes longer than the test.
+        deployment.store.set_part_time(Duration::from_millis(600));
+        deployment.store.configure(&large_document(9, 6000));
+        sleep(Duration::from_millis(50)).await;
+        deployment.workers[0].register(&deployment.store, "draining");
+        let uses = |running: &GatewayHandle| running.gateway.target("i-w1").is_some();
+        wait_until(|| !fleet.iter().any(uses)).await;
+        deployment.store.remove_target("i-w2");
+        let knows = |running: &GatewayHandle| running.gateway.fleet().count_usable(0) > 0;
+        let uses = |running: &GatewayHandle| running.gateway.target("i-w2").is_some();
+        wait_until(|| !fleet.iter().any(uses)).await;
+        assert!(fleet.iter().all(knows));
+        let config = |running: &GatewayHandle| running.gateway.routing_config();
+        assert!(
+            fleet
+                .iter()
+                .all(|running| config(running).is_some_and(|config| config.version == 3))
+        );
+    });
+}
+
+/// Returns a document with additional routes, each of which takes about 240 bytes.
+fn large_document(version: u64, routes: usize) -> serde_json::Value {
+    let mut large = document(version);
+    let mut route = large["routes"][0].clone();
+    for number in 0..routes {
+        route["name"] = format!("added-{number}").into();
+        route["prefix"] = format!("/added-{number}/").into();
+        let routes = large["routes"].as_array_mut().expect("it lists routes");
+        routes.push(route.clone());
+    }
+    large
+}
+
+/// Starts instances, beside that of a deployment, until there are `count`, and waits until all
+/// know each other.
+async fn start_instances(deployment: &Deployment, count: usize) -> Vec<GatewayHandle> {
+    let mut fleet = Vec::new();
+    for number in 2..=count {
+        fleet.push(start_instance(&format!("front-{number}"), &deployment.store).await);
+    }
+    let ready = |running: &GatewayHandle| {
+        let gateway = &running.gateway;
+        gateway.alive_peers() == count - 1 && gateway.target("i-d2").is_some()
+    };
+    wait_until(|| fleet.iter().all(ready)).await;
+    fleet
+}
