Read a large document apart from all other changes, for as long as it arrives

Callers got 404 for routes that had been added 3 s and more before, and requests reached targets that had left: 69 of 85 instances stood still at the last configuration and list of targets that they knew.

Cause: the 0.7 s after which a response of the store counts as lost ran to its last byte. A document of 1.02 MB takes 0.84 s on a link of 10 Mbit/s, so that each read was cut off at 0.7 to 0.9 MB and began again, for ever, and all later changes came after it in the same response.

Now the timeout is on the head of a response and on 0.7 s without a byte of its body. A document too large for a relay no longer leaves a gap: the relay marks it as missing, the receivers read that key alone, at once when their watcher begins to receive it, and relays of other changes go on. Who watches the store itself fetches the other changes beside a large response. Relays carry the age of their sender's knowledge, an instance that receives them reads the store itself when its own is 1.5 s old, whatever arrives, and logs when it is older than the limits for configurations and leaving targets; two gauges show it.

--- a/crates/cactuslane-gateway/src/control.rs
+++ b/crates/cactuslane-gateway/src/control.rs
@@ -20,6 +20,8 @@
 use crate::state::Gateway;
 use crate::watch::ALL_KEYS;
 
+/// The prefix of all keys that instances write.
+pub const OWN_KEYS: &str = "cactuslane/";
 /// The prefix of the keys of instances.
 const MEMBER_PREFIX: &str = "cactuslane/instances/";
 /// Range of the pause after a failed call to the store, in milliseconds.
--- a/crates/cactuslane-gateway/src/lib.rs
+++ b/crates/cactuslane-gateway/src/lib.rs
@@ -25,6 +25,7 @@
 pub mod origins;
 pub mod peers;
 pub mod plain;
+pub mod progress;
 pub mod ranking;
 pub mod relay;
 pub mod reply;
--- a/crates/cactuslane-gateway/src/metrics.rs
+++ b/crates/cactuslane-gateway/src/metrics.rs
@@ -73,6 +73,12 @@
     /// Time since the store last answered or a relay of its changes by another instance was last
     /// applied, in milliseconds; before that, the time since the start of the instance's clock.
     store_age: Gauge,
+    /// Time since all that the store had acknowledged of targets and instances was known, in
+    /// milliseconds.
+    entries_age: Gauge,
+    /// Time since all that the store had acknowledged of the configuration was known, in
+    /// milliseconds.
+    document_age: Gauge,
     /// 1 if this instance is the leader, which gives orders to engines, and 0 otherwise.
     office: Gauge,
 }
@@ -166,6 +172,16 @@
                 "Time since the store last answered a watch",
                 &gauges.store_age,
             ),
+            (
+                "entries_age_milliseconds",
+                "Time since all acknowledged changes of targets and instances were known",
+                &gauges.entries_age,
+            ),
+            (
+                "document_age_milliseconds",
+                "Time since all acknowledged changes of the configuration were known",
+                &gauges.document_age,
+            ),
             ("office", "Whether the office is held", &gauges.office),
         ];
         for (name, help, gauge) in gauges_by_name {
@@ -258,6 +274,12 @@
         let last_contact = fleet.store_contact().unwrap_or(0);
         drop(fleet);
         self.limited.set(gateway.placer().limits.count() as i64);
+        let progress = gateway.progress();
+        let age = |seen: u64| now.saturating_sub(seen) as i64;
+        self.entries_age
+            .set(age(progress.map_or(0, |known| known.entries_seen)));
+        self.document_age
+            .set(age(progress.map_or(0, |known| known.document_seen)));
         self.store_age.set(now.saturating_sub(last_contact) as i64);
         self.instances
             .set(gateway.members().instance_count() as i64);
--- a/crates/cactuslane-gateway/src/peers.rs
+++ b/crates/cactuslane-gateway/src/peers.rs
@@ -295,7 +295,7 @@
     let update = match postcard::from_bytes(message) {
         Ok(Message::Update(update)) => update,
         Ok(Message::Relay(relay)) => {
-            if relays.try_send(relay).is_err() {
+            if relays.try_send((relay, gateway.now())).is_err() {
                 debug!("relay dropped, the next one shows the gap");
             }
             return;
--- a/crates/cactuslane-gateway/src/relay.rs
+++ b/crates/cactuslane-gateway/src/relay.rs
@@ -1,9 +1,12 @@
 //! Relays of store changes: in a large deployment, few instances of each failure domain watch the
 //! store and send its changes to the others.
 //!
-//! A relay holds all changes between two revisions. An instance applies the changes after the
-//! revision that it knows; if changes are missing, or no relay arrives, it reads the store itself.
+//! A relay holds all changes between two revisions, except for those of a large configuration
+//! document, which each instance reads for itself. An instance applies the changes after the
+//! revision that it knows; if changes are missing, or no recent relay arrives, it reads the store
+//! itself.
 
+use cactuslane_platform::store::CONFIG_KEY;
 use cactuslane_store::kv::{Change, Changes, Item};
 use cactuslane_types::{InstanceId, Millis};
 use serde::{Deserialize, Serialize};
@@ -16,7 +19,8 @@
 /// Number of instances of each failure domain that watch the store in a large deployment; the
 /// second one covers the time until the failure of the first one is noticed.
 const WATCHERS: usize = 2;
-/// Time without a relay after which an instance reads the store itself, in milliseconds.
+/// Age of its knowledge of the store at which an instance that receives relays reads the store
+/// itself, in milliseconds.
 ///
 /// Each of the two watchers of a failure domain sends a relay at least about every 800 ms, after a
 /// watch of up to 500 ms and a pause of 300 ms, so that the timeout covers two rounds, one of each
@@ -26,7 +30,8 @@
 /// several changes of one revision may exceed it together.
 const MAX_BYTES: usize = 8 << 10;
 
-/// A message that holds all store changes between two revisions.
+/// A message that holds all store changes between two revisions, except for those of a large
+/// document.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Relay {
     /// The revision after which the changes begin, exclusive.
@@ -37,6 +42,22 @@
     pub changes: Vec<RelayedChange>,
     /// Whether the sender's previous call to the store had failed.
     pub recovered: bool,
+    /// What the relay says of the configuration document.
+    pub document: DocumentRange,
+    /// The age of the sender's knowledge of the store when the relay was sent, in milliseconds.
+    pub age: Millis,
+}
+
+/// The revisions between which a relay holds all changes of the document, unless one is missing.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct DocumentRange {
+    /// The first revision, exclusive.
+    pub from: u64,
+    /// The last revision, inclusive.
+    pub to: u64,
+    /// A revision at which the document has a change that is not in the relay, as it is too large
+    /// or still arriving at the sender; 0 if there is none.
+    pub missing: u64,
 }
 
 /// One change in a relay.
@@ -62,26 +83,33 @@
 }
 
 impl Relay {
-    /// Packs the changes of a watch that began after revision `from` into relays, at least one.
+    /// Packs the changes after revision `from`, and those of the document after revision
+    /// `document`, into relays, at least one.
     ///
-    /// Revisions with a change that is too large for a relay are left out, which receivers notice
-    /// as a gap.
+    /// A document that is too large for a relay is marked as missing. Other revisions with a change
+    /// that is too large are left out, which receivers notice as a gap.
     #[must_use]
-    pub fn pack(from: u64, changes: &Changes) -> Vec<Self> {
+    pub fn pack(from: u64, document: u64, changes: &Changes) -> Vec<Self> {
         let to = changes.revision.max(from);
         let mut relays = Vec::new();
         let mut relay = Self::after(from);
+        relay.document.from = document;
         let mut bytes = 0;
         for change in &changes.changes {
             let relayed = RelayedChange::from_change(change);
             let size = relayed.key.len() + relayed.value.as_ref().map_or(0, Vec::len);
+            let is_document = relayed.key == CONFIG_KEY;
+            if is_document && size > MAX_BYTES {
+                relay.document.missing = relayed.revision;
+                continue;
+            }
             if size > MAX_BYTES {
                 let next = Self::after(relayed.revision);
                 relays.push(std::mem::replace(&mut relay, next).before(relayed.revision));
                 bytes = 0;
                 continue;
             }
-            if relayed.revision <= relay.from {
+            if relayed.revision <= relay.from && !is_document {
                 // The change belongs to an update of which another change was too large.
                 continue;
             }
@@ -97,9 +125,19 @@
         }
         relay.to = relay.to.max(to);
         relays.push(relay);
+        for relay in &mut relays {
+            relay.document.to = relay.to.min(changes.revision);
+        }
         relays
     }
 
+    /// Marks the document as possibly changed up to `revision`, as the sender is still receiving
+    /// it.
+    pub fn withhold_document(&mut self, revision: u64) {
+        self.document.to = self.document.from;
+        self.document.missing = revision;
+    }
+
     /// Creates a relay without changes that begins after a revision.
     fn after(revision: u64) -> Self {
         Self {
@@ -107,6 +145,11 @@
             to: revision,
             changes: Vec::new(),
             recovered: false,
+            document: DocumentRange {
+                from: revision,
+                ..DocumentRange::default()
+            },
+            age: 0,
         }
     }
 
@@ -118,7 +161,7 @@
     }
 
     /// Returns how the relay continues the state of an instance that knows all changes up to
-    /// `known`.
+    /// `known`, except perhaps those of the document.
     #[must_use]
     pub fn continue_from(self, known: u64) -> Continuation {
         if self.to <= known {
@@ -129,7 +172,8 @@
         }
         let mut changes = Vec::new();
         for change in self.changes {
-            if change.revision > known {
+            // An older document does not replace a newer one.
+            if change.revision > known || change.key == CONFIG_KEY {
                 changes.push(change.into_change());
             }
         }
--- a/crates/cactuslane-gateway/src/state.rs
+++ b/crates/cactuslane-gateway/src/state.rs
@@ -13,6 +13,7 @@
 use cactuslane_platform::Settings;
 use cactuslane_store::kv::KvClient;
 use cactuslane_types::{Millis, ServiceName, SoftwareVersion, TargetId};
+use log::warn;
 use tokio::net::UdpSocket;
 use tokio::sync::Notify;
 use tokio::time::Instant;
@@ -22,6 +23,7 @@
 use crate::leadership::{LeaderRecord, Leadership};
 use crate::members::Members;
 use crate::metrics::Metrics;
+use crate::progress::Progress;
 use crate::upstream::ConnectionPool;
 
 /// State of one instance.
@@ -35,6 +37,8 @@
     pub started: u64,
     /// Routing configuration and targets.
     fleet: Mutex<Fleet>,
+    /// How far the store is known, and whether that is older than [`Gateway::knowledge_limit`].
+    progress: Mutex<Option<(Progress, bool)>>,
     /// Other instances, as known from the store and their messages.
     members: Mutex<Members>,
     /// Leadership: the right of one instance at a time to give orders to engines.
@@ -89,6 +93,7 @@
             clock_origin: Instant::now(),
             started,
             fleet: Mutex::new(fleet),
+            progress: Mutex::default(),
             members: Mutex::default(),
             leadership: Mutex::default(),
             placer: Mutex::new(placer),
@@ -178,6 +183,37 @@
         lock(&self.origins)
     }
 
+    /// Returns the time for which the instance may rely on its knowledge of the store: within the
+    /// limits for configurations and for leaving targets.
+    #[must_use]
+    pub fn knowledge_limit(&self) -> Duration {
+        let settings = self.settings();
+        settings.apply_limit.min(settings.drain_limit)
+    }
+
+    /// Records how far the store is known, and logs when that becomes too old or recent again.
+    pub fn observe_progress(&self, progress: &Progress) {
+        let now = self.now();
+        let limit = self.knowledge_limit().as_millis() as Millis;
+        let entries_age = now.saturating_sub(progress.entries_seen);
+        let document_age = now.saturating_sub(progress.document_seen);
+        let is_old = entries_age.max(document_age) > limit;
+        let mut known = lock(&self.progress);
+        let was_old = known.is_some_and(|(_, was_old)| was_old);
+        *known = Some((*progress, is_old));
+        drop(known);
+        if is_old != was_old {
+            let (entries, document) = (progress.entries, progress.document);
+            warn!(entries_age, document_age, limit, entries, document, is_old; "age of the store's picture");
+        }
+    }
+
+    /// Returns how far the store is known, once it was read.
+    #[must_use]
+    pub fn progress(&self) -> Option<Progress> {
+        lock(&self.progress).map(|(progress, _)| progress)
+    }
+
     /// Returns the routing configuration in force; `None` until one was read.
     #[must_use]
     pub fn routing_config(&self) -> Option<Arc<RoutingConfig>> {
--- a/crates/cactuslane-gateway/src/watch.rs
+++ b/crates/cactuslane-gateway/src/watch.rs
@@ -3,15 +3,18 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use cactuslane_store::kv::{Changes, KvError, WATCH_GRACE};
+use cactuslane_platform::store::{CONFIG_KEY, TARGETS};
+use cactuslane_store::kv::{Change, Changes, Item, KvError, WATCH_GRACE, revision_of};
 use cactuslane_types::Millis;
 use log::{info, warn};
 use tokio::net::UdpSocket;
 use tokio::sync::mpsc;
+use tokio::task::JoinSet;
 use tokio::time::{sleep, timeout};
 
-use crate::control::{apply, random_pause, read_all};
+use crate::control::{OWN_KEYS, apply, random_pause, read_all};
 use crate::peers::send_relays;
+use crate::progress::Progress;
 use crate::relay::{self, Continuation, RELAY_TIMEOUT, Relay};
 use crate::state::Gateway;
 
@@ -40,12 +43,18 @@
 /// Capacity of the channel for received relays; further ones are dropped.
 const MAX_RELAYS: usize = 64;
 
+/// Time after its head within which a response of ordinary size has arrived; while a larger one
+/// arrives, the other changes are fetched beside it at this interval.
+const LARGE_RESPONSE: Duration = Duration::from_millis(200);
+
+/// A relay with the time of its arrival, on the instance's clock.
+pub type ReceivedRelay = (Relay, Millis);
 /// The sender of received relays to the task that tracks the store.
-pub type RelaySender = mpsc::Sender<Relay>;
+pub type RelaySender = mpsc::Sender<ReceivedRelay>;
 
 /// Creates the channel for received relays.
 #[must_use]
-pub fn relay_channel() -> (RelaySender, mpsc::Receiver<Relay>) {
+pub fn relay_channel() -> (RelaySender, mpsc::Receiver<ReceivedRelay>) {
     mpsc::channel(MAX_RELAYS)
 }
 
@@ -61,29 +70,43 @@
     Receiving,
 }
 
-/// The progress of an instance in tracking the store.
+/// The document as it was read on its own.
+#[derive(Debug)]
+struct DocumentRead {
+    /// The document, if there is one.
+    item: Option<Item>,
+    /// The store's revision at the read.
+    revision: u64,
+    /// The time at which the call was sent.
+    asked: Millis,
+}
+
+/// The tracking of the store's changes by an instance.
 #[derive(Debug)]
 struct Follower {
     /// The state of the instance, to which changes are applied.
     gateway: Arc<Gateway>,
     /// The socket from which relays are sent.
     socket: Arc<UdpSocket>,
-    /// The revision up to which all changes are applied.
-    revision: u64,
+    /// How far the changes are known.
+    progress: Progress,
     /// Whether the last call to the store succeeded.
     store_ok: bool,
     /// The time of this instance's own last successful read or watch of the store, on its clock.
     last_read: Millis,
+    /// The read of the document that is in progress, if any.
+    document: JoinSet<Result<DocumentRead, KvError>>,
 }
 
 /// Reads all keys and then tracks the store's changes, until the task is aborted.
 pub async fn follow(
     gateway: Arc<Gateway>,
     socket: Arc<UdpSocket>,
-    mut relays: mpsc::Receiver<Relay>,
+    mut relays: mpsc::Receiver<ReceivedRelay>,
 ) {
     let mut store_ok = true;
     loop {
+        let asked = gateway.now();
         let revision = match read_all(&gateway).await {
             Ok(revision) => revision,
             Err(error) => {
@@ -95,9 +118,10 @@
         let mut follower = Follower {
             gateway: gateway.clone(),
             socket: socket.clone(),
-            revision,
+            progress: Progress::at(revision, asked),
             store_ok,
             last_read: gateway.now(),
+            document: JoinSet::new(),
         };
         follower.run(&mut relays).await;
         store_ok = follower.store_ok;
@@ -106,23 +130,20 @@
 
 impl Follower {
     /// Tracks the store's changes until those after the known revision have been compacted.
-    async fn run(&mut self, relays: &mut mpsc::Receiver<Relay>) {
+    async fn run(&mut self, relays: &mut mpsc::Receiver<ReceivedRelay>) {
         loop {
+            self.gateway.observe_progress(&self.progress);
             let mode = self.sync_mode();
             let pause = match mode {
                 SyncMode::Receiving => Duration::ZERO,
                 SyncMode::Relaying => WATCH_PAUSE,
                 SyncMode::Direct => watch_pause(&self.gateway),
             };
-            let result = if mode != SyncMode::Receiving || self.receive(relays).await {
-                self.watch(mode).await
-            } else {
-                Ok(())
-            };
+            let result = self.step(mode, relays).await;
             match result {
                 Ok(()) => sleep(pause).await,
                 Err(KvError::Compacted) => {
-                    info!(revision = self.revision; "history is gone, reading all keys");
+                    info!(revision = self.progress.revision(); "history is gone, reading all keys");
                     return;
                 }
                 Err(error) => {
@@ -133,6 +154,37 @@
         }
     }
 
+    /// Waits for changes once, from the store or another instance, and applies them.
+    async fn step(
+        &mut self,
+        mode: SyncMode,
+        relays: &mut mpsc::Receiver<ReceivedRelay>,
+    ) -> Result<(), KvError> {
+        if mode != SyncMode::Receiving {
+            return self.watch(mode).await;
+        }
+        if self.document.is_empty() && self.progress.lacks_document() {
+            info!(wanted = self.progress.wanted, known = self.progress.document; "reading the document");
+            let (store, asked) = (self.gateway.store.clone(), self.gateway.now());
+            self.document.spawn(async move {
+                let (item, revision) = store.get(CONFIG_KEY).await?;
+                Ok(DocumentRead {
+                    item,
+                    revision,
+                    asked,
+                })
+            });
+        }
+        if !self.receive(relays).await? {
+            return Ok(());
+        }
+        if self.document.is_empty() {
+            self.watch(mode).await
+        } else {
+            self.watch_entries(mode).await
+        }
+    }
+
     /// Returns how this instance learns of changes at present.
     fn sync_mode(&self) -> SyncMode {
         let now = self.gateway.now();
@@ -149,68 +201,175 @@
         }
     }
 
-    /// Waits for a relay and applies it; returns whether changes must be fetched from the store.
-    async fn receive(&mut self, relays: &mut mpsc::Receiver<Relay>) -> bool {
-        if self.gateway.now() >= self.last_read + RESYNC_INTERVAL {
-            return true;
+    /// Waits for a relay or the document and applies it; returns whether other changes must be
+    /// fetched from the store.
+    async fn receive(
+        &mut self,
+        relays: &mut mpsc::Receiver<ReceivedRelay>,
+    ) -> Result<bool, KvError> {
+        let now = self.gateway.now();
+        if now >= self.last_read + RESYNC_INTERVAL {
+            return Ok(true);
         }
-        let limit = Duration::from_millis(RELAY_TIMEOUT);
-        let Ok(Some(relay)) = timeout(limit, relays.recv()).await else {
-            return true;
-        };
+        let age = now.saturating_sub(self.progress.entries_seen);
+        let limit = Duration::from_millis(RELAY_TIMEOUT.saturating_sub(age));
+        tokio::select! {
+            Some(read) = self.document.join_next() => {
+                let read = read.unwrap_or_else(|error| Err(KvError::Lost(error.to_string())))?;
+                if let Some(item) = read.item {
+                    apply(&self.gateway, Change::Written(item));
+                }
+                self.progress.record_document(read.revision, read.asked);
+                Ok(false)
+            }
+            received = timeout(limit, relays.recv()) => match received {
+                Ok(Some((relay, arrival))) => Ok(self.apply_relay(relay, arrival)),
+                Ok(None) | Err(_) => Ok(true),
+            }
+        }
+    }
+
+    /// Applies a relay; returns whether changes before it must be fetched from the store.
+    fn apply_relay(&mut self, relay: Relay, arrival: Millis) -> bool {
         if relay.recovered {
             // Entries may have vanished only because they were not renewed while the store failed.
             let now = self.gateway.now();
             self.gateway.fleet().record_store_failure(now);
         }
-        match relay.continue_from(self.revision) {
-            Continuation::Known => false,
-            Continuation::Gap => true,
-            Continuation::Changes(changes, revision) => {
+        let seen = arrival.saturating_sub(relay.age);
+        let (range, to) = (relay.document, relay.to);
+        match relay.continue_from(self.progress.entries) {
+            Continuation::Known => {}
+            Continuation::Gap => {
+                self.progress.want_document(range.missing);
+                return true;
+            }
+            Continuation::Changes(changes, _) => {
                 self.gateway
                     .fleet()
                     .record_store_contact(self.gateway.now());
-                self.apply_all(Changes { changes, revision });
-                false
+                for change in changes {
+                    apply(&self.gateway, change);
+                }
             }
         }
+        self.progress.record_relay(to, range, seen);
+        false
     }
 
     /// Waits for changes of the store and applies them, after relaying them in relaying mode.
+    ///
+    /// While a large response arrives, changes of all keys but the document are fetched beside it.
     async fn watch(&mut self, mode: SyncMode) -> Result<(), KvError> {
         let wait = match mode {
             SyncMode::Receiving => NO_WAIT,
             SyncMode::Relaying => RELAY_WAIT,
             SyncMode::Direct => watch_wait(self.gateway.settings().contact_grace),
         };
-        let changes = self
-            .gateway
-            .store
-            .watch(ALL_KEYS, self.revision, wait)
-            .await?;
+        let asked = self.gateway.now();
+        let store = self.gateway.store.clone();
+        let from = self.progress.revision();
+        let response = store.watch(ALL_KEYS, from, wait).await?;
+        let mut reading = JoinSet::new();
+        reading.spawn(response.changes());
+        let mut begun = None;
+        let read = loop {
+            if let Ok(Some(read)) = timeout(LARGE_RESPONSE, reading.join_next()).await {
+                break read;
+            }
+            if begun.is_none() {
+                info!(revision = from; "large response of the store, reading other changes beside it");
+            }
+            match self.catch_up(mode, begun).await {
+                Ok(revision) => begun = begun.or(Some(revision)),
+                Err(KvError::Compacted) => return Err(KvError::Compacted),
+                Err(error) => record_failure(&self.gateway, "watch beside", &error).await,
+            }
+        };
+        let changes = read.unwrap_or_else(|error| Err(KvError::Lost(error.to_string())))?;
+        // An empty response shows that the store waited as long as it was asked to.
+        let waited = if changes.changes.is_empty() {
+            wait
+        } else {
+            Duration::ZERO
+        };
+        let seen = (asked + waited.as_millis() as Millis).min(self.gateway.now());
         let recovered = !std::mem::replace(&mut self.store_ok, true);
         if recovered {
-            info!(revision = self.revision; "store is back");
+            info!(revision = self.progress.revision(); "store is back");
         }
         self.last_read = self.gateway.now();
         self.gateway.fleet().record_store_contact(self.last_read);
         if mode == SyncMode::Relaying {
-            let mut relays = Relay::pack(self.revision, &changes);
+            let known = self.progress;
+            let mut relays = Relay::pack(known.entries, known.document, &changes);
             for relay in &mut relays {
                 relay.recovered = recovered;
             }
-            send_relays(&self.gateway, &self.socket, relays);
+            self.send(relays, seen);
         }
-        self.apply_all(changes);
+        self.apply_all(&changes);
+        self.progress.record_all(changes.revision, seen);
+        Ok(())
+    }
+
+    /// Fetches the changes of all keys but the document.
+    async fn watch_entries(&mut self, mode: SyncMode) -> Result<(), KvError> {
+        self.catch_up(mode, None).await?;
+        self.store_ok = true;
+        self.last_read = self.gateway.now();
         Ok(())
     }
 
-    /// Applies changes in the order of their revisions.
-    fn apply_all(&mut self, changes: Changes) {
-        for change in changes.changes {
-            apply(&self.gateway, change);
+    /// Fetches the changes of all keys but the document, applies them after relaying them in
+    /// relaying mode, and returns the revision up to which they are known.
+    ///
+    /// Relays mark the document as changed up to `missing`, or up to the returned revision if that
+    /// is `None`.
+    async fn catch_up(&mut self, mode: SyncMode, missing: Option<u64>) -> Result<u64, KvError> {
+        let asked = self.gateway.now();
+        let store = self.gateway.store.clone();
+        let from = self.progress.entries;
+        let response = store.watch(TARGETS, from, NO_WAIT).await?;
+        let mut changes = response.changes().await?;
+        let response = store.watch(OWN_KEYS, from, NO_WAIT).await?;
+        let mut own = response.changes().await?.changes;
+        own.retain(|change| revision_of(change) <= changes.revision);
+        changes.changes.append(&mut own);
+        changes.changes.sort_by_key(revision_of);
+        self.gateway.fleet().record_store_contact(asked);
+        let revision = changes.revision;
+        if mode == SyncMode::Relaying {
+            let known = self.progress;
+            let mut relays = Relay::pack(known.entries, known.document, &changes);
+            for relay in &mut relays {
+                relay.withhold_document(missing.unwrap_or(revision));
+            }
+            self.send(relays, asked);
+        }
+        self.apply_all(&changes);
+        self.progress.record_entries(revision, asked);
+        self.gateway.observe_progress(&self.progress);
+        Ok(revision)
+    }
+
+    /// Sends relays of changes that include all that the store had acknowledged at `seen`.
+    fn send(&self, mut relays: Vec<Relay>, seen: Millis) {
+        let age = self.gateway.now().saturating_sub(seen);
+        for relay in &mut relays {
+            relay.age = age;
+        }
+        send_relays(&self.gateway, &self.socket, relays);
+    }
+
+    /// Applies changes in the order of their revisions, unless they are known.
+    fn apply_all(&self, changes: &Changes) {
+        for change in &changes.changes {
+            let is_document = matches!(change, Change::Written(item) if item.key == CONFIG_KEY);
+            if is_document || revision_of(change) > self.progress.entries {
+                apply(&self.gateway, change.clone());
+            }
         }
-        self.revision = changes.revision.max(self.revision);
     }
 }
 
--- a/crates/cactuslane-gateway/tests/relay.rs
+++ b/crates/cactuslane-gateway/tests/relay.rs
@@ -2,6 +2,7 @@
 
 use cactuslane_gateway::control::backoff_factor;
 use cactuslane_gateway::relay::{Continuation, Relay, is_watcher};
+use cactuslane_platform::store::CONFIG_KEY;
 use cactuslane_store::kv::{Change, Changes, Item};
 use yare::parameterized;
 
@@ -56,7 +57,7 @@
         changes: vec![written(11, 5), deleted(12), written(14, 5)],
         revision: 14,
     };
-    let (all, revision, missing) = apply(Relay::pack(10, &changes), known);
+    let (all, revision, missing) = apply(Relay::pack(10, 10, &changes), known);
     let mut expected = changes.changes;
     expected.retain(|change| match change {
         Change::Written(item) => applied.contains(&item.revision),
@@ -76,7 +77,7 @@
         changes: changes.clone(),
         revision: 45,
     };
-    let relays = Relay::pack(0, &packed);
+    let relays = Relay::pack(0, 0, &packed);
     assert!(relays.len() > 1);
     for relay in &relays {
         let bytes: usize = relay
@@ -95,7 +96,7 @@
         changes: vec![written(1, 10), written(2, 100_000), written(3, 10)],
         revision: 3,
     };
-    let relays = Relay::pack(0, &packed);
+    let relays = Relay::pack(0, 0, &packed);
     let (all, known, gap) = apply(relays.clone(), 0);
     assert_eq!((all, known, gap), (vec![written(1, 10)], 1, true));
     // The missing change has been read from the store in the meantime.
@@ -139,7 +140,7 @@
         changes,
         revision: 6,
     };
-    let relays = Relay::pack(3, &packed);
+    let relays = Relay::pack(3, 3, &packed);
     let (all, known, gap) = apply(relays.clone(), 3);
     assert_eq!((all, known, gap), (vec![written(4, 10)], 4, true));
     assert_eq!(apply(relays, 5), (vec![written(6, 10)], 6, false));
@@ -157,3 +158,33 @@
     assert!(calls <= most, "{calls}");
     assert!(backoff_factor(others) <= 8.0);
 }
+
+#[test]
+fn a_large_document_leaves_no_gap_but_is_marked_as_missing() {
+    let document = |revision, bytes| {
+        Change::Written(Item {
+            key: CONFIG_KEY.to_owned(),
+            value: vec![7; bytes],
+            revision,
+        })
+    };
+    let changes = Changes {
+        changes: vec![written(11, 5), document(12, 20_000), written(13, 5)],
+        revision: 14,
+    };
+    let relays = Relay::pack(10, 10, &changes);
+    assert_eq!(relays[0].document.missing, 12);
+    let (all, revision, gap) = apply(relays, 10);
+    assert_eq!((all.len(), revision, gap), (2, 14, false));
+    // A small one is applied even if the entries are known beyond its revision.
+    let changes = Changes {
+        changes: vec![written(11, 5), document(12, 20)],
+        revision: 14,
+    };
+    let relays = Relay::pack(13, 10, &changes);
+    assert_eq!((relays[0].document.from, relays[0].document.to), (10, 14));
+    let Continuation::Changes(changes, _) = relays[0].clone().continue_from(13) else {
+        panic!("the relay goes further than the instance");
+    };
+    assert_eq!(changes, [document(12, 20)]);
+}
--- a/crates/cactuslane-store/src/kv.rs
+++ b/crates/cactuslane-store/src/kv.rs
@@ -6,11 +6,11 @@
 use std::time::Duration;
 
 use http_body_util::{BodyExt, Full};
-use hyper::Request;
-use hyper::body::{Body, Bytes};
+use hyper::body::{Body, Bytes, Incoming};
+use hyper::{Request, Response};
 use prometheus_client::metrics::counter::Counter;
 use prometheus_client::metrics::family::Family;
-use tokio::time::{Instant, timeout_at};
+use tokio::time::timeout;
 
 use crate::http::{Client, HttpError, MAX_RESPONSE_BYTES};
 
@@ -20,11 +20,14 @@
 /// [`KvError::label`]).
 pub type CallLabels = [(&'static str, &'static str); 2];
 
-/// Timeout of one call except watches, from connecting to the end of the response.
+/// Timeout of one call except watches, from connecting to the head of the response.
 const CALL_TIMEOUT: Duration = Duration::from_millis(1500);
 /// Time beyond the requested wait of a watch after which it is considered broken and fails with
 /// [`KvError::Lost`].
 pub const WATCH_GRACE: Duration = Duration::from_millis(700);
+/// Time without a further byte of a response's body after which its connection is considered
+/// broken. The body as a whole has no timeout, as a large one takes its time on a slow link.
+const STALL_TIMEOUT: Duration = Duration::from_millis(700);
 
 /// A key-value pair with the revision of its last change.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -51,6 +54,15 @@
     },
 }
 
+/// Returns the revision of a change.
+#[must_use]
+pub fn revision_of(change: &Change) -> u64 {
+    match change {
+        Change::Written(item) => item.revision,
+        Change::Deleted { revision, .. } => *revision,
+    }
+}
+
 /// One page of a range of keys.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Page {
@@ -102,6 +114,10 @@
     pub range: fn(prefix: &str, after: Option<&str>) -> Call,
     /// Decodes the response to `range`.
     pub read_page: fn(u16, &[u8]) -> Result<Page, KvError>,
+    /// Builds the call that reads one key.
+    pub key: fn(key: &str) -> Call,
+    /// Decodes the response to `key`: the item, if it exists, and the store's revision.
+    pub read_key: fn(u16, &[u8]) -> Result<(Option<Item>, u64), KvError>,
     /// Builds the call that waits for changes of the keys with a prefix after a revision.
     pub watch: fn(prefix: &str, after: u64, wait: Duration) -> Call,
     /// Decodes the response to `watch`.
@@ -220,22 +236,33 @@
         }
     }
 
-    /// Waits up to `wait` for changes of the keys with a prefix after revision `after`.
+    /// Reads one key; returns the item, if it exists, and the store's revision at the read.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the response is lost or cannot be decoded.
+    pub async fn get(&self, key: &str) -> Result<(Option<Item>, u64), KvError> {
+        let (call, read) = ((self.codec.key)(key), self.codec.read_key);
+        self.call("key", call, CALL_TIMEOUT, read).await
+    }
+
+    /// Waits up to `wait` for changes of the keys with a prefix after revision `after`, and returns
+    /// the response once it has begun to arrive.
     ///
     /// # Errors
     ///
-    /// Returns [`KvError::Compacted`] if the history after `after` is no longer available, so that
-    /// the keys must be read again with [`KvClient::range`], and [`KvError::Lost`] if there is no
-    /// complete response within `wait` plus [`WATCH_GRACE`].
+    /// Returns [`KvError::Lost`] if no response begins within `wait` plus [`WATCH_GRACE`].
     pub async fn watch(
         &self,
         prefix: &str,
         after: u64,
         wait: Duration,
-    ) -> Result<Changes, KvError> {
+    ) -> Result<WatchResponse, KvError> {
         let call = (self.codec.watch)(prefix, after, wait);
-        let read = self.codec.read_changes;
-        self.call("watch", call, wait + WATCH_GRACE, read).await
+        let response = self.begin(call, wait + WATCH_GRACE).await;
+        let response = response.inspect_err(|error| self.count("watch", Some(error)))?;
+        let client = self.clone();
+        Ok(WatchResponse { client, response })
     }
 
     /// Applies an update and returns its revision.
@@ -276,16 +303,23 @@
         wait: Duration,
         read: fn(u16, &[u8]) -> Result<T, KvError>,
     ) -> Result<T, KvError> {
-        let response = self.send(call, wait).await;
-        let result = response.and_then(|(status, body)| read(status, &body));
-        let label = result.as_ref().err().map_or("ok", KvError::label);
+        let result = match self.begin(call, wait).await {
+            Ok(response) => response.read(read).await,
+            Err(error) => Err(error),
+        };
+        self.count(operation, result.as_ref().err());
+        result
+    }
+
+    /// Counts a completed call.
+    fn count(&self, operation: &'static str, error: Option<&KvError>) {
+        let label = error.map_or("ok", KvError::label);
         let labels = [("call", operation), ("result", label)];
         self.calls.get_or_create(&labels).inc();
-        result
     }
 
-    /// Sends a call and returns the status and the complete body of the response.
-    async fn send(&self, call: Call, wait: Duration) -> Result<(u16, Bytes), KvError> {
+    /// Sends a call and returns the response once its head has been received.
+    async fn begin(&self, call: Call, wait: Duration) -> Result<PendingResponse, KvError> {
         let body = Bytes::from(call.body.unwrap_or_default());
         let request = Request::builder()
             .method(call.method)
@@ -293,26 +327,59 @@
             .header("content-type", "application/json")
             .body(Full::new(body))
             .map_err(|error| KvError::Malformed(error.to_string()))?;
-        let deadline = Instant::now() + wait;
-        let response = match timeout_at(deadline, self.client.send(request)).await {
-            Ok(Ok(response)) => response,
-            Ok(Err(HttpError::Connect(why))) => return Err(KvError::Unreachable(why)),
-            Ok(Err(HttpError::Broken(why))) => return Err(KvError::Lost(why)),
-            Err(_) => return Err(KvError::Lost(format!("no response within {wait:?}"))),
-        };
-        let status = response.status().as_u16();
-        let expected = response.body().size_hint().exact();
-        let mut body = response.into_body();
+        match timeout(wait, self.client.send(request)).await {
+            Ok(Ok(response)) => Ok(PendingResponse(response)),
+            Ok(Err(HttpError::Connect(why))) => Err(KvError::Unreachable(why)),
+            Ok(Err(HttpError::Broken(why))) => Err(KvError::Lost(why)),
+            Err(_) => Err(KvError::Lost(format!("no response within {wait:?}"))),
+        }
+    }
+}
+
+/// The response to a watch, whose changes may still be arriving.
+#[derive(Debug)]
+pub struct WatchResponse {
+    /// The client that sent the watch.
+    client: KvClient,
+    /// The response, of which the head has been received.
+    response: PendingResponse,
+}
+
+impl WatchResponse {
+    /// Reads the changes.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`KvError::Compacted`] if the history after the watched revision is no longer
+    /// available, so that the keys must be read again with [`KvClient::range`], and
+    /// [`KvError::Lost`] if the response breaks off or stalls for 700 ms.
+    pub async fn changes(self) -> Result<Changes, KvError> {
+        let result = self.response.read(self.client.codec.read_changes).await;
+        self.client.count("watch", result.as_ref().err());
+        result
+    }
+}
+
+/// A response of which the head has been received.
+#[derive(Debug)]
+struct PendingResponse(Response<Incoming>);
+
+impl PendingResponse {
+    /// Receives the rest of the response and decodes it.
+    async fn read<T>(self, read: fn(u16, &[u8]) -> Result<T, KvError>) -> Result<T, KvError> {
+        let status = self.0.status().as_u16();
+        let expected = self.0.body().size_hint().exact();
+        let mut body = self.0.into_body();
         let mut received = Vec::new();
         loop {
-            let Ok(frame) = timeout_at(deadline, body.frame()).await else {
+            let Ok(frame) = timeout(STALL_TIMEOUT, body.frame()).await else {
                 let (length, expected) = (received.len(), expected.unwrap_or_default());
                 return Err(KvError::Lost(format!(
-                    "{length} of {expected} bytes received within {wait:?}"
+                    "stalled for {STALL_TIMEOUT:?} after {length} of {expected} bytes"
                 )));
             };
             let Some(frame) = frame else {
-                return Ok((status, received.into()));
+                return read(status, &received);
             };
             let frame = frame.map_err(|error| KvError::Lost(error.to_string()))?;
             if let Ok(data) = frame.into_data() {
