Reproduce refusals by an instance that is cut off from all targets

Links between one instance and all targets hang or are reset, while callers and the other five instances reach it. The pool can be told to connect to a proxy in place of a target's address.

--- a/crates/cactuslane-gateway/src/upstream.rs
+++ b/crates/cactuslane-gateway/src/upstream.rs
@@ -36,6 +36,8 @@
 /// Idle connections to targets, for later requests.
 #[derive(Debug, Default)]
 pub struct ConnectionPool {
+    /// Addresses that are connected to in place of those of targets, where a proxy is between.
+    proxies: Mutex<BTreeMap<SocketAddr, SocketAddr>>,
     /// Idle connections by target, the most recently used one last.
     idle: Mutex<BTreeMap<TargetId, Vec<PooledConnection>>>,
 }
@@ -64,6 +66,31 @@
 }
 
 impl ConnectionPool {
+    /// Connects to a proxy in place of an address from now on.
+    pub fn use_proxy(&self, address: SocketAddr, proxy: SocketAddr) {
+        let mut proxies = self.proxies.lock().unwrap_or_else(PoisonError::into_inner);
+        proxies.insert(address, proxy);
+    }
+
+    /// Returns the address to connect to in place of a target's.
+    fn proxy_of(&self, address: SocketAddr) -> SocketAddr {
+        let proxies = self.proxies.lock().unwrap_or_else(PoisonError::into_inner);
+        proxies.get(&address).copied().unwrap_or(address)
+    }
+
+    /// Establishes a TCP connection to a target's address within 450 ms.
+    ///
+    /// # Errors
+    ///
+    /// Returns the reason why there is none.
+    pub async fn dial(&self, address: SocketAddr) -> Result<TcpStream, String> {
+        let address = self.proxy_of(address);
+        timeout(CONNECT_TIMEOUT, TcpStream::connect(address))
+            .await
+            .map_err(|_| format!("no connection within {CONNECT_TIMEOUT:?}"))?
+            .map_err(|error| error.to_string())
+    }
+
     /// Returns an idle connection to a target, or establishes a new one.
     ///
     /// # Errors
@@ -91,10 +118,7 @@
         address: SocketAddr,
     ) -> Result<PooledConnection, SendError> {
         let unsent = |error: String| SendError::Unsent(error);
-        let connecting = timeout(CONNECT_TIMEOUT, TcpStream::connect(address)).await;
-        let stream = connecting
-            .map_err(|_| unsent(format!("no connection within {CONNECT_TIMEOUT:?}")))?
-            .map_err(|error| unsent(error.to_string()))?;
+        let stream = self.dial(address).await.map_err(unsent)?;
         set_socket_options(&stream);
         let allowance = Allowance::default();
         let stream = MeteredStream::new(stream, allowance.clone());
--- a/crates/cactuslane-gateway/tests/serving/main.rs
+++ b/crates/cactuslane-gateway/tests/serving/main.rs
@@ -2,6 +2,7 @@
 
 mod control;
 mod crashes;
+mod cut;
 mod deployment;
 mod invalid;
 mod leaving;
