--- a/crates/cactuslane-gateway/src/watch.rs
+++ b/crates/cactuslane-gateway/src/watch.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use cactuslane_platform::store::{CONFIG_KEY, TARGETS};
-use cactuslane_store::kv::{Change, Changes, Item, KvError, WATCH_GRACE, revision_of};
+use cactuslane_store::kv::{Change, Changes, KeyRead, KvError, WATCH_GRACE, revision_of};
 use cactuslane_types::Millis;
 use log::{info, warn};
 use tokio::net::UdpSocket;
@@ -70,17 +70,6 @@
     Receiving,
 }
 
-/// The document as it was read on its own.
-#[derive(Debug)]
-struct DocumentRead {
-    /// The document, if there is one.
-    item: Option<Item>,
-    /// The store's revision at the read.
-    revision: u64,
-    /// The time at which the call was sent.
-    asked: Millis,
-}
-
 /// The tracking of the store's changes by an instance.
 #[derive(Debug)]
 struct Follower {
@@ -94,8 +83,8 @@
     store_ok: bool,
     /// The time of this instance's own last successful read or watch of the store, on its clock.
     last_read: Millis,
-    /// The read of the document that is in progress, if any.
-    document: JoinSet<Result<DocumentRead, KvError>>,
+    /// The read of the document that is in progress, if any, with the time at which it began.
+    document: JoinSet<Result<(KeyRead, Millis), KvError>>,
 }
 
 /// Reads all keys and then tracks the store's changes, until the task is aborted.
@@ -166,14 +155,8 @@
         if self.document.is_empty() && self.progress.lacks_document() {
             info!(wanted = self.progress.wanted, known = self.progress.document; "reading the document");
             let (store, asked) = (self.gateway.store.clone(), self.gateway.now());
-            self.document.spawn(async move {
-                let (item, revision) = store.get(CONFIG_KEY).await?;
-                Ok(DocumentRead {
-                    item,
-                    revision,
-                    asked,
-                })
-            });
+            self.document
+                .spawn(async move { Ok((store.get(CONFIG_KEY).await?, asked)) });
         }
         if !self.receive(relays).await? {
             return Ok(());
@@ -215,11 +198,12 @@
         let limit = Duration::from_millis(RELAY_TIMEOUT.saturating_sub(age));
         tokio::select! {
             Some(read) = self.document.join_next() => {
-                let read = read.unwrap_or_else(|error| Err(KvError::Lost(error.to_string())))?;
+                let read = read.unwrap_or_else(|error| Err(KvError::Lost(error.to_string())));
+                let (read, asked) = read?;
                 if let Some(item) = read.item {
                     apply(&self.gateway, Change::Written(item));
                 }
-                self.progress.record_document(read.revision, read.asked);
+                self.progress.record_document(read.revision, asked);
                 Ok(false)
             }
             received = timeout(limit, relays.recv()) => match received {
--- a/crates/cactuslane-store/src/kv.rs
+++ b/crates/cactuslane-store/src/kv.rs
@@ -63,6 +63,15 @@
     }
 }
 
+/// The result of the read of one key.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct KeyRead {
+    /// The item; `None` if the key does not exist.
+    pub item: Option<Item>,
+    /// The store's revision at the read.
+    pub revision: u64,
+}
+
 /// One page of a range of keys.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Page {
@@ -116,8 +125,8 @@
     pub read_page: fn(u16, &[u8]) -> Result<Page, KvError>,
     /// Builds the call that reads one key.
     pub key: fn(key: &str) -> Call,
-    /// Decodes the response to `key`: the item, if it exists, and the store's revision.
-    pub read_key: fn(u16, &[u8]) -> Result<(Option<Item>, u64), KvError>,
+    /// Decodes the response to `key`.
+    pub read_key: fn(u16, &[u8]) -> Result<KeyRead, KvError>,
     /// Builds the call that waits for changes of the keys with a prefix after a revision.
     pub watch: fn(prefix: &str, after: u64, wait: Duration) -> Call,
     /// Decodes the response to `watch`.
@@ -236,12 +245,12 @@
         }
     }
 
-    /// Reads one key; returns the item, if it exists, and the store's revision at the read.
+    /// Reads one key.
     ///
     /// # Errors
     ///
     /// Returns an error if the response is lost or cannot be decoded.
-    pub async fn get(&self, key: &str) -> Result<(Option<Item>, u64), KvError> {
+    pub async fn get(&self, key: &str) -> Result<KeyRead, KvError> {
         let (call, read) = ((self.codec.key)(key), self.codec.read_key);
         self.call("key", call, CALL_TIMEOUT, read).await
     }
