Pass requests on to another instance while cut off from all targets

Cause: each failure counted for the one target, and there was no way for a request but from this instance to a target. Now Reach decides, without I/O, from failures, silence, trial connections and the others' reports of answers whether the cut is the instance's own: trial connections to targets of several services failed before and after another instance heard one. While it holds, each request goes to one other instance, which serves it as its own and never passes it on; three are asked at most, the second only if the first is not reached, declines, or the request may be repeated within the budget. At most 64 requests and 16 MiB are taken at once. A request whose attempts were all unsent is passed on as well. Failures in doubt are kept from the other instances and are no evidence of crashes; trial connections find the end of the cut.

--- a/crates/cactuslane-gateway/src/crashes.rs
+++ b/crates/cactuslane-gateway/src/crashes.rs
@@ -13,12 +13,12 @@
 use cactuslane_types::{Millis, TargetId};
 use log::{info, warn};
 use serde::{Deserialize, Serialize};
-use tokio::net::TcpStream;
-use tokio::time::{Instant, sleep, timeout};
+use tokio::time::{Instant, sleep};
 
 use crate::limits;
 use crate::peers;
 use crate::ranking::top_ranked;
+use crate::reach;
 use crate::state::Gateway;
 
 /// Prefix of the keys of held parts in the store, followed by the part's id in hexadecimal.
@@ -26,7 +26,6 @@
 /// Prefix of the keys of held requests in the store, followed by the fingerprint in hexadecimal.
 const REQUESTS_PREFIX: &str = "cactuslane/held-requests/";
 /// Maximum time to wait for a connection that shows whether a target still runs.
-const CONNECT_TIMEOUT: Duration = Duration::from_millis(450);
 /// Interval at which the store's copy of the held suspects is compared with those known here.
 const STORE_INTERVAL: Duration = Duration::from_millis(500);
 /// Value of `Retry-After` while the instance that grants trials of a suspect does not answer.
@@ -185,8 +184,9 @@
     let sent_ms = sent.elapsed().as_millis() as u64;
     let attempt = Attempt::new(info, gateway.now().saturating_sub(sent_ms));
     tokio::spawn(async move {
-        let connecting = timeout(CONNECT_TIMEOUT, TcpStream::connect(target.address)).await;
-        let crashed = !matches!(connecting, Ok(Ok(_)));
+        gateway.pool.reach().record_failure(gateway.now());
+        let refused = gateway.pool.dial(target.address).await.is_err();
+        let crashed = refused && !reach::is_own_fault(&gateway).await;
         let names: Vec<String> = attempt.parts.iter().map(|id| format!("{id:x}")).collect();
         info!(
             request,
@@ -195,6 +195,7 @@
             fingerprint = format!("{:x}", attempt.request),
             parts = names.join(","),
             sent_ms_ago = sent_ms,
+            refused,
             crashed;
             "lost before its first event"
         );
--- a/crates/cactuslane-gateway/src/fleet.rs
+++ b/crates/cactuslane-gateway/src/fleet.rs
@@ -9,7 +9,7 @@
 use cactuslane_flight::routing_config::RoutingConfig;
 use cactuslane_flight::target::{Target, TargetState};
 use cactuslane_place::Observed;
-use cactuslane_types::{Millis, Role, SoftwareVersion, TargetId};
+use cactuslane_types::{Millis, Role, ServiceName, SoftwareVersion, TargetId};
 
 /// Time within which an engine whose answers show first one role and then the other is considered
 /// to be changing its role, in milliseconds.
@@ -136,6 +136,18 @@
         self.targets.values().filter(usable).count()
     }
 
+    /// Returns the targets that take new work, with their services.
+    #[must_use]
+    pub fn usable(&self, now: Millis) -> Vec<(TargetId, ServiceName)> {
+        let mut usable = Vec::new();
+        for (id, entry) in &self.targets {
+            if self.may_use(entry, now) {
+                usable.push((id.clone(), entry.target.service.clone()));
+            }
+        }
+        usable
+    }
+
     /// Records that all targets were listed at `now`.
     pub fn record_listing(&mut self, now: Millis) {
         self.versions.record_listing(now);
--- a/crates/cactuslane-gateway/src/generation.rs
+++ b/crates/cactuslane-gateway/src/generation.rs
@@ -93,7 +93,7 @@
 /// Executes a request and returns its answer; a separate task forwards the body of a stream.
 pub async fn execute(
     gateway: &Arc<Gateway>,
-    request: CallerRequest,
+    request: Arc<CallerRequest>,
     state: RequestState,
 ) -> Response<AnswerBody> {
     let origin = origins::find(gateway, &request).await;
@@ -108,7 +108,7 @@
         runs: 0,
         denials: Denials::default(),
         prompt_denied: false,
-        request: Arc::new(request),
+        request,
         state,
         tried: Vec::new(),
     };
--- a/crates/cactuslane-gateway/src/ingress.rs
+++ b/crates/cactuslane-gateway/src/ingress.rs
@@ -7,7 +7,7 @@
 
 use cactuslane_flight::request_info::fingerprint;
 use cactuslane_flight::routing_config::{Limits, Route, RoutingConfig};
-use cactuslane_flight::{Refusal, RequestInfo, RequestState, stopping};
+use cactuslane_flight::{AttemptFailure, Refusal, RequestInfo, RequestState, stopping};
 use cactuslane_platform::exchange;
 use cactuslane_types::TargetId;
 use http_body_util::{BodyExt, LengthLimitError, Limited};
@@ -22,6 +22,7 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio::time::Instant;
 
+use crate::passing::{self, TakenGuard};
 use crate::reply::{self, AnswerBody, Cause};
 use crate::state::Gateway;
 use crate::upstream::set_socket_options;
@@ -34,6 +35,8 @@
 /// Value of `Retry-After` when this instance is stopping: the caller may send the request to
 /// another instance immediately.
 const STOPPING_RETRY_AFTER: Duration = Duration::ZERO;
+/// Cause of a refusal after attempts of which none was sent.
+const UNSENT: &str = plain::failure_label(AttemptFailure::Unsent);
 /// Smallest `max_buf_size` that hyper accepts, in bytes; also added to the limit on the head.
 const MIN_BUFFER: usize = 8 << 10;
 
@@ -69,6 +72,23 @@
         let mut targets = self.targets.lock().unwrap_or_else(PoisonError::into_inner);
         targets.insert(target.to_owned())
     }
+
+    /// Returns the time that is left until the deadline of the caller or of the route.
+    #[must_use]
+    pub fn time_left(&self) -> Duration {
+        let limit = self.info.timeout.unwrap_or(self.route.timeout);
+        let limit = limit.min(self.route.timeout);
+        limit.saturating_sub(self.arrived.elapsed())
+    }
+}
+
+/// Where a request comes from.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum RequestSource {
+    /// A caller sent it to this instance.
+    Caller,
+    /// Another instance passed it on, so that this one does not do so again.
+    Instance,
 }
 
 /// Guard that logs and counts a request that gets no answer.
@@ -102,10 +122,15 @@
 
 /// Accepts callers' connections until the task is aborted.
 pub async fn serve(gateway: Arc<Gateway>, listener: TcpListener) {
+    accept(gateway, listener, RequestSource::Caller).await;
+}
+
+/// Accepts connections and serves their requests until the task is aborted.
+pub async fn accept(gateway: Arc<Gateway>, listener: TcpListener, source: RequestSource) {
     loop {
         match listener.accept().await {
             Ok((stream, _)) => {
-                tokio::spawn(serve_connection(gateway.clone(), stream));
+                tokio::spawn(serve_connection(gateway.clone(), stream, source));
             }
             Err(error) => {
                 info!(error:% = error; "caller not accepted");
@@ -117,7 +142,7 @@
 
 /// Serves the requests of one connection, with the limits on heads and idle time that were in force
 /// when it was accepted.
-async fn serve_connection(gateway: Arc<Gateway>, stream: TcpStream) {
+async fn serve_connection(gateway: Arc<Gateway>, stream: TcpStream, source: RequestSource) {
     set_socket_options(&stream);
     let _guard = gateway.count_connection();
     let limits = gateway
@@ -125,7 +150,7 @@
         .map_or_else(Limits::default, |config| config.limits);
     let service = service_fn(|request| {
         let gateway = gateway.clone();
-        async move { Ok::<_, Infallible>(respond(&gateway, request).await) }
+        async move { Ok::<_, Infallible>(respond(&gateway, request, source).await) }
     });
     let connection = http1::Builder::new()
         .timer(TokioTimer::new())
@@ -138,7 +163,11 @@
 }
 
 /// Answers one request; counts the final answer, and logs it unless it is a success.
-async fn respond(gateway: &Arc<Gateway>, request: Request<Incoming>) -> Response<AnswerBody> {
+async fn respond(
+    gateway: &Arc<Gateway>,
+    request: Request<Incoming>,
+    source: RequestSource,
+) -> Response<AnswerBody> {
     let guard = gateway.count_request();
     let arrived = Instant::now();
     let info = exchange::request_info(request.headers());
@@ -152,7 +181,7 @@
     let (kind, mut response) = match read_request(gateway, info, request).await {
         Ok(caller_request) => (
             metrics::route_kind(&caller_request.route),
-            execute(gateway, caller_request).await,
+            execute(gateway, caller_request, source).await,
         ),
         Err(response) => ("none", response),
     };
@@ -263,11 +292,12 @@
 
 /// Executes a request, unless the instance is stopping and might not complete it before the end of
 /// the grace period.
-async fn execute(gateway: &Arc<Gateway>, request: CallerRequest) -> Response<AnswerBody> {
-    let time_limit = request.info.timeout.unwrap_or(request.route.timeout);
-    let time_limit = time_limit
-        .min(request.route.timeout)
-        .saturating_sub(request.arrived.elapsed());
+async fn execute(
+    gateway: &Arc<Gateway>,
+    request: CallerRequest,
+    source: RequestSource,
+) -> Response<AnswerBody> {
+    let time_limit = request.time_left();
     let grace = gateway.settings().grace;
     if let Some(since) = gateway.since_stop()
         && !stopping::accepts_request(since, grace, time_limit)
@@ -284,6 +314,38 @@
             "stopping",
         );
     }
+    let may_pass = source == RequestSource::Caller;
+    if may_pass && gateway.pool.reach().is_cut() {
+        return passing::pass_on(gateway, &request).await;
+    }
+    let request = Arc::new(request);
+    if may_pass {
+        let response = execute_here(gateway, &request, time_limit).await;
+        // Only the refusals of this instance itself promise that the request did not run.
+        let is_unsent = response.extensions().get::<Cause>() == Some(&Cause(UNSENT));
+        let is_refused = response.status() == StatusCode::SERVICE_UNAVAILABLE;
+        if is_refused && is_unsent && gateway.pool.reach().is_unreached() {
+            return passing::pass_on(gateway, &request).await;
+        }
+        return response;
+    }
+    let peer = exchange::passed_by(&request.headers);
+    let taken = TakenGuard::take(gateway, request.body.len());
+    let is_cut = gateway.pool.reach().is_cut();
+    let Some(_taken) = taken.filter(|_| !is_cut) else {
+        info!(request = request.info.id, peer, is_cut; "request of another instance not taken");
+        return passing::decline(&request.info.id);
+    };
+    info!(request = request.info.id, peer; "request of another instance taken");
+    execute_here(gateway, &request, time_limit).await
+}
+
+/// Executes a request at the targets.
+async fn execute_here(
+    gateway: &Arc<Gateway>,
+    request: &Arc<CallerRequest>,
+    time_limit: Duration,
+) -> Response<AnswerBody> {
     gateway.record_request(&request.service);
     let now = gateway.now();
     let state = RequestState::new(
@@ -293,9 +355,9 @@
         time_limit,
     );
     if request.route.stream {
-        generation::execute(gateway, request, state).await
+        generation::execute(gateway, request.clone(), state).await
     } else {
-        plain::execute(gateway, &request, state).await
+        plain::execute(gateway, request, state).await
     }
 }
 
--- a/crates/cactuslane-gateway/src/lib.rs
+++ b/crates/cactuslane-gateway/src/lib.rs
@@ -23,10 +23,12 @@
 pub mod metrics;
 pub mod orders;
 pub mod origins;
+pub mod passing;
 pub mod peers;
 pub mod plain;
 pub mod progress;
 pub mod ranking;
+pub mod reach;
 pub mod relay;
 pub mod reply;
 pub mod state;
@@ -49,6 +51,8 @@
 /// Time before the end of the grace period at which a stopping instance no longer waits for
 /// requests; also the margin added to the time for which callers may cache its address.
 const STOP_MARGIN: Duration = Duration::from_millis(350);
+/// Number of free ports that are tried for the address between instances.
+const BIND_ATTEMPTS: u32 = 20;
 /// Interval at which a stopping instance checks whether all requests and connections have ended.
 const STOP_CHECK_INTERVAL: Duration = Duration::from_millis(100);
 
@@ -82,10 +86,7 @@
     pub async fn spawn(mut settings: Settings) -> Result<GatewayHandle, SpawnError> {
         let front = bind(&mut settings.front, "front").await?;
         let ready = bind(&mut settings.ready, "ready").await?;
-        let failed =
-            |error: io::Error| SpawnError(format!("peer address {}: {error}", settings.peer));
-        let socket = UdpSocket::bind(settings.peer).await.map_err(failed)?;
-        settings.peer = socket.local_addr().map_err(failed)?;
+        let (socket, passed) = bind_peer(&mut settings.peer).await?;
         let directory = match settings.directory {
             Some(ref mut address) => Some(bind(address, "directory").await?),
             None => None,
@@ -107,6 +108,8 @@
             tokio::spawn(crashes::store_held(gateway.clone())),
             tokio::spawn(orders::run_leader(gateway.clone())),
             tokio::spawn(peers::exchange(gateway.clone(), socket, relay_sender)),
+            tokio::spawn(reach::run(gateway.clone())),
+            tokio::spawn(passing::serve(gateway.clone(), passed)),
             tokio::spawn(ingress::serve(gateway.clone(), front)),
             tokio::spawn(directory::serve(gateway.clone(), ready)),
         ];
@@ -160,6 +163,30 @@
     }
 }
 
+/// Binds the UDP socket for messages between instances and the TCP listener for requests that they
+/// pass on, at the same address, and sets `address` to the bound one.
+async fn bind_peer(address: &mut SocketAddr) -> Result<(UdpSocket, TcpListener), SpawnError> {
+    let mut attempts = if address.port() == 0 {
+        BIND_ATTEMPTS
+    } else {
+        1
+    };
+    loop {
+        attempts -= 1;
+        let mut bound = *address;
+        let listener = bind(&mut bound, "peer").await?;
+        match UdpSocket::bind(bound).await {
+            Ok(socket) => {
+                *address = bound;
+                return Ok((socket, listener));
+            }
+            // Another socket may have the port that was chosen for the listener.
+            Err(_) if attempts > 0 => {}
+            Err(error) => return Err(SpawnError(format!("peer address {bound}: {error}"))),
+        }
+    }
+}
+
 /// Binds a TCP listener and sets `address` to the bound one, which replaces port 0 by the chosen
 /// port.
 async fn bind(address: &mut SocketAddr, name: &str) -> Result<TcpListener, SpawnError> {
--- a/crates/cactuslane-gateway/src/members.rs
+++ b/crates/cactuslane-gateway/src/members.rs
@@ -183,6 +183,19 @@
         alive
     }
 
+    /// Returns the instances that may serve the callers of this one, with their failure domains:
+    /// those that are reachable and not leaving.
+    #[must_use]
+    pub fn helpers(&self, now: Millis) -> Vec<(InstanceId, DomainName)> {
+        let mut helpers = Vec::new();
+        for (instance, known) in &self.members {
+            if known.is_alive(now) {
+                helpers.push((instance.clone(), known.member.domain.clone()));
+            }
+        }
+        helpers
+    }
+
     /// Returns the number of instances that are reachable and not leaving.
     #[must_use]
     pub fn count_alive(&self, now: Millis) -> usize {
--- a/crates/cactuslane-gateway/src/metered.rs
+++ b/crates/cactuslane-gateway/src/metered.rs
@@ -3,16 +3,48 @@
 use std::io;
 use std::pin::Pin;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering};
 use std::task::{Context, Poll, ready};
 
+use cactuslane_types::Millis;
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
+use tokio::time::Instant;
 
 /// Number of bytes that may still be read from a connection.
 #[derive(Clone, Debug)]
 pub struct Allowance(Arc<AtomicUsize>);
 
+/// The time at which a byte of any target last arrived.
+#[derive(Clone, Debug)]
+pub struct Heard {
+    /// The time that counts as 0.
+    origin: Instant,
+    /// Milliseconds since then, plus 1; 0 if no byte arrived.
+    at: Arc<AtomicU64>,
+}
+
+impl Heard {
+    /// Creates the record, with the origin of the instance's clock.
+    #[must_use]
+    pub fn new(origin: Instant) -> Self {
+        let at = Arc::default();
+        Self { origin, at }
+    }
+
+    /// Records that a byte arrives now.
+    fn record(&self) {
+        let now = self.origin.elapsed().as_millis() as u64;
+        self.at.store(now + 1, Ordering::Relaxed);
+    }
+
+    /// Returns the time at which a byte last arrived.
+    #[must_use]
+    pub fn last(&self) -> Option<Millis> {
+        self.at.load(Ordering::Relaxed).checked_sub(1)
+    }
+}
+
 /// A connection that fails when more bytes arrive than its allowance.
 #[derive(Debug)]
 pub struct MeteredStream {
@@ -20,6 +52,8 @@
     stream: TcpStream,
     /// Number of bytes that may still be read.
     allowance: Allowance,
+    /// Record of the arrival of bytes.
+    heard: Heard,
 }
 
 impl Default for Allowance {
@@ -45,8 +79,12 @@
 impl MeteredStream {
     /// Creates a stream of which no more is read than the allowance says.
     #[must_use]
-    pub fn new(stream: TcpStream, allowance: Allowance) -> Self {
-        Self { stream, allowance }
+    pub fn new(stream: TcpStream, allowance: Allowance, heard: Heard) -> Self {
+        Self {
+            stream,
+            allowance,
+            heard,
+        }
     }
 }
 
@@ -59,6 +97,9 @@
         let before = buffer.filled().len();
         ready!(Pin::new(&mut self.stream).poll_read(context, buffer))?;
         let read = buffer.filled().len() - before;
+        if read > 0 {
+            self.heard.record();
+        }
         if !self.allowance.take(read) {
             let error = io::Error::new(io::ErrorKind::InvalidData, "the target sends too much");
             return Poll::Ready(Err(error));
--- a/crates/cactuslane-gateway/src/metrics.rs
+++ b/crates/cactuslane-gateway/src/metrics.rs
@@ -35,6 +35,8 @@
     pub cut_streams: Counter,
     /// Requests for permits for targets that have a limit, by result.
     permits: Family<Labels, Counter>,
+    /// Requests passed on to other instances, by result.
+    passed: Family<Labels, Counter>,
     /// Prompt parts on which targets crash, by what happened to them or to a request with one.
     held_parts: Family<Labels, Counter>,
     /// Times from the arrival of a request until its answer can be forwarded, in seconds, by kind
@@ -79,6 +81,8 @@
     /// Time since all that the store had acknowledged of the configuration was known, in
     /// milliseconds.
     document_age: Gauge,
+    /// 1 if this instance is cut off from all targets, and 0 otherwise.
+    cut: Gauge,
     /// 1 if this instance is the leader, which gives orders to engines, and 0 otherwise.
     office: Gauge,
 }
@@ -94,6 +98,7 @@
             attempts: Family::default(),
             cut_streams: Counter::default(),
             permits: Family::default(),
+            passed: Family::default(),
             held_parts: Family::default(),
             first_byte: Family::new_with_constructor(histogram as fn() -> Histogram),
             pauses: histogram(),
@@ -137,6 +142,11 @@
                 &self.transfers,
             ),
             ("orders", "Orders to engines by result", &self.orders),
+            (
+                "passed_requests",
+                "Requests passed on to other instances, by result",
+                &self.passed,
+            ),
             (
                 "permits",
                 "Requests for permits for targets with a limit, by result",
@@ -182,6 +192,11 @@
                 "Time since all acknowledged changes of the configuration were known",
                 &gauges.document_age,
             ),
+            (
+                "cut_off",
+                "Whether the instance is cut off from all targets",
+                &gauges.cut,
+            ),
             ("office", "Whether the office is held", &gauges.office),
         ];
         for (name, help, gauge) in gauges_by_name {
@@ -243,6 +258,11 @@
         self.permits.get_or_create(&vec![("result", result)]).inc();
     }
 
+    /// Counts a request that was passed on to another instance, by its result there.
+    pub fn count_passed(&self, result: &'static str) {
+        self.passed.get_or_create(&vec![("result", result)]).inc();
+    }
+
     /// Counts an event of a prompt part on which targets crash.
     pub fn count_held(&self, event: &'static str) {
         self.held_parts.get_or_create(&vec![("event", event)]).inc();
@@ -274,6 +294,7 @@
         let last_contact = fleet.store_contact().unwrap_or(0);
         drop(fleet);
         self.limited.set(gateway.placer().limits.count() as i64);
+        self.cut.set(i64::from(gateway.pool.reach().is_cut()));
         let progress = gateway.progress();
         let age = |seen: u64| now.saturating_sub(seen) as i64;
         self.entries_age
--- a/crates/cactuslane-gateway/src/orders.rs
+++ b/crates/cactuslane-gateway/src/orders.rs
@@ -78,7 +78,9 @@
         }
         if gateway.leadership().is_held(boot_millis()) {
             campaign_at = None;
-            state.order_changes(&gateway);
+            if !gateway.pool.reach().is_cut() {
+                state.order_changes(&gateway);
+            }
             continue;
         }
         gateway.placer().load_view.set_changing(Vec::new());
--- /dev/null
+++ b/crates/cactuslane-gateway/src/passing.rs
@@ -0,0 +1,227 @@
+//! Requests that an instance without links to targets passes on to another instance, once.
+//!
+//! The other instance serves such a request as one of its own callers', except that it never passes
+//! it on again. It takes them at the address for messages between instances.
+
+use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::time::Duration;
+
+use cactuslane_flight::Refusal;
+use cactuslane_flight::routing_config::RetryPolicy;
+use cactuslane_platform::exchange;
+use cactuslane_store::http::HttpError;
+use cactuslane_types::InstanceId;
+use http_body_util::{BodyExt, Either, Full};
+use hyper::body::{Bytes, Incoming};
+use hyper::{Request, Response, Uri};
+use log::{info, warn};
+use tokio::net::TcpListener;
+use tokio::sync::mpsc;
+use tokio::time::{Instant, timeout};
+
+use crate::ingress::{self, CallerRequest, RequestSource};
+use crate::plain::unknown_outcome;
+use crate::reply::{self, AnswerAborted, AnswerBody, ChunkStream};
+use crate::state::Gateway;
+
+/// Number of instances that are asked to serve a request.
+const MAX_HELPERS: usize = 3;
+/// Largest number of requests of other instances' callers in progress at this instance.
+const MAX_TAKEN: usize = 64;
+/// Largest size of their bodies together, in bytes.
+const MAX_TAKEN_BYTES: usize = 16 << 20;
+/// Time beyond a request's deadline for which the other instance's own answer is awaited.
+const ANSWER_GRACE: Duration = Duration::from_millis(100);
+/// Value of `Retry-After` when no instance takes a request.
+const NO_HELPER_RETRY_AFTER: Duration = Duration::from_millis(500);
+/// Number of parts of an answer that are queued for a slow caller.
+const CHANNEL_CAPACITY: usize = 64;
+
+/// Requests of other instances' callers in progress.
+#[derive(Debug, Default)]
+pub struct TakenRequests {
+    /// Their number.
+    count: AtomicUsize,
+    /// The size of their bodies, in bytes.
+    bytes: AtomicUsize,
+}
+
+/// Guard that counts a request of another instance's caller until it is dropped.
+#[derive(Debug)]
+pub struct TakenGuard {
+    /// State that holds the counters.
+    gateway: Arc<Gateway>,
+    /// Size of the request's body, in bytes.
+    bytes: usize,
+}
+
+impl TakenGuard {
+    /// Counts a request with a body of so many bytes; `None` if there are too many.
+    #[must_use]
+    pub fn take(gateway: &Arc<Gateway>, bytes: usize) -> Option<Self> {
+        let taken = &gateway.taken;
+        // The guard is created first, so that it also takes back what is counted here.
+        let guard = Self {
+            gateway: gateway.clone(),
+            bytes,
+        };
+        let count = taken.count.fetch_add(1, Ordering::Relaxed) + 1;
+        let total = taken.bytes.fetch_add(bytes, Ordering::Relaxed) + bytes;
+        (count <= MAX_TAKEN && total <= MAX_TAKEN_BYTES).then_some(guard)
+    }
+}
+
+impl Drop for TakenGuard {
+    fn drop(&mut self) {
+        let taken = &self.gateway.taken;
+        taken.count.fetch_sub(1, Ordering::Relaxed);
+        taken.bytes.fetch_sub(self.bytes, Ordering::Relaxed);
+    }
+}
+
+/// Accepts requests that other instances pass on, until the task is aborted.
+pub async fn serve(gateway: Arc<Gateway>, listener: TcpListener) {
+    ingress::accept(gateway, listener, RequestSource::Instance).await;
+}
+
+/// Returns the answer of an instance that takes no request of others' callers at present.
+#[must_use]
+pub fn decline(id: &str) -> Response<AnswerBody> {
+    let mut response = refuse(id);
+    exchange::decline(response.headers_mut());
+    response
+}
+
+/// Passes a request on to another instance and returns its answer; a separate task forwards the
+/// body.
+///
+/// The request must not have run, and must not be the caller of another instance's. It is sent to a
+/// second instance only if the first one cannot be reached or declines it, or if it may be repeated
+/// and the retry budget allows that.
+pub async fn pass_on(gateway: &Arc<Gateway>, request: &CallerRequest) -> Response<AnswerBody> {
+    let id = &request.info.id;
+    let mut asked = Vec::new();
+    while asked.len() < MAX_HELPERS {
+        let left = request.time_left();
+        if left.is_zero() {
+            break;
+        }
+        let Some((helper, outgoing)) = prepare(gateway, request, left, &asked) else {
+            break;
+        };
+        info!(
+            request = id,
+            helper,
+            left_ms = left.as_millis() as u64,
+            last_event = request.info.last_event.unwrap_or(0);
+            "request passed on"
+        );
+        asked.push(helper);
+        let began = Instant::now();
+        let sending = gateway.helpers.send(outgoing);
+        let result = timeout(left + ANSWER_GRACE, sending).await;
+        let after_ms = began.elapsed().as_millis() as u64;
+        match result {
+            Ok(Ok(response)) if exchange::is_declined(response.headers()) => {
+                gateway.metrics.count_passed("declined");
+                info!(request = id, after_ms; "other instance takes no request");
+            }
+            Ok(Ok(response)) => {
+                gateway.metrics.count_passed("answered");
+                return return_answer(gateway, request, response);
+            }
+            Ok(Err(HttpError::Connect(why))) => {
+                gateway.metrics.count_passed("unsent");
+                warn!(request = id, why, after_ms; "other instance not reached");
+            }
+            Ok(Err(HttpError::Broken(why))) => {
+                gateway.metrics.count_passed("broken");
+                warn!(request = id, why, after_ms; "other instance gave no answer");
+                let may_repeat = request.route.retry != RetryPolicy::Never;
+                if !may_repeat || !gateway.take_retry(&request.service) {
+                    return unknown_outcome(request);
+                }
+            }
+            Err(_) => {
+                gateway.metrics.count_passed("late");
+                return reply::refusal(id, Refusal::TimedOut, Duration::ZERO, "late");
+            }
+        }
+    }
+    warn!(request = id, asked = asked.len(); "no instance takes the request");
+    refuse(id)
+}
+
+/// Chooses an instance that was not asked yet, and builds the request for it.
+fn prepare(
+    gateway: &Gateway,
+    request: &CallerRequest,
+    left: Duration,
+    asked: &[InstanceId],
+) -> Option<(InstanceId, Request<Full<Bytes>>)> {
+    let now = gateway.now();
+    let settings = gateway.settings();
+    let mut candidates = gateway.members().helpers(now);
+    candidates.retain(|(instance, _)| !asked.contains(instance));
+    let mut reach = gateway.pool.reach();
+    let helper = reach.choose_helper(&candidates, &settings.domain, &mut rand::rng(), now)?;
+    drop(reach);
+    let address = gateway.members().reachable_address(&helper, now)?;
+    let path = request
+        .uri
+        .path_and_query()
+        .map_or("/", |path| path.as_str());
+    let uri: Uri = format!("http://{address}{path}").parse().ok()?;
+    let mut outgoing = Request::new(Full::new(request.body.clone()));
+    *outgoing.method_mut() = request.method.clone();
+    *outgoing.uri_mut() = uri;
+    *outgoing.headers_mut() = exchange::passed_headers(&request.headers, &settings.instance, left);
+    Some((helper, outgoing))
+}
+
+/// Returns another instance's answer, and starts a task that forwards its body.
+fn return_answer(
+    gateway: &Arc<Gateway>,
+    request: &CallerRequest,
+    response: Response<Incoming>,
+) -> Response<AnswerBody> {
+    let (head, mut body) = response.into_parts();
+    let (sender, receiver) = mpsc::channel(CHANNEL_CAPACITY);
+    let guard = gateway.count_request();
+    let id = request.info.id.clone();
+    let end = Instant::now() + request.time_left() + ANSWER_GRACE;
+    tokio::spawn(async move {
+        let _guard = guard;
+        loop {
+            let frame = tokio::select! {
+                frame = tokio::time::timeout_at(end, body.frame()) => frame,
+                () = sender.closed() => return,
+            };
+            let part = match frame {
+                Ok(None) => return,
+                Ok(Some(Ok(frame))) => match frame.into_data() {
+                    Ok(data) => Ok(data),
+                    Err(_) => continue,
+                },
+                Ok(Some(Err(_))) | Err(_) => {
+                    warn!(request = id; "answer of the other instance broke off");
+                    Err(AnswerAborted)
+                }
+            };
+            let is_last = part.is_err();
+            if sender.send(part).await.is_err() || is_last {
+                return;
+            }
+        }
+    });
+    let mut answer = Response::new(Either::Right(ChunkStream::new(receiver)));
+    *answer.status_mut() = head.status;
+    *answer.headers_mut() = exchange::returned_headers(&head.headers);
+    answer
+}
+
+/// Returns the refusal of a request that no instance takes.
+fn refuse(id: &str) -> Response<AnswerBody> {
+    reply::refusal(id, Refusal::NotRun, NO_HELPER_RETRY_AFTER, "no instance")
+}
--- a/crates/cactuslane-gateway/src/peers.rs
+++ b/crates/cactuslane-gateway/src/peers.rs
@@ -6,7 +6,7 @@
 
 use cactuslane_flight::origin::StreamId;
 use cactuslane_place::load_view::PeerUpdate;
-use cactuslane_place::{LimitNotice, Observation, Observed, PermitAnswer, Suspect};
+use cactuslane_place::{LimitNotice, Observation, Observed, PermitAnswer, ReachReport, Suspect};
 use cactuslane_types::{InstanceId, SoftwareVersion};
 use log::{debug, info, warn};
 use rand::seq::SliceRandom;
@@ -46,8 +46,8 @@
 /// A message between instances, encoded with postcard.
 #[derive(Debug, Serialize, Deserialize)]
 enum Message {
-    /// The sender's load, cache updates and observations.
-    Update(PeerUpdate),
+    /// The sender's load, cache updates and observations, and the state of its links to targets.
+    Update(PeerUpdate, ReachReport),
     /// Store changes that the sender read.
     Relay(Relay),
     /// The limit of a target, as the sender has just learned it.
@@ -158,7 +158,15 @@
         );
         let own_placed = placer.load_view.own_placed();
         let changing = placer.load_view.own_changing().to_vec();
+        let withheld = if gateway.pool.reach().is_in_doubt() {
+            placer.observations.drop_failures()
+        } else {
+            Vec::new()
+        };
         let observations = placer.observations.take(MAX_OBSERVATIONS);
+        for failure in withheld {
+            placer.observations.add(failure);
+        }
         drop(placer);
         let loads_unchanged = loads == self.sent_loads;
         if loads_unchanged
@@ -183,9 +191,10 @@
         };
         self.sent_loads.clone_from(&update.loads);
         self.sent_at = Instant::now();
+        let report = gateway.pool.reach().report(gateway.requests(), now);
         send(
             socket,
-            &Message::Update(update),
+            &Message::Update(update, report),
             &gateway.members().peer_addresses(),
         );
     }
@@ -292,8 +301,8 @@
     from: SocketAddr,
     relays: &RelaySender,
 ) {
-    let update = match postcard::from_bytes(message) {
-        Ok(Message::Update(update)) => update,
+    let (update, report) = match postcard::from_bytes(message) {
+        Ok(Message::Update(update, report)) => (update, report),
         Ok(Message::Relay(relay)) => {
             if relays.try_send((relay, gateway.now())).is_err() {
                 debug!("relay dropped, the next one shows the gap");
@@ -354,6 +363,10 @@
     };
     let now = gateway.now();
     gateway.members().record_message(&update.instance, now);
+    gateway
+        .pool
+        .reach()
+        .apply_report(&update.instance, report, now);
     let capacities = kv_capacities(gateway, &update);
     let kv_capacity = |target: &str| {
         let found = capacities.iter().find(|(id, _)| id == target);
--- a/crates/cactuslane-gateway/src/plain.rs
+++ b/crates/cactuslane-gateway/src/plain.rs
@@ -271,8 +271,12 @@
     *outgoing.uri_mut() = origin_form(&request.uri);
     *outgoing.headers_mut() = exchange::request_headers(&request.headers, params);
     let sent = gateway.now();
+    gateway.pool.reach().record_sent(sent);
     let response = connection.send(outgoing, permit).await;
-    let response = response.map_err(attempt_failure)?;
+    let response = response.map_err(|error| {
+        gateway.pool.reach().record_failure(gateway.now());
+        attempt_failure(error)
+    })?;
     let status = response.status().as_u16();
     let verdict = exchange::verdict(&request.info.id, &target.id, status, response.headers());
     if !matches!(verdict, Verdict::Foreign | Verdict::Replaced) {
@@ -381,7 +385,7 @@
 
 /// Returns the metric label for a kind of failure, which is also the cause of a refusal after it.
 #[must_use]
-pub fn failure_label(ending: AttemptFailure) -> &'static str {
+pub const fn failure_label(ending: AttemptFailure) -> &'static str {
     match ending {
         AttemptFailure::Unsent => "unsent",
         AttemptFailure::Rejected => "rejected",
--- a/crates/cactuslane-gateway/src/state.rs
+++ b/crates/cactuslane-gateway/src/state.rs
@@ -11,6 +11,7 @@
 use cactuslane_flight::{AttemptFailure, OriginTable};
 use cactuslane_place::{CrashTracker, Load, PermitAnswer, Placer};
 use cactuslane_platform::Settings;
+use cactuslane_store::http::Client;
 use cactuslane_store::kv::KvClient;
 use cactuslane_types::{Millis, ServiceName, SoftwareVersion, TargetId};
 use log::warn;
@@ -23,6 +24,7 @@
 use crate::leadership::{LeaderRecord, Leadership};
 use crate::members::Members;
 use crate::metrics::Metrics;
+use crate::passing::TakenRequests;
 use crate::progress::Progress;
 use crate::upstream::ConnectionPool;
 
@@ -73,6 +75,10 @@
     requests: AtomicUsize,
     /// Number of open connections of callers.
     connections: AtomicUsize,
+    /// Client that passes requests on to other instances.
+    pub helpers: Client,
+    /// Requests of other instances' callers in progress, and the bytes of their bodies.
+    pub taken: TakenRequests,
 }
 
 impl Gateway {
@@ -87,10 +93,11 @@
         let placer = Placer::new(settings.domain.clone(), rand::random());
         let metrics = Metrics::new(&store.calls);
         let mut fleet = Fleet::default();
+        let clock_origin = Instant::now();
         fleet.set_fallback_period(settings.drain_limit);
         Self {
             settings: Mutex::new(Arc::new(settings)),
-            clock_origin: Instant::now(),
+            clock_origin,
             started,
             fleet: Mutex::new(fleet),
             progress: Mutex::default(),
@@ -104,13 +111,17 @@
             origins: Mutex::default(),
             peer_socket: OnceLock::new(),
             retry_budgets: Mutex::default(),
-            pool: ConnectionPool::default(),
+            pool: ConnectionPool::open(clock_origin),
             store,
             metrics,
             leaving: Mutex::default(),
             reading: AtomicUsize::new(0),
             requests: AtomicUsize::new(0),
             connections: AtomicUsize::new(0),
+            // A kept connection may have failed silently, which a request that must not be repeated
+            // would not survive.
+            helpers: Client::open_unpooled(),
+            taken: TakenRequests::default(),
         }
     }
 
--- a/crates/cactuslane-gateway/src/upstream.rs
+++ b/crates/cactuslane-gateway/src/upstream.rs
@@ -2,10 +2,11 @@
 
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
-use std::sync::{Mutex, PoisonError};
+use std::sync::{Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
-use cactuslane_types::TargetId;
+use cactuslane_place::Reach;
+use cactuslane_types::{Millis, TargetId};
 use http_body_util::Full;
 use hyper::body::{Bytes, Incoming};
 use hyper::client::conn::http1::{self, SendRequest};
@@ -16,7 +17,7 @@
 use tokio::time::{Instant, timeout};
 
 use crate::limits::Permit;
-use crate::metered::{Allowance, MeteredStream};
+use crate::metered::{Allowance, Heard, MeteredStream};
 
 /// Maximum time to establish a connection.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(450);
@@ -33,9 +34,15 @@
 /// answers included.
 const MAX_HEAD_BYTES: usize = 256 << 10;
 
-/// Idle connections to targets, for later requests.
-#[derive(Debug, Default)]
+/// Idle connections to targets, for later requests, and the state of the links to targets.
+#[derive(Debug)]
 pub struct ConnectionPool {
+    /// Time at which the instance's clock shows 0.
+    origin: Instant,
+    /// Time at which a byte of any target last arrived.
+    heard: Heard,
+    /// Whether the instance is cut off from all targets.
+    reach: Mutex<Reach>,
     /// Addresses that are connected to in place of those of targets, where a proxy is between.
     proxies: Mutex<BTreeMap<SocketAddr, SocketAddr>>,
     /// Idle connections by target, the most recently used one last.
@@ -66,6 +73,27 @@
 }
 
 impl ConnectionPool {
+    /// Creates a pool without connections; `origin` is the origin of the instance's clock.
+    #[must_use]
+    pub fn open(origin: Instant) -> Self {
+        Self {
+            origin,
+            heard: Heard::new(origin),
+            reach: Mutex::default(),
+            proxies: Mutex::default(),
+            idle: Mutex::default(),
+        }
+    }
+
+    /// Locks the state of the links to targets.
+    pub fn reach(&self) -> MutexGuard<'_, Reach> {
+        let mut reach = self.reach.lock().unwrap_or_else(PoisonError::into_inner);
+        if let Some(at) = self.heard.last() {
+            reach.record_heard(at);
+        }
+        reach
+    }
+
     /// Connects to a proxy in place of an address from now on.
     pub fn use_proxy(&self, address: SocketAddr, proxy: SocketAddr) {
         let mut proxies = self.proxies.lock().unwrap_or_else(PoisonError::into_inner);
@@ -78,6 +106,11 @@
         proxies.get(&address).copied().unwrap_or(address)
     }
 
+    /// Returns the time on the instance's clock, in milliseconds.
+    fn now(&self) -> Millis {
+        self.origin.elapsed().as_millis() as Millis
+    }
+
     /// Establishes a TCP connection to a target's address within 450 ms.
     ///
     /// # Errors
@@ -118,10 +151,13 @@
         address: SocketAddr,
     ) -> Result<PooledConnection, SendError> {
         let unsent = |error: String| SendError::Unsent(error);
-        let stream = self.dial(address).await.map_err(unsent)?;
+        let dialled = self.dial(address).await;
+        let now = self.now();
+        self.reach().record_connection(dialled.is_ok(), now);
+        let stream = dialled.map_err(unsent)?;
         set_socket_options(&stream);
         let allowance = Allowance::default();
-        let stream = MeteredStream::new(stream, allowance.clone());
+        let stream = MeteredStream::new(stream, allowance.clone(), self.heard.clone());
         let (sender, connection) = http1::handshake(TokioIo::new(stream))
             .await
             .map_err(|error| unsent(error.to_string()))?;
@@ -161,6 +197,12 @@
         idle.remove(target);
     }
 
+    /// Closes all idle connections.
+    pub fn close_all_idle(&self) {
+        let mut idle = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
+        idle.clear();
+    }
+
     /// Closes the idle connections that have expired or that the target has closed.
     pub fn remove_expired(&self) {
         let now = Instant::now();
--- a/crates/cactuslane-gateway/tests/serving/cut.rs
+++ b/crates/cactuslane-gateway/tests/serving/cut.rs
@@ -3,10 +3,18 @@
 use std::net::SocketAddr;
 
 use cactuslane_gateway::GatewayHandle;
+use cactuslane_place::ReachReport;
+use cactuslane_platform_standin::caller;
 use cactuslane_platform_standin::link::{Blackhole, Cut, Link};
+use hyper::header::HeaderValue;
+use serde_json::json;
+use tokio::io::AsyncReadExt;
+use tokio::net::TcpListener;
 use yare::parameterized;
 
-use crate::deployment::{Deployment, all_events, deploy, run_test, start_fleet};
+use crate::deployment::{
+    Deployment, all_events, deploy, read_answer, run_test, start_fleet, start_instance, wait_until,
+};
 
 /// Address at which nothing listens.
 const CLOSED: &str = "127.0.0.1:1";
@@ -89,13 +97,166 @@
         let _fleet = start_fleet(&deployment).await;
         let links = Links::lay(&deployment, &deployment.running).await;
         serve_in_a_row(&deployment, "before").await;
+        let _streams = [
+            deployment.send("/report/7", "open-1").await,
+            deployment.send("/summary/7", "open-2").await,
+        ];
         links.cut(&deployment.running, cut);
         for id in serve_in_a_row(&deployment, "during").await {
             assert_eq!(deployment.runs(&id), 1, "{id}");
         }
+        // No target has crashed, so that no request or part of a prompt may be held.
+        let gateway = &deployment.running.gateway;
+        let crashes = gateway.crashes().update(gateway.now());
+        assert_eq!((crashes.reports, crashes.held), (vec![], vec![]));
         links.heal(&deployment.running);
         for id in serve_in_a_row(&deployment, "after").await {
             assert_eq!(deployment.runs(&id), 1, "{id}");
         }
     });
 }
+
+/// Guards against requests that go from one instance to the next, and against one that waits for
+/// its deadline when no instance can serve it.
+#[test]
+fn a_request_is_not_passed_on_twice() {
+    run_test(async {
+        let deployment = deploy().await;
+        let other = start_instance("front-2", &deployment.store).await;
+        let knows = |running: &GatewayHandle| running.gateway.alive_peers() == 1;
+        wait_until(|| knows(&deployment.running) && knows(&other)).await;
+        let links = Links::lay(&deployment, &deployment.running).await;
+        serve_in_a_row(&deployment, "before").await;
+        links.cut(&deployment.running, Cut::Reset);
+        serve_in_a_row(&deployment, "during").await;
+        let more_links = Links::lay(&deployment, &other).await;
+        more_links.cut(&other, Cut::Reset);
+        // The last answers of targets still count for the other instance until its links fail.
+        let mut refused = 0;
+        while refused < 3 {
+            let id = format!("refused-{refused}");
+            let answer = deployment.ask("/correction/7", &id).await;
+            if answer.status == 503 {
+                assert!(answer.retry_after);
+                assert_eq!(deployment.runs(&id), 0);
+                refused += 1;
+            }
+        }
+        assert!(deployment.running.gateway.pool.reach().is_cut());
+    });
+}
+
+/// Guards against the claim that a request did not run which an instance took and did not answer,
+/// and against its repetition.
+#[parameterized(
+    not_repeatable = { "/correction/7", 502, 1 },
+    stream = { "/report/7", 502, 1 },
+)]
+fn a_request_that_is_lost_with_the_other_instance_is_not_repeated(
+    path: &str,
+    status: u16,
+    sent: usize,
+) {
+    let path = path.to_owned();
+    run_test(async move {
+        let deployment = deploy().await;
+        let links = Links::lay(&deployment, &deployment.running).await;
+        links.cut(&deployment.running, Cut::Reset);
+        let listener = TcpListener::bind("127.0.0.1:0").await;
+        let listener = listener.expect("a port can be bound");
+        let peer = listener.local_addr().expect("it is bound");
+        let gateway = deployment.running.gateway.clone();
+        for name in ["lost-1", "lost-2"] {
+            let entry = json!({
+                "instance": name, "front": "127.0.0.1:9", "peer": peer, "domain": "a",
+                "leaving": false, "started": 1,
+            });
+            let key = format!("cactuslane/instances/{name}");
+            deployment.store.write(&key, &entry);
+            wait_until(|| {
+                let now = gateway.now();
+                let mut members = gateway.members();
+                members.record_message(name, now);
+                members.reachable_address(name, now).is_some()
+            })
+            .await;
+        }
+        let reporting = tokio::spawn({
+            let gateway = gateway.clone();
+            async move {
+                loop {
+                    let now = gateway.now();
+                    for name in ["lost-1", "lost-2"] {
+                        gateway.members().record_message(name, now);
+                        let report = ReachReport {
+                            heard_age: Some(0),
+                            ..ReachReport::default()
+                        };
+                        gateway.pool.reach().apply_report(name, report, now);
+                    }
+                    tokio::time::sleep(std::time::Duration::from_millis(50)).await;
+                }
+            }
+        });
+        let taken = tokio::spawn(async move {
+            let mut requests = 0;
+            while let Ok((mut stream, _)) = listener.accept().await {
+                let mut buffer = [0; 4096];
+                if stream.read(&mut buffer).await.unwrap_or(0) > 0 {
+                    requests += 1;
+                }
+                if requests == 2 {
+                    break;
+                }
+            }
+            requests
+        });
+        let _ = deployment.ask("/lookup/7", "first").await;
+        wait_until(|| gateway.pool.reach().is_cut()).await;
+        let before = gateway.metrics.text(&gateway);
+        let answer = deployment.ask(&path, "once").await;
+        assert_eq!(answer.status, status, "{}", answer.body);
+        let after = gateway.metrics.text(&gateway);
+        let broken = |text: &str| {
+            let line = text
+                .lines()
+                .find(|line| line.contains("passed_requests") && line.contains("broken"));
+            line.and_then(|line| line.rsplit(' ').next()?.parse::<usize>().ok())
+                .unwrap_or(0)
+        };
+        assert_eq!(broken(&after) - broken(&before), sent);
+        assert_eq!(deployment.runs("once"), 0);
+        reporting.abort();
+        taken.abort();
+    });
+}
+
+/// Guards against a way for callers to be taken for another instance, whose requests are never
+/// passed on.
+#[test]
+fn callers_cannot_claim_to_be_another_instance() {
+    run_test(async {
+        let deployment = deploy().await;
+        let _fleet = start_fleet(&deployment).await;
+        let links = Links::lay(&deployment, &deployment.running).await;
+        links.cut(&deployment.running, Cut::Reset);
+        let mut served = 0;
+        while served < 3 {
+            let id = format!("claim-{served}");
+            let mut request = caller::request(deployment.front(), "/correction/7", &id);
+            let name = "cactuslane-passed-by";
+            request
+                .headers_mut()
+                .insert(name, HeaderValue::from_static("front-9"));
+            let response = deployment
+                .client
+                .send(request)
+                .await
+                .expect("it is answered");
+            if read_answer(response).await.status == 200 {
+                assert_eq!(deployment.runs(&id), 1);
+                served += 1;
+            }
+        }
+    });
+}
--- a/crates/cactuslane-place/src/lib.rs
+++ b/crates/cactuslane-place/src/lib.rs
@@ -3,7 +3,7 @@
 //! [`Placer`] chooses targets by their load ([`LoadView`]), which instances exchange with each
 //! other, and by the estimated contents of their prefix caches ([`CacheEstimate`]). [`TargetLimits`]
 //! keeps the limits that targets name for all instances together. [`CrashTracker`] finds requests
-//! and prompt parts on which targets crash.
+//! and prompt parts on which targets crash. [`Reach`] tells whether the instance itself is cut off.
 
 pub mod cache;
 pub mod crashes;
@@ -11,6 +11,7 @@
 pub mod load_view;
 pub mod observations;
 pub mod placer;
+pub mod reach;
 pub mod roles;
 pub mod speed;
 
@@ -20,5 +21,6 @@
 pub use load_view::{CacheUpdate, Load, LoadView, PeerUpdate, PlacedWork};
 pub use observations::{Observation, Observed};
 pub use placer::{Placement, PlacementRequest, Placer, Plan};
+pub use reach::{Reach, ReachChange, ReachReport};
 pub use roles::RolePlanner;
 pub use speed::PromptSpeed;
--- a/crates/cactuslane-place/src/observations.rs
+++ b/crates/cactuslane-place/src/observations.rs
@@ -79,6 +79,15 @@
         self.pending.drain(..limit).collect()
     }
 
+    /// Removes the unsent failures of targets, which are kept back while they may be due to this
+    /// instance's own links, and returns them.
+    pub fn drop_failures(&mut self) -> Vec<Observation> {
+        let failures = |observation: &Observation| observation.observed == Observed::Failed;
+        let (failed, others) = self.pending.drain(..).partition(failures);
+        self.pending = others;
+        failed
+    }
+
     /// Adds a failure that another instance reports of a target.
     ///
     /// Returns true, and discards the target's reports, once at least two other instances have
--- a/crates/cactuslane-place/src/placer.rs
+++ b/crates/cactuslane-place/src/placer.rs
@@ -387,6 +387,12 @@
         }
     }
 
+    /// Forgets the failures of all targets, which were due to this instance's own links.
+    pub fn forget_failures(&mut self) {
+        self.health.clear();
+        self.observations.drop_failures();
+    }
+
     /// Pauses a target that several other instances report as failing, unless it is paused already.
     fn apply_failure_report(&mut self, target: &str, instance: &str, now: Millis) {
         if !self.observations.add_failure_report(target, instance, now) {
