Count a request taken for another instance until its stream has ended

The count of requests that an instance serves for others ended with the head of a stream, so that the bound of 64 did not hold for streams. Found by reading; the guard now belongs to the request. Tests of the gateway pass; no run shows the bound itself.

--- a/crates/cactuslane-gateway/src/ingress.rs
+++ b/crates/cactuslane-gateway/src/ingress.rs
@@ -61,6 +61,8 @@
     pub body: Bytes,
     /// Time at which the head had arrived.
     pub arrived: Instant,
+    /// Count of a request that another instance passed on, kept until its answer has ended.
+    taken: Option<TakenGuard>,
     /// Targets to which it was sent.
     targets: Mutex<BTreeSet<TargetId>>,
 }
@@ -286,6 +288,7 @@
         headers: parts.headers,
         body,
         arrived,
+        taken: None,
         targets: Mutex::default(),
     })
 }
@@ -294,7 +297,7 @@
 /// the grace period.
 async fn execute(
     gateway: &Arc<Gateway>,
-    request: CallerRequest,
+    mut request: CallerRequest,
     source: RequestSource,
 ) -> Response<AnswerBody> {
     let time_limit = request.time_left();
@@ -318,8 +321,8 @@
     if may_pass && gateway.pool.reach().is_cut() {
         return passing::pass_on(gateway, &request).await;
     }
-    let request = Arc::new(request);
     if may_pass {
+        let request = Arc::new(request);
         let response = execute_here(gateway, &request, time_limit).await;
         // Only the refusals of this instance itself promise that the request did not run.
         let is_unsent = response.extensions().get::<Cause>() == Some(&Cause(UNSENT));
@@ -332,12 +335,13 @@
     let peer = exchange::passed_by(&request.headers);
     let taken = TakenGuard::take(gateway, request.body.len());
     let is_cut = gateway.pool.reach().is_cut();
-    let Some(_taken) = taken.filter(|_| !is_cut) else {
+    if is_cut || taken.is_none() {
         info!(request = request.info.id, peer, is_cut; "request of another instance not taken");
         return passing::decline(&request.info.id);
-    };
+    }
     info!(request = request.info.id, peer; "request of another instance taken");
-    execute_here(gateway, &request, time_limit).await
+    request.taken = taken;
+    execute_here(gateway, &Arc::new(request), time_limit).await
 }
 
 /// Executes a request at the targets.
--- a/crates/cactuslane-gateway/src/passing.rs
+++ b/crates/cactuslane-gateway/src/passing.rs
@@ -96,8 +96,8 @@
 /// Passes a request on to another instance and returns its answer; a separate task forwards the
 /// body.
 ///
-/// The request must not have run, and must not be the caller of another instance's. It is sent to a
-/// second instance only if the first one cannot be reached or declines it, or if it may be repeated
+/// The request must not have run, and must not have been passed on before. It is sent to a second
+/// instance only if the first one cannot be reached or declines it, or if it may be repeated
 /// and the retry budget allows that.
 pub async fn pass_on(gateway: &Arc<Gateway>, request: &CallerRequest) -> Response<AnswerBody> {
     let id = &request.info.id;
