Do not say that a request did not run that was lost with another instance

A request that may be repeated, was passed on, lost with the first instance and then found no second one was refused with 503, which promises that it did not run; it may have. Found by reading. Cause: the refusal at the end of pass_on did not regard earlier sends. It now answers 502 if one was lost. The case 'repeatable' of a_request_that_is_lost_with_other_instances_is_not_said_not_to_have_run got 503 before and 502 after; the two older cases of the test are unchanged.

--- a/crates/cactuslane-gateway/src/passing.rs
+++ b/crates/cactuslane-gateway/src/passing.rs
@@ -102,6 +102,7 @@
 pub async fn pass_on(gateway: &Arc<Gateway>, request: &CallerRequest) -> Response<AnswerBody> {
     let id = &request.info.id;
     let mut asked = Vec::new();
+    let mut may_have_run = false;
     while asked.len() < MAX_HELPERS {
         let left = request.time_left();
         if left.is_zero() {
@@ -138,6 +139,7 @@
             Ok(Err(HttpError::Broken(why))) => {
                 gateway.metrics.count_passed("broken");
                 warn!(request = id, why, after_ms; "other instance gave no answer");
+                may_have_run = true;
                 let may_repeat = request.route.retry != RetryPolicy::Never;
                 if !may_repeat || !gateway.take_retry(&request.service) {
                     return unknown_outcome(request);
@@ -149,7 +151,10 @@
             }
         }
     }
-    warn!(request = id, asked = asked.len(); "no instance takes the request");
+    warn!(request = id, asked = asked.len(), may_have_run; "no instance takes the request");
+    if may_have_run {
+        return unknown_outcome(request);
+    }
     refuse(id)
 }
 
