Let streams go on after a loss of all instances while versions are mixed

Cause: the versions that began streams were known to instances alone, and the only version of a service took twice the route's time-out to be known.

Change: the store lists the versions at which streams may begin (a write when that changes), so that an instance that has just started knows at once whether there was only one; a version gets streams once it is listed, unless nothing else is left. While a service has several, each process records the streams it began, grouped, under a lease. What has no record is refused as before.

--- a/crates/cactuslane-flight/src/lib.rs
+++ b/crates/cactuslane-flight/src/lib.rs
@@ -6,8 +6,9 @@
 //!
 //! [`routing_config`] holds the routing configuration, [`request_info`] the parameters of a
 //! caller's request and [`target`] the targets. [`events`] splits event streams at event
-//! boundaries, [`origin`] keeps the versions that began streams, [`budget`] limits retries to a share of the requests, and [`stopping`] decides which
-//! requests an instance still accepts after the signal to stop.
+//! boundaries, [`origin`] keeps the versions that began streams, [`budget`] limits retries to a
+//! share of the requests, and [`stopping`] decides which requests an instance still accepts after
+//! the signal to stop.
 
 pub mod budget;
 pub mod events;
@@ -20,7 +21,7 @@
 
 pub use budget::WindowedRetryBudget;
 pub use events::EventScanner;
-pub use origin::{OriginTable, StreamOrigin, VersionHistory};
+pub use origin::{BegunStreams, OriginTable, StreamOrigin, VersionHistory};
 pub use request_info::{PromptPart, RequestInfo};
 pub use request_state::{AttemptFailure, Refusal, RequestState, Step};
 pub use routing_config::{EngineSpec, Limits, RetryPolicy, Route, RoutingConfig, Service};
--- a/crates/cactuslane-flight/src/origin.rs
+++ b/crates/cactuslane-flight/src/origin.rs
@@ -1,9 +1,14 @@
 //! The software versions that began streams, as other versions cannot go on with them.
 
+mod begun;
+mod history;
+
 use std::collections::{BTreeMap, BTreeSet};
-use std::time::Duration;
 
-use cactuslane_types::{Millis, ServiceName, SoftwareVersion};
+use cactuslane_types::{Millis, SoftwareVersion};
+
+pub use begun::{BegunStreams, StoredStreams};
+pub use history::{VersionHistory, VersionList};
 
 use crate::request_info::{Fingerprint, fingerprint};
 use crate::target::Target;
@@ -15,8 +20,6 @@
 const RETENTION: Millis = 60_000;
 /// Largest number of streams whose versions are kept; those begun first are discarded.
 const MAX_STREAMS: usize = 16_384;
-/// Time for which a version is kept that no target has any more, in milliseconds.
-const HISTORY_RETENTION: Millis = 600_000;
 
 /// Returns the identifier of the stream that a caller's attempt with this id began.
 #[must_use]
@@ -80,55 +83,3 @@
         self.streams.get(&stream).map(|(version, _)| version)
     }
 }
-
-/// The versions that the targets of each service have had.
-#[derive(Debug, Default)]
-pub struct VersionHistory {
-    /// Time since which all of them are known.
-    since: Option<Millis>,
-    /// The last time at which a target had each version; `None` stands for targets that state none.
-    last: BTreeMap<(ServiceName, Option<SoftwareVersion>), Millis>,
-}
-
-impl VersionHistory {
-    /// Records that all targets were listed, and that some may have come and gone unseen before.
-    pub fn record_listing(&mut self, now: Millis) {
-        self.since = Some(now);
-    }
-
-    /// Records that a target has its version now, or had it until now.
-    pub fn record(&mut self, target: &Target, now: Millis) {
-        let key = (target.service.clone(), target.version.clone());
-        self.last.insert(key, now);
-        self.last.retain(|_, at| now < *at + HISTORY_RETENTION);
-    }
-
-    /// Returns the version that all targets of a service have had for a period, if it is only one.
-    ///
-    /// `present` are the targets that have their versions now.
-    #[must_use]
-    pub fn only_version<'t>(
-        &self,
-        service: &str,
-        present: impl Iterator<Item = &'t Target>,
-        period: Duration,
-        now: Millis,
-    ) -> Option<SoftwareVersion> {
-        let period = period.as_millis() as Millis;
-        if self.since.is_none_or(|since| now < since + period) {
-            return None;
-        }
-        let mut versions: BTreeSet<Option<&SoftwareVersion>> = BTreeSet::new();
-        for ((name, version), at) in &self.last {
-            if name == service && now < at + period {
-                versions.insert(version.as_ref());
-            }
-        }
-        versions.extend(present.map(|target| target.version.as_ref()));
-        let mut versions = versions.into_iter();
-        match (versions.next(), versions.next()) {
-            (Some(only), None) => only.cloned(),
-            _ => None,
-        }
-    }
-}
--- a/crates/cactuslane-flight/src/routing_config.rs
+++ b/crates/cactuslane-flight/src/routing_config.rs
@@ -116,6 +116,14 @@
 }
 
 impl RoutingConfig {
+    /// Returns the longest time that a stream may take on any route; zero if no route has streams.
+    #[must_use]
+    pub fn stream_timeout(&self) -> Duration {
+        let streams = self.routes.iter().filter(|route| route.stream);
+        let timeouts = streams.map(|route| route.timeout);
+        timeouts.max().unwrap_or_default()
+    }
+
     /// Returns the route of `host` with the longest prefix of `path`.
     #[must_use]
     pub fn find_route(&self, host: &str, path: &str) -> Option<&Route> {
--- a/crates/cactuslane-flight/tests/origin.rs
+++ b/crates/cactuslane-flight/tests/origin.rs
@@ -1,10 +1,15 @@
 //! Versions that began streams: what is kept, and what the versions of targets show.
 
+use std::collections::BTreeMap;
 use std::time::Duration;
 
-use cactuslane_flight::origin::{OriginTable, StreamOrigin, VersionHistory, stream_id};
+use cactuslane_flight::origin::{
+    BegunStreams, OriginTable, StreamOrigin, VersionHistory, VersionList, stream_id,
+};
 use cactuslane_flight::{Target, TargetState};
 use cactuslane_types::{Millis, Role};
+use rand::{Rng, SeedableRng};
+use rand_pcg::Pcg64Mcg;
 use yare::parameterized;
 
 /// Longest time since the beginning of a stream.
@@ -114,3 +119,152 @@
     assert_eq!(only(&history, 41_999), None);
     assert_eq!(only(&history, 42_000).as_deref(), Some("v1"));
 }
+
+/// Creates a list of the versions of the service `model`.
+fn list(versions: &[&str]) -> VersionList {
+    let versions = versions.iter().map(|version| Some((*version).to_owned()));
+    BTreeMap::from([("model".to_owned(), versions.collect())])
+}
+
+#[parameterized(
+    listed_alone = { &["v1"], "v1", Some("v1") },
+    another_listed = { &["v1", "v2"], "v1", None },
+    another_present = { &["v1"], "v2", None },
+    not_listed = { &[], "v1", None },
+)]
+fn an_instance_that_has_just_started_knows_the_only_version_by_the_list(
+    listed: &[&str],
+    version: &str,
+    expected: Option<&str>,
+) {
+    let mut history = VersionHistory::default();
+    if !listed.is_empty() {
+        history.set_list(list(listed), 7);
+    }
+    let present = target("model", Some(version));
+    history.record(&present, 0);
+    history.record_listing(0);
+    let only = history.only_version("model", [&present].into_iter(), PERIOD, 1);
+    assert_eq!(only.as_deref(), expected);
+    let is_mixed = history.is_mixed("model", [&present].into_iter(), PERIOD, 1);
+    assert_eq!(is_mixed, expected.is_none() && !listed.is_empty());
+    let begins = listed.is_empty() || listed.contains(&version);
+    assert_eq!(history.is_listed(&present), begins);
+}
+
+#[parameterized(
+    nothing_before_the_period = { &[], &[(0, "v1")], PERIOD_MS - 1, None },
+    the_first_list_after_it = { &[], &[(0, "v1")], PERIOD_MS, Some(&["v1"]) },
+    the_first_list_with_one_that_went = { &[], &[(0, "v1"), (5_000, "v2")], PERIOD_MS, Some(&["v1", "v2"]) },
+    a_new_version_at_once = { &["v1"], &[(0, "v2")], 1, Some(&["v1", "v2"]) },
+    as_it_should_be = { &["v1"], &[(0, "v1")], 50_000, None },
+    gone_for_less_than_the_period = { &["v1", "v2"], &[(0, "v1"), (20_000, "v2")], 31_999, None },
+    gone_for_the_period = { &["v1", "v2"], &[(0, "v1"), (20_000, "v2")], 32_000, Some(&["v2"]) },
+    perhaps_present_before_the_start = { &["v1", "v2"], &[(0, "v2")], PERIOD_MS - 1, None },
+    absent_since_the_start = { &["v1", "v2"], &[(0, "v2")], PERIOD_MS, Some(&["v2"]) },
+)]
+fn a_version_is_listed_as_long_as_streams_of_it_may_go_on(
+    listed: &[&str],
+    changes: &[(Millis, &str)],
+    now: Millis,
+    expected: Option<&[&str]>,
+) {
+    let mut history = VersionHistory::default();
+    if !listed.is_empty() {
+        history.set_list(list(listed), 7);
+    }
+    history.record_listing(0);
+    let mut present = target("model", Some(changes[0].1));
+    for (at, version) in changes {
+        history.record(&present, *at);
+        present = target("model", Some(version));
+        history.record(&present, *at);
+    }
+    let wanted = history.wanted_list([&present].into_iter(), PERIOD, now);
+    assert_eq!(wanted, expected.map(list));
+}
+
+#[test]
+fn an_older_list_does_not_replace_a_newer_one() {
+    let mut history = VersionHistory::default();
+    history.set_list(list(&["v1", "v2"]), 9);
+    history.set_list(list(&["v1"]), 8);
+    assert!(history.is_listed(&target("model", Some("v2"))));
+    assert_eq!(history.revision(), 9);
+    history.clear_list();
+    history.set_list(list(&["v1"]), 8);
+    assert!(!history.is_listed(&target("model", Some("v2"))));
+}
+
+#[test]
+fn streams_of_services_with_several_versions_are_stored_while_they_may_go_on() {
+    let mut begun = BegunStreams::default();
+    begun.record(1, "model", "v1", 0);
+    begun.record(2, "model", "v2", 1_000);
+    begun.record(3, "other", "v1", 2_000);
+    let mixed = |service: &str| service == "model";
+    let stored = begun.stored(PERIOD, mixed, PERIOD_MS - 1);
+    let expected = [("v1", vec![1]), ("v2", vec![2])];
+    let expected = expected.map(|(version, streams)| (version.to_owned(), streams));
+    assert_eq!(stored, BTreeMap::from(expected));
+    let stored = begun.stored(PERIOD, mixed, PERIOD_MS);
+    assert_eq!(stored, BTreeMap::from([("v2".to_owned(), vec![2])]));
+    assert!(begun.stored(PERIOD, |_| false, PERIOD_MS).is_empty());
+}
+
+/// Step of the simulated fleet, in milliseconds.
+const STEP: Millis = 100;
+
+/// Plays releases, returns to older versions and losses of all instances. An instance that says that
+/// streams began at one version only must be right for each of the last period.
+#[parameterized(seed_1 = { 1 }, seed_2 = { 2 }, seed_3 = { 3 }, seed_4 = { 4 }, seed_5 = { 5 })]
+fn the_only_version_is_that_of_all_streams_through_losses_of_all_instances(seed: u64) {
+    let mut random = Pcg64Mcg::seed_from_u64(seed);
+    let mut fleet = vec![target("model", Some("v1")); 3];
+    let (mut stored, mut revision) = (VersionList::new(), 0);
+    let mut history: Option<VersionHistory> = None;
+    let mut streams: Vec<(Millis, String)> = Vec::new();
+    let (mut known, mut lost) = (0, 0);
+    for now in (0..2_000_000).step_by(STEP as usize) {
+        if random.random_bool(0.004) {
+            let version = format!("v{}", random.random_range(1..4));
+            let replaced = random.random_range(0..fleet.len());
+            if let Some(history) = &mut history {
+                history.record(&fleet[replaced], now);
+            }
+            fleet[replaced] = target("model", Some(&version));
+        }
+        if random.random_bool(0.004) {
+            (history, lost) = (None, lost + 1);
+        }
+        let history = match &mut history {
+            Some(history) => history,
+            None if random.random_bool(0.9) => continue,
+            None => {
+                let started = history.insert(VersionHistory::default());
+                started.set_list(stored.clone(), revision);
+                started.record_listing(now);
+                started
+            }
+        };
+        for present in &fleet {
+            history.record(present, now);
+        }
+        if let Some(only) = history.only_version("model", fleet.iter(), PERIOD, now) {
+            known += 1;
+            let recent = streams.iter().filter(|(at, _)| now < at + PERIOD_MS);
+            assert!(recent.into_iter().all(|(_, version)| *version == only));
+        }
+        // The write of a list takes some time.
+        let wanted = history.wanted_list(fleet.iter(), PERIOD, now);
+        if let Some(wanted) = wanted.filter(|_| random.random_bool(0.3)) {
+            (stored, revision) = (wanted, revision + 1);
+            history.set_list(stored.clone(), revision);
+        }
+        let at = &fleet[random.random_range(0..fleet.len())];
+        if history.is_listed(at) || !fleet.iter().any(|target| history.is_listed(target)) {
+            streams.push((now, at.version.clone().unwrap_or_default()));
+        }
+    }
+    assert!(known > 100 && lost > 20, "{known} {lost}");
+}
--- a/crates/cactuslane-gateway/src/control.rs
+++ b/crates/cactuslane-gateway/src/control.rs
@@ -11,14 +11,16 @@
 use log::{info, warn};
 use rand::Rng;
 
-use crate::crashes;
 use crate::fleet::Effect;
 use crate::leadership::{LAST_LEADER_KEY, LEADER_KEY, LeaderRecord, boot_millis};
 use crate::members::Member;
 use crate::orders::is_candidate;
+use crate::records::RECORDS_PREFIX;
 use crate::relay::is_small_deployment;
 use crate::state::Gateway;
+use crate::versions::LIST_KEY;
 use crate::watch::ALL_KEYS;
+use crate::{crashes, records, versions};
 
 /// The prefix of all keys that instances write.
 pub const OWN_KEYS: &str = "cactuslane/";
@@ -165,6 +167,7 @@
         held.extend(crashes::stored_suspect(&item.key));
     }
     gateway.crashes().retain_stored(&held);
+    gateway.fleet().clear_version_list();
     gateway.fleet().retain(&targets, now);
     gateway.members().retain(&instances, now);
     let has = |key: &str| items.iter().any(|item| item.key == key);
@@ -223,6 +226,10 @@
             .observe_last_leader(Some(instance), item.revision);
     } else if let Some(suspect) = crashes::stored_suspect(&item.key) {
         crashes::apply_stored(gateway, suspect, item);
+    } else if item.key == LIST_KEY {
+        versions::apply_list(gateway, item);
+    } else if item.key.starts_with(RECORDS_PREFIX) {
+        records::apply_record(gateway, item);
     } else if let Some(id) = item.key.strip_prefix(MEMBER_PREFIX) {
         match serde_json::from_slice::<Member>(&item.value) {
             Ok(member) if member.instance == gateway.settings().instance => {}
@@ -281,6 +288,9 @@
     if effect == Effect::Started {
         gateway.placer().forget(id);
         gateway.pool.close_idle(id);
+        // The target may have another version than those before it.
+        gateway.versions_changed.notify_one();
+        gateway.begun_changed.notify_one();
     }
     if effect != Effect::Same {
         info!(target_id = id, state:? = state, role:? = role, revision = item.revision; "target");
--- a/crates/cactuslane-gateway/src/fleet.rs
+++ b/crates/cactuslane-gateway/src/fleet.rs
@@ -6,6 +6,7 @@
 use std::time::Duration;
 
 use cactuslane_flight::VersionHistory;
+use cactuslane_flight::origin::VersionList;
 use cactuslane_flight::routing_config::RoutingConfig;
 use cactuslane_flight::target::{Target, TargetState};
 use cactuslane_place::Observed;
@@ -153,8 +154,8 @@
         self.versions.record_listing(now);
     }
 
-    /// Returns the software version that all targets of a service have had for a period, if it is
-    /// only one and the store did not fail recently.
+    /// Returns the software version at which all streams of a service have begun within a period, if
+    /// it is known to be only one and the store did not fail recently.
     #[must_use]
     pub fn only_version(
         &self,
@@ -165,13 +166,52 @@
         if self.store_failed_recently(now) {
             return None;
         }
-        let present = self.targets.values();
-        let present = present
-            .filter(|entry| entry.lapsed.is_none() && entry.target.service == service)
-            .map(|entry| &entry.target);
+        let present = self.present().filter(|target| target.service == service);
         self.versions.only_version(service, present, period, now)
     }
 
+    /// Returns whether the streams of a service may have begun at several versions within a period.
+    #[must_use]
+    pub fn is_mixed(&self, service: &str, period: Duration, now: Millis) -> bool {
+        let present = self.present().filter(|target| target.service == service);
+        self.versions.is_mixed(service, present, period, now)
+    }
+
+    /// Returns whether the store lists the version of a target, so that a stream may begin at it
+    /// while other targets are left; any may for a service that is not listed.
+    #[must_use]
+    pub fn is_listed(&self, target: &Target) -> bool {
+        self.versions.is_listed(target)
+    }
+
+    /// Applies the list of versions that the store has at a revision.
+    pub fn set_version_list(&mut self, list: VersionList, revision: u64) {
+        self.versions.set_list(list, revision);
+    }
+
+    /// Discards the list of versions, before the store is read anew.
+    pub fn clear_version_list(&mut self) {
+        self.versions.clear_list();
+    }
+
+    /// Returns the list of versions that the store should have, with the revision of the one that
+    /// it has, if they differ and the store did not fail recently.
+    #[must_use]
+    pub fn wanted_versions(&self, period: Duration, now: Millis) -> Option<(VersionList, u64)> {
+        if self.store_failed_recently(now) {
+            return None;
+        }
+        let wanted = self.versions.wanted_list(self.present(), period, now)?;
+        Some((wanted, self.versions.revision()))
+    }
+
+    /// Returns the targets that are registered.
+    fn present(&self) -> impl Iterator<Item = &Target> {
+        let entries = self.targets.values();
+        let present = entries.filter(|entry| entry.lapsed.is_none());
+        present.map(|entry| &entry.target)
+    }
+
     /// Records that a target has its version at `now`, before and after its entry changes.
     pub fn record_version(&mut self, id: &str, now: Millis) {
         if let Some(entry) = self.targets.get(id) {
--- a/crates/cactuslane-gateway/src/generation.rs
+++ b/crates/cactuslane-gateway/src/generation.rs
@@ -224,6 +224,11 @@
         let model = request.info.model.as_deref();
         let mut targets = fleet.targets(&request.service, model, now);
         targets.retain(|target| self.origin.allows(target));
+        if self.origin == StreamOrigin::NotBegun
+            && targets.iter().any(|target| fleet.is_listed(target))
+        {
+            targets.retain(|target| fleet.is_listed(target));
+        }
         let mut placer = self.gateway.placer();
         self.denials.filter(&mut targets, &placer.limits);
         let service = request.config.services.get(&request.service);
--- a/crates/cactuslane-gateway/src/lib.rs
+++ b/crates/cactuslane-gateway/src/lib.rs
@@ -29,10 +29,12 @@
 pub mod progress;
 pub mod ranking;
 pub mod reach;
+pub mod records;
 pub mod relay;
 pub mod reply;
 pub mod state;
 pub mod upstream;
+pub mod versions;
 pub mod watch;
 
 use std::fmt;
@@ -106,6 +108,8 @@
             tokio::spawn(control::register(gateway.clone())),
             tokio::spawn(caches::refresh_lists(gateway.clone())),
             tokio::spawn(crashes::store_held(gateway.clone())),
+            tokio::spawn(versions::maintain_list(gateway.clone())),
+            tokio::spawn(records::store_begun(gateway.clone())),
             tokio::spawn(orders::run_leader(gateway.clone())),
             tokio::spawn(peers::exchange(gateway.clone(), socket, relay_sender)),
             tokio::spawn(reach::run(gateway.clone())),
--- a/crates/cactuslane-gateway/src/origins.rs
+++ b/crates/cactuslane-gateway/src/origins.rs
@@ -12,7 +12,8 @@
 use crate::ingress::CallerRequest;
 use crate::peers;
 use crate::ranking::top_ranked;
-use crate::state::Gateway;
+use crate::records;
+use crate::state::{Gateway, STREAM_LIFETIME_FACTOR};
 
 /// Number of instances, besides the one that forwards a stream, that keep its version.
 const KEEPERS: usize = 3;
@@ -21,9 +22,6 @@
 const ASKED: usize = 5;
 /// Maximum time to wait for their answers.
 const ASK_TIMEOUT: Duration = Duration::from_millis(100);
-/// Factor on a route's time-out for the longest time since the beginning of a stream that a caller
-/// takes up.
-const LIFETIME_FACTOR: u32 = 2;
 
 /// Records that a target sent the first event of the stream of a request, and tells the instances
 /// that keep its version.
@@ -46,6 +44,13 @@
     let stream = stream_id(&request.info.id);
     let now = gateway.now();
     gateway.origins().record(stream, &version, now);
+    gateway
+        .begun()
+        .record(stream, &target.service, &version, now);
+    let lifetime = gateway.stream_lifetime();
+    if gateway.fleet().is_mixed(&target.service, lifetime, now) {
+        gateway.begun_changed.notify_one();
+    }
     let keepers = keepers(gateway, stream, KEEPERS);
     peers::notify_begun(gateway, stream, &version, &keepers);
     StreamOrigin::Version(version)
@@ -53,8 +58,8 @@
 
 /// Returns at which version a request may begin or go on.
 ///
-/// A request that takes up a stream goes on at the version that began it, as this instance or one
-/// that keeps it knows, or at the only version that the service has had since.
+/// A request that takes up a stream goes on at the version that began it, as this instance, one
+/// that keeps it or the store knows, or at the only version that the service has had since.
 pub async fn find(gateway: &Gateway, request: &CallerRequest) -> StreamOrigin {
     if request.info.last_event.unwrap_or(0) == 0 {
         return StreamOrigin::NotBegun;
@@ -67,10 +72,15 @@
         None if began.is_empty() => (None, "not named"),
         None => (ask(gateway, stream).await, "asked"),
     };
-    let (version, source) = match version {
+    let (mut version, mut source) = match version {
         Some(version) => (Some(version), source),
         None => (only_version(gateway, request), "only version"),
     };
+    if version.is_none() && !began.is_empty() {
+        records::read_all(gateway).await;
+        version = gateway.origins().version(stream).cloned();
+        source = "store";
+    }
     info!(
         request = request.info.id,
         resumes = began,
@@ -104,10 +114,10 @@
     timeout(ASK_TIMEOUT, answers).await.ok()?
 }
 
-/// Returns the version of all targets of a request's service since the stream can have begun, if
-/// there was only one and the store shows all targets.
+/// Returns the version at which all streams of a request's service have begun that a caller can
+/// take up, if there was only one and the store shows all targets.
 fn only_version(gateway: &Gateway, request: &CallerRequest) -> Option<SoftwareVersion> {
-    let lifetime = request.route.timeout * LIFETIME_FACTOR;
+    let lifetime = request.route.timeout * STREAM_LIFETIME_FACTOR;
     let now = gateway.now();
     gateway
         .fleet()
--- a/crates/cactuslane-gateway/src/ranking.rs
+++ b/crates/cactuslane-gateway/src/ranking.rs
@@ -12,9 +12,16 @@
 /// `count` of them perform the task.
 #[must_use]
 pub fn is_top_ranked(me: &str, others: &[InstanceId], key: &str, count: usize) -> bool {
+    count_ahead(me, others, key) < count as u64
+}
+
+/// Returns the number of candidates that rank higher than an instance for the task that `key`
+/// identifies.
+#[must_use]
+pub fn count_ahead(me: &str, others: &[InstanceId], key: &str) -> u64 {
     let mine = rank(me, key);
     let ahead = others.iter().filter(|other| rank(other, key) > mine);
-    ahead.take(count).count() < count
+    ahead.count() as u64
 }
 
 /// Returns the `count` instances that rank highest for the task that `key` identifies, the highest
--- /dev/null
+++ b/crates/cactuslane-gateway/src/records.rs
@@ -0,0 +1,162 @@
+//! Records, in the store, of the versions that began streams while a service has several.
+//!
+//! Each process of an instance keeps one key with the streams that it began recently. A record is
+//! written after the first event of a stream, together with those of other streams; the event does
+//! not wait for it, as a stream without a record is not taken up at all.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+use cactuslane_flight::origin::{StoredStreams, StreamId};
+use cactuslane_store::kv::{Item, KvError, Lease, Update};
+use cactuslane_types::SoftwareVersion;
+use log::{info, warn};
+use serde::{Deserialize, Serialize};
+use tokio::time::{Instant, sleep, timeout};
+
+use crate::control::{backoff_factor, random_pause};
+use crate::state::Gateway;
+
+/// Prefix of the keys of all records, followed by the name of the instance and the start of its
+/// process.
+pub const RECORDS_PREFIX: &str = "cactuslane/streams/";
+/// Interval between the writes of an instance in a deployment of few instances.
+const INTERVAL: Duration = Duration::from_millis(100);
+/// Number of instances per which the interval grows by [`INTERVAL`], which bounds the writes of all
+/// instances together.
+const INTERVAL_SCALE: f64 = 60.0;
+/// Time beyond the lifetime of a stream for which the lease of its record is granted.
+const LEASE_MARGIN: Duration = Duration::from_secs(30);
+/// Longest time to live of a lease that the store grants.
+const MAX_LEASE: Duration = Duration::from_mins(10);
+/// Time after which a process replaces the lease of its key.
+const LEASE_PERIOD: Duration = Duration::from_secs(15);
+/// Time within which records that were read for one stream are used for another.
+const READ_INTERVAL: Duration = Duration::from_millis(100);
+/// Longest time to wait for the records of the store.
+const READ_TIMEOUT: Duration = Duration::from_millis(200);
+
+/// Value of a record's key.
+#[derive(Debug, Serialize, Deserialize)]
+struct StoredRecord {
+    /// The identifiers of the streams in hexadecimal, by the version that began them.
+    begun: BTreeMap<SoftwareVersion, Vec<String>>,
+}
+
+/// Writes the streams that this instance begins while their service has several versions, until the
+/// task is aborted.
+pub async fn store_begun(gateway: Arc<Gateway>) {
+    let mut lease: Option<(Lease, Instant)> = None;
+    let mut written = StoredStreams::new();
+    loop {
+        gateway.begun_changed.notified().await;
+        let streams = gateway.stored_streams();
+        let is_known = |(version, ids): (&String, &Vec<StreamId>)| {
+            let before = written.get(version);
+            before.is_some_and(|before| ids.iter().all(|id| before.contains(id)))
+        };
+        if streams.iter().all(is_known) {
+            continue;
+        }
+        match write(&gateway, &streams, &mut lease).await {
+            Ok(()) => {
+                written = streams;
+                sleep(write_interval(&gateway)).await;
+            }
+            Err(error) => {
+                warn!(error:% = error; "streams not recorded, this is tried again");
+                if error == KvError::NoLease {
+                    lease = None;
+                }
+                sleep(random_pause().mul_f64(backoff_factor(gateway.alive_peers()))).await;
+                gateway.begun_changed.notify_one();
+            }
+        }
+    }
+}
+
+/// Applies a record that was read from the store; one that cannot be decoded is ignored.
+pub fn apply_record(gateway: &Gateway, item: &Item) {
+    let record = match serde_json::from_slice::<StoredRecord>(&item.value) {
+        Ok(record) => record,
+        Err(error) => {
+            warn!(key = item.key, error:% = error; "record of streams is unreadable");
+            return;
+        }
+    };
+    let now = gateway.now();
+    let mut origins = gateway.origins();
+    for (version, streams) in &record.begun {
+        for stream in streams {
+            if let Ok(stream) = StreamId::from_str_radix(stream, 16) {
+                origins.record(stream, version, now);
+            }
+        }
+    }
+}
+
+/// Reads and applies all records, unless that was done just now.
+pub async fn read_all(gateway: &Gateway) {
+    let arrived = Instant::now();
+    let mut last = gateway.records_read.lock().await;
+    if last.is_some_and(|at| arrived < at + READ_INTERVAL) {
+        return;
+    }
+    *last = Some(Instant::now());
+    match timeout(READ_TIMEOUT, gateway.store.range(RECORDS_PREFIX)).await {
+        Ok(Ok((items, revision))) => {
+            info!(revision, records = items.len(); "read the records of streams");
+            for item in &items {
+                apply_record(gateway, item);
+            }
+        }
+        Ok(Err(error)) => warn!(error:% = error; "records of streams not read"),
+        Err(_) => {
+            let limit_ms = READ_TIMEOUT.as_millis() as u64;
+            warn!(limit_ms; "records of streams not read in time");
+        }
+    }
+}
+
+/// Writes the record of this process, under a lease that outlives its streams.
+async fn write(
+    gateway: &Gateway,
+    streams: &StoredStreams,
+    lease: &mut Option<(Lease, Instant)>,
+) -> Result<(), KvError> {
+    let current = lease.filter(|(_, granted)| granted.elapsed() < LEASE_PERIOD);
+    let lease = if let Some((current, _)) = current {
+        current
+    } else {
+        let ttl = gateway.stream_lifetime() + LEASE_PERIOD + LEASE_MARGIN;
+        let granted = Instant::now();
+        let current = gateway.store.grant(ttl.min(MAX_LEASE)).await?;
+        lease.insert((current, granted)).0
+    };
+    let hex = |streams: &Vec<StreamId>| streams.iter().map(|id| format!("{id:x}")).collect();
+    let begun = streams.iter();
+    let record = StoredRecord {
+        begun: begun
+            .map(|(version, ids)| (version.clone(), hex(ids)))
+            .collect(),
+    };
+    let value = serde_json::to_vec(&record).unwrap_or_default();
+    let key = format!(
+        "{RECORDS_PREFIX}{}/{}",
+        gateway.settings().instance,
+        gateway.started
+    );
+    let update = Update {
+        writes: vec![(key, value, Some(lease))],
+        ..Update::default()
+    };
+    gateway.store.update(&update).await?;
+    Ok(())
+}
+
+/// Returns the interval between the writes of this instance.
+fn write_interval(gateway: &Gateway) -> Duration {
+    let instances = gateway.members().instance_count() as f64;
+    INTERVAL.mul_f64(1.0 + instances / INTERVAL_SCALE)
+}
--- a/crates/cactuslane-gateway/src/relay.rs
+++ b/crates/cactuslane-gateway/src/relay.rs
@@ -7,11 +7,12 @@
 //! itself.
 
 use cactuslane_platform::store::CONFIG_KEY;
-use cactuslane_store::kv::{Change, Changes, Item};
+use cactuslane_store::kv::{Change, Changes, Item, key_of};
 use cactuslane_types::{InstanceId, Millis};
 use serde::{Deserialize, Serialize};
 
 use crate::ranking::is_top_ranked;
+use crate::records::RECORDS_PREFIX;
 
 /// Number of other instances below which each instance watches the store itself, as relays would
 /// save few calls.
@@ -96,6 +97,10 @@
         relay.document.from = document;
         let mut bytes = 0;
         for change in &changes.changes {
+            if key_of(change).starts_with(RECORDS_PREFIX) {
+                // An instance that needs the records of streams reads them itself.
+                continue;
+            }
             let relayed = RelayedChange::from_change(change);
             let size = relayed.key.len() + relayed.value.as_ref().map_or(0, Vec::len);
             let is_document = relayed.key == CONFIG_KEY;
--- a/crates/cactuslane-gateway/src/state.rs
+++ b/crates/cactuslane-gateway/src/state.rs
@@ -6,9 +6,10 @@
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
 use cactuslane_flight::budget::{USED_SHARE, WindowedRetryBudget, slack_share};
+use cactuslane_flight::origin::StoredStreams;
 use cactuslane_flight::routing_config::RoutingConfig;
 use cactuslane_flight::target::Target;
-use cactuslane_flight::{AttemptFailure, OriginTable};
+use cactuslane_flight::{AttemptFailure, BegunStreams, OriginTable};
 use cactuslane_place::{CrashTracker, Load, PermitAnswer, Placer};
 use cactuslane_platform::Settings;
 use cactuslane_store::http::Client;
@@ -28,6 +29,10 @@
 use crate::progress::Progress;
 use crate::upstream::ConnectionPool;
 
+/// Factor on the time-out of a route for the longest time since the beginning of a stream that a
+/// caller takes up.
+pub const STREAM_LIFETIME_FACTOR: u32 = 2;
+
 /// State of one instance.
 #[derive(Debug)]
 pub struct Gateway {
@@ -57,6 +62,14 @@
     pub origin_calls: PeerCalls<Option<SoftwareVersion>>,
     /// Versions of the streams that have begun.
     origins: Mutex<OriginTable>,
+    /// Streams that this instance began.
+    begun: Mutex<BegunStreams>,
+    /// Wakes the task that records these in the store.
+    pub begun_changed: Notify,
+    /// Wakes the task that lists the versions of streams in the store.
+    pub versions_changed: Notify,
+    /// Time at which the records of all instances were last read.
+    pub records_read: tokio::sync::Mutex<Option<Instant>>,
     /// Socket for messages to the other instances, once it is bound.
     pub peer_socket: OnceLock<Arc<UdpSocket>>,
     /// Retry budgets by service.
@@ -109,6 +122,10 @@
             permit_calls: PeerCalls::default(),
             origin_calls: PeerCalls::default(),
             origins: Mutex::default(),
+            begun: Mutex::default(),
+            begun_changed: Notify::new(),
+            versions_changed: Notify::new(),
+            records_read: tokio::sync::Mutex::default(),
             peer_socket: OnceLock::new(),
             retry_budgets: Mutex::default(),
             pool: ConnectionPool::open(clock_origin),
@@ -194,6 +211,29 @@
         lock(&self.origins)
     }
 
+    /// Locks the streams that this instance began.
+    pub fn begun(&self) -> MutexGuard<'_, BegunStreams> {
+        lock(&self.begun)
+    }
+
+    /// Returns the longest time since the beginning of a stream that a caller takes up.
+    #[must_use]
+    pub fn stream_lifetime(&self) -> Duration {
+        let config = self.routing_config();
+        let timeout = config.map_or(Duration::ZERO, |config| config.stream_timeout());
+        timeout * STREAM_LIFETIME_FACTOR
+    }
+
+    /// Returns the streams that this instance began and whose versions the store is to keep, as
+    /// their services have several.
+    #[must_use]
+    pub fn stored_streams(&self) -> StoredStreams {
+        let (lifetime, now) = (self.stream_lifetime(), self.now());
+        let fleet = self.fleet();
+        let is_mixed = |service: &str| fleet.is_mixed(service, lifetime, now);
+        self.begun().stored(lifetime, is_mixed, now)
+    }
+
     /// Returns the time for which the instance may rely on its knowledge of the store: within the
     /// limits for configurations and for leaving targets.
     #[must_use]
--- /dev/null
+++ b/crates/cactuslane-gateway/src/versions.rs
@@ -0,0 +1,90 @@
+//! The list, in the store, of the software versions at which streams may have begun.
+//!
+//! The list outlives a loss of all instances: an instance that has just started knows by it whether
+//! a stream can have begun at one version only. Each instance writes it after those that rank
+//! higher for the task, under the condition that it has not changed.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use cactuslane_flight::origin::VersionList;
+use cactuslane_store::kv::{Item, KvError, Update};
+use cactuslane_types::Millis;
+use log::{info, warn};
+use tokio::time::{MissedTickBehavior, interval, sleep};
+
+use crate::control::{backoff_factor, random_pause};
+use crate::ranking;
+use crate::state::Gateway;
+
+/// Key of the list.
+pub const LIST_KEY: &str = "cactuslane/stream-versions";
+/// Interval at which the list is compared with the versions of the targets, besides each start of a
+/// target.
+const CHECK_INTERVAL: Duration = Duration::from_secs(1);
+/// Time that each instance of a higher rank has for a change before the next one makes it, in
+/// milliseconds.
+const TURN: Millis = 1_000;
+
+/// Keeps the list up to date, until the task is aborted.
+pub async fn maintain_list(gateway: Arc<Gateway>) {
+    let mut ticks = interval(CHECK_INTERVAL);
+    ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+    let mut wanted_since = None;
+    loop {
+        tokio::select! {
+            _ = ticks.tick() => {}
+            () = gateway.versions_changed.notified() => {}
+        }
+        let now = gateway.now();
+        let lifetime = gateway.stream_lifetime();
+        let wanted = gateway.fleet().wanted_versions(lifetime, now);
+        let Some((list, revision)) = wanted else {
+            wanted_since = None;
+            continue;
+        };
+        let since = *wanted_since.get_or_insert(now);
+        if gateway.is_leaving() || now < since + TURN * rank(&gateway, now) {
+            continue;
+        }
+        match write(&gateway, &list, revision).await {
+            Ok(revision) => {
+                info!(revision, versions:? = list; "versions of streams listed");
+                gateway.fleet().set_version_list(list, revision);
+            }
+            // The list that another instance wrote arrives with the store's changes.
+            Err(KvError::Conflict) => {}
+            Err(error) => {
+                warn!(error:% = error; "versions of streams not listed, this is tried again");
+                sleep(random_pause().mul_f64(backoff_factor(gateway.alive_peers()))).await;
+            }
+        }
+    }
+}
+
+/// Applies the list that was read from the store; one that cannot be decoded lists nothing.
+pub fn apply_list(gateway: &Gateway, item: &Item) {
+    let list = serde_json::from_slice(&item.value).unwrap_or_else(|error| {
+        warn!(key = item.key, error:% = error; "list of versions is unreadable, it is written anew");
+        VersionList::default()
+    });
+    gateway.fleet().set_version_list(list, item.revision);
+}
+
+/// Writes a list in place of the one at a revision, and returns its own revision.
+async fn write(gateway: &Gateway, list: &VersionList, revision: u64) -> Result<u64, KvError> {
+    let value = serde_json::to_vec(list).unwrap_or_default();
+    let update = Update {
+        expected: vec![(LIST_KEY.to_owned(), revision)],
+        writes: vec![(LIST_KEY.to_owned(), value, None)],
+        ..Update::default()
+    };
+    gateway.store.update(&update).await
+}
+
+/// Returns the number of instances that rank higher for the task.
+fn rank(gateway: &Gateway, now: Millis) -> u64 {
+    let me = gateway.settings().instance.clone();
+    let others = gateway.members().issuer_candidates(now);
+    ranking::count_ahead(&me, &others, LIST_KEY)
+}
--- a/crates/cactuslane-gateway/tests/relay.rs
+++ b/crates/cactuslane-gateway/tests/relay.rs
@@ -1,6 +1,7 @@
 //! Relays of store changes, and the rate of calls to a failing store.
 
 use cactuslane_gateway::control::backoff_factor;
+use cactuslane_gateway::records::RECORDS_PREFIX;
 use cactuslane_gateway::relay::{Continuation, Relay, is_watcher};
 use cactuslane_platform::store::CONFIG_KEY;
 use cactuslane_store::kv::{Change, Changes, Item};
@@ -40,6 +41,26 @@
     (all, known, gap)
 }
 
+/// Guards against records of streams in the messages to all instances, and against a gap where one
+/// is too large for a message.
+#[test]
+fn records_of_streams_are_not_relayed() {
+    let record = |revision, bytes| {
+        Change::Written(Item {
+            key: format!("{RECORDS_PREFIX}front-1/7"),
+            value: vec![7; bytes],
+            revision,
+        })
+    };
+    let changes = Changes {
+        changes: vec![record(11, 5), written(12, 5), record(13, 9_000)],
+        revision: 13,
+    };
+    let (all, revision, missing) = apply(Relay::pack(10, 10, &changes), 10);
+    assert_eq!(all, [written(12, 5)]);
+    assert_eq!((revision, missing), (13, false));
+}
+
 #[parameterized(
     no_change_known = { 10, &[11, 12, 14], 14, false },
     some_changes_known = { 12, &[14], 14, false },
--- a/crates/cactuslane-gateway/tests/serving/main.rs
+++ b/crates/cactuslane-gateway/tests/serving/main.rs
@@ -8,6 +8,7 @@
 mod leaving;
 mod limits;
 mod lines;
+mod lost;
 mod plain;
 mod raw;
 mod streams;
--- a/crates/cactuslane-store/src/kv.rs
+++ b/crates/cactuslane-store/src/kv.rs
@@ -54,6 +54,15 @@
     },
 }
 
+/// Returns the key that a change concerns.
+#[must_use]
+pub fn key_of(change: &Change) -> &str {
+    match change {
+        Change::Written(item) => &item.key,
+        Change::Deleted { key, .. } => key,
+    }
+}
+
 /// Returns the revision of a change.
 #[must_use]
 pub fn revision_of(change: &Change) -> u64 {
