Let targets and callers no longer speak for an instance

Cause: a target's answer kept the header by which an instance declines a request that another passes on. The first instance took it as the word of the other one and sent the request on, also one that had run and may not be repeated.

--- a/crates/cactuslane-gateway/src/passing.rs
+++ b/crates/cactuslane-gateway/src/passing.rs
@@ -124,7 +124,9 @@
         let result = timeout(left + ANSWER_GRACE, sending).await;
         let after_ms = began.elapsed().as_millis() as u64;
         match result {
-            Ok(Ok(response)) if exchange::is_declined(response.headers()) => {
+            Ok(Ok(response))
+                if exchange::is_declined(response.status().as_u16(), response.headers()) =>
+            {
                 gateway.metrics.count_passed("declined");
                 info!(request = id, after_ms; "other instance takes no request");
             }
--- a/crates/cactuslane-gateway/tests/serving/cut.rs
+++ b/crates/cactuslane-gateway/tests/serving/cut.rs
@@ -4,8 +4,8 @@
 
 use cactuslane_gateway::GatewayHandle;
 use cactuslane_place::ReachReport;
-use cactuslane_platform_standin::caller;
 use cactuslane_platform_standin::link::{Blackhole, Cut, Link};
+use cactuslane_platform_standin::{Fault, caller};
 use hyper::header::HeaderValue;
 use serde_json::json;
 use tokio::io::AsyncReadExt;
@@ -225,6 +225,32 @@
     });
 }
 
+/// Guards against a target's answer that is taken for that of an instance which declines a request,
+/// so that the request runs again.
+#[test]
+fn a_target_cannot_answer_for_an_instance() {
+    run_test(async {
+        let deployment = deploy().await;
+        let _fleet = start_fleet(&deployment).await;
+        let links = Links::lay(&deployment, &deployment.running).await;
+        links.cut(&deployment.running, Cut::Reset);
+        serve_in_a_row(&deployment, "during").await;
+        // The faults are for the requests of this test alone, as there are no others.
+        for number in 0..3 {
+            for worker in &deployment.workers {
+                while worker.pending_faults() == 0 {
+                    worker.inject_fault(Fault::Decline);
+                }
+            }
+            let id = format!("once-{number}");
+            let response = deployment.send("/correction/7", &id).await;
+            assert!(!response.headers().contains_key("cactuslane-declined"));
+            assert_eq!(read_answer(response).await.status, 200);
+            assert_eq!(deployment.runs(&id), 1);
+        }
+    });
+}
+
 /// Guards against a way for callers to be taken for another instance, whose requests are never
 /// passed on.
 #[test]
