Ask the store less and less often while it rejects an instance

Cause: an instance that the store rejects (429, 503) went on asking it some eight times a second, in two loops with pauses of 0.1 to 0.3 s each. Nothing is gained by that: it need not be up to date before it counts as in touch again.

Change: pauses after rejections grow to 1.5 s at most, a third of each fixed, the rest random; calls without an answer, which take their time-out, are repeated as before. The pause is in the line of the log.

The new test allows 12 calls in nine seconds, where pauses of 0.2 s give 45.

--- /dev/null
+++ b/crates/cactuslane-gateway/src/backoff.rs
@@ -0,0 +1,43 @@
+//! Pauses of an instance between calls to the store that fail.
+
+use std::time::Duration;
+
+use cactuslane_store::kv::KvError;
+
+/// Longest pause after the first failure.
+const FIRST_PAUSE: Duration = Duration::from_millis(300);
+/// Longest pause after any number of failures: an instance that the store serves again is up to date
+/// before it counts as in touch, and failures in a row remain one disruption.
+const LONGEST_PAUSE: Duration = Duration::from_millis(1_500);
+/// Share of the longest pause that is always waited; the rest is random, so that instances do not
+/// call at the same time.
+const FIXED_SHARE: f64 = 1.0 / 3.0;
+
+/// The pauses of one series of calls, which grow while the store answers that it rejects them.
+///
+/// Calls without an answer do not make them grow, as each takes its time-out.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Backoff {
+    /// Number of rejections in a row.
+    rejections: u32,
+}
+
+impl Backoff {
+    /// Records that a call succeeded.
+    pub fn reset(&mut self) {
+        self.rejections = 0;
+    }
+
+    /// Returns the pause after a call that failed, for a random number in `0.0..1.0`.
+    #[must_use]
+    pub fn pause(&mut self, error: &KvError, draw: f64) -> Duration {
+        let longest = FIRST_PAUSE.saturating_mul(1 << self.rejections.min(8));
+        if matches!(error, KvError::Refused(_)) {
+            self.rejections += 1;
+        } else {
+            self.rejections = 0;
+        }
+        let share = FIXED_SHARE + (1.0 - FIXED_SHARE) * draw;
+        longest.min(LONGEST_PAUSE).mul_f64(share)
+    }
+}
--- a/crates/cactuslane-gateway/src/control.rs
+++ b/crates/cactuslane-gateway/src/control.rs
@@ -11,6 +11,7 @@
 use log::{info, warn};
 use rand::Rng;
 
+use crate::backoff::Backoff;
 use crate::fleet::Effect;
 use crate::leadership::{LAST_LEADER_KEY, LEADER_KEY, LeaderRecord, boot_millis};
 use crate::members::Member;
@@ -52,6 +53,7 @@
 /// Keeps the instance registered by renewing its lease, until it is leaving.
 pub async fn register(gateway: Arc<Gateway>) {
     let mut lease: Option<Lease> = None;
+    let mut backoff = Backoff::default();
     loop {
         if gateway.is_leaving() {
             return;
@@ -67,6 +69,7 @@
                     info!(lease = current; "registered");
                 }
                 lease = Some(current);
+                backoff.reset();
                 let ttl = LEASE_TTL.as_millis() as Millis;
                 gateway.leadership().renewed(current, sent, ttl);
                 lease_ttl(&gateway).mul_f64(RENEWAL_SHARE)
@@ -79,7 +82,8 @@
             }
             Err(error) => {
                 warn!(error:% = error; "registration not renewed");
-                random_pause().mul_f64(backoff_factor(gateway.alive_peers()))
+                let pause = random_pause().mul_f64(backoff_factor(gateway.alive_peers()));
+                pause.max(backoff.pause(&error, rand::random()))
             }
         };
         tokio::time::sleep(pause).await;
--- a/crates/cactuslane-gateway/src/lib.rs
+++ b/crates/cactuslane-gateway/src/lib.rs
@@ -7,6 +7,7 @@
 //! without I/O.
 
 pub mod answers;
+pub mod backoff;
 pub mod caches;
 pub mod calls;
 pub mod control;
--- a/crates/cactuslane-gateway/src/watch.rs
+++ b/crates/cactuslane-gateway/src/watch.rs
@@ -12,7 +12,8 @@
 use tokio::task::JoinSet;
 use tokio::time::{sleep, timeout};
 
-use crate::control::{OWN_KEYS, apply, random_pause, read_all};
+use crate::backoff::Backoff;
+use crate::control::{OWN_KEYS, apply, read_all};
 use crate::peers::send_relays;
 use crate::progress::Progress;
 use crate::relay::{self, Continuation, RELAY_TIMEOUT, Relay};
@@ -81,6 +82,8 @@
     progress: Progress,
     /// Whether the last call to the store succeeded.
     store_ok: bool,
+    /// The pauses after failed calls.
+    backoff: Backoff,
     /// The time of this instance's own last successful read or watch of the store, on its clock.
     last_read: Millis,
     /// The read of the document that is in progress, if any, with the time at which it began.
@@ -94,12 +97,13 @@
     mut relays: mpsc::Receiver<ReceivedRelay>,
 ) {
     let mut store_ok = true;
+    let mut backoff = Backoff::default();
     loop {
         let asked = gateway.now();
         let revision = match read_all(&gateway).await {
             Ok(revision) => revision,
             Err(error) => {
-                record_failure(&gateway, "read", &error).await;
+                record_failure(&gateway, "read", &error, &mut backoff).await;
                 store_ok = false;
                 continue;
             }
@@ -109,11 +113,13 @@
             socket: socket.clone(),
             progress: Progress::at(revision, asked),
             store_ok,
+            backoff: Backoff::default(),
             last_read: gateway.now(),
             document: JoinSet::new(),
         };
         follower.run(&mut relays).await;
         store_ok = follower.store_ok;
+        backoff = follower.backoff;
     }
 }
 
@@ -137,7 +143,7 @@
                 }
                 Err(error) => {
                     self.store_ok = false;
-                    record_failure(&self.gateway, "watch", &error).await;
+                    record_failure(&self.gateway, "watch", &error, &mut self.backoff).await;
                 }
             }
         }
@@ -267,7 +273,10 @@
             match self.catch_up(mode, begun).await {
                 Ok(revision) => begun = begun.or(Some(revision)),
                 Err(KvError::Compacted) => return Err(KvError::Compacted),
-                Err(error) => record_failure(&self.gateway, "watch beside", &error).await,
+                Err(error) => {
+                    let backoff = &mut self.backoff;
+                    record_failure(&self.gateway, "watch beside", &error, backoff).await;
+                }
             }
         };
         let changes = read.unwrap_or_else(|error| Err(KvError::Lost(error.to_string())))?;
@@ -279,6 +288,7 @@
         };
         let seen = (asked + waited.as_millis() as Millis).min(self.gateway.now());
         let recovered = !std::mem::replace(&mut self.store_ok, true);
+        self.backoff.reset();
         if recovered {
             info!(revision = self.progress.revision(); "store is back");
         }
@@ -301,6 +311,7 @@
     async fn watch_entries(&mut self, mode: SyncMode) -> Result<(), KvError> {
         self.catch_up(mode, None).await?;
         self.store_ok = true;
+        self.backoff.reset();
         self.last_read = self.gateway.now();
         Ok(())
     }
@@ -376,9 +387,10 @@
 }
 
 /// Records that a call to the store failed, and waits before the next one.
-async fn record_failure(gateway: &Gateway, call: &str, error: &KvError) {
+async fn record_failure(gateway: &Gateway, call: &str, error: &KvError, backoff: &mut Backoff) {
     let now = gateway.now();
     gateway.fleet().record_store_failure(now);
-    warn!(call, error:% = error; "store in trouble");
-    sleep(random_pause()).await;
+    let pause = backoff.pause(error, rand::random());
+    warn!(call, error:% = error, pause_ms = pause.as_millis() as u64; "store in trouble");
+    sleep(pause).await;
 }
--- a/crates/cactuslane-gateway/tests/relay.rs
+++ b/crates/cactuslane-gateway/tests/relay.rs
@@ -1,10 +1,13 @@
 //! Relays of store changes, and the rate of calls to a failing store.
 
+use std::time::Duration;
+
+use cactuslane_gateway::backoff::Backoff;
 use cactuslane_gateway::control::backoff_factor;
 use cactuslane_gateway::records::RECORDS_PREFIX;
 use cactuslane_gateway::relay::{Continuation, Relay, is_watcher};
 use cactuslane_platform::store::CONFIG_KEY;
-use cactuslane_store::kv::{Change, Changes, Item};
+use cactuslane_store::kv::{Change, Changes, Item, KvError};
 use yare::parameterized;
 
 /// Returns the change that writes a value of `bytes` bytes at a revision.
@@ -180,6 +183,49 @@
     assert!(backoff_factor(others) <= 8.0);
 }
 
+/// Returns the pauses after calls that fail with an error until they fill a period, at the mean of
+/// the random part.
+fn pauses(error: &KvError, period: Duration) -> Vec<Duration> {
+    let mut backoff = Backoff::default();
+    let (mut pauses, mut total) = (Vec::new(), Duration::ZERO);
+    while total < period {
+        let pause = backoff.pause(error, 0.5);
+        pauses.push(pause);
+        total += pause;
+    }
+    pauses
+}
+
+/// Guards against calls at a steady rate while the store rejects an instance, and against an
+/// instance that learns too late that the store takes it back.
+#[test]
+fn an_instance_that_the_store_rejects_asks_less_and_less_often() {
+    let rejected = pauses(
+        &KvError::Refused("status 429".to_owned()),
+        Duration::from_secs(9),
+    );
+    assert!(rejected.len() <= 12, "{rejected:?}");
+    assert!(rejected.is_sorted());
+    let mut backoff = Backoff::default();
+    for _ in 0..100 {
+        let error = KvError::Refused(String::new());
+        assert!(backoff.pause(&error, 1.0) <= Duration::from_millis(1_500));
+    }
+    backoff.reset();
+    let first = backoff.pause(&KvError::Refused(String::new()), 1.0);
+    assert_eq!(first, Duration::from_millis(300));
+}
+
+/// Guards against a growing pause after calls that took their time-out.
+#[test]
+fn calls_without_an_answer_are_repeated_at_once() {
+    let lost = pauses(&KvError::Lost(String::new()), Duration::from_secs(9));
+    assert!(
+        lost.iter()
+            .all(|pause| *pause == Duration::from_millis(200))
+    );
+}
+
 #[test]
 fn a_large_document_leaves_no_gap_but_is_marked_as_missing() {
     let document = |revision, bytes| {
