Give messages between instances a form that other builds can skip

Cause: messages were an enum by position, without a version.

Change: messages have a module of their own. The first byte tells form and kind; what a later build appends, adds as a kind or writes in a later form is skipped, counted, and logged once for each sender and reason. The handling of each message is a function of its own.

--- a/crates/cactuslane-gateway/src/lib.rs
+++ b/crates/cactuslane-gateway/src/lib.rs
@@ -20,6 +20,7 @@
 pub mod leadership;
 pub mod limits;
 pub mod members;
+pub mod messages;
 pub mod metered;
 pub mod metrics;
 pub mod orders;
--- a/crates/cactuslane-gateway/src/metrics.rs
+++ b/crates/cactuslane-gateway/src/metrics.rs
@@ -37,6 +37,8 @@
     permits: Family<Labels, Counter>,
     /// Requests passed on to other instances, by result.
     passed: Family<Labels, Counter>,
+    /// Messages of other instances that could not be read, by reason.
+    unread: Family<Labels, Counter>,
     /// Prompt parts on which targets crash, by what happened to them or to a request with one.
     held_parts: Family<Labels, Counter>,
     /// Times from the arrival of a request until its answer can be forwarded, in seconds, by kind
@@ -99,6 +101,7 @@
             cut_streams: Counter::default(),
             permits: Family::default(),
             passed: Family::default(),
+            unread: Family::default(),
             held_parts: Family::default(),
             first_byte: Family::new_with_constructor(histogram as fn() -> Histogram),
             pauses: histogram(),
@@ -147,6 +150,11 @@
                 "Requests passed on to other instances, by result",
                 &self.passed,
             ),
+            (
+                "unread_messages",
+                "Messages of other instances that could not be read, by reason",
+                &self.unread,
+            ),
             (
                 "permits",
                 "Requests for permits for targets with a limit, by result",
@@ -258,6 +266,11 @@
         self.permits.get_or_create(&vec![("result", result)]).inc();
     }
 
+    /// Counts a message of another instance that could not be read.
+    pub fn count_unread(&self, reason: &'static str) {
+        self.unread.get_or_create(&vec![("reason", reason)]).inc();
+    }
+
     /// Counts a request that was passed on to another instance, by its result there.
     pub fn count_passed(&self, result: &'static str) {
         self.passed.get_or_create(&vec![("result", result)]).inc();
--- a/crates/cactuslane-gateway/src/peers.rs
+++ b/crates/cactuslane-gateway/src/peers.rs
@@ -6,16 +6,16 @@
 
 use cactuslane_flight::origin::StreamId;
 use cactuslane_place::load_view::PeerUpdate;
-use cactuslane_place::{LimitNotice, Observation, Observed, PermitAnswer, ReachReport, Suspect};
-use cactuslane_types::{InstanceId, SoftwareVersion};
+use cactuslane_place::{LimitNotice, Observation, Observed, ReachReport, Suspect};
+use cactuslane_types::InstanceId;
 use log::{debug, info, warn};
 use rand::seq::SliceRandom;
-use serde::{Deserialize, Serialize};
 use tokio::net::UdpSocket;
 use tokio::time::{Instant, MissedTickBehavior, interval};
 
 use crate::calls::CallNumber;
 use crate::limits::{self, PermitRequest};
+use crate::messages::{self, Message, MessageError, Received};
 use crate::relay::Relay;
 use crate::state::Gateway;
 use crate::watch::RelaySender;
@@ -43,32 +43,8 @@
 /// updates hold few prompt parts, whose number is not limited; the rest is sent with the next one.
 const MAX_CACHE_UPDATES: usize = 100;
 
-/// A message between instances, encoded with postcard.
-#[derive(Debug, Serialize, Deserialize)]
-enum Message {
-    /// The sender's load, cache updates and observations, and the state of its links to targets.
-    Update(PeerUpdate, ReachReport),
-    /// Store changes that the sender read.
-    Relay(Relay),
-    /// The limit of a target, as the sender has just learned it.
-    Limit(InstanceId, LimitNotice),
-    /// A request for the limits and the leaving targets that the receiver knows.
-    LimitQuery,
-    /// A request for a permit to send a request to a target with a limit.
-    PermitRequest(InstanceId, PermitRequest),
-    /// The answer to the request for a permit or a trial with this number.
-    Permit(u64, PermitAnswer),
-    /// A request, with this number, for a trial of a held suspect.
-    TrialRequest(u64, Suspect),
-    /// Observations of targets that the sender knows, in answer to a query.
-    Observations(InstanceId, Vec<Observation>),
-    /// A software version that began a stream.
-    StreamBegun(StreamId, SoftwareVersion),
-    /// A query, with this number, for the version that began a stream.
-    OriginQuery(CallNumber, StreamId),
-    /// The answer to the query with this number.
-    Origin(CallNumber, Option<SoftwareVersion>),
-}
+/// Largest number of senders whose unreadable messages are logged, one each and reason.
+const MAX_UNREAD: usize = 1_024;
 
 /// Sends updates to the other instances and handles their messages, until the task is aborted.
 pub async fn exchange(gateway: Arc<Gateway>, socket: Arc<UdpSocket>, relays: RelaySender) {
@@ -279,7 +255,7 @@
 
 /// Sends a message to some instances; one that cannot be sent is dropped.
 fn send(socket: &UdpSocket, message: &Message, peers: &[SocketAddr]) {
-    let message = match postcard::to_stdvec(message) {
+    let message = match message.encode() {
         Ok(message) => message,
         Err(error) => {
             warn!(error:% = error; "message not encoded");
@@ -301,78 +277,91 @@
     from: SocketAddr,
     relays: &RelaySender,
 ) {
-    let (update, report) = match postcard::from_bytes(message) {
-        Ok(Message::Update(update, report)) => (update, report),
-        Ok(Message::Relay(relay)) => {
+    let message = match messages::decode(message) {
+        Ok(Received::Whole(message)) => message,
+        Ok(Received::WithoutReach(update)) => return apply_update(gateway, &update, None),
+        Err(error) => return record_unread(gateway, &error, from),
+    };
+    match message {
+        Message::Update(update, report) => apply_update(gateway, &update, Some(report)),
+        Message::Relay(relay) => {
             if relays.try_send((relay, gateway.now())).is_err() {
                 debug!("relay dropped, the next one shows the gap");
             }
-            return;
-        }
-        Ok(Message::Limit(peer, notice)) => return limits::apply_notice(gateway, &notice, &peer),
-        Ok(Message::LimitQuery) => {
-            let me = gateway.settings().instance.clone();
-            let notices = gateway.placer().limits.notices(gateway.now());
-            for notice in notices {
-                send(socket, &Message::Limit(me.clone(), notice), &[from]);
-            }
-            let mut observations = Vec::new();
-            for (target, started_at) in gateway.fleet().leaving() {
-                observations.push(Observation {
-                    target,
-                    started_at,
-                    observed: Observed::Leaving,
-                });
-            }
-            for some in observations.chunks(MAX_OBSERVATIONS) {
-                let message = Message::Observations(me.clone(), some.to_vec());
-                send(socket, &message, &[from]);
-            }
-            return;
         }
-        Ok(Message::PermitRequest(peer, request)) => {
+        Message::Limit(peer, notice) => limits::apply_notice(gateway, &notice, &peer),
+        Message::LimitQuery => answer_limit_query(gateway, socket, from),
+        Message::PermitRequest(peer, request) => {
             let answer = limits::answer_request(gateway, &request, &peer);
-            return send(socket, &Message::Permit(request.number, answer), &[from]);
+            send(socket, &Message::Permit(request.number, answer), &[from]);
         }
-        Ok(Message::Observations(peer, observations)) => {
+        Message::Observations(peer, observations) => {
             for observation in &observations {
                 apply_observation(gateway, observation, &peer);
             }
-            return;
         }
-        Ok(Message::TrialRequest(number, suspect)) => {
+        Message::TrialRequest(number, suspect) => {
             let answer = crashes::answer_trial(gateway, suspect);
-            return send(socket, &Message::Permit(number, answer), &[from]);
+            send(socket, &Message::Permit(number, answer), &[from]);
         }
-        Ok(Message::StreamBegun(stream, version)) => {
+        Message::StreamBegun(stream, version) => {
             let now = gateway.now();
-            return gateway.origins().record(stream, &version, now);
+            gateway.origins().record(stream, &version, now);
         }
-        Ok(Message::OriginQuery(number, stream)) => {
+        Message::OriginQuery(number, stream) => {
             let version = origins::answer_query(gateway, stream);
-            return send(socket, &Message::Origin(number, version), &[from]);
+            send(socket, &Message::Origin(number, version), &[from]);
         }
-        Ok(Message::Origin(number, version)) => {
-            return gateway.origin_calls.answer(number, version);
-        }
-        Ok(Message::Permit(number, answer)) => return gateway.permit_calls.answer(number, answer),
-        Err(error) => {
-            debug!(error:% = error; "message is unreadable");
-            return;
-        }
-    };
+        Message::Origin(number, version) => gateway.origin_calls.answer(number, version),
+        Message::Permit(number, answer) => gateway.permit_calls.answer(number, answer),
+    }
+}
+
+/// Counts a message that cannot be read, and logs the first one of its sender for each reason.
+fn record_unread(gateway: &Gateway, error: &MessageError, from: SocketAddr) {
+    let reason = error.label();
+    gateway.metrics.count_unread(reason);
+    let mut logged = gateway.unread_logged();
+    if logged.len() < MAX_UNREAD && logged.insert((from, reason)) {
+        warn!(peer:% = from, error:% = error; "messages of an instance cannot be read, they are skipped");
+    }
+}
+
+/// Sends the limits and the leaving targets that this instance knows.
+fn answer_limit_query(gateway: &Gateway, socket: &UdpSocket, from: SocketAddr) {
+    let me = gateway.settings().instance.clone();
+    let notices = gateway.placer().limits.notices(gateway.now());
+    for notice in notices {
+        send(socket, &Message::Limit(me.clone(), notice), &[from]);
+    }
+    let mut observations = Vec::new();
+    for (target, started_at) in gateway.fleet().leaving() {
+        observations.push(Observation {
+            target,
+            started_at,
+            observed: Observed::Leaving,
+        });
+    }
+    for some in observations.chunks(MAX_OBSERVATIONS) {
+        let message = Message::Observations(me.clone(), some.to_vec());
+        send(socket, &message, &[from]);
+    }
+}
+
+/// Applies an update of another instance, with the state of its links to targets if it states that.
+fn apply_update(gateway: &Gateway, update: &PeerUpdate, report: Option<ReachReport>) {
     let now = gateway.now();
     gateway.members().record_message(&update.instance, now);
-    gateway
-        .pool
-        .reach()
-        .apply_report(&update.instance, report, now);
-    let capacities = kv_capacities(gateway, &update);
+    if let Some(report) = report {
+        let mut reach = gateway.pool.reach();
+        reach.apply_report(&update.instance, report, now);
+    }
+    let capacities = kv_capacities(gateway, update);
     let kv_capacity = |target: &str| {
         let found = capacities.iter().find(|(id, _)| id == target);
         found.map_or(0, |(_, capacity)| *capacity)
     };
-    gateway.placer().apply_update(&update, kv_capacity, now);
+    gateway.placer().apply_update(update, kv_capacity, now);
     gateway.crashes().apply(&update.crashes, now);
     for observation in &update.observations {
         apply_observation(gateway, observation, &update.instance);
--- a/crates/cactuslane-gateway/src/state.rs
+++ b/crates/cactuslane-gateway/src/state.rs
@@ -1,6 +1,7 @@
 //! The state that the tasks of an instance share.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddr;
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, OnceLock, PoisonError};
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
@@ -72,6 +73,8 @@
     pub records_read: tokio::sync::Mutex<Option<Instant>>,
     /// Socket for messages to the other instances, once it is bound.
     pub peer_socket: OnceLock<Arc<UdpSocket>>,
+    /// Senders of messages that could not be read, with the reasons that were logged.
+    unread_logged: Mutex<BTreeSet<(SocketAddr, &'static str)>>,
     /// Retry budgets by service.
     retry_budgets: Mutex<BTreeMap<ServiceName, WindowedRetryBudget>>,
     /// Idle connections to targets.
@@ -127,6 +130,7 @@
             versions_changed: Notify::new(),
             records_read: tokio::sync::Mutex::default(),
             peer_socket: OnceLock::new(),
+            unread_logged: Mutex::default(),
             retry_budgets: Mutex::default(),
             pool: ConnectionPool::open(clock_origin),
             store,
@@ -216,6 +220,11 @@
         lock(&self.begun)
     }
 
+    /// Locks the senders whose unreadable messages were logged, with the reasons.
+    pub fn unread_logged(&self) -> MutexGuard<'_, BTreeSet<(SocketAddr, &'static str)>> {
+        lock(&self.unread_logged)
+    }
+
     /// Returns the longest time since the beginning of a stream that a caller takes up.
     #[must_use]
     pub fn stream_lifetime(&self) -> Duration {
--- /dev/null
+++ b/crates/cactuslane-gateway/tests/builds.rs
@@ -0,0 +1,131 @@
+//! Messages and records of the builds that are out already, and what cannot be read.
+//!
+//! The files in `messages/` hold one message of each kind, as the build of that commit wrote it.
+
+use cactuslane_flight::origin::VersionList;
+use cactuslane_gateway::leadership::LeaderRecord;
+use cactuslane_gateway::members::Member;
+use cactuslane_gateway::messages::{LATER_FORM, MessageError, Received, decode};
+use proptest::collection::vec;
+use proptest::prelude::*;
+use yare::parameterized;
+
+/// Messages of the build at ac4227f.
+const AC4227F: &str = include_str!("messages/ac4227f.txt");
+/// Messages of the build at 7d6e381.
+const BUILD_7D6E381: &str = include_str!("messages/7d6e381.txt");
+
+/// Returns the recorded messages of a build, by name.
+fn recorded(file: &str) -> Vec<(String, Vec<u8>)> {
+    let mut messages = Vec::new();
+    for line in file.lines() {
+        let (name, text) = line.split_once(' ').expect("it has a name");
+        let digits = |at: usize| u8::from_str_radix(&text[at..at + 2], 16).expect("it is hex");
+        let bytes = (0..text.len()).step_by(2).map(digits).collect();
+        messages.push((name.to_owned(), bytes));
+    }
+    messages
+}
+
+#[test]
+fn messages_of_the_last_build_are_read_and_written_alike() {
+    let messages = recorded(BUILD_7D6E381);
+    assert_eq!(messages.len(), 11);
+    for (name, bytes) in messages {
+        let Ok(Received::Whole(message)) = decode(&bytes) else {
+            panic!("{name} is not read");
+        };
+        assert_eq!(message.encode(), Ok(bytes), "{name}");
+    }
+}
+
+#[test]
+fn messages_of_the_build_before_that_are_read_or_skipped() {
+    for (name, bytes) in recorded(AC4227F) {
+        let read = decode(&bytes);
+        match name.as_str() {
+            "update" => {
+                let Ok(Received::WithoutReach(update)) = read else {
+                    panic!("{read:?}");
+                };
+                assert_eq!((update.sequence, update.loads.len()), (42, 1));
+                assert_eq!(update.observations.len(), 1);
+            }
+            // It does not tell how old its sender's knowledge of the store is.
+            "relay" => assert!(matches!(read, Err(MessageError::Malformed(_)))),
+            _ => assert!(matches!(read, Ok(Received::Whole(_))), "{name}: {read:?}"),
+        }
+    }
+}
+
+/// Guards against messages that a build before this one cannot read: it skips what follows the
+/// message that it knows.
+#[test]
+fn the_build_before_that_reads_the_beginning_of_today_s_messages() {
+    let old = recorded(AC4227F);
+    let new = recorded(BUILD_7D6E381);
+    for ((name, old), (_, new)) in old.iter().zip(&new) {
+        assert!(new.starts_with(old), "{name}");
+    }
+}
+
+#[parameterized(
+    later_form = { &[LATER_FORM, 1, 2], MessageError::LaterForm(LATER_FORM) },
+    unknown_kind = { &[11, 0], MessageError::UnknownKind(11) },
+    empty = { &[], MessageError::Malformed("empty".to_owned()) },
+)]
+fn a_message_that_cannot_be_read_says_why(bytes: &[u8], expected: MessageError) {
+    assert_eq!(decode(bytes), Err(expected));
+}
+
+#[test]
+fn what_a_later_build_appends_is_skipped() {
+    for (name, mut bytes) in recorded(BUILD_7D6E381) {
+        let read = decode(&bytes);
+        bytes.extend([7, 7, 7]);
+        assert_eq!(decode(&bytes), read, "{name}");
+    }
+}
+
+/// Guards against a record of the store that an older or a later build has written and this one
+/// cannot read.
+#[test]
+fn records_of_other_builds_are_read() {
+    let member = r#"{"instance":"front-a-1","front":"10.1.0.38:8149","peer":"10.1.0.38:7380",
+        "domain":"a","leaving":false,"started":1700000000000,"later":[1]}"#;
+    let member: Member = serde_json::from_str(member).expect("it is read");
+    assert_eq!(member.instance, "front-a-1");
+    let leader = r#"{"instance":"front-a-1","started":1700000000000,"later":null}"#;
+    let leader: LeaderRecord = serde_json::from_str(leader).expect("it is read");
+    assert_eq!(leader.started, 1_700_000_000_000);
+    let list = r#"{"model":["v1",null]}"#;
+    let list: VersionList = serde_json::from_str(list).expect("it is read");
+    assert_eq!(list["model"].len(), 2);
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { cases: 2_000, failure_persistence: None, ..ProptestConfig::default() })]
+
+    /// Guards against an end of the process by a message, and against one that is read by guess.
+    #[test]
+    fn any_bytes_are_read_or_refused(bytes in vec(any::<u8>(), 0..200)) {
+        let read = decode(&bytes);
+        let known = bytes.first().is_some_and(|kind| *kind < 11);
+        prop_assert!(known || read.is_err());
+    }
+
+    #[test]
+    fn damaged_messages_are_read_or_refused(
+        number in 0..11_usize, at in any::<prop::sample::Index>(), byte in any::<u8>(),
+        length in any::<prop::sample::Index>(),
+    ) {
+        let (_, mut bytes) = recorded(BUILD_7D6E381).swap_remove(number);
+        let at = at.index(bytes.len());
+        bytes[at] = byte;
+        bytes.truncate(length.index(bytes.len() + 1));
+        if let Ok(Received::Whole(message)) = decode(&bytes) {
+            let again = message.encode().map(|bytes| decode(&bytes).is_ok());
+            prop_assert_eq!(again, Ok(true));
+        }
+    }
+}
