Let one instance stand in for watchers that the store rejects

The rejected ones slept between their calls and left the relays of others unread.

Change: instances that miss relays read the store 50 ms apart by rank, and the first one that succeeds relays what it read. A rejected instance receives relays until it may call again. Renewals of rejected leases wait up to the time of a lease.

--- a/crates/cactuslane-gateway/src/control.rs
+++ b/crates/cactuslane-gateway/src/control.rs
@@ -82,8 +82,9 @@
             }
             Err(error) => {
                 warn!(error:% = error; "registration not renewed");
-                let pause = random_pause().mul_f64(backoff_factor(gateway.alive_peers()));
-                pause.max(backoff.pause(&error, rand::random()))
+                let factor = backoff_factor(gateway.alive_peers());
+                let pause = backoff.pause(&error, rand::random()).mul_f64(factor);
+                pause.min(LEASE_TTL)
             }
         };
         tokio::time::sleep(pause).await;
--- a/crates/cactuslane-gateway/src/relay.rs
+++ b/crates/cactuslane-gateway/src/relay.rs
@@ -11,7 +11,7 @@
 use cactuslane_types::{InstanceId, Millis};
 use serde::{Deserialize, Serialize};
 
-use crate::ranking::is_top_ranked;
+use crate::ranking::{count_ahead, is_top_ranked};
 use crate::records::RECORDS_PREFIX;
 
 /// Number of other instances below which each instance watches the store itself, as relays would
@@ -27,6 +27,12 @@
 /// watch of up to 500 ms and a pause of 300 ms, so that the timeout covers two rounds, one of each
 /// watcher, and a lost datagram.
 pub const RELAY_TIMEOUT: Millis = 1_500;
+/// Time added to [`RELAY_TIMEOUT`] for each instance that ranks before one among those that do not
+/// watch the store, in milliseconds: the first one that can read the store then relays what it read
+/// before the others need to.
+const STAND_IN_STEP: Millis = 50;
+/// Number of instances for which the time is added at most.
+const STAND_INS: u64 = 6;
 /// Largest size of the keys and values in one relay, in bytes, so that it fits in a datagram; only
 /// several changes of one revision may exceed it together.
 const MAX_BYTES: usize = 8 << 10;
@@ -227,6 +233,14 @@
     is_small_deployment(others) || is_top_ranked(me, neighbours, "watch", WATCHERS)
 }
 
+/// Returns the age of its knowledge of the store at which an instance that receives relays reads the
+/// store itself, in milliseconds; `neighbours` are as for [`is_watcher`].
+#[must_use]
+pub fn relay_timeout(me: &str, neighbours: &[InstanceId]) -> Millis {
+    let ahead = count_ahead(me, neighbours, "watch").saturating_sub(WATCHERS as u64);
+    RELAY_TIMEOUT + STAND_IN_STEP * ahead.min(STAND_INS)
+}
+
 /// Returns whether a deployment is so small that each instance watches the store itself.
 ///
 /// `others` is the number of other instances that are reachable and not leaving.
--- a/crates/cactuslane-gateway/src/watch.rs
+++ b/crates/cactuslane-gateway/src/watch.rs
@@ -6,7 +6,7 @@
 use cactuslane_platform::store::{CONFIG_KEY, TARGETS};
 use cactuslane_store::kv::{Change, Changes, KeyRead, KvError, WATCH_GRACE, revision_of};
 use cactuslane_types::Millis;
-use log::{info, warn};
+use log::{debug, info, warn};
 use tokio::net::UdpSocket;
 use tokio::sync::mpsc;
 use tokio::task::JoinSet;
@@ -16,7 +16,7 @@
 use crate::control::{OWN_KEYS, apply, read_all};
 use crate::peers::send_relays;
 use crate::progress::Progress;
-use crate::relay::{self, Continuation, RELAY_TIMEOUT, Relay};
+use crate::relay::{self, Continuation, Relay};
 use crate::state::Gateway;
 
 /// The prefix of all keys.
@@ -69,6 +69,27 @@
     /// It receives relays, and calls the store only if these are late or incomplete, or after
     /// [`RESYNC_INTERVAL`].
     Receiving,
+    /// It receives relays, but none arrived in time: it calls the store once and relays the changes
+    /// to its failure domain.
+    StandingIn,
+}
+
+impl SyncMode {
+    /// Returns whether the changes that were read are relayed.
+    fn relays(self) -> bool {
+        matches!(self, Self::Relaying | Self::StandingIn)
+    }
+}
+
+/// What an instance that receives relays fetches from the store.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Fetch {
+    /// Nothing.
+    Nothing,
+    /// The changes that it lacks.
+    Missing,
+    /// The changes that it lacks, which it relays, as no relays arrive.
+    Relayed,
 }
 
 /// The tracking of the store's changes by an instance.
@@ -84,6 +105,9 @@
     store_ok: bool,
     /// The pauses after failed calls.
     backoff: Backoff,
+    /// The time before which an instance that receives relays does not call the store again, on its
+    /// clock.
+    retry_at: Millis,
     /// The time of this instance's own last successful read or watch of the store, on its clock.
     last_read: Millis,
     /// The read of the document that is in progress, if any, with the time at which it began.
@@ -103,7 +127,7 @@
         let revision = match read_all(&gateway).await {
             Ok(revision) => revision,
             Err(error) => {
-                record_failure(&gateway, "read", &error, &mut backoff).await;
+                sleep(record_failure(&gateway, "read", &error, &mut backoff)).await;
                 store_ok = false;
                 continue;
             }
@@ -114,6 +138,7 @@
             progress: Progress::at(revision, asked),
             store_ok,
             backoff: Backoff::default(),
+            retry_at: 0,
             last_read: gateway.now(),
             document: JoinSet::new(),
         };
@@ -130,7 +155,7 @@
             self.gateway.observe_progress(&self.progress);
             let mode = self.sync_mode();
             let pause = match mode {
-                SyncMode::Receiving => Duration::ZERO,
+                SyncMode::Receiving | SyncMode::StandingIn => Duration::ZERO,
                 SyncMode::Relaying => WATCH_PAUSE,
                 SyncMode::Direct => watch_pause(&self.gateway),
             };
@@ -143,7 +168,13 @@
                 }
                 Err(error) => {
                     self.store_ok = false;
-                    record_failure(&self.gateway, "watch", &error, &mut self.backoff).await;
+                    let pause = record_failure(&self.gateway, "watch", &error, &mut self.backoff);
+                    if mode == SyncMode::Receiving {
+                        // Relays are received meanwhile.
+                        self.retry_at = self.gateway.now() + pause.as_millis() as Millis;
+                    } else {
+                        sleep(pause).await;
+                    }
                 }
             }
         }
@@ -164,9 +195,11 @@
             self.document
                 .spawn(async move { Ok((store.get(CONFIG_KEY).await?, asked)) });
         }
-        if !self.receive(relays).await? {
-            return Ok(());
-        }
+        let mode = match self.receive(relays).await? {
+            Fetch::Nothing => return Ok(()),
+            Fetch::Missing => mode,
+            Fetch::Relayed => SyncMode::StandingIn,
+        };
         if self.document.is_empty() {
             self.watch(mode).await
         } else {
@@ -190,18 +223,28 @@
         }
     }
 
-    /// Waits for a relay or the document and applies it; returns whether other changes must be
+    /// Waits for a relay or the document and applies it; returns which other changes must be
     /// fetched from the store.
     async fn receive(
         &mut self,
         relays: &mut mpsc::Receiver<ReceivedRelay>,
-    ) -> Result<bool, KvError> {
+    ) -> Result<Fetch, KvError> {
         let now = self.gateway.now();
-        if now >= self.last_read + RESYNC_INTERVAL {
-            return Ok(true);
+        let may_call = now >= self.retry_at;
+        if may_call && now >= self.last_read + RESYNC_INTERVAL {
+            return Ok(Fetch::Missing);
         }
         let age = now.saturating_sub(self.progress.entries_seen);
-        let limit = Duration::from_millis(RELAY_TIMEOUT.saturating_sub(age));
+        let settings = self.gateway.settings();
+        let neighbours = self
+            .gateway
+            .members()
+            .alive_in_domain(&settings.domain, now);
+        let timeout_ms = relay::relay_timeout(&settings.instance, &neighbours);
+        let wait = timeout_ms
+            .saturating_sub(age)
+            .max(self.retry_at.saturating_sub(now));
+        let limit = Duration::from_millis(wait);
         tokio::select! {
             Some(read) = self.document.join_next() => {
                 let read = read.unwrap_or_else(|error| Err(KvError::Lost(error.to_string())));
@@ -210,11 +253,16 @@
                     apply(&self.gateway, Change::Written(item));
                 }
                 self.progress.record_document(read.revision, asked);
-                Ok(false)
+                Ok(Fetch::Nothing)
             }
-            received = timeout(limit, relays.recv()) => match received {
-                Ok(Some((relay, arrival))) => Ok(self.apply_relay(relay, arrival)),
-                Ok(None) | Err(_) => Ok(true),
+            received = timeout(limit, relays.recv()) => {
+                let Ok(Some((relay, arrival))) = received else {
+                    debug!(age, timeout_ms; "no relay in time, reading the store for the others too");
+                    return Ok(Fetch::Relayed);
+                };
+                let is_missing = self.apply_relay(relay, arrival);
+                let may_call = self.gateway.now() >= self.retry_at;
+                Ok(if is_missing && may_call { Fetch::Missing } else { Fetch::Nothing })
             }
         }
     }
@@ -252,7 +300,7 @@
     /// While a large response arrives, changes of all keys but the document are fetched beside it.
     async fn watch(&mut self, mode: SyncMode) -> Result<(), KvError> {
         let wait = match mode {
-            SyncMode::Receiving => NO_WAIT,
+            SyncMode::Receiving | SyncMode::StandingIn => NO_WAIT,
             SyncMode::Relaying => RELAY_WAIT,
             SyncMode::Direct => watch_wait(self.gateway.settings().contact_grace),
         };
@@ -275,7 +323,13 @@
                 Err(KvError::Compacted) => return Err(KvError::Compacted),
                 Err(error) => {
                     let backoff = &mut self.backoff;
-                    record_failure(&self.gateway, "watch beside", &error, backoff).await;
+                    sleep(record_failure(
+                        &self.gateway,
+                        "watch beside",
+                        &error,
+                        backoff,
+                    ))
+                    .await;
                 }
             }
         };
@@ -294,7 +348,7 @@
         }
         self.last_read = self.gateway.now();
         self.gateway.fleet().record_store_contact(self.last_read);
-        if mode == SyncMode::Relaying {
+        if mode.relays() {
             let known = self.progress;
             let mut relays = Relay::pack(known.entries, known.document, &changes);
             for relay in &mut relays {
@@ -334,7 +388,7 @@
         changes.changes.sort_by_key(revision_of);
         self.gateway.fleet().record_store_contact(asked);
         let revision = changes.revision;
-        if mode == SyncMode::Relaying {
+        if mode.relays() {
             let known = self.progress;
             let mut relays = Relay::pack(known.entries, known.document, &changes);
             for relay in &mut relays {
@@ -386,11 +440,16 @@
     pause.min(gateway.settings().apply_limit.mul_f64(MAX_PAUSE_SHARE))
 }
 
-/// Records that a call to the store failed, and waits before the next one.
-async fn record_failure(gateway: &Gateway, call: &str, error: &KvError, backoff: &mut Backoff) {
+/// Records that a call to the store failed, and returns the pause before the next one.
+fn record_failure(
+    gateway: &Gateway,
+    call: &str,
+    error: &KvError,
+    backoff: &mut Backoff,
+) -> Duration {
     let now = gateway.now();
     gateway.fleet().record_store_failure(now);
     let pause = backoff.pause(error, rand::random());
     warn!(call, error:% = error, pause_ms = pause.as_millis() as u64; "store in trouble");
-    sleep(pause).await;
+    pause
 }
--- a/crates/cactuslane-gateway/tests/serving/control.rs
+++ b/crates/cactuslane-gateway/tests/serving/control.rs
@@ -3,8 +3,10 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use cactuslane_gateway::GatewayHandle;
-use cactuslane_platform_standin::{Mode, Store, caller, document};
+use cactuslane_gateway::relay::is_watcher;
+use cactuslane_gateway::{Gateway, GatewayHandle};
+use cactuslane_platform_standin::link::{Cut, Link};
+use cactuslane_platform_standin::{Mode, Store, caller, document, settings};
 use cactuslane_store::http::Client;
 use http_body_util::Full;
 use hyper::Request;
@@ -227,6 +229,68 @@
     });
 }
 
+/// Guards against a failure domain whose instances all read the store themselves because it rejects
+/// the two that should watch it.
+#[test]
+fn one_instance_stands_in_for_watchers_that_do_not_reach_the_store() {
+    /// Number of calls of all others that replace as many relays of the instance that stands in.
+    const ROUNDS: u64 = 4;
+    run_test(async {
+        let deployment = deploy().await;
+        let names: Vec<String> = (2..=RELAYED_FLEET).map(|n| format!("front-{n}")).collect();
+        let all: Vec<String> = ["front-1".to_owned()]
+            .into_iter()
+            .chain(names.clone())
+            .collect();
+        let is_chosen = |name: &String| {
+            let others: Vec<String> = all.iter().filter(|other| *other != name).cloned().collect();
+            is_watcher(name, others.len(), &others)
+        };
+        let link = Link::bind(deployment.store.address).await;
+        let link = link.expect("a port can be bound");
+        let (mut watchers, mut fleet) = (Vec::new(), Vec::new());
+        for name in &names {
+            if is_chosen(name) {
+                let settings = settings(name, link.address);
+                let running = Gateway::spawn(settings).await;
+                watchers.push(running.expect("the instance starts"));
+            } else {
+                fleet.push(start_instance(name, &deployment.store).await);
+            }
+        }
+        assert_eq!(watchers.len(), 2, "front-1 is no watcher");
+        let knows_all = |running: &GatewayHandle| {
+            let gateway = &running.gateway;
+            gateway.alive_peers() == RELAYED_FLEET - 1
+        };
+        wait_until(|| fleet.iter().chain(&watchers).all(knows_all)).await;
+        link.set_cut(Some(Cut::Reset));
+        // Watches that began before the instances knew each other have ended by the first round.
+        let counts = || fleet.iter().map(watch_count).collect::<Vec<u64>>();
+        let most = |before: &[u64]| {
+            let gains = counts()
+                .into_iter()
+                .zip(before)
+                .map(|(now, before)| now - before);
+            gains.max().unwrap_or_default()
+        };
+        let start = counts();
+        wait_until(|| most(&start) >= 2).await;
+        let before = counts();
+        wait_until(|| most(&before) >= ROUNDS).await;
+        let gains: u64 = counts()
+            .iter()
+            .zip(&before)
+            .map(|(now, then)| now - then)
+            .sum();
+        assert!(
+            gains <= 2 * ROUNDS,
+            "{gains} calls of {} instances",
+            fleet.len()
+        );
+    });
+}
+
 /// Guards against reads of a large document that begin again before they are complete.
 #[test]
 fn a_document_that_takes_longer_than_a_timeout_comes_into_force_at_all_instances() {
