Wait for the end of a race in the test of requests that are passed on

a_request_is_not_passed_on_twice failed once beside load, and in 1 of 60 runs of thirty at once. Traced: an instance passes requests on as soon as no trial connection is made, and is certain of a cut only after a later round; the test asked for the certainty at once.

--- a/crates/cactuslane-gateway/tests/serving/cut.rs
+++ b/crates/cactuslane-gateway/tests/serving/cut.rs
@@ -142,7 +142,8 @@
                 refused += 1;
             }
         }
-        assert!(deployment.running.gateway.pool.reach().is_cut());
+        // Requests are passed on before it is certain that the instance is cut off.
+        wait_until(|| deployment.running.gateway.pool.reach().is_cut()).await;
     });
 }
 
