Ask an engine that turns requests away whether it carries out an order

Change: an engine that turns a request away is asked for its report, twice a second at most by an instance; while it carries out an order it gets no new work for a second, and the others are told with the next update.

Without the change an_engine_that_carries_out_an_order_is_rejected_once_and_then_avoided_by_all waits for ever.

--- a/crates/cactuslane-gateway/src/engines.rs
+++ b/crates/cactuslane-gateway/src/engines.rs
@@ -1,19 +1,22 @@
 //! Calls to engines beside callers' requests: for their state, their caches and computed prompts.
 
+use std::sync::Arc;
 use std::time::Duration;
 
 use cactuslane_flight::request_info::PromptPart;
 use cactuslane_flight::target::Target;
+use cactuslane_place::Observed;
 use cactuslane_platform::engine::{self, Report};
 use cactuslane_platform::exchange;
 use http_body_util::Full;
 use hyper::body::Bytes;
 use hyper::{Method, Request, StatusCode};
+use log::info;
 use tokio::time::timeout;
 
 use crate::answers;
 use crate::limits::{self, Purpose};
-use crate::plain::read_body;
+use crate::plain::{queue_observation, read_body};
 use crate::state::Gateway;
 use crate::upstream::SendError;
 
@@ -51,6 +54,35 @@
     engine::decode_report(&body).map_err(CallError::Unknown)
 }
 
+/// Asks an engine that turned a request away whether it is carrying out an order, unless it was asked
+/// just now; if it is, it gets no new work for a time, and the other instances are told.
+///
+/// Otherwise each instance would learn by rejections of its own that an engine changes its role whose
+/// order they do not know, as the instance that gave it has ended.
+pub fn ask_rejecting(gateway: &Arc<Gateway>, target: &Target) {
+    if !gateway.may_ask(&target.id) {
+        return;
+    }
+    let (gateway, target) = (gateway.clone(), target.clone());
+    tokio::spawn(async move {
+        let (is_busy, role) = match report(&gateway, &target).await {
+            Ok(report) => (report.busy, report.role),
+            Err(error) => {
+                info!(target_id = target.id, error:? = error; "rejecting engine gave no report");
+                return;
+            }
+        };
+        let now = gateway.now();
+        let mut fleet = gateway.fleet();
+        let is_new = is_busy && fleet.observe_changing(&target.id, target.started_at, now);
+        drop(fleet);
+        if is_new {
+            info!(target_id = target.id, role:? = role; "engine carries out an order");
+            queue_observation(&gateway, &target, Observed::Changing);
+        }
+    });
+}
+
 /// Requests the list of the prompt parts that an engine caches.
 ///
 /// # Errors
--- a/crates/cactuslane-gateway/src/generation/attempt.rs
+++ b/crates/cactuslane-gateway/src/generation/attempt.rs
@@ -14,10 +14,10 @@
 use super::prompt::ComputedPrompt;
 use super::waiting::{HELD, with_timeout};
 use super::{OpenStream, StreamRequest};
-use crate::crashes;
 use crate::limits::Permit;
 use crate::plain::{read_body, send};
 use crate::reply::{self, AnswerBody};
+use crate::{crashes, engines};
 
 /// Maximum size of the body of a target's failure, in bytes.
 const MAX_FAILURE_BYTES: usize = 1 << 20;
@@ -76,6 +76,9 @@
                 if why != HELD {
                     self.gateway.record_failure(&target.id, ending);
                 }
+                if ending == AttemptFailure::Rejected {
+                    engines::ask_rejecting(&self.gateway, target);
+                }
                 info!(request = self.request.info.id, target_id = target.id, why; "no stream");
                 return Err((ending, None));
             }
--- a/crates/cactuslane-gateway/src/generation/prompt.rs
+++ b/crates/cactuslane-gateway/src/generation/prompt.rs
@@ -130,6 +130,9 @@
             }
             Err((ending, why)) => {
                 self.gateway.record_failure(&target.id, ending);
+                if ending == AttemptFailure::Rejected {
+                    engines::ask_rejecting(&self.gateway, target);
+                }
                 Err((ending, why))
             }
         }
--- a/crates/cactuslane-gateway/src/state.rs
+++ b/crates/cactuslane-gateway/src/state.rs
@@ -34,6 +34,9 @@
 /// caller takes up.
 pub const STREAM_LIFETIME_FACTOR: u32 = 2;
 
+/// Time between questions to one engine that turns requests away, in milliseconds.
+const ASK_INTERVAL: Millis = 500;
+
 /// State of one instance.
 #[derive(Debug)]
 pub struct Gateway {
@@ -75,6 +78,8 @@
     pub peer_socket: OnceLock<Arc<UdpSocket>>,
     /// Senders of messages that could not be read, with the reasons that were logged.
     unread_logged: Mutex<BTreeSet<(SocketAddr, &'static str)>>,
+    /// Times at which engines that turned requests away were last asked for their state.
+    asked: Mutex<BTreeMap<TargetId, Millis>>,
     /// Retry budgets by service.
     retry_budgets: Mutex<BTreeMap<ServiceName, WindowedRetryBudget>>,
     /// Idle connections to targets.
@@ -131,6 +136,7 @@
             records_read: tokio::sync::Mutex::default(),
             peer_socket: OnceLock::new(),
             unread_logged: Mutex::default(),
+            asked: Mutex::default(),
             retry_budgets: Mutex::default(),
             pool: ConnectionPool::open(clock_origin),
             store,
@@ -225,6 +231,20 @@
         lock(&self.unread_logged)
     }
 
+    /// Returns whether an engine that turned a request away may be asked for its state, which is so
+    /// once in [`ASK_INTERVAL`].
+    #[must_use]
+    pub fn may_ask(&self, target: &str) -> bool {
+        let now = self.now();
+        let mut asked = lock(&self.asked);
+        asked.retain(|_, at| now < *at + ASK_INTERVAL);
+        if asked.contains_key(target) {
+            return false;
+        }
+        asked.insert(target.to_owned(), now);
+        true
+    }
+
     /// Returns the longest time since the beginning of a stream that a caller takes up.
     #[must_use]
     pub fn stream_lifetime(&self) -> Duration {
--- a/crates/cactuslane-gateway/tests/serving/streams.rs
+++ b/crates/cactuslane-gateway/tests/serving/streams.rs
@@ -2,12 +2,13 @@
 
 use std::time::Duration;
 
+use cactuslane_gateway::GatewayHandle;
 use cactuslane_place::Load;
 use cactuslane_platform_standin::{Fault, Mode, Target, TargetKind, target};
 use hyper::body::Bytes;
 use yare::parameterized;
 
-use crate::deployment::{all_events, deploy, run_test, wait_until};
+use crate::deployment::{all_events, deploy, run_test, start_fleet, wait_until};
 
 #[test]
 fn a_stream_arrives_complete_and_the_request_body_unchanged() {
@@ -53,6 +54,26 @@
     });
 }
 
+/// Guards against each instance learning by rejections of its own that an engine carries out an order
+/// that no running instance has given.
+#[test]
+fn an_engine_that_carries_out_an_order_is_rejected_once_and_then_avoided_by_all() {
+    run_test(async {
+        let deployment = deploy().await;
+        let others = start_fleet(&deployment).await;
+        deployment.prefer_first(&deployment.engines);
+        let engine = &deployment.engines[0];
+        engine.set_busy(true);
+        let answer = deployment.ask("/summary/7", "r1").await;
+        assert_eq!((answer.status, answer.body), (200, all_events()));
+        assert_eq!(deployment.engines[1].runs("r1"), 1);
+        let avoids = |running: &GatewayHandle| running.gateway.target(&engine.id).is_none();
+        wait_until(|| others.iter().all(avoids)).await;
+        engine.set_busy(false);
+        wait_until(|| !others.iter().any(avoids)).await;
+    });
+}
+
 #[test]
 fn a_stream_that_is_not_resumable_is_aborted() {
     run_test(async {
