Resume a stream whose target sends bytes but no event

Cause: each byte of a target began the silence anew after which a stream is resumed elsewhere. A target that stalls and sends a byte now and then held its stream until the deadline, as operators of similar systems report.

Change: the silence is counted from the last whole event. Streams that may not be resumed are read on to their deadline as before.

--- a/crates/cactuslane-gateway/src/generation/stream.rs
+++ b/crates/cactuslane-gateway/src/generation/stream.rs
@@ -41,7 +41,7 @@
     Lost,
     /// The request or a part of its prompt is held, and no event had arrived.
     Held,
-    /// The target was silent for too long, and a retry was taken from the budget.
+    /// No event arrived for too long, and a retry was taken from the budget.
     Silent,
     /// The deadline of the request passed.
     DeadlinePassed,
@@ -166,6 +166,7 @@
     ) -> StreamEnd {
         let mut ignore_silence = !self.state.may_retry();
         let mut last_received = Instant::now();
+        let mut last_event = last_received;
         let mut beginning = Beginning::default();
         let framed = exchange::is_framed(&opened.headers);
         loop {
@@ -173,7 +174,9 @@
             let wait = if ignore_silence {
                 left
             } else {
-                left.min(self.silence_timeout())
+                // Bytes that complete no event do not end a silence.
+                let silence = self.silence_timeout();
+                left.min(silence.saturating_sub(last_event.elapsed()))
             };
             let frame = tokio::select! {
                 frame = timeout(wait, opened.body.frame()) => frame,
@@ -214,6 +217,7 @@
                 return StreamEnd::Broken;
             };
             if !events.is_empty() {
+                last_event = received;
                 beginning.first.get_or_insert(now);
                 opened.attempt.settle();
                 if self.origin == StreamOrigin::NotBegun {
--- a/crates/cactuslane-gateway/tests/serving/streams.rs
+++ b/crates/cactuslane-gateway/tests/serving/streams.rs
@@ -27,6 +27,7 @@
     within_an_event = { Fault::Break(3) },
     before_any_event = { Fault::Break(0) },
     silent = { Fault::Mute(2) },
+    bytes_without_an_event = { Fault::Dribble(2) },
 )]
 fn a_resumable_stream_is_resumed_once(fault: Fault) {
     run_test(async {
