Sum the loads of other instances when their updates arrive

Cause: the load of a target was added up over the last updates of all instances each time it was asked for, a few times for each target of a placement, and so were the changes of roles.

Change: the sums are kept by target, and an update replaces its part of them; updates that are too old are taken out. Loads beyond all bounds saturate.

--- a/crates/cactuslane-place/src/load_view.rs
+++ b/crates/cactuslane-place/src/load_view.rs
@@ -1,6 +1,6 @@
 //! Load of targets, by the requests of this instance and the updates of the others.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 use cactuslane_flight::request_info::PromptPart;
 use cactuslane_types::{InstanceId, Millis, TargetId};
@@ -111,6 +111,15 @@
     pub streams: f64,
 }
 
+/// Sums over the last updates of other instances.
+#[derive(Clone, Debug, Default)]
+struct PeerSums {
+    /// Load at each target where there is any.
+    loads: BTreeMap<TargetId, Load>,
+    /// Number of instances that are changing the role of each engine.
+    changing: BTreeMap<TargetId, u32>,
+}
+
 /// Load of all targets, as far as this instance knows it.
 #[derive(Clone, Debug, Default)]
 pub struct LoadView {
@@ -118,6 +127,11 @@
     own: BTreeMap<TargetId, Load>,
     /// Last updates of the other instances.
     peers: BTreeMap<InstanceId, Peer>,
+    /// Sums over those of them that are in `counted`, so that the load of a target costs the same for
+    /// any number of instances.
+    sums: PeerSums,
+    /// Instances whose last updates are in the sums, by arrival time.
+    counted: BTreeSet<(Millis, InstanceId)>,
     /// Engines whose role this instance is changing.
     changing: Vec<TargetId>,
     /// Work that this instance has placed since its start.
@@ -129,9 +143,9 @@
 impl Load {
     /// Adds another load to this one.
     pub fn add(&mut self, other: Self) {
-        self.prompt_tokens += other.prompt_tokens;
-        self.running += other.running;
-        self.kv_tokens += other.kv_tokens;
+        self.prompt_tokens = self.prompt_tokens.saturating_add(other.prompt_tokens);
+        self.running = self.running.saturating_add(other.running);
+        self.kv_tokens = self.kv_tokens.saturating_add(other.kv_tokens);
     }
 
     /// Subtracts a load that was added before; no count falls below 0.
@@ -204,10 +218,41 @@
         };
         self.peers_placed.prompt_tokens += added.prompt_tokens;
         self.peers_placed.streams += added.streams;
+        self.discount(&update.instance);
+        self.sums.add(&peer);
+        self.counted.insert((now, update.instance.clone()));
         self.peers.insert(update.instance.clone(), peer);
+        self.expire(now);
         true
     }
 
+    /// Takes updates that have become too old out of the sums.
+    pub fn expire(&mut self, now: Millis) {
+        while let Some((received, instance)) = self.counted.first() {
+            if now.saturating_sub(*received) <= PEER_LIFETIME {
+                return;
+            }
+            let instance = instance.clone();
+            self.discount(&instance);
+        }
+    }
+
+    /// Takes the last update of an instance out of the sums, if it is in them.
+    fn discount(&mut self, instance: &str) {
+        let Some(peer) = self.peers.get(instance) else {
+            return;
+        };
+        if self.counted.remove(&(peer.received, instance.to_owned())) {
+            self.sums.remove(peer);
+        }
+    }
+
+    /// Returns whether the sums hold no update that is too old.
+    fn is_current(&self, now: Millis) -> bool {
+        let oldest = self.counted.first();
+        oldest.is_none_or(|(received, _)| now.saturating_sub(*received) <= PEER_LIFETIME)
+    }
+
     /// Counts a generation that this instance placed, with the estimated number of prompt tokens to
     /// compute.
     pub fn record_placed(&mut self, prompt: u32) {
@@ -249,6 +294,9 @@
     #[must_use]
     pub fn is_changing(&self, target: &str, now: Millis) -> bool {
         let named = |targets: &[TargetId]| targets.iter().any(|id| id == target);
+        if self.is_current(now) {
+            return named(&self.changing) || self.sums.changing.contains_key(target);
+        }
         let fresh = |peer: &&Peer| now.saturating_sub(peer.received) <= PEER_LIFETIME;
         named(&self.changing)
             || self
@@ -260,6 +308,7 @@
 
     /// Discards the last update of an instance that has left or failed.
     pub fn forget(&mut self, instance: &str) {
+        self.discount(instance);
         self.peers.remove(instance);
     }
 
@@ -298,6 +347,10 @@
     #[must_use]
     pub fn load(&self, target: &str, now: Millis) -> Load {
         let mut load = self.own(target);
+        if self.is_current(now) {
+            load.add(self.sums.loads.get(target).copied().unwrap_or_default());
+            return load;
+        }
         for peer in self.peers.values() {
             if now.saturating_sub(peer.received) > PEER_LIFETIME {
                 continue;
@@ -308,6 +361,40 @@
     }
 }
 
+impl PeerSums {
+    /// Adds an update.
+    fn add(&mut self, peer: &Peer) {
+        for (target, load) in &peer.loads {
+            self.loads.entry(target.clone()).or_default().add(*load);
+        }
+        for target in &peer.changing {
+            *self.changing.entry(target.clone()).or_default() += 1;
+        }
+    }
+
+    /// Removes an update that was added before.
+    fn remove(&mut self, peer: &Peer) {
+        for (target, load) in &peer.loads {
+            let Some(sum) = self.loads.get_mut(target) else {
+                continue;
+            };
+            sum.remove(*load);
+            if *sum == Load::default() {
+                self.loads.remove(target);
+            }
+        }
+        for target in &peer.changing {
+            let Some(count) = self.changing.get_mut(target) else {
+                continue;
+            };
+            *count -= 1;
+            if *count == 0 {
+                self.changing.remove(target);
+            }
+        }
+    }
+}
+
 impl PlacedRate {
     /// Returns the rate after work that was placed within `elapsed` milliseconds.
     fn observe(self, added: PlacedWork, elapsed: Millis) -> Self {
--- a/crates/cactuslane-place/src/placer.rs
+++ b/crates/cactuslane-place/src/placer.rs
@@ -164,6 +164,7 @@
         tried: &[TargetId],
         now: Millis,
     ) -> Option<TargetId> {
+        self.load_view.expire(now);
         let usable = self.usable(targets, tried, now);
         let mut best: Option<(f64, &Target)> = None;
         for target in usable {
@@ -192,6 +193,7 @@
         request: &PlacementRequest<'_>,
         now: Millis,
     ) -> Placement {
+        self.load_view.expire(now);
         let usable = self.usable(targets, request.tried, now);
         let Some((direct_cost, direct)) = self.plan_direct(&usable, request, now) else {
             return Placement::NoTarget;
@@ -255,6 +257,7 @@
         request: &PlacementRequest<'_>,
         now: Millis,
     ) -> Placement {
+        self.load_view.expire(now);
         let mut best = None;
         // Retrying an engine, or using one with a limit, is better than discarding the computed
         // prompt.
