--- a/crates/cactuslane-gateway/src/watch.rs
+++ b/crates/cactuslane-gateway/src/watch.rs
@@ -189,7 +189,8 @@
         if mode != SyncMode::Receiving {
             return self.watch(mode).await;
         }
-        if self.document.is_empty() && self.progress.lacks_document() {
+        let may_call = self.gateway.now() >= self.retry_at;
+        if may_call && self.document.is_empty() && self.progress.lacks_document() {
             info!(wanted = self.progress.wanted, known = self.progress.document; "reading the document");
             let (store, asked) = (self.gateway.store.clone(), self.gateway.now());
             self.document
--- a/crates/cactuslane-gateway/tests/serving/control.rs
+++ b/crates/cactuslane-gateway/tests/serving/control.rs
@@ -11,7 +11,7 @@
 use http_body_util::Full;
 use hyper::Request;
 use hyper::body::Bytes;
-use tokio::time::sleep;
+use tokio::time::{Instant, sleep};
 use yare::parameterized;
 
 use crate::deployment::{
@@ -291,6 +291,62 @@
     });
 }
 
+/// Guards against calls without a pause by an instance that lacks a large document and does not
+/// reach the store.
+#[test]
+fn a_document_that_cannot_be_read_is_asked_for_with_pauses() {
+    run_test(async {
+        let deployment = deploy().await;
+        let names: Vec<String> = (1..=RELAYED_FLEET).map(|n| format!("front-{n}")).collect();
+        let is_chosen = |name: &&String| {
+            let others: Vec<String> = names
+                .iter()
+                .filter(|other| other != name)
+                .cloned()
+                .collect();
+            *name != "front-1" && !is_watcher(name, others.len(), &others)
+        };
+        let cut_off = names.iter().find(is_chosen).expect("most receive relays");
+        let link = Link::bind(deployment.store.address).await;
+        let link = link.expect("a port can be bound");
+        let mut fleet = Vec::new();
+        for name in names
+            .iter()
+            .filter(|name| *name != "front-1" && *name != cut_off)
+        {
+            fleet.push(start_instance(name, &deployment.store).await);
+        }
+        let running = Gateway::spawn(settings(cut_off, link.address)).await;
+        let running = running.expect("the instance starts");
+        let knows_all =
+            |running: &GatewayHandle| running.gateway.alive_peers() == RELAYED_FLEET - 1;
+        wait_until(|| fleet.iter().chain([&running]).all(knows_all)).await;
+        // Its watch that began before it knew the others has ended once a relay was applied.
+        deployment.store.configure(&document(4));
+        let version = |running: &GatewayHandle| {
+            let config = running.gateway.routing_config();
+            config.map(|config| config.version)
+        };
+        wait_until(|| version(&running) == Some(4)).await;
+        link.set_cut(Some(Cut::Reset));
+        deployment.store.configure(&large_document(9, 1200));
+        let calls = || {
+            let results = ["unreachable", "lost", "refused", "malformed"];
+            let count = |result| {
+                let labels = [("call", "key"), ("result", result)];
+                running.gateway.store.calls.get_or_create(&labels).get()
+            };
+            results.into_iter().map(count).sum::<u64>()
+        };
+        wait_until(|| calls() > 0).await;
+        let (before, began) = (calls(), Instant::now());
+        sleep(Duration::from_secs(1)).await;
+        // Each pause is at least a third of 0.3 s.
+        let most = began.elapsed().as_millis() as u64 / 100 + 1;
+        assert!(calls() - before <= most, "{} calls", calls() - before);
+    });
+}
+
 /// Guards against reads of a large document that begin again before they are complete.
 #[test]
 fn a_document_that_takes_longer_than_a_timeout_comes_into_force_at_all_instances() {
