Serve streams at a version that is not listed while no listed target generates

Cause: while a new version was not listed yet, streams were kept to targets of listed versions even if these only compute prompts, so that the service had no target.

Change: streams are kept to listed versions only while a target of one generates.

--- a/crates/cactuslane-gateway/src/generation.rs
+++ b/crates/cactuslane-gateway/src/generation.rs
@@ -224,9 +224,9 @@
         let model = request.info.model.as_deref();
         let mut targets = fleet.targets(&request.service, model, now);
         targets.retain(|target| self.origin.allows(target));
-        if self.origin == StreamOrigin::NotBegun
-            && targets.iter().any(|target| fleet.is_listed(target))
-        {
+        // A version that is not listed is used only while no other can generate.
+        let generates = |target: &&Target| target.role.decodes() && fleet.is_listed(target);
+        if self.origin == StreamOrigin::NotBegun && targets.iter().any(generates) {
             targets.retain(|target| fleet.is_listed(target));
         }
         let mut placer = self.gateway.placer();
--- a/crates/cactuslane-gateway/tests/serving/lost.rs
+++ b/crates/cactuslane-gateway/tests/serving/lost.rs
@@ -285,6 +285,25 @@
     });
 }
 
+/// Guards against a service that is not served while the only listed targets do not generate.
+#[test]
+fn a_stream_begins_at_a_version_that_is_not_listed_if_no_listed_target_generates() {
+    run_test(async {
+        let fleet = Fleet::start(&["v2"]).await;
+        let older = Target::bind("i-old", TargetKind::Prefill, &fleet.store).await;
+        let older = older.expect("a port can be bound");
+        older.register(&fleet.store, "ready");
+        let gateway = &fleet.processes[0].handle.gateway;
+        wait_until(|| gateway.target("i-old").is_some()).await;
+        let list = BTreeMap::from([("model".to_owned(), BTreeSet::from([Some("v1".to_owned())]))]);
+        gateway.fleet().set_version_list(list, u64::MAX);
+        let request = caller::request(gateway.settings().front, "/summary/7", "r1");
+        let response = fleet.client.send(request).await;
+        let answer = read_answer(response.expect("the request is answered")).await;
+        assert_eq!((answer.status, answer.body), (200, all_events()));
+    });
+}
+
 /// Guards against an end of the process, or of the instance's picture of the store, by entries that
 /// cannot be read.
 #[test]
