Log gaps in the relays and what reads of the store bring

Change: a line for each gap, dropped relay, and read that no relay made needless or that was large, with revisions, bytes, share of records and time. No decision changes.

--- a/crates/cactuslane-gateway/src/peers.rs
+++ b/crates/cactuslane-gateway/src/peers.rs
@@ -285,8 +285,9 @@
     match message {
         Message::Update(update, report) => apply_update(gateway, &update, Some(report)),
         Message::Relay(relay) => {
+            let (start, end) = (relay.from, relay.to);
             if relays.try_send((relay, gateway.now())).is_err() {
-                debug!("relay dropped, the next one shows the gap");
+                info!(start, end; "relay dropped, the next one shows the gap");
             }
         }
         Message::Limit(peer, notice) => limits::apply_notice(gateway, &notice, &peer),
--- a/crates/cactuslane-gateway/src/watch.rs
+++ b/crates/cactuslane-gateway/src/watch.rs
@@ -6,7 +6,7 @@
 use cactuslane_platform::store::{CONFIG_KEY, TARGETS};
 use cactuslane_store::kv::{Change, Changes, KeyRead, KvError, WATCH_GRACE, revision_of};
 use cactuslane_types::Millis;
-use log::{debug, info, warn};
+use log::{info, warn};
 use tokio::net::UdpSocket;
 use tokio::sync::mpsc;
 use tokio::task::JoinSet;
@@ -16,6 +16,7 @@
 use crate::control::{OWN_KEYS, apply, read_all};
 use crate::peers::send_relays;
 use crate::progress::Progress;
+use crate::records::RECORDS_PREFIX;
 use crate::relay::{self, Continuation, Relay};
 use crate::state::Gateway;
 
@@ -258,11 +259,16 @@
             }
             received = timeout(limit, relays.recv()) => {
                 let Ok(Some((relay, arrival))) = received else {
-                    debug!(age, timeout_ms; "no relay in time, reading the store for the others too");
+                    info!(age, timeout_ms; "no relay in time, reading the store for the others too");
                     return Ok(Fetch::Relayed);
                 };
+                let (from, to) = (relay.from, relay.to);
                 let is_missing = self.apply_relay(relay, arrival);
                 let may_call = self.gateway.now() >= self.retry_at;
+                if is_missing {
+                    let known = self.progress.entries;
+                    info!(known, from, to, age, may_call; "relay leaves a gap");
+                }
                 Ok(if is_missing && may_call { Fetch::Missing } else { Fetch::Nothing })
             }
         }
@@ -335,6 +341,9 @@
             }
         };
         let changes = read.unwrap_or_else(|error| Err(KvError::Lost(error.to_string())))?;
+        if begun.is_some() || matches!(mode, SyncMode::Receiving | SyncMode::StandingIn) {
+            log_read(mode, from, &changes, self.gateway.now() - asked);
+        }
         // An empty response shows that the store waited as long as it was asked to.
         let waited = if changes.changes.is_empty() {
             wait
@@ -441,6 +450,22 @@
     pause.min(gateway.settings().apply_limit.mul_f64(MAX_PAUSE_SHARE))
 }
 
+/// Logs what a read of the store brought that was large, or that no relay made needless.
+fn log_read(mode: SyncMode, from: u64, changes: &Changes, elapsed_ms: Millis) {
+    let (mut bytes, mut record_bytes) = (0, 0);
+    for change in &changes.changes {
+        let Change::Written(item) = change else {
+            continue;
+        };
+        bytes += item.value.len();
+        if item.key.starts_with(RECORDS_PREFIX) {
+            record_bytes += item.value.len();
+        }
+    }
+    let (count, to) = (changes.changes.len(), changes.revision);
+    info!(mode:?, from, to, count, bytes, record_bytes, elapsed_ms; "read changes of the store");
+}
+
 /// Records that a call to the store failed, and returns the pause before the next one.
 fn record_failure(
     gateway: &Gateway,
