--- a/crates/cactuslane-gateway/tests/serving/control.rs
+++ b/crates/cactuslane-gateway/tests/serving/control.rs
@@ -393,6 +393,53 @@
     });
 }
 
+/// Guards against changes of targets that wait until records of streams have been received.
+#[test]
+fn a_target_that_leaves_is_known_before_large_records_of_streams_are_received() {
+    run_test(async {
+        let deployment = deploy().await;
+        let fleet = start_instances(&deployment, RELAYED_FLEET).await;
+        // The records take longer than the test.
+        deployment.store.set_part_time(Duration::from_millis(600));
+        deployment.store.write(RECORD_KEY, &large_record(60_000));
+        sleep(Duration::from_millis(50)).await;
+        deployment.workers[0].register(&deployment.store, "draining");
+        let uses = |running: &GatewayHandle| running.gateway.target("i-w1").is_some();
+        wait_until(|| !fleet.iter().any(uses)).await;
+    });
+}
+
+/// Guards against instances that read the document as records of streams take long to arrive.
+#[test]
+fn the_document_is_not_read_while_only_records_of_streams_arrive() {
+    run_test(async {
+        let deployment = deploy().await;
+        let fleet = start_instances(&deployment, RELAYED_FLEET).await;
+        // The records take 0.9 s.
+        deployment.store.set_part_time(Duration::from_millis(30));
+        deployment.store.write(RECORD_KEY, &large_record(18_000));
+        let reads = |running: &GatewayHandle| {
+            let labels = [("call", "key"), ("result", "ok")];
+            running.gateway.store.calls.get_or_create(&labels).get()
+        };
+        sleep(Duration::from_millis(500)).await;
+        deployment.workers[0].register(&deployment.store, "draining");
+        let uses = |running: &GatewayHandle| running.gateway.target("i-w1").is_some();
+        wait_until(|| !fleet.iter().any(uses)).await;
+        sleep(Duration::from_secs(1)).await;
+        assert_eq!(fleet.iter().map(reads).sum::<u64>(), 0);
+    });
+}
+
+/// Key of a record of streams.
+const RECORD_KEY: &str = "cactuslane/streams/front-x/1";
+
+/// Returns a record of streams, each of which takes about 19 bytes.
+fn large_record(streams: u64) -> serde_json::Value {
+    let ids: Vec<String> = (0..streams).map(|id| format!("{id:016x}")).collect();
+    serde_json::json!({ "begun": { "v1": ids } })
+}
+
 /// Returns a document with additional routes, each of which takes about 240 bytes.
 fn large_document(version: u64, routes: usize) -> serde_json::Value {
     let mut large = document(version);
