Fetch small changes of the store apart from records of streams

Cause: while versions are mixed, each watch returns records of streams. When these take longer than 0.2 s, the reads of smaller changes beside them asked for all keys of our own and so for the same records again; instances took any large response for a change of the document, told their failure domain so, and all read it; and a receiver that read what it lacked took no relays meanwhile.

Change: beside a large response the keys with small values are fetched by their prefixes, without the records; a short watch of the document tells whether it changed; relays are applied while a response arrives, and a watcher discards those of the other watcher.

--- a/crates/cactuslane-gateway/src/control.rs
+++ b/crates/cactuslane-gateway/src/control.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use cactuslane_platform::store::CONFIG_KEY;
+use cactuslane_platform::store::{CONFIG_KEY, TARGETS};
 use cactuslane_platform::{document, registry};
 use cactuslane_store::kv::{Change, Item, KvError, Lease, Update};
 use cactuslane_types::Millis;
@@ -12,6 +12,7 @@
 use rand::Rng;
 
 use crate::backoff::Backoff;
+use crate::crashes::HELD_PREFIX;
 use crate::fleet::Effect;
 use crate::leadership::{LAST_LEADER_KEY, LEADER_KEY, LeaderRecord, boot_millis};
 use crate::members::Member;
@@ -23,8 +24,15 @@
 use crate::watch::ALL_KEYS;
 use crate::{crashes, records, versions};
 
-/// The prefix of all keys that instances write.
-pub const OWN_KEYS: &str = "cactuslane/";
+/// The prefixes of all keys whose values are small: all but the document and the records of streams.
+pub const SMALL_KEYS: [&str; 6] = [
+    TARGETS,
+    MEMBER_PREFIX,
+    LEADER_KEY,
+    LAST_LEADER_KEY,
+    HELD_PREFIX,
+    LIST_KEY,
+];
 /// The prefix of the keys of instances.
 const MEMBER_PREFIX: &str = "cactuslane/instances/";
 /// Range of the pause after a failed call to the store, in milliseconds.
--- a/crates/cactuslane-gateway/src/crashes.rs
+++ b/crates/cactuslane-gateway/src/crashes.rs
@@ -21,6 +21,8 @@
 use crate::reach;
 use crate::state::Gateway;
 
+/// Prefix of the keys of all held suspects.
+pub const HELD_PREFIX: &str = "cactuslane/held-";
 /// Prefix of the keys of held parts in the store, followed by the part's id in hexadecimal.
 const PARTS_PREFIX: &str = "cactuslane/held-parts/";
 /// Prefix of the keys of held requests in the store, followed by the fingerprint in hexadecimal.
--- a/crates/cactuslane-gateway/src/watch.rs
+++ b/crates/cactuslane-gateway/src/watch.rs
@@ -1,10 +1,12 @@
 //! Tracking of the store's changes, by watching it or by relays of other instances.
 
+mod fetch;
+
 use std::sync::Arc;
 use std::time::Duration;
 
-use cactuslane_platform::store::{CONFIG_KEY, TARGETS};
-use cactuslane_store::kv::{Change, Changes, KeyRead, KvError, WATCH_GRACE, revision_of};
+use cactuslane_platform::store::CONFIG_KEY;
+use cactuslane_store::kv::{Change, KeyRead, KvError, WATCH_GRACE};
 use cactuslane_types::Millis;
 use log::{info, warn};
 use tokio::net::UdpSocket;
@@ -13,10 +15,8 @@
 use tokio::time::{sleep, timeout};
 
 use crate::backoff::Backoff;
-use crate::control::{OWN_KEYS, apply, read_all};
-use crate::peers::send_relays;
+use crate::control::{apply, read_all};
 use crate::progress::Progress;
-use crate::records::RECORDS_PREFIX;
 use crate::relay::{self, Continuation, Relay};
 use crate::state::Gateway;
 
@@ -26,11 +26,6 @@
 const WATCH_RESERVE: Duration = Duration::from_secs(1);
 /// Lower bound of the time that [`watch_wait`] returns.
 const MIN_WATCH_WAIT: Duration = Duration::from_millis(500);
-/// Longest wait of a watch whose changes are relayed, so that the other instances receive empty
-/// relays while nothing changes.
-const RELAY_WAIT: Duration = Duration::from_millis(500);
-/// Wait of a watch that only fetches changes that were not relayed.
-const NO_WAIT: Duration = Duration::from_millis(1);
 /// Pause between watches, so that several changes are fetched by one call.
 const WATCH_PAUSE: Duration = Duration::from_millis(300);
 /// Number of other instances per which the pause grows by [`WATCH_PAUSE`] in direct mode.
@@ -45,10 +40,6 @@
 /// Capacity of the channel for received relays; further ones are dropped.
 const MAX_RELAYS: usize = 64;
 
-/// Time after its head within which a response of ordinary size has arrived; while a larger one
-/// arrives, the other changes are fetched beside it at this interval.
-const LARGE_RESPONSE: Duration = Duration::from_millis(200);
-
 /// A relay with the time of its arrival, on the instance's clock.
 pub type ReceivedRelay = (Relay, Millis);
 /// The sender of received relays to the task that tracks the store.
@@ -76,6 +67,11 @@
 }
 
 impl SyncMode {
+    /// Returns whether relays of other instances are applied.
+    fn receives(self) -> bool {
+        matches!(self, Self::Receiving | Self::StandingIn)
+    }
+
     /// Returns whether the changes that were read are relayed.
     fn relays(self) -> bool {
         matches!(self, Self::Relaying | Self::StandingIn)
@@ -188,7 +184,9 @@
         relays: &mut mpsc::Receiver<ReceivedRelay>,
     ) -> Result<(), KvError> {
         if mode != SyncMode::Receiving {
-            return self.watch(mode).await;
+            // Relays of the other instance that watches the store.
+            while relays.try_recv().is_ok() {}
+            return self.watch(mode, relays).await;
         }
         let may_call = self.gateway.now() >= self.retry_at;
         if may_call && self.document.is_empty() && self.progress.lacks_document() {
@@ -203,7 +201,7 @@
             Fetch::Relayed => SyncMode::StandingIn,
         };
         if self.document.is_empty() {
-            self.watch(mode).await
+            self.watch(mode, relays).await
         } else {
             self.watch_entries(mode).await
         }
@@ -301,135 +299,6 @@
         self.progress.record_relay(to, range, seen);
         false
     }
-
-    /// Waits for changes of the store and applies them, after relaying them in relaying mode.
-    ///
-    /// While a large response arrives, changes of all keys but the document are fetched beside it.
-    async fn watch(&mut self, mode: SyncMode) -> Result<(), KvError> {
-        let wait = match mode {
-            SyncMode::Receiving | SyncMode::StandingIn => NO_WAIT,
-            SyncMode::Relaying => RELAY_WAIT,
-            SyncMode::Direct => watch_wait(self.gateway.settings().contact_grace),
-        };
-        let asked = self.gateway.now();
-        let store = self.gateway.store.clone();
-        let from = self.progress.revision();
-        let response = store.watch(ALL_KEYS, from, wait).await?;
-        let mut reading = JoinSet::new();
-        reading.spawn(response.changes());
-        let mut begun = None;
-        let read = loop {
-            if let Ok(Some(read)) = timeout(LARGE_RESPONSE, reading.join_next()).await {
-                break read;
-            }
-            if begun.is_none() {
-                info!(revision = from; "large response of the store, reading other changes beside it");
-            }
-            match self.catch_up(mode, begun).await {
-                Ok(revision) => begun = begun.or(Some(revision)),
-                Err(KvError::Compacted) => return Err(KvError::Compacted),
-                Err(error) => {
-                    let backoff = &mut self.backoff;
-                    sleep(record_failure(
-                        &self.gateway,
-                        "watch beside",
-                        &error,
-                        backoff,
-                    ))
-                    .await;
-                }
-            }
-        };
-        let changes = read.unwrap_or_else(|error| Err(KvError::Lost(error.to_string())))?;
-        if begun.is_some() || matches!(mode, SyncMode::Receiving | SyncMode::StandingIn) {
-            log_read(mode, from, &changes, self.gateway.now() - asked);
-        }
-        // An empty response shows that the store waited as long as it was asked to.
-        let waited = if changes.changes.is_empty() {
-            wait
-        } else {
-            Duration::ZERO
-        };
-        let seen = (asked + waited.as_millis() as Millis).min(self.gateway.now());
-        let recovered = !std::mem::replace(&mut self.store_ok, true);
-        self.backoff.reset();
-        if recovered {
-            info!(revision = self.progress.revision(); "store is back");
-        }
-        self.last_read = self.gateway.now();
-        self.gateway.fleet().record_store_contact(self.last_read);
-        if mode.relays() {
-            let known = self.progress;
-            let mut relays = Relay::pack(known.entries, known.document, &changes);
-            for relay in &mut relays {
-                relay.recovered = recovered;
-            }
-            self.send(relays, seen);
-        }
-        self.apply_all(&changes);
-        self.progress.record_all(changes.revision, seen);
-        Ok(())
-    }
-
-    /// Fetches the changes of all keys but the document.
-    async fn watch_entries(&mut self, mode: SyncMode) -> Result<(), KvError> {
-        self.catch_up(mode, None).await?;
-        self.store_ok = true;
-        self.backoff.reset();
-        self.last_read = self.gateway.now();
-        Ok(())
-    }
-
-    /// Fetches the changes of all keys but the document, applies them after relaying them in
-    /// relaying mode, and returns the revision up to which they are known.
-    ///
-    /// Relays mark the document as changed up to `missing`, or up to the returned revision if that
-    /// is `None`.
-    async fn catch_up(&mut self, mode: SyncMode, missing: Option<u64>) -> Result<u64, KvError> {
-        let asked = self.gateway.now();
-        let store = self.gateway.store.clone();
-        let from = self.progress.entries;
-        let response = store.watch(TARGETS, from, NO_WAIT).await?;
-        let mut changes = response.changes().await?;
-        let response = store.watch(OWN_KEYS, from, NO_WAIT).await?;
-        let mut own = response.changes().await?.changes;
-        own.retain(|change| revision_of(change) <= changes.revision);
-        changes.changes.append(&mut own);
-        changes.changes.sort_by_key(revision_of);
-        self.gateway.fleet().record_store_contact(asked);
-        let revision = changes.revision;
-        if mode.relays() {
-            let known = self.progress;
-            let mut relays = Relay::pack(known.entries, known.document, &changes);
-            for relay in &mut relays {
-                relay.withhold_document(missing.unwrap_or(revision));
-            }
-            self.send(relays, asked);
-        }
-        self.apply_all(&changes);
-        self.progress.record_entries(revision, asked);
-        self.gateway.observe_progress(&self.progress);
-        Ok(revision)
-    }
-
-    /// Sends relays of changes that include all that the store had acknowledged at `seen`.
-    fn send(&self, mut relays: Vec<Relay>, seen: Millis) {
-        let age = self.gateway.now().saturating_sub(seen);
-        for relay in &mut relays {
-            relay.age = age;
-        }
-        send_relays(&self.gateway, &self.socket, relays);
-    }
-
-    /// Applies changes in the order of their revisions, unless they are known.
-    fn apply_all(&self, changes: &Changes) {
-        for change in &changes.changes {
-            let is_document = matches!(change, Change::Written(item) if item.key == CONFIG_KEY);
-            if is_document || revision_of(change) > self.progress.entries {
-                apply(&self.gateway, change.clone());
-            }
-        }
-    }
 }
 
 /// Returns the longest wait of a watch in direct mode, at least 500 ms.
@@ -450,22 +319,6 @@
     pause.min(gateway.settings().apply_limit.mul_f64(MAX_PAUSE_SHARE))
 }
 
-/// Logs what a read of the store brought that was large, or that no relay made needless.
-fn log_read(mode: SyncMode, from: u64, changes: &Changes, elapsed_ms: Millis) {
-    let (mut bytes, mut record_bytes) = (0, 0);
-    for change in &changes.changes {
-        let Change::Written(item) = change else {
-            continue;
-        };
-        bytes += item.value.len();
-        if item.key.starts_with(RECORDS_PREFIX) {
-            record_bytes += item.value.len();
-        }
-    }
-    let (count, to) = (changes.changes.len(), changes.revision);
-    info!(mode:?, from, to, count, bytes, record_bytes, elapsed_ms; "read changes of the store");
-}
-
 /// Records that a call to the store failed, and returns the pause before the next one.
 fn record_failure(
     gateway: &Gateway,
--- a/crates/cactuslane-store/src/kv.rs
+++ b/crates/cactuslane-store/src/kv.rs
@@ -364,6 +364,12 @@
 }
 
 impl WatchResponse {
+    /// Returns the size of the response in bytes, if the store states it.
+    #[must_use]
+    pub fn length(&self) -> Option<u64> {
+        self.response.0.body().size_hint().exact()
+    }
+
     /// Reads the changes.
     ///
     /// # Errors
