Write records of streams in segments that are not repeated

Change: the streams are divided into segments of 16, a key each, of which only the last one is written again; obsolete ones are deleted with the next write. After a write that may take effect late a new segment begins. The value keeps its form, and builds before read every key of the prefix.

--- a/crates/cactuslane-flight/src/origin.rs
+++ b/crates/cactuslane-flight/src/origin.rs
@@ -2,6 +2,7 @@
 
 mod begun;
 mod history;
+mod segments;
 
 use std::collections::{BTreeMap, BTreeSet};
 
@@ -9,6 +10,7 @@
 
 pub use begun::{BegunStreams, StoredStreams};
 pub use history::{VersionHistory, VersionList};
+pub use segments::{SegmentNumber, SegmentWrite, StreamSegments};
 
 use crate::request_info::{Fingerprint, fingerprint};
 use crate::target::Target;
--- a/crates/cactuslane-flight/tests/origin.rs
+++ b/crates/cactuslane-flight/tests/origin.rs
@@ -4,7 +4,8 @@
 use std::time::Duration;
 
 use cactuslane_flight::origin::{
-    BegunStreams, OriginTable, StreamOrigin, VersionHistory, VersionList, stream_id,
+    BegunStreams, OriginTable, SegmentNumber, StoredStreams, StreamOrigin, StreamSegments,
+    VersionHistory, VersionList, stream_id,
 };
 use cactuslane_flight::{Target, TargetState};
 use cactuslane_types::{Millis, Role};
@@ -212,6 +213,85 @@
     assert!(begun.stored(PERIOD, |_| false, PERIOD_MS).is_empty());
 }
 
+/// The outcome of a write to the store of a test.
+#[derive(Clone, Copy, PartialEq)]
+enum Outcome {
+    /// It took effect and was acknowledged.
+    Acknowledged,
+    /// It was not acknowledged, and takes effect after the next one.
+    Late,
+    /// The store has lost all keys of the process.
+    Lapsed,
+}
+
+/// Guards against records that repeat all streams of their lifetime with each write, and against
+/// streams that are not in the store after a write.
+#[parameterized(
+    acknowledged = { 0.0, 0.0 },
+    late = { 0.3, 0.0 },
+    lapsed = { 0.0, 0.05 },
+    both = { 0.2, 0.05 },
+)]
+fn each_stream_is_written_a_bounded_number_of_times(late: f64, lapsed: f64) {
+    /// Interval between two writes, in milliseconds.
+    const WRITE_MS: Millis = 222;
+    for seed in 0..20 {
+        let mut random = Pcg64Mcg::seed_from_u64(seed);
+        let (mut begun, mut segments) = (BegunStreams::default(), StreamSegments::default());
+        let mut store: BTreeMap<SegmentNumber, StoredStreams> = BTreeMap::new();
+        let mut pending: Vec<(SegmentNumber, StoredStreams)> = Vec::new();
+        let (mut streams, mut written) = (0, 0);
+        for round in 0..300 {
+            let now = round * WRITE_MS;
+            for _ in 0..random.random_range(0..4) {
+                streams += 1;
+                begun.record(streams, "model", "v1", now);
+            }
+            let kept = begun.stored(PERIOD, |_| true, now);
+            let Some(write) = segments.plan(&kept) else {
+                continue;
+            };
+            written += write.streams.values().map(Vec::len).sum::<usize>();
+            let outcome = match random.random::<f64>() {
+                draw if draw < late => Outcome::Late,
+                draw if draw < late + lapsed => Outcome::Lapsed,
+                _ => Outcome::Acknowledged,
+            };
+            match outcome {
+                Outcome::Late => {
+                    pending.push((write.number, write.streams.clone()));
+                    segments.record_failure(write);
+                    continue;
+                }
+                Outcome::Lapsed => {
+                    store.clear();
+                    segments.clear();
+                    segments.record_failure(write);
+                    continue;
+                }
+                Outcome::Acknowledged => {}
+            }
+            for number in &write.deletes {
+                store.remove(number);
+            }
+            store.insert(write.number, write.streams.clone());
+            segments.record(write);
+            store.extend(pending.drain(..));
+            let in_store = |stream| {
+                let mut all = store.values().flat_map(BTreeMap::values).flatten();
+                all.any(|other| other == stream)
+            };
+            assert!(kept.values().flatten().all(in_store), "seed {seed}");
+            // A process has some 80 streams within their lifetime.
+            assert!(store.len() <= 40, "seed {seed}: {} keys", store.len());
+        }
+        if lapsed == 0.0 {
+            let most = 12 * streams as usize;
+            assert!(written <= most, "seed {seed}: {written} for {streams}");
+        }
+    }
+}
+
 /// Step of the simulated fleet, in milliseconds.
 const STEP: Millis = 100;
 
--- a/crates/cactuslane-gateway/src/records.rs
+++ b/crates/cactuslane-gateway/src/records.rs
@@ -1,14 +1,15 @@
 //! Records, in the store, of the versions that began streams while a service has several.
 //!
-//! Each process of an instance keeps one key with the streams that it began recently. A record is
-//! written after the first event of a stream, together with those of other streams; the event does
-//! not wait for it, as a stream without a record is not taken up at all.
+//! Each process of an instance keeps the streams that it began recently in a few keys, the segments,
+//! of which only the last one is written again. A record is written after the first event of a
+//! stream, together with those of other streams; the event does not wait for it, as a stream without
+//! a record is not taken up at all.
 
 use std::collections::BTreeMap;
 use std::sync::Arc;
 use std::time::Duration;
 
-use cactuslane_flight::origin::{StoredStreams, StreamId};
+use cactuslane_flight::origin::{SegmentNumber, SegmentWrite, StreamId, StreamSegments};
 use cactuslane_store::kv::{Item, KvError, Lease, Update};
 use cactuslane_types::SoftwareVersion;
 use log::{info, warn};
@@ -18,8 +19,8 @@
 use crate::control::{backoff_factor, random_pause};
 use crate::state::Gateway;
 
-/// Prefix of the keys of all records, followed by the name of the instance and the start of its
-/// process.
+/// Prefix of the keys of all records, followed by the name of the instance, the start of its process
+/// and the number of the segment. Builds before the segments wrote one key without a number.
 pub const RECORDS_PREFIX: &str = "cactuslane/streams/";
 /// Interval between the writes of an instance in a deployment of few instances.
 const INTERVAL: Duration = Duration::from_millis(100);
@@ -48,27 +49,24 @@
 /// task is aborted.
 pub async fn store_begun(gateway: Arc<Gateway>) {
     let mut lease: Option<(Lease, Instant)> = None;
-    let mut written = StoredStreams::new();
+    let mut segments = StreamSegments::default();
     loop {
         gateway.begun_changed.notified().await;
-        let streams = gateway.stored_streams();
-        let is_known = |(version, ids): (&String, &Vec<StreamId>)| {
-            let before = written.get(version);
-            before.is_some_and(|before| ids.iter().all(|id| before.contains(id)))
-        };
-        if streams.iter().all(is_known) {
+        let Some(planned) = segments.plan(&gateway.stored_streams()) else {
             continue;
-        }
-        match write(&gateway, &streams, &mut lease).await {
+        };
+        match write(&gateway, &planned, &mut lease).await {
             Ok(()) => {
-                written = streams;
+                segments.record(planned);
                 sleep(write_interval(&gateway)).await;
             }
             Err(error) => {
                 warn!(error:% = error; "streams not recorded, this is tried again");
                 if error == KvError::NoLease {
                     lease = None;
+                    segments.clear();
                 }
+                segments.record_failure(planned);
                 sleep(random_pause().mul_f64(backoff_factor(gateway.alive_peers()))).await;
                 gateway.begun_changed.notify_one();
             }
@@ -119,10 +117,10 @@
     }
 }
 
-/// Writes the record of this process, under a lease that outlives its streams.
+/// Writes a segment of this process, under a lease that outlives its streams.
 async fn write(
     gateway: &Gateway,
-    streams: &StoredStreams,
+    planned: &SegmentWrite,
     lease: &mut Option<(Lease, Instant)>,
 ) -> Result<(), KvError> {
     let current = lease.filter(|(_, granted)| granted.elapsed() < LEASE_PERIOD);
@@ -135,26 +133,31 @@
         lease.insert((current, granted)).0
     };
     let hex = |streams: &Vec<StreamId>| streams.iter().map(|id| format!("{id:x}")).collect();
-    let begun = streams.iter();
+    let begun = planned.streams.iter();
     let record = StoredRecord {
         begun: begun
             .map(|(version, ids)| (version.clone(), hex(ids)))
             .collect(),
     };
     let value = serde_json::to_vec(&record).unwrap_or_default();
-    let key = format!(
-        "{RECORDS_PREFIX}{}/{}",
-        gateway.settings().instance,
-        gateway.started
-    );
+    let deletes = planned.deletes.iter();
     let update = Update {
-        writes: vec![(key, value, Some(lease))],
+        writes: vec![(segment_key(gateway, planned.number), value, Some(lease))],
+        deletes: deletes
+            .map(|number| segment_key(gateway, *number))
+            .collect(),
         ..Update::default()
     };
     gateway.store.update(&update).await?;
     Ok(())
 }
 
+/// Returns the key of a segment of this process.
+fn segment_key(gateway: &Gateway, number: SegmentNumber) -> String {
+    let (instance, started) = (&gateway.settings().instance, gateway.started);
+    format!("{RECORDS_PREFIX}{instance}/{started}/{number}")
+}
+
 /// Returns the interval between the writes of this instance.
 fn write_interval(gateway: &Gateway) -> Duration {
     let instances = gateway.members().instance_count() as f64;
