Let a receiver of relays read the store so early that one read may fail

Cause: an instance that receives relays read the store itself once its knowledge was 1.5 s old, up to 0.3 s later by its rank; a failed call takes 0.7 s and the pause after it 0.3 s, so that the next read began at 2.8 s of a limit of 3.0 s.

Change: the age follows from the limit in force, less one failed read and one that succeeds; at a limit of 3 s it is 1.3 to 1.6 s, from 3.2 s on as before.

Result: the test that adds the waits up failed for 3 s with the ages of before (3.2 s) and holds for 7, 85, 195 and 330 instances.

--- a/crates/cactuslane-gateway/src/backoff.rs
+++ b/crates/cactuslane-gateway/src/backoff.rs
@@ -5,7 +5,7 @@
 use cactuslane_store::kv::KvError;
 
 /// Longest pause after the first failure.
-const FIRST_PAUSE: Duration = Duration::from_millis(300);
+pub const FIRST_PAUSE: Duration = Duration::from_millis(300);
 /// Longest pause after any number of failures: an instance that the store serves again is up to date
 /// before it counts as in touch, and failures in a row remain one disruption.
 const LONGEST_PAUSE: Duration = Duration::from_millis(1_500);
--- a/crates/cactuslane-gateway/src/relay.rs
+++ b/crates/cactuslane-gateway/src/relay.rs
@@ -6,11 +6,14 @@
 //! revision that it knows; if changes are missing, or no recent relay arrives, it reads the store
 //! itself.
 
+use std::time::Duration;
+
 use cactuslane_platform::store::CONFIG_KEY;
-use cactuslane_store::kv::{Change, Changes, Item, key_of};
+use cactuslane_store::kv::{Change, Changes, Item, WATCH_GRACE, key_of};
 use cactuslane_types::{InstanceId, Millis};
 use serde::{Deserialize, Serialize};
 
+use crate::backoff::FIRST_PAUSE;
 use crate::ranking::{count_ahead, is_top_ranked};
 use crate::records::RECORDS_PREFIX;
 
@@ -20,13 +23,18 @@
 /// Number of instances of each failure domain that watch the store in a large deployment; the
 /// second one covers the time until the failure of the first one is noticed.
 const WATCHERS: usize = 2;
-/// Age of its knowledge of the store at which an instance that receives relays reads the store
-/// itself, in milliseconds.
+/// Longest age of its knowledge of the store at which an instance that receives relays reads the
+/// store itself, in milliseconds.
 ///
 /// Each of the two watchers of a failure domain sends a relay at least about every 800 ms, after a
 /// watch of up to 500 ms and a pause of 300 ms, so that the timeout covers two rounds, one of each
 /// watcher, and a lost datagram.
-pub const RELAY_TIMEOUT: Millis = 1_500;
+const RELAY_TIMEOUT: Millis = 1_500;
+/// Shortest age at which it does so, in milliseconds: one round of a watcher.
+const MIN_RELAY_TIMEOUT: Millis = 800;
+/// Time within which an instance has read the changes of small values, also beside a large response,
+/// in milliseconds.
+pub const READ_TIME: Millis = 400;
 /// Time added to [`RELAY_TIMEOUT`] for each instance that ranks before one among those that do not
 /// watch the store, in milliseconds: the first one that can read the store then relays what it read
 /// before the others need to.
@@ -235,10 +243,15 @@
 
 /// Returns the age of its knowledge of the store at which an instance that receives relays reads the
 /// store itself, in milliseconds; `neighbours` are as for [`is_watcher`].
+///
+/// After that age one read may fail, and the next one is complete before the knowledge is older than
+/// `limit`, for which the instance may rely on it, unless the limit is too short for that.
 #[must_use]
-pub fn relay_timeout(me: &str, neighbours: &[InstanceId]) -> Millis {
+pub fn relay_timeout(me: &str, neighbours: &[InstanceId], limit: Duration) -> Millis {
     let ahead = count_ahead(me, neighbours, "watch").saturating_sub(WATCHERS as u64);
-    RELAY_TIMEOUT + STAND_IN_STEP * ahead.min(STAND_INS)
+    let reads = (WATCH_GRACE + FIRST_PAUSE).as_millis() as Millis + READ_TIME;
+    let left = (limit.as_millis() as Millis).saturating_sub(reads + STAND_IN_STEP * STAND_INS);
+    left.clamp(MIN_RELAY_TIMEOUT, RELAY_TIMEOUT) + STAND_IN_STEP * ahead.min(STAND_INS)
 }
 
 /// Returns whether a deployment is so small that each instance watches the store itself.
--- a/crates/cactuslane-gateway/src/watch.rs
+++ b/crates/cactuslane-gateway/src/watch.rs
@@ -223,6 +223,17 @@
         }
     }
 
+    /// Returns the age of the entries at which this instance reads the store itself if it receives
+    /// relays.
+    fn relay_timeout(&self) -> Millis {
+        let settings = self.gateway.settings();
+        let members = self.gateway.members();
+        let neighbours = members.alive_in_domain(&settings.domain, self.gateway.now());
+        drop(members);
+        let limit = self.gateway.knowledge_limit();
+        relay::relay_timeout(&settings.instance, &neighbours, limit)
+    }
+
     /// Waits for a relay or the document and applies it; returns which other changes must be
     /// fetched from the store.
     async fn receive(
@@ -235,12 +246,7 @@
             return Ok(Fetch::Missing);
         }
         let age = now.saturating_sub(self.progress.entries_seen);
-        let settings = self.gateway.settings();
-        let neighbours = self
-            .gateway
-            .members()
-            .alive_in_domain(&settings.domain, now);
-        let timeout_ms = relay::relay_timeout(&settings.instance, &neighbours);
+        let timeout_ms = self.relay_timeout();
         let wait = timeout_ms
             .saturating_sub(age)
             .max(self.retry_at.saturating_sub(now));
--- a/crates/cactuslane-gateway/src/watch/fetch.rs
+++ b/crates/cactuslane-gateway/src/watch/fetch.rs
@@ -14,7 +14,7 @@
 use crate::control::{SMALL_KEYS, apply};
 use crate::peers::send_relays;
 use crate::records::RECORDS_PREFIX;
-use crate::relay::{RELAY_TIMEOUT, Relay};
+use crate::relay::Relay;
 
 /// Longest wait of a watch whose changes are relayed, so that the other instances receive empty
 /// relays while nothing changes.
@@ -108,7 +108,7 @@
                 .gateway
                 .now()
                 .saturating_sub(self.progress.entries_seen);
-            if !mode.receives() || has_gap || age >= RELAY_TIMEOUT {
+            if !mode.receives() || has_gap || age >= self.relay_timeout() {
                 match self.catch_up(mode, missing).await {
                     Ok(found) => (missing, has_gap) = (found, false),
                     Err(KvError::Compacted) => return Err(KvError::Compacted),
@@ -156,9 +156,9 @@
             ..Changes::default()
         };
         while let Some(fetched) = fetches.join_next().await {
-            let fetched = fetched.unwrap_or_else(|error| Err(KvError::Lost(error.to_string())))?;
-            changes.revision = changes.revision.min(fetched.revision);
-            changes.changes.extend(fetched.changes);
+            let some = fetched.unwrap_or_else(|error| Err(KvError::Lost(error.to_string())))?;
+            changes.revision = changes.revision.min(some.revision);
+            changes.changes.extend(some.changes);
         }
         let revision = changes.revision;
         changes
--- a/crates/cactuslane-gateway/tests/relay.rs
+++ b/crates/cactuslane-gateway/tests/relay.rs
@@ -2,12 +2,12 @@
 
 use std::time::Duration;
 
-use cactuslane_gateway::backoff::Backoff;
+use cactuslane_gateway::backoff::{Backoff, FIRST_PAUSE};
 use cactuslane_gateway::control::backoff_factor;
 use cactuslane_gateway::records::RECORDS_PREFIX;
-use cactuslane_gateway::relay::{Continuation, Relay, is_watcher};
+use cactuslane_gateway::relay::{Continuation, READ_TIME, Relay, is_watcher, relay_timeout};
 use cactuslane_platform::store::CONFIG_KEY;
-use cactuslane_store::kv::{Change, Changes, Item, KvError};
+use cactuslane_store::kv::{Change, Changes, Item, KvError, WATCH_GRACE};
 use yare::parameterized;
 
 /// Returns the change that writes a value of `bytes` bytes at a revision.
@@ -255,3 +255,23 @@
     };
     assert_eq!(changes, [document(12, 20)]);
 }
+
+/// Guards against waits in a row that are each sound and together exceed the limit for changes.
+#[parameterized(
+    few = { 7, 3_000 },
+    grown = { 85, 3_000 },
+    large = { 195, 4_000 },
+    target_size = { 330, 15_000 },
+)]
+fn a_receiver_that_reads_the_store_twice_knows_changes_within_the_limit(
+    instances: usize,
+    limit_ms: u64,
+) {
+    let names: Vec<String> = (0..instances).map(|n| format!("front-{n}")).collect();
+    for me in &names {
+        let neighbours: Vec<String> = names.iter().filter(|name| *name != me).cloned().collect();
+        let age = relay_timeout(me, &neighbours, Duration::from_millis(limit_ms));
+        let failed = (WATCH_GRACE + FIRST_PAUSE).as_millis() as u64;
+        assert!(age + failed + READ_TIME <= limit_ms, "{me}: {age} ms");
+    }
+}
