Forward no lines that are not those of an event

Change: an event consists of fields and comments, with at least one field that events have; anything else breaks the stream, which is resumed or ends visibly incomplete.

--- a/crates/cactuslane-flight/src/events.rs
+++ b/crates/cactuslane-flight/src/events.rs
@@ -21,6 +21,8 @@
     TooLong,
     /// An event's id is not larger than the previous one.
     OutOfOrder,
+    /// The lines before an empty line are not those of an event.
+    NotAnEvent,
 }
 
 impl EventScanner {
@@ -38,8 +40,8 @@
     ///
     /// # Errors
     ///
-    /// Returns an error if event ids don't increase or an incomplete event exceeds 256 KiB; events
-    /// that earlier calls returned stay valid. Complete events that this call found before the
+    /// Returns an error if event ids don't increase, if lines are not those of an event or if an
+    /// incomplete event exceeds 256 KiB; events that earlier calls returned stay valid. Complete events that this call found before the
     /// fault are neither returned nor counted by `last_id`.
     pub fn feed(&mut self, bytes: &[u8]) -> Result<Vec<u8>, EventError> {
         self.partial.extend_from_slice(bytes);
@@ -47,6 +49,9 @@
         let mut last_id = self.last_id;
         while let Some(end) = event_end(&self.partial[complete..]) {
             let event = &self.partial[complete..complete + end];
+            if !is_event(event) {
+                return Err(EventError::NotAnEvent);
+            }
             if let Some(id) = event_id(event) {
                 if last_id.is_some_and(|last| id <= last) {
                     return Err(EventError::OutOfOrder);
@@ -95,6 +100,23 @@
     None
 }
 
+/// Returns whether all lines are fields or comments, and one of them is a field that events have, a
+/// comment or empty. Fields of other names may be among them.
+fn is_event(event: &[u8]) -> bool {
+    let mut is_known = false;
+    for line in event.split(|byte| *byte == b'\n') {
+        let line = line.strip_suffix(b"\r").unwrap_or(line);
+        let name = line.split(|byte| *byte == b':').next().unwrap_or_default();
+        let is_name = |byte: &u8| byte.is_ascii_alphanumeric() || b"-_".contains(byte);
+        if !name.iter().all(is_name) {
+            return false;
+        }
+        let is_comment = name.is_empty() && !line.is_empty();
+        is_known |= is_comment || [&b"data"[..], b"id", b"event", b"retry"].contains(&name);
+    }
+    is_known || event.iter().all(|byte| b"\r\n".contains(byte))
+}
+
 /// Returns the id in an event's first `id:` line; `None` if there is none or it is not numeric.
 fn event_id(event: &[u8]) -> Option<u64> {
     for line in event.split(|byte| *byte == b'\n') {
--- a/crates/cactuslane-flight/tests/events.rs
+++ b/crates/cactuslane-flight/tests/events.rs
@@ -2,6 +2,7 @@
 
 use cactuslane_flight::events::{EventError, EventScanner};
 use proptest::prelude::*;
+use yare::parameterized;
 
 /// Returns `count` server-sent events with consecutive ids starting at `from`.
 fn events(from: u64, count: u64) -> Vec<u8> {
@@ -30,6 +31,32 @@
     assert_eq!(scanner.feed(&events(5, 1)), Err(EventError::OutOfOrder));
 }
 
+#[parameterized(
+    head_of_an_answer = { b"HTTP/1.1 500 Failed\r\nx-request-id: r1\r\n\r\n" },
+    text = { b"the target failed\n\n" },
+    object = { b"{\"error\": \"failed\"}\n\n" },
+    markup = { b"<html>\n\n" },
+    word = { b"failed\n\n" },
+)]
+fn lines_that_are_no_event_are_rejected(bytes: &[u8]) {
+    let mut scanner = EventScanner::default();
+    assert_eq!(scanner.feed(&events(1, 1)), Ok(events(1, 1)));
+    assert_eq!(scanner.feed(bytes), Err(EventError::NotAnEvent));
+}
+
+#[parameterized(
+    comment = { b": still there\n\n" },
+    without_an_id = { b"data: piece\r\n\r\n" },
+    without_a_value = { b"data\n\n" },
+    other_field = { b"x-weight-versions: 3\nid: 4\ndata: piece\n\n" },
+    time = { b"retry: 10\n\n" },
+    empty_lines = { b"\r\n\r\n" },
+)]
+fn lines_of_events_are_forwarded(bytes: &[u8]) {
+    let mut scanner = EventScanner::default();
+    assert_eq!(scanner.feed(bytes), Ok(bytes.to_vec()));
+}
+
 #[test]
 fn unterminated_event_over_the_limit_is_rejected() {
     let mut scanner = EventScanner::default();
