--- a/crates/cactuslane-gateway/tests/serving/control.rs
+++ b/crates/cactuslane-gateway/tests/serving/control.rs
@@ -393,6 +393,47 @@
     });
 }
 
+/// Guards against instances that end, or no longer follow the store, because of one entry that
+/// another writer left among those of the targets.
+#[parameterized(
+    deeply_nested = { "i-x", &format!("{{\"models\":{}", "[".repeat(200_000)) },
+    number_too_large = { "i-x", r#"{"service":"s","address":"1.2.3.4:5","zone":"z","slots":1e999,"state":"ready"}"# },
+    start_too_large = { "i-x", r#"{"service":"s","address":"1.2.3.4:5","zone":"z","slots":1,"state":"ready","born":99999999999999999999}"# },
+    port_out_of_range = { "i-x", r#"{"service":"s","address":"1.2.3.4:70000","zone":"z","slots":1,"state":"ready"}"# },
+    port_zero = { "i-x", r#"{"service":"register","address":"127.0.0.1:0","zone":"z","slots":0,"state":"ready"}"# },
+    id_of_two_lines = { "i-x\r\nx-model: m", r#"{"service":"register","address":"127.0.0.1:9","zone":"z","slots":1,"state":"ready"}"# },
+    not_text = { "i-x", "\u{0}\u{7f}" },
+)]
+fn an_odd_entry_of_a_target_stops_no_instance(id: &str, text: &str) {
+    run_test(async {
+        let deployment = deploy().await;
+        deployment.store.write_text(&format!("servers/{id}"), text);
+        // These instances read it at their start, and some by relays.
+        let mut fleet = start_instances(&deployment, RELAYED_FLEET).await;
+        deployment.store.write_text(&format!("servers/{id}"), text);
+        deployment.workers[0].register(&deployment.store, "draining");
+        let uses = |running: &GatewayHandle| running.gateway.target("i-w1").is_some();
+        wait_until(|| !fleet.iter().any(uses)).await;
+        for number in 0..4 {
+            let answer = deployment.ask("/lookup/7", &format!("r{number}")).await;
+            assert_eq!(answer.status, 200, "{answer:?}");
+        }
+        deployment.store.compact();
+        deployment.store.configure(&document(9));
+        fleet.push(start_instance("front-late", &deployment.store).await);
+        let version = |running: &GatewayHandle| {
+            let config = running.gateway.routing_config();
+            config.map(|config| config.version)
+        };
+        wait_until(|| fleet.iter().all(|running| version(running) == Some(9))).await;
+        assert!(
+            fleet
+                .iter()
+                .all(|running| running.gateway.target(id).is_none())
+        );
+    });
+}
+
 /// Guards against changes of targets that wait until records of streams have been received.
 #[test]
 fn a_target_that_leaves_is_known_before_large_records_of_streams_are_received() {
