Read only the records of streams that are new, and never twice at once

Cause: a request that takes up a stream whose version nobody knows read all records of streams, gave the read up after 0.2 s and left the next one to begin again from nothing.

Change: a read goes on after its request stops waiting, others wait for the same one, and once all records were read only those that changed since are asked for, from the read at the start on.

--- a/crates/cactuslane-gateway/src/control.rs
+++ b/crates/cactuslane-gateway/src/control.rs
@@ -10,6 +10,7 @@
 use cactuslane_types::Millis;
 use log::{info, warn};
 use rand::Rng;
+use tokio::time::Instant;
 
 use crate::backoff::Backoff;
 use crate::crashes::HELD_PREFIX;
@@ -164,6 +165,7 @@
 ///
 /// Returns the error of the store call if any page of keys could not be read.
 pub async fn read_all(gateway: &Gateway) -> Result<u64, KvError> {
+    let asked = Instant::now();
     let (items, revision) = gateway.store.range(ALL_KEYS).await?;
     let now = gateway.now();
     gateway.fleet().record_store_contact(now);
@@ -195,6 +197,9 @@
         apply_item(gateway, &item, now);
     }
     gateway.fleet().record_listing(now);
+    if let Ok(mut records) = gateway.records_read.try_lock() {
+        records.record(revision, asked);
+    }
     Ok(revision)
 }
 
--- a/crates/cactuslane-gateway/src/origins.rs
+++ b/crates/cactuslane-gateway/src/origins.rs
@@ -1,6 +1,7 @@
 //! Which software version began a stream: what instances tell each other of it, and where a caller
 //! may take the stream up again.
 
+use std::sync::Arc;
 use std::time::Duration;
 
 use cactuslane_flight::origin::{StreamId, StreamOrigin, stream_id};
@@ -60,7 +61,7 @@
 ///
 /// A request that takes up a stream goes on at the version that began it, as this instance, one
 /// that keeps it or the store knows, or at the only version that the service has had since.
-pub async fn find(gateway: &Gateway, request: &CallerRequest) -> StreamOrigin {
+pub async fn find(gateway: &Arc<Gateway>, request: &CallerRequest) -> StreamOrigin {
     if request.info.last_event.unwrap_or(0) == 0 {
         return StreamOrigin::NotBegun;
     }
@@ -77,7 +78,7 @@
         None => (only_version(gateway, request), "only version"),
     };
     if version.is_none() && !began.is_empty() {
-        records::read_all(gateway).await;
+        records::read_new(gateway).await;
         version = gateway.origins().version(stream).cloned();
         source = "store";
     }
--- a/crates/cactuslane-gateway/src/records.rs
+++ b/crates/cactuslane-gateway/src/records.rs
@@ -10,7 +10,7 @@
 use std::time::Duration;
 
 use cactuslane_flight::origin::{SegmentNumber, SegmentWrite, StreamId, StreamSegments};
-use cactuslane_store::kv::{Item, KvError, Lease, Update};
+use cactuslane_store::kv::{Change, Changes, Item, KvError, Lease, Update};
 use cactuslane_types::SoftwareVersion;
 use log::{info, warn};
 use serde::{Deserialize, Serialize};
@@ -37,6 +37,10 @@
 const READ_INTERVAL: Duration = Duration::from_millis(100);
 /// Longest time to wait for the records of the store.
 const READ_TIMEOUT: Duration = Duration::from_millis(200);
+/// Time since the last read within which the changes since then are fewer than all records.
+const CHANGES_LIMIT: Duration = Duration::from_secs(5);
+/// Wait of a watch that only fetches changes.
+const NO_WAIT: Duration = Duration::from_millis(1);
 
 /// Value of a record's key.
 #[derive(Debug, Serialize, Deserialize)]
@@ -94,27 +98,82 @@
     }
 }
 
-/// Reads and applies all records, unless that was done just now.
-pub async fn read_all(gateway: &Gateway) {
+/// How far the records of all instances are known.
+#[derive(Debug, Default)]
+pub struct RecordsRead {
+    /// Time at which they were last asked for.
+    asked: Option<Instant>,
+    /// Revision up to which they are applied, and the time at which that was asked for.
+    known: Option<(u64, Instant)>,
+}
+
+impl RecordsRead {
+    /// Records that all records up to a revision are applied, which were asked for at a time.
+    pub fn record(&mut self, revision: u64, asked: Instant) {
+        self.known = Some((revision, asked));
+    }
+}
+
+/// Reads and applies the records that are not known yet, unless that was done just now; waits for
+/// them for a short time.
+///
+/// The read goes on after that time, as one that is given up would begin again from nothing.
+pub async fn read_new(gateway: &Arc<Gateway>) {
     let arrived = Instant::now();
-    let mut last = gateway.records_read.lock().await;
-    if last.is_some_and(|at| arrived < at + READ_INTERVAL) {
-        return;
+    let read = async {
+        let mut last = gateway.records_read.clone().lock_owned().await;
+        if last.asked.is_some_and(|at| arrived < at + READ_INTERVAL) {
+            return;
+        }
+        let gateway = gateway.clone();
+        let reading = tokio::spawn(async move {
+            if let Err(error) = apply_new(&gateway, &mut last).await {
+                warn!(error:% = error; "records of streams not read");
+            }
+        });
+        let _ = reading.await;
+    };
+    if timeout(READ_TIMEOUT, read).await.is_err() {
+        let limit_ms = READ_TIMEOUT.as_millis() as u64;
+        warn!(limit_ms; "records of streams not read in time");
     }
-    *last = Some(Instant::now());
-    match timeout(READ_TIMEOUT, gateway.store.range(RECORDS_PREFIX)).await {
-        Ok(Ok((items, revision))) => {
-            info!(revision, records = items.len(); "read the records of streams");
-            for item in &items {
-                apply_record(gateway, item);
+}
+
+/// Reads the records that changed since they were last read, or all if that was long ago.
+async fn apply_new(gateway: &Gateway, last: &mut RecordsRead) -> Result<(), KvError> {
+    let asked = Instant::now();
+    last.asked = Some(asked);
+    let recent = last.known.filter(|(_, at)| at.elapsed() < CHANGES_LIMIT);
+    if let Some((from, _)) = recent {
+        let changes = read_changes(gateway, from).await;
+        if changes != Err(KvError::Compacted) {
+            let changes = changes?;
+            let (revision, count) = (changes.revision, changes.changes.len());
+            for change in &changes.changes {
+                if let Change::Written(item) = change {
+                    apply_record(gateway, item);
+                }
             }
-        }
-        Ok(Err(error)) => warn!(error:% = error; "records of streams not read"),
-        Err(_) => {
-            let limit_ms = READ_TIMEOUT.as_millis() as u64;
-            warn!(limit_ms; "records of streams not read in time");
+            let elapsed_ms = asked.elapsed().as_millis() as u64;
+            info!(from, revision, count, elapsed_ms; "read new records of streams");
+            last.record(revision, asked);
+            return Ok(());
         }
     }
+    let (items, revision) = gateway.store.range(RECORDS_PREFIX).await?;
+    let elapsed_ms = asked.elapsed().as_millis() as u64;
+    info!(revision, records = items.len(), elapsed_ms; "read the records of streams");
+    for item in &items {
+        apply_record(gateway, item);
+    }
+    last.record(revision, asked);
+    Ok(())
+}
+
+/// Reads the changes of records after a revision.
+async fn read_changes(gateway: &Gateway, from: u64) -> Result<Changes, KvError> {
+    let watch = gateway.store.watch(RECORDS_PREFIX, from, NO_WAIT);
+    watch.await?.changes().await
 }
 
 /// Writes a segment of this process, under a lease that outlives its streams.
--- a/crates/cactuslane-gateway/src/state.rs
+++ b/crates/cactuslane-gateway/src/state.rs
@@ -28,6 +28,7 @@
 use crate::metrics::Metrics;
 use crate::passing::TakenRequests;
 use crate::progress::Progress;
+use crate::records::RecordsRead;
 use crate::upstream::ConnectionPool;
 
 /// Factor on the time-out of a route for the longest time since the beginning of a stream that a
@@ -72,8 +73,8 @@
     pub begun_changed: Notify,
     /// Wakes the task that lists the versions of streams in the store.
     pub versions_changed: Notify,
-    /// Time at which the records of all instances were last read.
-    pub records_read: tokio::sync::Mutex<Option<Instant>>,
+    /// How far the records of streams are known; locked while they are read.
+    pub records_read: Arc<tokio::sync::Mutex<RecordsRead>>,
     /// Socket for messages to the other instances, once it is bound.
     pub peer_socket: OnceLock<Arc<UdpSocket>>,
     /// Senders of messages that could not be read, with the reasons that were logged.
@@ -133,7 +134,7 @@
             begun: Mutex::default(),
             begun_changed: Notify::new(),
             versions_changed: Notify::new(),
-            records_read: tokio::sync::Mutex::default(),
+            records_read: Arc::default(),
             peer_socket: OnceLock::new(),
             unread_logged: Mutex::default(),
             asked: Mutex::default(),
--- a/crates/cactuslane-gateway/tests/serving/control.rs
+++ b/crates/cactuslane-gateway/tests/serving/control.rs
@@ -3,6 +3,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use cactuslane_gateway::records;
 use cactuslane_gateway::relay::is_watcher;
 use cactuslane_gateway::{Gateway, GatewayHandle};
 use cactuslane_platform_standin::link::{Cut, Link};
@@ -472,6 +473,32 @@
     });
 }
 
+/// Guards against reads of records that are given up and begin again from nothing.
+#[test]
+fn records_of_streams_that_take_longer_than_a_timeout_are_read() {
+    /// Number of requests that need the records, at least 0.1 s after each other.
+    const REQUESTS: u32 = 30;
+    run_test(async {
+        let deployment = deploy().await;
+        let fleet = start_instances(&deployment, RELAYED_FLEET).await;
+        // The records take 0.9 s.
+        deployment.store.set_part_time(Duration::from_millis(30));
+        deployment.store.write(RECORD_KEY, &large_record(18_000));
+        // The instances that watch the store know them without asking.
+        let lacks = |running: &&GatewayHandle| running.gateway.origins().version(17_999).is_none();
+        sleep(Duration::from_secs(2)).await;
+        let receiver = fleet.iter().find(lacks).expect("most receive relays");
+        for _ in 0..REQUESTS {
+            records::read_new(&receiver.gateway).await;
+            if receiver.gateway.origins().version(17_999).is_some() {
+                return;
+            }
+            sleep(Duration::from_millis(100)).await;
+        }
+        panic!("the records were not read");
+    });
+}
+
 /// Key of a record of streams.
 const RECORD_KEY: &str = "cactuslane/streams/front-x/1";
 
