Start an instance before it has read the records of streams

Change: an instance reads the document and the small values by their prefixes, is ready, and reads the records beside its work; until they were read once, a request that takes up a stream waits for them up to 1.5 s.

--- a/crates/cactuslane-gateway/src/control.rs
+++ b/crates/cactuslane-gateway/src/control.rs
@@ -10,7 +10,7 @@
 use cactuslane_types::Millis;
 use log::{info, warn};
 use rand::Rng;
-use tokio::time::Instant;
+use tokio::task::JoinSet;
 
 use crate::backoff::Backoff;
 use crate::crashes::HELD_PREFIX;
@@ -22,7 +22,6 @@
 use crate::relay::is_small_deployment;
 use crate::state::Gateway;
 use crate::versions::LIST_KEY;
-use crate::watch::ALL_KEYS;
 use crate::{crashes, records, versions};
 
 /// The prefixes of all keys whose values are small: all but the document and the records of streams.
@@ -159,14 +158,14 @@
     Ok(lease)
 }
 
-/// Reads and applies all keys of the store, and returns the revision from which to watch.
+/// Reads and applies all keys of the store but the records of streams, and returns the revision from
+/// which to watch.
 ///
 /// # Errors
 ///
 /// Returns the error of the store call if any page of keys could not be read.
 pub async fn read_all(gateway: &Gateway) -> Result<u64, KvError> {
-    let asked = Instant::now();
-    let (items, revision) = gateway.store.range(ALL_KEYS).await?;
+    let (items, revision) = fetch_all(gateway).await?;
     let now = gateway.now();
     gateway.fleet().record_store_contact(now);
     let mut targets = Vec::new();
@@ -197,12 +196,29 @@
         apply_item(gateway, &item, now);
     }
     gateway.fleet().record_listing(now);
-    if let Ok(mut records) = gateway.records_read.try_lock() {
-        records.record(revision, asked);
-    }
     Ok(revision)
 }
 
+/// Fetches the document and all small values, with the lowest of the revisions at which they were
+/// read.
+async fn fetch_all(gateway: &Gateway) -> Result<(Vec<Item>, u64), KvError> {
+    let mut fetches = JoinSet::new();
+    for prefix in SMALL_KEYS {
+        let store = gateway.store.clone();
+        fetches.spawn(async move { store.range(prefix).await });
+    }
+    let document = gateway.store.get(CONFIG_KEY).await?;
+    let mut revision = document.revision;
+    let mut items: Vec<Item> = document.item.into_iter().collect();
+    while let Some(fetched) = fetches.join_next().await {
+        let (some, read_at) =
+            fetched.unwrap_or_else(|error| Err(KvError::Lost(error.to_string())))?;
+        revision = revision.min(read_at);
+        items.extend(some);
+    }
+    Ok((items, revision))
+}
+
 /// Applies one change of the store.
 pub fn apply(gateway: &Gateway, change: Change) {
     let now = gateway.now();
--- a/crates/cactuslane-gateway/src/records.rs
+++ b/crates/cactuslane-gateway/src/records.rs
@@ -7,6 +7,7 @@
 
 use std::collections::BTreeMap;
 use std::sync::Arc;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use cactuslane_flight::origin::{SegmentNumber, SegmentWrite, StreamId, StreamSegments};
@@ -35,8 +36,10 @@
 const LEASE_PERIOD: Duration = Duration::from_secs(15);
 /// Time within which records that were read for one stream are used for another.
 const READ_INTERVAL: Duration = Duration::from_millis(100);
-/// Longest time to wait for the records of the store.
+/// Longest time to wait for the records of the store once all were read.
 const READ_TIMEOUT: Duration = Duration::from_millis(200);
+/// Longest time to wait for them before, as the callers of a loss of all instances come back then.
+const FIRST_READ_TIMEOUT: Duration = Duration::from_millis(1_500);
 /// Time since the last read within which the changes since then are fewer than all records.
 const CHANGES_LIMIT: Duration = Duration::from_secs(5);
 /// Wait of a watch that only fetches changes.
@@ -107,13 +110,6 @@
     known: Option<(u64, Instant)>,
 }
 
-impl RecordsRead {
-    /// Records that all records up to a revision are applied, which were asked for at a time.
-    pub fn record(&mut self, revision: u64, asked: Instant) {
-        self.known = Some((revision, asked));
-    }
-}
-
 /// Reads and applies the records that are not known yet, unless that was done just now; waits for
 /// them for a short time.
 ///
@@ -133,8 +129,13 @@
         });
         let _ = reading.await;
     };
-    if timeout(READ_TIMEOUT, read).await.is_err() {
-        let limit_ms = READ_TIMEOUT.as_millis() as u64;
+    let limit = if gateway.records_complete.load(Ordering::Relaxed) {
+        READ_TIMEOUT
+    } else {
+        FIRST_READ_TIMEOUT
+    };
+    if timeout(limit, read).await.is_err() {
+        let limit_ms = limit.as_millis() as u64;
         warn!(limit_ms; "records of streams not read in time");
     }
 }
@@ -156,7 +157,7 @@
             }
             let elapsed_ms = asked.elapsed().as_millis() as u64;
             info!(from, revision, count, elapsed_ms; "read new records of streams");
-            last.record(revision, asked);
+            last.known = Some((revision, asked));
             return Ok(());
         }
     }
@@ -166,7 +167,8 @@
     for item in &items {
         apply_record(gateway, item);
     }
-    last.record(revision, asked);
+    last.known = Some((revision, asked));
+    gateway.records_complete.store(true, Ordering::Relaxed);
     Ok(())
 }
 
--- a/crates/cactuslane-gateway/src/state.rs
+++ b/crates/cactuslane-gateway/src/state.rs
@@ -2,7 +2,7 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
-use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, OnceLock, PoisonError};
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
@@ -75,6 +75,8 @@
     pub versions_changed: Notify,
     /// How far the records of streams are known; locked while they are read.
     pub records_read: Arc<tokio::sync::Mutex<RecordsRead>>,
+    /// Whether all records were read once.
+    pub records_complete: AtomicBool,
     /// Socket for messages to the other instances, once it is bound.
     pub peer_socket: OnceLock<Arc<UdpSocket>>,
     /// Senders of messages that could not be read, with the reasons that were logged.
@@ -135,6 +137,7 @@
             begun_changed: Notify::new(),
             versions_changed: Notify::new(),
             records_read: Arc::default(),
+            records_complete: AtomicBool::new(false),
             peer_socket: OnceLock::new(),
             unread_logged: Mutex::default(),
             asked: Mutex::default(),
--- a/crates/cactuslane-gateway/src/watch.rs
+++ b/crates/cactuslane-gateway/src/watch.rs
@@ -17,11 +17,12 @@
 use crate::backoff::Backoff;
 use crate::control::{apply, read_all};
 use crate::progress::Progress;
+use crate::records;
 use crate::relay::{self, Continuation, Relay};
 use crate::state::Gateway;
 
 /// The prefix of all keys.
-pub const ALL_KEYS: &str = "";
+const ALL_KEYS: &str = "";
 /// Part of `Settings::contact_grace` that is reserved for a pause, the next watch and its answer.
 const WATCH_RESERVE: Duration = Duration::from_secs(1);
 /// Lower bound of the time that [`watch_wait`] returns.
@@ -129,6 +130,9 @@
                 continue;
             }
         };
+        // Nothing but streams that are taken up waits for the records.
+        let reader = gateway.clone();
+        tokio::spawn(async move { records::read_new(&reader).await });
         let mut follower = Follower {
             gateway: gateway.clone(),
             socket: socket.clone(),
