--- a/crates/cactuslane-flight/src/lib.rs
+++ b/crates/cactuslane-flight/src/lib.rs
@@ -4,13 +4,14 @@
 //! whether the request is sent again, and otherwise what the caller gets; the answer is "not run"
 //! only if no target can have run the request.
 //!
-//! [`routing_config`] holds the routing configuration, [`request_info`] the parameters of a
+//! [`routing_config`] holds the routing configuration, [`customers`] the keys of customers, [`request_info`] the parameters of a
 //! caller's request and [`target`] the targets. [`events`] splits event streams at event
 //! boundaries, [`origin`] keeps the versions that began streams, [`budget`] limits retries to a
 //! share of the requests, and [`stopping`] decides which requests an instance still accepts after
 //! the signal to stop.
 
 pub mod budget;
+pub mod customers;
 pub mod events;
 pub mod origin;
 pub mod request_info;
@@ -20,9 +21,12 @@
 pub mod target;
 
 pub use budget::WindowedRetryBudget;
+pub use customers::{Customer, Customers, KeyConflict};
 pub use events::EventScanner;
 pub use origin::{BegunStreams, OriginTable, StreamOrigin, VersionHistory};
 pub use request_info::{PromptPart, RequestInfo};
 pub use request_state::{AttemptFailure, Refusal, RequestState, Step};
-pub use routing_config::{EngineSpec, Limits, RetryPolicy, Route, RoutingConfig, Service};
+pub use routing_config::{
+    EngineSpec, Limits, RetryPolicy, Route, RoutingConfig, ScalingSpec, Service,
+};
 pub use target::{Target, TargetState};
--- a/crates/cactuslane-flight/src/routing_config.rs
+++ b/crates/cactuslane-flight/src/routing_config.rs
@@ -3,7 +3,9 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
-use cactuslane_types::ServiceName;
+use cactuslane_types::{DomainName, ServiceName};
+
+use crate::customers::Customers;
 
 /// One version of the operators' configuration, as decoded from the store.
 #[derive(Clone, Debug, Default, PartialEq)]
@@ -17,6 +19,8 @@
     pub services: BTreeMap<ServiceName, Service>,
     /// Limits on callers' connections and requests.
     pub limits: Limits,
+    /// Customers with their keys; `None` if requests need no key.
+    pub customers: Option<Customers>,
 }
 
 /// Rules for the requests to one host and path prefix.
@@ -52,6 +56,8 @@
     ///
     /// Also limits how often the prompt may be computed on a separate engine.
     pub max_attempts: u32,
+    /// Whether requests need no key although the configuration has customers.
+    pub public: bool,
 }
 
 /// Whether a request may be sent again after an attempt that may have run it.
@@ -74,6 +80,23 @@
     pub max_connections: u32,
     /// Capacities of the service's model engines; `None` for a service without a model.
     pub engine: Option<EngineSpec>,
+    /// Limits and prices of the number of targets; `None` if that number is not ordered.
+    pub scaling: Option<ScalingSpec>,
+}
+
+/// Limits and prices by which the number of a service's targets is ordered.
+#[derive(Clone, Debug, PartialEq)]
+pub struct ScalingSpec {
+    /// Smallest number of targets in each failure domain.
+    pub min: u32,
+    /// Largest number of targets in each failure domain.
+    pub max: u32,
+    /// Time from an order until a new target serves.
+    pub boot_time: Duration,
+    /// Price of a reclaimable target as a share of that of others; `None` if there are none.
+    pub reclaimable_price: Option<f64>,
+    /// Price of a target for a second, by failure domain.
+    pub prices: BTreeMap<DomainName, f64>,
 }
 
 /// Capacities of a service's model engines, the same for each of them.
--- a/crates/cactuslane-flight/tests/decisions.rs
+++ b/crates/cactuslane-flight/tests/decisions.rs
@@ -73,6 +73,7 @@
             .map(|(name, weight)| ((*name).to_owned(), *weight))
             .collect(),
         max_attempts: 1,
+        public: false,
     }
 }
 
--- a/crates/cactuslane-types/src/lib.rs
+++ b/crates/cactuslane-types/src/lib.rs
@@ -14,6 +14,8 @@
 pub type SoftwareVersion = String;
 /// Id of a customer: the key of its entry in the `callers` section of the configuration document.
 pub type CallerId = String;
+/// Name of a customer in the routing configuration, which targets may see.
+pub type CustomerName = String;
 /// Name of a model or a plain service.
 pub type ServiceName = String;
 /// Name of a failure domain, a group of instances and targets that may fail together.
