Let the soak neither wait for a start nor end a drain in the middle of the next one

The end of a step was due as long after it as the step lasts, counted from when it was applied. The loop also waited, for up to 30 s, until a process that it had started told its addresses; meanwhile it applied no step.

Change: a drain or limit of a target that has not ended yet is ended before the next one of the same target begins. A start no longer waits: the loop asks whether the addresses were logged. A process that is starting gets no signals, as it handles none yet. Follow-ups have a module of their own.

Result: both new tests fail on the code before (there is no way to end a drain early, and the start blocks).

--- a/crates/cactuslane-soak/src/lib.rs
+++ b/crates/cactuslane-soak/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod check;
 pub mod compare;
 pub mod figures;
+pub mod follow_ups;
 pub mod load;
 pub mod plan;
 pub mod plot;
--- a/crates/cactuslane-soak/src/process.rs
+++ b/crates/cactuslane-soak/src/process.rs
@@ -5,8 +5,8 @@
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
-use std::sync::mpsc;
-use std::time::Duration;
+use std::sync::mpsc::{self, Receiver, TryRecvError};
+use std::time::{Duration, Instant};
 
 use cactuslane_platform_standin::settings_text;
 use rustix::process::{Pid, Signal, kill_process};
@@ -39,8 +39,12 @@
 struct Process {
     /// Handle of the process.
     child: Child,
-    /// Addresses from its event `started`.
-    addresses: Addresses,
+    /// Time at which it was started.
+    since: Instant,
+    /// Receives the addresses of its event `started`.
+    started: Receiver<Addresses>,
+    /// Addresses from that event, once it was logged.
+    addresses: Option<Addresses>,
 }
 
 /// Addresses that an instance listens on.
@@ -67,15 +71,12 @@
         }
     }
 
-    /// Starts a process and waits until it logs the addresses that it listens on.
-    ///
-    /// Blocks the thread, for at most `START_TIMEOUT` while it waits for the addresses.
+    /// Starts a process, whose addresses are known once [`Self::poll_started`] has read them.
     ///
     /// # Errors
     ///
-    /// Returns an error if a file cannot be written, or if the process cannot be started, ends
-    /// early or does not log its addresses in time.
-    pub fn start(&mut self) -> io::Result<Addresses> {
+    /// Returns an error if a file cannot be written or the process cannot be started.
+    pub fn start(&mut self) -> io::Result<()> {
         self.write_settings()?;
         let mut child = Command::new(&self.binary)
             .arg("gateway")
@@ -103,30 +104,63 @@
                 }
             }
         });
-        let started = started.recv_timeout(START_TIMEOUT);
-        let Ok(addresses) = started else {
-            let _ = child.kill();
-            let _ = child.wait();
-            return Err(io::Error::other(format!(
-                "instance {} ended or did not log the event `started` within {START_TIMEOUT:?}",
-                self.name
-            )));
+        self.process = Some(Process {
+            child,
+            since: Instant::now(),
+            started,
+            addresses: None,
+        });
+        Ok(())
+    }
+
+    /// Reads the addresses that a process which is starting listens on, if it has logged them.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error, and kills the process, if it has ended without logging its addresses or
+    /// has not logged them within [`START_TIMEOUT`].
+    pub fn poll_started(&mut self) -> io::Result<()> {
+        let Some(process) = &mut self.process else {
+            return Ok(());
         };
-        self.process = Some(Process { child, addresses });
-        Ok(addresses)
+        if process.addresses.is_some() {
+            return Ok(());
+        }
+        match process.started.try_recv() {
+            Ok(addresses) => process.addresses = Some(addresses),
+            Err(TryRecvError::Empty) if process.since.elapsed() < START_TIMEOUT => {}
+            Err(_) => {
+                self.process = None;
+                return Err(io::Error::other(format!(
+                    "instance {} ended or did not log the event `started` within {START_TIMEOUT:?}",
+                    self.name
+                )));
+            }
+        }
+        Ok(())
     }
 
-    /// Returns the addresses of the instance, or `None` if it has no process.
+    /// Returns whether the instance has a process, which may still be starting.
+    #[must_use]
+    pub fn has_process(&self) -> bool {
+        self.process.is_some()
+    }
+
+    /// Returns the addresses of the instance, or `None` if it has no process that has started.
     #[must_use]
     pub fn addresses(&self) -> Option<Addresses> {
-        Some(self.process.as_ref()?.addresses)
+        self.process.as_ref()?.addresses
     }
 
-    /// Sends a signal to the process; does nothing if there is none.
+    /// Sends a signal to the process; does nothing if there is none that has started, as one that is
+    /// starting does not handle signals yet.
     pub fn signal(&self, signal: Signal) {
         let Some(process) = &self.process else {
             return;
         };
+        if process.addresses.is_none() {
+            return;
+        }
         let pid = i32::try_from(process.child.id())
             .ok()
             .and_then(Pid::from_raw);
--- a/crates/cactuslane-soak/src/run.rs
+++ b/crates/cactuslane-soak/src/run.rs
@@ -16,6 +16,7 @@
 
 use crate::check::{self, Observations};
 use crate::figures::Figures;
+use crate::follow_ups::{FollowUp, FollowUps};
 use crate::load::{self, LoadSpec, RequestKind, SharedAddresses};
 use crate::plan::{self, Action, PlanStep, StoreFault, TargetFault};
 use crate::process::Instance;
@@ -72,32 +73,13 @@
     version: u64,
     /// Observations for the checks.
     observations: Observations,
-    /// Actions that end or follow up steps, with the times at which they are due.
-    follow_ups: Vec<(Instant, FollowUp)>,
+    /// Actions that end or follow up steps.
+    follow_ups: FollowUps,
     /// Times at which faults were first injected into targets that still have pending ones, by
     /// target.
     target_faults: BTreeMap<usize, Instant>,
 }
 
-/// An action that ends or follows up a step of the plan.
-#[derive(Clone, Debug, PartialEq)]
-enum FollowUp {
-    /// Starts an instance, unless it has a process.
-    Start(usize),
-    /// Resumes an instance with SIGCONT.
-    Thaw(usize),
-    /// Lets the store answer all calls again.
-    HealStore,
-    /// Ends the fault on the connections between an instance and the store.
-    HealStoreLink(usize),
-    /// Ends the fault on the connections to a target.
-    HealTargetLink(usize),
-    /// Ends the drain of a target that started at the given time.
-    EndDrain(usize, Instant),
-    /// Ends the limit of a target, in requests a second, that it has named since the given time.
-    EndLimit(usize, f64, Instant),
-}
-
 /// Performs one run and returns its report.
 ///
 /// # Errors
@@ -213,21 +195,30 @@
             addresses: SharedAddresses::default(),
             version: 1,
             observations: Observations::default(),
-            follow_ups: Vec::new(),
+            follow_ups: FollowUps::default(),
             target_faults: BTreeMap::new(),
         };
         for number in 0..options.instances {
             deployment.start_instance(number)?;
         }
         while deployment.poll_addresses().await < options.instances {
+            deployment.poll_started()?;
             sleep(POLL_INTERVAL).await;
         }
         Ok(deployment)
     }
 
-    /// Starts the process of an instance, and waits until it logs its addresses.
+    /// Starts the process of an instance.
     fn start_instance(&mut self, number: usize) -> io::Result<()> {
-        tokio::task::block_in_place(|| self.instances[number].start()).map(|_| ())
+        tokio::task::block_in_place(|| self.instances[number].start())
+    }
+
+    /// Reads the addresses of the processes that are starting.
+    fn poll_started(&mut self) -> io::Result<()> {
+        for instance in &mut self.instances {
+            instance.poll_started()?;
+        }
+        Ok(())
     }
 
     /// Applies the steps and polls the instances until `length` has passed since `began`.
@@ -245,13 +236,10 @@
             while let Some(step) = steps.next_if(|step| began + step.at <= now) {
                 self.apply(&step.action)?;
             }
-            let due: Vec<(Instant, FollowUp)> = self
-                .follow_ups
-                .extract_if(.., |(at, _)| *at <= now)
-                .collect();
-            for (_, follow_up) in due {
+            for follow_up in self.follow_ups.take_due(now) {
                 self.apply_follow_up(&follow_up)?;
             }
+            self.poll_started()?;
             self.collect_exits();
             self.record_target_faults();
             if now >= next_poll {
@@ -277,12 +265,12 @@
         match *action {
             Action::Kill(number, _) => {
                 self.instances[number].kill();
-                self.follow_ups.push((until, FollowUp::Start(number)));
+                self.follow_ups.schedule(until, FollowUp::Start(number));
             }
             Action::Stop(number) => self.instances[number].signal(Signal::TERM),
             Action::Freeze(number, _) => {
                 self.instances[number].signal(Signal::STOP);
-                self.follow_ups.push((until, FollowUp::Thaw(number)));
+                self.follow_ups.schedule(until, FollowUp::Thaw(number));
             }
             Action::Reload(number) => {
                 self.instances[number].write_settings()?;
@@ -290,18 +278,18 @@
             }
             Action::Store(fault, _) => {
                 self.store.set_mode(store_mode(fault));
-                self.follow_ups.push((until, FollowUp::HealStore));
+                self.follow_ups.schedule(until, FollowUp::HealStore);
             }
             Action::Compact => self.store.compact(),
             Action::StoreLink(number, fault, _) => {
                 self.store_links[number].inject_fault(fault);
                 self.follow_ups
-                    .push((until, FollowUp::HealStoreLink(number)));
+                    .schedule(until, FollowUp::HealStoreLink(number));
             }
             Action::TargetLink(number, fault, _) => {
                 self.target_links[number].inject_fault(fault);
                 self.follow_ups
-                    .push((until, FollowUp::HealTargetLink(number)));
+                    .schedule(until, FollowUp::HealTargetLink(number));
             }
             Action::Target(number, fault, count) => {
                 for _ in 0..count {
@@ -310,14 +298,20 @@
                 self.target_faults.entry(number).or_insert(now);
             }
             Action::Drain(number, _) => {
+                for end in self.follow_ups.take_drain_ends(number) {
+                    self.apply_follow_up(&end)?;
+                }
                 self.register(number, "draining");
                 self.follow_ups
-                    .push((until, FollowUp::EndDrain(number, now)));
+                    .schedule(until, FollowUp::EndDrain(number, now));
             }
             Action::Limit(number, rate, _) => {
+                for end in self.follow_ups.take_limit_ends(number) {
+                    self.apply_follow_up(&end)?;
+                }
                 self.targets[number].name_limit(Some(rate));
                 self.follow_ups
-                    .push((until, FollowUp::EndLimit(number, rate, now)));
+                    .schedule(until, FollowUp::EndLimit(number, rate, now));
             }
             Action::Configure => {
                 self.version += 1;
@@ -331,7 +325,7 @@
     fn apply_follow_up(&mut self, follow_up: &FollowUp) -> io::Result<()> {
         match *follow_up {
             FollowUp::Start(number) => {
-                if self.instances[number].addresses().is_none() {
+                if !self.instances[number].has_process() {
                     self.start_instance(number)?;
                 }
             }
@@ -371,7 +365,7 @@
             let name = self.instances[number].name.clone();
             self.observations.exits.push((name, code));
             self.follow_ups
-                .push((Instant::now(), FollowUp::Start(number)));
+                .schedule(Instant::now(), FollowUp::Start(number));
         }
     }
 
--- /dev/null
+++ b/crates/cactuslane-soak/tests/steps.rs
@@ -0,0 +1,56 @@
+//! Steps that are applied late, and instances that start slowly.
+
+use std::fs;
+use std::os::unix::fs::PermissionsExt;
+use std::time::Duration;
+
+use cactuslane_soak::follow_ups::{FollowUp, FollowUps};
+use cactuslane_soak::process::Instance;
+use rustix::process::Signal;
+use tokio::time::Instant;
+
+// Seed 44008: a drain that was applied late ended in the middle of the next one of its target, which
+// made the target ready.
+#[test]
+fn a_late_drain_ends_before_the_next_one_of_its_target() {
+    let began = Instant::now();
+    let late = Duration::from_millis(60);
+    let mut follow_ups = FollowUps::default();
+    for target in [4, 5] {
+        let end = began + Duration::from_secs(4) + late;
+        follow_ups.schedule(end, FollowUp::EndDrain(target, began + late));
+    }
+    let limit = FollowUp::EndLimit(5, 2.0, began);
+    follow_ups.schedule(began + Duration::from_secs(8), limit.clone());
+    let second = began + Duration::from_millis(4_044);
+    assert!(follow_ups.take_due(second).is_empty());
+    let ends = follow_ups.take_drain_ends(5);
+    assert_eq!(ends, [FollowUp::EndDrain(5, began + late)]);
+    let rest = follow_ups.take_due(second + late);
+    assert_eq!(rest, [FollowUp::EndDrain(4, began + late)]);
+    assert_eq!(follow_ups.take_limit_ends(5), [limit]);
+}
+
+// Seeds 44023 and 44026: no step was applied any more from some moment on. A start that waited for
+// its process could stop the loop.
+#[test]
+fn an_instance_that_starts_slowly_does_not_block_the_soak() {
+    let folder = std::env::temp_dir().join(format!("cactuslane-steps-{}", std::process::id()));
+    fs::create_dir_all(&folder).expect("the folder is created");
+    let binary = folder.join("silent");
+    fs::write(&binary, "#!/bin/sh\nexec sleep 60\n").expect("the program is written");
+    let executable = fs::Permissions::from_mode(0o755);
+    fs::set_permissions(&binary, executable).expect("the program is executable");
+    let store = ([127, 0, 0, 1], 1).into();
+    let mut instance = Instance::new("front-0", &binary, &folder, store);
+    instance.start().expect("the process starts");
+    instance.poll_started().expect("it may still start");
+    assert!(instance.has_process());
+    assert_eq!(instance.addresses(), None);
+    // A process that does not handle signals yet would be ended by this one.
+    instance.signal(Signal::TERM);
+    assert_eq!(instance.take_exit_code(), None);
+    instance.kill();
+    assert!(!instance.has_process());
+    fs::remove_dir_all(&folder).expect("the folder is removed");
+}
