Make calls to the platform as the leader

Cause: nothing made the calls that are the duty of one instance at a time.

A new holder waits for the gap between holders (`lease_ms` plus `thaw_slack_ms`), not for the time to live of the lease besides, which orders to engines wait for. A leaving instance gives no order and makes no call.

Nothing makes a call yet.

--- a/crates/cactuslane-authority/src/leader_term.rs
+++ b/crates/cactuslane-authority/src/leader_term.rs
@@ -52,6 +52,13 @@
         now >= self.order_from && now < self.valid_until
     }
 
+    /// Returns whether a call may be made now that needs `early` milliseconds less of the settling
+    /// time than an order.
+    #[must_use]
+    pub fn may_call(&self, now: Millis, early: Millis) -> bool {
+        now + early >= self.order_from && now < self.valid_until
+    }
+
     /// Returns whether the lease may have lapsed, which ends the term.
     #[must_use]
     pub fn is_expired(&self, now: Millis) -> bool {
--- a/crates/cactuslane-authority/src/lib.rs
+++ b/crates/cactuslane-authority/src/lib.rs
@@ -7,9 +7,11 @@
 //! - [`window`] decides whether a maintenance window is open.
 //! - [`leader_term`] decides when a leader may send orders. `cactuslane-gateway` uses it, where one
 //!   leader sends the orders to all engines, instead of the owners of shards.
+//! - [`duties`] decides when the leader may call the platform.
 //! - [`keys`] defines the keys of the records about configuration, operators, ownership, orders and
 //!   plan in the key-value service.
 
+pub mod duties;
 pub mod keys;
 pub mod leader_term;
 pub mod orders;
--- a/crates/cactuslane-gateway/src/leadership.rs
+++ b/crates/cactuslane-gateway/src/leadership.rs
@@ -29,6 +29,8 @@
     last: Option<(Option<InstanceId>, u64)>,
     /// The term of this process, if it leads.
     term: Option<LeaderTerm>,
+    /// Whether the instance is leaving and does nothing as the leader any more.
+    leaving: bool,
 }
 
 /// The value of the leader key, which identifies a process.
@@ -161,7 +163,30 @@
     #[must_use]
     pub fn may_order(&self, now: Millis) -> Option<FencingToken> {
         let term = self.term?;
-        term.may_order(now).then_some(term.fencing)
+        (!self.leaving && term.may_order(now)).then_some(term.fencing)
+    }
+
+    /// Returns the fencing token for a call to the platform made at `now`, or `None` if this
+    /// process may not make any.
+    ///
+    /// `ttl` is that of [`Leadership::candidacy`]. Of the settling time, only the gap is waited for:
+    /// a predecessor whose lease lapsed made its last call before that, and a late call is not
+    /// carried out twice, as an order may be.
+    #[must_use]
+    pub fn may_call(&self, ttl: Millis, now: Millis) -> Option<FencingToken> {
+        let term = self.term?;
+        (!self.leaving && term.may_call(now, ttl)).then_some(term.fencing)
+    }
+
+    /// Records that the instance is leaving: no further order or call is allowed.
+    pub fn leave(&mut self) {
+        self.leaving = true;
+    }
+
+    /// Returns the fencing token of this process, if it leads.
+    #[must_use]
+    pub fn token(&self) -> Option<FencingToken> {
+        Some(self.term?.fencing)
     }
 }
 
--- a/crates/cactuslane-gateway/src/lib.rs
+++ b/crates/cactuslane-gateway/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod control;
 pub mod crashes;
 pub mod directory;
+pub mod duties;
 pub mod engines;
 pub mod fleet;
 pub mod generation;
--- a/crates/cactuslane-gateway/src/metrics.rs
+++ b/crates/cactuslane-gateway/src/metrics.rs
@@ -12,6 +12,7 @@
 use prometheus_client::metrics::histogram::{Histogram, exponential_buckets};
 use prometheus_client::registry::Registry;
 
+use crate::duties::Duties;
 use crate::state::Gateway;
 
 /// Upper bound of the smallest bucket of times, in seconds.
@@ -87,6 +88,8 @@
     cut: Gauge,
     /// 1 if this instance is the leader, which gives orders to engines, and 0 otherwise.
     office: Gauge,
+    /// Fencing token of the leadership, which calls to the platform carry; 0 if it is not held.
+    token: Gauge,
 }
 
 impl Metrics {
@@ -206,6 +209,11 @@
                 &gauges.cut,
             ),
             ("office", "Whether the office is held", &gauges.office),
+            (
+                "duty_token",
+                "Fencing token of the office, 0 if it is not held",
+                &gauges.token,
+            ),
         ];
         for (name, help, gauge) in gauges_by_name {
             registry.register(name, help, gauge.clone());
@@ -218,6 +226,13 @@
         registry.register(name, help, counter);
     }
 
+    /// Adds the metrics of the calls to the platform.
+    pub fn add_duties(&self, duties: &Duties) {
+        let mut registry = self.registry.lock().unwrap_or_else(PoisonError::into_inner);
+        let help = "Calls to the platform that one instance at a time makes, by duty and result";
+        registry.register("duty_calls", help, duties.calls.clone());
+    }
+
     /// Counts a final answer, with its cause if it is an error that the gateway generated itself.
     pub fn count_answer(
         &self,
@@ -319,10 +334,10 @@
             .set(gateway.members().instance_count() as i64);
         self.requests.set(gateway.requests() as i64);
         self.connections.set(gateway.connections() as i64);
-        let held = gateway
-            .leadership()
-            .is_held(crate::leadership::boot_millis());
+        let mut leadership = gateway.leadership();
+        let held = leadership.is_held(crate::leadership::boot_millis());
         self.office.set(i64::from(held));
+        self.token.set(leadership.token().unwrap_or(0) as i64);
     }
 }
 
--- a/crates/cactuslane-gateway/src/state.rs
+++ b/crates/cactuslane-gateway/src/state.rs
@@ -22,6 +22,7 @@
 use tokio::time::Instant;
 
 use crate::calls::PeerCalls;
+use crate::duties::Duties;
 use crate::fleet::Fleet;
 use crate::leadership::{LeaderRecord, Leadership};
 use crate::members::Members;
@@ -54,7 +55,9 @@
     /// Other instances, as known from the store and their messages.
     members: Mutex<Members>,
     /// Leadership: the right of one instance at a time to give orders to engines.
-    leadership: Mutex<Leadership>,
+    leadership: Arc<Mutex<Leadership>>,
+    /// Calls to the platform that the leader makes.
+    pub duties: Arc<Duties>,
     /// Placer that chooses targets, with its records of load, caches and health.
     placer: Mutex<Placer>,
     /// Crashes of targets, and the prompt parts that are held because of them.
@@ -119,6 +122,9 @@
         let mut fleet = Fleet::default();
         let clock_origin = Instant::now();
         fleet.set_fallback_period(settings.drain_limit);
+        let leadership: Arc<Mutex<Leadership>> = Arc::default();
+        let duties = Duties::open(&settings, leadership.clone());
+        metrics.add_duties(&duties);
         Self {
             settings: Mutex::new(Arc::new(settings)),
             clock_origin,
@@ -126,7 +132,8 @@
             fleet: Mutex::new(fleet),
             progress: Mutex::default(),
             members: Mutex::default(),
-            leadership: Mutex::default(),
+            leadership,
+            duties: Arc::new(duties),
             placer: Mutex::new(placer),
             crashes: Mutex::default(),
             held_changed: Notify::new(),
@@ -171,6 +178,7 @@
         settings.directory = bound.directory;
         settings.peer = bound.peer;
         self.fleet().set_fallback_period(settings.drain_limit);
+        self.duties.configure(settings.duties.clone());
         *lock(&self.settings) = Arc::new(settings);
     }
 
@@ -325,6 +333,7 @@
 
     /// Records that the instance begins to stop.
     pub fn leave(&self) {
+        self.leadership().leave();
         lock(&self.leaving).get_or_insert_with(Instant::now);
     }
 
