Serve customers by their keys

Cause: a configuration may name customers with keys, and no request was checked: whoever called was served, a key reached the targets, and so did a customer's name that the caller chose.

Change: a request to a route that is not public is answered with 401 before its body is read unless it carries a key of the configuration in force. The key and all spellings of the credentials are removed from what targets get, and the customer's name is set, whatever the caller sent; a caller's own name is removed in all deployments. Requests that are passed on to another instance keep their key, also if the caller named it as a header of the connection. A customer's priority goes before that of its route.

--- a/crates/cactuslane-flight/src/customers.rs
+++ b/crates/cactuslane-flight/src/customers.rs
@@ -39,21 +39,22 @@
 }
 
 impl Customers {
-    /// Adds a customer with its keys, and returns those that cannot be used.
+    /// Adds a customer with its keys, and returns those that cannot be used, by their indices.
     ///
     /// An empty key is skipped, and a key that another customer lists already stays with that one.
-    pub fn add(&mut self, customer: Customer, keys: &[String]) -> Vec<KeyConflict> {
+    pub fn add(&mut self, customer: Customer, keys: &[String]) -> Vec<(usize, KeyConflict)> {
         let index = self.customers.len();
         let mut conflicts = Vec::new();
-        for key in keys {
+        for (number, key) in keys.iter().enumerate() {
             if key.is_empty() {
-                conflicts.push(KeyConflict::Empty(customer.name.clone()));
+                conflicts.push((number, KeyConflict::Empty(customer.name.clone())));
                 continue;
             }
             let holder = *self.keys.entry(hash(key.as_bytes())).or_insert(index);
             if holder != index {
                 let first = self.customers[holder].name.clone();
-                conflicts.push(KeyConflict::Shared(first, customer.name.clone()));
+                let conflict = KeyConflict::Shared(first, customer.name.clone());
+                conflicts.push((number, conflict));
             }
         }
         self.customers.push(customer);
--- a/crates/cactuslane-gateway/src/generation.rs
+++ b/crates/cactuslane-gateway/src/generation.rs
@@ -250,7 +250,7 @@
             engine,
             max_pause: request.route.max_pause,
             latency_objective: request.route.latency_objective,
-            priority: request.route.priority,
+            priority: request.priority,
             left: left.min(
                 request
                     .route
--- a/crates/cactuslane-gateway/src/generation/attempt.rs
+++ b/crates/cactuslane-gateway/src/generation/attempt.rs
@@ -49,7 +49,8 @@
         let params = SendParams {
             target: &target.id,
             timeout: left,
-            priority: Some(self.request.route.priority),
+            priority: Some(self.request.priority),
+            identity: self.request.identity(),
             phases: source.as_deref().map_or(Phases::All, Phases::Decode),
             fetch: None,
             last_event,
--- a/crates/cactuslane-gateway/src/generation/prompt.rs
+++ b/crates/cactuslane-gateway/src/generation/prompt.rs
@@ -84,7 +84,8 @@
         let params = SendParams {
             target: &target.id,
             timeout: left,
-            priority: Some(self.request.route.priority),
+            priority: Some(self.request.priority),
+            identity: self.request.identity(),
             phases: Phases::Prefill,
             fetch: fetch.map(|engine| engine.address),
             last_event: None,
@@ -115,7 +116,7 @@
                     "prompt computed"
                 );
                 let mut placer = self.gateway.placer();
-                let priority = self.request.route.priority;
+                let priority = self.request.priority;
                 placer
                     .speed
                     .observe(priority, plan.uncached, plan.ahead, elapsed);
--- a/crates/cactuslane-gateway/src/ingress.rs
+++ b/crates/cactuslane-gateway/src/ingress.rs
@@ -8,8 +8,8 @@
 use cactuslane_flight::request_info::fingerprint;
 use cactuslane_flight::routing_config::{Limits, Route, RoutingConfig};
 use cactuslane_flight::{AttemptFailure, Refusal, RequestInfo, RequestState, stopping};
-use cactuslane_platform::exchange;
-use cactuslane_types::TargetId;
+use cactuslane_platform::exchange::{self, Identity};
+use cactuslane_types::{CustomerName, TargetId};
 use http_body_util::{BodyExt, LengthLimitError, Limited};
 use hyper::body::{Bytes, Incoming};
 use hyper::header::{CONNECTION, HOST, HeaderMap, HeaderValue};
@@ -26,7 +26,7 @@
 use crate::reply::{self, AnswerBody, Cause};
 use crate::state::Gateway;
 use crate::upstream::set_socket_options;
-use crate::{generation, metrics, plain};
+use crate::{customers, generation, metrics, plain};
 
 /// Delay before the next `accept` after a failed one.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(20);
@@ -47,6 +47,11 @@
     pub info: RequestInfo,
     /// Route that matches the host and the path.
     pub route: Route,
+    /// Customer whose key it carries; `None` if it carries none that is known.
+    pub customer: Option<CustomerName>,
+    /// Priority at model engines, that of the customer before that of the route; 0 is the most
+    /// urgent.
+    pub priority: u8,
     /// Name of the service that was picked among those of the route.
     pub service: String,
     /// Configuration that was in force when the head arrived.
@@ -75,6 +80,12 @@
         targets.insert(target.to_owned())
     }
 
+    /// Returns what targets are told of the caller's identity.
+    #[must_use]
+    pub fn identity(&self) -> Identity<'_> {
+        customers::identity(&self.config, self.customer.as_deref())
+    }
+
     /// Returns the time that is left until the deadline of the caller or of the route.
     #[must_use]
     pub fn time_left(&self) -> Duration {
@@ -231,6 +242,13 @@
         info!(request = info.id, host, version = config.version; "no route fits");
         return Err(reply::error(&info.id, StatusCode::NOT_FOUND, "no route"));
     };
+    let caller = match customers::identify(&config, &route, request.headers()) {
+        Ok(caller) => caller,
+        Err(denial) => {
+            info!(request = info.id, host, reason = denial.cause(); "key not accepted");
+            return Err(customers::deny(&info.id, denial));
+        }
+    };
     let Some(service) = route.pick_service(rand::random()).cloned() else {
         info!(request = info.id, route = route.name; "route has no service");
         let cause = "the route has no service";
@@ -273,7 +291,7 @@
             parts.method.as_str().as_bytes(),
             host.as_bytes(),
             path.map_or("/", PathAndQuery::as_str).as_bytes(),
-            exchange::credentials(&parts.headers),
+            caller.credentials(&parts.headers),
             &body,
         ]),
         ..info
@@ -281,6 +299,8 @@
     Ok(CallerRequest {
         info,
         route,
+        customer: caller.customer,
+        priority: caller.priority,
         service,
         config: config.clone(),
         method: parts.method,
--- a/crates/cactuslane-gateway/src/lib.rs
+++ b/crates/cactuslane-gateway/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod calls;
 pub mod control;
 pub mod crashes;
+pub mod customers;
 pub mod directory;
 pub mod engines;
 pub mod fleet;
--- a/crates/cactuslane-gateway/src/plain.rs
+++ b/crates/cactuslane-gateway/src/plain.rs
@@ -150,6 +150,7 @@
     let params = SendParams {
         target: &target.id,
         timeout: left,
+        identity: request.identity(),
         ..SendParams::default()
     };
     let mut sent = crashes::SentAttempt::new(gateway, &request.info, target);
--- a/crates/cactuslane-gateway/tests/serving/lines.rs
+++ b/crates/cactuslane-gateway/tests/serving/lines.rs
@@ -5,7 +5,7 @@
 
 use cactuslane_platform_standin::{Fault, Mode};
 use log::kv::{Error, Key, Value, VisitSource};
-use log::{LevelFilter, Log, Metadata, Record};
+use log::{Level, LevelFilter, Log, Metadata, Record};
 use rand::{Rng, SeedableRng};
 use rand_pcg::Pcg64Mcg;
 use yare::parameterized;
@@ -35,6 +35,12 @@
 /// Warnings and errors of all instances in this process, by request id.
 static WARNINGS: Mutex<BTreeMap<String, Vec<Warning>>> = Mutex::new(BTreeMap::new());
 
+/// Key that no log line may hold.
+pub const SECRET: &str = "sk-secret-71";
+
+/// Log lines of all levels that hold [`SECRET`].
+static LEAKS: Mutex<Vec<String>> = Mutex::new(Vec::new());
+
 /// A warning about a request.
 #[derive(Clone, Debug, Default)]
 struct Warning {
@@ -51,7 +57,8 @@
     }
 }
 
-/// Logger that adds each warning or error with a request id to [`WARNINGS`].
+/// Logger that adds each warning or error with a request id to [`WARNINGS`], and each line with
+/// [`SECRET`] to [`LEAKS`].
 struct WarningCollector;
 
 impl Log for WarningCollector {
@@ -66,6 +73,16 @@
         };
         let fields = record.key_values().visit(&mut warning);
         fields.expect("fields can be read");
+        let text = format!("{} {:?}", warning.event, warning.fields);
+        if text.contains(SECRET) {
+            LEAKS
+                .lock()
+                .unwrap_or_else(PoisonError::into_inner)
+                .push(text);
+        }
+        if record.level() > Level::Warn {
+            return;
+        }
         if let Some(request) = warning.fields.get("request") {
             let mut warnings = WARNINGS.lock().unwrap_or_else(PoisonError::into_inner);
             warnings.entry(request.clone()).or_default().push(warning);
@@ -75,15 +92,25 @@
     fn flush(&self) {}
 }
 
-/// Installs the logger once per process, for warnings and errors.
+/// Installs the logger once per process.
 fn collect_warnings() {
     static STARTED: Once = Once::new();
     STARTED.call_once(|| {
         log::set_boxed_logger(Box::new(WarningCollector)).expect("no other logger is set");
-        log::set_max_level(LevelFilter::Warn);
+        log::set_max_level(LevelFilter::Trace);
     });
 }
 
+/// Begins to collect the log lines that hold [`SECRET`].
+pub fn collect_leaks() {
+    collect_warnings();
+}
+
+/// Returns the log lines that held [`SECRET`] so far.
+pub fn leaks() -> Vec<String> {
+    LEAKS.lock().unwrap_or_else(PoisonError::into_inner).clone()
+}
+
 /// Checks that an unsuccessful answer has exactly one warning, with its cause, and a successful one
 /// has none.
 fn check(id: &str, answer: &CallerAnswer) {
--- a/crates/cactuslane-gateway/tests/serving/main.rs
+++ b/crates/cactuslane-gateway/tests/serving/main.rs
@@ -3,6 +3,7 @@
 mod bulk;
 mod control;
 mod crashes;
+mod customers;
 mod cut;
 mod deployment;
 mod invalid;
--- a/crates/cactuslane/src/check.rs
+++ b/crates/cactuslane/src/check.rs
@@ -53,7 +53,7 @@
         let settings = cactuslane_platform::Settings::parse(text);
         settings.map(|_| ()).map_err(|error| error.to_string())
     } else {
-        cactuslane_platform::document::decode(text.as_bytes()).map(|_| ())
+        cactuslane_platform::document::check(text.as_bytes())
     };
     result.map_err(|error| CommandError::Usage(format!("{}: {error}", command.file)))
 }
