Bound all that is held on behalf of callers

Cause: bodies were collected as lists of frames, each of which kept the read buffer that it lay in; nothing bounded the bodies of all requests together, the connections, or the answers that callers do not take. Hyper goes on reading requests while the answers before them are unsent, and kept the heads of these without a bound.

Change: `cactuslane_flight::HeldBytes` decides on connections and bytes, with limits from the memory and the descriptors of the process; `held`, `connections` and `queue` of the gateway carry that out at all doors. An announced length above the limit is refused at once. Bytes are reserved as they come and copied into one buffer; a reservation closes the connection that holds most for longest without progress, else it is refused with 503. A full door replaces the connection that waited longest for a head. A connection is not read while its answers are not taken. A stated time-out of a caller no longer extends the time for a body.

--- a/crates/cactuslane-flight/src/lib.rs
+++ b/crates/cactuslane-flight/src/lib.rs
@@ -7,12 +7,13 @@
 //! [`routing_config`] holds the routing configuration, [`customers`] the keys of customers, [`request_info`] the parameters of a
 //! caller's request and [`target`] the targets. [`events`] splits event streams at event
 //! boundaries, [`origin`] keeps the versions that began streams, [`budget`] limits retries to a
-//! share of the requests, and [`stopping`] decides which requests an instance still accepts after
+//! share of the requests, [`held_bytes`] what is held for callers, and [`stopping`] decides which requests an instance still accepts after
 //! the signal to stop.
 
 pub mod budget;
 pub mod customers;
 pub mod events;
+pub mod held_bytes;
 pub mod origin;
 pub mod request_info;
 pub mod request_state;
@@ -23,6 +24,7 @@
 pub use budget::WindowedRetryBudget;
 pub use customers::{Customer, Customers, KeyConflict};
 pub use events::EventScanner;
+pub use held_bytes::{Activity, ConnectionId, Door, HeldBytes, HeldLimits, Kind};
 pub use origin::{BegunStreams, OriginTable, StreamOrigin, VersionHistory};
 pub use request_info::{PromptPart, RequestInfo};
 pub use request_state::{AttemptFailure, Refusal, RequestState, Step};
--- /dev/null
+++ b/crates/cactuslane-gateway/src/connections.rs
@@ -0,0 +1,282 @@
+//! Accepted connections, with the limits that hold at every door.
+
+use std::convert::Infallible;
+use std::io;
+use std::pin::Pin;
+use std::sync::Arc;
+use std::task::{Context, Poll, Waker, ready};
+use std::time::Duration;
+
+use cactuslane_flight::held_bytes::PROGRESS_BYTES;
+use cactuslane_flight::{Activity, ConnectionId, Kind};
+use http_body_util::BodyExt;
+use hyper::body::{Body, Bytes, Frame, Incoming, SizeHint};
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper::{Request, Response};
+use hyper_util::rt::{TokioIo, TokioTimer};
+use log::debug;
+use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
+use tokio::net::TcpStream;
+use tokio::time::{Instant, Sleep};
+
+use crate::held::{BufferError, ConnectionGuard, Held, HeldBuffer, ServingGuard};
+use crate::upstream::set_socket_options;
+
+/// Maximum number of headers of a request.
+const MAX_HEADERS: usize = 100;
+/// Smallest `max_buf_size` that hyper accepts, in bytes; also added to the limit on the head.
+const MIN_BUFFER: usize = 8 << 10;
+/// Time within which a caller must take [`PROGRESS_BYTES`] of an answer, or all that is left of it.
+const SEND_TIMEOUT: Duration = Duration::from_secs(20);
+
+/// Limits on the heads of a connection's requests.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct HeadLimits {
+    /// Largest size of a head, in bytes.
+    pub bytes: usize,
+    /// Longest time to wait for a whole head.
+    pub timeout: Duration,
+}
+
+/// Error of a body that could not be read.
+#[derive(Debug)]
+pub enum BodyError {
+    /// It is larger than allowed.
+    TooLarge,
+    /// There is no space for it.
+    NoSpace,
+    /// The connection failed, or the body is malformed.
+    Broken(hyper::Error),
+}
+
+/// Connection of a caller, which is not read while the caller does not take its answers.
+#[derive(Debug)]
+struct CallerStream {
+    /// The connection.
+    stream: TcpStream,
+    /// Where its state is recorded.
+    held: Arc<Held>,
+    /// Its number.
+    connection: ConnectionId,
+    /// Whether the caller takes no bytes at present.
+    blocked: bool,
+    /// Task that wants to read once it does.
+    reader: Option<Waker>,
+    /// Number of bytes that were sent since the time-out was set.
+    sent: usize,
+    /// End of the time to take [`PROGRESS_BYTES`]; `None` while nothing is left unsent.
+    deadline: Option<Pin<Box<Sleep>>>,
+}
+
+/// Body of an answer, with a guard that is dropped at its end.
+#[derive(Debug)]
+struct GuardedBody<B> {
+    /// The body.
+    body: B,
+    /// The guard.
+    _guard: ServingGuard,
+}
+
+/// Serves the requests of an accepted connection until it ends or must be closed.
+pub async fn serve<B, F>(
+    guard: ConnectionGuard,
+    stream: TcpStream,
+    limits: HeadLimits,
+    respond: impl Fn(Request<Incoming>, ConnectionId) -> F,
+) where
+    F: Future<Output = Response<B>>,
+    B: Body<Data = Bytes> + Unpin + 'static,
+    B::Error: Into<Box<dyn std::error::Error + Send + Sync>>,
+{
+    set_socket_options(&stream);
+    let id = guard.id;
+    let stream = CallerStream {
+        stream,
+        held: guard.held().clone(),
+        connection: id,
+        blocked: false,
+        reader: None,
+        sent: 0,
+        deadline: None,
+    };
+    let service = service_fn(|request| {
+        let serving = guard.held().serve(id);
+        let response = respond(request, id);
+        async move {
+            let response = response.await;
+            Ok::<_, Infallible>(response.map(|body| GuardedBody {
+                body,
+                _guard: serving,
+            }))
+        }
+    });
+    let connection = http1::Builder::new()
+        .timer(TokioTimer::new())
+        .header_read_timeout(limits.timeout)
+        .max_headers(MAX_HEADERS)
+        .max_buf_size(limits.bytes.max(MIN_BUFFER) + MIN_BUFFER)
+        .serve_connection(TokioIo::new(stream), service);
+    let result = tokio::select! {
+        result = connection => result,
+        () = guard.closer.notified() => return,
+    };
+    if let Err(error) = result {
+        debug!(error:% = error; "caller's connection ended");
+    }
+}
+
+/// Reads a body of at most `limit` bytes, which are held for its connection.
+///
+/// # Errors
+///
+/// Returns an error if the body announces or has more bytes, if there is no space for it, or if it
+/// can't be read.
+pub async fn read_body(
+    held: &Arc<Held>,
+    connection: ConnectionId,
+    mut body: Incoming,
+    limit: usize,
+) -> Result<Bytes, BodyError> {
+    let announced = body.size_hint();
+    if announced.lower() > limit as u64 {
+        return Err(BodyError::TooLarge);
+    }
+    if body.is_end_stream() {
+        return Ok(Bytes::new());
+    }
+    let limit = announced
+        .exact()
+        .map_or(limit, |announced| announced as usize);
+    held.set_activity(connection, Activity::Reading);
+    let mut buffer = HeldBuffer::new(held, connection, Kind::Body, limit);
+    while let Some(frame) = body.frame().await {
+        let Ok(data) = frame.map_err(BodyError::Broken)?.into_data() else {
+            continue;
+        };
+        held.record_bytes(connection, data.len());
+        match buffer.extend(&data).await {
+            Ok(()) => {}
+            Err(BufferError::TooLarge) => return Err(BodyError::TooLarge),
+            Err(BufferError::NoSpace) => return Err(BodyError::NoSpace),
+        }
+    }
+    held.set_activity(connection, Activity::Serving);
+    Ok(buffer.into_bytes())
+}
+
+impl CallerStream {
+    /// Records the result of a write; returns an error if the caller has taken too little for too
+    /// long.
+    fn record_write(
+        &mut self,
+        context: &mut Context<'_>,
+        result: Poll<io::Result<usize>>,
+    ) -> Poll<io::Result<usize>> {
+        match result {
+            Poll::Ready(Ok(sent)) => {
+                self.sent += sent;
+                if std::mem::replace(&mut self.blocked, false) {
+                    self.held.set_blocked(self.connection, false);
+                    self.held.record_bytes(self.connection, sent);
+                    if let Some(reader) = self.reader.take() {
+                        reader.wake();
+                    }
+                }
+                Poll::Ready(Ok(sent))
+            }
+            Poll::Ready(Err(error)) => Poll::Ready(Err(error)),
+            Poll::Pending => {
+                if !std::mem::replace(&mut self.blocked, true) {
+                    self.held.set_blocked(self.connection, true);
+                }
+                if self.sent >= PROGRESS_BYTES {
+                    self.sent = 0;
+                    if let Some(deadline) = &mut self.deadline {
+                        deadline.as_mut().reset(Instant::now() + SEND_TIMEOUT);
+                    }
+                }
+                let deadline = self
+                    .deadline
+                    .get_or_insert_with(|| Box::pin(tokio::time::sleep(SEND_TIMEOUT)));
+                ready!(deadline.as_mut().poll(context));
+                self.held
+                    .report("answer not taken", "answers", self.connection);
+                let error = io::Error::new(io::ErrorKind::TimedOut, "the answer is not taken");
+                Poll::Ready(Err(error))
+            }
+        }
+    }
+}
+
+impl AsyncRead for CallerStream {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        buffer: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        // Hyper would otherwise go on reading requests, and keep the heads of their answers.
+        if self.blocked {
+            self.reader = Some(context.waker().clone());
+            return Poll::Pending;
+        }
+        Pin::new(&mut self.stream).poll_read(context, buffer)
+    }
+}
+
+impl AsyncWrite for CallerStream {
+    fn poll_write(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        bytes: &[u8],
+    ) -> Poll<io::Result<usize>> {
+        let result = Pin::new(&mut self.stream).poll_write(context, bytes);
+        self.record_write(context, result)
+    }
+
+    fn poll_flush(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
+        // Hyper flushes once all that it has is written.
+        if self.deadline.take().is_some() {
+            self.held.record_bytes(self.connection, PROGRESS_BYTES);
+        }
+        self.sent = 0;
+        Pin::new(&mut self.stream).poll_flush(context)
+    }
+
+    fn poll_shutdown(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_shutdown(context)
+    }
+
+    fn poll_write_vectored(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        slices: &[io::IoSlice<'_>],
+    ) -> Poll<io::Result<usize>> {
+        let result = Pin::new(&mut self.stream).poll_write_vectored(context, slices);
+        self.record_write(context, result)
+    }
+
+    fn is_write_vectored(&self) -> bool {
+        self.stream.is_write_vectored()
+    }
+}
+
+impl<B: Body + Unpin> Body for GuardedBody<B> {
+    type Data = B::Data;
+    type Error = B::Error;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<B::Data>, B::Error>>> {
+        Pin::new(&mut self.body).poll_frame(context)
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.body.is_end_stream()
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        self.body.size_hint()
+    }
+}
--- a/crates/cactuslane-gateway/src/directory.rs
+++ b/crates/cactuslane-gateway/src/directory.rs
@@ -1,35 +1,35 @@
 //! HTTP endpoints for address resolution, readiness and metrics.
 
-use std::convert::Infallible;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
+use cactuslane_flight::Door;
 use cactuslane_platform::directory::{
     MAX_ADDRESSES, READY_PATH, RESOLVE_PATH, caller_domain, encode_addresses,
 };
 use http_body_util::Full;
 use hyper::body::{Bytes, Incoming};
-use hyper::server::conn::http1;
-use hyper::service::service_fn;
 use hyper::{Request, Response, StatusCode};
-use hyper_util::rt::{TokioIo, TokioTimer};
 use log::debug;
 use rand::seq::SliceRandom;
 use tokio::net::TcpListener;
 
+use crate::connections::{self, HeadLimits};
 use crate::state::Gateway;
-use crate::upstream::set_socket_options;
 
 /// Time to live of the addresses in an answer, for which callers may cache them.
 const ADDRESS_TTL: Duration = Duration::from_secs(1);
-/// Longest time to receive the head of a request.
-const HEAD_TIMEOUT: Duration = Duration::from_secs(10);
+/// Limits on the heads of requests; a connection may be idle for the same time.
+const HEAD_LIMITS: HeadLimits = HeadLimits {
+    bytes: 16 << 10,
+    timeout: Duration::from_secs(10),
+};
 /// The path of the metrics in the `OpenMetrics` text format.
 const METRICS_PATH: &str = "/metrics";
 
 /// Serves the endpoints on one listener until the task is aborted.
-pub async fn serve(gateway: Arc<Gateway>, listener: TcpListener) {
+pub async fn serve(gateway: Arc<Gateway>, listener: TcpListener, door: Door) {
     loop {
         let stream = match listener.accept().await {
             Ok((stream, _)) => stream,
@@ -39,20 +39,16 @@
                 continue;
             }
         };
-        set_socket_options(&stream);
+        let Some(guard) = gateway.held.open(door) else {
+            continue;
+        };
         let gateway = gateway.clone();
         tokio::spawn(async move {
-            let service = service_fn(|request| {
+            let respond = |request: Request<Incoming>, _| {
                 let response = respond(&gateway, &request);
-                async move { Ok::<_, Infallible>(response) }
-            });
-            let connection = http1::Builder::new()
-                .timer(TokioTimer::new())
-                .header_read_timeout(HEAD_TIMEOUT)
-                .serve_connection(TokioIo::new(stream), service);
-            if let Err(error) = connection.await {
-                debug!(error:% = error; "connection ended");
-            }
+                async move { response }
+            };
+            connections::serve(guard, stream, HEAD_LIMITS, respond).await;
         });
     }
 }
--- a/crates/cactuslane-gateway/src/engines.rs
+++ b/crates/cactuslane-gateway/src/engines.rs
@@ -15,6 +15,7 @@
 use tokio::time::timeout;
 
 use crate::answers;
+use crate::held::NO_CONNECTION;
 use crate::limits::{self, Purpose};
 use crate::plain::{queue_observation, read_body};
 use crate::state::Gateway;
@@ -162,7 +163,7 @@
         answers::observe(gateway, target, Purpose::Call, status, headers, sent);
         let keep_alive = exchange::keep_alive_timeout(headers);
         connection.allow(MAX_CALL_BYTES);
-        let body = read_body(gateway, response.into_body()).await;
+        let body = read_body(gateway, NO_CONNECTION, response.into_body()).await;
         let body = body.map_err(|(_, why)| CallError::Unknown(why))?;
         if status != StatusCode::OK {
             return Err(CallError::Unknown(format!("status {status}")));
--- a/crates/cactuslane-gateway/src/generation/attempt.rs
+++ b/crates/cactuslane-gateway/src/generation/attempt.rs
@@ -92,7 +92,7 @@
         if !head.status.is_success() {
             attempt.settle();
             self.gateway.placer().answered_failure(&target.id, now);
-            let reading = read_body(&self.gateway, body);
+            let reading = read_body(&self.gateway, self.request.connection, body);
             let left = self.state.remaining(self.gateway.now());
             let body = with_timeout(left, left, "body", reading)
                 .await
--- a/crates/cactuslane-gateway/src/generation/prompt.rs
+++ b/crates/cactuslane-gateway/src/generation/prompt.rs
@@ -16,6 +16,7 @@
 use super::StreamRequest;
 use super::waiting::{PROMPT_TIMEOUT_FACTOR, with_timeout};
 use crate::engines;
+use crate::held::NO_CONNECTION;
 use crate::limits::Permit;
 use crate::plain::{read_body, send};
 use crate::state::Gateway;
@@ -95,7 +96,7 @@
             let keep_alive = exchange::keep_alive_timeout(response.headers());
             let status = response.status();
             connection.allow(MAX_COMPUTED_BYTES);
-            let body = read_body(&self.gateway, response.into_body()).await?;
+            let body = read_body(&self.gateway, NO_CONNECTION, response.into_body()).await?;
             self.gateway.pool.check_in(connection, keep_alive);
             if status != StatusCode::OK {
                 return Err((AttemptFailure::Broken, format!("status {status}")));
--- a/crates/cactuslane-gateway/src/generation/stream.rs
+++ b/crates/cactuslane-gateway/src/generation/stream.rs
@@ -8,19 +8,16 @@
 use cactuslane_types::Millis;
 use http_body_util::{BodyExt, Either};
 use hyper::Response;
-use hyper::body::Bytes;
 use log::{info, warn};
-use tokio::sync::mpsc;
 use tokio::time::{Instant, timeout};
 
 use super::{OpenStream, Outcome, StreamRequest};
 use crate::metrics;
 use crate::plain::failure_label;
-use crate::reply::{AnswerAborted, AnswerBody, ChunkStream};
+use crate::queue::{self, AnswerSender};
+use crate::reply::AnswerBody;
 use crate::{crashes, origins};
 
-/// Maximum number of chunks that are queued for a slow caller.
-const CHANNEL_CAPACITY: usize = 64;
 /// Silence after which a stream is resumed at another target, as a share of the route's silence
 /// limit, at which callers are expected to disconnect.
 const SILENCE_SHARE: f64 = 0.75;
@@ -73,24 +70,20 @@
         let kind = metrics::route_kind(&self.request.route);
         self.gateway.metrics.observe_first_byte(kind, seconds);
         let headers = exchange::answer_headers(&opened.headers);
-        let (sender, receiver) = mpsc::channel(CHANNEL_CAPACITY);
+        let (sender, body) = queue::open(&self.gateway.held, self.request.connection);
         let guard = self.gateway.count_request();
         tokio::spawn(async move {
             self.forward_answer(opened, sender).await;
             drop(guard);
         });
-        let mut response = Response::new(Either::Right(ChunkStream::new(receiver)));
+        let mut response = Response::new(Either::Right(body));
         *response.headers_mut() = headers;
         response
     }
 
     /// Forwards events until the answer is complete, and resumes the stream at another target after
     /// a failure where that is allowed.
-    async fn forward_answer(
-        mut self,
-        mut opened: OpenStream,
-        sender: mpsc::Sender<Result<Bytes, AnswerAborted>>,
-    ) {
+    async fn forward_answer(mut self, mut opened: OpenStream, sender: AnswerSender) {
         let mut scanner = EventScanner::resume_after(self.request.info.last_event);
         loop {
             let stream_end = self
@@ -148,8 +141,7 @@
                     since_arrival_ms = self.request.arrived.elapsed().as_millis() as u64;
                     "answer cut"
                 );
-                // The send fails only if the caller has disconnected, and then no abort is needed.
-                let _ = sender.send(Err(AnswerAborted)).await;
+                sender.abort().await;
                 return;
             };
             scanner = EventScanner::resume_after(scanner.last_id());
@@ -162,7 +154,7 @@
         &mut self,
         opened: &mut OpenStream,
         scanner: &mut EventScanner,
-        sender: &mpsc::Sender<Result<Bytes, AnswerAborted>>,
+        sender: &AnswerSender,
     ) -> StreamEnd {
         let mut ignore_silence = !self.state.may_retry();
         let mut last_received = Instant::now();
@@ -228,7 +220,7 @@
             if beginning.is_settled(now) {
                 self.record_begun(&mut beginning);
             }
-            if !events.is_empty() && sender.send(Ok(Bytes::from(events))).await.is_err() {
+            if !events.is_empty() && sender.send(events).await.is_err() {
                 return StreamEnd::CallerLeft;
             }
         }
--- a/crates/cactuslane-gateway/src/ingress.rs
+++ b/crates/cactuslane-gateway/src/ingress.rs
@@ -1,31 +1,29 @@
 //! Callers' connections, and the reading and answering of their requests.
 
 use std::collections::BTreeSet;
-use std::convert::Infallible;
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 
 use cactuslane_flight::request_info::fingerprint;
 use cactuslane_flight::routing_config::{Limits, Route, RoutingConfig};
-use cactuslane_flight::{AttemptFailure, Refusal, RequestInfo, RequestState, stopping};
+use cactuslane_flight::{
+    AttemptFailure, ConnectionId, Door, Refusal, RequestInfo, RequestState, stopping,
+};
 use cactuslane_platform::exchange;
 use cactuslane_types::TargetId;
-use http_body_util::{BodyExt, LengthLimitError, Limited};
 use hyper::body::{Bytes, Incoming};
 use hyper::header::{CONNECTION, HOST, HeaderMap, HeaderValue};
 use hyper::http::uri::PathAndQuery;
-use hyper::server::conn::http1;
-use hyper::service::service_fn;
 use hyper::{Method, Request, Response, StatusCode, Uri};
-use hyper_util::rt::{TokioIo, TokioTimer};
-use log::{debug, info, warn};
+use log::{info, warn};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::time::Instant;
 
+use crate::connections::{self, BodyError, HeadLimits};
+use crate::held::ConnectionGuard;
 use crate::passing::{self, TakenGuard};
 use crate::reply::{self, AnswerBody, Cause};
 use crate::state::Gateway;
-use crate::upstream::set_socket_options;
 use crate::{generation, metrics, plain};
 
 /// Delay before the next `accept` after a failed one.
@@ -37,8 +35,8 @@
 const STOPPING_RETRY_AFTER: Duration = Duration::ZERO;
 /// Cause of a refusal after attempts of which none was sent.
 const UNSENT: &str = plain::failure_label(AttemptFailure::Unsent);
-/// Smallest `max_buf_size` that hyper accepts, in bytes; also added to the limit on the head.
-const MIN_BUFFER: usize = 8 << 10;
+/// Value of `Retry-After` when there is no space for a body.
+const NO_SPACE_RETRY_AFTER: Duration = Duration::from_secs(1);
 
 /// A request of a caller, read with its body.
 #[derive(Debug)]
@@ -59,6 +57,8 @@
     pub headers: HeaderMap,
     /// Body, sent unchanged to the target in each attempt.
     pub body: Bytes,
+    /// Connection of the caller.
+    pub connection: ConnectionId,
     /// Time at which the head had arrived.
     pub arrived: Instant,
     /// Count of a request that another instance passed on, kept until its answer has ended.
@@ -129,10 +129,16 @@
 
 /// Accepts connections and serves their requests until the task is aborted.
 pub async fn accept(gateway: Arc<Gateway>, listener: TcpListener, source: RequestSource) {
+    let door = match source {
+        RequestSource::Caller => Door::Front,
+        RequestSource::Instance => Door::Instances,
+    };
     loop {
         match listener.accept().await {
             Ok((stream, _)) => {
-                tokio::spawn(serve_connection(gateway.clone(), stream, source));
+                if let Some(guard) = gateway.held.open(door) {
+                    tokio::spawn(serve_connection(gateway.clone(), guard, stream, source));
+                }
             }
             Err(error) => {
                 info!(error:% = error; "caller not accepted");
@@ -144,24 +150,25 @@
 
 /// Serves the requests of one connection, with the limits on heads and idle time that were in force
 /// when it was accepted.
-async fn serve_connection(gateway: Arc<Gateway>, stream: TcpStream, source: RequestSource) {
-    set_socket_options(&stream);
-    let _guard = gateway.count_connection();
+async fn serve_connection(
+    gateway: Arc<Gateway>,
+    guard: ConnectionGuard,
+    stream: TcpStream,
+    source: RequestSource,
+) {
+    let _count = gateway.count_connection();
     let limits = gateway
         .routing_config()
         .map_or_else(Limits::default, |config| config.limits);
-    let service = service_fn(|request| {
+    let limits = HeadLimits {
+        bytes: limits.header_bytes,
+        timeout: limits.header_timeout.max(limits.idle_timeout),
+    };
+    let respond = |request, connection| {
         let gateway = gateway.clone();
-        async move { Ok::<_, Infallible>(respond(&gateway, request, source).await) }
-    });
-    let connection = http1::Builder::new()
-        .timer(TokioTimer::new())
-        .header_read_timeout(limits.header_timeout.max(limits.idle_timeout))
-        .max_buf_size(limits.header_bytes.max(MIN_BUFFER) + MIN_BUFFER)
-        .serve_connection(TokioIo::new(stream), service);
-    if let Err(error) = connection.await {
-        debug!(error:% = error; "caller's connection ended");
-    }
+        async move { respond(&gateway, request, source, connection).await }
+    };
+    connections::serve(guard, stream, limits, respond).await;
 }
 
 /// Answers one request; counts the final answer, and logs it unless it is a success.
@@ -169,6 +176,7 @@
     gateway: &Arc<Gateway>,
     request: Request<Incoming>,
     source: RequestSource,
+    connection: ConnectionId,
 ) -> Response<AnswerBody> {
     let guard = gateway.count_request();
     let arrived = Instant::now();
@@ -180,7 +188,7 @@
         arrived,
         answered: false,
     };
-    let (kind, mut response) = match read_request(gateway, info, request).await {
+    let (kind, mut response) = match read_request(gateway, info, request, connection).await {
         Ok(caller_request) => (
             metrics::route_kind(&caller_request.route),
             execute(gateway, caller_request, source).await,
@@ -215,6 +223,7 @@
     gateway: &Arc<Gateway>,
     info: RequestInfo,
     request: Request<Incoming>,
+    connection: ConnectionId,
 ) -> Result<CallerRequest, Response<AnswerBody>> {
     let arrived = Instant::now();
     let Some(config) = gateway.routing_config() else {
@@ -242,15 +251,25 @@
         ));
     };
     let (parts, body) = request.into_parts();
-    let body_timeout = info.timeout.unwrap_or(route.timeout);
-    let reading = Limited::new(body, config.limits.body_bytes).collect();
+    let body_timeout = info.timeout.unwrap_or(route.timeout).min(route.timeout);
+    let reading = connections::read_body(&gateway.held, connection, body, config.limits.body_bytes);
     let body = match tokio::time::timeout(body_timeout, reading).await {
-        Ok(Ok(body)) => body.to_bytes(),
-        Ok(Err(error)) if error.is::<LengthLimitError>() => {
+        Ok(Ok(body)) => body,
+        Ok(Err(BodyError::TooLarge)) => {
             let status = StatusCode::PAYLOAD_TOO_LARGE;
             return Err(reply::error(&info.id, status, "the body is too large"));
         }
-        Ok(Err(error)) => {
+        Ok(Err(BodyError::NoSpace)) => {
+            gateway.held.report("body refused", "bodies", connection);
+            let after = NO_SPACE_RETRY_AFTER;
+            return Err(reply::refusal(
+                &info.id,
+                Refusal::NotRun,
+                after,
+                "no space for the body",
+            ));
+        }
+        Ok(Err(BodyError::Broken(error))) => {
             info!(request = info.id, error:% = error; "body not read");
             return Err(reply::error(
                 &info.id,
@@ -287,6 +306,7 @@
         uri: parts.uri,
         headers: parts.headers,
         body,
+        connection,
         arrived,
         taken: None,
         targets: Mutex::default(),
--- a/crates/cactuslane-gateway/src/lib.rs
+++ b/crates/cactuslane-gateway/src/lib.rs
@@ -10,12 +10,14 @@
 pub mod backoff;
 pub mod caches;
 pub mod calls;
+pub mod connections;
 pub mod control;
 pub mod crashes;
 pub mod directory;
 pub mod engines;
 pub mod fleet;
 pub mod generation;
+pub mod held;
 pub mod ingress;
 pub mod leadership;
 pub mod limits;
@@ -29,6 +31,7 @@
 pub mod peers;
 pub mod plain;
 pub mod progress;
+pub mod queue;
 pub mod ranking;
 pub mod reach;
 pub mod records;
@@ -45,6 +48,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use cactuslane_flight::Door;
 use cactuslane_platform::Settings;
 use log::{info, warn};
 use tokio::net::{TcpListener, UdpSocket};
@@ -117,10 +121,11 @@
             tokio::spawn(reach::run(gateway.clone())),
             tokio::spawn(passing::serve(gateway.clone(), passed)),
             tokio::spawn(ingress::serve(gateway.clone(), front)),
-            tokio::spawn(directory::serve(gateway.clone(), ready)),
+            tokio::spawn(directory::serve(gateway.clone(), ready, Door::Ready)),
         ];
         if let Some(listener) = directory {
-            tasks.push(tokio::spawn(directory::serve(gateway.clone(), listener)));
+            let task = directory::serve(gateway.clone(), listener, Door::Directory);
+            tasks.push(tokio::spawn(task));
         }
         Ok(GatewayHandle { gateway, tasks })
     }
@@ -134,7 +139,7 @@
         let address = SocketAddr::new(self.gateway.settings().ready.ip(), port);
         match TcpListener::bind(address).await {
             Ok(listener) => {
-                let task = directory::serve(self.gateway.clone(), listener);
+                let task = directory::serve(self.gateway.clone(), listener, Door::Ready);
                 self.tasks.push(tokio::spawn(task));
             }
             Err(error) => warn!(address:%, error:% = error; "metrics are not served there"),
--- a/crates/cactuslane-gateway/src/metrics.rs
+++ b/crates/cactuslane-gateway/src/metrics.rs
@@ -3,6 +3,7 @@
 use std::sync::{Mutex, PoisonError};
 
 use cactuslane_flight::routing_config::{RetryPolicy, Route};
+use cactuslane_flight::{Door, Kind};
 use cactuslane_place::placer::Plan;
 use cactuslane_store::kv::CallLabels;
 use prometheus_client::encoding::text::encode;
@@ -12,6 +13,7 @@
 use prometheus_client::metrics::histogram::{Histogram, exponential_buckets};
 use prometheus_client::registry::Registry;
 
+use crate::held::kind_label;
 use crate::state::Gateway;
 
 /// Upper bound of the smallest bucket of times, in seconds.
@@ -20,7 +22,7 @@
 const BUCKET_COUNT: u16 = 13;
 
 /// Names and values of labels; the values are constants of this program, so that there are few.
-type Labels = Vec<(&'static str, &'static str)>;
+pub type Labels = Vec<(&'static str, &'static str)>;
 
 /// Metrics of an instance, with the registry that encodes them.
 #[derive(Debug)]
@@ -83,6 +85,10 @@
     /// Time since all that the store had acknowledged of the configuration was known, in
     /// milliseconds.
     document_age: Gauge,
+    /// Number of accepted connections by door.
+    doors: Family<Labels, Gauge>,
+    /// Number of bytes that are held for callers, by kind.
+    held: Family<Labels, Gauge>,
     /// 1 if this instance is cut off from all targets, and 0 otherwise.
     cut: Gauge,
     /// 1 if this instance is the leader, which gives orders to engines, and 0 otherwise.
@@ -207,6 +213,10 @@
             ),
             ("office", "Whether the office is held", &gauges.office),
         ];
+        let help = "Accepted connections by door";
+        registry.register("door_connections", help, gauges.doors.clone());
+        let help = "Bytes of bodies and answers that are held for callers";
+        registry.register("held_bytes", help, gauges.held.clone());
         for (name, help, gauge) in gauges_by_name {
             registry.register(name, help, gauge.clone());
         }
@@ -218,6 +228,14 @@
         registry.register(name, help, counter);
     }
 
+    /// Adds the counters of refusals and closed connections, which the record of what is held
+    /// increments.
+    pub fn add_refused(&self, refused: Family<Labels, Counter>) {
+        let help = "Refusals and closed connections by limits on what callers hold, by reason";
+        let mut registry = self.registry.lock().unwrap_or_else(PoisonError::into_inner);
+        registry.register("held_refused", help, refused);
+    }
+
     /// Counts a final answer, with its cause if it is an error that the gateway generated itself.
     pub fn count_answer(
         &self,
@@ -319,6 +337,14 @@
             .set(gateway.members().instance_count() as i64);
         self.requests.set(gateway.requests() as i64);
         self.connections.set(gateway.connections() as i64);
+        for door in Door::ALL {
+            let gauge = self.doors.get_or_create(&vec![("door", door.label())]);
+            gauge.set(gateway.held.count(door) as i64);
+        }
+        for kind in [Kind::Body, Kind::Answer] {
+            let gauge = self.held.get_or_create(&vec![("what", kind_label(kind))]);
+            gauge.set(gateway.held.bytes(kind) as i64);
+        }
         let held = gateway
             .leadership()
             .is_held(crate::leadership::boot_millis());
--- a/crates/cactuslane-gateway/src/passing.rs
+++ b/crates/cactuslane-gateway/src/passing.rs
@@ -17,12 +17,12 @@
 use hyper::{Request, Response, Uri};
 use log::{info, warn};
 use tokio::net::TcpListener;
-use tokio::sync::mpsc;
 use tokio::time::{Instant, timeout};
 
 use crate::ingress::{self, CallerRequest, RequestSource};
 use crate::plain::unknown_outcome;
-use crate::reply::{self, AnswerAborted, AnswerBody, ChunkStream};
+use crate::queue;
+use crate::reply::{self, AnswerBody};
 use crate::state::Gateway;
 
 /// Number of instances that are asked to serve a request.
@@ -35,8 +35,6 @@
 const ANSWER_GRACE: Duration = Duration::from_millis(100);
 /// Value of `Retry-After` when no instance takes a request.
 const NO_HELPER_RETRY_AFTER: Duration = Duration::from_millis(500);
-/// Number of parts of an answer that are queued for a slow caller.
-const CHANNEL_CAPACITY: usize = 64;
 
 /// Requests of other instances' callers in progress.
 #[derive(Debug, Default)]
@@ -194,7 +192,7 @@
     response: Response<Incoming>,
 ) -> Response<AnswerBody> {
     let (head, mut body) = response.into_parts();
-    let (sender, receiver) = mpsc::channel(CHANNEL_CAPACITY);
+    let (sender, queued) = queue::open(&gateway.held, request.connection);
     let guard = gateway.count_request();
     let id = request.info.id.clone();
     let end = Instant::now() + request.time_left() + ANSWER_GRACE;
@@ -205,24 +203,23 @@
                 frame = tokio::time::timeout_at(end, body.frame()) => frame,
                 () = sender.closed() => return,
             };
-            let part = match frame {
+            let data = match frame {
                 Ok(None) => return,
                 Ok(Some(Ok(frame))) => match frame.into_data() {
-                    Ok(data) => Ok(data),
+                    Ok(data) => data,
                     Err(_) => continue,
                 },
                 Ok(Some(Err(_))) | Err(_) => {
                     warn!(request = id; "answer of the other instance broke off");
-                    Err(AnswerAborted)
+                    return sender.abort().await;
                 }
             };
-            let is_last = part.is_err();
-            if sender.send(part).await.is_err() || is_last {
+            if sender.send(data.to_vec()).await.is_err() {
                 return;
             }
         }
     });
-    let mut answer = Response::new(Either::Right(ChunkStream::new(receiver)));
+    let mut answer = Response::new(Either::Right(queued));
     *answer.status_mut() = head.status;
     *answer.headers_mut() = exchange::returned_headers(&head.headers);
     answer
--- a/crates/cactuslane-gateway/src/plain.rs
+++ b/crates/cactuslane-gateway/src/plain.rs
@@ -1,11 +1,10 @@
 //! Requests whose answers are read completely before they are forwarded.
 
 use std::sync::Arc;
-use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use cactuslane_flight::target::Target;
-use cactuslane_flight::{AttemptFailure, Refusal, RequestState, Step};
+use cactuslane_flight::{AttemptFailure, ConnectionId, Kind, Refusal, RequestState, Step};
 use cactuslane_place::{Load, Observation, Observed};
 use cactuslane_platform::exchange::{self, SendParams, Verdict};
 use cactuslane_types::Role;
@@ -15,6 +14,7 @@
 use log::info;
 use tokio::time::{Instant, timeout};
 
+use crate::held::{BufferError, HeldBuffer};
 use crate::ingress::CallerRequest;
 use crate::limits::{self, Denials, Permit, Purpose};
 use crate::metrics;
@@ -27,8 +27,6 @@
 const MAX_ANSWER_BYTES: usize = 16 << 20;
 /// Maximum number of pieces in which such an answer arrives.
 const MAX_ANSWER_FRAMES: usize = 1 << 16;
-/// Maximum size of all answers together that are held in memory while they are read, in bytes.
-const MAX_READING_BYTES: usize = 48 << 20;
 /// Maximum size of the body of a rejection, in bytes; of a larger one the connection is closed.
 const MAX_REJECTION_BYTES: usize = 64 << 10;
 /// Factor on the route's latency objective after which an unanswered request is sent to another
@@ -223,7 +221,7 @@
     let keep_alive = exchange::keep_alive_timeout(response.headers());
     let (head, body) = response.into_parts();
     connection.allow(MAX_ANSWER_BYTES);
-    let body = read_body(gateway, body).await?;
+    let body = read_body(gateway, request.connection, body).await?;
     if head.status.is_success() && !exchange::is_signed(&head.headers) {
         return Err((
             AttemptFailure::Broken,
@@ -417,19 +415,20 @@
     }
 }
 
-/// Reads the body of an answer, of at most 16 MiB in 65,536 pieces, to its end.
+/// Reads the body of an answer, of at most 16 MiB in 65,536 pieces, to its end; it is held for the
+/// connection of a caller, if any.
 ///
 /// # Errors
 ///
 /// Returns [`AttemptFailure::Broken`] and the cause if the body is incomplete or too large, or if
-/// all answers that are being read are too large together.
+/// there is no space for it.
 pub async fn read_body(
     gateway: &Gateway,
+    connection: ConnectionId,
     mut body: Incoming,
 ) -> Result<Bytes, (AttemptFailure, String)> {
     let broken = |why: String| (AttemptFailure::Broken, why);
-    let mut reading = ReadingGuard { gateway, bytes: 0 };
-    let mut read = Vec::new();
+    let mut read = HeldBuffer::new(&gateway.held, connection, Kind::Answer, MAX_ANSWER_BYTES);
     let mut frames = 0;
     while let Some(frame) = body.frame().await {
         let frame = frame.map_err(|error| broken(error.to_string()))?;
@@ -437,40 +436,17 @@
             continue;
         };
         frames += 1;
-        if read.len() + data.len() > MAX_ANSWER_BYTES || frames > MAX_ANSWER_FRAMES {
+        if frames > MAX_ANSWER_FRAMES {
             let why = format!("{} bytes in {frames} pieces and more", read.len());
             return Err(broken(why));
         }
-        if !reading.add(data.len()) {
-            let why = format!("all answers have more than {MAX_READING_BYTES} bytes");
+        if let Err(error) = read.extend(&data).await {
+            let why = match error {
+                BufferError::TooLarge => format!("more than {MAX_ANSWER_BYTES} bytes"),
+                BufferError::NoSpace => format!("no space for more than {} bytes", read.len()),
+            };
             return Err(broken(why));
         }
-        read.extend_from_slice(&data);
-    }
-    Ok(Bytes::from(read))
-}
-
-/// Guard that counts the bytes of an answer that is being read until it is dropped.
-struct ReadingGuard<'a> {
-    /// State that holds the counter.
-    gateway: &'a Gateway,
-    /// Number of bytes counted.
-    bytes: usize,
-}
-
-impl ReadingGuard<'_> {
-    /// Counts more bytes; returns false if all answers have too many.
-    fn add(&mut self, bytes: usize) -> bool {
-        self.bytes += bytes;
-        let reading = &self.gateway.reading;
-        reading.fetch_add(bytes, Ordering::Relaxed) + bytes <= MAX_READING_BYTES
-    }
-}
-
-impl Drop for ReadingGuard<'_> {
-    fn drop(&mut self) {
-        self.gateway
-            .reading
-            .fetch_sub(self.bytes, Ordering::Relaxed);
     }
+    Ok(read.into_bytes())
 }
--- a/crates/cactuslane-gateway/src/state.rs
+++ b/crates/cactuslane-gateway/src/state.rs
@@ -10,7 +10,7 @@
 use cactuslane_flight::origin::StoredStreams;
 use cactuslane_flight::routing_config::RoutingConfig;
 use cactuslane_flight::target::Target;
-use cactuslane_flight::{AttemptFailure, BegunStreams, OriginTable};
+use cactuslane_flight::{AttemptFailure, BegunStreams, HeldLimits, OriginTable};
 use cactuslane_place::{CrashTracker, Load, PermitAnswer, Placer};
 use cactuslane_platform::Settings;
 use cactuslane_store::http::Client;
@@ -23,6 +23,7 @@
 
 use crate::calls::PeerCalls;
 use crate::fleet::Fleet;
+use crate::held::Held;
 use crate::leadership::{LeaderRecord, Leadership};
 use crate::members::Members;
 use crate::metrics::Metrics;
@@ -93,8 +94,8 @@
     pub metrics: Metrics,
     /// Time at which the instance began to stop; `None` before.
     leaving: Mutex<Option<Instant>>,
-    /// Number of bytes of the answers that are being read into memory.
-    pub reading: AtomicUsize,
+    /// Connections, bodies and answers that are held for callers.
+    pub held: Arc<Held>,
     /// Number of requests in progress.
     requests: AtomicUsize,
     /// Number of open connections of callers.
@@ -116,6 +117,9 @@
         let store = KvClient::open(settings.store, cactuslane_platform::store::codec());
         let placer = Placer::new(settings.domain.clone(), rand::random());
         let metrics = Metrics::new(&store.calls);
+        let limits = HeldLimits::of_process(settings.memory, settings.descriptors);
+        let held = Arc::new(Held::new(limits));
+        metrics.add_refused(held.refused.clone());
         let mut fleet = Fleet::default();
         let clock_origin = Instant::now();
         fleet.set_fallback_period(settings.drain_limit);
@@ -146,7 +150,7 @@
             store,
             metrics,
             leaving: Mutex::default(),
-            reading: AtomicUsize::new(0),
+            held,
             requests: AtomicUsize::new(0),
             connections: AtomicUsize::new(0),
             // A kept connection may have failed silently, which a request that must not be repeated
@@ -171,6 +175,8 @@
         settings.directory = bound.directory;
         settings.peer = bound.peer;
         self.fleet().set_fallback_period(settings.drain_limit);
+        let limits = HeldLimits::of_process(settings.memory, settings.descriptors);
+        self.held.set_limits(limits);
         *lock(&self.settings) = Arc::new(settings);
     }
 
