--- a/crates/cactuslane-gateway/src/metrics.rs
+++ b/crates/cactuslane-gateway/src/metrics.rs
@@ -3,6 +3,7 @@
 use std::sync::{Mutex, PoisonError};
 
 use cactuslane_flight::routing_config::{RetryPolicy, Route};
+use cactuslane_flight::{Door, Kind};
 use cactuslane_place::placer::Plan;
 use cactuslane_store::kv::CallLabels;
 use prometheus_client::encoding::text::encode;
@@ -13,6 +14,7 @@
 use prometheus_client::registry::Registry;
 
 use crate::duties::Duties;
+use crate::held::kind_label;
 use crate::state::Gateway;
 
 /// Upper bound of the smallest bucket of times, in seconds.
@@ -21,7 +23,7 @@
 const BUCKET_COUNT: u16 = 13;
 
 /// Names and values of labels; the values are constants of this program, so that there are few.
-type Labels = Vec<(&'static str, &'static str)>;
+pub type Labels = Vec<(&'static str, &'static str)>;
 
 /// Metrics of an instance, with the registry that encodes them.
 #[derive(Debug)]
@@ -84,6 +86,10 @@
     /// Time since all that the store had acknowledged of the configuration was known, in
     /// milliseconds.
     document_age: Gauge,
+    /// Number of accepted connections by door.
+    doors: Family<Labels, Gauge>,
+    /// Number of bytes that are held for callers, by kind.
+    held: Family<Labels, Gauge>,
     /// 1 if this instance is cut off from all targets, and 0 otherwise.
     cut: Gauge,
     /// 1 if this instance is the leader, which gives orders to engines, and 0 otherwise.
@@ -180,44 +186,7 @@
         registry.register("pause_seconds", help, self.pauses.clone());
         let help = "Calls to the store by verb and result";
         registry.register("store_calls", help, store_calls.clone());
-        let gauges = &self.gauges;
-        let gauges_by_name = [
-            ("configuration_version", "Version in force", &gauges.version),
-            ("targets", "Targets that take new work", &gauges.targets),
-            ("limited_targets", "Targets with a limit", &gauges.limited),
-            ("instances", "Instances known", &gauges.instances),
-            ("requests", "Requests under way", &gauges.requests),
-            ("connections", "Connections of callers", &gauges.connections),
-            (
-                "store_age_milliseconds",
-                "Time since the store last answered a watch",
-                &gauges.store_age,
-            ),
-            (
-                "entries_age_milliseconds",
-                "Time since all acknowledged changes of targets and instances were known",
-                &gauges.entries_age,
-            ),
-            (
-                "document_age_milliseconds",
-                "Time since all acknowledged changes of the configuration were known",
-                &gauges.document_age,
-            ),
-            (
-                "cut_off",
-                "Whether the instance is cut off from all targets",
-                &gauges.cut,
-            ),
-            ("office", "Whether the office is held", &gauges.office),
-            (
-                "duty_token",
-                "Fencing token of the office, 0 if it is not held",
-                &gauges.token,
-            ),
-        ];
-        for (name, help, gauge) in gauges_by_name {
-            registry.register(name, help, gauge.clone());
-        }
+        self.gauges.register(&mut registry);
     }
 
     /// Adds a counter that another part of the program increments.
@@ -233,6 +202,14 @@
         registry.register("duty_calls", help, duties.calls.clone());
     }
 
+    /// Adds the counters of refusals and closed connections, which the record of what is held
+    /// increments.
+    pub fn add_refused(&self, refused: Family<Labels, Counter>) {
+        let help = "Refusals and closed connections by limits on what callers hold, by reason";
+        let mut registry = self.registry.lock().unwrap_or_else(PoisonError::into_inner);
+        registry.register("held_refused", help, refused);
+    }
+
     /// Counts a final answer, with its cause if it is an error that the gateway generated itself.
     pub fn count_answer(
         &self,
@@ -310,6 +287,51 @@
 }
 
 impl Gauges {
+    /// Adds the gauges to a registry, with their names and help texts.
+    fn register(&self, registry: &mut Registry) {
+        let gauges_by_name = [
+            ("configuration_version", "Version in force", &self.version),
+            ("targets", "Targets that take new work", &self.targets),
+            ("limited_targets", "Targets with a limit", &self.limited),
+            ("instances", "Instances known", &self.instances),
+            ("requests", "Requests under way", &self.requests),
+            ("connections", "Connections of callers", &self.connections),
+            (
+                "store_age_milliseconds",
+                "Time since the store last answered a watch",
+                &self.store_age,
+            ),
+            (
+                "entries_age_milliseconds",
+                "Time since all acknowledged changes of targets and instances were known",
+                &self.entries_age,
+            ),
+            (
+                "document_age_milliseconds",
+                "Time since all acknowledged changes of the configuration were known",
+                &self.document_age,
+            ),
+            (
+                "cut_off",
+                "Whether the instance is cut off from all targets",
+                &self.cut,
+            ),
+            ("office", "Whether the office is held", &self.office),
+            (
+                "duty_token",
+                "Fencing token of the office, 0 if it is not held",
+                &self.token,
+            ),
+        ];
+        let help = "Accepted connections by door";
+        registry.register("door_connections", help, self.doors.clone());
+        let help = "Bytes of bodies and answers that are held for callers";
+        registry.register("held_bytes", help, self.held.clone());
+        for (name, help, gauge) in gauges_by_name {
+            registry.register(name, help, gauge.clone());
+        }
+    }
+
     /// Sets all gauges to their current values.
     fn update(&self, gateway: &Gateway) {
         let now = gateway.now();
@@ -334,6 +356,14 @@
             .set(gateway.members().instance_count() as i64);
         self.requests.set(gateway.requests() as i64);
         self.connections.set(gateway.connections() as i64);
+        for door in Door::ALL {
+            let gauge = self.doors.get_or_create(&vec![("door", door.label())]);
+            gauge.set(gateway.held.count(door) as i64);
+        }
+        for kind in [Kind::Body, Kind::Answer] {
+            let gauge = self.held.get_or_create(&vec![("what", kind_label(kind))]);
+            gauge.set(gateway.held.bytes(kind) as i64);
+        }
         let mut leadership = gateway.leadership();
         let held = leadership.is_held(crate::leadership::boot_millis());
         self.office.set(i64::from(held));
