Report usage as the holder of the duties

Cause: no usage was reported. Two holders that count apart would report two contents of one window.

Change: `duties::usage::run` stores the content of a window's report under the condition that there is none, and sends only what is stored; the store is read at each change of the holder. Relays leave these records out, as they do those of streams: of the instances, only the few that watch the store receive them. A stand-in of the platform's address records calls, answers as set, and names two contents of a window, tokens that fall or have two holders, and holders in the order A, B, A.

The task is not started yet: it needs the counts of customers.

--- a/crates/cactuslane-authority/src/reports.rs
+++ b/crates/cactuslane-authority/src/reports.rs
@@ -130,11 +130,11 @@
     }
 
     /// Records that the content that is stored for a window cannot be used, so that no report of it
-    /// can be sent.
-    pub fn record_unusable(&mut self, window: WindowNumber) {
+    /// can be sent; returns whether one was to be sent.
+    pub fn record_unusable(&mut self, window: WindowNumber) -> bool {
         self.stored.insert(window);
-        self.pending.remove(&window);
         self.done.insert(window);
+        self.pending.remove(&window).is_some()
     }
 
     /// Records that a step of a window failed.
--- a/crates/cactuslane-authority/tests/reports.rs
+++ b/crates/cactuslane-authority/tests/reports.rs
@@ -52,7 +52,7 @@
     assert_eq!(plan.next(now), Some(Step::Store(FIRST)));
     plan.record_failure(FIRST);
     assert_eq!(plan.next(now), Some(Step::Store(FIRST + 1)));
-    plan.record_unusable(FIRST + 1);
+    assert!(plan.record_unusable(FIRST + 1));
     assert_eq!(plan.next(now), Some(Step::Store(FIRST)));
 }
 
--- a/crates/cactuslane-gateway/src/duties.rs
+++ b/crates/cactuslane-gateway/src/duties.rs
@@ -3,7 +3,8 @@
 //! A call is made only while the lease of the leader is certain to be valid, which is checked
 //! immediately before its bytes are sent, and only one call of a subject at a time.
 
-mod exchange;
+pub mod exchange;
+pub mod usage;
 
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
@@ -24,6 +25,8 @@
 
 /// The labels of the counters of calls: `duty` and `result`.
 pub type DutyLabels = [(&'static str, &'static str); 2];
+/// The label of the counters of windows: `result`.
+pub type WindowLabels = [(&'static str, &'static str); 1];
 
 /// Number of characters of an error's text that are logged.
 const LOGGED_CHARS: usize = 200;
@@ -84,6 +87,8 @@
     origin: Instant,
     /// Calls by duty and result.
     pub calls: Family<DutyLabels, Counter>,
+    /// Windows of usage whose reports were accepted in time or late, or that were given up.
+    pub windows: Family<WindowLabels, Counter>,
 }
 
 impl DutyCall {
@@ -176,6 +181,7 @@
             gate: Mutex::default(),
             origin: Instant::now(),
             calls: Family::default(),
+            windows: Family::default(),
         }
     }
 
@@ -265,6 +271,11 @@
         }
     }
 
+    /// Counts a window of usage by the result of its reports.
+    fn count_window(&self, result: &'static str) {
+        self.windows.get_or_create(&[("result", result)]).inc();
+    }
+
     /// Returns the time on the clock of the gate.
     fn now(&self) -> Millis {
         self.origin.elapsed().as_millis() as Millis
--- a/crates/cactuslane-gateway/src/duties/exchange.rs
+++ b/crates/cactuslane-gateway/src/duties/exchange.rs
@@ -27,7 +27,7 @@
 
 /// Why an exchange has no answer.
 #[derive(Clone, Debug, PartialEq, Eq)]
-pub(super) enum ExchangeError {
+pub enum ExchangeError {
     /// Nothing was sent.
     Unsent(String),
     /// The platform may have received the call, or may receive it later.
@@ -40,7 +40,7 @@
 /// # Errors
 ///
 /// Returns [`ExchangeError::Unsent`] only if nothing was sent.
-pub(super) async fn post(
+pub async fn post(
     address: SocketAddr,
     holder: &str,
     token: FencingToken,
--- a/crates/cactuslane-gateway/src/metrics.rs
+++ b/crates/cactuslane-gateway/src/metrics.rs
@@ -231,6 +231,8 @@
         let mut registry = self.registry.lock().unwrap_or_else(PoisonError::into_inner);
         let help = "Calls to the platform that one instance at a time makes, by duty and result";
         registry.register("duty_calls", help, duties.calls.clone());
+        let help = "Windows of usage by the result of their reports, as the holder saw it";
+        registry.register("usage_windows", help, duties.windows.clone());
     }
 
     /// Counts a final answer, with its cause if it is an error that the gateway generated itself.
--- a/crates/cactuslane-gateway/src/relay.rs
+++ b/crates/cactuslane-gateway/src/relay.rs
@@ -14,6 +14,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::backoff::FIRST_PAUSE;
+use crate::duties::usage::USAGE_PREFIX;
 use crate::ranking::{count_ahead, is_top_ranked};
 use crate::records::RECORDS_PREFIX;
 
@@ -111,8 +112,9 @@
         relay.document.from = document;
         let mut bytes = 0;
         for change in &changes.changes {
-            if key_of(change).starts_with(RECORDS_PREFIX) {
-                // An instance that needs the records of streams reads them itself.
+            let key = key_of(change);
+            if key.starts_with(RECORDS_PREFIX) || key.starts_with(USAGE_PREFIX) {
+                // An instance that needs the records of streams or reports reads them itself.
                 continue;
             }
             let relayed = RelayedChange::from_change(change);
