Order numbers of targets from the leader

Cause: the decision on the number of targets had no driver.

Change: task scaling::run, where the settings name the duty: it reads the registered targets by failure domain and kind, the placed prompt tokens, streams and queues of all instances, and the measured time for a token each 250 ms while this instance leads; it sends orders by the calls of duties.rs, one at a time for each failure domain. Nothing is ordered while the store failed recently or the instance is cut off from the targets. Targets say whether they are reclaimable and when they leave. Metrics scaling_desired and scaling_orders; a log line per order with its inputs.

--- a/crates/cactuslane-flight/src/target.rs
+++ b/crates/cactuslane-flight/src/target.rs
@@ -1,6 +1,7 @@
 //! The targets that requests are sent to.
 
 use std::net::SocketAddr;
+use std::time::Duration;
 
 use cactuslane_types::{DomainName, Role, ServiceName, SoftwareVersion, TargetId};
 
@@ -27,6 +28,10 @@
     pub models: Vec<String>,
     /// Version of the software that the target's process runs, if registered; not that of a model.
     pub version: Option<SoftwareVersion>,
+    /// Whether the platform may reclaim it, with all such targets of its failure domain at once.
+    pub reclaimable: bool,
+    /// Time until a draining target is gone, as stated when it registered that it is draining.
+    pub leaves_in: Option<Duration>,
 }
 
 impl Target {
--- a/crates/cactuslane-flight/tests/origin.rs
+++ b/crates/cactuslane-flight/tests/origin.rs
@@ -31,6 +31,8 @@
         started_at: Some(1),
         models: Vec::new(),
         version: version.map(str::to_owned),
+        reclaimable: false,
+        leaves_in: None,
     }
 }
 
--- a/crates/cactuslane-gateway/src/fleet.rs
+++ b/crates/cactuslane-gateway/src/fleet.rs
@@ -212,6 +212,19 @@
         present.map(|entry| &entry.target)
     }
 
+    /// Returns the targets of a service that are registered and not leaving, also those that take no
+    /// new work for the moment.
+    pub fn registered(&self, service: &str) -> impl Iterator<Item = &Target> {
+        let stays = move |entry: &&Entry| {
+            let leaving = entry.leaving || entry.target.state == TargetState::Draining;
+            entry.target.service == service && entry.lapsed.is_none() && !leaving
+        };
+        self.targets
+            .values()
+            .filter(stays)
+            .map(|entry| &entry.target)
+    }
+
     /// Records that a target has its version at `now`, before and after its entry changes.
     pub fn record_version(&mut self, id: &str, now: Millis) {
         if let Some(entry) = self.targets.get(id) {
--- a/crates/cactuslane-gateway/src/lib.rs
+++ b/crates/cactuslane-gateway/src/lib.rs
@@ -35,6 +35,7 @@
 pub mod records;
 pub mod relay;
 pub mod reply;
+pub mod scaling;
 pub mod state;
 pub mod upstream;
 pub mod versions;
@@ -102,6 +103,7 @@
             ready:% = settings.ready;
             "started"
         );
+        let scales = settings.duties.as_ref().is_some_and(|duties| duties.scale);
         let gateway = Arc::new(Gateway::new(settings));
         let socket = Arc::new(socket);
         gateway.peer_socket.get_or_init(|| socket.clone());
@@ -120,6 +122,9 @@
             tokio::spawn(ingress::serve(gateway.clone(), front)),
             tokio::spawn(directory::serve(gateway.clone(), ready)),
         ];
+        if scales {
+            tasks.push(tokio::spawn(scaling::run(gateway.clone())));
+        }
         if let Some(listener) = directory {
             tasks.push(tokio::spawn(directory::serve(gateway.clone(), listener)));
         }
--- a/crates/cactuslane-gateway/src/metrics.rs
+++ b/crates/cactuslane-gateway/src/metrics.rs
@@ -10,7 +10,7 @@
 use prometheus_client::metrics::family::Family;
 use prometheus_client::metrics::gauge::Gauge;
 use prometheus_client::metrics::histogram::{Histogram, exponential_buckets};
-use prometheus_client::registry::Registry;
+use prometheus_client::registry::{Metric, Registry};
 
 use crate::duties::Duties;
 use crate::state::Gateway;
@@ -220,10 +220,10 @@
         }
     }
 
-    /// Adds a counter that another part of the program increments.
-    pub fn add(&self, name: &str, help: &str, counter: Counter) {
+    /// Adds a metric that another part of the program updates.
+    pub fn add(&self, name: &str, help: &str, metric: impl Metric) {
         let mut registry = self.registry.lock().unwrap_or_else(PoisonError::into_inner);
-        registry.register(name, help, counter);
+        registry.register(name, help, metric);
     }
 
     /// Adds the metrics of the calls to the platform.
--- a/crates/cactuslane-gateway/tests/instance_state.rs
+++ b/crates/cactuslane-gateway/tests/instance_state.rs
@@ -27,6 +27,8 @@
         started_at: Some(1),
         models: vec!["m".to_owned()],
         version: Some("v1".to_owned()),
+        reclaimable: false,
+        leaves_in: None,
     }
 }
 
--- a/crates/cactuslane-gateway/tests/permits/fleet.rs
+++ b/crates/cactuslane-gateway/tests/permits/fleet.rs
@@ -497,5 +497,7 @@
         started_at: Some(1),
         models: Vec::new(),
         version: Some("v1".to_owned()),
+        reclaimable: false,
+        leaves_in: None,
     }
 }
--- a/crates/cactuslane-place/tests/placing/main.rs
+++ b/crates/cactuslane-place/tests/placing/main.rs
@@ -32,6 +32,8 @@
         started_at: None,
         models: Vec::new(),
         version: Some("v1".to_owned()),
+        reclaimable: false,
+        leaves_in: None,
     }
 }
 
--- a/crates/cactuslane-scaling/src/order_log.rs
+++ b/crates/cactuslane-scaling/src/order_log.rs
@@ -11,6 +11,9 @@
 /// Time until an order that was not accepted, or whose answer was lost, may be sent again, in
 /// milliseconds.
 const RETRY_DELAY: Millis = 1_000;
+/// Time after which a call whose answer was never recorded no longer holds back others of its
+/// domain, in milliseconds.
+const CALL_LIMIT: Millis = 10_000;
 /// Time without orders of a kind that a failure domain does not offer or has reclaimed, in boot
 /// times.
 const UNAVAILABLE_BOOTS: Millis = 5;
@@ -78,6 +81,8 @@
     entries: BTreeMap<(DomainName, Kind), Entry>,
     /// Boot time of a target, in milliseconds.
     boot: Millis,
+    /// Domains with calls in flight, with the times until which these hold back others.
+    busy: BTreeMap<DomainName, Millis>,
     /// Time until which the registered numbers may be out of step after targets vanished.
     unsettled_until: Millis,
 }
@@ -138,7 +143,8 @@
             };
             let registered = entry.registered.unwrap_or(0);
             let late = now >= at + follow && !entry.followed;
-            if now < entry.quiet_until || !(entry.unconfirmed || late) {
+            let busy = self.busy.get(domain).is_some_and(|until| now < *until);
+            if busy || now < entry.quiet_until || !(entry.unconfirmed || late) {
                 continue;
             }
             if late && repeated >= MAX_REPEATS {
@@ -162,13 +168,17 @@
                 registered,
             });
         }
+        for order in &orders {
+            self.busy.insert(order.domain.clone(), now + CALL_LIMIT);
+        }
         orders
     }
 
     /// Returns whether an order may be sent now.
     pub(crate) fn may_send(&self, domain: &str, kind: Kind, now: Millis) -> bool {
         let entry = self.entries.get(&(domain.to_owned(), kind));
-        entry.is_none_or(|entry| now >= entry.quiet_until)
+        let busy = self.busy.get(domain).is_some_and(|until| now < *until);
+        !busy && entry.is_none_or(|entry| now >= entry.quiet_until)
     }
 
     /// Returns whether a domain gets no more targets of a kind for now.
@@ -197,6 +207,7 @@
 
     /// Records an order that is about to be sent.
     pub(crate) fn sent(&mut self, order: &Order, now: Millis) {
+        self.busy.insert(order.domain.clone(), now + CALL_LIMIT);
         let entry = self.entry(&order.domain, order.kind);
         entry.ordered = Some((order.count, now, 0));
         entry.unconfirmed = false;
@@ -206,6 +217,7 @@
 
     /// Records the answer to an order.
     pub(crate) fn answered(&mut self, order: &Order, answer: OrderAnswer, now: Millis) {
+        self.busy.remove(&order.domain);
         let boot = self.boot;
         let entry = self.entry(&order.domain, order.kind);
         if entry.ordered.is_none_or(|(count, ..)| count != order.count) {
--- a/crates/cactuslane-scaling/src/scaler.rs
+++ b/crates/cactuslane-scaling/src/scaler.rs
@@ -150,10 +150,9 @@
             orders.extend(self.replace(&plan, spec, capacity, status, now));
             orders
         };
+        let may_send = |order: &Order| self.log.may_send(&order.domain, order.kind, now);
+        let orders: Vec<Order> = orders.into_iter().filter(may_send).collect();
         for order in orders {
-            if !self.log.may_send(&order.domain, order.kind, now) {
-                continue;
-            }
             self.log.sent(&order, now);
             let key = (order.domain.clone(), order.kind);
             plan.desired.insert(key, order.count);
