--- a/crates/cactuslane-gateway/src/lib.rs
+++ b/crates/cactuslane-gateway/src/lib.rs
@@ -39,6 +39,7 @@
 pub mod records;
 pub mod relay;
 pub mod reply;
+pub mod scaling;
 pub mod state;
 pub mod upstream;
 pub mod versions;
@@ -107,6 +108,7 @@
             ready:% = settings.ready;
             "started"
         );
+        let scales = settings.duties.as_ref().is_some_and(|duties| duties.scale);
         let gateway = Arc::new(Gateway::new(settings));
         let socket = Arc::new(socket);
         gateway.peer_socket.get_or_init(|| socket.clone());
@@ -125,6 +127,9 @@
             tokio::spawn(ingress::serve(gateway.clone(), front)),
             tokio::spawn(directory::serve(gateway.clone(), ready, Door::Ready)),
         ];
+        if scales {
+            tasks.push(tokio::spawn(scaling::run(gateway.clone())));
+        }
         if let Some(listener) = directory {
             let task = directory::serve(gateway.clone(), listener, Door::Directory);
             tasks.push(tokio::spawn(task));
