--- a/crates/cactuslane-gateway/src/lib.rs
+++ b/crates/cactuslane-gateway/src/lib.rs
@@ -102,7 +102,9 @@
         info!(
             instance = settings.instance,
             front:% = settings.front,
-            ready:% = settings.ready;
+            ready:% = settings.ready,
+            directory = settings.directory.map(|address| address.to_string()),
+            peer:% = settings.peer;
             "started"
         );
         let gateway = Arc::new(Gateway::new(settings));
--- a/crates/cactuslane-gateway/src/upstream.rs
+++ b/crates/cactuslane-gateway/src/upstream.rs
@@ -30,6 +30,8 @@
 /// used.
 const KEEP_ALIVE_MARGIN: Duration = Duration::from_millis(700);
 
+/// Maximum number of idle connections to one target.
+const MAX_IDLE: usize = 32;
 /// Number of requests after whose rejection a connection is closed.
 const MAX_REJECTED: usize = 64;
 /// Maximum number of bytes that are read until the head of an answer is complete, informational
@@ -186,7 +188,8 @@
         })
     }
 
-    /// Puts a connection into the pool after its answer was read to the end, unless it is closed.
+    /// Puts a connection into the pool after its answer was read to the end, unless it is closed;
+    /// closes the one that was used least recently if the pool has 32 of the target.
     ///
     /// `keep_alive` is the time after which the target closes an idle connection, if it stated one.
     pub fn check_in(&self, mut connection: PooledConnection, keep_alive: Option<Duration>) {
@@ -198,9 +201,11 @@
             return;
         }
         let mut idle = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
-        idle.entry(connection.target.clone())
-            .or_default()
-            .push(connection);
+        let connections = idle.entry(connection.target.clone()).or_default();
+        if connections.len() >= MAX_IDLE {
+            connections.remove(0);
+        }
+        connections.push(connection);
     }
 
     /// Closes the idle connections to a target.
