--- a/crates/cactuslane-gateway/src/lib.rs
+++ b/crates/cactuslane-gateway/src/lib.rs
@@ -105,7 +105,9 @@
         info!(
             instance = settings.instance,
             front:% = settings.front,
-            ready:% = settings.ready;
+            ready:% = settings.ready,
+            directory = settings.directory.map(|address| address.to_string()),
+            peer:% = settings.peer;
             "started"
         );
         let scales = settings.duties.as_ref().is_some_and(|duties| duties.scale);
