Count customers' requests and collect the counts

Cause: usage of each window is due by customer, and no instance knew what the others had run.

Change: each instance counts, by window of an agreed time of day and customer, what began to run at targets, and sends cumulative counts every 500 ms, where they changed, to four collectors chosen by rendezvous hash and to the leader, in a new kind of message (the twelfth). Counts are those of a process; of two of one process the larger holds. A window is sent as a whole 0.5 s and 3 s after its end, all recent windows to a new collector or leader, and collectors pass on what processes that are gone had counted. The time of day is the own clock's while that is near the median of the others', else the median. UsageBook::report gives the sums; nothing is counted or sent unless a report is due and the configuration has customers.

--- a/crates/cactuslane-authority/src/lib.rs
+++ b/crates/cactuslane-authority/src/lib.rs
@@ -1,4 +1,4 @@
-//! Ownership of targets, orders to them and planned changes, as decisions without I/O.
+//! Ownership of targets, orders to them, planned changes and usage counts, as decisions without I/O.
 //!
 //! - [`ownership`] divides shards of targets among instances by leases with fencing tokens.
 //! - [`orders`] brings one target to a wanted state: it writes an intent, sends the order, and
@@ -7,15 +7,20 @@
 //! - [`window`] decides whether a maintenance window is open.
 //! - [`leader_term`] decides when a leader may send orders. `cactuslane-gateway` uses it, where one
 //!   leader sends the orders to all engines, instead of the owners of shards.
+//! - [`usage`] counts the requests of customers by windows of time, which [`agreed_clock`] tells.
 //! - [`keys`] defines the keys of the records about configuration, operators, ownership, orders and
 //!   plan in the key-value service.
 
+pub mod agreed_clock;
 pub mod keys;
 pub mod leader_term;
 pub mod orders;
 pub mod ownership;
 pub mod plan;
+pub mod usage;
 pub mod window;
 
+pub use agreed_clock::AgreedClock;
 pub use orders::{EngineReport, Hold, Intent, OrderKind, Wanted};
 pub use plan::{Plan, Planned};
+pub use usage::{RunTimes, UsageBook, UsageUpdate};
--- a/crates/cactuslane-gateway/src/generation/attempt.rs
+++ b/crates/cactuslane-gateway/src/generation/attempt.rs
@@ -17,7 +17,7 @@
 use crate::limits::Permit;
 use crate::plain::{read_body, send};
 use crate::reply::{self, AnswerBody};
-use crate::{crashes, engines};
+use crate::{crashes, engines, usage};
 
 /// Maximum size of the body of a target's failure, in bytes.
 const MAX_FAILURE_BYTES: usize = 1 << 20;
@@ -92,6 +92,7 @@
         });
         if !head.status.is_success() {
             attempt.settle();
+            usage::count_run(&self.gateway, &self.request, self.gateway.unix_now());
             self.gateway.placer().answered_failure(&target.id, now);
             let reading = read_body(&self.gateway, body);
             let left = self.state.remaining(self.gateway.now());
--- a/crates/cactuslane-gateway/src/generation/stream.rs
+++ b/crates/cactuslane-gateway/src/generation/stream.rs
@@ -17,7 +17,7 @@
 use crate::metrics;
 use crate::plain::failure_label;
 use crate::reply::{AnswerAborted, AnswerBody, ChunkStream};
-use crate::{crashes, origins};
+use crate::{crashes, origins, usage};
 
 /// Maximum number of chunks that are queued for a slow caller.
 const CHANNEL_CAPACITY: usize = 64;
@@ -218,7 +218,10 @@
             };
             if !events.is_empty() {
                 last_event = received;
-                beginning.first.get_or_insert(now);
+                if beginning.first.is_none() {
+                    beginning.first = Some(now);
+                    usage::count_run(&self.gateway, &self.request, self.gateway.unix_now());
+                }
                 opened.attempt.settle();
                 if self.origin == StreamOrigin::NotBegun {
                     let (gateway, target) = (&self.gateway, &opened.target);
--- a/crates/cactuslane-gateway/src/leadership.rs
+++ b/crates/cactuslane-gateway/src/leadership.rs
@@ -133,6 +133,12 @@
         })
     }
 
+    /// Returns the current leader according to the store.
+    #[must_use]
+    pub fn leader(&self) -> Option<&LeaderRecord> {
+        self.leader.as_ref()
+    }
+
     /// Records that this process acquired the leadership, which takes effect only under a lease.
     ///
     /// `fencing` is the revision of the store update that acquired it.
--- a/crates/cactuslane-gateway/src/lib.rs
+++ b/crates/cactuslane-gateway/src/lib.rs
@@ -37,6 +37,7 @@
 pub mod reply;
 pub mod state;
 pub mod upstream;
+pub mod usage;
 pub mod versions;
 pub mod watch;
 
@@ -116,6 +117,7 @@
             tokio::spawn(orders::run_leader(gateway.clone())),
             tokio::spawn(peers::exchange(gateway.clone(), socket, relay_sender)),
             tokio::spawn(reach::run(gateway.clone())),
+            tokio::spawn(usage::run(gateway.clone())),
             tokio::spawn(passing::serve(gateway.clone(), passed)),
             tokio::spawn(ingress::serve(gateway.clone(), front)),
             tokio::spawn(directory::serve(gateway.clone(), ready)),
@@ -162,6 +164,7 @@
                 break;
             }
         }
+        usage::flush(&self.gateway);
         control::unregister(&self.gateway).await;
         info!(requests = self.gateway.requests(); "stopped");
         for task in &self.tasks {
--- a/crates/cactuslane-gateway/src/members.rs
+++ b/crates/cactuslane-gateway/src/members.rs
@@ -183,6 +183,24 @@
         alive
     }
 
+    /// Returns whether an instance is known.
+    #[must_use]
+    pub fn is_known(&self, instance: &str) -> bool {
+        self.members.contains_key(instance)
+    }
+
+    /// Returns the processes of the instances that are reachable and not leaving.
+    #[must_use]
+    pub fn alive_processes(&self, now: Millis) -> Vec<(InstanceId, u64)> {
+        let mut alive = Vec::new();
+        for (instance, known) in &self.members {
+            if known.is_alive(now) {
+                alive.push((instance.clone(), known.member.started));
+            }
+        }
+        alive
+    }
+
     /// Returns the instances that may serve the callers of this one, with their failure domains:
     /// those that are reachable and not leaving.
     #[must_use]
--- a/crates/cactuslane-gateway/src/metrics.rs
+++ b/crates/cactuslane-gateway/src/metrics.rs
@@ -1,10 +1,12 @@
 //! Metrics of an instance: counters, gauges and histograms.
 
+use std::collections::BTreeSet;
 use std::sync::{Mutex, PoisonError};
 
 use cactuslane_flight::routing_config::{RetryPolicy, Route};
 use cactuslane_place::placer::Plan;
 use cactuslane_store::kv::CallLabels;
+use cactuslane_types::CustomerName;
 use prometheus_client::encoding::text::encode;
 use prometheus_client::metrics::counter::Counter;
 use prometheus_client::metrics::family::Family;
@@ -18,6 +20,10 @@
 const MIN_BUCKET: f64 = 0.002;
 /// Number of buckets of times; each upper bound is twice the previous one.
 const BUCKET_COUNT: u16 = 13;
+/// Largest number of customers with labels of their own.
+const MAX_CUSTOMERS: usize = 300;
+/// Label of all other customers.
+const OTHER_CUSTOMERS: &str = "(other)";
 
 /// Names and values of labels; the values are constants of this program, so that there are few.
 type Labels = Vec<(&'static str, &'static str)>;
@@ -53,6 +59,10 @@
     transfers: Family<Labels, Counter>,
     /// Orders to engines by result.
     orders: Family<Labels, Counter>,
+    /// Requests that began to run, by customer.
+    runs: Family<Vec<(&'static str, String)>, Counter>,
+    /// Customers that have a label of their own.
+    customers: Mutex<BTreeSet<CustomerName>>,
     /// Gauges, which are set when the metrics are read.
     gauges: Gauges,
     /// All metrics by name, for encoding.
@@ -87,6 +97,8 @@
     cut: Gauge,
     /// 1 if this instance is the leader, which gives orders to engines, and 0 otherwise.
     office: Gauge,
+    /// Number of processes whose counts of customers' requests are kept.
+    usage_processes: Gauge,
 }
 
 impl Metrics {
@@ -108,6 +120,8 @@
             prompt_tokens: Family::default(),
             transfers: Family::default(),
             orders: Family::default(),
+            runs: Family::default(),
+            customers: Mutex::default(),
             gauges: Gauges::default(),
             registry: Mutex::new(Registry::with_prefix("cactuslane")),
         };
@@ -175,6 +189,8 @@
         registry.register("first_byte_seconds", help, self.first_byte.clone());
         let help = "Time between the pieces of a stream";
         registry.register("pause_seconds", help, self.pauses.clone());
+        let help = "Requests that began to run at targets, by customer";
+        registry.register("customer_runs", help, self.runs.clone());
         let help = "Calls to the store by verb and result";
         registry.register("store_calls", help, store_calls.clone());
         let gauges = &self.gauges;
@@ -206,6 +222,11 @@
                 &gauges.cut,
             ),
             ("office", "Whether the office is held", &gauges.office),
+            (
+                "usage_processes",
+                "Processes whose counts of customers' requests are kept",
+                &gauges.usage_processes,
+            ),
         ];
         for (name, help, gauge) in gauges_by_name {
             registry.register(name, help, gauge.clone());
@@ -276,6 +297,26 @@
         self.passed.get_or_create(&vec![("result", result)]).inc();
     }
 
+    /// Counts a request of a customer that began to run; customers beyond the first
+    /// [`MAX_CUSTOMERS`] share a label.
+    pub fn count_run(&self, customer: &str) {
+        let mut customers = self
+            .customers
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner);
+        if !customers.contains(customer) && customers.len() < MAX_CUSTOMERS {
+            customers.insert(customer.to_owned());
+        }
+        let label = if customers.contains(customer) {
+            customer
+        } else {
+            OTHER_CUSTOMERS
+        };
+        drop(customers);
+        let labels = vec![("customer", label.to_owned())];
+        self.runs.get_or_create(&labels).inc();
+    }
+
     /// Counts an event of a prompt part on which targets crash.
     pub fn count_held(&self, event: &'static str) {
         self.held_parts.get_or_create(&vec![("event", event)]).inc();
@@ -323,6 +364,8 @@
             .leadership()
             .is_held(crate::leadership::boot_millis());
         self.office.set(i64::from(held));
+        let processes = gateway.usage().processes().len();
+        self.usage_processes.set(processes as i64);
     }
 }
 
--- a/crates/cactuslane-gateway/src/peers.rs
+++ b/crates/cactuslane-gateway/src/peers.rs
@@ -4,6 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use cactuslane_authority::UsageUpdate;
 use cactuslane_flight::origin::StreamId;
 use cactuslane_place::load_view::PeerUpdate;
 use cactuslane_place::{LimitNotice, Observation, Observed, ReachReport, Suspect};
@@ -19,7 +20,7 @@
 use crate::relay::Relay;
 use crate::state::Gateway;
 use crate::watch::RelaySender;
-use crate::{crashes, origins};
+use crate::{crashes, origins, usage};
 
 /// Interval between the updates of an instance while there is something new to send, in a
 /// deployment of few instances compared with [`INTERVAL_SCALE`]; also the interval of the ticks at
@@ -239,6 +240,11 @@
     send_to(gateway, &Message::OriginQuery(number, stream), keepers)
 }
 
+/// Sends counts of customers' requests to instances.
+pub fn send_usage(gateway: &Gateway, update: UsageUpdate, instances: &[InstanceId]) {
+    send_to(gateway, &Message::Usage(update), instances);
+}
+
 /// Sends a message to those of some instances that are reachable, and returns their number.
 fn send_to(gateway: &Gateway, message: &Message, instances: &[InstanceId]) -> usize {
     let Some(socket) = gateway.peer_socket.get() else {
@@ -314,6 +320,7 @@
             send(socket, &Message::Origin(number, version), &[from]);
         }
         Message::Origin(number, version) => gateway.origin_calls.answer(number, version),
+        Message::Usage(update) => usage::apply(gateway, &update),
         Message::Permit(number, answer) => gateway.permit_calls.answer(number, answer),
     }
 }
--- a/crates/cactuslane-gateway/src/plain.rs
+++ b/crates/cactuslane-gateway/src/plain.rs
@@ -21,7 +21,7 @@
 use crate::reply::{self, AnswerBody};
 use crate::state::Gateway;
 use crate::upstream::{PooledConnection, SendError};
-use crate::{answers, crashes};
+use crate::{answers, crashes, usage};
 
 /// Maximum size of an answer that is held in memory, in bytes.
 const MAX_ANSWER_BYTES: usize = 16 << 20;
@@ -154,6 +154,7 @@
         ..SendParams::default()
     };
     let mut sent = crashes::SentAttempt::new(gateway, &request.info, target);
+    let run = usage::RunGuard::new(gateway, request);
     let pending = async {
         let answer = send_and_read(gateway, request, target, &params, permit).await;
         sent.settle();
@@ -205,6 +206,7 @@
             (Some(ending), None)
         }
     };
+    run.end(ending);
     Attempt {
         ending,
         answer,
--- a/crates/cactuslane-gateway/src/state.rs
+++ b/crates/cactuslane-gateway/src/state.rs
@@ -30,6 +30,7 @@
 use crate::progress::Progress;
 use crate::records::RecordsRead;
 use crate::upstream::ConnectionPool;
+use crate::usage::Usage;
 
 /// Factor on the time-out of a route for the longest time since the beginning of a stream that a
 /// caller takes up.
@@ -103,6 +104,8 @@
     pub helpers: Client,
     /// Requests of other instances' callers in progress, and the bytes of their bodies.
     pub taken: TakenRequests,
+    /// Counts of customers' requests, and the agreed time of day.
+    pub usage: Usage,
 }
 
 impl Gateway {
@@ -118,6 +121,7 @@
         let metrics = Metrics::new(&store.calls);
         let mut fleet = Fleet::default();
         let clock_origin = Instant::now();
+        let usage = Usage::new((settings.instance.clone(), started));
         fleet.set_fallback_period(settings.drain_limit);
         Self {
             settings: Mutex::new(Arc::new(settings)),
@@ -153,6 +157,7 @@
             // would not survive.
             helpers: Client::open_unpooled(),
             taken: TakenRequests::default(),
+            usage,
         }
     }
 
--- /dev/null
+++ b/crates/cactuslane-gateway/src/usage.rs
@@ -0,0 +1,263 @@
+//! Counts of customers' requests: what this instance counts, sends and receives.
+//!
+//! Nothing is counted or sent unless usage is to be reported and the configuration has customers.
+
+pub mod spread;
+
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+
+use cactuslane_authority::usage::ProcessId;
+use cactuslane_authority::{AgreedClock, RunTimes, UsageBook, UsageUpdate};
+use cactuslane_flight::AttemptFailure;
+use cactuslane_types::{InstanceId, Millis};
+use log::{info, warn};
+use rand::seq::SliceRandom;
+use tokio::time::{Instant, MissedTickBehavior, interval};
+
+use self::spread::{Sending, Spread};
+use crate::ingress::CallerRequest;
+use crate::peers;
+use crate::state::Gateway;
+
+/// Interval at which counts that have changed are sent.
+const INTERVAL: Duration = Duration::from_millis(500);
+/// Number of ticks after which the time of day is told to some instances.
+const TIME_TICKS: u64 = 4;
+/// Number of ticks after the start at each of which it is told.
+const FIRST_TIME_TICKS: u64 = 10;
+/// Number of instances that are told the time of day.
+const TOLD_PEERS: usize = 5;
+/// Change of the agreed time of day from which on it is logged, in milliseconds.
+const LOGGED_CHANGE: u64 = 200;
+
+/// Counts of customers' requests, and the agreed time of day.
+#[derive(Debug)]
+pub struct Usage {
+    /// Counts of all instances, as far as they are known.
+    book: Mutex<UsageBook>,
+    /// The time of day on which the instances agree; `None` until it is asked for.
+    clock: Mutex<Option<AgreedClock>>,
+    /// Estimates of when requests began to run.
+    runs: Mutex<RunTimes>,
+    /// State of sending the counts.
+    spread: Mutex<Spread>,
+}
+
+/// Guard of an attempt at a target without a model, which counts its run when it ends.
+///
+/// If it is dropped before, the request was given up, and counts as begun when it was sent.
+#[derive(Debug)]
+pub struct RunGuard<'a> {
+    /// State of the instance.
+    gateway: &'a Gateway,
+    /// The request.
+    request: &'a CallerRequest,
+    /// Time at which it is sent, in Unix milliseconds.
+    sent: Millis,
+    /// Time at which it is sent.
+    began: Instant,
+    /// Whether it has ended.
+    ended: bool,
+}
+
+impl Usage {
+    /// Creates the empty counts of a process.
+    #[must_use]
+    pub fn new(own: ProcessId) -> Self {
+        Self {
+            book: Mutex::new(UsageBook::new(own)),
+            clock: Mutex::default(),
+            runs: Mutex::default(),
+            spread: Mutex::default(),
+        }
+    }
+}
+
+impl Gateway {
+    /// Locks the counts of customers' requests.
+    pub fn usage(&self) -> MutexGuard<'_, UsageBook> {
+        lock(&self.usage.book)
+    }
+
+    /// Returns the time of day on which the instances agree, in Unix milliseconds; it does not
+    /// follow a jump of this instance's clock.
+    #[must_use]
+    pub fn unix_now(&self) -> Millis {
+        let now = self.now();
+        self.with_clock(|clock| clock.unix(now))
+    }
+
+    /// Calls a function with the agreed clock, which is created if there is none.
+    fn with_clock<T>(&self, action: impl FnOnce(&mut AgreedClock) -> T) -> T {
+        let now = self.now();
+        let mut clock = lock(&self.usage.clock);
+        action(clock.get_or_insert_with(|| AgreedClock::new(own_unix(), now)))
+    }
+}
+
+impl<'a> RunGuard<'a> {
+    /// Creates the guard of an attempt that is sent now.
+    #[must_use]
+    pub fn new(gateway: &'a Gateway, request: &'a CallerRequest) -> Self {
+        Self {
+            gateway,
+            request,
+            sent: gateway.unix_now(),
+            began: Instant::now(),
+            ended: false,
+        }
+    }
+
+    /// Counts the run unless the attempt ended so that the target cannot have begun it.
+    pub fn end(mut self, ending: Option<AttemptFailure>) {
+        self.ended = true;
+        match ending {
+            Some(AttemptFailure::Unsent | AttemptFailure::Rejected) => {}
+            Some(AttemptFailure::Broken | AttemptFailure::Late) => self.count(self.sent),
+            None | Some(AttemptFailure::Failed) => {
+                let elapsed = self.began.elapsed().as_secs_f64() * 1000.0;
+                let mut runs = lock(&self.gateway.usage.runs);
+                let before_answer = runs.observe(&self.request.service, elapsed);
+                drop(runs);
+                self.count(self.sent + (elapsed - before_answer) as Millis);
+            }
+        }
+    }
+
+    /// Counts the run as begun at a time of day.
+    fn count(&self, at: Millis) {
+        count_run(self.gateway, self.request, at);
+    }
+}
+
+impl Drop for RunGuard<'_> {
+    fn drop(&mut self) {
+        if !self.ended {
+            self.count(self.sent);
+        }
+    }
+}
+
+/// Counts a request that began to run at a time of day, in Unix milliseconds.
+pub fn count_run(gateway: &Gateway, request: &CallerRequest, at: Millis) {
+    if let Some(customer) = &request.customer {
+        gateway.usage().record(customer, at);
+        gateway.metrics.count_run(customer);
+    }
+}
+
+/// Sends counts to the instances that collect them, and tells others the time of day, until the task
+/// is aborted.
+pub async fn run(gateway: Arc<Gateway>) {
+    let mut ticks = interval(INTERVAL);
+    ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+    let mut number: u64 = 0;
+    loop {
+        ticks.tick().await;
+        if !activate(&gateway) {
+            continue;
+        }
+        number += 1;
+        let now = gateway.now();
+        let change = gateway.with_clock(|clock| clock.update(own_unix(), now));
+        if change.unsigned_abs() >= LOGGED_CHANGE {
+            warn!(change_ms = change; "the agreed time of day has changed");
+        }
+        send_counts(&gateway);
+        if number < FIRST_TIME_TICKS || number.is_multiple_of(TIME_TICKS) {
+            tell_time(&gateway);
+        }
+    }
+}
+
+/// Sends the counts that have changed, as the instance stops.
+pub fn flush(gateway: &Gateway) {
+    if activate(gateway) {
+        send_counts(gateway);
+    }
+}
+
+/// Applies another instance's update; one of an instance that is not registered is skipped.
+pub fn apply(gateway: &Gateway, update: &UsageUpdate) {
+    if !activate(gateway) {
+        return;
+    }
+    if !gateway.members().is_known(&update.sender) {
+        return;
+    }
+    let now = gateway.now();
+    gateway.with_clock(|clock| clock.record(&update.sender, update.unix_time, now));
+    let unix_now = gateway.unix_now();
+    gateway
+        .usage()
+        .apply(&update.process, &update.windows, unix_now);
+}
+
+/// Brings the length of the windows in line with settings and configuration; returns whether usage is
+/// counted.
+fn activate(gateway: &Gateway) -> bool {
+    let settings = gateway.settings();
+    let usage = settings.duties.as_ref().and_then(|duties| duties.usage);
+    let has_customers = || {
+        let config = gateway.routing_config();
+        config.is_some_and(|config| config.customers.is_some())
+    };
+    let length = usage.filter(|_| has_customers()).map(|usage| usage.window);
+    gateway.usage().set_length(length);
+    length.is_some()
+}
+
+/// Sends the counts that are due.
+fn send_counts(gateway: &Gateway) {
+    let alive = gateway.members().alive_processes(gateway.now());
+    let leader = gateway.leadership().leader().cloned();
+    let unix_now = gateway.unix_now();
+    let sendings = {
+        let mut spread = lock(&gateway.usage.spread);
+        let mut book = gateway.usage();
+        spread.tick(&mut book, &alive, leader.as_ref(), unix_now)
+    };
+    for Sending {
+        to,
+        process,
+        windows,
+    } in sendings
+    {
+        if process.0 != gateway.settings().instance {
+            info!(process = process.0, to:? = to; "usage counts of a process that is gone passed on");
+        }
+        let update = UsageUpdate {
+            sender: gateway.settings().instance.clone(),
+            unix_time: own_unix(),
+            process,
+            windows,
+        };
+        peers::send_usage(gateway, update, &to);
+    }
+}
+
+/// Tells some other instances the time of day by the own clock.
+fn tell_time(gateway: &Gateway) {
+    let mut told: Vec<InstanceId> = gateway.members().alive(gateway.now());
+    told.shuffle(&mut rand::rng());
+    told.truncate(TOLD_PEERS);
+    let update = UsageUpdate {
+        sender: gateway.settings().instance.clone(),
+        unix_time: own_unix(),
+        process: gateway.usage().own().clone(),
+        windows: Vec::new(),
+    };
+    peers::send_usage(gateway, update, &told);
+}
+
+/// Returns the time of day by the own clock, in Unix milliseconds.
+fn own_unix() -> Millis {
+    let time = SystemTime::now().duration_since(UNIX_EPOCH);
+    time.unwrap_or_default().as_millis() as Millis
+}
+
+/// Locks a mutex, also if another thread panicked while it held the lock.
+fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
--- a/crates/cactuslane-gateway/tests/builds.rs
+++ b/crates/cactuslane-gateway/tests/builds.rs
@@ -2,10 +2,13 @@
 //!
 //! The files in `messages/` hold one message of each kind, as the build of that commit wrote it.
 
+use std::time::Duration;
+
+use cactuslane_authority::{UsageBook, UsageUpdate};
 use cactuslane_flight::origin::VersionList;
 use cactuslane_gateway::leadership::LeaderRecord;
 use cactuslane_gateway::members::Member;
-use cactuslane_gateway::messages::{LATER_FORM, MessageError, Received, decode};
+use cactuslane_gateway::messages::{LATER_FORM, Message, MessageError, Received, decode};
 use proptest::collection::vec;
 use proptest::prelude::*;
 use yare::parameterized;
@@ -69,9 +72,64 @@
     }
 }
 
+/// Returns counts of so many customers with names of `length` bytes in six windows.
+fn full_book(customers: usize, length: usize) -> UsageBook {
+    let mut book = UsageBook::new(("front-a-1".to_owned(), 1_700_000_000_000));
+    book.set_length(Some(Duration::from_secs(5)));
+    for window in 0..6_u64 {
+        for customer in 0..customers {
+            let name = format!("{customer:0length$}");
+            book.record(&name, 1_700_000_000_000 + window * 5_000);
+        }
+    }
+    book
+}
+
+/// Guards against a message that the receiver's buffer cuts.
+#[parameterized(
+    usual = { 270, 9 },
+    long_names = { 270, 250 },
+    many = { 1_500, 40 },
+)]
+fn usage_counts_fit_messages(customers: usize, length: usize) {
+    let book = full_book(customers, length);
+    let parts = book.counts_of(book.own(), 0);
+    let mut counts = 0;
+    for windows in parts {
+        counts += windows
+            .iter()
+            .map(|(_, counts)| counts.len())
+            .sum::<usize>();
+        let message = Message::Usage(UsageUpdate {
+            sender: "front-a-1".to_owned(),
+            unix_time: u64::MAX,
+            process: book.own().clone(),
+            windows,
+        });
+        let bytes = message.encode().expect("it is encoded");
+        assert!(bytes.len() <= 9 << 10, "{} bytes", bytes.len());
+        assert_eq!(decode(&bytes), Ok(Received::Whole(message)));
+    }
+    assert_eq!(counts, customers * 6);
+}
+
+/// Guards against a change of the form in which other builds read the counts.
+#[test]
+fn usage_counts_keep_their_form() {
+    let message = Message::Usage(UsageUpdate {
+        sender: "a".to_owned(),
+        unix_time: 300,
+        process: ("b".to_owned(), 5),
+        windows: vec![(7, vec![("c".to_owned(), 200)])],
+    });
+    let bytes = [11, 1, b'a', 0xac, 2, 1, b'b', 5, 1, 7, 1, 1, b'c', 0xc8, 1];
+    assert_eq!(message.encode(), Ok(bytes.to_vec()));
+    assert_eq!(decode(&bytes), Ok(Received::Whole(message)));
+}
+
 #[parameterized(
     later_form = { &[LATER_FORM, 1, 2], MessageError::LaterForm(LATER_FORM) },
-    unknown_kind = { &[11, 0], MessageError::UnknownKind(11) },
+    unknown_kind = { &[12, 0], MessageError::UnknownKind(12) },
     empty = { &[], MessageError::Malformed("empty".to_owned()) },
 )]
 fn a_message_that_cannot_be_read_says_why(bytes: &[u8], expected: MessageError) {
@@ -110,7 +168,7 @@
     #[test]
     fn any_bytes_are_read_or_refused(bytes in vec(any::<u8>(), 0..200)) {
         let read = decode(&bytes);
-        let known = bytes.first().is_some_and(|kind| *kind < 11);
+        let known = bytes.first().is_some_and(|kind| *kind < 12);
         prop_assert!(known || read.is_err());
     }
 
--- a/crates/cactuslane-gateway/tests/serving/customers.rs
+++ b/crates/cactuslane-gateway/tests/serving/customers.rs
@@ -26,7 +26,7 @@
 const PASSED: u32 = 12;
 
 /// Returns a document with customers, and one public route.
-fn keyed(version: u64, customers: &Value) -> Value {
+pub fn keyed(version: u64, customers: &Value) -> Value {
     let mut document = document(version);
     document["tenants"] = customers.clone();
     let routes = document["routes"].as_array_mut().expect("it has routes");
@@ -39,7 +39,7 @@
 }
 
 /// Returns two customers, the second of which has a priority.
-fn two_customers() -> Value {
+pub fn two_customers() -> Value {
     json!([
         { "name": "acme", "api_keys": [SECRET, "k-2"] },
         { "name": "bolt", "api_keys": ["k-3"], "priority": 4 },
@@ -47,14 +47,14 @@
 }
 
 /// Starts a deployment with two customers.
-async fn deploy_keyed() -> Deployment {
+pub async fn deploy_keyed() -> Deployment {
     let deployment = deploy().await;
     configure(&deployment, &keyed(4, &two_customers())).await;
     deployment
 }
 
 /// Writes a configuration and waits until the instance applies it.
-async fn configure(deployment: &Deployment, document: &Value) {
+pub async fn configure(deployment: &Deployment, document: &Value) {
     deployment.store.configure(document);
     let gateway = &deployment.running.gateway;
     let version = document["version"].as_u64();
@@ -93,7 +93,7 @@
 }
 
 /// Sends a request with headers and reads the answer.
-async fn ask(
+pub async fn ask(
     deployment: &Deployment,
     path: &str,
     id: &str,
@@ -104,7 +104,7 @@
 }
 
 /// Sends a request and reads the answer.
-async fn send<B>(deployment: &Deployment, request: Request<B>) -> CallerAnswer
+pub async fn send<B>(deployment: &Deployment, request: Request<B>) -> CallerAnswer
 where
     B: Into<http_body_util::Full<hyper::body::Bytes>>,
 {
@@ -114,7 +114,7 @@
 }
 
 /// Adds headers to a request.
-fn with_headers<B>(mut request: Request<B>, lines: &[(&str, &str)]) -> Request<B> {
+pub fn with_headers<B>(mut request: Request<B>, lines: &[(&str, &str)]) -> Request<B> {
     for (name, value) in lines {
         let name: HeaderName = name.parse().expect("it is a name");
         let value = HeaderValue::from_str(value).expect("it is a value");
--- a/crates/cactuslane-gateway/tests/serving/main.rs
+++ b/crates/cactuslane-gateway/tests/serving/main.rs
@@ -14,4 +14,5 @@
 mod plain;
 mod raw;
 mod streams;
+mod usage;
 mod versions;
--- /dev/null
+++ b/crates/cactuslane-gateway/tests/serving/usage.rs
@@ -0,0 +1,195 @@
+//! Counts of customers' requests as instances make and exchange them.
+
+use std::time::Duration;
+
+use cactuslane_gateway::GatewayHandle;
+use cactuslane_platform::settings::{DutySettings, UsageSettings};
+use cactuslane_platform_standin::{Fault, Target, settings};
+use yare::parameterized;
+
+use crate::customers::{ask, configure, deploy_keyed, keyed, two_customers};
+use crate::deployment::{Deployment, run_test, start_fleet, wait_until};
+
+/// Window that no test outlasts.
+const WINDOW: Duration = Duration::from_secs(1 << 24);
+/// Headers of the two customers.
+const KEYS: [[(&str, &str); 1]; 2] = [
+    [("authorization", "Bearer k-2")],
+    [("authorization", "Bearer k-3")],
+];
+
+/// Makes an instance count the requests of customers.
+fn count_usage(running: &GatewayHandle, deployment: &Deployment) {
+    let name = running.gateway.settings().instance.clone();
+    let mut settings = settings(&name, deployment.store.address);
+    settings.duties = Some(DutySettings {
+        address: deployment.store.address,
+        call_rate: 1.0,
+        usage: Some(UsageSettings {
+            window: WINDOW,
+            due: WINDOW,
+        }),
+        scale: false,
+        gap: Duration::from_secs(3),
+    });
+    running.gateway.reload(settings);
+}
+
+/// Returns the numbers of requests of both customers that an instance knows of.
+fn counts(running: &GatewayHandle) -> [u64; 2] {
+    let gateway = &running.gateway;
+    let now = gateway.unix_now();
+    let book = gateway.usage();
+    let report = book.report(book.window_of(now));
+    ["acme", "bolt"].map(|name| report.get(name).copied().unwrap_or_default())
+}
+
+/// Returns the number of runs at all targets.
+fn runs(deployment: &Deployment) -> u64 {
+    let targets = deployment.workers.iter().chain(&deployment.engines);
+    targets.map(|target| u64::from(target.total_runs())).sum()
+}
+
+/// Starts a deployment of one instance that counts.
+async fn deploy_counting() -> Deployment {
+    let deployment = deploy_keyed().await;
+    count_usage(&deployment.running, &deployment);
+    let gateway = deployment.running.gateway.clone();
+    wait_until(|| {
+        let now = gateway.unix_now();
+        gateway.usage().window_of(now) > 0
+    })
+    .await;
+    deployment
+}
+
+/// Each run at a target counts once, and what a target did not run does not count.
+#[parameterized(
+    lookup = { "/lookup/7", None, Some(1) },
+    correction = { "/correction/7", None, Some(1) },
+    report = { "/report/7", None, Some(1) },
+    summary = { "/summary/7", None, Some(1) },
+    lookup_rejected = { "/lookup/7", Some(Fault::Reject), None },
+    correction_rejected = { "/correction/7", Some(Fault::Reject), None },
+    lookup_failed = { "/lookup/7", Some(Fault::Fail), None },
+    correction_failed = { "/correction/7", Some(Fault::Fail), Some(1) },
+    correction_lost = { "/correction/7", Some(Fault::Lose), Some(1) },
+    lookup_lost = { "/lookup/7", Some(Fault::Lose), None },
+    correction_crossed = { "/correction/7", Some(Fault::Cross), Some(1) },
+    report_rejected = { "/report/7", Some(Fault::Reject), None },
+    report_failed = { "/report/7", Some(Fault::Fail), Some(1) },
+    summary_broken = { "/summary/7", Some(Fault::Break(3)), None },
+    report_broken = { "/report/7", Some(Fault::Break(3)), Some(1) },
+)]
+fn runs_are_counted(path: &'static str, fault: Option<Fault>, expected: Option<u64>) {
+    run_test(async move {
+        let deployment = deploy_counting().await;
+        if let Some(fault) = fault {
+            deployment.inject_fault(&deployment.workers, fault);
+            deployment.inject_fault(&deployment.engines, fault);
+        }
+        ask(&deployment, path, "r1", &KEYS[0]).await;
+        assert_eq!(counts(&deployment.running), [runs(&deployment), 0]);
+        if let Some(expected) = expected {
+            assert_eq!(runs(&deployment), expected);
+        }
+        let metrics = deployment
+            .running
+            .gateway
+            .metrics
+            .text(&deployment.running.gateway);
+        let counted = format!(
+            "customer_runs_total{{customer=\"acme\"}} {}",
+            runs(&deployment)
+        );
+        assert!(
+            runs(&deployment) == 0 || metrics.contains(&counted),
+            "{metrics}"
+        );
+    });
+}
+
+/// Guards against a lost count of a caller that left while its request ran.
+#[test]
+fn a_request_whose_caller_left_counts() {
+    run_test(async {
+        let deployment = deploy_counting().await;
+        deployment.inject_fault(&deployment.workers, Fault::Slow(300));
+        let asking = ask(&deployment, "/correction/7", "r1", &KEYS[1]);
+        let left = tokio::time::timeout(Duration::from_millis(100), asking).await;
+        assert!(left.is_err());
+        wait_until(|| counts(&deployment.running) == [0, 1]).await;
+        assert_eq!(runs(&deployment), 1);
+    });
+}
+
+/// Every instance that collects, the leader among them, knows the counts of all.
+#[test]
+fn collectors_and_the_leader_know_all_counts() {
+    run_test(async {
+        let deployment = deploy_keyed().await;
+        let fleet = start_fleet(&deployment).await;
+        let all = || fleet.iter().chain([&deployment.running]);
+        for running in all() {
+            count_usage(running, &deployment);
+        }
+        let is_keyed = |running: &GatewayHandle| {
+            let config = running.gateway.routing_config();
+            config.is_some_and(|config| config.customers.is_some())
+        };
+        wait_until(|| all().all(is_keyed)).await;
+        wait_until(|| all().all(|running| running.gateway.usage().window_of(u64::MAX) > 0)).await;
+        let mut expected = [0, 0];
+        for (number, running) in all().enumerate() {
+            let front = running.gateway.settings().front;
+            for (customer, key) in KEYS.iter().enumerate() {
+                for path in ["/lookup/7", "/report/7"] {
+                    let id = format!("r{number}-{customer}-{path}");
+                    let request = cactuslane_platform_standin::caller::request(front, path, &id);
+                    let request = crate::customers::with_headers(request, key);
+                    let answer = crate::customers::send(&deployment, request).await;
+                    assert_eq!(answer.status, 200, "{answer:?}");
+                    expected[customer] += 1;
+                }
+            }
+        }
+        let leads = |running: &&GatewayHandle| {
+            let now = cactuslane_gateway::leadership::boot_millis();
+            running.gateway.leadership().is_held(now)
+        };
+        wait_until(|| all().any(|running| leads(&running))).await;
+        wait_until(|| {
+            all()
+                .filter(leads)
+                .any(|running| counts(running) == expected)
+        })
+        .await;
+        // Four collectors and the leader, which may be one of them.
+        wait_until(|| all().filter(|running| counts(running) == expected).count() >= 4).await;
+        assert!(all().all(|running| counts(running) <= expected));
+    });
+}
+
+#[parameterized(
+    no_report_is_due = { false, true },
+    no_customers = { true, false },
+)]
+fn nothing_is_counted_without_need(is_due: bool, has_customers: bool) {
+    run_test(async move {
+        let deployment = deploy_keyed().await;
+        if is_due {
+            count_usage(&deployment.running, &deployment);
+        }
+        let customers = if has_customers {
+            two_customers()
+        } else {
+            serde_json::Value::Null
+        };
+        configure(&deployment, &keyed(5, &customers)).await;
+        tokio::time::sleep(Duration::from_millis(600)).await;
+        ask(&deployment, "/lookup/7", "r1", &KEYS[0]).await;
+        assert_eq!(counts(&deployment.running), [0, 0]);
+        let targets: Vec<&Target> = deployment.workers.iter().collect();
+        assert!(targets.iter().any(|target| target.total_runs() == 1));
+    });
+}
