--- a/crates/cactuslane-authority/src/agreed_clock.rs
+++ b/crates/cactuslane-authority/src/agreed_clock.rs
@@ -12,11 +12,11 @@
 
 /// Time for which a sample counts, in milliseconds.
 const SAMPLE_AGE: Millis = 30_000;
-/// Number of samples, the own clock included, from which on their median is taken; with fewer, none
-/// of them is known to be wrong.
+/// Number of samples, the own clock included, from which on their median is taken; with fewer it is
+/// not known which of them is wrong.
 const MIN_SAMPLES: usize = 3;
-/// Difference between the own clock and the median up to which the own clock is used, in
-/// milliseconds; longer than messages usually take.
+/// Difference between the own clock and the median, or the own clock before, up to which the own
+/// clock is used, in milliseconds; longer than messages usually take.
 const TOLERANCE: u64 = 250;
 /// Largest number of instances whose samples are kept.
 const MAX_SAMPLES: usize = 512;
@@ -63,7 +63,10 @@
         let own = (own_unix as Offset).wrapping_sub(now as Offset);
         offsets.push(own);
         if offsets.len() < MIN_SAMPLES {
-            return 0;
+            // A clock that is corrected by and by is followed, and a jump is not.
+            let is_small = own.abs_diff(self.offset) <= TOLERANCE;
+            let agreed = if is_small { own } else { self.offset };
+            return agreed.wrapping_sub(std::mem::replace(&mut self.offset, agreed));
         }
         offsets.sort_unstable();
         let median = offsets[(offsets.len() - 1) / 2];
--- a/crates/cactuslane-authority/tests/usage.rs
+++ b/crates/cactuslane-authority/tests/usage.rs
@@ -151,6 +151,8 @@
 #[parameterized(
     alone = { &[], 0, 0 },
     one_other = { &[9_000], 0, 0 },
+    alone_corrected = { &[], -100, -100 },
+    alone_jumps = { &[], 3_600_000, 0 },
     majority_near = { &[1, -2, 3], 0, 0 },
     within_tolerance = { &[200, 201, 202], 0, 0 },
     own_wrong = { &[5_000, 5_001, 5_002], 0, 5_001 },
--- a/crates/cactuslane-gateway/src/metrics.rs
+++ b/crates/cactuslane-gateway/src/metrics.rs
@@ -313,7 +313,7 @@
             OTHER_CUSTOMERS
         };
         drop(customers);
-        let labels = vec![("customer", label.to_owned())];
+        let labels = vec![("customer", label_text(label))];
         self.runs.get_or_create(&labels).inc();
     }
 
@@ -369,6 +369,12 @@
     }
 }
 
+/// Returns a name as the value of a label, which the encoder writes as it is.
+fn label_text(name: &str) -> String {
+    let name = name.replace(char::is_control, " ");
+    name.replace('\\', "\\\\").replace('"', "\\\"")
+}
+
 /// Returns the metric label for a kind of route, by its answers and its retry policy.
 #[must_use]
 pub fn route_kind(route: &Route) -> &'static str {
--- a/crates/cactuslane-gateway/tests/serving/usage.rs
+++ b/crates/cactuslane-gateway/tests/serving/usage.rs
@@ -123,6 +123,33 @@
     });
 }
 
+/// Guards against a name of a customer that ends the line of a metric, and against as many lines as
+/// there are customers.
+#[test]
+fn metrics_by_customer_are_bounded_and_whole() {
+    run_test(async {
+        let deployment = deploy_counting().await;
+        let gateway = &deployment.running.gateway;
+        gateway.metrics.count_run("a\"} 7\nb\\");
+        for number in 0..1_000 {
+            gateway.metrics.count_run(&format!("customer-{number}"));
+        }
+        let text = gateway.metrics.text(gateway);
+        let lines: Vec<&str> = text
+            .lines()
+            .filter(|line| line.contains("customer_runs_total"))
+            .collect();
+        assert_eq!(lines.len(), 301, "{lines:?}");
+        assert!(lines.iter().all(|line| line.contains("\"} ")), "{lines:?}");
+        let other = lines.iter().find(|line| line.contains("(other)"));
+        assert!(
+            other.is_some_and(|line| line.ends_with(" 701")),
+            "{other:?}"
+        );
+        assert!(!text.contains("\nb"), "{text}");
+    });
+}
+
 /// Every instance that collects, the leader among them, knows the counts of all.
 #[test]
 fn collectors_and_the_leader_know_all_counts() {
