Send a leader that is reached again all counts

Cause: the leader stayed among the receivers of an instance that was cut off from it, so that only the last window and the current one were sent afterwards.

Change: a leader that is not reached is forgotten, and gets all windows that are kept once it is.

--- a/crates/cactuslane-gateway/src/usage/spread.rs
+++ b/crates/cactuslane-gateway/src/usage/spread.rs
@@ -69,7 +69,9 @@
             .filter(|(instance, _)| collectors.contains(instance))
             .cloned()
             .collect();
-        receivers.extend(leader.map(|leader| (leader.instance.clone(), leader.started)));
+        // A leader that is not reached is forgotten, so that it gets all counts once it is.
+        let leader = leader.map(|leader| (leader.instance.clone(), leader.started));
+        receivers.extend(leader.filter(|leader| alive.contains(leader)));
         self.set_receivers(receivers, &own.0);
         let window = book.window_of(unix_ms);
         self.ticks = if window == self.window {
--- a/crates/cactuslane-gateway/tests/usage/fleet.rs
+++ b/crates/cactuslane-gateway/tests/usage/fleet.rs
@@ -71,6 +71,8 @@
     ticks: u64,
     /// Time at which it was killed; `None` while it runs.
     killed: Option<u64>,
+    /// Time since which it is cut off from all others; `None` while it is not.
+    cut: Option<u64>,
     /// Bytes and messages that it sent.
     sent: (usize, usize),
     /// Bytes and messages that it received.
@@ -215,7 +217,8 @@
         let now = self.now;
         let mut alive = Vec::new();
         for (other, instance) in self.instances.iter().enumerate() {
-            let is_known = instance.killed.is_none_or(|killed| now < killed + TIMEOUT);
+            let ends = [instance.killed, instance.cut, self.instances[index].cut];
+            let is_known = ends.iter().flatten().all(|since| now < since + TIMEOUT);
             if other != index && is_known {
                 alive.push(instance.process.clone());
             }
@@ -271,7 +274,11 @@
         let Some(&receiver) = self.running_by_name.get(name) else {
             return;
         };
-        if self.random.random_bool(self.network.loss) {
+        let is_cut = self.instances[sender]
+            .cut
+            .or(self.instances[receiver].cut)
+            .is_some();
+        if is_cut || self.random.random_bool(self.network.loss) {
             return;
         }
         for _ in 0..=u32::from(self.random.random_bool(self.network.copies)) {
@@ -335,6 +342,13 @@
         left
     }
 
+    /// Cuts the last instances off from all others, or restores their links.
+    pub fn cut(&mut self, count: usize, is_cut: bool) {
+        for instance in self.instances.iter_mut().rev().take(count) {
+            instance.cut = is_cut.then_some(self.now);
+        }
+    }
+
     /// Lets the clocks of some instances jump.
     pub fn jump_clocks(&mut self, count: usize, jump: i64) {
         for instance in self.instances.iter_mut().take(count) {
@@ -433,6 +447,7 @@
             next_tick: now + random.random_range(0..TICK),
             ticks: 0,
             killed: None,
+            cut: None,
             sent: (0, 0),
             received: (0, 0),
         }
--- a/crates/cactuslane-gateway/tests/usage/main.rs
+++ b/crates/cactuslane-gateway/tests/usage/main.rs
@@ -88,6 +88,33 @@
     }
 }
 
+/// Guards against counts that the leader misses of instances that served while they were cut off.
+#[parameterized(
+    short = { 1_000 },
+    longer = { 7_000 },
+    almost_until_the_report = { 9_000 },
+)]
+fn instances_that_were_cut_off_bring_their_counts(duration: u64) {
+    let network = Network {
+        loss: 0.0,
+        copies: 0.0,
+        delay: 5,
+    };
+    for seed in 0..4 {
+        let mut fleet = Fleet::new(30, 40, 300.0, network, seed);
+        // The cut ends before the report on the window in which it began.
+        fleet.run(22_000);
+        fleet.cut(10, true);
+        fleet.run(duration);
+        fleet.cut(10, false);
+        fleet.run(30_000);
+        for report in fleet.reports().iter().skip(3) {
+            let error = error(report);
+            assert!(error <= 0.02, "window {}: {error}", report.window);
+        }
+    }
+}
+
 /// Guards against a clock that jumps, and against one that was wrong from the start.
 #[parameterized(
     ahead = { 3_600_000 },
