--- a/crates/cactuslane-gateway/src/generation/stream.rs
+++ b/crates/cactuslane-gateway/src/generation/stream.rs
@@ -16,7 +16,7 @@
 use crate::plain::failure_label;
 use crate::queue::{self, AnswerSender};
 use crate::reply::AnswerBody;
-use crate::{crashes, origins};
+use crate::{crashes, origins, usage};
 
 /// Silence after which a stream is resumed at another target, as a share of the route's silence
 /// limit, at which callers are expected to disconnect.
@@ -210,7 +210,10 @@
             };
             if !events.is_empty() {
                 last_event = received;
-                beginning.first.get_or_insert(now);
+                if beginning.first.is_none() {
+                    beginning.first = Some(now);
+                    usage::count_run(&self.gateway, &self.request, self.gateway.unix_now());
+                }
                 opened.attempt.settle();
                 if self.origin == StreamOrigin::NotBegun {
                     let (gateway, target) = (&self.gateway, &opened.target);
--- a/crates/cactuslane-gateway/src/lib.rs
+++ b/crates/cactuslane-gateway/src/lib.rs
@@ -42,6 +42,7 @@
 pub mod scaling;
 pub mod state;
 pub mod upstream;
+pub mod usage;
 pub mod versions;
 pub mod watch;
 
@@ -125,6 +126,7 @@
             tokio::spawn(orders::run_leader(gateway.clone())),
             tokio::spawn(peers::exchange(gateway.clone(), socket, relay_sender)),
             tokio::spawn(reach::run(gateway.clone())),
+            tokio::spawn(usage::run(gateway.clone())),
             tokio::spawn(passing::serve(gateway.clone(), passed)),
             tokio::spawn(ingress::serve(gateway.clone(), front)),
             tokio::spawn(directory::serve(gateway.clone(), ready, Door::Ready)),
@@ -175,6 +177,7 @@
                 break;
             }
         }
+        usage::flush(&self.gateway);
         control::unregister(&self.gateway).await;
         info!(requests = self.gateway.requests(); "stopped");
         for task in &self.tasks {
--- a/crates/cactuslane-gateway/src/state.rs
+++ b/crates/cactuslane-gateway/src/state.rs
@@ -32,6 +32,7 @@
 use crate::progress::Progress;
 use crate::records::RecordsRead;
 use crate::upstream::ConnectionPool;
+use crate::usage::Usage;
 
 /// Factor on the time-out of a route for the longest time since the beginning of a stream that a
 /// caller takes up.
@@ -107,6 +108,8 @@
     pub helpers: Client,
     /// Requests of other instances' callers in progress, and the bytes of their bodies.
     pub taken: TakenRequests,
+    /// Counts of customers' requests, and the agreed time of day.
+    pub usage: Usage,
 }
 
 impl Gateway {
@@ -125,6 +128,7 @@
         metrics.add_refused(held.refused.clone());
         let mut fleet = Fleet::default();
         let clock_origin = Instant::now();
+        let usage = Usage::new((settings.instance.clone(), started));
         fleet.set_fallback_period(settings.drain_limit);
         let leadership: Arc<Mutex<Leadership>> = Arc::default();
         let duties = Duties::open(&settings, leadership.clone());
@@ -164,6 +168,7 @@
             // would not survive.
             helpers: Client::open_unpooled(),
             taken: TakenRequests::default(),
+            usage,
         }
     }
 
