Give the duties up where the platform cannot be reached

Cause: an instance that keeps its lease and is cut off from the platform's address alone would hold duties that it cannot do.

Change: after 3 calls in a row without an answer over 8 s the leader resigns, if it knows other instances, and does not campaign for 20 s. Answers that are errors do not count: the platform is reached.

--- a/crates/cactuslane-authority/src/duties.rs
+++ b/crates/cactuslane-authority/src/duties.rs
@@ -21,6 +21,13 @@
 /// Longest pause after any number of calls that failed.
 const LONGEST_PAUSE: Millis = 4_000;
 
+/// Number of calls in a row without an answer after which the instance may be cut off from the
+/// platform.
+const CUT_CALLS: u32 = 3;
+/// Time since the first of them after which the duties are better held by another instance: a short
+/// trouble of the platform itself has passed by then.
+const CUT_TIME: Millis = 8_000;
+
 /// How a call ended, as far as that decides when the next one may be made.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum CallEnd {
@@ -28,8 +35,10 @@
     Answered,
     /// The platform took no notice of it, as there were too many.
     Limited,
-    /// It was not sent, it was not answered, or the answer was an error.
+    /// The answer was an error.
     Failed,
+    /// It was not sent or not answered.
+    Unanswered,
 }
 
 /// Why a call may not be made now.
@@ -75,6 +84,8 @@
     not_before: Millis,
     /// Highest fencing token of a call.
     token: FencingToken,
+    /// Number of calls in a row that were not answered, and the time at which the first one ended.
+    unanswered: Option<(u32, Millis)>,
     /// Calls by subject.
     subjects: BTreeMap<Subject, SubjectCalls>,
 }
@@ -126,6 +137,12 @@
             return;
         };
         calls.in_flight = false;
+        if end == CallEnd::Unanswered {
+            let (number, since) = self.unanswered.unwrap_or((0, now));
+            self.unanswered = Some((number + 1, since));
+        } else {
+            self.unanswered = None;
+        }
         match end {
             CallEnd::Answered => {
                 self.limited = 0;
@@ -135,12 +152,25 @@
                 self.not_before = now + pause(self.limited);
                 self.limited += 1;
             }
-            CallEnd::Failed => {
+            CallEnd::Failed | CallEnd::Unanswered => {
                 calls.not_before = now + pause(calls.failures);
                 calls.failures += 1;
             }
         }
     }
+
+    /// Returns whether this instance appears to be cut off from the platform, so that another one
+    /// may do better.
+    #[must_use]
+    pub fn is_cut(&self, now: Millis) -> bool {
+        self.unanswered
+            .is_some_and(|(number, since)| number >= CUT_CALLS && now >= since + CUT_TIME)
+    }
+
+    /// Forgets the calls that were not answered, as the duties were given up for them.
+    pub fn clear_unanswered(&mut self) {
+        self.unanswered = None;
+    }
 }
 
 /// Returns the pause after a call that failed, as `before` others in a row did.
--- a/crates/cactuslane-authority/tests/duties.rs
+++ b/crates/cactuslane-authority/tests/duties.rs
@@ -90,6 +90,26 @@
     assert_eq!(gate.begin("other", 5, HIGH_RATE, 300), Ok(()));
 }
 
+#[parameterized(
+    unanswered = { CallEnd::Unanswered, true },
+    refused = { CallEnd::Failed, false },
+    limited = { CallEnd::Limited, false },
+)]
+fn a_holder_without_answers_for_long_is_cut_off(end: CallEnd, is_cut: bool) {
+    let mut gate = CallGate::default();
+    for now in [0, 4_000, 8_000] {
+        assert!(!gate.is_cut(now));
+        gate.begin(SUBJECT, 5, HIGH_RATE, now).unwrap();
+        gate.end(SUBJECT, end, now);
+    }
+    assert!(!gate.is_cut(7_999));
+    assert_eq!(gate.is_cut(8_000), is_cut);
+    // One answer, also to a call of another subject, shows that the platform is reached.
+    gate.begin("other", 5, HIGH_RATE, 20_000).unwrap();
+    gate.end("other", CallEnd::Answered, 20_000);
+    assert!(!gate.is_cut(20_000));
+}
+
 #[test]
 fn no_call_carries_a_lower_token_than_an_earlier_one() {
     let mut gate = CallGate::default();
--- a/crates/cactuslane-gateway/src/duties.rs
+++ b/crates/cactuslane-gateway/src/duties.rs
@@ -21,6 +21,7 @@
 use tokio::time::Instant;
 
 use crate::control::LEASE_TTL;
+use crate::duties::exchange::ExchangeError;
 use crate::leadership::{Leadership, boot_millis};
 
 /// The labels of the counters of calls: `duty` and `result`.
@@ -159,15 +160,6 @@
             Self::Unsent(_) => "unsent",
         }
     }
-
-    /// Returns how the call ended for the decision when the next one may be made.
-    fn end(&self) -> CallEnd {
-        match self {
-            Self::Accepted | Self::Unavailable => CallEnd::Answered,
-            Self::Limited => CallEnd::Limited,
-            Self::Rejected(_) | Self::Unknown(_) | Self::Unsent(_) => CallEnd::Failed,
-        }
-    }
 }
 
 impl Duties {
@@ -196,6 +188,18 @@
         lock(&self.settings).clone()
     }
 
+    /// Returns whether this instance appears to be cut off from the platform's address, so that
+    /// another one should hold the duties.
+    #[must_use]
+    pub fn is_cut(&self) -> bool {
+        lock(&self.gate).is_cut(self.now())
+    }
+
+    /// Records that this instance gave the duties up as it was cut off.
+    pub fn record_given_up(&self) {
+        lock(&self.gate).clear_unanswered();
+    }
+
     /// Returns the fencing token of a call made now, or `None` if this instance may not make any.
     ///
     /// The answer holds for this moment only: [`Duties::call`] checks it again.
@@ -227,31 +231,47 @@
             end: CallEnd::Failed,
         };
         let began = Instant::now();
-        let answer = self.send(settings.address, call, token).await;
-        guard.finish(answer.end());
+        let (answer, end) = self.send(settings.address, call, token).await;
+        guard.finish(end);
         self.record(call, token, &answer, began);
         answer
     }
 
     /// Sends a call under a token if that is still in force once a connection is open.
-    async fn send(&self, address: SocketAddr, call: &DutyCall, token: FencingToken) -> DutyAnswer {
+    async fn send(
+        &self,
+        address: SocketAddr,
+        call: &DutyCall,
+        token: FencingToken,
+    ) -> (DutyAnswer, CallEnd) {
         let post = call.encode();
         let is_held = || self.token() == Some(token);
         let received = exchange::post(address, &self.holder, token, post, is_held).await;
         let (status, text) = match received {
             Ok(received) => received,
-            Err(exchange::ExchangeError::Unsent(why)) => return DutyAnswer::Unsent(why),
-            Err(exchange::ExchangeError::Broken(why)) => return DutyAnswer::Unknown(why),
+            Err(ExchangeError::NotHeld) => {
+                let why = "the office was lost while connecting".to_owned();
+                return (DutyAnswer::Unsent(why), CallEnd::Failed);
+            }
+            Err(ExchangeError::Unsent(why)) => {
+                return (DutyAnswer::Unsent(why), CallEnd::Unanswered);
+            }
+            Err(ExchangeError::Broken(why)) => {
+                return (DutyAnswer::Unknown(why), CallEnd::Unanswered);
+            }
         };
         match verdict(status) {
-            Verdict::Accepted => DutyAnswer::Accepted,
-            Verdict::Unavailable => DutyAnswer::Unavailable,
-            Verdict::Limited => DutyAnswer::Limited,
-            Verdict::Failed => DutyAnswer::Unknown(format!("status {status}: {text}")),
+            Verdict::Accepted => (DutyAnswer::Accepted, CallEnd::Answered),
+            Verdict::Unavailable => (DutyAnswer::Unavailable, CallEnd::Answered),
+            Verdict::Limited => (DutyAnswer::Limited, CallEnd::Limited),
+            Verdict::Failed => {
+                let why = format!("status {status}: {text}");
+                (DutyAnswer::Unknown(why), CallEnd::Failed)
+            }
             Verdict::Rejected => {
                 let text: String = text.chars().take(LOGGED_CHARS).collect();
                 warn!(duty = call.duty(), status, text; "the platform rejected a call");
-                DutyAnswer::Rejected(status)
+                (DutyAnswer::Rejected(status), CallEnd::Failed)
             }
         }
     }
--- a/crates/cactuslane-gateway/src/duties/exchange.rs
+++ b/crates/cactuslane-gateway/src/duties/exchange.rs
@@ -28,6 +28,8 @@
 /// Why an exchange has no answer.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum ExchangeError {
+    /// The duties are not held any more; nothing was sent.
+    NotHeld,
     /// Nothing was sent.
     Unsent(String),
     /// The platform may have received the call, or may receive it later.
@@ -39,7 +41,7 @@
 ///
 /// # Errors
 ///
-/// Returns [`ExchangeError::Unsent`] only if nothing was sent.
+/// Returns [`ExchangeError::Unsent`] or [`ExchangeError::NotHeld`] only if nothing was sent.
 pub async fn post(
     address: SocketAddr,
     holder: &str,
@@ -62,7 +64,7 @@
         .await
         .map_err(|error| unsent(error.to_string()))?;
     if !is_held() {
-        return Err(unsent("the office was lost while connecting".to_owned()));
+        return Err(ExchangeError::NotHeld);
     }
     let mut request = Request::new(Full::new(Bytes::from(post.body)));
     *request.method_mut() = Method::POST;
--- a/crates/cactuslane-gateway/src/orders.rs
+++ b/crates/cactuslane-gateway/src/orders.rs
@@ -45,6 +45,10 @@
 /// up.
 const MAX_CHANGING_SHARE: f64 = 0.25;
 
+/// Time for which an instance that gave up the leadership, as it was cut off from the platform's
+/// address, does not try to acquire it again, so that all others come first.
+const CUT_PAUSE: Duration = Duration::from_secs(20);
+
 /// The leader's record of demand and orders, discarded at each attempt to acquire the leadership.
 #[derive(Debug, Default)]
 struct LeaderState {
@@ -70,6 +74,7 @@
 pub async fn run_leader(gateway: Arc<Gateway>) {
     let mut state = LeaderState::default();
     let mut campaign_at: Option<Instant> = None;
+    let mut not_before = Instant::now();
     loop {
         sleep(INTERVAL).await;
         if gateway.is_leaving() {
@@ -78,12 +83,22 @@
         }
         if gateway.leadership().is_held(boot_millis()) {
             campaign_at = None;
+            if gateway.duties.is_cut() && gateway.alive_peers() > 0 {
+                warn!("cut off from the platform's address, another instance may do better");
+                gateway.duties.record_given_up();
+                resign(&gateway).await;
+                not_before = Instant::now() + CUT_PAUSE;
+                continue;
+            }
             if !gateway.pool.reach().is_cut() {
                 state.order_changes(&gateway);
             }
             continue;
         }
         gateway.placer().load_view.set_changing(Vec::new());
+        if Instant::now() < not_before {
+            continue;
+        }
         let me = gateway.leader_record();
         let gap = gateway.settings().order_gap.as_millis() as Millis;
         let ttl = LEASE_TTL.as_millis() as Millis;
