--- a/crates/cactuslane-authority/src/duties.rs
+++ b/crates/cactuslane-authority/src/duties.rs
@@ -111,9 +111,9 @@
         if calls.in_flight {
             return Err(Denial::InFlight);
         }
-        let not_before = calls.not_before.max(self.not_before);
-        if now < not_before {
-            return Err(Denial::Wait(not_before - now));
+        let wait = self.pause_left(subject, now);
+        if wait > 0 {
+            return Err(Denial::Wait(wait));
         }
         let burst = (rate * BURST_SHARE).max(1.0);
         let refill = rate * (1.0 - BURST_SHARE) / 1_000.0;
@@ -131,6 +131,14 @@
         Ok(())
     }
 
+    /// Returns the time for which earlier calls that failed keep a call of a subject back.
+    #[must_use]
+    pub fn pause_left(&self, subject: &str, now: Millis) -> Millis {
+        let calls = self.subjects.get(subject).copied().unwrap_or_default();
+        let not_before = calls.not_before.max(self.not_before);
+        not_before.saturating_sub(now)
+    }
+
     /// Records how a call ended.
     pub fn end(&mut self, subject: &str, end: CallEnd, now: Millis) {
         let Some(calls) = self.subjects.get_mut(subject) else {
--- a/crates/cactuslane-gateway/src/duties.rs
+++ b/crates/cactuslane-gateway/src/duties.rs
@@ -29,6 +29,8 @@
 /// The label of the counters of windows: `result`.
 pub type WindowLabels = [(&'static str, &'static str); 1];
 
+/// Subject of all reports of usage.
+const USAGE_SUBJECT: &str = "usage";
 /// Number of characters of an error's text that are logged.
 const LOGGED_CHARS: usize = 200;
 
@@ -104,7 +106,7 @@
     /// Returns the subject, of which only one call is made at a time.
     fn subject(&self) -> Subject {
         match self {
-            Self::Usage { .. } => "usage".to_owned(),
+            Self::Usage { .. } => USAGE_SUBJECT.to_owned(),
             Self::Scale {
                 service, domain, ..
             } => format!("scale/{service}/{domain}"),
@@ -291,6 +293,11 @@
         }
     }
 
+    /// Returns whether a report of usage need not wait for the pause after an earlier one.
+    fn may_report(&self) -> bool {
+        lock(&self.gate).pause_left(USAGE_SUBJECT, self.now()) == 0
+    }
+
     /// Counts a window of usage by the result of its reports.
     fn count_window(&self, result: &'static str) {
         self.windows.get_or_create(&[("result", result)]).inc();
--- a/crates/cactuslane-gateway/src/duties/usage.rs
+++ b/crates/cactuslane-gateway/src/duties/usage.rs
@@ -232,6 +232,9 @@
 
     /// Sends a report; returns whether it was accepted.
     async fn send(&mut self, window: WindowNumber, counts: Counts) -> bool {
+        if !self.duties.may_report() {
+            return false;
+        }
         let answer = self.duties.call(&DutyCall::Usage { window, counts }).await;
         let now = self.now();
         let age_ms = self.plan.age(window, now);
