--- a/crates/cactuslane-gateway/src/duties.rs
+++ b/crates/cactuslane-gateway/src/duties.rs
@@ -211,6 +211,12 @@
         lock(&self.leadership).may_call(ttl, boot_millis())
     }
 
+    /// Returns the fencing token of the leadership, also while no call may be made yet.
+    #[must_use]
+    pub fn acquired_token(&self) -> Option<FencingToken> {
+        lock(&self.leadership).token()
+    }
+
     /// Makes a call, unless this instance is not the holder or another call of the subject has not
     /// ended; returns within about 4 seconds.
     ///
--- a/crates/cactuslane-gateway/src/duties/usage.rs
+++ b/crates/cactuslane-gateway/src/duties/usage.rs
@@ -13,7 +13,7 @@
 use cactuslane_types::{CustomerName, FencingToken, InstanceId, Millis};
 use log::{info, warn};
 use serde::{Deserialize, Serialize};
-use tokio::time::sleep;
+use tokio::time::{Instant, sleep};
 
 use super::{Duties, DutyAnswer, DutyCall};
 
@@ -25,11 +25,15 @@
 const STORE_PAUSE: Duration = Duration::from_millis(400);
 /// Version of the stored form; contents of another version are not used.
 const VERSION: u32 = 1;
+/// Time after an acquisition of the leadership in which all instances send their counts to the new
+/// leader; mostly, the gap between holders is longer.
+const COLLECT_TIME: Duration = Duration::from_secs(2);
 
 /// What the reports are made from; the functions are called often and must return at once.
 #[derive(Debug)]
 pub struct Sources<C, N> {
-    /// Returns the requests of each customer that began in a window.
+    /// Returns the requests of each customer that began in a window, or `None` if its counts are
+    /// not kept or none are made.
     pub counts: C,
     /// Returns the true time, in milliseconds since the Unix epoch.
     pub unix_now: N,
@@ -66,6 +70,8 @@
     settings: UsageSettings,
     /// Which report is made next.
     plan: ReportPlan,
+    /// Fencing token of the leadership, with the time at which this task first saw it.
+    acquired: Option<(FencingToken, Instant)>,
     /// Fencing token under which the stored contents were read last.
     read_under: Option<FencingToken>,
 }
@@ -74,7 +80,7 @@
 /// aborted; does nothing while the settings ask for no reports.
 pub async fn run<C, N>(duties: Arc<Duties>, store: KvClient, sources: Sources<C, N>)
 where
-    C: Fn(WindowNumber) -> Counts + Send,
+    C: Fn(WindowNumber) -> Option<Counts> + Send,
     N: Fn() -> Millis + Send,
 {
     let settings = usage_settings(&duties).unwrap_or_default();
@@ -84,6 +90,7 @@
         settings,
         plan: new_plan(settings, sources.started),
         sources,
+        acquired: None,
         read_under: None,
     };
     loop {
@@ -102,15 +109,25 @@
 
 impl<C, N> Reporter<C, N>
 where
-    C: Fn(WindowNumber) -> Counts,
+    C: Fn(WindowNumber) -> Option<Counts>,
     N: Fn() -> Millis,
 {
     /// Makes the reports that are ready.
     async fn step(&mut self) {
+        let acquired = self.duties.acquired_token();
+        if acquired != self.acquired.map(|(token, _)| token) {
+            self.acquired = acquired.map(|token| (token, Instant::now()));
+        }
         let Some(token) = self.duties.token() else {
             self.plan.release();
             return;
         };
+        let is_told = self
+            .acquired
+            .is_some_and(|(_, at)| at.elapsed() >= COLLECT_TIME);
+        if !is_told {
+            return;
+        }
         for window in self.plan.expire(self.now()) {
             self.duties.count_window("missed");
             warn!(window, token; "report of usage missed: no call of it was accepted");
@@ -157,7 +174,11 @@
     /// is known now.
     async fn store_content(&mut self, window: WindowNumber) -> bool {
         let key = format!("{USAGE_PREFIX}{window}");
-        let counts = (self.sources.counts)(window);
+        let Some(counts) = (self.sources.counts)(window) else {
+            // A content with too low counts would keep another instance from storing its own.
+            self.plan.record_failure(window);
+            return false;
+        };
         let report = StoredReport {
             version: VERSION,
             length: self.settings.window.as_millis() as Millis,
