--- a/crates/cactuslane-authority/src/usage.rs
+++ b/crates/cactuslane-authority/src/usage.rs
@@ -184,6 +184,18 @@
         sums
     }
 
+    /// Returns [`UsageBook::report`] at a time of day; `None` if nothing is counted or the counts of
+    /// the window are not kept any more.
+    #[must_use]
+    pub fn kept_report(
+        &self,
+        window: Window,
+        unix_ms: Millis,
+    ) -> Option<BTreeMap<CustomerName, u64>> {
+        let oldest = self.window_of(unix_ms).saturating_sub(KEPT_WINDOWS);
+        (self.length.is_some() && window >= oldest).then(|| self.report(window))
+    }
+
     /// Discards the counts of windows that are over for long at a time of day.
     pub fn sweep(&mut self, unix_ms: Millis) {
         let oldest = self.window_of(unix_ms).saturating_sub(KEPT_WINDOWS);
--- a/crates/cactuslane-gateway/src/lib.rs
+++ b/crates/cactuslane-gateway/src/lib.rs
@@ -60,6 +60,8 @@
 
 pub use state::Gateway;
 
+use crate::duties::usage::Sources;
+
 /// Time before the end of the grace period at which a stopping instance no longer waits for
 /// requests; also the margin added to the time for which callers may cache its address.
 const STOP_MARGIN: Duration = Duration::from_millis(350);
@@ -138,10 +140,33 @@
             let task = directory::serve(gateway.clone(), listener, Door::Directory);
             tasks.push(tokio::spawn(task));
         }
+        let usage_due = gateway
+            .duties
+            .settings()
+            .is_some_and(|duties| duties.usage.is_some());
+        if usage_due {
+            tasks.push(spawn_reports(&gateway));
+        }
         Ok(GatewayHandle { gateway, tasks })
     }
 }
 
+/// Starts the task that reports customers' usage while this instance leads.
+fn spawn_reports(gateway: &Arc<Gateway>) -> JoinHandle<()> {
+    let (counting, clock) = (gateway.clone(), gateway.clone());
+    let sources = Sources {
+        counts: move |window| {
+            let unix_now = counting.unix_now();
+            counting.usage().kept_report(window, unix_now)
+        },
+        unix_now: move || clock.unix_now(),
+        started: gateway.started,
+        instance: gateway.settings().instance.clone(),
+    };
+    let (duties, store) = (gateway.duties.clone(), gateway.store.clone());
+    tokio::spawn(duties::usage::run(duties, store, sources))
+}
+
 impl GatewayHandle {
     /// Serves the metrics at another port as well, until [`GatewayHandle::stop`].
     ///
--- a/crates/cactuslane-gateway/tests/duties/holder.rs
+++ b/crates/cactuslane-gateway/tests/duties/holder.rs
@@ -35,7 +35,7 @@
     pub duties: Arc<Duties>,
     /// Its leadership.
     pub leadership: Arc<Mutex<Leadership>>,
-    /// Number of requests that it counts for each window.
+    /// Number of requests that it counts for each window; 0 if it counts none.
     pub counted: Arc<AtomicU64>,
 }
 
@@ -116,8 +116,9 @@
         let store = KvClient::open(store, cactuslane_platform::store::codec());
         let (counted, clock) = (self.counted.clone(), clock.clone());
         let sources = Sources {
-            counts: move |_| -> Counts {
-                BTreeMap::from([("c1".to_owned(), counted.load(Ordering::Relaxed))])
+            counts: move |_| -> Option<Counts> {
+                let count = counted.load(Ordering::Relaxed);
+                (count > 0).then(|| BTreeMap::from([("c1".to_owned(), count)]))
             },
             unix_now: move || clock.load(Ordering::Relaxed),
             started: START,
--- a/crates/cactuslane-gateway/tests/duties/usage.rs
+++ b/crates/cactuslane-gateway/tests/duties/usage.rs
@@ -15,6 +15,8 @@
 const READY: u64 = 5_000 + 2_000;
 /// Time for which nothing is expected to happen.
 const QUIET: Duration = Duration::from_millis(700);
+/// Time after which a new holder has reported, unless there is nothing to report.
+const COLLECTING: Duration = Duration::from_secs(3);
 /// Time within which no holder acts between two calls of another.
 const LEASE: Duration = Duration::from_secs(3);
 
@@ -63,7 +65,7 @@
         let holder = bench.holder("front-1");
         holder.take(9);
         bench.advance_to(READY - 1);
-        sleep(QUIET).await;
+        sleep(COLLECTING).await;
         assert_eq!(bench.platform.arrived(), 0);
         bench.advance_to(READY);
         bench.wait_for_windows(1).await;
@@ -130,6 +132,23 @@
     });
 }
 
+#[test]
+fn a_window_without_counts_is_left_to_another_holder() {
+    run_test(async {
+        let bench = Bench::start().await;
+        let (first, second) = (bench.holder("front-1"), bench.holder("front-2"));
+        first.counted.store(0, Ordering::Relaxed);
+        first.take(9);
+        bench.advance_to(READY);
+        sleep(COLLECTING).await;
+        assert_eq!(bench.platform.arrived(), 0);
+        first.lose();
+        second.take(12);
+        bench.wait_for_windows(1).await;
+        assert_eq!(bench.platform.accepted()[0].holder, "front-2");
+    });
+}
+
 /// Both instances consider themselves the holder, which the store's condition alone must survive.
 #[test]
 fn calls_of_two_holders_that_cross_have_one_content() {
