--- a/crates/cactuslane-gateway/src/scaling.rs
+++ b/crates/cactuslane-gateway/src/scaling.rs
@@ -22,6 +22,11 @@
 /// Interval at which the demand is read and orders are decided on.
 const INTERVAL: Duration = Duration::from_millis(250);
 
+/// Number of times that an order is tried to be sent, as the rate of calls may not permit it at once.
+const SEND_ATTEMPTS: u32 = 8;
+/// Time between these attempts.
+const SEND_PAUSE: Duration = Duration::from_millis(250);
+
 /// The answer to an order, as the task that sent it returns it.
 #[derive(Debug)]
 struct Answered {
@@ -151,12 +156,18 @@
             count: order.count,
             reclaimable: order.kind == Kind::Reclaimable,
         };
-        // A later term of this instance decides anew.
-        let answer = if duties.token() == Some(token) {
-            order_answer(&duties.call(&call).await)
-        } else {
-            OrderAnswer::Unsent
-        };
+        let mut answer = OrderAnswer::Unsent;
+        for _ in 0..SEND_ATTEMPTS {
+            // A later term of this instance decides anew.
+            if duties.token() != Some(token) {
+                break;
+            }
+            answer = order_answer(&duties.call(&call).await);
+            if answer != OrderAnswer::Unsent {
+                break;
+            }
+            sleep(SEND_PAUSE).await;
+        }
         let service = service.clone();
         let answered = Answered {
             token,
