--- a/crates/cactuslane-gateway/src/generation/attempt.rs
+++ b/crates/cactuslane-gateway/src/generation/attempt.rs
@@ -49,7 +49,8 @@
         let params = SendParams {
             target: &target.id,
             timeout: left,
-            priority: Some(self.request.route.priority),
+            priority: Some(self.request.priority),
+            identity: self.request.identity(),
             phases: source.as_deref().map_or(Phases::All, Phases::Decode),
             fetch: None,
             last_event,
@@ -92,7 +93,7 @@
         if !head.status.is_success() {
             attempt.settle();
             self.gateway.placer().answered_failure(&target.id, now);
-            let reading = read_body(&self.gateway, body);
+            let reading = read_body(&self.gateway, self.request.connection, body);
             let left = self.state.remaining(self.gateway.now());
             let body = with_timeout(left, left, "body", reading)
                 .await
--- a/crates/cactuslane-gateway/src/generation/prompt.rs
+++ b/crates/cactuslane-gateway/src/generation/prompt.rs
@@ -16,6 +16,7 @@
 use super::StreamRequest;
 use super::waiting::{PROMPT_TIMEOUT_FACTOR, with_timeout};
 use crate::engines;
+use crate::held::NO_CONNECTION;
 use crate::limits::Permit;
 use crate::plain::{read_body, send};
 use crate::state::Gateway;
@@ -84,7 +85,8 @@
         let params = SendParams {
             target: &target.id,
             timeout: left,
-            priority: Some(self.request.route.priority),
+            priority: Some(self.request.priority),
+            identity: self.request.identity(),
             phases: Phases::Prefill,
             fetch: fetch.map(|engine| engine.address),
             last_event: None,
@@ -95,7 +97,7 @@
             let keep_alive = exchange::keep_alive_timeout(response.headers());
             let status = response.status();
             connection.allow(MAX_COMPUTED_BYTES);
-            let body = read_body(&self.gateway, response.into_body()).await?;
+            let body = read_body(&self.gateway, NO_CONNECTION, response.into_body()).await?;
             self.gateway.pool.check_in(connection, keep_alive);
             if status != StatusCode::OK {
                 return Err((AttemptFailure::Broken, format!("status {status}")));
@@ -115,7 +117,7 @@
                     "prompt computed"
                 );
                 let mut placer = self.gateway.placer();
-                let priority = self.request.route.priority;
+                let priority = self.request.priority;
                 placer
                     .speed
                     .observe(priority, plan.uncached, plan.ahead, elapsed);
