--- a/crates/cactuslane-scaling/src/demand.rs
+++ b/crates/cactuslane-scaling/src/demand.rs
@@ -12,10 +12,14 @@
 /// Length of the window in boot times. Swings within it are too short to be followed by orders, so
 /// that the number of targets covers their peaks.
 const WINDOW_BOOTS: usize = 4;
-/// Number of slices in the window; a slice counts in the mean for about as many.
-const WINDOW_SLICES: u32 = (WINDOW_BOOTS * SLICES_PER_BOOT) as u32;
+/// Number of slices in the window.
+const WINDOW_SLICES: usize = WINDOW_BOOTS * SLICES_PER_BOOT;
+/// Number of slices for which one counts in the mean, about.
+const MEAN_SLICES: u32 = 10;
 /// Number of successive slices whose mean counts as a level, so that one long prompt is no peak.
 const LEVEL_SLICES: usize = 2;
+/// Share of the last change that is expected to follow within the boot time; swings turn.
+const TREND_SHARE: f64 = 0.5;
 /// Largest factor by which a forecast exceeds the last level.
 const MAX_GROWTH: f64 = 1.5;
 /// Share of a target's time that it may spend on prompts while callers' objectives are kept.
@@ -138,12 +142,12 @@
         }
         self.seen += 1;
         // At first all slices count equally, as in a plain average.
-        let part = 1.0 / f64::from(self.seen.min(WINDOW_SLICES));
+        let part = 1.0 / f64::from(self.seen.min(MEAN_SLICES));
         self.mean.rate += (slice.rate - self.mean.rate) * part;
         self.mean.streams += (slice.streams - self.mean.streams) * part;
         self.mean.kv_tokens += (slice.kv_tokens - self.mean.kv_tokens) * part;
         self.slices.push_back(slice);
-        if self.slices.len() > WINDOW_SLICES as usize {
+        if self.slices.len() > WINDOW_SLICES {
             self.slices.pop_front();
         }
     }
@@ -199,8 +203,7 @@
         mean
     }
 
-    /// Returns the last level plus the change that it would make within the boot time at the pace
-    /// of the last one.
+    /// Returns the last level plus [`TREND_SHARE`] of its change during the last boot time.
     fn forecast(&self, capacity: &Capacity) -> Work {
         let count = self.slices.len();
         let last = capacity.work(&self.level(count));
@@ -209,7 +212,7 @@
         }
         let before = capacity.work(&self.level(count - SLICES_PER_BOOT));
         let extend = |last: f64, before: f64| {
-            let ahead = last + (last - before);
+            let ahead = last + (last - before) * TREND_SHARE;
             ahead.clamp(0.0, last * MAX_GROWTH)
         };
         Work {
--- a/crates/cactuslane-scaling/src/scaler.rs
+++ b/crates/cactuslane-scaling/src/scaler.rs
@@ -12,7 +12,7 @@
 
 /// Factor by which demand may exceed its mean before ordered targets serve: bursts, and the load
 /// that moves from lost targets.
-const BURST_FACTOR: f64 = 1.9;
+const BURST_FACTOR: f64 = 1.75;
 /// Factor by which demand may exceed its highest level within the window.
 const PEAK_FACTOR: f64 = 1.1;
 /// Factor by which the highest level must be carried after targets were reclaimed or given up.
@@ -200,18 +200,26 @@
         } else {
             1.0
         };
-        let need = |role: fn(&Work) -> f64| {
+        let headroom = BURST_FACTOR.max(loss_factor);
+        let need = |role: fn(&Work) -> f64, headroom: f64| {
             let least = if has_roles { MIN_ROLE_TARGETS } else { 0.0 };
-            let mean = role(&levels.mean) * BURST_FACTOR.max(loss_factor);
+            let mean = role(&levels.mean) * headroom;
             let peak = role(&levels.peak).max(role(&levels.forecast)) * PEAK_FACTOR;
             mean.max(peak).max(least)
         };
-        let mut needed = need(|work| work.prefill) + need(|work| work.decode);
+        let total = |headroom: f64| {
+            need(|work| work.prefill, headroom) + need(|work| work.decode, headroom)
+        };
+        // The mean of a short time says little of bursts, and empty caches raise it: at first, more
+        // targets are ordered only for the demand that is there.
+        let unseen = self.demand.unseen_share();
+        let mut needed = total(1.0 + (headroom - 1.0) * (1.0 - unseen));
+        let kept = total(headroom);
         let objective = status.objective.as_secs_f64() * 1000.0;
         if objective > 0.0 && plan.wait_ms > objective * UP_WAIT_SHARE {
             needed = needed.max(f64::from(registered) * WAIT_GROWTH);
         }
-        let kept = needed * KEEP_FACTOR * (1.0 + UNSEEN_FACTOR * self.demand.unseen_share());
+        let kept = kept.max(needed) * KEEP_FACTOR * (1.0 + UNSEEN_FACTOR * unseen);
         plan.needed = needed.ceil() as u32;
         plan.kept = kept.ceil() as u32;
     }
@@ -313,10 +321,12 @@
         let spare = spare.max(0.0).floor() as u32;
         let domains: Vec<DomainName> = status.domains.keys().cloned().collect();
         for (domain, total) in split::by_domain(plan.kept, &domains, spec) {
-            if self.log.is_blocked(&domain, Kind::Reclaimable, now) {
+            let present = expected_count(plan, &domain, Kind::Reclaimable);
+            // One step at a time: those that were ordered serve before more are.
+            let serving = status.domains[&domain].reclaimable;
+            if serving != present || self.log.is_blocked(&domain, Kind::Reclaimable, now) {
                 continue;
             }
-            let present = expected_count(plan, &domain, Kind::Reclaimable);
             let ordinary = expected_count(plan, &domain, Kind::Ordinary);
             let wanted = split::reclaimable_part(total, spare, spec);
             let wanted = wanted.min(spec.max.saturating_sub(ordinary));
