Test roles while the number of engines changes

Cause: orders of numbers add and remove engines while the role planner runs.

Change: a test removes or adds a sixth of the engines every 4 s, at worst all of one role.

Measured: both roles keep enough engines for their demand in all four cases.

--- a/crates/cactuslane-place/tests/roles.rs
+++ b/crates/cactuslane-place/tests/roles.rs
@@ -6,6 +6,7 @@
 use cactuslane_flight::routing_config::EngineSpec;
 use cactuslane_place::{PlacedWork, PromptSpeed, RolePlanner};
 use cactuslane_types::{Role, TargetId};
+use yare::parameterized;
 
 /// Returns the capacities of the engines.
 fn capacities() -> EngineSpec {
@@ -190,3 +191,52 @@
         assert!(changes.is_empty(), "{changes:?} with {known:?}");
     }
 }
+
+/// While engines are given up or added a sixth at a time, at worst all of one role, both roles keep
+/// carrying their demand.
+#[parameterized(
+    decode_leaves = { 90, 32, 50, Role::Decode },
+    prefill_leaves = { 90, 58, 50, Role::Prefill },
+    prefill_joins = { 40, 25, 90, Role::Prefill },
+    decode_joins = { 40, 25, 90, Role::Decode },
+)]
+fn both_roles_carry_their_demand_as_the_number_changes(
+    all: usize,
+    prefill: usize,
+    goal: usize,
+    role: Role,
+) {
+    let mut engines = engines(all, prefill);
+    let speed = PromptSpeed::default();
+    let (mut planner, mut placed) = (RolePlanner::default(), PlacedWork::default());
+    for now in (0..60_000).step_by(250) {
+        placed.prompt_tokens += 800_000 / 4;
+        placed.streams += 250 / 4;
+        planner.observe(placed, 250, 0, &capacities(), now);
+        let limit = engines.len().div_ceil(4);
+        for change in planner.changes(&engines, &capacities(), &speed, limit, now) {
+            engines.insert(change.target, (change.role, 0));
+        }
+        if now >= 8_000 && now % 4_000 == 0 {
+            let step = engines.len() / 6;
+            for index in 0..step {
+                if engines.len() > goal {
+                    let leaving = engines.iter().find(|(_, (known, _))| *known == role);
+                    let Some(id) = leaving.map(|(id, _)| id.clone()) else {
+                        break;
+                    };
+                    engines.remove(&id);
+                } else if engines.len() < goal {
+                    engines.insert(format!("n{now}-{index}"), (role, 0));
+                }
+            }
+        }
+        let prefill = engines.values().filter(|(role, _)| *role == Role::Prefill);
+        let prefill = prefill.count();
+        let decode = engines.len() - prefill;
+        // 800 tokens a millisecond take 20 engines, 250 streams 10 at 40% of their slots.
+        assert!(prefill >= 18, "{now}: {prefill} of {}", engines.len());
+        assert!(decode >= 8, "{now}: {decode} of {}", engines.len());
+    }
+    assert_eq!(engines.len(), goal);
+}
