--- a/crates/cactuslane-scaling/src/demand.rs
+++ b/crates/cactuslane-scaling/src/demand.rs
@@ -15,7 +15,10 @@
 /// Number of slices in the window.
 const WINDOW_SLICES: usize = WINDOW_BOOTS * SLICES_PER_BOOT;
 /// Number of slices for which one counts in the mean, about.
-const MEAN_SLICES: u32 = 10;
+const MEAN_SLICES: usize = 10;
+/// Number of slices after which those of the first boot time are left out: prefix caches may have
+/// been empty then, so that more prompt tokens were computed than at any later time.
+const START_SLICES: usize = 2 * SLICES_PER_BOOT;
 /// Number of successive slices whose mean counts as a level, so that one long prompt is no peak.
 const LEVEL_SLICES: usize = 2;
 /// Share of the last change that is expected to follow within the boot time; swings turn.
@@ -84,7 +87,7 @@
     /// Moving average over all slices; `queued` is not used.
     mean: Slice,
     /// Number of all slices so far.
-    seen: u32,
+    seen: usize,
     /// Start of the slice in progress, with the placed prompt tokens at that time.
     start: Option<(Millis, u64)>,
     /// Sums over the observations of the slice in progress; `rate` is not used.
@@ -141,12 +144,17 @@
             return;
         }
         self.seen += 1;
+        self.slices.push_back(slice);
+        if self.seen == START_SLICES {
+            self.slices.drain(..SLICES_PER_BOOT);
+            self.mean = self.level(self.slices.len(), SLICES_PER_BOOT);
+            return;
+        }
         // At first all slices count equally, as in a plain average.
-        let part = 1.0 / f64::from(self.seen.min(MEAN_SLICES));
+        let part = 1.0 / self.slices.len().min(MEAN_SLICES) as f64;
         self.mean.rate += (slice.rate - self.mean.rate) * part;
         self.mean.streams += (slice.streams - self.mean.streams) * part;
         self.mean.kv_tokens += (slice.kv_tokens - self.mean.kv_tokens) * part;
-        self.slices.push_back(slice);
         if self.slices.len() > WINDOW_SLICES {
             self.slices.pop_front();
         }
@@ -155,7 +163,7 @@
     /// Returns the number of boot times for which the demand has been observed.
     #[must_use]
     pub fn observed_boots(&self) -> f64 {
-        self.slices.len() as f64 / SLICES_PER_BOOT as f64
+        self.seen as f64 / SLICES_PER_BOOT as f64
     }
 
     /// Returns the share of the window that has not been observed yet.
@@ -167,7 +175,7 @@
     /// Returns the prompt tokens that waited or were being computed lately.
     #[must_use]
     pub fn queued_tokens(&self) -> f64 {
-        self.level(self.slices.len()).queued
+        self.level(self.slices.len(), LEVEL_SLICES).queued
     }
 
     /// Returns the levels of the demand as numbers of targets.
@@ -179,7 +187,7 @@
         }
         for end in 1..=count {
             if end >= LEVEL_SLICES.min(count) {
-                let level = capacity.work(&self.level(end));
+                let level = capacity.work(&self.level(end, LEVEL_SLICES));
                 levels.peak.prefill = levels.peak.prefill.max(level.prefill);
                 levels.peak.decode = levels.peak.decode.max(level.decode);
             }
@@ -189,9 +197,9 @@
         levels
     }
 
-    /// Returns the mean of the [`LEVEL_SLICES`] slices before index `end`.
-    fn level(&self, end: usize) -> Slice {
-        let start = end.saturating_sub(LEVEL_SLICES);
+    /// Returns the mean of the last `length` slices before index `end`.
+    fn level(&self, end: usize, length: usize) -> Slice {
+        let start = end.saturating_sub(length);
         let count = (end - start).max(1) as f64;
         let mut mean = Slice::default();
         for slice in self.slices.range(start..end) {
@@ -206,11 +214,11 @@
     /// Returns the last level plus [`TREND_SHARE`] of its change during the last boot time.
     fn forecast(&self, capacity: &Capacity) -> Work {
         let count = self.slices.len();
-        let last = capacity.work(&self.level(count));
+        let last = capacity.work(&self.level(count, LEVEL_SLICES));
         if count < LEVEL_SLICES + SLICES_PER_BOOT {
             return last;
         }
-        let before = capacity.work(&self.level(count - SLICES_PER_BOOT));
+        let before = capacity.work(&self.level(count - SLICES_PER_BOOT, LEVEL_SLICES));
         let extend = |last: f64, before: f64| {
             let ahead = last + (last - before) * TREND_SHARE;
             ahead.clamp(0.0, last * MAX_GROWTH)
--- a/crates/cactuslane-scaling/src/scaler.rs
+++ b/crates/cactuslane-scaling/src/scaler.rs
@@ -216,7 +216,9 @@
         let mut needed = total(1.0 + (headroom - 1.0) * (1.0 - unseen));
         let kept = total(headroom);
         let objective = status.objective.as_secs_f64() * 1000.0;
-        if objective > 0.0 && plan.wait_ms > objective * UP_WAIT_SHARE {
+        // New targets have empty caches too, so that they don't shorten the queues of a start.
+        let started = self.demand.observed_boots() >= MIN_BOOTS_DOWN;
+        if started && objective > 0.0 && plan.wait_ms > objective * UP_WAIT_SHARE {
             needed = needed.max(f64::from(registered) * WAIT_GROWTH);
         }
         let kept = kept.max(needed) * KEEP_FACTOR * (1.0 + UNSEEN_FACTOR * unseen);
--- a/crates/cactuslane-scaling/tests/days/main.rs
+++ b/crates/cactuslane-scaling/tests/days/main.rs
@@ -270,3 +270,17 @@
         assert!(*least >= 1, "{domain}: {least}");
     }
 }
+
+#[test]
+fn empty_caches_at_the_start_neither_add_targets_nor_keep_them_for_long() {
+    let cold = Event::Cold(2.6, 4_000);
+    let outcome = Day::new(Policy::Forecast).with(0, cold).play();
+    assert_served(&outcome);
+    let more = outcome
+        .orders
+        .iter()
+        .find(|(at, order)| *at < 20_000 && order.count > order.registered);
+    assert!(more.is_none(), "{more:?}");
+    let at = (30_000 / model::STEP) as usize;
+    assert!(outcome.live[at] < 60, "{}", outcome.live[at]);
+}
--- a/crates/cactuslane-scaling/tests/days/model.rs
+++ b/crates/cactuslane-scaling/tests/days/model.rs
@@ -57,6 +57,8 @@
 pub enum Event {
     /// The demand is multiplied for a time.
     Burst(f64, Millis),
+    /// The demand is multiplied for the first seconds, as caches are empty.
+    Cold(f64, Millis),
     /// The demand is multiplied from now on.
     Step(f64),
     /// A share of the targets of all domains is down for a time.
@@ -157,7 +159,9 @@
         let mut demand = self.demand * (1.0 + self.swing * phase.sin());
         for (at, event) in &self.events {
             match event {
-                Event::Burst(factor, length) if now >= *at && now < at + length => {
+                Event::Burst(factor, length) | Event::Cold(factor, length)
+                    if now >= *at && now < at + length =>
+                {
                     demand *= factor;
                 }
                 Event::Step(factor) if now >= *at => demand *= factor,
