Decide who runs, waits or is refused while there is too little room

While more is asked for than targets can do, what cannot be in time is placed before what could, and nobody is told apart.

The new module decides by time, state and seed: everything runs until requests would miss their objectives by queues; then bounds on the queue at the targets hold them, by what can be in time, priority, the customer's share of the work that all instances admit, and whether they return after a refusal. Waits and the queue are bounded; returns are booked one after the other. A request's share of the room counts what the other instances do at the same time.

Nothing calls it yet.

--- a/crates/cactuslane-place/src/lib.rs
+++ b/crates/cactuslane-place/src/lib.rs
@@ -2,9 +2,11 @@
 //!
 //! [`Placer`] chooses targets by their load ([`LoadView`]), which instances exchange with each
 //! other, and by the estimated contents of their prefix caches ([`CacheEstimate`]). [`TargetLimits`]
-//! keeps the limits that targets name for all instances together. [`CrashTracker`] finds requests
+//! keeps the limits that targets name for all instances together. [`Admission`] decides who runs,
+//! waits or is refused while there is too little room. [`CrashTracker`] finds requests
 //! and prompt parts on which targets crash. [`Reach`] tells whether the instance itself is cut off.
 
+pub mod admission;
 pub mod cache;
 pub mod crashes;
 pub mod limits;
@@ -15,6 +17,9 @@
 pub mod roles;
 pub mod speed;
 
+pub use admission::{
+    Admission, AdmissionRequest, Decision, RefusalCause, ShareReport, Verdict, Waiting,
+};
 pub use cache::CacheEstimate;
 pub use crashes::{CrashTracker, CrashUpdate, HoldChange, Screening, StoreChange, Suspect};
 pub use limits::{LimitAnswer, LimitNotice, PermitAnswer, TargetLimits};
--- a/crates/cactuslane-route/src/fair.rs
+++ b/crates/cactuslane-route/src/fair.rs
@@ -70,6 +70,12 @@
         self.waiting.first().map(|(_, _, ticket)| *ticket)
     }
 
+    /// Returns the priority of a ticket, or `None` if it is not waiting.
+    #[must_use]
+    pub fn rank(&self, ticket: Ticket) -> Option<u8> {
+        self.keys.get(&ticket).map(|(priority, _)| *priority)
+    }
+
     /// Returns the tickets in the order of service.
     pub fn tickets(&self) -> impl Iterator<Item = Ticket> {
         self.waiting.iter().map(|(_, _, ticket)| *ticket)
--- a/crates/cactuslane-route/src/share.rs
+++ b/crates/cactuslane-route/src/share.rs
@@ -71,8 +71,20 @@
             return 1.0;
         }
         let over = own.decayed(now) / work / (own.weight / weight);
-        (1.0 - (over - TOLERANCE)).clamp(MIN_FACTOR, 1.0)
+        bound_factor(over)
     }
+
+    /// Returns the callers with their recently admitted work in tokens, decayed to a time.
+    pub fn work(&self, now: Millis) -> impl Iterator<Item = (&str, f64)> {
+        let callers = self.callers.iter();
+        callers.map(move |(caller, state)| (caller.as_str(), state.decayed(now)))
+    }
+}
+
+/// Returns the factor, from 0.3 to 1, for the bound of a caller with `over` times its fair share.
+#[must_use]
+pub fn bound_factor(over: f64) -> f64 {
+    (1.0 - (over - TOLERANCE)).clamp(MIN_FACTOR, 1.0)
 }
 
 impl CallerWork {
