--- a/crates/cactuslane-gateway/src/state.rs
+++ b/crates/cactuslane-gateway/src/state.rs
@@ -10,7 +10,7 @@
 use cactuslane_flight::origin::StoredStreams;
 use cactuslane_flight::routing_config::RoutingConfig;
 use cactuslane_flight::target::Target;
-use cactuslane_flight::{AttemptFailure, BegunStreams, OriginTable};
+use cactuslane_flight::{AttemptFailure, BegunStreams, HeldLimits, OriginTable};
 use cactuslane_place::{CrashTracker, Load, PermitAnswer, Placer};
 use cactuslane_platform::Settings;
 use cactuslane_store::http::Client;
@@ -22,7 +22,9 @@
 use tokio::time::Instant;
 
 use crate::calls::PeerCalls;
+use crate::duties::Duties;
 use crate::fleet::Fleet;
+use crate::held::Held;
 use crate::leadership::{LeaderRecord, Leadership};
 use crate::members::Members;
 use crate::metrics::Metrics;
@@ -54,7 +56,9 @@
     /// Other instances, as known from the store and their messages.
     members: Mutex<Members>,
     /// Leadership: the right of one instance at a time to give orders to engines.
-    leadership: Mutex<Leadership>,
+    leadership: Arc<Mutex<Leadership>>,
+    /// Calls to the platform that the leader makes.
+    pub duties: Arc<Duties>,
     /// Placer that chooses targets, with its records of load, caches and health.
     placer: Mutex<Placer>,
     /// Crashes of targets, and the prompt parts that are held because of them.
@@ -93,8 +97,8 @@
     pub metrics: Metrics,
     /// Time at which the instance began to stop; `None` before.
     leaving: Mutex<Option<Instant>>,
-    /// Number of bytes of the answers that are being read into memory.
-    pub reading: AtomicUsize,
+    /// Connections, bodies and answers that are held for callers.
+    pub held: Arc<Held>,
     /// Number of requests in progress.
     requests: AtomicUsize,
     /// Number of open connections of callers.
@@ -116,9 +120,15 @@
         let store = KvClient::open(settings.store, cactuslane_platform::store::codec());
         let placer = Placer::new(settings.domain.clone(), rand::random());
         let metrics = Metrics::new(&store.calls);
+        let limits = HeldLimits::of_process(settings.memory, settings.descriptors);
+        let held = Arc::new(Held::new(limits));
+        metrics.add_refused(held.refused.clone());
         let mut fleet = Fleet::default();
         let clock_origin = Instant::now();
         fleet.set_fallback_period(settings.drain_limit);
+        let leadership: Arc<Mutex<Leadership>> = Arc::default();
+        let duties = Duties::open(&settings, leadership.clone());
+        metrics.add_duties(&duties);
         Self {
             settings: Mutex::new(Arc::new(settings)),
             clock_origin,
@@ -126,7 +136,8 @@
             fleet: Mutex::new(fleet),
             progress: Mutex::default(),
             members: Mutex::default(),
-            leadership: Mutex::default(),
+            leadership,
+            duties: Arc::new(duties),
             placer: Mutex::new(placer),
             crashes: Mutex::default(),
             held_changed: Notify::new(),
@@ -146,7 +157,7 @@
             store,
             metrics,
             leaving: Mutex::default(),
-            reading: AtomicUsize::new(0),
+            held,
             requests: AtomicUsize::new(0),
             connections: AtomicUsize::new(0),
             // A kept connection may have failed silently, which a request that must not be repeated
@@ -171,6 +182,9 @@
         settings.directory = bound.directory;
         settings.peer = bound.peer;
         self.fleet().set_fallback_period(settings.drain_limit);
+        self.duties.configure(settings.duties.clone());
+        let limits = HeldLimits::of_process(settings.memory, settings.descriptors);
+        self.held.set_limits(limits);
         *lock(&self.settings) = Arc::new(settings);
     }
 
@@ -325,6 +339,7 @@
 
     /// Records that the instance begins to stop.
     pub fn leave(&self) {
+        self.leadership().leave();
         lock(&self.leaving).get_or_insert_with(Instant::now);
     }
 
