Hold plain requests and generations to the room at their targets

Plain requests were never refused, and generations only if their first event was expected after the time left.

Before its first attempt a request asks the admission decision, with the expected time in the queue and at the target: for generations from the plan, for plain services from the targets' own counts, the loads that instances tell, and the measured time of answers that did not wait. It may wait for room, with a new choice of target at each look, or be refused with a log line and a count. Streams that have begun are not asked. Targets of plain services that differ by less than one request are drawn while they are busy. The time to return of a generation that would miss its deadline is booked as the others are.

--- a/crates/cactuslane-gateway/src/answers.rs
+++ b/crates/cactuslane-gateway/src/answers.rs
@@ -25,6 +25,10 @@
 ) {
     limits::observe_answer(gateway, target, purpose, status, headers, sent);
     observe_pause(gateway, target, status, headers);
+    if let Some((running, waiting)) = exchange::target_load(headers) {
+        let (mut placer, now) = (gateway.placer(), gateway.now());
+        placer.queues.observe(&target.id, running, waiting, now);
+    }
     if !exchange::is_leaving(headers) {
         return;
     }
--- a/crates/cactuslane-gateway/src/generation.rs
+++ b/crates/cactuslane-gateway/src/generation.rs
@@ -20,6 +20,7 @@
 use tokio::time::Instant;
 
 use self::prompt::ComputedPrompt;
+use crate::admission::Entry;
 use crate::ingress::CallerRequest;
 use crate::limits::{Denials, Permit};
 use crate::plain::{failure_label, refuse, unknown_outcome};
@@ -129,6 +130,9 @@
     /// `last_event` is the id of the last event that the caller has received, if any.
     async fn open_stream(&mut self, last_event: Option<u64>) -> Outcome {
         let mut trial = crashes::TrialGrant::default();
+        let (gateway, request) = (self.gateway.clone(), self.request.clone());
+        let mut entry = Entry::new(&gateway.admissions, &request);
+        let mut has_begun = last_event.is_some() || self.runs > 0;
         loop {
             let now = self.gateway.now();
             let left = self.state.remaining(now);
@@ -146,19 +150,34 @@
                 let (wait, cause) = (withheld.wait, withheld.cause);
                 return final_answer(refuse(&self.request, &self.state, wait, cause));
             }
-            let plan = match self.place(left) {
+            let (placement, targets) = self.place(left);
+            let plan = match placement {
                 Placement::Run(plan) => plan,
                 Placement::Overloaded {
                     plan,
                     excess,
                     other_ms,
                 } => {
-                    let after = (excess * 2 + OVERLOAD_RETRY_AFTER).min(left / 3);
+                    let room_in = excess * 2 + OVERLOAD_RETRY_AFTER;
+                    let admissions = &self.gateway.admissions;
+                    let after = admissions.turn_away(&self.request, room_in, left, now);
                     self.log_overload(&plan, excess, other_ms, left, after);
                     return final_answer(refuse(&self.request, &self.state, after, "overloaded"));
                 }
                 Placement::NoTarget => return final_answer(self.refuse_without_target()),
             };
+            // What has begun is neither refused nor delayed by what has not.
+            if !has_begun {
+                let forecast = gateway.placer().forecast_generation(&plan, targets, now);
+                match entry.pass(&request, &forecast, left, now).await {
+                    Ok(true) => has_begun = true,
+                    Ok(false) => continue,
+                    Err((after, cause)) => {
+                        return final_answer(refuse(&self.request, &self.state, after, cause));
+                    }
+                }
+            }
+            self.record_placed(&plan);
             let Ok(permit) = self.acquire_first(&plan).await else {
                 self.denials.add();
                 continue;
@@ -216,8 +235,9 @@
         target.filter(|target| self.origin.allows(target))
     }
 
-    /// Chooses the targets of the next attempt; `left` is the time until the deadline.
-    fn place(&self, left: Duration) -> Placement {
+    /// Chooses the targets of the next attempt among those of the service, whose number is returned
+    /// as well; `left` is the time until the deadline.
+    fn place(&self, left: Duration) -> (Placement, usize) {
         let now = self.gateway.now();
         let request = &self.request;
         let fleet = self.gateway.fleet();
@@ -234,7 +254,7 @@
         let service = request.config.services.get(&request.service);
         let Some(engine) = service.and_then(|service| service.engine.as_ref()) else {
             let chosen = placer.place_plain(&targets, &self.tried, now);
-            return chosen.map_or(Placement::NoTarget, |decode| {
+            let placement = chosen.map_or(Placement::NoTarget, |decode| {
                 Placement::Run(Plan {
                     fetch: None,
                     prefill: None,
@@ -244,6 +264,7 @@
                     expected: 0.0,
                 })
             });
+            return (placement, targets.len());
         };
         let placement_request = PlacementRequest {
             info: &request.info,
@@ -264,7 +285,8 @@
         };
         if let Some(prompt) = &self.prompt {
             targets.retain(|target| target.has_version_of(&prompt.target));
-            return placer.place_decode(&targets, &placement_request, now);
+            let placement = placer.place_decode(&targets, &placement_request, now);
+            return (placement, targets.len());
         }
         let mut placement = placer.place_generation(&targets, &placement_request, now);
         if placement == Placement::NoTarget && !self.tried.is_empty() {
@@ -274,14 +296,23 @@
             };
             placement = placer.place_generation(&targets, &retry_request, now);
         }
-        if let Placement::Run(plan) = &placement {
-            let unshared = request.info.unshared_tokens();
-            // Only half of the uncached shared tokens count as placed work, since they will be
-            // cached for later requests.
-            let shared = plan.uncached.saturating_sub(unshared) / 2;
-            placer.load_view.record_placed(unshared + shared);
+        (placement, targets.len())
+    }
+
+    /// Counts the prompt of a request that is about to be sent as placed work, unless it is
+    /// computed already.
+    fn record_placed(&self, plan: &Plan) {
+        let service = self.request.config.services.get(&self.request.service);
+        let has_engines = service.is_some_and(|service| service.engine.is_some());
+        if self.prompt.is_some() || !has_engines {
+            return;
         }
-        placement
+        let unshared = self.request.info.unshared_tokens();
+        // Only half of the uncached shared tokens count as placed work, since they will be
+        // cached for later requests.
+        let shared = plan.uncached.saturating_sub(unshared) / 2;
+        let mut placer = self.gateway.placer();
+        placer.load_view.record_placed(unshared + shared);
     }
 
     /// Sends the request to the targets of a plan: to the prefill engine, if there is one, and then
--- a/crates/cactuslane-gateway/src/lib.rs
+++ b/crates/cactuslane-gateway/src/lib.rs
@@ -6,6 +6,7 @@
 //! instances. The decisions on requests are made in `cactuslane-flight` and `cactuslane-place`,
 //! without I/O.
 
+pub mod admission;
 pub mod answers;
 pub mod backoff;
 pub mod caches;
--- a/crates/cactuslane-gateway/src/metrics.rs
+++ b/crates/cactuslane-gateway/src/metrics.rs
@@ -210,6 +210,13 @@
         registry.register("held_refused", help, refused);
     }
 
+    /// Adds the counters of waits and refusals while the targets have too little room.
+    pub fn add_admissions(&self, counts: Family<Labels, Counter>) {
+        let help = "Requests that waited or were refused for lack of room, by result";
+        let mut registry = self.registry.lock().unwrap_or_else(PoisonError::into_inner);
+        registry.register("admissions", help, counts);
+    }
+
     /// Counts a final answer, with its cause if it is an error that the gateway generated itself.
     pub fn count_answer(
         &self,
--- a/crates/cactuslane-gateway/src/plain.rs
+++ b/crates/cactuslane-gateway/src/plain.rs
@@ -5,7 +5,7 @@
 
 use cactuslane_flight::target::Target;
 use cactuslane_flight::{AttemptFailure, ConnectionId, Kind, Refusal, RequestState, Step};
-use cactuslane_place::{Load, Observation, Observed};
+use cactuslane_place::{Forecast, Load, Observation, Observed};
 use cactuslane_platform::exchange::{self, SendParams, Verdict};
 use cactuslane_types::Role;
 use http_body_util::{BodyExt, Full, Limited};
@@ -14,6 +14,7 @@
 use log::info;
 use tokio::time::{Instant, timeout};
 
+use crate::admission::Entry;
 use crate::held::{BufferError, HeldBuffer};
 use crate::ingress::CallerRequest;
 use crate::limits::{self, Denials, Permit, Purpose};
@@ -58,6 +59,7 @@
     let mut tried: Vec<String> = Vec::new();
     let mut denials = Denials::default();
     let mut trial = crashes::TrialGrant::default();
+    let mut entry = Entry::new(&gateway.admissions, request);
     loop {
         let now = gateway.now();
         let left = state.remaining(now);
@@ -67,9 +69,14 @@
         if let Err(withheld) = crashes::admit(gateway, &request.info, &mut trial).await {
             return refuse(request, &state, withheld.wait, withheld.cause);
         }
-        let Some(target) = choose_target(gateway, request, &tried, denials) else {
+        let Some((target, forecast)) = choose_target(gateway, request, &tried, denials) else {
             return refuse_without_target(gateway, request, &state, NO_TARGET_RETRY_AFTER);
         };
+        match entry.pass(request, &forecast, left, now).await {
+            Ok(true) => {}
+            Ok(false) => continue,
+            Err((after, cause)) => return refuse(request, &state, after, cause),
+        }
         let Ok(permit) = limits::acquire(gateway, &target, &request.info.id).await else {
             denials.add();
             continue;
@@ -109,13 +116,14 @@
     }
 }
 
-/// Returns the target of the next attempt; one that was tried before only if no other is left.
+/// Returns the target of the next attempt, with the expected times there; one that was tried before
+/// only if no other is left.
 fn choose_target(
     gateway: &Gateway,
     request: &CallerRequest,
     tried: &[String],
     denials: Denials,
-) -> Option<Target> {
+) -> Option<(Target, Forecast)> {
     let now = gateway.now();
     let fleet = gateway.fleet();
     let mut targets = fleet.targets(&request.service, None, now);
@@ -124,10 +132,9 @@
     let chosen = placer
         .place_plain(&targets, tried, now)
         .or_else(|| placer.place_plain(&targets, &[], now))?;
-    targets
-        .into_iter()
-        .find(|target| target.id == chosen)
-        .cloned()
+    let target = targets.iter().find(|target| target.id == chosen)?;
+    let forecast = placer.forecast_plain(target, targets.len(), now);
+    Some(((*target).clone(), forecast))
 }
 
 /// Sends a request to a target, reads its answer, and records how the target performed.
@@ -193,6 +200,7 @@
             let expected = request.route.latency_objective.as_secs_f64() * 1000.0 * EXPECTED_SHARE;
             let mut placer = gateway.placer();
             placer.answered(&target.id, observed, expected, now);
+            placer.queues.observe_work(target, observed, now);
             drop(placer);
             crashes::record_begun(gateway, &request.info, now);
             (None, Some(answer))
--- a/crates/cactuslane-gateway/src/state.rs
+++ b/crates/cactuslane-gateway/src/state.rs
@@ -21,6 +21,7 @@
 use tokio::sync::Notify;
 use tokio::time::Instant;
 
+use crate::admission::Admissions;
 use crate::calls::PeerCalls;
 use crate::duties::Duties;
 use crate::fleet::Fleet;
@@ -61,6 +62,8 @@
     pub duties: Arc<Duties>,
     /// Placer that chooses targets, with its records of load, caches and health.
     placer: Mutex<Placer>,
+    /// Requests that wait or are refused while the targets have too little room.
+    pub admissions: Admissions,
     /// Crashes of targets, and the prompt parts that are held because of them.
     crashes: Mutex<CrashTracker>,
     /// Wakes the tasks that wait for a change of the held parts.
@@ -119,10 +122,12 @@
             .as_millis() as u64;
         let store = KvClient::open(settings.store, cactuslane_platform::store::codec());
         let placer = Placer::new(settings.domain.clone(), rand::random());
+        let admissions = Admissions::default();
         let metrics = Metrics::new(&store.calls);
         let limits = HeldLimits::of_process(settings.memory, settings.descriptors);
         let held = Arc::new(Held::new(limits));
         metrics.add_refused(held.refused.clone());
+        metrics.add_admissions(admissions.counts.clone());
         let mut fleet = Fleet::default();
         let clock_origin = Instant::now();
         fleet.set_fallback_period(settings.drain_limit);
@@ -139,6 +144,7 @@
             leadership,
             duties: Arc::new(duties),
             placer: Mutex::new(placer),
+            admissions,
             crashes: Mutex::default(),
             held_changed: Notify::new(),
             permit_calls: PeerCalls::default(),
--- a/crates/cactuslane-place/src/admission.rs
+++ b/crates/cactuslane-place/src/admission.rs
@@ -212,8 +212,9 @@
         };
         if request.wait_ms > 0.0 && expected > left {
             let excess = expected - left;
-            verdict.decision =
-                self.refuse(request, timing, rank, excess, RefusalCause::Deadline, now);
+            let after = self.refuse(request, timing, rank, excess, now);
+            let cause = RefusalCause::Deadline;
+            verdict.decision = Decision::Refuse { after, cause };
             return self.conclude(verdict, waiting);
         }
         if !self.pressure.is_on(now) {
@@ -281,7 +282,8 @@
         } else {
             RefusalCause::Room
         };
-        verdict.decision = self.refuse(request, timing, rank, excess, cause, now);
+        let after = self.refuse(request, timing, rank, excess, now);
+        verdict.decision = Decision::Refuse { after, cause };
         self.conclude(verdict, waiting)
     }
 
@@ -291,6 +293,32 @@
         self.bounds.remove(&ticket);
     }
 
+    /// Returns the report of the customers' work for the other instances.
+    ///
+    /// There is one only while this instance or another one sees too little room, and this one has
+    /// admitted work of customers.
+    #[must_use]
+    pub fn report(&self, service: &str, version: (u64, u64), now: Millis) -> Option<ShareReport> {
+        let is_pressed = self.pressure.is_on(now);
+        if !is_pressed && !self.shares.is_pressed(now) {
+            return None;
+        }
+        self.shares.report(service, version, is_pressed, now)
+    }
+
+    /// Refuses a request that no target would answer before its deadline, and returns the time
+    /// after which the caller should return; `excess_ms` is the time until room is expected.
+    pub fn turn_away(
+        &mut self,
+        request: &AdmissionRequest<'_>,
+        excess_ms: f64,
+        now: Millis,
+    ) -> Duration {
+        let timing = self.returns.take(request.fingerprint, now);
+        let rank = rank(true, request.priority, timing);
+        self.refuse(request, timing, rank, excess_ms, now)
+    }
+
     /// Returns whether the targets have too little room.
     #[must_use]
     pub fn is_under_pressure(&self, now: Millis) -> bool {
@@ -379,15 +407,14 @@
         timing: Timing,
         rank: u8,
         excess: f64,
-        cause: RefusalCause,
         now: Millis,
-    ) -> Decision {
+    ) -> Duration {
         let draw = self.random.random_range(0.0..1.0);
         let after = self.returns.book(rank, excess, request.left, draw, now);
         let waited = request.waited.as_millis() as Millis;
         let first = timing.first(now.saturating_sub(waited));
         self.returns.record(request.fingerprint, first, after, now);
-        Decision::Refuse { after, cause }
+        after
     }
 }
 
--- a/crates/cactuslane-place/src/admission/shares.rs
+++ b/crates/cactuslane-place/src/admission/shares.rs
@@ -26,6 +26,8 @@
     pub named: Vec<(CustomerName, u32)>,
     /// Number of the other customers, and their work together.
     pub rest: (u32, u32),
+    /// Whether the sender sees too little room at the targets.
+    pub is_pressed: bool,
 }
 
 /// Customers' shares of the admitted work, by this instance's requests and the reports of others.
@@ -72,9 +74,22 @@
         true
     }
 
+    /// Returns whether another instance has reported lately that it sees too little room.
+    pub(super) fn is_pressed(&self, now: Millis) -> bool {
+        let mut reports = self.reports.values();
+        reports.any(|(received, report)| {
+            report.is_pressed && now.saturating_sub(*received) <= REPORT_LIFETIME
+        })
+    }
+
     /// Returns this instance's report; `None` if it has admitted no work of customers.
-    #[must_use]
-    pub fn report(&self, service: &str, version: (u64, u64), now: Millis) -> Option<ShareReport> {
+    pub(super) fn report(
+        &self,
+        service: &str,
+        version: (u64, u64),
+        is_pressed: bool,
+        now: Millis,
+    ) -> Option<ShareReport> {
         let mut work: Vec<(&str, u32)> = Vec::new();
         for (customer, decayed) in self.own.work(now) {
             if decayed >= 1.0 {
@@ -97,6 +112,7 @@
                 .map(|(customer, work)| ((*customer).to_owned(), *work))
                 .collect(),
             rest: (rest.len() as u32, rest_work),
+            is_pressed,
         })
     }
 
--- a/crates/cactuslane-place/src/lib.rs
+++ b/crates/cactuslane-place/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod load_view;
 pub mod observations;
 pub mod placer;
+pub mod queues;
 pub mod reach;
 pub mod roles;
 pub mod speed;
@@ -25,7 +26,8 @@
 pub use limits::{LimitAnswer, LimitNotice, PermitAnswer, TargetLimits};
 pub use load_view::{CacheUpdate, Load, LoadView, PeerUpdate, PlacedWork};
 pub use observations::{Observation, Observed};
-pub use placer::{Placement, PlacementRequest, Placer, Plan};
+pub use placer::{Forecast, Placement, PlacementRequest, Placer, Plan};
+pub use queues::TargetQueues;
 pub use reach::{Reach, ReachChange, ReachReport};
 pub use roles::RolePlanner;
 pub use speed::PromptSpeed;
--- a/crates/cactuslane-place/src/placer.rs
+++ b/crates/cactuslane-place/src/placer.rs
@@ -1,6 +1,7 @@
 //! Choice of targets for requests, with the records of load, caches and health behind it.
 
 mod engines;
+mod plain;
 mod spread;
 
 use std::collections::BTreeMap;
@@ -11,15 +12,18 @@
 use cactuslane_flight::target::Target;
 use cactuslane_route::health::{Availability, Health};
 use cactuslane_types::{DomainName, Millis, TargetId};
-use rand::{Rng, SeedableRng};
+use rand::SeedableRng;
 use rand_pcg::Pcg64Mcg;
 
 use crate::cache::CacheEstimate;
 use crate::limits::TargetLimits;
 use crate::load_view::{CacheUpdate, LoadView, PeerUpdate, decode_parts, encode_parts};
 use crate::observations::{Observations, Observed};
+use crate::queues::TargetQueues;
 use crate::speed::PromptSpeed;
 
+pub use self::plain::Forecast;
+
 /// Cost of a target in another failure domain than this instance's, in milliseconds.
 const DOMAIN_COST: f64 = 3.0;
 /// Upper bound of the random cost that spreads requests over equally good targets, in milliseconds.
@@ -55,6 +59,8 @@
     pub limits: TargetLimits,
     /// Estimated speed of the engines.
     pub speed: PromptSpeed,
+    /// Queues at the targets of plain services.
+    pub queues: TargetQueues,
     /// Estimated contents of the engines' prefix caches.
     caches: BTreeMap<TargetId, CacheEstimate>,
     /// Health of the targets, as this instance measures it.
@@ -147,6 +153,7 @@
             load_view: LoadView::default(),
             limits: TargetLimits::default(),
             speed: PromptSpeed::default(),
+            queues: TargetQueues::default(),
             caches: BTreeMap::new(),
             health: BTreeMap::new(),
             observations: Observations::default(),
@@ -156,31 +163,6 @@
         }
     }
 
-    /// Returns the target with the lowest cost for a request to a plain service, which has no model
-    /// engines; `None` if there is no target that was not tried before.
-    pub fn place_plain(
-        &mut self,
-        targets: &[&Target],
-        tried: &[TargetId],
-        now: Millis,
-    ) -> Option<TargetId> {
-        self.load_view.expire(now);
-        let usable = self.usable(targets, tried, now);
-        let mut best: Option<(f64, &Target)> = None;
-        for target in usable {
-            let load = self.load_view.load(&target.id, now);
-            let busy = (f64::from(load.running) + 1.0) / f64::from(target.slots.max(1));
-            // The cost is 100 ms for the request that takes a target's last slot.
-            let cost = busy * 100.0 * self.slowdown(&target.id, now)
-                + self.domain_cost(target)
-                + self.random.random_range(0.0..RANDOM_COST);
-            if best.is_none_or(|(least, _)| cost < least) {
-                best = Some((cost, target));
-            }
-        }
-        best.map(|(_, target)| target.id.clone())
-    }
-
     /// Chooses the engines of a generation, or refuses it if its first event would come too late.
     ///
     /// Either one engine does all of it, or a prefill engine computes the prompt and another engine,
@@ -418,6 +400,7 @@
     pub fn forget(&mut self, target: &str) {
         self.caches.remove(target);
         self.health.remove(target);
+        self.queues.forget(target);
     }
 
     /// Returns the targets that a request may be sent to, without those that were tried.
--- /dev/null
+++ b/crates/cactuslane-place/src/placer/plain.rs
@@ -0,0 +1,113 @@
+//! Choice of the targets of plain services, and what admission needs to know of a choice.
+
+use std::time::Duration;
+
+use cactuslane_flight::target::Target;
+use cactuslane_types::{Millis, TargetId};
+use rand::Rng;
+
+use super::{Placer, Plan, RANDOM_COST};
+
+/// Time between an instance's updates among few instances, and the number of instances per which
+/// it grows by as much.
+const VIEW_AGE: (Duration, u32) = (Duration::from_millis(100), 60);
+
+/// Expected times of a request at the chosen target.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Forecast {
+    /// Time from now to the answer, or the first event, without a queue, in milliseconds.
+    pub service_ms: f64,
+    /// Time in the queue, in milliseconds.
+    pub wait_ms: f64,
+    /// Time at the target for which others wait behind the request, in milliseconds.
+    pub target_ms: f64,
+    /// Number of other instances for each target.
+    pub rivals: f64,
+    /// Age of the view of the targets.
+    pub view_age: Duration,
+}
+
+impl Placer {
+    /// Returns the target with the lowest cost for a request to a plain service, which has no model
+    /// engines; `None` if there is no target that was not tried before.
+    pub fn place_plain(
+        &mut self,
+        targets: &[&Target],
+        tried: &[TargetId],
+        now: Millis,
+    ) -> Option<TargetId> {
+        self.load_view.expire(now);
+        let usable = self.usable(targets, tried, now);
+        let mut best: Option<(f64, &Target)> = None;
+        for target in usable {
+            let load = self.load_view.load(&target.id, now);
+            let count = self.queues.count(&target.id, load.running, now);
+            let slots = f64::from(target.slots.max(1));
+            // The cost is 100 ms for the request that takes a target's last slot.
+            let slot_cost = 100.0 / slots;
+            // Instances see the same old loads. While targets are busy, those that differ by less
+            // than one request are equal, so that not all instances take the same one.
+            let spread = RANDOM_COST.max(slot_cost * (count / slots).min(1.0));
+            let cost = (count + 1.0) * slot_cost * self.slowdown(&target.id, now)
+                + self.domain_cost(target)
+                + self.random.random_range(0.0..spread);
+            if best.is_none_or(|(least, _)| cost < least) {
+                best = Some((cost, target));
+            }
+        }
+        best.map(|(_, target)| target.id.clone())
+    }
+
+    /// Returns the expected times of a request at a target of a plain service with `targets`
+    /// targets; without a queue if the work time was not measured yet.
+    #[must_use]
+    pub fn forecast_plain(&self, target: &Target, targets: usize, now: Millis) -> Forecast {
+        let Some(work) = self.queues.work_ms(&target.service) else {
+            return Forecast::default();
+        };
+        let work = work * self.slowdown(&target.id, now);
+        let load = self.load_view.load(&target.id, now);
+        let count = self.queues.count(&target.id, load.running, now);
+        let slots = f64::from(target.slots.max(1));
+        let (rivals, view_age) = self.rivals(targets, now);
+        Forecast {
+            service_ms: work,
+            wait_ms: (count + 1.0 - slots).max(0.0) * work / slots,
+            target_ms: work / slots,
+            rivals,
+            view_age,
+        }
+    }
+
+    /// Returns the expected times of a generation by its plan, in a service with `targets` targets.
+    #[must_use]
+    pub fn forecast_generation(&self, plan: &Plan, targets: usize, now: Millis) -> Forecast {
+        let (ahead, uncached) = (f64::from(plan.ahead), f64::from(plan.uncached));
+        let (wait, own) = if plan.prefill.is_some() {
+            (
+                self.speed.prefill_ms(ahead),
+                self.speed.prefill_ms(uncached),
+            )
+        } else {
+            (self.speed.direct_ms(ahead), self.speed.direct_ms(uncached))
+        };
+        let (rivals, view_age) = self.rivals(targets, now);
+        let wait_ms = wait.min(plan.expected);
+        Forecast {
+            service_ms: plan.expected - wait_ms,
+            wait_ms,
+            target_ms: own,
+            rivals,
+            view_age,
+        }
+    }
+
+    /// Returns the number of other instances for each of some targets, and the age of what they
+    /// tell.
+    fn rivals(&self, targets: usize, now: Millis) -> (f64, Duration) {
+        let (peers, _) = self.load_view.update_age(now);
+        let (interval, scale) = VIEW_AGE;
+        let view_age = interval.mul_f64(1.0 + peers as f64 / f64::from(scale));
+        (peers as f64 / targets.max(1) as f64, view_age)
+    }
+}
--- a/crates/cactuslane-place/tests/admission/world.rs
+++ b/crates/cactuslane-place/tests/admission/world.rs
@@ -258,7 +258,7 @@
         let instance = &mut self.instances[index];
         instance.reports += 1;
         let version = (1, instance.reports);
-        let Some(report) = instance.admission.shares.report("models", version, now) else {
+        let Some(report) = instance.admission.report("models", version, now) else {
             return;
         };
         for (other, instance) in self.instances.iter_mut().enumerate() {
