Bound what callers hold at the doors of the own entry

Cause: cactuslane-entry bounded each body but not all bodies together, and read requests ahead while its answers were not taken.

Change: the record and the connections move to the crate cactuslane-held, which both kinds of instances use. Settings of the entry get memory_mb.

--- a/crates/cactuslane-config/src/settings.rs
+++ b/crates/cactuslane-config/src/settings.rs
@@ -43,6 +43,9 @@
     /// The maximum number of open connections at `listen`; more are closed immediately. 10,000 if
     /// not set.
     pub max_connections: u64,
+    /// The memory that the instance may use, in bytes, from which its limits on connections and
+    /// bodies follow; those for 512 MiB apply if not set.
+    pub memory: Option<u64>,
     /// The SHA-256 hash of the token for the paths under `/v1/operator/`, in lower-case hex; if not
     /// set, every request for them is refused as unauthorized. The tokens that permit edits of the
     /// document are others, whose hashes are kept in the key-value store.
@@ -96,6 +99,7 @@
     );
     let max_body = optional_integer(reader, &mut fields, "max_body_bytes", 8 << 20, 1 << 30);
     let max_connections = optional_integer(reader, &mut fields, "max_connections", 10_000, 1 << 20);
+    let memory = optional_integer(reader, &mut fields, "memory_mb", 0, 1 << 20);
     let operator_sha256 = match fields.optional("operator_sha256") {
         Some(node) => Some(reader.string(&node)?),
         None => None,
@@ -117,6 +121,7 @@
         address_validity: Duration::from_millis(address_validity),
         max_body,
         max_connections,
+        memory: (memory > 0).then_some(memory << 20),
         operator_sha256,
         json_logs,
     })
--- a/crates/cactuslane-demo/src/lib.rs
+++ b/crates/cactuslane-demo/src/lib.rs
@@ -206,6 +206,7 @@
             address_validity: self.options.address_validity,
             max_body: 8 << 20,
             max_connections: 10_000,
+            memory: None,
             operator_sha256: Some(hash_token(OPERATOR_TOKEN)),
             json_logs: false,
         }
--- a/crates/cactuslane-entry/src/api.rs
+++ b/crates/cactuslane-entry/src/api.rs
@@ -12,6 +12,7 @@
 use std::sync::atomic::{AtomicBool, Ordering};
 
 use cactuslane_config::document::hash_token;
+use cactuslane_flight::ConnectionId;
 use cactuslane_types::CallerId;
 use hyper::body::Incoming;
 use hyper::{HeaderMap, Method, Request, Response};
@@ -33,6 +34,8 @@
 pub struct CallerRequest {
     /// State of the instance.
     pub shared: Arc<Shared>,
+    /// Connection of the caller.
+    pub connection: ConnectionId,
     /// Configuration that was in force when the request arrived and that applies until it ends.
     pub config: Arc<ConfigInForce>,
     /// Caller; for a forwarded request the one that the forwarding instance has authenticated.
@@ -55,7 +58,11 @@
 }
 
 /// Answers one HTTP request. Answers are counted, except those of the paths that need no token.
-pub async fn handle(shared: Arc<Shared>, request: Request<Incoming>) -> Response<Body> {
+pub async fn handle(
+    shared: Arc<Shared>,
+    request: Request<Incoming>,
+    connection: ConnectionId,
+) -> Response<Body> {
     let path = request.uri().path().to_owned();
     if let Some(response) = admin::unauthenticated(&shared, request.method(), &path) {
         return response;
@@ -73,6 +80,7 @@
         &path,
         &id,
         (span, Arc::clone(&key_verified)),
+        connection,
     )
     .await;
     let mut response = match result {
@@ -97,6 +105,7 @@
     path: &str,
     id: &str,
     (span, key_verified): (Span, Arc<AtomicBool>),
+    connection: ConnectionId,
 ) -> Result<Response<Body>, ApiError> {
     if path.starts_with("/v1/operator/") {
         return admin::operator(shared, request.headers(), path).await;
@@ -112,6 +121,7 @@
         .map_or_else(String::new, ToString::to_string);
     let mut call = CallerRequest {
         shared: Arc::clone(shared),
+        connection,
         config,
         caller: CallerId::new(),
         request_id: id.to_owned(),
--- a/crates/cactuslane-entry/src/api/admin.rs
+++ b/crates/cactuslane-entry/src/api/admin.rs
@@ -36,7 +36,7 @@
             Some(error) => error.response(),
         }),
         "/metrics" => {
-            let text = Bytes::from(shared.metrics.text(&shared.store));
+            let text = Bytes::from(shared.metrics.text(&shared.store, &shared.held));
             let kind = "application/openmetrics-text; version=1.0.0; charset=utf-8";
             let response = Response::builder()
                 .header("content-type", kind)
--- a/crates/cactuslane-entry/src/api/completions.rs
+++ b/crates/cactuslane-entry/src/api/completions.rs
@@ -41,7 +41,13 @@
     incoming: Incoming,
     chat: bool,
 ) -> Result<Response<Body>, ApiError> {
-    let bytes = body::read(incoming, call.shared.settings.max_body).await?;
+    let bytes = body::read(
+        &call.shared.held,
+        call.connection,
+        incoming,
+        call.shared.settings.max_body,
+    )
+    .await?;
     let params = CompletionRequest::parse(&bytes, chat)?;
     let model = permitted_model(&call, &params.model)?;
     let params = params.check_limits(&model)?;
--- a/crates/cactuslane-entry/src/api/forward.rs
+++ b/crates/cactuslane-entry/src/api/forward.rs
@@ -110,7 +110,13 @@
         // The incarnation that may execute the call has ended, and its table of calls is lost.
         return Err(ApiError::AnswerUnknown);
     }
-    let body = body::read(incoming, shared.settings.max_body).await?;
+    let body = body::read(
+        &shared.held,
+        call.connection,
+        incoming,
+        shared.settings.max_body,
+    )
+    .await?;
     call.caller.clone_from(&proof.caller);
     call.span.set("caller", proof.caller);
     call.span.set("forwarded_by", proof.from);
--- a/crates/cactuslane-entry/src/api/services.rs
+++ b/crates/cactuslane-entry/src/api/services.rs
@@ -71,7 +71,13 @@
     request: CallerRequest,
     incoming: Incoming,
 ) -> Result<Response<Body>, ApiError> {
-    let body = body::read(incoming, request.shared.settings.max_body).await?;
+    let body = body::read(
+        &request.shared.held,
+        request.connection,
+        incoming,
+        request.shared.settings.max_body,
+    )
+    .await?;
     execute(request, body).await
 }
 
--- a/crates/cactuslane-entry/src/metrics.rs
+++ b/crates/cactuslane-entry/src/metrics.rs
@@ -2,6 +2,8 @@
 
 use std::sync::atomic::Ordering;
 
+use cactuslane_flight::{Door, Kind};
+use cactuslane_held::Held;
 use cactuslane_store::Store;
 use prometheus_client::encoding::EncodeLabelSet;
 use prometheus_client::encoding::text::encode;
@@ -41,6 +43,10 @@
     /// The time from a request's admission to the first token of each of its engine streams, in
     /// seconds.
     pub first_token: Histogram,
+    /// Number of bytes of bodies that are held for callers.
+    held_bytes: Gauge,
+    /// Number of connections of callers.
+    connections: Gauge,
     /// Reads of the key-value service, set from the store client's counter.
     store_reads: Gauge,
     /// Writes to the key-value service, set from the store client's counter.
@@ -64,8 +70,8 @@
 }
 
 impl Metrics {
-    /// Creates and registers all metrics at zero.
-    pub fn new() -> Self {
+    /// Creates and registers all metrics at zero, and those of what is held for callers.
+    pub fn new(record: &Held) -> Self {
         let mut metrics = Self {
             registry: Registry::with_prefix("cactuslane"),
             answers: Family::default(),
@@ -80,15 +86,28 @@
             config_revision: Gauge::default(),
             plan_revision: Gauge::default(),
             first_token: Histogram::new(exponential_buckets(0.005, 2.0, 14)),
+            held_bytes: Gauge::default(),
+            connections: Gauge::default(),
             store_reads: Gauge::default(),
             store_writes: Gauge::default(),
         };
         metrics.register();
+        let help = "Refusals and closed connections by limits on what callers hold, by reason";
+        let refused = record.refused.clone();
+        metrics.registry.register("held_refused", help, refused);
+        let bytes = metrics.held_bytes.clone();
+        let help = "Bytes of bodies that are held for callers";
+        metrics.registry.register("held_bytes", help, bytes);
+        let connections = metrics.connections.clone();
+        let help = "Connections of callers";
+        metrics.registry.register("connections", help, connections);
         metrics
     }
 
     /// Returns all metrics as text, with the current counts of the store client.
-    pub fn text(&self, store: &Store) -> String {
+    pub fn text(&self, store: &Store, held: &Held) -> String {
+        self.held_bytes.set(held.bytes(Kind::Body) as i64);
+        self.connections.set(held.count(Door::Front) as i64);
         let calls = store.calls();
         self.store_reads
             .set(calls.reads.load(Ordering::Relaxed) as i64);
--- a/crates/cactuslane-entry/src/server.rs
+++ b/crates/cactuslane-entry/src/server.rs
@@ -1,31 +1,23 @@
 //! The HTTP server for callers, with its limits and its graceful shutdown.
 
-use std::convert::Infallible;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::Duration;
 
-use hyper::body::Incoming;
-use hyper::server::conn::http1;
-use hyper::{Request, Response};
-use hyper_util::rt::{TokioIo, TokioTimer};
-use hyper_util::server::graceful::GracefulShutdown;
-use hyper_util::service::TowerToHyperService;
-use tokio::net::{TcpListener, TcpStream};
-use tokio::sync::{Semaphore, oneshot};
-use tokio::task::JoinHandle;
-use tower::{ServiceBuilder, ServiceExt};
+use cactuslane_flight::Door;
+use cactuslane_held::{HeadLimits, connections};
+use tokio::net::TcpListener;
+use tokio::sync::{Semaphore, oneshot, watch};
+use tokio::task::{JoinHandle, JoinSet};
 
 use crate::api;
-use crate::reply::{ApiError, Body};
+use crate::reply::ApiError;
 use crate::shared::Shared;
 
-/// Timeout for the complete headers of a request; the connection is closed when it passes.
-const HEADER_TIMEOUT: Duration = Duration::from_secs(10);
-/// Maximum size of a connection's read buffer, which bounds the headers of a request, in bytes.
-const MAX_HEADER_BYTES: usize = 32 << 10;
-/// Maximum number of headers of a request.
-const MAX_HEADERS: usize = 64;
+/// Limits on the heads of requests; the connection is closed when the time passes.
+const HEAD_LIMITS: HeadLimits = HeadLimits {
+    bytes: 24 << 10,
+    timeout: Duration::from_secs(10),
+};
 /// Maximum number of requests in progress on all connections.
 const MAX_REQUESTS: usize = 20_000;
 
@@ -38,13 +30,6 @@
     task: JoinHandle<()>,
 }
 
-/// A guard that counts one connection as open until it is dropped.
-#[derive(Debug)]
-struct ConnectionGuard {
-    /// The number of open connections of the server.
-    open: Arc<AtomicUsize>,
-}
-
 impl Server {
     /// Spawns a server on a listener.
     pub fn spawn(shared: Arc<Shared>, listener: TcpListener) -> Self {
@@ -71,12 +56,6 @@
     }
 }
 
-impl Drop for ConnectionGuard {
-    fn drop(&mut self) {
-        self.open.fetch_sub(1, Ordering::Relaxed);
-    }
-}
-
 /// Accepts connections until shutdown is requested, then waits for those with a request in
 /// progress.
 async fn accept(
@@ -84,11 +63,10 @@
     listener: TcpListener,
     mut shutdown_requested: oneshot::Receiver<()>,
 ) {
-    let graceful = GracefulShutdown::new();
-    let open = Arc::new(AtomicUsize::new(0));
+    let (stop, stopped) = watch::channel(false);
     let requests = Arc::new(Semaphore::new(MAX_REQUESTS));
     // Dropping the set closes all connections at once, as a crash would.
-    let mut connections = tokio::task::JoinSet::new();
+    let mut connections = JoinSet::new();
     loop {
         let stream = tokio::select! {
             accepted = listener.accept() => match accepted {
@@ -102,61 +80,34 @@
             _ = &mut shutdown_requested => break,
         };
         while connections.try_join_next().is_some() {}
-        if open.load(Ordering::Relaxed) as u64 >= shared.settings.max_connections {
+        if shared.held.count(Door::Front) as u64 >= shared.settings.max_connections {
             continue;
         }
-        open.fetch_add(1, Ordering::Relaxed);
-        let guard = ConnectionGuard {
-            open: Arc::clone(&open),
+        let Some(guard) = shared.held.open(Door::Front) else {
+            continue;
         };
-        let served = serve(Arc::clone(&shared), stream, Arc::clone(&requests));
-        let watched = graceful.watch(served);
+        let _ = stream.set_nodelay(true);
+        let (shared, requests) = (shared.clone(), requests.clone());
+        let mut stopped = stopped.clone();
         connections.spawn(async move {
-            let _guard = guard;
-            let _ = watched.await;
+            let respond = |request, connection| {
+                let (shared, requests) = (shared.clone(), requests.clone());
+                async move {
+                    // A request beyond the limit is refused at once instead of queueing for a
+                    // permit.
+                    let Ok(_permit) = requests.try_acquire() else {
+                        return ApiError::Busy.response();
+                    };
+                    api::handle(shared, request, connection).await
+                }
+            };
+            let stopped = async move {
+                let _ = stopped.wait_for(|stopped| *stopped).await;
+            };
+            connections::serve(guard, stream, HEAD_LIMITS, stopped, respond).await;
         });
     }
     drop(listener);
-    graceful.shutdown().await;
-}
-
-/// Builds the HTTP/1 connection that serves one TCP stream.
-fn serve(
-    shared: Arc<Shared>,
-    stream: TcpStream,
-    requests: Arc<Semaphore>,
-) -> http1::Connection<
-    TokioIo<TcpStream>,
-    TowerToHyperService<
-        impl tower::Service<
-            Request<Incoming>,
-            Response = Response<Body>,
-            Error = tower::BoxError,
-            Future: Send,
-        > + Clone,
-    >,
-> {
-    let _ = stream.set_nodelay(true);
-    let handler = tower::service_fn(move |request: Request<Incoming>| {
-        let shared = Arc::clone(&shared);
-        async move { Ok::<_, Infallible>(api::handle(shared, request).await) }
-    });
-    // A request beyond the limit is refused at once instead of queueing for a permit.
-    let limited = ServiceBuilder::new()
-        .load_shed()
-        .layer(tower::limit::GlobalConcurrencyLimitLayer::with_semaphore(
-            requests,
-        ))
-        .service(handler);
-    let service = limited.then(
-        |result: Result<Response<Body>, tower::BoxError>| async move {
-            Ok::<_, tower::BoxError>(result.unwrap_or_else(|_| ApiError::Busy.response()))
-        },
-    );
-    http1::Builder::new()
-        .timer(TokioTimer::new())
-        .header_read_timeout(HEADER_TIMEOUT)
-        .max_buf_size(MAX_HEADER_BYTES)
-        .max_headers(MAX_HEADERS)
-        .serve_connection(TokioIo::new(stream), TowerToHyperService::new(service))
+    stop.send_replace(true);
+    while connections.join_next().await.is_some() {}
 }
--- a/crates/cactuslane-entry/src/shared.rs
+++ b/crates/cactuslane-entry/src/shared.rs
@@ -2,9 +2,11 @@
 
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
-use std::sync::{Mutex, MutexGuard, PoisonError};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
 use cactuslane_config::Settings;
+use cactuslane_flight::HeldLimits;
+use cactuslane_held::Held;
 use cactuslane_member::store_access::{self, Contact, Readiness};
 use cactuslane_member::{MemberParams, Membership, Record};
 use cactuslane_once::IdempotencyTable;
@@ -46,6 +48,8 @@
     /// The HTTP client that opens a connection for each request, for requests that may not be
     /// repeated.
     pub unpooled: Client,
+    /// Connections and bytes that are held for callers.
+    pub held: Arc<Held>,
     /// The metrics that operators read as text.
     pub metrics: Metrics,
     /// The spans of recent requests.
@@ -90,6 +94,8 @@
         own_record.incarnation = incarnation;
         own_record.serving = serving;
         let seed = incarnation ^ u64::from(gossip.port());
+        let limits = HeldLimits::of_process(settings.memory, None);
+        let held = Arc::new(Held::new(limits));
         Self {
             serving,
             gossip,
@@ -99,7 +105,8 @@
             store: Store::open(settings.store),
             client: Client::open(),
             unpooled: Client::open_unpooled(),
-            metrics: Metrics::new(),
+            metrics: Metrics::new(&held),
+            held,
             traces: Traces::new(),
             documents: Documents::default(),
             documents_changed: Notify::new(),
--- a/crates/cactuslane-gateway/src/directory.rs
+++ b/crates/cactuslane-gateway/src/directory.rs
@@ -1,10 +1,12 @@
 //! HTTP endpoints for address resolution, readiness and metrics.
 
+use std::future::pending;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
 use cactuslane_flight::Door;
+use cactuslane_held::{HeadLimits, connections};
 use cactuslane_platform::directory::{
     MAX_ADDRESSES, READY_PATH, RESOLVE_PATH, caller_domain, encode_addresses,
 };
@@ -15,8 +17,8 @@
 use rand::seq::SliceRandom;
 use tokio::net::TcpListener;
 
-use crate::connections::{self, HeadLimits};
 use crate::state::Gateway;
+use crate::upstream::set_socket_options;
 
 /// Time to live of the addresses in an answer, for which callers may cache them.
 const ADDRESS_TTL: Duration = Duration::from_secs(1);
@@ -48,7 +50,8 @@
                 let response = respond(&gateway, &request);
                 async move { response }
             };
-            connections::serve(guard, stream, HEAD_LIMITS, respond).await;
+            set_socket_options(&stream);
+            connections::serve(guard, stream, HEAD_LIMITS, pending(), respond).await;
         });
     }
 }
--- a/crates/cactuslane-gateway/src/engines.rs
+++ b/crates/cactuslane-gateway/src/engines.rs
@@ -5,6 +5,7 @@
 
 use cactuslane_flight::request_info::PromptPart;
 use cactuslane_flight::target::Target;
+use cactuslane_held::NO_CONNECTION;
 use cactuslane_place::Observed;
 use cactuslane_platform::engine::{self, Report};
 use cactuslane_platform::exchange;
@@ -15,7 +16,6 @@
 use tokio::time::timeout;
 
 use crate::answers;
-use crate::held::NO_CONNECTION;
 use crate::limits::{self, Purpose};
 use crate::plain::{queue_observation, read_body};
 use crate::state::Gateway;
--- a/crates/cactuslane-gateway/src/generation/prompt.rs
+++ b/crates/cactuslane-gateway/src/generation/prompt.rs
@@ -5,6 +5,7 @@
 
 use cactuslane_flight::AttemptFailure;
 use cactuslane_flight::target::Target;
+use cactuslane_held::NO_CONNECTION;
 use cactuslane_place::Load;
 use cactuslane_place::placer::Plan;
 use cactuslane_platform::engine;
@@ -16,7 +17,6 @@
 use super::StreamRequest;
 use super::waiting::{PROMPT_TIMEOUT_FACTOR, with_timeout};
 use crate::engines;
-use crate::held::NO_CONNECTION;
 use crate::limits::Permit;
 use crate::plain::{read_body, send};
 use crate::state::Gateway;
--- a/crates/cactuslane-gateway/src/ingress.rs
+++ b/crates/cactuslane-gateway/src/ingress.rs
@@ -1,6 +1,7 @@
 //! Callers' connections, and the reading and answering of their requests.
 
 use std::collections::BTreeSet;
+use std::future::pending;
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 
@@ -9,6 +10,7 @@
 use cactuslane_flight::{
     AttemptFailure, ConnectionId, Door, Refusal, RequestInfo, RequestState, stopping,
 };
+use cactuslane_held::{BodyError, ConnectionGuard, HeadLimits, connections};
 use cactuslane_platform::exchange;
 use cactuslane_types::TargetId;
 use hyper::body::{Bytes, Incoming};
@@ -19,11 +21,10 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio::time::Instant;
 
-use crate::connections::{self, BodyError, HeadLimits};
-use crate::held::ConnectionGuard;
 use crate::passing::{self, TakenGuard};
 use crate::reply::{self, AnswerBody, Cause};
 use crate::state::Gateway;
+use crate::upstream::set_socket_options;
 use crate::{generation, metrics, plain};
 
 /// Delay before the next `accept` after a failed one.
@@ -168,7 +169,8 @@
         let gateway = gateway.clone();
         async move { respond(&gateway, request, source, connection).await }
     };
-    connections::serve(guard, stream, limits, respond).await;
+    set_socket_options(&stream);
+    connections::serve(guard, stream, limits, pending(), respond).await;
 }
 
 /// Answers one request; counts the final answer, and logs it unless it is a success.
@@ -252,7 +254,13 @@
     };
     let (parts, body) = request.into_parts();
     let body_timeout = info.timeout.unwrap_or(route.timeout).min(route.timeout);
-    let reading = connections::read_body(&gateway.held, connection, body, config.limits.body_bytes);
+    let reading = connections::read_body(
+        &gateway.held,
+        connection,
+        body,
+        config.limits.body_bytes,
+        body_timeout,
+    );
     let body = match tokio::time::timeout(body_timeout, reading).await {
         Ok(Ok(body)) => body,
         Ok(Err(BodyError::TooLarge)) => {
@@ -277,7 +285,7 @@
                 "the body can't be read",
             ));
         }
-        Err(_) => {
+        Ok(Err(BodyError::Slow)) | Err(_) => {
             let status = StatusCode::REQUEST_TIMEOUT;
             return Err(reply::error(
                 &info.id,
--- a/crates/cactuslane-gateway/src/metrics.rs
+++ b/crates/cactuslane-gateway/src/metrics.rs
@@ -4,6 +4,7 @@
 
 use cactuslane_flight::routing_config::{RetryPolicy, Route};
 use cactuslane_flight::{Door, Kind};
+use cactuslane_held::record::kind_label;
 use cactuslane_place::placer::Plan;
 use cactuslane_store::kv::CallLabels;
 use prometheus_client::encoding::text::encode;
@@ -13,7 +14,6 @@
 use prometheus_client::metrics::histogram::{Histogram, exponential_buckets};
 use prometheus_client::registry::Registry;
 
-use crate::held::kind_label;
 use crate::state::Gateway;
 
 /// Upper bound of the smallest bucket of times, in seconds.
--- a/crates/cactuslane-gateway/src/plain.rs
+++ b/crates/cactuslane-gateway/src/plain.rs
@@ -5,6 +5,7 @@
 
 use cactuslane_flight::target::Target;
 use cactuslane_flight::{AttemptFailure, ConnectionId, Kind, Refusal, RequestState, Step};
+use cactuslane_held::{BufferError, HeldBuffer};
 use cactuslane_place::{Load, Observation, Observed};
 use cactuslane_platform::exchange::{self, SendParams, Verdict};
 use cactuslane_types::Role;
@@ -14,7 +15,6 @@
 use log::info;
 use tokio::time::{Instant, timeout};
 
-use crate::held::{BufferError, HeldBuffer};
 use crate::ingress::CallerRequest;
 use crate::limits::{self, Denials, Permit, Purpose};
 use crate::metrics;
--- a/crates/cactuslane-gateway/src/queue.rs
+++ b/crates/cactuslane-gateway/src/queue.rs
@@ -4,10 +4,10 @@
 
 use cactuslane_flight::held_bytes::FREE_BYTES;
 use cactuslane_flight::{ConnectionId, Kind};
+use cactuslane_held::{Held, Reserved};
 use hyper::body::Bytes;
 use tokio::sync::{OwnedSemaphorePermit, Semaphore, mpsc};
 
-use crate::held::{Held, Reserved};
 use crate::reply::{AnswerAborted, ChunkStream};
 
 /// Number of bytes of one queue beyond [`FREE_BYTES`], which are reserved.
--- a/crates/cactuslane-gateway/src/state.rs
+++ b/crates/cactuslane-gateway/src/state.rs
@@ -11,6 +11,7 @@
 use cactuslane_flight::routing_config::RoutingConfig;
 use cactuslane_flight::target::Target;
 use cactuslane_flight::{AttemptFailure, BegunStreams, HeldLimits, OriginTable};
+use cactuslane_held::Held;
 use cactuslane_place::{CrashTracker, Load, PermitAnswer, Placer};
 use cactuslane_platform::Settings;
 use cactuslane_store::http::Client;
@@ -23,7 +24,6 @@
 
 use crate::calls::PeerCalls;
 use crate::fleet::Fleet;
-use crate::held::Held;
 use crate::leadership::{LeaderRecord, Leadership};
 use crate::members::Members;
 use crate::metrics::Metrics;
--- a/crates/cactuslane-gateway/src/connections.rs
+++ b/crates/cactuslane-held/src/connections.rs
@@ -18,10 +18,9 @@
 use log::debug;
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
-use tokio::time::{Instant, Sleep};
+use tokio::time::{Instant, Sleep, timeout};
 
-use crate::held::{BufferError, ConnectionGuard, Held, HeldBuffer, ServingGuard};
-use crate::upstream::set_socket_options;
+use crate::record::{BufferError, ConnectionGuard, Held, HeldBuffer, ServingGuard};
 
 /// Maximum number of headers of a request.
 const MAX_HEADERS: usize = 100;
@@ -44,6 +43,8 @@
 pub enum BodyError {
     /// It is larger than allowed.
     TooLarge,
+    /// No bytes of it came for too long.
+    Slow,
     /// There is no space for it.
     NoSpace,
     /// The connection failed, or the body is malformed.
@@ -79,17 +80,19 @@
 }
 
 /// Serves the requests of an accepted connection until it ends or must be closed.
+///
+/// Once `stop` completes, it ends after the request in progress.
 pub async fn serve<B, F>(
     guard: ConnectionGuard,
     stream: TcpStream,
     limits: HeadLimits,
+    stop: impl Future<Output = ()>,
     respond: impl Fn(Request<Incoming>, ConnectionId) -> F,
 ) where
     F: Future<Output = Response<B>>,
     B: Body<Data = Bytes> + Unpin + 'static,
     B::Error: Into<Box<dyn std::error::Error + Send + Sync>>,
 {
-    set_socket_options(&stream);
     let id = guard.id;
     let stream = CallerStream {
         stream,
@@ -117,16 +120,25 @@
         .max_headers(MAX_HEADERS)
         .max_buf_size(limits.bytes.max(MIN_BUFFER) + MIN_BUFFER)
         .serve_connection(TokioIo::new(stream), service);
-    let result = tokio::select! {
-        result = connection => result,
-        () = guard.closer.notified() => return,
+    tokio::pin!(connection, stop);
+    let mut stopping = false;
+    let result = loop {
+        tokio::select! {
+            result = connection.as_mut() => break result,
+            () = guard.closer.notified() => return,
+            () = &mut stop, if !stopping => {
+                stopping = true;
+                connection.as_mut().graceful_shutdown();
+            }
+        }
     };
     if let Err(error) = result {
         debug!(error:% = error; "caller's connection ended");
     }
 }
 
-/// Reads a body of at most `limit` bytes, which are held for its connection.
+/// Reads a body of at most `limit` bytes, which are held for its connection; `idle` is the longest
+/// time until the next bytes arrive.
 ///
 /// # Errors
 ///
@@ -137,6 +149,7 @@
     connection: ConnectionId,
     mut body: Incoming,
     limit: usize,
+    idle: Duration,
 ) -> Result<Bytes, BodyError> {
     let announced = body.size_hint();
     if announced.lower() > limit as u64 {
@@ -150,7 +163,10 @@
         .map_or(limit, |announced| announced as usize);
     held.set_activity(connection, Activity::Reading);
     let mut buffer = HeldBuffer::new(held, connection, Kind::Body, limit);
-    while let Some(frame) = body.frame().await {
+    while let Some(frame) = timeout(idle, body.frame())
+        .await
+        .map_err(|_| BodyError::Slow)?
+    {
         let Ok(data) = frame.map_err(BodyError::Broken)?.into_data() else {
             continue;
         };
