--- a/crates/cactuslane-entry/src/api.rs
+++ b/crates/cactuslane-entry/src/api.rs
@@ -5,6 +5,7 @@
 mod body;
 mod completions;
 mod forward;
+mod json_size;
 mod services;
 mod sse;
 
@@ -13,6 +14,7 @@
 
 use cactuslane_config::document::hash_token;
 use cactuslane_flight::ConnectionId;
+use cactuslane_held::Reserved;
 use cactuslane_types::CallerId;
 use hyper::body::Incoming;
 use hyper::{HeaderMap, Method, Request, Response};
@@ -36,6 +38,8 @@
     pub shared: Arc<Shared>,
     /// Connection of the caller.
     pub connection: ConnectionId,
+    /// Memory that is held for the parsed body.
+    pub reserved: Option<Reserved>,
     /// Configuration that was in force when the request arrived and that applies until it ends.
     pub config: Arc<ConfigInForce>,
     /// Caller; for a forwarded request the one that the forwarding instance has authenticated.
@@ -122,6 +126,7 @@
     let mut call = CallerRequest {
         shared: Arc::clone(shared),
         connection,
+        reserved: None,
         config,
         caller: CallerId::new(),
         request_id: id.to_owned(),
--- a/crates/cactuslane-entry/src/api/completions.rs
+++ b/crates/cactuslane-entry/src/api/completions.rs
@@ -8,6 +8,8 @@
 use std::time::Duration;
 
 use cactuslane_config::EngineModel;
+use cactuslane_flight::Kind;
+use cactuslane_held::Reserved;
 use cactuslane_wire::Purpose;
 use cactuslane_wire::token::{ResumeToken, decode, encode};
 use http_body_util::{BodyExt, StreamBody};
@@ -17,7 +19,7 @@
 use tokio::sync::mpsc;
 use tokio::time::timeout;
 
-use super::{CallerRequest, body};
+use super::{CallerRequest, body, json_size};
 use crate::reply::{ApiError, Body, json_response};
 use generation::{Generation, OutputChunk};
 pub use placement::Admission;
@@ -37,7 +39,7 @@
 
 /// Answers a completion request, of the chat interface if `chat` is set.
 pub async fn handle(
-    call: CallerRequest,
+    mut call: CallerRequest,
     incoming: Incoming,
     chat: bool,
 ) -> Result<Response<Body>, ApiError> {
@@ -48,6 +50,7 @@
         call.shared.settings.max_body,
     )
     .await?;
+    call.reserved = hold_parsed(&call, &bytes).await?;
     let params = CompletionRequest::parse(&bytes, chat)?;
     let model = permitted_model(&call, &params.model)?;
     let params = params.check_limits(&model)?;
@@ -63,6 +66,30 @@
     }
 }
 
+/// Reserves the memory that a body takes once it is parsed; `None` if the cost of its connection
+/// covers it.
+async fn hold_parsed(call: &CallerRequest, body: &[u8]) -> Result<Option<Reserved>, ApiError> {
+    let values = json_size::count_values(body);
+    if values > json_size::MAX_VALUES {
+        let message = format!(
+            "the body has {values} values, the limit is {}",
+            json_size::MAX_VALUES
+        );
+        return Err(ApiError::BadRequest(message));
+    }
+    let size = json_size::parsed_size(body, values);
+    if size == 0 {
+        return Ok(None);
+    }
+    let held = &call.shared.held;
+    let reserved = held.hold(call.connection, Kind::Body, size).await;
+    if reserved.is_none() {
+        held.report("parsed body refused", "bodies", call.connection);
+        return Err(ApiError::Busy);
+    }
+    Ok(reserved)
+}
+
 /// Returns the model with a name, if it exists and the caller may use it.
 fn permitted_model(call: &CallerRequest, name: &str) -> Result<EngineModel, ApiError> {
     let unknown = || ApiError::NotFound(format!("the model `{name}` does not exist"));
--- a/crates/cactuslane-held/src/connections.rs
+++ b/crates/cactuslane-held/src/connections.rs
@@ -26,6 +26,8 @@
 const MAX_HEADERS: usize = 100;
 /// Smallest `max_buf_size` that hyper accepts, in bytes; also added to the limit on the head.
 const MIN_BUFFER: usize = 8 << 10;
+/// Number of bytes of a body after which they are recorded, so that small chunks cost little.
+const RECORDED_BYTES: usize = PROGRESS_BYTES / 4;
 /// Time within which a caller must take [`PROGRESS_BYTES`] of an answer, or all that is left of it.
 const SEND_TIMEOUT: Duration = Duration::from_secs(20);
 
@@ -163,6 +165,7 @@
         .map_or(limit, |announced| announced as usize);
     held.set_activity(connection, Activity::Reading);
     let mut buffer = HeldBuffer::new(held, connection, Kind::Body, limit);
+    let mut unrecorded = 0;
     while let Some(frame) = timeout(idle, body.frame())
         .await
         .map_err(|_| BodyError::Slow)?
@@ -170,7 +173,11 @@
         let Ok(data) = frame.map_err(BodyError::Broken)?.into_data() else {
             continue;
         };
-        held.record_bytes(connection, data.len());
+        unrecorded += data.len();
+        if unrecorded >= RECORDED_BYTES {
+            held.record_bytes(connection, unrecorded);
+            unrecorded = 0;
+        }
         match buffer.extend(&data).await {
             Ok(()) => {}
             Err(BufferError::TooLarge) => return Err(BodyError::TooLarge),
--- a/crates/cactuslane-held/src/record.rs
+++ b/crates/cactuslane-held/src/record.rs
@@ -233,6 +233,23 @@
         })
     }
 
+    /// Reserves bytes until the guard is dropped; waits for a connection that stalls to be closed if
+    /// there is no space, and returns `None` if there is none then.
+    pub async fn hold(
+        self: &Arc<Self>,
+        connection: ConnectionId,
+        kind: Kind,
+        bytes: usize,
+    ) -> Option<Reserved> {
+        let granted = self.reserve(connection, kind, bytes).await;
+        granted.then(|| Reserved {
+            held: self.clone(),
+            connection,
+            kind,
+            bytes,
+        })
+    }
+
     /// Decides on a reservation; signals the connection that is to be closed for it, if any.
     fn decide(&self, connection: ConnectionId, kind: Kind, bytes: usize) -> Reservation {
         let now = self.now();
