--- a/crates/cactuslane-gateway/src/ingress.rs
+++ b/crates/cactuslane-gateway/src/ingress.rs
@@ -1,6 +1,7 @@
 //! Callers' connections, and the reading and answering of their requests.
 
 use std::collections::BTreeSet;
+use std::future::pending;
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 
@@ -9,6 +10,7 @@
 use cactuslane_flight::{
     AttemptFailure, ConnectionId, Door, Refusal, RequestInfo, RequestState, stopping,
 };
+use cactuslane_held::{BodyError, ConnectionGuard, HeadLimits, connections};
 use cactuslane_platform::exchange::{self, Identity};
 use cactuslane_types::{CustomerName, TargetId};
 use hyper::body::{Bytes, Incoming};
@@ -19,11 +21,10 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio::time::Instant;
 
-use crate::connections::{self, BodyError, HeadLimits};
-use crate::held::ConnectionGuard;
 use crate::passing::{self, TakenGuard};
 use crate::reply::{self, AnswerBody, Cause};
 use crate::state::Gateway;
+use crate::upstream::set_socket_options;
 use crate::{customers, generation, metrics, plain};
 
 /// Delay before the next `accept` after a failed one.
@@ -179,7 +180,8 @@
         let gateway = gateway.clone();
         async move { respond(&gateway, request, source, connection).await }
     };
-    connections::serve(guard, stream, limits, respond).await;
+    set_socket_options(&stream);
+    connections::serve(guard, stream, limits, pending(), respond).await;
 }
 
 /// Answers one request; counts the final answer, and logs it unless it is a success.
@@ -270,39 +272,17 @@
     };
     let (parts, body) = request.into_parts();
     let body_timeout = info.timeout.unwrap_or(route.timeout).min(route.timeout);
-    let reading = connections::read_body(&gateway.held, connection, body, config.limits.body_bytes);
+    let reading = connections::read_body(
+        &gateway.held,
+        connection,
+        body,
+        config.limits.body_bytes,
+        body_timeout,
+    );
     let body = match tokio::time::timeout(body_timeout, reading).await {
         Ok(Ok(body)) => body,
-        Ok(Err(BodyError::TooLarge)) => {
-            let status = StatusCode::PAYLOAD_TOO_LARGE;
-            return Err(reply::error(&info.id, status, "the body is too large"));
-        }
-        Ok(Err(BodyError::NoSpace)) => {
-            gateway.held.report("body refused", "bodies", connection);
-            let after = NO_SPACE_RETRY_AFTER;
-            return Err(reply::refusal(
-                &info.id,
-                Refusal::NotRun,
-                after,
-                "no space for the body",
-            ));
-        }
-        Ok(Err(BodyError::Broken(error))) => {
-            info!(request = info.id, error:% = error; "body not read");
-            return Err(reply::error(
-                &info.id,
-                StatusCode::BAD_REQUEST,
-                "the body can't be read",
-            ));
-        }
-        Err(_) => {
-            let status = StatusCode::REQUEST_TIMEOUT;
-            return Err(reply::error(
-                &info.id,
-                status,
-                "the body did not come in time",
-            ));
-        }
+        Ok(Err(error)) => return Err(refuse_body(gateway, &info.id, connection, error)),
+        Err(_) => return Err(refuse_body(gateway, &info.id, connection, BodyError::Slow)),
     };
     let path = parts.uri.path_and_query();
     let info = RequestInfo {
@@ -333,6 +313,34 @@
     })
 }
 
+/// Returns the answer to a request whose body was not read.
+fn refuse_body(
+    gateway: &Gateway,
+    id: &str,
+    connection: ConnectionId,
+    error: BodyError,
+) -> Response<AnswerBody> {
+    match error {
+        BodyError::TooLarge => {
+            let status = StatusCode::PAYLOAD_TOO_LARGE;
+            reply::error(id, status, "the body is too large")
+        }
+        BodyError::NoSpace => {
+            gateway.held.report("body refused", "bodies", connection);
+            let cause = "no space for the body";
+            reply::refusal(id, Refusal::NotRun, NO_SPACE_RETRY_AFTER, cause)
+        }
+        BodyError::Broken(error) => {
+            info!(request = id, error:% = error; "body not read");
+            reply::error(id, StatusCode::BAD_REQUEST, "the body can't be read")
+        }
+        BodyError::Slow => {
+            let status = StatusCode::REQUEST_TIMEOUT;
+            reply::error(id, status, "the body did not come in time")
+        }
+    }
+}
+
 /// Executes a request, unless the instance is stopping and might not complete it before the end of
 /// the grace period.
 async fn execute(
--- a/crates/cactuslane-gateway/src/metrics.rs
+++ b/crates/cactuslane-gateway/src/metrics.rs
@@ -5,6 +5,7 @@
 
 use cactuslane_flight::routing_config::{RetryPolicy, Route};
 use cactuslane_flight::{Door, Kind};
+use cactuslane_held::record::kind_label;
 use cactuslane_place::placer::Plan;
 use cactuslane_store::kv::CallLabels;
 use cactuslane_types::CustomerName;
@@ -16,7 +17,6 @@
 use prometheus_client::registry::{Metric, Registry};
 
 use crate::duties::Duties;
-use crate::held::kind_label;
 use crate::state::Gateway;
 
 /// Upper bound of the smallest bucket of times, in seconds.
