Tell instances the customers' shares of admitted work

Each of many instances sees a small part of a customer's requests, and a caller that repeats at once at other instances got more than others.

While there is too little room, instances tell each other once a second what they have admitted for the 16 customers with the most work, and the rest as a sum, in a new kind of message that follows the others. Reports count for 3 s; an instance without any goes by its own requests. A repeat is recognized at any instance by the time that its caller states to wait, where most callers of the kind begin with the same time; one that comes much sooner than callers are told to return gets only room that others leave.

tests/builds.rs: the first unknown kind is 12 now, as 11 is known.

--- a/crates/cactuslane-gateway/src/messages.rs
+++ b/crates/cactuslane-gateway/src/messages.rs
@@ -9,6 +9,7 @@
 use std::fmt;
 
 use cactuslane_flight::origin::StreamId;
+use cactuslane_place::admission::ShareReport;
 use cactuslane_place::load_view::PeerUpdate;
 use cactuslane_place::{LimitNotice, Observation, PermitAnswer, ReachReport, Suspect};
 use cactuslane_types::{InstanceId, SoftwareVersion};
@@ -21,7 +22,7 @@
 /// The first byte from which on a message is of a later form.
 pub const LATER_FORM: u8 = 0x80;
 /// Number of kinds of messages of the first form.
-const KINDS: u8 = 11;
+const KINDS: u8 = 12;
 /// Kind of [`Message::Update`].
 const UPDATE_KIND: u8 = 0;
 
@@ -50,6 +51,8 @@
     OriginQuery(CallNumber, StreamId),
     /// The answer to the query with this number.
     Origin(CallNumber, Option<SoftwareVersion>),
+    /// Work that the sender has recently admitted for customers of a service.
+    Shares(InstanceId, ShareReport),
 }
 
 /// A message as it was read.
--- a/crates/cactuslane-gateway/src/peers.rs
+++ b/crates/cactuslane-gateway/src/peers.rs
@@ -30,6 +30,8 @@
 const INTERVAL_SCALE: f64 = 60.0;
 /// Time since the last update after which one is sent although nothing has changed.
 const HEARTBEAT_INTERVAL: Duration = Duration::from_millis(400);
+/// Interval between reports of customers' shares.
+const SHARES_INTERVAL: Duration = Duration::from_secs(1);
 /// Number of ticks, after the first message of another instance, at which limits are asked for.
 const LIMIT_QUERIES: u32 = 3;
 /// Number of instances that are asked for limits at each of these.
@@ -56,6 +58,7 @@
         sent_loads: Vec::new(),
         sent_at: Instant::now(),
         queries: LIMIT_QUERIES,
+        shares_at: Instant::now(),
     };
     loop {
         tokio::select! {
@@ -66,6 +69,7 @@
             _ = ticks.tick() => {
                 sender.query_limits(&gateway, &socket);
                 sender.send_update(&gateway, &socket);
+                sender.send_shares(&gateway, &socket);
             }
         }
     }
@@ -82,9 +86,30 @@
     sent_at: Instant,
     /// The number of ticks at which other instances are still asked for limits.
     queries: u32,
+    /// The time at which customers' shares were last sent.
+    shares_at: Instant,
 }
 
 impl UpdateSender {
+    /// Sends what this instance has admitted for customers, once in [`SHARES_INTERVAL`] while
+    /// there is too little room at the targets of their services.
+    fn send_shares(&mut self, gateway: &Gateway, socket: &UdpSocket) {
+        if self.shares_at.elapsed() < SHARES_INTERVAL {
+            return;
+        }
+        self.shares_at = Instant::now();
+        let now = gateway.now();
+        let reports = gateway.admissions.reports((gateway.started, now), now);
+        if reports.is_empty() {
+            return;
+        }
+        let peers = gateway.members().peer_addresses();
+        let me = gateway.settings().instance.clone();
+        for report in reports {
+            send(socket, &Message::Shares(me.clone(), report), &peers);
+        }
+    }
+
     /// Asks a few other instances for the limits of targets that they know, after the start and
     /// after a time without messages, when this instance may have missed their notices.
     fn query_limits(&mut self, gateway: &Gateway, socket: &UdpSocket) {
@@ -314,6 +339,10 @@
             send(socket, &Message::Origin(number, version), &[from]);
         }
         Message::Origin(number, version) => gateway.origin_calls.answer(number, version),
+        Message::Shares(peer, report) => {
+            let now = gateway.now();
+            gateway.admissions.apply(&peer, report, now);
+        }
         Message::Permit(number, answer) => gateway.permit_calls.answer(number, answer),
     }
 }
--- a/crates/cactuslane-gateway/tests/builds.rs
+++ b/crates/cactuslane-gateway/tests/builds.rs
@@ -5,7 +5,8 @@
 use cactuslane_flight::origin::VersionList;
 use cactuslane_gateway::leadership::LeaderRecord;
 use cactuslane_gateway::members::Member;
-use cactuslane_gateway::messages::{LATER_FORM, MessageError, Received, decode};
+use cactuslane_gateway::messages::{LATER_FORM, Message, MessageError, Received, decode};
+use cactuslane_place::ShareReport;
 use proptest::collection::vec;
 use proptest::prelude::*;
 use yare::parameterized;
@@ -71,7 +72,7 @@
 
 #[parameterized(
     later_form = { &[LATER_FORM, 1, 2], MessageError::LaterForm(LATER_FORM) },
-    unknown_kind = { &[11, 0], MessageError::UnknownKind(11) },
+    unknown_kind = { &[12, 0], MessageError::UnknownKind(12) },
     empty = { &[], MessageError::Malformed("empty".to_owned()) },
 )]
 fn a_message_that_cannot_be_read_says_why(bytes: &[u8], expected: MessageError) {
@@ -87,6 +88,22 @@
     }
 }
 
+/// Guards against a change of what instances tell each other of customers.
+#[test]
+fn a_report_of_shares_keeps_its_form() {
+    let report = ShareReport {
+        service: "m".to_owned(),
+        version: (5, 6),
+        named: vec![("c".to_owned(), 300)],
+        rest: (2, 7),
+        is_pressed: true,
+    };
+    let message = Message::Shares("i".to_owned(), report);
+    let bytes = [11, 1, b'i', 1, b'm', 5, 6, 1, 1, b'c', 172, 2, 2, 7, 1];
+    assert_eq!(message.encode().as_deref(), Ok(&bytes[..]));
+    assert_eq!(decode(&bytes), Ok(Received::Whole(message)));
+}
+
 /// Guards against a record of the store that an older or a later build has written and this one
 /// cannot read.
 #[test]
@@ -110,7 +127,7 @@
     #[test]
     fn any_bytes_are_read_or_refused(bytes in vec(any::<u8>(), 0..200)) {
         let read = decode(&bytes);
-        let known = bytes.first().is_some_and(|kind| *kind < 11);
+        let known = bytes.first().is_some_and(|kind| *kind < 12);
         prop_assert!(known || read.is_err());
     }
 
--- a/crates/cactuslane-place/src/admission.rs
+++ b/crates/cactuslane-place/src/admission.rs
@@ -186,13 +186,13 @@
     ) -> Verdict {
         let objective = request.objective.as_secs_f64() * 1000.0;
         let left = request.left.as_secs_f64() * 1000.0;
+        let tried = self.kinds.tried_ms(request, objective);
         let timing = match waiting {
             Some(waiting) => waiting.timing,
-            None => self.returns.take(request.fingerprint, now),
+            None => self.returns.take_repeat(request.fingerprint, tried, now),
         };
         let expected = request.wait_ms + request.service_ms;
         let waited = request.waited.as_secs_f64() * 1000.0;
-        let tried = self.kinds.tried_ms(request, objective);
         let waited = timing.since_first(now).max(waited + tried);
         let is_late = waited + expected > objective;
         if waiting.is_none() {
@@ -259,9 +259,8 @@
         };
         let remaining = limit - held;
         let is_full = waiting.is_none() && self.queue.len() >= MAX_WAITING;
-        // There is room for late requests only once those in time leave some.
-        let is_hopeless =
-            is_sustained && is_late && !has_room && !matches!(timing, Timing::Returned { .. });
+        // There is room for late and early requests only once the others leave some.
+        let is_hopeless = is_sustained && is_last(timing, is_late) && !has_room;
         if !is_full && !is_hopeless && remaining > 0.0 {
             let excess = queue - verdict.bound_ms;
             let look = excess.max(limit / LOOKS).max(MIN_LOOK).min(remaining);
@@ -428,6 +427,15 @@
     timing * cactuslane_route::share::bound_factor(share)
 }
 
+/// Returns whether a request only gets room that others leave.
+fn is_last(timing: Timing, is_late: bool) -> bool {
+    match timing {
+        Timing::Returned { .. } => false,
+        Timing::New => is_late,
+        Timing::Early { .. } => true,
+    }
+}
+
 /// Returns the rank of a request; lower ones go first.
 fn rank(is_late: bool, priority: u8, timing: Timing) -> u8 {
     let timing = match timing {
--- a/crates/cactuslane-place/src/admission/kinds.rs
+++ b/crates/cactuslane-place/src/admission/kinds.rs
@@ -18,7 +18,7 @@
 const STARVED_SHARE: f64 = 0.5;
 
 /// Share of the longest stated time from which a caller counts as one that begins with it.
-const FULL_SHARE: f64 = 0.99;
+const FULL_SHARE: f64 = 0.999;
 /// Smallest share of such callers with which others count as repeating.
 const MIN_AT_LONGEST: f64 = 0.3;
 /// Share of the longest queue with which a request is in time which it may find: the view of the
--- a/crates/cactuslane-place/src/admission/returns.rs
+++ b/crates/cactuslane-place/src/admission/returns.rs
@@ -22,7 +22,10 @@
 const MIN_AWAY: f64 = 50.0;
 /// Longest time for which returns are booked ahead, in milliseconds.
 const MAX_BOOKED: f64 = 5_000.0;
-/// Weight of a new admission in the moving average of the time between admissions.
+/// Share of the mean time to return below which a repeat counts as early at an instance that did not
+/// refuse it.
+const SOON_SHARE: f64 = 0.5;
+/// Weight of a new refusal in the moving average of the time to return, and of a new admission in the moving average of the time between admissions.
 const GAP_WEIGHT: f64 = 0.1;
 /// Initial time between admissions, in milliseconds; also the longest that counts.
 const MAX_GAP: f64 = 1_000.0;
@@ -55,6 +58,8 @@
     booked: BTreeMap<u8, f64>,
     /// Time of the last admission, and the moving average of the time between two, in milliseconds.
     gap: Option<(Millis, f64)>,
+    /// Moving average of the time that refused callers are told to stay away, in milliseconds.
+    told_ms: f64,
 }
 
 impl Timing {
@@ -92,6 +97,23 @@
         Timing::Returned { first }
     }
 
+    /// Returns what is known of a request whose caller has tried for `tried` milliseconds already, at
+    /// any instance; one that was not refused here is early if that is much less than refused
+    /// callers are told to stay away.
+    pub(super) fn take_repeat(
+        &mut self,
+        fingerprint: Fingerprint,
+        tried: f64,
+        now: Millis,
+    ) -> Timing {
+        let timing = self.take(fingerprint, now);
+        if timing == Timing::New && tried > 0.0 && tried < self.told_ms * SOON_SHARE {
+            let first = now.saturating_sub(tried as Millis);
+            return Timing::Early { first };
+        }
+        timing
+    }
+
     /// Remembers a refused request that first arrived at `first` and is to return after `after`.
     ///
     /// The time that it was told before stays in force if it is later.
@@ -102,6 +124,8 @@
         after: Duration,
         now: Millis,
     ) {
+        let told = after.as_secs_f64() * 1000.0;
+        self.told_ms += (told - self.told_ms) * GAP_WEIGHT;
         if fingerprint == 0 {
             return;
         }
--- a/crates/cactuslane-place/src/admission/shares.rs
+++ b/crates/cactuslane-place/src/admission/shares.rs
@@ -64,11 +64,16 @@
 
     /// Applies the report of another instance; returns false if it is a duplicate or older than the
     /// last one.
-    pub fn apply(&mut self, instance: &str, report: ShareReport, now: Millis) -> bool {
+    pub fn apply(&mut self, instance: &str, mut report: ShareReport, now: Millis) -> bool {
+        report.named.truncate(MAX_NAMED);
         let known = self.reports.get(instance);
         if known.is_some_and(|(_, known)| known.version >= report.version) {
             return false;
         }
+        if known.is_none() {
+            self.reports
+                .retain(|_, (received, _)| now.saturating_sub(*received) <= REPORT_LIFETIME);
+        }
         self.reports.insert(instance.to_owned(), (now, report));
         self.sums.computed = None;
         true
