--- a/crates/cactuslane-gateway/src/messages.rs
+++ b/crates/cactuslane-gateway/src/messages.rs
@@ -10,6 +10,7 @@
 
 use cactuslane_authority::UsageUpdate;
 use cactuslane_flight::origin::StreamId;
+use cactuslane_place::admission::ShareReport;
 use cactuslane_place::load_view::PeerUpdate;
 use cactuslane_place::{LimitNotice, Observation, PermitAnswer, ReachReport, Suspect};
 use cactuslane_types::{InstanceId, SoftwareVersion};
@@ -22,7 +23,7 @@
 /// The first byte from which on a message is of a later form.
 pub const LATER_FORM: u8 = 0x80;
 /// Number of kinds of messages of the first form.
-const KINDS: u8 = 12;
+const KINDS: u8 = 13;
 /// Kind of [`Message::Update`].
 const UPDATE_KIND: u8 = 0;
 
@@ -53,6 +54,8 @@
     Origin(CallNumber, Option<SoftwareVersion>),
     /// Counts of customers' requests, and the time of day at the sender.
     Usage(UsageUpdate),
+    /// Work that the sender has recently admitted for customers of a service.
+    Shares(InstanceId, ShareReport),
 }
 
 /// A message as it was read.
--- a/crates/cactuslane-gateway/tests/builds.rs
+++ b/crates/cactuslane-gateway/tests/builds.rs
@@ -9,6 +9,7 @@
 use cactuslane_gateway::leadership::LeaderRecord;
 use cactuslane_gateway::members::Member;
 use cactuslane_gateway::messages::{LATER_FORM, Message, MessageError, Received, decode};
+use cactuslane_place::ShareReport;
 use proptest::collection::vec;
 use proptest::prelude::*;
 use yare::parameterized;
@@ -129,7 +130,7 @@
 
 #[parameterized(
     later_form = { &[LATER_FORM, 1, 2], MessageError::LaterForm(LATER_FORM) },
-    unknown_kind = { &[12, 0], MessageError::UnknownKind(12) },
+    unknown_kind = { &[13, 0], MessageError::UnknownKind(13) },
     empty = { &[], MessageError::Malformed("empty".to_owned()) },
 )]
 fn a_message_that_cannot_be_read_says_why(bytes: &[u8], expected: MessageError) {
@@ -145,6 +146,22 @@
     }
 }
 
+/// Guards against a change of what instances tell each other of customers.
+#[test]
+fn a_report_of_shares_keeps_its_form() {
+    let report = ShareReport {
+        service: "m".to_owned(),
+        version: (5, 6),
+        named: vec![("c".to_owned(), 300)],
+        rest: (2, 7),
+        is_pressed: true,
+    };
+    let message = Message::Shares("i".to_owned(), report);
+    let bytes = [12, 1, b'i', 1, b'm', 5, 6, 1, 1, b'c', 172, 2, 2, 7, 1];
+    assert_eq!(message.encode().as_deref(), Ok(&bytes[..]));
+    assert_eq!(decode(&bytes), Ok(Received::Whole(message)));
+}
+
 /// Guards against a record of the store that an older or a later build has written and this one
 /// cannot read.
 #[test]
@@ -168,7 +185,7 @@
     #[test]
     fn any_bytes_are_read_or_refused(bytes in vec(any::<u8>(), 0..200)) {
         let read = decode(&bytes);
-        let known = bytes.first().is_some_and(|kind| *kind < 12);
+        let known = bytes.first().is_some_and(|kind| *kind < 13);
         prop_assert!(known || read.is_err());
     }
 
