Test the driver's orders for fewer targets, and a 409

Cause: the driver's tests showed orders for more only.

Change: little load leads to orders for fewer ordinary targets and to one for reclaimable ones in each domain, which a 409 ends; nothing is given up once the store's picture is old.

Measured: the seven tests of tests/scaling.rs pass.

--- a/crates/cactuslane-gateway/tests/scaling.rs
+++ b/crates/cactuslane-gateway/tests/scaling.rs
@@ -27,6 +27,8 @@
 enum Reply {
     /// It answers with a status.
     Status(u16),
+    /// It has no reclaimable targets, and accepts all other orders.
+    NoReclaimable,
     /// It closes the connection after it has read the call.
     Close,
 }
@@ -38,6 +40,8 @@
     domain: String,
     /// Number of targets.
     count: u64,
+    /// Whether they may be reclaimed.
+    reclaimable: bool,
     /// Fencing token.
     token: String,
 }
@@ -82,11 +86,16 @@
     let call = Call {
         domain: body["zone"].as_str().unwrap_or_default().to_owned(),
         count: body["desired_count"].as_u64().unwrap_or_default(),
+        reclaimable: body["spot"] == true,
         token: token.unwrap_or_default().to_owned(),
     };
+    let refused = call.reclaimable;
     calls.lock().expect("no test panicked").push(call);
-    let Reply::Status(status) = reply else {
-        return;
+    let status = match reply {
+        Reply::Status(status) => status,
+        Reply::NoReclaimable if refused => 409,
+        Reply::NoReclaimable => 200,
+        Reply::Close => return,
     };
     let head = format!("HTTP/1.1 {status} S\r\ncontent-length: 0\r\n\r\n");
     let _ = stream.write_all(head.as_bytes()).await;
@@ -113,6 +122,12 @@
 /// Creates an instance with two targets in each of two failure domains, all of whose slots are
 /// taken.
 fn open_gateway(platform: SocketAddr) -> Arc<Gateway> {
+    open_loaded_gateway(platform, 2, 6)
+}
+
+/// Creates an instance with `targets` targets in each of two failure domains that run `running`
+/// requests each; reclaimable ones are cheap.
+fn open_loaded_gateway(platform: SocketAddr, targets: usize, running: u32) -> Arc<Gateway> {
     let store = "127.0.0.1:1".parse().expect("it is an address");
     let mut settings = cactuslane_platform_standin::settings("front-1", store);
     settings.duties = Some(DutySettings {
@@ -131,7 +146,7 @@
             min: 1,
             max: 20,
             boot_time: Duration::from_secs(1),
-            reclaimable_price: None,
+            reclaimable_price: Some(0.2),
             prices: BTreeMap::new(),
         }),
     };
@@ -141,13 +156,15 @@
         ..RoutingConfig::default()
     };
     gateway.fleet().set_routing_config(config);
-    for (id, domain) in [("i-1", "a"), ("i-2", "a"), ("i-3", "b"), ("i-4", "b")] {
-        gateway.fleet().put(target(id, domain));
+    for index in 0..2 * targets {
+        let id = format!("i-{index}");
+        let domain = if index % 2 == 0 { "a" } else { "b" };
+        gateway.fleet().put(target(&id, domain));
         let load = Load {
-            running: 6,
+            running,
             ..Load::default()
         };
-        gateway.placer().load_view.add(id, load);
+        gateway.placer().load_view.add(&id, load);
     }
     gateway.observe_progress(&Progress::at(1, gateway.now()));
     gateway
@@ -261,3 +278,49 @@
     assert!(calls.lock().expect("no test panicked").is_empty());
     task.abort();
 }
+
+#[tokio::test]
+async fn fewer_are_ordered_for_little_load_and_none_that_are_not_available() {
+    let (platform, calls) = open_platform(vec![Reply::NoReclaimable; 100]).await;
+    let gateway = open_loaded_gateway(platform, 10, 1);
+    lead(&gateway, 5);
+    let task = tokio::spawn(scaling::run(gateway.clone()));
+    let known = gateway.clone();
+    let store = tokio::spawn(async move {
+        loop {
+            known.observe_progress(&Progress::at(1, known.now()));
+            sleep(Duration::from_millis(200)).await;
+        }
+    });
+    let both = |calls: &[Call]| {
+        let reclaimable = calls.iter().filter(|call| call.reclaimable).count();
+        (1..calls.len()).contains(&reclaimable)
+    };
+    let seen = wait_for(&calls, both).await;
+    for call in seen.iter().filter(|call| !call.reclaimable) {
+        assert!((7..10).contains(&call.count), "{call:?}");
+    }
+    sleep(Duration::from_secs(2)).await;
+    let seen = calls.lock().expect("no test panicked").clone();
+    for domain in ["a", "b"] {
+        let asked = calls_for(&seen, domain);
+        let refused = asked.iter().filter(|call| call.reclaimable).count();
+        assert!(refused <= 1, "{refused} calls for {domain}");
+    }
+    task.abort();
+    store.abort();
+}
+
+#[tokio::test]
+async fn nothing_is_given_up_once_the_store_was_not_heard_of_for_long() {
+    let (platform, calls) = open_platform(Vec::new()).await;
+    let gateway = open_loaded_gateway(platform, 10, 1);
+    gateway.observe_progress(&Progress::at(1, 0));
+    let limit = gateway.knowledge_limit();
+    sleep(limit + Duration::from_millis(100)).await;
+    lead(&gateway, 5);
+    let task = tokio::spawn(scaling::run(gateway.clone()));
+    sleep(Duration::from_secs(5)).await;
+    assert!(calls.lock().expect("no test panicked").is_empty());
+    task.abort();
+}
