--- a/crates/cactuslane-gateway/tests/duties/main.rs
+++ b/crates/cactuslane-gateway/tests/duties/main.rs
@@ -2,6 +2,7 @@
 //! store and of the platform's address.
 
 mod calls;
+mod counted;
 mod fleet;
 mod holder;
 mod usage;
