Count targets that an order gives up no longer as held while they still show

Change: while an order is being followed, its own number stands. The model's registry lags by 750 ms.

--- a/crates/cactuslane-scaling/src/order_log.rs
+++ b/crates/cactuslane-scaling/src/order_log.rs
@@ -98,7 +98,10 @@
     pub(crate) fn observe(&mut self, domain: &str, kind: Kind, registered: u32, now: Millis) {
         let entry = self.entry(domain, kind);
         let before = entry.registered.replace(registered);
-        entry.standing = entry.standing.max(registered);
+        // Targets that an order gives up stay registered for a moment.
+        if entry.ordered.is_none() || entry.followed {
+            entry.standing = entry.standing.max(registered);
+        }
         if entry.ordered.is_some_and(|(count, ..)| count == registered) {
             entry.followed = true;
             entry.unconfirmed = false;
--- a/crates/cactuslane-scaling/tests/days/model.rs
+++ b/crates/cactuslane-scaling/tests/days/model.rs
@@ -15,6 +15,8 @@
 pub const STEP: Millis = 250;
 /// Boot time of a target, in milliseconds.
 pub const BOOT: Millis = 4_000;
+/// Time from an order until the registry shows its first effect, in milliseconds.
+const LAG: Millis = 750;
 /// Time for which a target that was given up still runs, in milliseconds.
 const DRAIN: Millis = 2_000;
 /// Capacity of a target.
@@ -287,6 +289,8 @@
     groups: BTreeMap<(DomainName, Kind), Group>,
     /// Domains in which no targets boot, with the times until then.
     dead: BTreeMap<DomainName, Millis>,
+    /// Orders without effect yet, with the times of that.
+    accepted: Vec<(Millis, Order)>,
 }
 
 impl Platform {
@@ -306,6 +310,7 @@
             spec: spec.clone(),
             groups,
             dead: BTreeMap::new(),
+            accepted: Vec::new(),
         }
     }
 
@@ -321,11 +326,7 @@
             total >= self.spec.min && total <= self.spec.max,
             "{order:?}: {total}"
         );
-        let key = (order.domain.clone(), order.kind);
-        if let Some(group) = self.groups.get_mut(&key) {
-            group.desired = order.count;
-        }
-        self.advance(now);
+        self.accepted.push((now + LAG, order.clone()));
     }
 
     /// Scales all domains by a sixth, if asked to.
@@ -369,6 +370,14 @@
 
     /// Starts and stops targets as ordered.
     fn advance(&mut self, now: Millis) {
+        for (at, order) in std::mem::take(&mut self.accepted) {
+            let key = (order.domain.clone(), order.kind);
+            if now < at {
+                self.accepted.push((at, order));
+            } else if let Some(group) = self.groups.get_mut(&key) {
+                group.desired = order.count;
+            }
+        }
         for ((domain, _), group) in &mut self.groups {
             let is_dead = self.dead.get(domain).is_some_and(|until| now < *until);
             let before = group.booting.len() + group.down.len();
