Take only queues as lack of room, and serve kinds that are always late

A kind whose prompts take longer than its objective at empty engines too, as with cold caches, counted as lack of room with any queue, and under pressure it was left almost no room.

Only a queue longer than what the objective leaves counts, and a starved kind gets the room that starved kinds in time get.

--- a/crates/cactuslane-place/src/admission.rs
+++ b/crates/cactuslane-place/src/admission.rs
@@ -196,9 +196,7 @@
         let waited = timing.since_first(now).max(waited + tried);
         let is_late = waited + expected > objective;
         if waiting.is_none() {
-            // A request that is late with empty queues as well shows no lack of room.
-            let is_squeezed = request.wait_ms > 0.0 && expected > objective;
-            self.pressure.observe(is_squeezed, now);
+            self.pressure.observe(is_squeezed(request, objective), now);
             self.kinds.ask(request, objective, now);
         }
         let rank = rank(is_late, request.priority, timing);
@@ -227,7 +225,7 @@
         }
         let factor = factor(timing, verdict.share);
         let headroom = if is_late {
-            self.kinds.late_headroom(objective, now)
+            self.kinds.late_headroom(request, objective, now)
         } else {
             self.kinds.headroom(request, objective, waited, now)
         };
@@ -427,6 +425,17 @@
     timing * cactuslane_route::share::bound_factor(share)
 }
 
+/// Returns whether the queue makes a request miss its objective, which is in milliseconds.
+fn is_squeezed(request: &AdmissionRequest<'_>, objective: f64) -> bool {
+    // One that is late with empty queues as well shows no lack of room by itself.
+    let spare = if request.service_ms <= objective {
+        objective - request.service_ms
+    } else {
+        objective
+    };
+    request.wait_ms > spare
+}
+
 /// Returns whether a request only gets room that others leave.
 fn is_last(timing: Timing, is_late: bool) -> bool {
     match timing {
--- a/crates/cactuslane-place/src/admission/kinds.rs
+++ b/crates/cactuslane-place/src/admission/kinds.rs
@@ -147,8 +147,21 @@
 
     /// Returns the longest queue at the targets with which a request that is late anyway leaves all
     /// others in time, in milliseconds; `objective` is in milliseconds.
-    pub(super) fn late_headroom(&self, objective: f64, now: Millis) -> f64 {
-        self.least(None, now).unwrap_or(objective).min(objective) * LATE_SHARE
+    ///
+    /// A kind that is starved, as one that is late at empty targets as well would be, gets a larger
+    /// part of it.
+    pub(super) fn late_headroom(
+        &self,
+        request: &AdmissionRequest<'_>,
+        objective: f64,
+        now: Millis,
+    ) -> f64 {
+        let part = if self.is_starved(key(request, objective)) {
+            MARGIN
+        } else {
+            LATE_SHARE
+        };
+        self.least(None, now).unwrap_or(objective).min(objective) * part
     }
 
     /// Returns the shortest time by which an active kind that is more urgent than `priority`, or
--- a/crates/cactuslane-place/tests/admission/load.rs
+++ b/crates/cactuslane-place/tests/admission/load.rs
@@ -2,7 +2,7 @@
 
 use yare::parameterized;
 
-use crate::world::{Outcome, Scenario, Tally, play};
+use crate::world::{CHECK, Kind, Outcome, REPORT, Scenario, Tally, play};
 
 /// Plays a load without admission and with it.
 fn play_both(scenario: &Scenario) -> (Outcome, Outcome) {
@@ -188,3 +188,19 @@
         after.all
     );
 }
+
+#[test]
+fn a_kind_that_is_late_at_empty_targets_too_is_served() {
+    let slow = Kind {
+        objective: 50,
+        ..REPORT
+    };
+    let scenario = Scenario {
+        overload: 2.0,
+        kinds: vec![CHECK, slow],
+        ..Scenario::default()
+    };
+    let outcome = play(&scenario);
+    println!("late kind: {:?}", outcome.kinds);
+    assert!(outcome.kinds[&1].served() >= outcome.all.served() / 4.0);
+}
