--- a/crates/cactuslane-place/tests/admission/rules.rs
+++ b/crates/cactuslane-place/tests/admission/rules.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use cactuslane_place::{Admission, AdmissionRequest, Decision, RefusalCause, Verdict};
+use cactuslane_place::{Admission, AdmissionRequest, Decision, RefusalCause, ShareReport, Verdict};
 use cactuslane_types::Millis;
 use yare::parameterized;
 
@@ -237,3 +237,67 @@
     let large = admission.decide(&of("large", 10.0), None, now + 61);
     assert_eq!(large.decision, Decision::Run);
 }
+
+/// Returns a report by which customer `large` has nearly all work.
+fn report(number: u64) -> ShareReport {
+    ShareReport {
+        service: "models".to_owned(),
+        version: (1, number),
+        named: vec![("large".to_owned(), 10_000), ("a".to_owned(), 100)],
+        rest: (0, 0),
+        is_pressed: true,
+    }
+}
+
+#[test]
+fn reports_count_until_they_are_old_and_then_own_requests_alone() {
+    let (mut admission, now) = pressed();
+    assert!(admission.shares.apply("i2", report(2), now));
+    assert!(!admission.shares.apply("i2", report(2), now + 1));
+    assert!(!admission.shares.apply("i2", report(1), now + 1));
+    let (share, age) = admission.shares.over("large", now + 2_900);
+    assert!(share > 1.9, "{share}");
+    assert_eq!(age, Some(2_900));
+    assert_eq!(admission.shares.over("large", now + 3_200), (1.0, None));
+}
+
+#[test]
+fn an_instance_reports_what_it_admitted_while_any_instance_is_short_of_room() {
+    let mut admission = Admission::new(1);
+    let request = AdmissionRequest {
+        customer: Some("a"),
+        work: 300.0,
+        ..REQUEST
+    };
+    admission.decide(&request, None, 0);
+    assert_eq!(admission.report("models", (7, 1), 10), None);
+    admission.shares.apply("i2", report(1), 10);
+    let sent = admission
+        .report("models", (7, 1), 10)
+        .expect("one is short of room");
+    assert!(!sent.is_pressed);
+    assert_eq!(sent.named.len(), 1);
+    assert!((295..=300).contains(&sent.named[0].1), "{sent:?}");
+    assert_eq!(admission.report("models", (7, 2), 4_000), None);
+}
+
+#[test]
+fn a_report_names_the_largest_customers_and_sums_up_the_rest() {
+    let (mut admission, now) = pressed();
+    for number in 0..40_u32 {
+        let name = format!("c{number:02}");
+        let request = AdmissionRequest {
+            customer: Some(&name),
+            work: f64::from(number + 1) * 10.0,
+            ..REQUEST
+        };
+        admission.decide(&request, None, now);
+    }
+    let report = admission
+        .report("models", (7, 1), now)
+        .expect("it is short of room");
+    assert_eq!(report.named.len(), 16);
+    assert_eq!(report.named[0], ("c39".to_owned(), 400));
+    let rest: u32 = (1..=24).map(|number| number * 10).sum();
+    assert_eq!(report.rest, (24, rest));
+}
