--- a/crates/cactuslane-place/tests/placing/main.rs
+++ b/crates/cactuslane-place/tests/placing/main.rs
@@ -2,6 +2,7 @@
 //! stand-in.
 
 mod limits;
+mod plain;
 mod speed;
 mod spread;
 mod versions;
