--- a/crates/cactuslane-entry/src/server.rs
+++ b/crates/cactuslane-entry/src/server.rs
@@ -83,7 +83,7 @@
         if shared.held.count(Door::Front) as u64 >= shared.settings.max_connections {
             continue;
         }
-        let Some(guard) = shared.held.open(Door::Front) else {
+        let Some(guard) = shared.held.open(Door::Front).await else {
             continue;
         };
         let _ = stream.set_nodelay(true);
--- a/crates/cactuslane-gateway/src/directory.rs
+++ b/crates/cactuslane-gateway/src/directory.rs
@@ -41,7 +41,7 @@
                 continue;
             }
         };
-        let Some(guard) = gateway.held.open(door) else {
+        let Some(guard) = gateway.held.open(door).await else {
             continue;
         };
         let gateway = gateway.clone();
--- a/crates/cactuslane-gateway/src/ingress.rs
+++ b/crates/cactuslane-gateway/src/ingress.rs
@@ -137,7 +137,7 @@
     loop {
         match listener.accept().await {
             Ok((stream, _)) => {
-                if let Some(guard) = gateway.held.open(door) {
+                if let Some(guard) = gateway.held.open(door).await {
                     tokio::spawn(serve_connection(gateway.clone(), guard, stream, source));
                 }
             }
--- a/crates/cactuslane-held/src/record.rs
+++ b/crates/cactuslane-held/src/record.rs
@@ -142,29 +142,40 @@
 
     /// Counts a connection until the guard is dropped; `None` if the door is full and no other
     /// connection can be closed for it.
-    #[must_use]
-    pub fn open(self: &Arc<Self>, door: Door) -> Option<ConnectionGuard> {
-        let now = self.now();
-        let mut book = self.book();
-        let Opening::Opened(id, replaced) = book.held.open(door, now) else {
-            drop(book);
+    ///
+    /// Waits for the other one to be closed, so that descriptors stay bounded as well.
+    pub async fn open(self: &Arc<Self>, door: Door) -> Option<ConnectionGuard> {
+        let Opening::Opened(id, replaced) = self.book().held.open(door, self.now()) else {
             self.report("connection refused", door.label(), NO_CONNECTION);
             return None;
         };
         let closer = Arc::new(Notify::new());
-        book.closers.insert(id, closer.clone());
-        if let Some(replaced) = replaced {
-            book.close(replaced);
-        }
-        drop(book);
-        if let Some(replaced) = replaced {
-            self.report("connection replaced", door.label(), replaced);
-        }
-        Some(ConnectionGuard {
+        self.book().closers.insert(id, closer.clone());
+        let guard = ConnectionGuard {
             held: self.clone(),
             id,
             closer,
-        })
+        };
+        if let Some(replaced) = replaced {
+            self.book().close(replaced);
+            self.report("connection replaced", door.label(), replaced);
+            let _ = timeout(RELEASE_TIMEOUT, self.until_closed(replaced)).await;
+        }
+        Some(guard)
+    }
+
+    /// Waits until a connection is closed.
+    async fn until_closed(&self, connection: ConnectionId) {
+        loop {
+            // Enabled before the check, so that no change after it is missed.
+            let released = self.released.notified();
+            tokio::pin!(released);
+            released.as_mut().enable();
+            if !self.book().closers.contains_key(&connection) {
+                return;
+            }
+            released.await;
+        }
     }
 
     /// Records what a connection does from now on.
@@ -318,6 +329,8 @@
         let mut book = self.held.book();
         book.held.close(self.id);
         book.closers.remove(&self.id);
+        drop(book);
+        self.held.released.notify_waiters();
     }
 }
 
