--- a/crates/cactuslane-gateway/src/state.rs
+++ b/crates/cactuslane-gateway/src/state.rs
@@ -1,5 +1,7 @@
 //! The state that the tasks of an instance share.
 
+mod guards;
+
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
@@ -35,6 +37,8 @@
 use crate::upstream::ConnectionPool;
 use crate::usage::Usage;
 
+pub use self::guards::{CountGuard, LoadGuard};
+
 /// Factor on the time-out of a route for the longest time since the beginning of a stream that a
 /// caller takes up.
 pub const STREAM_LIFETIME_FACTOR: u32 = 2;
@@ -437,64 +441,6 @@
     }
 }
 
-/// Guard that counts one request or connection until it is dropped.
-#[derive(Debug)]
-pub struct CountGuard {
-    /// State that holds the counter.
-    gateway: Arc<Gateway>,
-    /// Selects the counter.
-    counter: fn(&Gateway) -> &AtomicUsize,
-}
-
-impl CountGuard {
-    /// Increments a counter and returns the guard that decrements it.
-    fn new(gateway: Arc<Gateway>, counter: fn(&Gateway) -> &AtomicUsize) -> Self {
-        counter(&gateway).fetch_add(1, Ordering::Relaxed);
-        Self { gateway, counter }
-    }
-}
-
-impl Drop for CountGuard {
-    fn drop(&mut self) {
-        (self.counter)(&self.gateway).fetch_sub(1, Ordering::Relaxed);
-    }
-}
-
-/// Guard of recorded load at a target, which is removed when it is dropped.
-#[derive(Debug)]
-pub struct LoadGuard {
-    /// State whose placer holds the load.
-    gateway: Arc<Gateway>,
-    /// Id of the target.
-    target: TargetId,
-    /// Load that is still recorded.
-    load: Load,
-}
-
-impl LoadGuard {
-    /// Removes the prompt tokens from the recorded load once the prompt has been computed.
-    pub fn prompt_done(&mut self) {
-        if self.load.prompt_tokens == 0 {
-            return;
-        }
-        let done = Load {
-            prompt_tokens: self.load.prompt_tokens,
-            ..Load::default()
-        };
-        self.load.prompt_tokens = 0;
-        self.gateway.placer().load_view.remove(&self.target, done);
-    }
-}
-
-impl Drop for LoadGuard {
-    fn drop(&mut self) {
-        self.gateway
-            .placer()
-            .load_view
-            .remove(&self.target, self.load);
-    }
-}
-
 /// Locks a mutex, also if another thread panicked while it held the lock.
 fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
     mutex.lock().unwrap_or_else(PoisonError::into_inner)
