Ask admission only where the configuration has customers

Change: a request of a configuration without customers is admitted at once and gets the former time to come back; queues that targets tell are recorded only with customers, and busy targets are drawn at random only while their queues are told.

Result: a new test keeps the former choice without queues.

--- a/crates/cactuslane-gateway/src/admission.rs
+++ b/crates/cactuslane-gateway/src/admission.rs
@@ -71,6 +71,9 @@
         left: Duration,
         now: Millis,
     ) -> Duration {
+        if !competes(request) {
+            return excess.min(left / 3);
+        }
         self.counts
             .get_or_create(&vec![("result", "deadline")])
             .inc();
@@ -105,7 +108,7 @@
             admissions,
             service: &request.service,
             waiting: None,
-            is_admitted: false,
+            is_admitted: !competes(request),
         }
     }
 
@@ -169,6 +172,11 @@
     }
 }
 
+/// Returns whether callers of the deployment compete for room: where its configuration has customers.
+fn competes(request: &CallerRequest) -> bool {
+    request.config.customers.is_some()
+}
+
 /// Returns what the decision needs of a request.
 fn admission_request<'r>(
     request: &'r CallerRequest,
--- a/crates/cactuslane-gateway/src/answers.rs
+++ b/crates/cactuslane-gateway/src/answers.rs
@@ -25,7 +25,9 @@
 ) {
     limits::observe_answer(gateway, target, purpose, status, headers, sent);
     observe_pause(gateway, target, status, headers);
-    if let Some((running, waiting)) = exchange::target_load(headers) {
+    let config = gateway.routing_config();
+    let competes = config.is_some_and(|config| config.customers.is_some());
+    if competes && let Some((running, waiting)) = exchange::target_load(headers) {
         let (mut placer, now) = (gateway.placer(), gateway.now());
         placer.queues.observe(&target.id, running, waiting, now);
     }
--- a/crates/cactuslane-place/src/placer/plain.rs
+++ b/crates/cactuslane-place/src/placer/plain.rs
@@ -47,7 +47,11 @@
             let slot_cost = 100.0 / slots;
             // Instances see the same old loads. While targets are busy, those that differ by less
             // than one request are equal, so that not all instances take the same one.
-            let spread = RANDOM_COST.max(slot_cost * (count / slots).min(1.0));
+            let spread = if self.queues.is_told(&target.id, now) {
+                RANDOM_COST.max(slot_cost * (count / slots).min(1.0))
+            } else {
+                RANDOM_COST
+            };
             let cost = (count + 1.0) * slot_cost * self.slowdown(&target.id, now)
                 + self.domain_cost(target)
                 + self.random.random_range(0.0..spread);
--- a/crates/cactuslane-place/src/queues.rs
+++ b/crates/cactuslane-place/src/queues.rs
@@ -49,6 +49,13 @@
         self.work.get(service).copied()
     }
 
+    /// Returns whether a target told of its queue recently.
+    #[must_use]
+    pub fn is_told(&self, target: &str, now: Millis) -> bool {
+        let told = self.told.get(target);
+        told.is_some_and(|(_, at)| now.saturating_sub(*at) <= TOLD_LIFETIME)
+    }
+
     /// Returns the expected number of requests that run or wait at a target, of which instances
     /// know `known`.
     #[must_use]
--- a/crates/cactuslane-place/tests/placing/plain.rs
+++ b/crates/cactuslane-place/tests/placing/plain.rs
@@ -65,3 +65,25 @@
     let wait = placer.forecast_plain(&target, 3, 4_000).wait_ms;
     assert!((wait - 65.0).abs() < 0.5, "{wait}");
 }
+
+// Deployments whose queues are not recorded keep the target with the least load.
+#[test]
+fn busy_targets_are_drawn_at_random_only_while_their_queues_are_told() {
+    let (busy, busier) = (target("w1"), target("w2"));
+    let mut placer = Placer::new("a".to_owned(), 1);
+    for (id, running) in [("w1", 12), ("w2", 13)] {
+        let load = Load {
+            running,
+            ..Load::default()
+        };
+        placer.load_view.add(id, load);
+    }
+    let count_busier = |placer: &mut Placer| {
+        let chosen = (0..50).map(|_| placer.place_plain(&[&busy, &busier], &[], 1_000));
+        chosen.filter(|id| id.as_deref() == Some("w2")).count()
+    };
+    assert_eq!(count_busier(&mut placer), 0);
+    placer.queues.observe("w1", 6, 6, 900);
+    placer.queues.observe("w2", 6, 6, 900);
+    assert!(count_busier(&mut placer) > 2);
+}
