Count a crash from when the attempt broke off, and each process of a target apart

A lost attempt is a crash only once it is no longer in doubt whether the instance itself is cut off. An instance that hears no target, as it has just these requests, stayed in doubt for the whole 2 s: each loss that followed, and the refused connection within a round of trials of which others were made, began the doubt anew, also for the losses before. The crash was then taken to have been when it was found out, 2 s late, so that the crashes of several processes of a target were within 2 s and counted as one, attempts seemed to have been sent before the crash before them, and an answer between the loss and its finding did not count. Of 18 to 24 crashes fewer than three were known, and the trials before a hold, one in 250 ms, went on.

Change: a loss is in doubt until a target was reached 0.2 s or more after it, whatever failed since. A trial that fails beside one that was made is no new cause for doubt; the refused connection after a loss is one, so that trials begin after 0.2 s. A crash was when the attempt broke off; it counts 0.5 s after it is known. Reports on two known processes of a target are of one crash within 0.1 s only.

No test was changed but for the new argument of `record_crash`, for which they pass the same time twice.

--- a/crates/cactuslane-gateway/src/crashes.rs
+++ b/crates/cactuslane-gateway/src/crashes.rs
@@ -27,7 +27,6 @@
 const PARTS_PREFIX: &str = "cactuslane/held-parts/";
 /// Prefix of the keys of held requests in the store, followed by the fingerprint in hexadecimal.
 const REQUESTS_PREFIX: &str = "cactuslane/held-requests/";
-/// Maximum time to wait for a connection that shows whether a target still runs.
 /// Interval at which the store's copy of the held suspects is compared with those known here.
 const STORE_INTERVAL: Duration = Duration::from_millis(500);
 /// Value of `Retry-After` while the instance that grants trials of a suspect does not answer.
@@ -183,12 +182,15 @@
 pub fn check_lost(gateway: &Arc<Gateway>, info: &RequestInfo, target: &Target, sent: Instant) {
     let (gateway, target) = (gateway.clone(), target.clone());
     let request = info.id.clone();
+    let lost = gateway.now();
     let sent_ms = sent.elapsed().as_millis() as u64;
-    let attempt = Attempt::new(info, gateway.now().saturating_sub(sent_ms));
+    let attempt = Attempt::new(info, lost.saturating_sub(sent_ms));
     tokio::spawn(async move {
-        gateway.pool.reach().record_failure(gateway.now());
+        gateway.pool.reach().record_failure(lost);
         let refused = gateway.pool.dial(target.address).await.is_err();
-        let crashed = refused && !reach::is_own_fault(&gateway).await;
+        let dialled = gateway.now();
+        gateway.pool.reach().record_connection(!refused, dialled);
+        let crashed = refused && !reach::is_own_fault(&gateway, lost).await;
         let names: Vec<String> = attempt.parts.iter().map(|id| format!("{id:x}")).collect();
         info!(
             request,
@@ -197,6 +199,7 @@
             fingerprint = format!("{:x}", attempt.request),
             parts = names.join(","),
             sent_ms_ago = sent_ms,
+            lost_ms_ago = gateway.now().saturating_sub(lost),
             refused,
             crashed;
             "lost before its first event"
@@ -206,7 +209,7 @@
             let process = target.started_at;
             gateway
                 .crashes()
-                .record_crash(&target.id, process, &attempt, now);
+                .record_crash(&target.id, process, &attempt, lost, now);
         }
     });
 }
--- a/crates/cactuslane-gateway/src/reach.rs
+++ b/crates/cactuslane-gateway/src/reach.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use cactuslane_place::ReachChange;
-use cactuslane_types::TargetId;
+use cactuslane_types::{Millis, TargetId};
 use log::{info, warn};
 use tokio::time::{MissedTickBehavior, interval, sleep};
 
@@ -62,7 +62,7 @@
         gateway.pool.reach().record_trial(&id, false);
         return;
     };
-    let connection = gateway.pool.connect(&id, target.address).await;
+    let connection = gateway.pool.try_connect(&id, target.address).await;
     let made = connection.is_ok();
     if let Ok(connection) = connection {
         gateway.pool.check_in(connection, None);
@@ -71,14 +71,14 @@
     info!(target_id = id, made; "trial connection");
 }
 
-/// Returns whether failures at present are due to this instance's own links; waits while that is in
-/// doubt, for 2 s at most.
-pub async fn is_own_fault(gateway: &Gateway) -> bool {
+/// Returns whether a failure at `at`, on the clock of the instance, is due to its own links; waits
+/// while that is in doubt, for 2 s at most.
+pub async fn is_own_fault(gateway: &Gateway, at: Millis) -> bool {
     let mut waited = Duration::ZERO;
     while waited < MAX_DOUBT {
         let (is_cut, is_in_doubt) = {
             let reach = gateway.pool.reach();
-            (reach.is_cut(), reach.is_in_doubt())
+            (reach.is_cut(), reach.is_doubtful(at))
         };
         if is_cut || !is_in_doubt {
             return is_cut;
--- a/crates/cactuslane-gateway/src/upstream.rs
+++ b/crates/cactuslane-gateway/src/upstream.rs
@@ -161,11 +161,24 @@
         target: &str,
         address: SocketAddr,
     ) -> Result<PooledConnection, SendError> {
-        let unsent = |error: String| SendError::Unsent(error);
-        let dialled = self.dial(address).await;
+        let connection = self.try_connect(target, address).await;
         let now = self.now();
-        self.reach().record_connection(dialled.is_ok(), now);
-        let stream = dialled.map_err(unsent)?;
+        self.reach().record_connection(connection.is_ok(), now);
+        connection
+    }
+
+    /// Establishes a trial connection to a target, whose result counts with its round alone.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`SendError::Unsent`] if that fails.
+    pub async fn try_connect(
+        &self,
+        target: &str,
+        address: SocketAddr,
+    ) -> Result<PooledConnection, SendError> {
+        let unsent = |error: String| SendError::Unsent(error);
+        let stream = self.dial(address).await.map_err(unsent)?;
         set_socket_options(&stream);
         let allowance = Allowance::default();
         let stream = Arc::new(stream);
--- a/crates/cactuslane-place/src/crashes.rs
+++ b/crates/cactuslane-place/src/crashes.rs
@@ -88,19 +88,20 @@
 }
 
 impl CrashTracker {
-    /// Records that a target crashed before it had answered an attempt of this instance, or before
-    /// the first event.
+    /// Records that a target crashed at `at`, before it had answered an attempt of this instance or
+    /// before the first event; it may be found out later.
     pub fn record_crash(
         &mut self,
         target: &str,
         process: Option<u64>,
         attempt: &Attempt,
+        at: Millis,
         now: Millis,
     ) {
-        let now = now as Time;
-        self.outbox.add_report(target, process, attempt, now);
-        self.add_crash(target, process, attempt, now, now);
-        self.add_abandoned(target, process, now, now);
+        let (at, now) = (at as Time, now as Time);
+        self.outbox.add_report(target, process, attempt, at, now);
+        self.add_crash(target, process, attempt, at, now);
+        self.add_abandoned(target, process, at, now);
     }
 
     /// Records that this instance gave up an attempt at a target before an answer or an event; the
@@ -300,7 +301,7 @@
         at: Time,
         now: Time,
     ) {
-        let (crash, added) = self.crashes.add(target, process, attempt, at);
+        let (crash, added) = self.crashes.add(target, process, attempt, (at, now));
         let at = crash.at;
         let failed = |suspect: Suspect| self.held.get(&suspect).map_or(0, |held| held.failed);
         let in_crash = crash.attempts.iter().flat_map(Attempt::suspects);
@@ -328,7 +329,7 @@
     /// own report on it.
     fn add_abandoned(&mut self, target: &str, process: Option<u64>, at: Time, now: Time) {
         for attempt in self.abandoned.take(target, at) {
-            self.outbox.add_report(target, process, &attempt, now);
+            self.outbox.add_report(target, process, &attempt, at, now);
             self.add_crash(target, process, &attempt, at, now);
         }
     }
--- a/crates/cactuslane-place/src/crashes/evidence.rs
+++ b/crates/cactuslane-place/src/crashes/evidence.rs
@@ -24,11 +24,15 @@
 const CRASH_SPACING: Time = 250;
 /// The same for a request. It is longer than instances differ on the time of one crash.
 const REQUEST_CRASH_SPACING: Time = 20;
-/// Time after a crash within which instances report what they had sent to the target and what other
-/// targets have begun since, in milliseconds; the crash counts afterwards.
+/// Time after a crash becomes known within which instances report what they had sent to the target
+/// and what other targets have begun since, in milliseconds; the crash counts afterwards.
 const REPORTING_TIME: Time = 500;
-/// Time within which reports on the same target are of one crash, in milliseconds.
+/// Time within which reports on the same target are of one crash if a process is not known, in
+/// milliseconds.
 const SAME_CRASH_TIME: Time = 2_000;
+/// Time within which reports on several processes of a target are of one crash, in milliseconds. No
+/// target is back sooner, but an instance may not have seen the entry of the last process.
+const RESTART_TIME: Time = 100;
 /// Time for which a crash counts, in milliseconds.
 const CRASH_RETENTION: Time = 3_600_000;
 /// Largest number of crashes that are kept; the oldest are discarded.
@@ -48,6 +52,8 @@
     process: Option<u64>,
     /// Time of the crash.
     pub(super) at: Time,
+    /// Time at which this instance learned of it.
+    known: Time,
     /// Attempts that the target ended before an answer or an event.
     pub(super) attempts: Vec<Attempt>,
 }
@@ -99,7 +105,7 @@
 }
 
 impl CrashLog {
-    /// Adds an attempt to the crash that a report is on, which is added if it is not known.
+    /// Adds an attempt to the crash at `at` that a report is on, which is added if it is not known.
     ///
     /// Returns the crash and the suspects that were not in it before; none if the attempt was known.
     pub(super) fn add(
@@ -107,13 +113,14 @@
         target: &str,
         process: Option<u64>,
         attempt: &Attempt,
-        at: Time,
+        (at, now): (Time, Time),
     ) -> (&Crash, Vec<Suspect>) {
         let id = self.find(target, process, at);
         let crash = self.crashes.entry(id).or_insert_with(|| Crash {
             target: target.to_owned(),
             process,
             at,
+            known: now,
             attempts: Vec::new(),
         });
         self.next = self.next.max(id + 1);
@@ -124,7 +131,7 @@
             added.clear();
         }
         if !added.is_empty() {
-            self.checks.insert(crash.at + REPORTING_TIME);
+            self.checks.insert(crash.known + REPORTING_TIME);
         }
         for suspect in &added {
             let ids = self.by_suspect.entry(*suspect).or_default();
@@ -139,8 +146,12 @@
     /// Returns the number of the crash that a report is on, or the next one if it is not known.
     fn find(&self, target: &str, process: Option<u64>, at: Time) -> CrashId {
         let is_same = |crash: &Crash| {
-            let same_process = process.is_some() && crash.process == process;
-            crash.target == target && (same_process || (crash.at - at).abs() <= SAME_CRASH_TIME)
+            let tolerance = match (process, crash.process) {
+                (Some(reported), Some(known)) if reported == known => Time::MAX,
+                (Some(_), Some(_)) => RESTART_TIME,
+                _ => SAME_CRASH_TIME,
+            };
+            crash.target == target && (crash.at - at).abs() <= tolerance
         };
         let known = self.crashes.iter().find(|(_, crash)| is_same(crash));
         known.map_or(self.next, |(id, _)| *id)
@@ -290,7 +301,7 @@
         let mut crashes = Vec::new();
         for (id, crash) in self.with(suspect) {
             let cleared = last.is_some_and(|last| last >= crash.at);
-            if !cleared && now >= crash.at + REPORTING_TIME {
+            if !cleared && now >= crash.known + REPORTING_TIME {
                 crashes.push((id, crash));
             }
         }
--- a/crates/cactuslane-place/src/crashes/exchange.rs
+++ b/crates/cactuslane-place/src/crashes/exchange.rs
@@ -112,12 +112,13 @@
 }
 
 impl Outbox {
-    /// Adds an attempt to the report on a crash.
+    /// Adds an attempt to the report on a crash at `at`.
     pub(super) fn add_report(
         &mut self,
         target: &str,
         process: Option<u64>,
         attempt: &Attempt,
+        at: Time,
         now: Time,
     ) {
         self.news = true;
@@ -127,12 +128,13 @@
                 target: target.to_owned(),
                 process,
                 attempts: Vec::new(),
-                at: now,
+                at,
                 changed: now,
             });
             self.reports.len() - 1
         });
         let own = &mut self.reports[index];
+        own.at = own.at.min(at);
         own.changed = now;
         if own.attempts.len() < MAX_REPORT_ATTEMPTS {
             own.attempts.push(attempt.clone());
--- a/crates/cactuslane-place/src/reach.rs
+++ b/crates/cactuslane-place/src/reach.rs
@@ -75,6 +75,8 @@
     unconnected: Option<Millis>,
     /// The round of trial connections that was begun last.
     round: Option<Round>,
+    /// The beginning of the last round in which a connection was made.
+    connected: Option<Millis>,
     /// The beginning of the first of the last rounds in which no connection was made.
     unreached: Option<Millis>,
     /// The beginning of the last round in which no connection was made.
@@ -162,6 +164,16 @@
         self.is_unreached() || self.failed.is_some()
     }
 
+    /// Returns whether a failure at `at` may be due to this instance.
+    ///
+    /// It no longer may once a target was reached well after it, whatever failed since.
+    #[must_use]
+    pub fn is_doubtful(&self, at: Millis) -> bool {
+        let reached = self.heard.max(self.connected);
+        let reached = reached.is_some_and(|reached| reached > at + ANSWERS_DRAINED);
+        self.is_unreached() || (self.failed.is_some() && !reached)
+    }
+
     /// Returns whether no trial connection of the last round was made, or the instance is cut off.
     #[must_use]
     pub fn is_unreached(&self) -> bool {
@@ -231,6 +243,7 @@
         }
         if made {
             round.pending.clear();
+            self.connected = Some(round.began);
             self.unreached = None;
             self.contradicted = None;
             self.unconnected = None;
--- a/crates/cactuslane-place/tests/crashes/fleet.rs
+++ b/crates/cactuslane-place/tests/crashes/fleet.rs
@@ -437,7 +437,7 @@
             let tracker = &mut self.instances[by].tracker;
             let name = format!("i-{engine}");
             let attempt = Attempt::new(&sent.info, sent.left);
-            tracker.record_crash(&name, Some(process), &attempt, self.now);
+            tracker.record_crash(&name, Some(process), &attempt, self.now, self.now);
             let again =
                 sent.attempts < 2 && self.send(by, &sent.info, sent.attempts + 1, sent.repeated);
             if !again && !sent.repeated {
--- a/crates/cactuslane-place/tests/crashes/main.rs
+++ b/crates/cactuslane-place/tests/crashes/main.rs
@@ -1,6 +1,7 @@
 //! Prompt parts and requests on which targets crash: decisions of one instance, and of fleets with faults.
 
 mod fleet;
+mod times;
 
 use std::time::Duration;
 
@@ -170,7 +171,7 @@
     for _ in 0..count {
         *now += 1_000;
         let target = format!("i-{now}");
-        tracker.record_crash(&target, Some(*now), &attempt(*now, parts, *now), *now);
+        tracker.record_crash(&target, Some(*now), &attempt(*now, parts, *now), *now, *now);
     }
     *now += 600;
     tracker.sweep(*now);
@@ -246,7 +247,7 @@
     let mut tracker = CrashTracker::default();
     for target in 0..10 {
         let lost = attempt(target, &[7], 900);
-        tracker.record_crash(&format!("i-{target}"), Some(1), &lost, 1_000);
+        tracker.record_crash(&format!("i-{target}"), Some(1), &lost, 1_000, 1_000);
     }
     tracker.sweep(2_000);
     assert_eq!(tracker.screen(&suspects(&[7]), 2_000), Screening::Clear);
@@ -276,7 +277,7 @@
         let target = format!("i-{number}");
         one.record_abandoned(&target, attempt(number, &[DEADLY], now), now);
         let lost = attempt(100 + number, &[100 + number], now);
-        other.record_crash(&target, Some(1), &lost, now + 40);
+        other.record_crash(&target, Some(1), &lost, now + 40, now + 40);
         one.apply(&other.update(now + 50), now + 50);
     }
     now += 600;
@@ -295,7 +296,7 @@
         for _ in 0..3 {
             now += 300;
             let target = format!("i-{now}");
-            tracker.record_crash(&target, Some(1), &attempt(now, &[part], now), now);
+            tracker.record_crash(&target, Some(1), &attempt(now, &[part], now), now, now);
         }
         now += 600;
         tracker.sweep(now);
@@ -337,7 +338,7 @@
 fn crash_on(tracker: &mut CrashTracker, requests: &[u64], sent: Millis, now: Millis) {
     for request in requests {
         let lost = attempt(*request, &[], sent);
-        tracker.record_crash(&format!("i-{now}"), Some(now), &lost, now);
+        tracker.record_crash(&format!("i-{now}"), Some(now), &lost, now, now);
     }
 }
 
@@ -406,14 +407,14 @@
     let mut tracker = CrashTracker::default();
     for now in [1_000, 2_000, 3_000] {
         let lost = attempt(7, &[1, 2], now - 50);
-        tracker.record_crash(&format!("i-{now}"), Some(now), &lost, now);
+        tracker.record_crash(&format!("i-{now}"), Some(now), &lost, now, now);
     }
     tracker.sweep(3_600);
     assert_eq!(tracker.screen(&suspects(&[1, 2]), 3_600), Screening::Clear);
     assert!(matches!(screen(&tracker, 7, 3_600), Screening::Held(..)));
     // Another request with the part that crashes a target speaks against the part.
     let lost = attempt(8, &[2], 4_000);
-    tracker.record_crash("i-4000", Some(4_000), &lost, 4_000);
+    tracker.record_crash("i-4000", Some(4_000), &lost, 4_000, 4_000);
     tracker.sweep(4_600);
     assert!(matches!(
         tracker.screen(&suspects(&[2]), 4_600),
@@ -442,7 +443,7 @@
         for request in 0..64 {
             let parts: Vec<PartId> = (0..1_000).map(|part| u64::MAX - part).collect();
             let lost = attempt(u64::MAX - request, &parts, now);
-            tracker.record_crash(&format!("i-{target}"), Some(now), &lost, now);
+            tracker.record_crash(&format!("i-{target}"), Some(now), &lost, now, now);
         }
     }
     let update = tracker.update(1_400);
--- a/crates/cactuslane-place/tests/reach.rs
+++ b/crates/cactuslane-place/tests/reach.rs
@@ -325,3 +325,25 @@
     // Reports count for 1.5 s.
     assert_eq!(reach.choose_helper(&candidates, "a", &mut rng, 1_600), None);
 }
+
+/// Guards against failures that stay in doubt, as others follow.
+#[test]
+fn a_failure_is_not_in_doubt_once_a_target_was_reached_after_it() {
+    let mut reach = Reach::default();
+    let target = |id: &str| (id.to_owned(), "register".to_owned());
+    reach.record_sent(980);
+    reach.record_failure(1_000);
+    reach.record_connection(false, 1_010);
+    let mut rng = Pcg64Mcg::seed_from_u64(1);
+    let round = reach.begin_round(&[target("i-1"), target("i-2")], &mut rng, 1_300);
+    assert_eq!(round.len(), 2);
+    assert!(reach.is_doubtful(1_000));
+    reach.record_trial("i-1", true);
+    // A byte that was under way shows nothing of later failures.
+    reach.record_heard(1_310);
+    reach.record_failure(1_350);
+    assert!(reach.is_in_doubt());
+    assert!(!reach.is_doubtful(1_000));
+    assert!(reach.is_doubtful(1_250));
+    assert!(reach.is_doubtful(1_350));
+}
