--- a/crates/cactuslane-gateway/tests/builds.rs
+++ b/crates/cactuslane-gateway/tests/builds.rs
@@ -18,6 +18,8 @@
 const AC4227F: &str = include_str!("messages/ac4227f.txt");
 /// Messages of the build at 7d6e381.
 const BUILD_7D6E381: &str = include_str!("messages/7d6e381.txt");
+/// Messages of the build at 2e8f6ab.
+const BUILD_2E8F6AB: &str = include_str!("messages/2e8f6ab.txt");
 
 /// Returns the recorded messages of a build, by name.
 fn recorded(file: &str) -> Vec<(String, Vec<u8>)> {
@@ -31,10 +33,13 @@
     messages
 }
 
-#[test]
-fn messages_of_the_last_build_are_read_and_written_alike() {
-    let messages = recorded(BUILD_7D6E381);
-    assert_eq!(messages.len(), 11);
+#[parameterized(
+    build_7d6e381 = { BUILD_7D6E381, 11 },
+    build_2e8f6ab = { BUILD_2E8F6AB, 13 },
+)]
+fn messages_of_the_last_builds_are_read_and_written_alike(file: &str, count: usize) {
+    let messages = recorded(file);
+    assert_eq!(messages.len(), count);
     for (name, bytes) in messages {
         let Ok(Received::Whole(message)) = decode(&bytes) else {
             panic!("{name} is not read");
@@ -44,7 +49,7 @@
 }
 
 #[test]
-fn messages_of_the_build_before_that_are_read_or_skipped() {
+fn messages_of_the_build_before_those_are_read_or_skipped() {
     for (name, bytes) in recorded(AC4227F) {
         let read = decode(&bytes);
         match name.as_str() {
@@ -64,10 +69,12 @@
 
 /// Guards against messages that a build before this one cannot read: it skips what follows the
 /// message that it knows.
-#[test]
-fn the_build_before_that_reads_the_beginning_of_today_s_messages() {
-    let old = recorded(AC4227F);
-    let new = recorded(BUILD_7D6E381);
+#[parameterized(
+    build_ac4227f = { AC4227F, BUILD_7D6E381 },
+    build_7d6e381 = { BUILD_7D6E381, BUILD_2E8F6AB },
+)]
+fn a_build_reads_the_beginning_of_the_next_one_s_messages(old: &str, new: &str) {
+    let (old, new) = (recorded(old), recorded(new));
     for ((name, old), (_, new)) in old.iter().zip(&new) {
         assert!(new.starts_with(old), "{name}");
     }
@@ -139,7 +146,7 @@
 
 #[test]
 fn what_a_later_build_appends_is_skipped() {
-    for (name, mut bytes) in recorded(BUILD_7D6E381) {
+    for (name, mut bytes) in recorded(BUILD_2E8F6AB) {
         let read = decode(&bytes);
         bytes.extend([7, 7, 7]);
         assert_eq!(decode(&bytes), read, "{name}");
@@ -191,10 +198,10 @@
 
     #[test]
     fn damaged_messages_are_read_or_refused(
-        number in 0..11_usize, at in any::<prop::sample::Index>(), byte in any::<u8>(),
+        number in 0..13_usize, at in any::<prop::sample::Index>(), byte in any::<u8>(),
         length in any::<prop::sample::Index>(),
     ) {
-        let (_, mut bytes) = recorded(BUILD_7D6E381).swap_remove(number);
+        let (_, mut bytes) = recorded(BUILD_2E8F6AB).swap_remove(number);
         let at = at.index(bytes.len());
         bytes[at] = byte;
         bytes.truncate(length.index(bytes.len() + 1));
