--- a/crates/cactuslane-gateway/src/admission.rs
+++ b/crates/cactuslane-gateway/src/admission.rs
@@ -12,7 +12,7 @@
 use prometheus_client::metrics::counter::Counter;
 use prometheus_client::metrics::family::Family;
 
-use crate::ingress::CallerRequest;
+use crate::request::CallerRequest;
 
 /// Largest number of services in the reports of another instance that are kept.
 const MAX_SERVICES: usize = 64;
--- a/crates/cactuslane-gateway/src/answers.rs
+++ b/crates/cactuslane-gateway/src/answers.rs
@@ -8,8 +8,8 @@
 use hyper::header::HeaderMap;
 use log::{info, warn};
 
-use crate::limits::{self, Purpose};
-use crate::plain::queue_observation;
+use crate::limits;
+use crate::limits::permits::Purpose;
 use crate::state::Gateway;
 
 /// Applies what the head of an answer says of its target.
@@ -45,7 +45,7 @@
             sent_ms_ago = gateway.now().saturating_sub(sent);
             "target says that it is leaving"
         );
-        queue_observation(gateway, target, Observed::Leaving);
+        gateway.queue_observation(target, Observed::Leaving);
     }
 }
 
--- a/crates/cactuslane-gateway/src/control.rs
+++ b/crates/cactuslane-gateway/src/control.rs
@@ -9,17 +9,16 @@
 use cactuslane_store::kv::{Change, Item, KvError, Lease, Update};
 use cactuslane_types::Millis;
 use log::{info, warn};
-use rand::Rng;
 use tokio::task::JoinSet;
 
-use crate::backoff::Backoff;
+use crate::backoff::{Backoff, backoff_factor, random_pause};
 use crate::crashes::HELD_PREFIX;
 use crate::fleet::Effect;
-use crate::leadership::{LAST_LEADER_KEY, LEADER_KEY, LeaderRecord, boot_millis};
+use crate::keys::RECORDS_PREFIX;
+use crate::leadership::{LAST_LEADER_KEY, LEADER_KEY, LEASE_TTL, LeaderRecord, boot_millis};
 use crate::members::Member;
 use crate::orders::is_candidate;
-use crate::records::RECORDS_PREFIX;
-use crate::relay::is_small_deployment;
+use crate::ranking::is_small_deployment;
 use crate::state::Gateway;
 use crate::versions::LIST_KEY;
 use crate::{crashes, records, versions};
@@ -35,13 +34,6 @@
 ];
 /// The prefix of the keys of instances.
 const MEMBER_PREFIX: &str = "cactuslane/instances/";
-/// Range of the pause after a failed call to the store, in milliseconds.
-const RETRY_PAUSE: std::ops::Range<u64> = 100..300;
-/// Time to live of an instance's lease unless [`LARGE_DEPLOYMENT_TTL`] applies.
-///
-/// An instance considers any lease valid for this time only, counted from the sending of the call
-/// that granted or renewed it and less a margin for clock drift.
-pub const LEASE_TTL: Duration = Duration::from_secs(4);
 /// Time to live of the lease of an instance in a large deployment, as determined by
 /// [`is_small_deployment`], that neither leads nor is a candidate: the other instances notice its
 /// failure by the lack of messages, before its entry lapses.
@@ -49,12 +41,6 @@
 /// Share of the time to live returned by [`lease_ttl`] after which a lease is renewed, so that two
 /// renewals may be lost if the lease was granted for that time.
 const RENEWAL_SHARE: f64 = 0.325;
-/// Number of instances that without a backoff factor would retry about as often as a large
-/// deployment does in all while the store fails, as far as [`MAX_BACKOFF_FACTOR`] allows.
-const RETRYING_INSTANCES: f64 = 8.0;
-/// Largest factor on the pause after a failed call: several calls must fit in the time to live of a
-/// lease.
-const MAX_BACKOFF_FACTOR: f64 = 8.0;
 /// Number of attempts to announce that the instance is leaving.
 const ANNOUNCE_ATTEMPTS: u32 = 4;
 
@@ -349,21 +335,3 @@
     };
     serde_json::to_vec(&member).unwrap_or_default()
 }
-
-/// Returns the factor on the pause after a failed call by which a large deployment as a whole calls
-/// the store about as often as 8 instances without a factor would; the factor is at most 8.
-///
-/// `others` is the number of other instances that are reachable and not leaving.
-#[must_use]
-pub fn backoff_factor(others: usize) -> f64 {
-    if is_small_deployment(others) {
-        return 1.0;
-    }
-    (others as f64 / RETRYING_INSTANCES).clamp(1.0, MAX_BACKOFF_FACTOR)
-}
-
-/// Returns a random pause of 100 to 300 ms, so that instances do not retry at the same time.
-#[must_use]
-pub fn random_pause() -> Duration {
-    Duration::from_millis(rand::rng().random_range(RETRY_PAUSE))
-}
--- a/crates/cactuslane-gateway/src/crashes.rs
+++ b/crates/cactuslane-gateway/src/crashes.rs
@@ -16,9 +16,9 @@
 use tokio::time::{Instant, sleep};
 
 use crate::limits;
-use crate::peers;
 use crate::ranking::top_ranked;
 use crate::reach;
+use crate::sending;
 use crate::state::Gateway;
 
 /// Prefix of the keys of all held suspects.
@@ -334,7 +334,7 @@
         return Some(gateway.crashes().grant_trial(suspect, gateway.now()));
     }
     limits::ask_peer(gateway, |number| {
-        peers::request_trial(gateway, &owner, number, suspect)
+        sending::request_trial(gateway, &owner, number, suspect)
     })
     .await
 }
--- a/crates/cactuslane-gateway/src/directory.rs
+++ b/crates/cactuslane-gateway/src/directory.rs
@@ -17,8 +17,8 @@
 use rand::seq::SliceRandom;
 use tokio::net::TcpListener;
 
+use crate::sockets::set_socket_options;
 use crate::state::Gateway;
-use crate::upstream::set_socket_options;
 
 /// Time to live of the addresses in an answer, for which callers may cache them.
 const ADDRESS_TTL: Duration = Duration::from_secs(1);
--- a/crates/cactuslane-gateway/src/duties.rs
+++ b/crates/cactuslane-gateway/src/duties.rs
@@ -20,9 +20,8 @@
 use prometheus_client::metrics::family::Family;
 use tokio::time::Instant;
 
-use crate::control::LEASE_TTL;
 use crate::duties::exchange::ExchangeError;
-use crate::leadership::{Leadership, boot_millis};
+use crate::leadership::{LEASE_TTL, Leadership, boot_millis};
 
 /// The labels of the counters of calls: `duty` and `result`.
 pub type DutyLabels = [(&'static str, &'static str); 2];
--- a/crates/cactuslane-gateway/src/duties/exchange.rs
+++ b/crates/cactuslane-gateway/src/duties/exchange.rs
@@ -14,7 +14,7 @@
 use tokio::net::TcpStream;
 use tokio::time::timeout;
 
-use crate::upstream::set_socket_options;
+use crate::sockets::set_socket_options;
 
 /// Timeout of the connect.
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
--- a/crates/cactuslane-gateway/src/duties/usage.rs
+++ b/crates/cactuslane-gateway/src/duties/usage.rs
@@ -16,9 +16,8 @@
 use tokio::time::{Instant, sleep};
 
 use super::{Duties, DutyAnswer, DutyCall};
+use crate::keys::USAGE_PREFIX;
 
-/// Prefix of the keys of the stored contents; the number of the window follows.
-pub const USAGE_PREFIX: &str = "cactuslane/usage/";
 /// Interval at which the next step is looked for.
 const INTERVAL: Duration = Duration::from_millis(200);
 /// Pause after a call to the store that failed.
--- a/crates/cactuslane-gateway/src/engines.rs
+++ b/crates/cactuslane-gateway/src/engines.rs
@@ -16,8 +16,9 @@
 use tokio::time::timeout;
 
 use crate::answers;
-use crate::limits::{self, Purpose};
-use crate::plain::{queue_observation, read_body};
+use crate::bodies::read_body;
+use crate::limits;
+use crate::limits::permits::Purpose;
 use crate::state::Gateway;
 use crate::upstream::SendError;
 
@@ -79,7 +80,7 @@
         drop(fleet);
         if is_new {
             info!(target_id = target.id, role:? = role; "engine carries out an order");
-            queue_observation(&gateway, &target, Observed::Changing);
+            gateway.queue_observation(&target, Observed::Changing);
         }
     });
 }
--- a/crates/cactuslane-gateway/src/generation.rs
+++ b/crates/cactuslane-gateway/src/generation.rs
@@ -1,6 +1,7 @@
 //! Requests whose answers are event streams: their placement, attempts and retries.
 
 mod attempt;
+mod computed;
 mod overload;
 mod permits;
 mod prompt;
@@ -19,12 +20,12 @@
 use log::info;
 use tokio::time::Instant;
 
-use self::prompt::ComputedPrompt;
+use self::computed::ComputedPrompt;
 use crate::admission::Entry;
-use crate::ingress::CallerRequest;
-use crate::limits::{Denials, Permit};
+use crate::limits::permits::{Denials, Permit};
 use crate::plain::{failure_label, refuse, unknown_outcome};
 use crate::reply::{self, AnswerBody};
+use crate::request::CallerRequest;
 use crate::state::{Gateway, LoadGuard};
 use crate::upstream::PooledConnection;
 use crate::{crashes, origins};
--- a/crates/cactuslane-gateway/src/generation/attempt.rs
+++ b/crates/cactuslane-gateway/src/generation/attempt.rs
@@ -11,11 +11,12 @@
 use log::info;
 use tokio::time::Instant;
 
-use super::prompt::ComputedPrompt;
+use super::computed::ComputedPrompt;
 use super::waiting::{HELD, with_timeout};
 use super::{OpenStream, StreamRequest};
-use crate::limits::Permit;
-use crate::plain::{read_body, send};
+use crate::bodies::read_body;
+use crate::limits::permits::Permit;
+use crate::plain::send;
 use crate::reply::{self, AnswerBody};
 use crate::{crashes, engines, usage};
 
--- a/crates/cactuslane-gateway/src/generation/permits.rs
+++ b/crates/cactuslane-gateway/src/generation/permits.rs
@@ -7,7 +7,8 @@
 use hyper::Response;
 
 use super::{NO_TARGET_RETRY_AFTER, StreamRequest};
-use crate::limits::{self, Denials, Permit};
+use crate::limits;
+use crate::limits::permits::{Denials, Permit};
 use crate::plain::refuse_without_target;
 use crate::reply::AnswerBody;
 
--- a/crates/cactuslane-gateway/src/generation/prompt.rs
+++ b/crates/cactuslane-gateway/src/generation/prompt.rs
@@ -1,6 +1,5 @@
 //! Prompts that a prefill engine computes and a decode engine fetches.
 
-use std::sync::Arc;
 use std::time::Duration;
 
 use cactuslane_flight::AttemptFailure;
@@ -15,11 +14,12 @@
 use tokio::time::Instant;
 
 use super::StreamRequest;
+use super::computed::ComputedPrompt;
 use super::waiting::{PROMPT_TIMEOUT_FACTOR, with_timeout};
+use crate::bodies::read_body;
 use crate::engines;
-use crate::limits::Permit;
-use crate::plain::{read_body, send};
-use crate::state::Gateway;
+use crate::limits::permits::Permit;
+use crate::plain::send;
 
 /// Minimum time after which a prefill engine that has not answered counts as silent.
 const MIN_PROMPT_TIMEOUT: Duration = Duration::from_millis(1500);
@@ -27,39 +27,6 @@
 /// Maximum size of the answer to the computation of a prompt, in bytes.
 const MAX_COMPUTED_BYTES: usize = 64 << 10;
 
-/// A computed prompt, which is freed at its engine on drop unless a stream has begun from it.
-#[derive(Debug)]
-pub(super) struct ComputedPrompt {
-    /// State of the instance, for the call that frees the prompt.
-    gateway: Arc<Gateway>,
-    /// Prefill engine that computed the prompt and keeps its KV cache.
-    pub(super) target: Target,
-    /// Id of the KV cache at that engine.
-    pub(super) handle: engine::Handle,
-    /// Whether a target has begun a stream from it.
-    pub(super) used: bool,
-    /// Whether an attempt to generate from it was rejected or could not be sent; after a second one
-    /// the prompt is freed.
-    pub(super) refused: bool,
-}
-
-impl ComputedPrompt {
-    /// Records that an attempt to generate from it was rejected or could not be sent.
-    pub(super) fn mark_refused(mut prompt: Self) -> Self {
-        prompt.refused = true;
-        prompt
-    }
-}
-
-impl Drop for ComputedPrompt {
-    fn drop(&mut self) {
-        if !self.used {
-            let gateway = self.gateway.clone();
-            tokio::spawn(free(gateway, self.target.clone(), self.handle.clone()));
-        }
-    }
-}
-
 impl StreamRequest {
     /// Sends the request to a prefill engine, which computes the prompt and keeps it.
     ///
@@ -140,11 +107,3 @@
         }
     }
 }
-
-/// Frees a computed prompt; if the call fails, the engine frees it after the configured
-/// `handle_ttl`.
-async fn free(gateway: Arc<Gateway>, target: Target, handle: engine::Handle) {
-    if let Err(error) = engines::free_prompt(&gateway, &target, &handle).await {
-        info!(target_id = target.id, error:? = error; "prompt not freed, it lapses by itself");
-    }
-}
--- a/crates/cactuslane-gateway/src/ingress.rs
+++ b/crates/cactuslane-gateway/src/ingress.rs
@@ -1,30 +1,30 @@
 //! Callers' connections, and the reading and answering of their requests.
 
-use std::collections::BTreeSet;
 use std::future::pending;
-use std::sync::{Arc, Mutex, PoisonError};
+use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
 use cactuslane_flight::request_info::fingerprint;
-use cactuslane_flight::routing_config::{Limits, Route, RoutingConfig};
+use cactuslane_flight::routing_config::Limits;
 use cactuslane_flight::{
     AttemptFailure, ConnectionId, Door, Refusal, RequestInfo, RequestState, stopping,
 };
 use cactuslane_held::{BodyError, ConnectionGuard, HeadLimits, connections};
-use cactuslane_platform::exchange::{self, Identity};
-use cactuslane_types::{CustomerName, TargetId};
-use hyper::body::{Bytes, Incoming};
-use hyper::header::{CONNECTION, HOST, HeaderMap, HeaderValue};
+use cactuslane_platform::exchange;
+use hyper::body::Incoming;
+use hyper::header::{CONNECTION, HOST, HeaderValue};
 use hyper::http::uri::PathAndQuery;
-use hyper::{Method, Request, Response, StatusCode, Uri};
+use hyper::{Request, Response, StatusCode};
 use log::{info, warn};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::time::Instant;
 
-use crate::passing::{self, TakenGuard};
+use crate::passing;
 use crate::reply::{self, AnswerBody, Cause};
+use crate::request::CallerRequest;
+use crate::sockets::set_socket_options;
 use crate::state::Gateway;
-use crate::upstream::set_socket_options;
+use crate::taken::TakenGuard;
 use crate::{customers, generation, metrics, plain};
 
 /// Delay before the next `accept` after a failed one.
@@ -39,66 +39,9 @@
 /// Value of `Retry-After` when there is no space for a body.
 const NO_SPACE_RETRY_AFTER: Duration = Duration::from_secs(1);
 
-/// A request of a caller, read with its body.
-#[derive(Debug)]
-pub struct CallerRequest {
-    /// Parameters from the headers that placement and retries depend on.
-    pub info: RequestInfo,
-    /// Route that matches the host and the path.
-    pub route: Route,
-    /// Customer whose key it carries; `None` if it carries none that is known.
-    pub customer: Option<CustomerName>,
-    /// Priority at model engines, that of the customer before that of the route; 0 is the most
-    /// urgent.
-    pub priority: u8,
-    /// Name of the service that was picked among those of the route.
-    pub service: String,
-    /// Configuration that was in force when the head arrived.
-    pub config: Arc<RoutingConfig>,
-    /// Method that the target gets as well.
-    pub method: Method,
-    /// URI as the caller sent it; the target gets its path and query.
-    pub uri: Uri,
-    /// Headers as the caller sent them.
-    pub headers: HeaderMap,
-    /// Body, sent unchanged to the target in each attempt.
-    pub body: Bytes,
-    /// Connection of the caller.
-    pub connection: ConnectionId,
-    /// Time at which the head had arrived.
-    pub arrived: Instant,
-    /// Count of a request that another instance passed on, kept until its answer has ended.
-    taken: Option<TakenGuard>,
-    /// Targets to which it was sent.
-    targets: Mutex<BTreeSet<TargetId>>,
-}
-
-impl CallerRequest {
-    /// Records that the request is sent to a target; returns whether it is the first time.
-    #[must_use]
-    pub fn record_send(&self, target: &str) -> bool {
-        let mut targets = self.targets.lock().unwrap_or_else(PoisonError::into_inner);
-        targets.insert(target.to_owned())
-    }
-
-    /// Returns what targets are told of the caller's identity.
-    #[must_use]
-    pub fn identity(&self) -> Identity<'_> {
-        customers::identity(&self.config, self.customer.as_deref())
-    }
-
-    /// Returns the time that is left until the deadline of the caller or of the route.
-    #[must_use]
-    pub fn time_left(&self) -> Duration {
-        let limit = self.info.timeout.unwrap_or(self.route.timeout);
-        let limit = limit.min(self.route.timeout);
-        limit.saturating_sub(self.arrived.elapsed())
-    }
-}
-
 /// Where a request comes from.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum RequestSource {
+enum RequestSource {
     /// A caller sent it to this instance.
     Caller,
     /// Another instance passed it on, so that this one does not do so again.
@@ -139,8 +82,13 @@
     accept(gateway, listener, RequestSource::Caller).await;
 }
 
+/// Accepts requests that other instances pass on, until the task is aborted.
+pub async fn serve_passed(gateway: Arc<Gateway>, listener: TcpListener) {
+    accept(gateway, listener, RequestSource::Instance).await;
+}
+
 /// Accepts connections and serves their requests until the task is aborted.
-pub async fn accept(gateway: Arc<Gateway>, listener: TcpListener, source: RequestSource) {
+async fn accept(gateway: Arc<Gateway>, listener: TcpListener, source: RequestSource) {
     let door = match source {
         RequestSource::Caller => Door::Front,
         RequestSource::Instance => Door::Instances,
@@ -381,7 +329,7 @@
         return response;
     }
     let peer = exchange::passed_by(&request.headers);
-    let taken = TakenGuard::take(gateway, request.body.len());
+    let taken = TakenGuard::take(&gateway.taken, request.body.len());
     let is_cut = gateway.pool.reach().is_cut();
     if is_cut || taken.is_none() {
         info!(request = request.info.id, peer, is_cut; "request of another instance not taken");
--- a/crates/cactuslane-gateway/src/leadership.rs
+++ b/crates/cactuslane-gateway/src/leadership.rs
@@ -4,6 +4,8 @@
 //! milliseconds on the clock of [`boot_millis`]. Log lines and metrics call the leadership the
 //! office.
 
+use std::time::Duration;
+
 use cactuslane_authority::leader_term::{LeaderTerm, lease_valid_until};
 use cactuslane_store::kv::{Lease, Update};
 use cactuslane_types::{FencingToken, InstanceId, Millis};
@@ -15,6 +17,11 @@
 /// The key of the name of the instance that acquired the leadership last; it is not bound to a
 /// lease.
 pub const LAST_LEADER_KEY: &str = "cactuslane/last-leader";
+/// Time to live of an instance's lease, except that of most instances in a large deployment.
+///
+/// An instance considers any lease valid for this time only, counted from the sending of the call
+/// that granted or renewed it and less a margin for clock drift.
+pub const LEASE_TTL: Duration = Duration::from_secs(4);
 
 /// The state of the leadership, as far as this instance knows it.
 #[derive(Debug, Default)]
--- a/crates/cactuslane-gateway/src/lib.rs
+++ b/crates/cactuslane-gateway/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod admission;
 pub mod answers;
 pub mod backoff;
+pub mod bodies;
 pub mod caches;
 pub mod calls;
 pub mod control;
@@ -20,6 +21,7 @@
 pub mod fleet;
 pub mod generation;
 pub mod ingress;
+pub mod keys;
 pub mod leadership;
 pub mod limits;
 pub mod members;
@@ -38,8 +40,12 @@
 pub mod records;
 pub mod relay;
 pub mod reply;
+pub mod request;
 pub mod scaling;
+pub mod sending;
+pub mod sockets;
 pub mod state;
+pub mod taken;
 pub mod upstream;
 pub mod usage;
 pub mod versions;
@@ -128,7 +134,7 @@
             tokio::spawn(peers::exchange(gateway.clone(), socket, relay_sender)),
             tokio::spawn(reach::run(gateway.clone())),
             tokio::spawn(usage::run(gateway.clone())),
-            tokio::spawn(passing::serve(gateway.clone(), passed)),
+            tokio::spawn(ingress::serve_passed(gateway.clone(), passed)),
             tokio::spawn(ingress::serve(gateway.clone(), front)),
             tokio::spawn(directory::serve(gateway.clone(), ready, Door::Ready)),
         ];
--- a/crates/cactuslane-gateway/src/limits.rs
+++ b/crates/cactuslane-gateway/src/limits.rs
@@ -1,81 +1,28 @@
 //! Limits that targets name in their answers, and the permits by which all instances together keep
 //! them.
 
+pub mod permits;
+
 use std::time::Duration;
 
 use cactuslane_flight::target::Target;
 use cactuslane_place::limits::ISSUERS;
-use cactuslane_place::{LimitAnswer, LimitNotice, PermitAnswer, TargetLimits};
+use cactuslane_place::{LimitAnswer, LimitNotice, PermitAnswer};
 use cactuslane_platform::exchange;
-use cactuslane_types::{InstanceId, Millis, TargetId};
+use cactuslane_types::{InstanceId, Millis};
 use hyper::StatusCode;
 use hyper::header::HeaderMap;
 use log::{info, warn};
-use serde::{Deserialize, Serialize};
 use tokio::time::timeout;
 
+use self::permits::{Permit, PermitRequest, Purpose};
 use crate::calls::CallNumber;
-use crate::peers;
 use crate::ranking::top_ranked;
+use crate::sending;
 use crate::state::Gateway;
 
 /// Maximum time to wait for the answer of an issuer.
 const ASK_TIMEOUT: Duration = Duration::from_millis(100);
-/// Number of denied permits after which a request is placed only on targets without a limit.
-const MAX_DENIALS: u32 = 3;
-
-/// What an exchange with a target is for.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Purpose {
-    /// A request of a caller, or the computation of its prompt.
-    Request,
-    /// A call that does not run a request, such as for the target's state.
-    Call,
-}
-
-/// Permission to send one request or call to a target now.
-#[derive(Debug)]
-#[must_use]
-pub struct Permit {
-    /// Target that it applies to.
-    target: TargetId,
-}
-
-impl Permit {
-    /// Returns whether the permit applies to a target.
-    #[must_use]
-    pub fn applies_to(&self, target: &str) -> bool {
-        self.target == target
-    }
-}
-
-/// Permits that one request was denied since it was last sent.
-#[derive(Clone, Copy, Debug, Default)]
-pub struct Denials(u32);
-
-impl Denials {
-    /// Counts a denied permit.
-    pub fn add(&mut self) {
-        self.0 += 1;
-    }
-
-    /// Removes the targets that the request is not to be placed on any more: those with a limit,
-    /// after several denied permits.
-    pub fn filter(self, targets: &mut Vec<&Target>, limits: &TargetLimits) {
-        if self.0 >= MAX_DENIALS {
-            targets.retain(|target| limits.rate(target).is_none());
-        }
-    }
-}
-
-/// A request to another instance for a permit.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
-pub struct PermitRequest {
-    /// Number that the answer repeats.
-    pub number: CallNumber,
-    /// What the sender knows of the target's limit.
-    pub notice: LimitNotice,
-}
 
 /// Acquires the permission to send one request or call to a target, which must then be sent without
 /// delay.
@@ -91,9 +38,7 @@
     request: &str,
 ) -> Result<Permit, Duration> {
     let Some(per_second) = gateway.placer().limits.rate(target) else {
-        return Ok(Permit {
-            target: target.id.clone(),
-        });
+        return Ok(Permit::new(target.id.clone()));
     };
     let me = gateway.settings().instance.clone();
     let issuers = issuers(gateway, &target.id);
@@ -115,9 +60,7 @@
             Some(PermitAnswer::Granted) => {
                 gateway.metrics.count_permit("granted");
                 info!(request, target_id = target.id, per_second, issuer; "permit granted");
-                return Ok(Permit {
-                    target: target.id.clone(),
-                });
+                return Ok(Permit::new(target.id.clone()));
             }
             Some(PermitAnswer::Denied(wait)) => Some(Duration::from_millis(u64::from(wait))),
             None => None,
@@ -191,7 +134,7 @@
         "limit of a target changed"
     );
     if let Some(notice) = notice {
-        peers::notify_limit(gateway, notice);
+        sending::notify_limit(gateway, notice);
     }
 }
 
@@ -228,7 +171,7 @@
 async fn ask(gateway: &Gateway, target: &Target, issuer: &str) -> Option<PermitAnswer> {
     let notice = gateway.placer().limits.notice(target, gateway.now())?;
     ask_peer(gateway, |number| {
-        peers::request_permit(gateway, issuer, PermitRequest { number, notice })
+        sending::request_permit(gateway, issuer, PermitRequest { number, notice })
     })
     .await
 }
--- a/crates/cactuslane-gateway/src/messages.rs
+++ b/crates/cactuslane-gateway/src/messages.rs
@@ -17,7 +17,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::calls::CallNumber;
-use crate::limits::PermitRequest;
+use crate::limits::permits::PermitRequest;
 use crate::relay::Relay;
 
 /// The first byte from which on a message is of a later form.
--- a/crates/cactuslane-gateway/src/metrics.rs
+++ b/crates/cactuslane-gateway/src/metrics.rs
@@ -1,15 +1,14 @@
 //! Metrics of an instance: counters, gauges and histograms.
 
+mod read;
+
 use std::collections::BTreeSet;
 use std::sync::{Mutex, PoisonError};
 
 use cactuslane_flight::routing_config::{RetryPolicy, Route};
-use cactuslane_flight::{Door, Kind};
-use cactuslane_held::record::kind_label;
 use cactuslane_place::placer::Plan;
 use cactuslane_store::kv::CallLabels;
 use cactuslane_types::CustomerName;
-use prometheus_client::encoding::text::encode;
 use prometheus_client::metrics::counter::Counter;
 use prometheus_client::metrics::family::Family;
 use prometheus_client::metrics::gauge::Gauge;
@@ -17,7 +16,6 @@
 use prometheus_client::registry::{Metric, Registry};
 
 use crate::duties::Duties;
-use crate::state::Gateway;
 
 /// Upper bound of the smallest bucket of times, in seconds.
 const MIN_BUCKET: f64 = 0.002;
@@ -317,18 +315,6 @@
     pub fn count_held(&self, event: &'static str) {
         self.held_parts.get_or_create(&vec![("event", event)]).inc();
     }
-
-    /// Returns the metrics in the text format that Prometheus reads.
-    #[must_use]
-    pub fn text(&self, gateway: &Gateway) -> String {
-        self.gauges.update(gateway);
-        let mut text = String::new();
-        let registry = self.registry.lock().unwrap_or_else(PoisonError::into_inner);
-        match encode(&mut text, &registry) {
-            Ok(()) => text,
-            Err(error) => format!("# the metrics can't be written: {error}\n"),
-        }
-    }
 }
 
 impl Gauges {
@@ -381,46 +367,6 @@
             registry.register(name, help, gauge.clone());
         }
     }
-
-    /// Sets all gauges to their current values.
-    fn update(&self, gateway: &Gateway) {
-        let now = gateway.now();
-        let version = gateway
-            .routing_config()
-            .map_or(0, |document| document.version);
-        self.version.set(version as i64);
-        let fleet = gateway.fleet();
-        self.targets.set(fleet.count_usable(now) as i64);
-        let last_contact = fleet.store_contact().unwrap_or(0);
-        drop(fleet);
-        self.limited.set(gateway.placer().limits.count() as i64);
-        self.cut.set(i64::from(gateway.pool.reach().is_cut()));
-        let progress = gateway.progress();
-        let age = |seen: u64| now.saturating_sub(seen) as i64;
-        self.entries_age
-            .set(age(progress.map_or(0, |known| known.entries_seen)));
-        self.document_age
-            .set(age(progress.map_or(0, |known| known.document_seen)));
-        self.store_age.set(now.saturating_sub(last_contact) as i64);
-        self.instances
-            .set(gateway.members().instance_count() as i64);
-        self.requests.set(gateway.requests() as i64);
-        self.connections.set(gateway.connections() as i64);
-        for door in Door::ALL {
-            let gauge = self.doors.get_or_create(&vec![("door", door.label())]);
-            gauge.set(gateway.held.count(door) as i64);
-        }
-        for kind in [Kind::Body, Kind::Answer] {
-            let gauge = self.held.get_or_create(&vec![("what", kind_label(kind))]);
-            gauge.set(gateway.held.bytes(kind) as i64);
-        }
-        let mut leadership = gateway.leadership();
-        let held = leadership.is_held(crate::leadership::boot_millis());
-        self.office.set(i64::from(held));
-        self.token.set(leadership.token().unwrap_or(0) as i64);
-        let processes = gateway.usage().processes().len();
-        self.usage_processes.set(processes as i64);
-    }
 }
 
 /// Returns a name as the value of a label, which the encoder writes as it is.
--- a/crates/cactuslane-gateway/src/orders.rs
+++ b/crates/cactuslane-gateway/src/orders.rs
@@ -16,10 +16,10 @@
 use tokio::time::{Instant, sleep, timeout};
 
 use crate::answers;
-use crate::control::LEASE_TTL;
 use crate::engines::{self, CALL_TIMEOUT, CallError};
-use crate::leadership::{LEADER_KEY, LeaderRecord, boot_millis};
-use crate::limits::{self, Purpose};
+use crate::leadership::{LEADER_KEY, LEASE_TTL, LeaderRecord, boot_millis};
+use crate::limits;
+use crate::limits::permits::Purpose;
 use crate::ranking::is_top_ranked;
 use crate::state::Gateway;
 
--- a/crates/cactuslane-gateway/src/origins.rs
+++ b/crates/cactuslane-gateway/src/origins.rs
@@ -10,10 +10,10 @@
 use log::{info, warn};
 use tokio::time::timeout;
 
-use crate::ingress::CallerRequest;
-use crate::peers;
 use crate::ranking::top_ranked;
 use crate::records;
+use crate::request::CallerRequest;
+use crate::sending;
 use crate::state::{Gateway, STREAM_LIFETIME_FACTOR};
 
 /// Number of instances, besides the one that forwards a stream, that keep its version.
@@ -53,7 +53,7 @@
         gateway.begun_changed.notify_one();
     }
     let keepers = keepers(gateway, stream, KEEPERS);
-    peers::notify_begun(gateway, stream, &version, &keepers);
+    sending::notify_begun(gateway, stream, &version, &keepers);
     StreamOrigin::Version(version)
 }
 
@@ -103,7 +103,7 @@
 async fn ask(gateway: &Gateway, stream: StreamId) -> Option<SoftwareVersion> {
     let keepers = keepers(gateway, stream, ASKED);
     let mut call = gateway.origin_calls.open(keepers.len());
-    let asked = peers::query_origin(gateway, call.number, stream, &keepers);
+    let asked = sending::query_origin(gateway, call.number, stream, &keepers);
     let answers = async {
         for _ in 0..asked {
             if let Some(version) = call.answers.recv().await? {
--- a/crates/cactuslane-gateway/src/passing.rs
+++ b/crates/cactuslane-gateway/src/passing.rs
@@ -4,7 +4,6 @@
 //! it on again. It takes them at the address for messages between instances.
 
 use std::sync::Arc;
-use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::Duration;
 
 use cactuslane_flight::Refusal;
@@ -16,73 +15,21 @@
 use hyper::body::{Bytes, Incoming};
 use hyper::{Request, Response, Uri};
 use log::{info, warn};
-use tokio::net::TcpListener;
 use tokio::time::{Instant, timeout};
 
-use crate::ingress::{self, CallerRequest, RequestSource};
 use crate::plain::unknown_outcome;
 use crate::queue;
 use crate::reply::{self, AnswerBody};
+use crate::request::CallerRequest;
 use crate::state::Gateway;
 
 /// Number of instances that are asked to serve a request.
 const MAX_HELPERS: usize = 3;
-/// Largest number of requests of other instances' callers in progress at this instance.
-const MAX_TAKEN: usize = 64;
-/// Largest size of their bodies together, in bytes.
-const MAX_TAKEN_BYTES: usize = 16 << 20;
 /// Time beyond a request's deadline for which the other instance's own answer is awaited.
 const ANSWER_GRACE: Duration = Duration::from_millis(100);
 /// Value of `Retry-After` when no instance takes a request.
 const NO_HELPER_RETRY_AFTER: Duration = Duration::from_millis(500);
 
-/// Requests of other instances' callers in progress.
-#[derive(Debug, Default)]
-pub struct TakenRequests {
-    /// Their number.
-    count: AtomicUsize,
-    /// The size of their bodies, in bytes.
-    bytes: AtomicUsize,
-}
-
-/// Guard that counts a request of another instance's caller until it is dropped.
-#[derive(Debug)]
-pub struct TakenGuard {
-    /// State that holds the counters.
-    gateway: Arc<Gateway>,
-    /// Size of the request's body, in bytes.
-    bytes: usize,
-}
-
-impl TakenGuard {
-    /// Counts a request with a body of so many bytes; `None` if there are too many.
-    #[must_use]
-    pub fn take(gateway: &Arc<Gateway>, bytes: usize) -> Option<Self> {
-        let taken = &gateway.taken;
-        // The guard is created first, so that it also takes back what is counted here.
-        let guard = Self {
-            gateway: gateway.clone(),
-            bytes,
-        };
-        let count = taken.count.fetch_add(1, Ordering::Relaxed) + 1;
-        let total = taken.bytes.fetch_add(bytes, Ordering::Relaxed) + bytes;
-        (count <= MAX_TAKEN && total <= MAX_TAKEN_BYTES).then_some(guard)
-    }
-}
-
-impl Drop for TakenGuard {
-    fn drop(&mut self) {
-        let taken = &self.gateway.taken;
-        taken.count.fetch_sub(1, Ordering::Relaxed);
-        taken.bytes.fetch_sub(self.bytes, Ordering::Relaxed);
-    }
-}
-
-/// Accepts requests that other instances pass on, until the task is aborted.
-pub async fn serve(gateway: Arc<Gateway>, listener: TcpListener) {
-    ingress::accept(gateway, listener, RequestSource::Instance).await;
-}
-
 /// Returns the answer of an instance that takes no request of others' callers at present.
 #[must_use]
 pub fn decline(id: &str) -> Response<AnswerBody> {
--- a/crates/cactuslane-gateway/src/plain.rs
+++ b/crates/cactuslane-gateway/src/plain.rs
@@ -4,30 +4,27 @@
 use std::time::Duration;
 
 use cactuslane_flight::target::Target;
-use cactuslane_flight::{AttemptFailure, ConnectionId, Kind, Refusal, RequestState, Step};
-use cactuslane_held::{BufferError, HeldBuffer};
-use cactuslane_place::{Forecast, Load, Observation, Observed};
+use cactuslane_flight::{AttemptFailure, Refusal, RequestState, Step};
+use cactuslane_place::{Forecast, Load, Observed};
 use cactuslane_platform::exchange::{self, SendParams, Verdict};
 use cactuslane_types::Role;
 use http_body_util::{BodyExt, Full, Limited};
-use hyper::body::{Bytes, Incoming};
+use hyper::body::Incoming;
 use hyper::{Request, Response};
 use log::info;
 use tokio::time::{Instant, timeout};
 
 use crate::admission::Entry;
-use crate::ingress::CallerRequest;
-use crate::limits::{self, Denials, Permit, Purpose};
+use crate::bodies::{MAX_ANSWER_BYTES, read_body};
+use crate::limits;
+use crate::limits::permits::{Denials, Permit, Purpose};
 use crate::metrics;
 use crate::reply::{self, AnswerBody};
+use crate::request::CallerRequest;
 use crate::state::Gateway;
 use crate::upstream::{PooledConnection, SendError};
 use crate::{answers, crashes, usage};
 
-/// Maximum size of an answer that is held in memory, in bytes.
-const MAX_ANSWER_BYTES: usize = 16 << 20;
-/// Maximum number of pieces in which such an answer arrives.
-const MAX_ANSWER_FRAMES: usize = 1 << 16;
 /// Maximum size of the body of a rejection, in bytes; of a larger one the connection is closed.
 const MAX_REJECTION_BYTES: usize = 64 << 10;
 /// Factor on the route's latency objective after which an unanswered request is sent to another
@@ -305,7 +302,7 @@
                 .observe_role(&target.id, target.started_at, role, gateway.now());
         if let Some(observed) = observed {
             info!(target_id = target.id, observed:? = observed; "target has another role");
-            queue_observation(gateway, target, observed);
+            gateway.queue_observation(target, observed);
         }
     }
     let replaced = verdict == Verdict::Replaced;
@@ -315,7 +312,7 @@
             .observe_replaced(&target.id, target.started_at)
     {
         info!(target_id = target.id; "another target has the address");
-        queue_observation(gateway, target, Observed::Replaced);
+        gateway.queue_observation(target, Observed::Replaced);
     }
     match verdict {
         Verdict::Answer => Ok((connection, response)),
@@ -340,15 +337,6 @@
     }
 }
 
-/// Queues an observation of a target for sending to the other instances.
-pub fn queue_observation(gateway: &Gateway, target: &Target, observed: Observed) {
-    gateway.placer().observations.add(Observation {
-        target: target.id.clone(),
-        started_at: target.started_at,
-        observed,
-    });
-}
-
 /// Returns the answer to a request that is refused; it states whether one of the attempts so far
 /// may have run the request.
 pub fn refuse(
@@ -425,39 +413,3 @@
         SendError::Broken(why) => (AttemptFailure::Broken, why),
     }
 }
-
-/// Reads the body of an answer, of at most 16 MiB in 65,536 pieces, to its end; it is held for the
-/// connection of a caller, if any.
-///
-/// # Errors
-///
-/// Returns [`AttemptFailure::Broken`] and the cause if the body is incomplete or too large, or if
-/// there is no space for it.
-pub async fn read_body(
-    gateway: &Gateway,
-    connection: ConnectionId,
-    mut body: Incoming,
-) -> Result<Bytes, (AttemptFailure, String)> {
-    let broken = |why: String| (AttemptFailure::Broken, why);
-    let mut read = HeldBuffer::new(&gateway.held, connection, Kind::Answer, MAX_ANSWER_BYTES);
-    let mut frames = 0;
-    while let Some(frame) = body.frame().await {
-        let frame = frame.map_err(|error| broken(error.to_string()))?;
-        let Ok(data) = frame.into_data() else {
-            continue;
-        };
-        frames += 1;
-        if frames > MAX_ANSWER_FRAMES {
-            let why = format!("{} bytes in {frames} pieces and more", read.len());
-            return Err(broken(why));
-        }
-        if let Err(error) = read.extend(&data).await {
-            let why = match error {
-                BufferError::TooLarge => format!("more than {MAX_ANSWER_BYTES} bytes"),
-                BufferError::NoSpace => format!("no space for more than {} bytes", read.len()),
-            };
-            return Err(broken(why));
-        }
-    }
-    Ok(read.into_bytes())
-}
--- a/crates/cactuslane-gateway/src/ranking.rs
+++ b/crates/cactuslane-gateway/src/ranking.rs
@@ -5,6 +5,10 @@
 
 use cactuslane_types::InstanceId;
 
+/// Number of other instances below which each instance watches the store itself, as relays would
+/// save few calls.
+const SMALL_DEPLOYMENT: usize = 12;
+
 /// Returns whether an instance is among the `count` instances that rank highest for the task
 /// that `key` identifies.
 ///
@@ -34,6 +38,14 @@
     ranked
 }
 
+/// Returns whether a deployment is so small that each instance watches the store itself.
+///
+/// `others` is the number of other instances that are reachable and not leaving.
+#[must_use]
+pub fn is_small_deployment(others: usize) -> bool {
+    others < SMALL_DEPLOYMENT
+}
+
 /// Returns the rank of an instance for a task, a hash of the instance's id and the task's key.
 fn rank(instance: &str, key: &str) -> u64 {
     let mut hasher = DefaultHasher::new();
--- a/crates/cactuslane-gateway/src/records.rs
+++ b/crates/cactuslane-gateway/src/records.rs
@@ -5,6 +5,8 @@
 //! stream, together with those of other streams; the event does not wait for it, as a stream without
 //! a record is not taken up at all.
 
+pub mod read;
+
 use std::collections::BTreeMap;
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
@@ -17,12 +19,11 @@
 use serde::{Deserialize, Serialize};
 use tokio::time::{Instant, sleep, timeout};
 
-use crate::control::{backoff_factor, random_pause};
+use self::read::RecordsRead;
+use crate::backoff::{backoff_factor, random_pause};
+use crate::keys::RECORDS_PREFIX;
 use crate::state::Gateway;
 
-/// Prefix of the keys of all records, followed by the name of the instance, the start of its process
-/// and the number of the segment. Builds before the segments wrote one key without a number.
-pub const RECORDS_PREFIX: &str = "cactuslane/streams/";
 /// Interval between the writes of an instance in a deployment of few instances.
 const INTERVAL: Duration = Duration::from_millis(100);
 /// Number of instances per which the interval grows by [`INTERVAL`], which bounds the writes of all
@@ -101,15 +102,6 @@
     }
 }
 
-/// How far the records of all instances are known.
-#[derive(Debug, Default)]
-pub struct RecordsRead {
-    /// Time at which they were last asked for.
-    asked: Option<Instant>,
-    /// Revision up to which they are applied, and the time at which that was asked for.
-    known: Option<(u64, Instant)>,
-}
-
 /// Reads and applies the records that are not known yet, unless that was done just now; waits for
 /// them for a short time.
 ///
--- a/crates/cactuslane-gateway/src/relay.rs
+++ b/crates/cactuslane-gateway/src/relay.rs
@@ -14,13 +14,9 @@
 use serde::{Deserialize, Serialize};
 
 use crate::backoff::FIRST_PAUSE;
-use crate::duties::usage::USAGE_PREFIX;
-use crate::ranking::{count_ahead, is_top_ranked};
-use crate::records::RECORDS_PREFIX;
+use crate::keys::{RECORDS_PREFIX, USAGE_PREFIX};
+use crate::ranking::{count_ahead, is_small_deployment, is_top_ranked};
 
-/// Number of other instances below which each instance watches the store itself, as relays would
-/// save few calls.
-const SMALL_DEPLOYMENT: usize = 12;
 /// Number of instances of each failure domain that watch the store in a large deployment; the
 /// second one covers the time until the failure of the first one is noticed.
 const WATCHERS: usize = 2;
@@ -255,11 +251,3 @@
     let left = (limit.as_millis() as Millis).saturating_sub(reads + STAND_IN_STEP * STAND_INS);
     left.clamp(MIN_RELAY_TIMEOUT, RELAY_TIMEOUT) + STAND_IN_STEP * ahead.min(STAND_INS)
 }
-
-/// Returns whether a deployment is so small that each instance watches the store itself.
-///
-/// `others` is the number of other instances that are reachable and not leaving.
-#[must_use]
-pub fn is_small_deployment(others: usize) -> bool {
-    others < SMALL_DEPLOYMENT
-}
--- a/crates/cactuslane-gateway/src/state.rs
+++ b/crates/cactuslane-gateway/src/state.rs
@@ -14,7 +14,7 @@
 use cactuslane_flight::target::Target;
 use cactuslane_flight::{AttemptFailure, BegunStreams, HeldLimits, OriginTable};
 use cactuslane_held::Held;
-use cactuslane_place::{CrashTracker, Load, PermitAnswer, Placer};
+use cactuslane_place::{CrashTracker, Load, Observation, Observed, PermitAnswer, Placer};
 use cactuslane_platform::Settings;
 use cactuslane_store::http::Client;
 use cactuslane_store::kv::KvClient;
@@ -31,11 +31,11 @@
 use crate::leadership::{LeaderRecord, Leadership};
 use crate::members::Members;
 use crate::metrics::Metrics;
-use crate::passing::TakenRequests;
 use crate::progress::Progress;
-use crate::records::RecordsRead;
+use crate::records::read::RecordsRead;
+use crate::taken::TakenRequests;
 use crate::upstream::ConnectionPool;
-use crate::usage::Usage;
+use crate::usage::book::Usage;
 
 pub use self::guards::{CountGuard, LoadGuard};
 
@@ -66,7 +66,7 @@
     /// Calls to the platform that the leader makes.
     pub duties: Arc<Duties>,
     /// Placer that chooses targets, with its records of load, caches and health.
-    placer: Mutex<Placer>,
+    placer: Arc<Mutex<Placer>>,
     /// Requests that wait or are refused while the targets have too little room.
     pub admissions: Admissions,
     /// Crashes of targets, and the prompt parts that are held because of them.
@@ -108,13 +108,13 @@
     /// Connections, bodies and answers that are held for callers.
     pub held: Arc<Held>,
     /// Number of requests in progress.
-    requests: AtomicUsize,
+    requests: Arc<AtomicUsize>,
     /// Number of open connections of callers.
-    connections: AtomicUsize,
+    connections: Arc<AtomicUsize>,
     /// Client that passes requests on to other instances.
     pub helpers: Client,
     /// Requests of other instances' callers in progress, and the bytes of their bodies.
-    pub taken: TakenRequests,
+    pub taken: Arc<TakenRequests>,
     /// Counts of customers' requests, and the agreed time of day.
     pub usage: Usage,
 }
@@ -151,7 +151,7 @@
             members: Mutex::default(),
             leadership,
             duties: Arc::new(duties),
-            placer: Mutex::new(placer),
+            placer: Arc::new(Mutex::new(placer)),
             admissions,
             crashes: Mutex::default(),
             held_changed: Notify::new(),
@@ -172,12 +172,12 @@
             metrics,
             leaving: Mutex::default(),
             held,
-            requests: AtomicUsize::new(0),
-            connections: AtomicUsize::new(0),
+            requests: Arc::default(),
+            connections: Arc::default(),
             // A kept connection may have failed silently, which a request that must not be repeated
             // would not survive.
             helpers: Client::open_unpooled(),
-            taken: TakenRequests::default(),
+            taken: Arc::default(),
             usage,
         }
     }
@@ -377,13 +377,13 @@
     }
 
     /// Counts a request as in progress until the guard is dropped.
-    pub fn count_request(self: &Arc<Self>) -> CountGuard {
-        CountGuard::new(self.clone(), |gateway| &gateway.requests)
+    pub fn count_request(&self) -> CountGuard {
+        CountGuard::new(&self.requests)
     }
 
     /// Counts a caller's connection as open until the guard is dropped.
-    pub fn count_connection(self: &Arc<Self>) -> CountGuard {
-        CountGuard::new(self.clone(), |gateway| &gateway.connections)
+    pub fn count_connection(&self) -> CountGuard {
+        CountGuard::new(&self.connections)
     }
 
     /// Counts a request in its service's retry budget, which allows retries in proportion to the
@@ -410,12 +410,21 @@
         }
     }
 
+    /// Queues an observation of a target for sending to the other instances.
+    pub fn queue_observation(&self, target: &Target, observed: Observed) {
+        self.placer().observations.add(Observation {
+            target: target.id.clone(),
+            started_at: target.started_at,
+            observed,
+        });
+    }
+
     /// Records load of this instance at a target until the guard is dropped.
     #[must_use]
-    pub fn track_load(self: &Arc<Self>, target: &str, load: Load) -> LoadGuard {
+    pub fn track_load(&self, target: &str, load: Load) -> LoadGuard {
         self.placer().load_view.add(target, load);
         LoadGuard {
-            gateway: self.clone(),
+            placer: self.placer.clone(),
             target: target.to_owned(),
             load,
         }
--- a/crates/cactuslane-gateway/src/state/guards.rs
+++ b/crates/cactuslane-gateway/src/state/guards.rs
@@ -1,41 +1,34 @@
 //! Guards of what is counted while it is in progress.
 
-use std::sync::Arc;
 use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
-use cactuslane_place::Load;
+use cactuslane_place::{Load, Placer};
 use cactuslane_types::TargetId;
 
-use super::Gateway;
-
 /// Guard that counts one request or connection until it is dropped.
 #[derive(Debug)]
-pub struct CountGuard {
-    /// State that holds the counter.
-    gateway: Arc<Gateway>,
-    /// Selects the counter.
-    counter: fn(&Gateway) -> &AtomicUsize,
-}
+pub struct CountGuard(Arc<AtomicUsize>);
 
 impl CountGuard {
     /// Increments a counter and returns the guard that decrements it.
-    pub(super) fn new(gateway: Arc<Gateway>, counter: fn(&Gateway) -> &AtomicUsize) -> Self {
-        counter(&gateway).fetch_add(1, Ordering::Relaxed);
-        Self { gateway, counter }
+    pub(super) fn new(counter: &Arc<AtomicUsize>) -> Self {
+        counter.fetch_add(1, Ordering::Relaxed);
+        Self(counter.clone())
     }
 }
 
 impl Drop for CountGuard {
     fn drop(&mut self) {
-        (self.counter)(&self.gateway).fetch_sub(1, Ordering::Relaxed);
+        self.0.fetch_sub(1, Ordering::Relaxed);
     }
 }
 
 /// Guard of recorded load at a target, which is removed when it is dropped.
 #[derive(Debug)]
 pub struct LoadGuard {
-    /// State whose placer holds the load.
-    pub(super) gateway: Arc<Gateway>,
+    /// Placer that holds the load.
+    pub(super) placer: Arc<Mutex<Placer>>,
     /// Id of the target.
     pub(super) target: TargetId,
     /// Load that is still recorded.
@@ -53,15 +46,17 @@
             ..Load::default()
         };
         self.load.prompt_tokens = 0;
-        self.gateway.placer().load_view.remove(&self.target, done);
+        self.lock_placer().load_view.remove(&self.target, done);
+    }
+
+    /// Locks the placer.
+    fn lock_placer(&self) -> MutexGuard<'_, Placer> {
+        self.placer.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
 
 impl Drop for LoadGuard {
     fn drop(&mut self) {
-        self.gateway
-            .placer()
-            .load_view
-            .remove(&self.target, self.load);
+        self.lock_placer().load_view.remove(&self.target, self.load);
     }
 }
--- a/crates/cactuslane-gateway/src/upstream.rs
+++ b/crates/cactuslane-gateway/src/upstream.rs
@@ -12,18 +12,15 @@
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper::{Request, Response};
 use hyper_util::rt::TokioIo;
-use socket2::SockRef;
 use tokio::net::TcpStream;
 use tokio::time::{Instant, timeout};
 
-use crate::limits::Permit;
+use crate::limits::permits::Permit;
 use crate::metered::{Allowance, Heard, MeteredStream, is_disturbed};
+use crate::sockets::set_socket_options;
 
 /// Maximum time to establish a connection.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(450);
-/// Maximum time for which sent data may remain unacknowledged before the kernel closes the
-/// connection (`TCP_USER_TIMEOUT`).
-const UNACKED_TIMEOUT: Duration = Duration::from_secs(3);
 /// Time for which an idle connection is kept if the target states no keep-alive time-out.
 const DEFAULT_KEEP_ALIVE: Duration = Duration::from_secs(4);
 /// Time before the end of a target's keep-alive time-out from which an idle connection is no longer
@@ -294,20 +291,3 @@
             })
     }
 }
-
-/// Sets the TCP options of a connection; an option that can't be set is only logged.
-pub fn set_socket_options(stream: &TcpStream) {
-    let socket = SockRef::from(stream);
-    let results = [
-        ("nodelay", stream.set_nodelay(true)),
-        (
-            "user timeout",
-            socket.set_tcp_user_timeout(Some(UNACKED_TIMEOUT)),
-        ),
-    ];
-    for (option, result) in results {
-        if let Err(error) = result {
-            log::debug!(option, error:% = error; "socket option refused");
-        }
-    }
-}
--- a/crates/cactuslane-gateway/src/usage.rs
+++ b/crates/cactuslane-gateway/src/usage.rs
@@ -2,22 +2,22 @@
 //!
 //! Nothing is counted or sent unless usage is to be reported and the configuration has customers.
 
+pub mod book;
 pub mod spread;
 
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
-use cactuslane_authority::usage::ProcessId;
-use cactuslane_authority::{AgreedClock, RunTimes, UsageBook, UsageUpdate};
+use cactuslane_authority::{AgreedClock, UsageBook, UsageUpdate};
 use cactuslane_flight::AttemptFailure;
 use cactuslane_types::{InstanceId, Millis};
 use log::{info, warn};
 use rand::seq::SliceRandom;
 use tokio::time::{Instant, MissedTickBehavior, interval};
 
-use self::spread::{Sending, Spread};
-use crate::ingress::CallerRequest;
-use crate::peers;
+use self::spread::Sending;
+use crate::request::CallerRequest;
+use crate::sending;
 use crate::state::Gateway;
 
 /// Interval at which counts that have changed are sent.
@@ -31,19 +31,6 @@
 /// Change of the agreed time of day from which on it is logged, in milliseconds.
 const LOGGED_CHANGE: u64 = 200;
 
-/// Counts of customers' requests, and the agreed time of day.
-#[derive(Debug)]
-pub struct Usage {
-    /// Counts of all instances, as far as they are known.
-    book: Mutex<UsageBook>,
-    /// The time of day on which the instances agree; `None` until it is asked for.
-    clock: Mutex<Option<AgreedClock>>,
-    /// Estimates of when requests began to run.
-    runs: Mutex<RunTimes>,
-    /// State of sending the counts.
-    spread: Mutex<Spread>,
-}
-
 /// Guard of an attempt at a target without a model, which counts its run when it ends.
 ///
 /// If it is dropped before, the request was given up, and counts as begun when it was sent.
@@ -61,19 +48,6 @@
     ended: bool,
 }
 
-impl Usage {
-    /// Creates the empty counts of a process.
-    #[must_use]
-    pub fn new(own: ProcessId) -> Self {
-        Self {
-            book: Mutex::new(UsageBook::new(own)),
-            clock: Mutex::default(),
-            runs: Mutex::default(),
-            spread: Mutex::default(),
-        }
-    }
-}
-
 impl Gateway {
     /// Locks the counts of customers' requests.
     pub fn usage(&self) -> MutexGuard<'_, UsageBook> {
@@ -233,7 +207,7 @@
             process,
             windows,
         };
-        peers::send_usage(gateway, update, &to);
+        sending::send_usage(gateway, update, &to);
     }
 }
 
@@ -248,7 +222,7 @@
         process: gateway.usage().own().clone(),
         windows: Vec::new(),
     };
-    peers::send_usage(gateway, update, &told);
+    sending::send_usage(gateway, update, &told);
 }
 
 /// Returns the time of day by the own clock, in Unix milliseconds.
--- a/crates/cactuslane-gateway/src/versions.rs
+++ b/crates/cactuslane-gateway/src/versions.rs
@@ -13,7 +13,7 @@
 use log::{info, warn};
 use tokio::time::{MissedTickBehavior, interval, sleep};
 
-use crate::control::{backoff_factor, random_pause};
+use crate::backoff::{backoff_factor, random_pause};
 use crate::ranking;
 use crate::state::Gateway;
 
--- a/crates/cactuslane-gateway/src/watch.rs
+++ b/crates/cactuslane-gateway/src/watch.rs
@@ -17,6 +17,7 @@
 use crate::backoff::Backoff;
 use crate::control::{apply, read_all};
 use crate::progress::Progress;
+use crate::ranking::is_small_deployment;
 use crate::records;
 use crate::relay::{self, Continuation, Relay};
 use crate::state::Gateway;
@@ -220,7 +221,7 @@
         let neighbours = members.alive_in_domain(&settings.domain, now);
         if !relay::is_watcher(&settings.instance, others, &neighbours) {
             SyncMode::Receiving
-        } else if relay::is_small_deployment(others) {
+        } else if is_small_deployment(others) {
             SyncMode::Direct
         } else {
             SyncMode::Relaying
--- a/crates/cactuslane-gateway/src/watch/fetch.rs
+++ b/crates/cactuslane-gateway/src/watch/fetch.rs
@@ -12,9 +12,9 @@
 
 use super::{ALL_KEYS, Follower, ReceivedRelay, SyncMode, record_failure, watch_wait};
 use crate::control::{SMALL_KEYS, apply};
-use crate::peers::send_relays;
-use crate::records::RECORDS_PREFIX;
+use crate::keys::RECORDS_PREFIX;
 use crate::relay::Relay;
+use crate::sending::send_relays;
 
 /// Longest wait of a watch whose changes are relayed, so that the other instances receive empty
 /// relays while nothing changes.
--- a/crates/cactuslane-gateway/tests/relay.rs
+++ b/crates/cactuslane-gateway/tests/relay.rs
@@ -2,9 +2,9 @@
 
 use std::time::Duration;
 
+use cactuslane_gateway::backoff::backoff_factor;
 use cactuslane_gateway::backoff::{Backoff, FIRST_PAUSE};
-use cactuslane_gateway::control::backoff_factor;
-use cactuslane_gateway::records::RECORDS_PREFIX;
+use cactuslane_gateway::keys::RECORDS_PREFIX;
 use cactuslane_gateway::relay::{Continuation, READ_TIME, Relay, is_watcher, relay_timeout};
 use cactuslane_platform::store::CONFIG_KEY;
 use cactuslane_store::kv::{Change, Changes, Item, KvError, WATCH_GRACE};
