Notice an overload of plain targets that is there from the start on

Cause: Over HTTP, one instance with customers and 3.7 times what its target could do refused nobody: 540 of 660 requests ended with 504 after 4 s. The time of work was measured only by answers after which nobody waited, so that it was never known and no wait was ever expected. Once it was inferred, three more faults showed: an answer that left nobody behind it was taken for one that had not waited itself; a target that told of its queue hid what the instance had sent since; and the time in the queue counted as slowness of the target, which the expected work was multiplied with (it rose from 200 to 6,744 ms). Change: The time of work is inferred from answers that waited, by the requests that were before them, until one is measured that did not wait on sending nor at its answer. What a target tells corrects what instances knew of it then. An answer is slow by what the queue does not explain. All of it holds only where targets tell of their queues and the configuration has customers. A test over HTTP with two customers, one with ten times the requests. Each of three mutants (inferring nothing, measuring by the answer alone, hiding what was sent since) failed the new tests of placing. Tests of cactuslane-place passed, and of cactuslane-gateway serving (182), permits and scaling.

--- a/crates/cactuslane-gateway/src/answers.rs
+++ b/crates/cactuslane-gateway/src/answers.rs
@@ -29,7 +29,9 @@
     let competes = config.is_some_and(|config| config.customers.is_some());
     if competes && let Some((running, waiting)) = exchange::target_load(headers) {
         let (mut placer, now) = (gateway.placer(), gateway.now());
-        placer.queues.observe(&target.id, running, waiting, now);
+        let known = placer.load_view.load(&target.id, now).running;
+        let queues = &mut placer.queues;
+        queues.observe(&target.id, running, waiting, known, now);
     }
     if !exchange::is_leaving(headers) {
         return;
--- a/crates/cactuslane-gateway/src/plain.rs
+++ b/crates/cactuslane-gateway/src/plain.rs
@@ -150,6 +150,7 @@
         running: 1,
         ..Load::default()
     };
+    let ahead = gateway.placer().count_plain(&target.id, gateway.now());
     let _load = gateway.track_load(&target.id, load);
     let began = Instant::now();
     let params = SendParams {
@@ -200,8 +201,10 @@
             let observed = began.elapsed().as_secs_f64() * 1000.0;
             let expected = request.route.latency_objective.as_secs_f64() * 1000.0 * EXPECTED_SHARE;
             let mut placer = gateway.placer();
+            // A queue does not make a target slow.
+            let expected = expected.max(placer.queues.expected_ms(target, ahead));
             placer.answered(&target.id, observed, expected, now);
-            placer.queues.observe_work(target, observed, now);
+            placer.queues.observe_work(target, observed, ahead, now);
             drop(placer);
             crashes::record_begun(gateway, &request.info, now);
             (None, Some(answer))
--- a/crates/cactuslane-gateway/tests/serving/main.rs
+++ b/crates/cactuslane-gateway/tests/serving/main.rs
@@ -1,5 +1,6 @@
 //! Tests of complete instances against stand-ins of the store, the targets and the callers.
 
+mod admission;
 mod bulk;
 mod control;
 mod crashes;
--- a/crates/cactuslane-place/src/placer/plain.rs
+++ b/crates/cactuslane-place/src/placer/plain.rs
@@ -40,8 +40,7 @@
         let usable = self.usable(targets, tried, now);
         let mut best: Option<(f64, &Target)> = None;
         for target in usable {
-            let load = self.load_view.load(&target.id, now);
-            let count = self.queues.count(&target.id, load.running, now);
+            let count = self.count_plain(&target.id, now);
             let slots = f64::from(target.slots.max(1));
             // The cost is 100 ms for the request that takes a target's last slot.
             let slot_cost = 100.0 / slots;
@@ -62,6 +61,13 @@
         best.map(|(_, target)| target.id.clone())
     }
 
+    /// Returns the expected number of requests that run or wait at a target of a plain service.
+    #[must_use]
+    pub fn count_plain(&self, target: &str, now: Millis) -> f64 {
+        let load = self.load_view.load(target, now);
+        self.queues.count(target, load.running, now)
+    }
+
     /// Returns the expected times of a request at a target of a plain service with `targets`
     /// targets; without a queue if the work time was not measured yet.
     #[must_use]
@@ -70,8 +76,7 @@
             return Forecast::default();
         };
         let work = work * self.slowdown(&target.id, now);
-        let load = self.load_view.load(&target.id, now);
-        let count = self.queues.count(&target.id, load.running, now);
+        let count = self.count_plain(&target.id, now);
         let slots = f64::from(target.slots.max(1));
         let (rivals, view_age) = self.rivals(targets, now);
         Forecast {
--- a/crates/cactuslane-place/src/queues.rs
+++ b/crates/cactuslane-place/src/queues.rs
@@ -16,60 +16,106 @@
 /// What targets told of their queues, and the measured work times of services.
 #[derive(Clone, Debug, Default)]
 pub struct TargetQueues {
-    /// Number of requests that each target ran and that waited there, with the time of the answer.
-    told: BTreeMap<TargetId, (u32, Millis)>,
+    /// What each target told last.
+    told: BTreeMap<TargetId, Told>,
     /// Moving averages of the time of answers that did not wait, in milliseconds.
     work: BTreeMap<ServiceName, f64>,
+    /// Moving averages of the work times that answers after a wait lead to, in milliseconds, of
+    /// services without an answer that did not wait.
+    inferred: BTreeMap<ServiceName, f64>,
+}
+
+/// What a target told of its queue.
+#[derive(Clone, Copy, Debug)]
+struct Told {
+    /// Number of requests that it ran and that waited there.
+    count: u32,
+    /// Number of them that instances knew of.
+    known: u32,
+    /// Time of the answer.
+    at: Millis,
 }
 
 impl TargetQueues {
-    /// Records how many requests a target ran and how many waited there, as its answer tells.
-    pub fn observe(&mut self, target: &str, running: u32, waiting: u32, now: Millis) {
-        let told = (running.saturating_add(waiting), now);
+    /// Records how many requests a target ran and how many waited there, as its answer tells, and
+    /// of how many instances know.
+    pub fn observe(&mut self, target: &str, running: u32, waiting: u32, known: u32, now: Millis) {
+        let told = Told {
+            count: running.saturating_add(waiting),
+            known,
+            at: now,
+        };
         self.told.insert(target.to_owned(), told);
     }
 
-    /// Records the time of an answer of a service, in milliseconds.
+    /// Records the time of an answer of a service, in milliseconds; `ahead` requests were expected at
+    /// the target when the request was sent.
     ///
-    /// It counts only if nothing waited at the target when it answered: other times hold the wait.
-    pub fn observe_work(&mut self, target: &Target, elapsed_ms: f64, now: Millis) {
+    /// It counts as measured only if nothing waited at the target when the request was sent and
+    /// when it was answered: other times hold the wait. They count, less what `ahead` explains, until
+    /// one was measured: where every answer waits, as after a start under overload, the overload
+    /// would else never be noticed.
+    pub fn observe_work(&mut self, target: &Target, elapsed_ms: f64, ahead: f64, now: Millis) {
         let told = self.told.get(&target.id);
-        if told.is_none_or(|(count, at)| *at + TOLD_LIFETIME < now || *count > target.slots) {
+        let Some(told) = told.filter(|told| told.at + TOLD_LIFETIME >= now) else {
+            return;
+        };
+        let rounds = rounds(target, ahead);
+        let is_measured = told.count <= target.slots && rounds <= 1.0;
+        if !is_measured && self.work.contains_key(&target.service) {
             return;
         }
-        let work = self.work.entry(target.service.clone());
-        let work = work.or_insert(elapsed_ms);
-        *work += (elapsed_ms - *work) * WORK_WEIGHT;
+        let times = if is_measured {
+            self.inferred.remove(&target.service);
+            &mut self.work
+        } else {
+            &mut self.inferred
+        };
+        let work_ms = elapsed_ms / rounds;
+        let work = times.entry(target.service.clone()).or_insert(work_ms);
+        *work += (work_ms - *work) * WORK_WEIGHT;
+    }
+
+    /// Returns the time that a request with `ahead` others before it takes at a target by the work
+    /// time of its service, in milliseconds; 0 if that is not known.
+    #[must_use]
+    pub fn expected_ms(&self, target: &Target, ahead: f64) -> f64 {
+        let work = self.work_ms(&target.service).unwrap_or_default();
+        work * rounds(target, ahead)
     }
 
     /// Returns the time that a request takes at a target of a service without a queue, in
-    /// milliseconds; `None` if it was not measured.
+    /// milliseconds; `None` if no answer of one that tells of its queue was seen.
     #[must_use]
     pub fn work_ms(&self, service: &str) -> Option<f64> {
-        self.work.get(service).copied()
+        let measured = self.work.get(service);
+        measured.or_else(|| self.inferred.get(service)).copied()
     }
 
     /// Returns whether a target told of its queue recently.
     #[must_use]
     pub fn is_told(&self, target: &str, now: Millis) -> bool {
         let told = self.told.get(target);
-        told.is_some_and(|(_, at)| now.saturating_sub(*at) <= TOLD_LIFETIME)
+        told.is_some_and(|told| now.saturating_sub(told.at) <= TOLD_LIFETIME)
     }
 
     /// Returns the expected number of requests that run or wait at a target, of which instances
     /// know `known`.
+    ///
+    /// What the target told corrects what was known then; what was sent since counts in full.
     #[must_use]
     pub fn count(&self, target: &str, known: u32, now: Millis) -> f64 {
         let known = f64::from(known);
-        let Some((told, at)) = self.told.get(target) else {
+        let Some(told) = self.told.get(target) else {
             return known;
         };
-        let age = now.saturating_sub(*at);
+        let age = now.saturating_sub(told.at);
         if age > TOLD_LIFETIME {
             return known;
         }
         let weight = (-(age as f64) / TOLD_TIME).exp();
-        known + (f64::from(*told) - known) * weight
+        let unknown = f64::from(told.count) - f64::from(told.known);
+        (known + unknown * weight).max(0.0)
     }
 
     /// Forgets a target that is gone or has restarted.
@@ -77,3 +123,9 @@
         self.told.remove(target);
     }
 }
+
+/// Returns how often the slots of a target are filled before a request with `ahead` others before it
+/// is done; at least 1.
+fn rounds(target: &Target, ahead: f64) -> f64 {
+    ((ahead + 1.0) / f64::from(target.slots.max(1))).max(1.0)
+}
