Take bursts of connections, and cut no request to make room

Cause: listeners queued 128 connections, and the loop that accepts them waited for each connection that was closed to make room. A burst filled the queue; the next caller's connect took a second or more, which its client gave up on. So `entry::a_crowd_ends_no_entry::heads_stop` served 9 of 10 calls, always without the first one. Two more faults were read in the same place. A connection that was idle when it was chosen to be closed was cut although its next request had begun since. Idle connections of callers who had been served were closed before newer ones that never sent a head.

Change: listeners queue up to 4,096, as the system allows; the loop goes on while fewer than 32 connections are still to be closed. `HeldBytes` closes connections that were never served first where they have more than half of a door, else idle ones, and `confirm_close` withdraws a choice if the request has begun or gone on; the connection then ends after it. `cactuslane-held` sets the options of all accepted connections: 30 s for what is not acknowledged, and at most 64 KiB that lie unsent in the kernel (`TCP_NOTSENT_LOWAT`, which does not bound what is on its way). Connections to targets keep their 3 s.

--- a/crates/cactuslane-entry/src/lib.rs
+++ b/crates/cactuslane-entry/src/lib.rs
@@ -30,6 +30,7 @@
 use std::time::Duration;
 
 use cactuslane_config::Settings;
+use cactuslane_held::connections;
 use tokio::net::{TcpListener, UdpSocket};
 use tokio::task::JoinSet;
 
@@ -78,9 +79,7 @@
             .local_addr()
             .map_err(|e| EntryError::Bind(settings.gossip, e))?;
         let listen = settings.listen;
-        let listener = TcpListener::bind(listen)
-            .await
-            .map_err(|e| EntryError::Bind(listen, e))?;
+        let listener = connections::listen(listen).map_err(|e| EntryError::Bind(listen, e))?;
         let serving = listener
             .local_addr()
             .map_err(|e| EntryError::Bind(listen, e))?;
--- a/crates/cactuslane-entry/src/server.rs
+++ b/crates/cactuslane-entry/src/server.rs
@@ -86,7 +86,6 @@
         let Some(guard) = shared.held.open(Door::Front).await else {
             continue;
         };
-        let _ = stream.set_nodelay(true);
         let (shared, requests) = (shared.clone(), requests.clone());
         let mut stopped = stopped.clone();
         connections.spawn(async move {
--- a/crates/cactuslane-flight/src/held_bytes.rs
+++ b/crates/cactuslane-flight/src/held_bytes.rs
@@ -42,6 +42,9 @@
 /// Share of the other descriptors for connections that are accepted, in percent; the rest is for
 /// connections to targets and to other instances.
 const ACCEPTED_SHARE: u32 = 50;
+/// Share of a door's connections, in percent, up to which those that were never served may take the
+/// places of idle ones that were.
+const UNSERVED_SHARE: usize = 50;
 /// Smallest number of connections of one door.
 const MIN_CONNECTIONS: usize = 16;
 
@@ -148,6 +151,8 @@
     door: Door,
     /// What it is doing.
     activity: Activity,
+    /// Whether a request of it was answered.
+    served: bool,
     /// Whether its caller takes no bytes of the answer at present.
     blocked: bool,
     /// Time of the last progress.
@@ -171,7 +176,12 @@
     /// Returns whether it waits for its caller, for longer than [`STALL_TIME`] without progress.
     fn is_stalled(&self, now: Millis) -> bool {
         let waits = self.activity == Activity::Reading || self.blocked;
-        waits && !self.closing && self.stalled(now) >= STALL_TIME
+        waits && self.stalled(now) >= STALL_TIME
+    }
+
+    /// Returns whether it waits for a head and has nothing left to send.
+    fn is_idle(&self) -> bool {
+        self.activity == Activity::Waiting && !self.blocked
     }
 
     /// Returns the number of bytes of a kind that it holds.
@@ -218,6 +228,8 @@
     connections: BTreeMap<ConnectionId, Connection>,
     /// Numbers of connections by door, without those that are to be closed.
     counts: BTreeMap<Door, usize>,
+    /// Number of connections that are to be closed.
+    closing: usize,
     /// Number of the next connection.
     next: ConnectionId,
 }
@@ -232,6 +244,7 @@
             answers: 0,
             connections: BTreeMap::new(),
             counts: BTreeMap::new(),
+            closing: 0,
             next: 0,
         }
     }
@@ -262,10 +275,17 @@
         self.counts.get(&door).copied().unwrap_or(0)
     }
 
+    /// Returns the number of connections that are to be closed and are still open.
+    #[must_use]
+    pub fn closing(&self) -> usize {
+        self.closing
+    }
+
     /// Opens a connection at a door.
     ///
     /// At a full door, it takes the place of the connection that has waited longest for a head, or
-    /// of one that has stalled.
+    /// of one that has stalled. Connections of which no request was answered yet go first where
+    /// they have more than [`UNSERVED_SHARE`] of the door, the others where they have less.
     pub fn open(&mut self, door: Door, now: Millis) -> Opening {
         let mut replaced = None;
         if self.count(door) >= self.limits.at_door(door) {
@@ -283,6 +303,7 @@
             Connection {
                 door,
                 activity: Activity::Waiting,
+                served: false,
                 blocked: false,
                 progress: now,
                 since_progress: 0,
@@ -297,7 +318,25 @@
     /// Removes a connection; bytes that it reserved are counted until they are released.
     pub fn close(&mut self, id: ConnectionId) {
         self.mark_closing(id);
-        self.connections.remove(&id);
+        if self.connections.remove(&id).is_some() {
+            self.closing -= 1;
+        }
+    }
+
+    /// Returns whether a connection that is to be closed may still be; otherwise its request has
+    /// begun or gone on since it was chosen, and it keeps its place.
+    pub fn confirm_close(&mut self, id: ConnectionId, now: Millis) -> bool {
+        let Some(connection) = self.connections.get_mut(&id) else {
+            return true;
+        };
+        if connection.is_idle() || connection.is_stalled(now) {
+            return true;
+        }
+        if std::mem::replace(&mut connection.closing, false) {
+            self.closing -= 1;
+            *self.counts.entry(connection.door).or_default() += 1;
+        }
+        false
     }
 
     /// Records what a connection does from now on, which counts as progress.
@@ -305,6 +344,7 @@
         let Some(connection) = self.connections.get_mut(&id) else {
             return;
         };
+        connection.served |= activity == Activity::Waiting;
         connection.activity = activity;
         connection.progress = now;
         connection.since_progress = 0;
@@ -364,7 +404,8 @@
         }
         let mut heaviest = None;
         for (&other, connection) in &mut self.connections {
-            if other == id || !connection.is_stalled(now) || *connection.bytes(kind) == 0 {
+            let may_close = other != id && !connection.closing && connection.is_stalled(now);
+            if !may_close || *connection.bytes(kind) == 0 {
                 continue;
             }
             let weight = *connection.bytes(kind) as u64 * connection.stalled(now);
@@ -397,6 +438,7 @@
             return;
         };
         if !std::mem::replace(&mut connection.closing, true) {
+            self.closing += 1;
             let count = self.counts.entry(connection.door).or_default();
             *count = count.saturating_sub(1);
         }
@@ -404,18 +446,32 @@
 
     /// Returns the connection of a door whose place a new one may take.
     fn replaceable(&self, door: Door, now: Millis) -> Option<ConnectionId> {
-        let at_door = |(_, connection): &(&ConnectionId, &Connection)| {
-            connection.door == door && !connection.closing
-        };
-        let oldest = |accepts: &dyn Fn(&Connection) -> bool| {
-            let connections = self.connections.iter().filter(at_door);
-            let fitting = connections.filter(|(_, connection)| accepts(connection));
-            let oldest = fitting.min_by_key(|(_, connection)| connection.progress);
-            oldest.map(|(&id, _)| id)
-        };
-        let waits = |connection: &Connection| {
-            connection.activity == Activity::Waiting && !connection.blocked
+        let mut unserved_count = 0;
+        let (mut unserved, mut served, mut stalled) = (None, None, None);
+        for (&id, connection) in &self.connections {
+            if connection.door != door || connection.closing {
+                continue;
+            }
+            let oldest = if connection.is_idle() && !connection.served {
+                unserved_count += 1;
+                &mut unserved
+            } else if connection.is_idle() {
+                &mut served
+            } else if connection.is_stalled(now) {
+                &mut stalled
+            } else {
+                continue;
+            };
+            if oldest.is_none_or(|(progress, _)| connection.progress < progress) {
+                *oldest = Some((connection.progress, id));
+            }
+        }
+        let most = self.limits.at_door(door) * UNSERVED_SHARE / 100;
+        let idle = if unserved_count > most {
+            unserved.or(served)
+        } else {
+            served.or(unserved)
         };
-        oldest(&waits).or_else(|| oldest(&|connection| connection.is_stalled(now)))
+        idle.or(stalled).map(|(_, id)| id)
     }
 }
--- a/crates/cactuslane-flight/tests/held_bytes.rs
+++ b/crates/cactuslane-flight/tests/held_bytes.rs
@@ -189,6 +189,89 @@
     }
 }
 
+/// Opens a connection at the front door that has been idle since it was served at a time.
+fn open_served(held: &mut HeldBytes, now: u64) -> ConnectionId {
+    let Opening::Opened(id, None) = held.open(Door::Front, now) else {
+        panic!("the door is not full");
+    };
+    held.set_activity(id, Activity::Serving, now);
+    held.set_activity(id, Activity::Waiting, now);
+    id
+}
+
+#[test]
+fn an_idle_connection_that_was_served_outlasts_a_crowd_that_sends_no_heads() {
+    let mut held = HeldBytes::new(LIMITS);
+    let served = open_served(&mut held, 0);
+    for now in 1..3 * LIMITS.at_door(Door::Front) as u64 {
+        let Opening::Opened(_, replaced) = held.open(Door::Front, now) else {
+            panic!("connections of the crowd can be replaced");
+        };
+        assert_ne!(replaced, Some(served));
+        if let Some(replaced) = replaced {
+            held.close(replaced);
+        }
+    }
+    assert!(held.confirm_close(served, 60_000));
+}
+
+#[test]
+fn new_connections_get_half_of_a_door_that_idle_ones_fill() {
+    let mut held = HeldBytes::new(LIMITS);
+    let count = LIMITS.at_door(Door::Front);
+    for now in 0..count as u64 {
+        open_served(&mut held, now);
+    }
+    let mut closed = Vec::new();
+    for now in 0..count {
+        let Opening::Opened(_, Some(replaced)) = held.open(Door::Front, (count + now) as u64)
+        else {
+            panic!("an idle connection can be replaced");
+        };
+        held.close(replaced);
+        closed.push(replaced as usize);
+    }
+    let (idle, new): (Vec<_>, Vec<_>) = closed.into_iter().partition(|&id| id < count);
+    assert_eq!(idle, (0..=count / 2).collect::<Vec<_>>());
+    assert_eq!(new, (count..count + new.len()).collect::<Vec<_>>());
+}
+
+#[test]
+fn a_request_that_began_before_its_connection_was_closed_is_not_cut() {
+    let mut held = HeldBytes::new(LIMITS);
+    let count = LIMITS.at_door(Door::Front);
+    let idle = open_served(&mut held, 0);
+    for now in 1..count as u64 {
+        open_served(&mut held, now);
+    }
+    let opening = held.open(Door::Front, 5000);
+    assert_eq!(opening, Opening::Opened(count as u64, Some(idle)));
+    assert_eq!((held.count(Door::Front), held.closing()), (count, 1));
+    held.set_activity(idle, Activity::Serving, 5000);
+    assert!(!held.confirm_close(idle, 60_000));
+    assert_eq!((held.count(Door::Front), held.closing()), (count + 1, 0));
+    held.close(idle);
+    assert_eq!((held.count(Door::Front), held.closing()), (count, 0));
+}
+
+#[test]
+fn a_body_that_goes_on_before_its_connection_was_closed_is_not_cut() {
+    let mut held = HeldBytes::new(LIMITS);
+    let slow = open_reading(&mut held, 0);
+    let other = open_reading(&mut held, 0);
+    let granted = held.reserve(slow, Kind::Body, 80_000, 0);
+    assert_eq!(granted, Reservation::Granted);
+    let reserved = held.reserve(other, Kind::Body, 1, STALL_TIME);
+    assert_eq!(reserved, Reservation::Close(slow));
+    held.record_bytes(slow, PROGRESS_BYTES, STALL_TIME);
+    assert!(!held.confirm_close(slow, STALL_TIME));
+    let reserved = held.reserve(other, Kind::Body, 1, STALL_TIME);
+    assert_eq!(reserved, Reservation::Refused);
+    let reserved = held.reserve(other, Kind::Body, 1, 2 * STALL_TIME);
+    assert_eq!(reserved, Reservation::Close(slow));
+    assert!(held.confirm_close(slow, 2 * STALL_TIME));
+}
+
 #[test]
 fn a_full_door_refuses_while_all_requests_are_executed() {
     let mut held = HeldBytes::new(LIMITS);
--- a/crates/cactuslane-gateway/src/directory.rs
+++ b/crates/cactuslane-gateway/src/directory.rs
@@ -18,7 +18,6 @@
 use tokio::net::TcpListener;
 
 use crate::state::Gateway;
-use crate::upstream::set_socket_options;
 
 /// Time to live of the addresses in an answer, for which callers may cache them.
 const ADDRESS_TTL: Duration = Duration::from_secs(1);
@@ -50,7 +49,6 @@
                 let response = respond(&gateway, &request);
                 async move { response }
             };
-            set_socket_options(&stream);
             connections::serve(guard, stream, HEAD_LIMITS, pending(), respond).await;
         });
     }
--- a/crates/cactuslane-gateway/src/ingress.rs
+++ b/crates/cactuslane-gateway/src/ingress.rs
@@ -24,7 +24,6 @@
 use crate::passing::{self, TakenGuard};
 use crate::reply::{self, AnswerBody, Cause};
 use crate::state::Gateway;
-use crate::upstream::set_socket_options;
 use crate::{customers, generation, metrics, plain};
 
 /// Delay before the next `accept` after a failed one.
@@ -180,7 +179,6 @@
         let gateway = gateway.clone();
         async move { respond(&gateway, request, source, connection).await }
     };
-    set_socket_options(&stream);
     connections::serve(guard, stream, limits, pending(), respond).await;
 }
 
--- a/crates/cactuslane-gateway/src/lib.rs
+++ b/crates/cactuslane-gateway/src/lib.rs
@@ -52,6 +52,7 @@
 use std::time::Duration;
 
 use cactuslane_flight::Door;
+use cactuslane_held::connections;
 use cactuslane_platform::Settings;
 use log::{info, warn};
 use tokio::net::{TcpListener, UdpSocket};
@@ -97,11 +98,11 @@
     ///
     /// Returns an error if an address cannot be bound.
     pub async fn spawn(mut settings: Settings) -> Result<GatewayHandle, SpawnError> {
-        let front = bind(&mut settings.front, "front").await?;
-        let ready = bind(&mut settings.ready, "ready").await?;
+        let front = bind(&mut settings.front, "front")?;
+        let ready = bind(&mut settings.ready, "ready")?;
         let (socket, passed) = bind_peer(&mut settings.peer).await?;
         let directory = match settings.directory {
-            Some(ref mut address) => Some(bind(address, "directory").await?),
+            Some(ref mut address) => Some(bind(address, "directory")?),
             None => None,
         };
         info!(
@@ -170,9 +171,9 @@
     /// Serves the metrics at another port as well, until [`GatewayHandle::stop`].
     ///
     /// If the port cannot be bound, this is logged and the instance runs without it.
-    pub async fn serve_metrics(&mut self, port: u16) {
+    pub fn serve_metrics(&mut self, port: u16) {
         let address = SocketAddr::new(self.gateway.settings().ready.ip(), port);
-        match TcpListener::bind(address).await {
+        match connections::listen(address) {
             Ok(listener) => {
                 let task = directory::serve(self.gateway.clone(), listener, Door::Ready);
                 self.tasks.push(tokio::spawn(task));
@@ -221,7 +222,7 @@
     loop {
         attempts -= 1;
         let mut bound = *address;
-        let listener = bind(&mut bound, "peer").await?;
+        let listener = bind(&mut bound, "peer")?;
         match UdpSocket::bind(bound).await {
             Ok(socket) => {
                 *address = bound;
@@ -236,9 +237,9 @@
 
 /// Binds a TCP listener and sets `address` to the bound one, which replaces port 0 by the chosen
 /// port.
-async fn bind(address: &mut SocketAddr, name: &str) -> Result<TcpListener, SpawnError> {
+fn bind(address: &mut SocketAddr, name: &str) -> Result<TcpListener, SpawnError> {
     let failed = |error: io::Error| SpawnError(format!("{name} address {address}: {error}"));
-    let listener = TcpListener::bind(*address).await.map_err(failed)?;
+    let listener = connections::listen(*address).map_err(failed)?;
     let bound = listener.local_addr().map_err(failed)?;
     *address = bound;
     Ok(listener)
--- a/crates/cactuslane-gateway/src/upstream.rs
+++ b/crates/cactuslane-gateway/src/upstream.rs
@@ -295,7 +295,7 @@
     }
 }
 
-/// Sets the TCP options of a connection; an option that can't be set is only logged.
+/// Sets the TCP options of a connection to a target; an option that can't be set is only logged.
 pub fn set_socket_options(stream: &TcpStream) {
     let socket = SockRef::from(stream);
     let results = [
--- a/crates/cactuslane-held/src/connections.rs
+++ b/crates/cactuslane-held/src/connections.rs
@@ -2,6 +2,7 @@
 
 use std::convert::Infallible;
 use std::io;
+use std::net::SocketAddr;
 use std::pin::Pin;
 use std::sync::Arc;
 use std::task::{Context, Poll, Waker, ready};
@@ -16,8 +17,9 @@
 use hyper::{Request, Response};
 use hyper_util::rt::{TokioIo, TokioTimer};
 use log::debug;
+use socket2::SockRef;
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
-use tokio::net::TcpStream;
+use tokio::net::{TcpListener, TcpSocket, TcpStream};
 use tokio::time::{Instant, Sleep, timeout};
 
 use crate::record::{BufferError, ConnectionGuard, Held, HeldBuffer, ServingGuard};
@@ -28,8 +30,17 @@
 const MIN_BUFFER: usize = 8 << 10;
 /// Number of bytes of a body after which they are recorded, so that small chunks cost little.
 const RECORDED_BYTES: usize = PROGRESS_BYTES / 4;
+/// Number of connections that wait to be accepted, beyond which callers connect only after a second
+/// or more; the system may have a lower limit.
+const BACKLOG: u32 = 4096;
 /// Time within which a caller must take [`PROGRESS_BYTES`] of an answer, or all that is left of it.
 const SEND_TIMEOUT: Duration = Duration::from_secs(20);
+/// Time after which the system closes a connection whose caller acknowledges nothing or has no
+/// space left (`TCP_USER_TIMEOUT`); longer than [`SEND_TIMEOUT`], which then decides.
+const UNACKED_TIMEOUT: Duration = Duration::from_secs(30);
+/// Number of bytes of an answer that the system takes beyond those that it can send at once
+/// (`TCP_NOTSENT_LOWAT`).
+const MAX_UNSENT: u32 = 64 << 10;
 
 /// Limits on the heads of a connection's requests.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -81,8 +92,27 @@
     _guard: ServingGuard,
 }
 
+/// Binds a listener that a burst of connections does not fill.
+///
+/// # Errors
+///
+/// Returns an error if the address can't be bound.
+pub fn listen(address: SocketAddr) -> io::Result<TcpListener> {
+    let socket = match address {
+        SocketAddr::V4(_) => TcpSocket::new_v4()?,
+        SocketAddr::V6(_) => TcpSocket::new_v6()?,
+    };
+    // Otherwise the port stays in use for a minute after a restart.
+    socket.set_reuseaddr(true)?;
+    socket.bind(address)?;
+    socket.listen(BACKLOG)
+}
+
 /// Serves the requests of an accepted connection until it ends or must be closed.
 ///
+/// A request that has begun is not cut when another connection needs its place; the connection then
+/// ends after it.
+///
 /// Once `stop` completes, it ends after the request in progress.
 pub async fn serve<B, F>(
     guard: ConnectionGuard,
@@ -96,6 +126,7 @@
     B::Error: Into<Box<dyn std::error::Error + Send + Sync>>,
 {
     let id = guard.id;
+    set_socket_options(&stream);
     let stream = CallerStream {
         stream,
         held: guard.held().clone(),
@@ -126,8 +157,15 @@
     let mut stopping = false;
     let result = loop {
         tokio::select! {
+            // A request that has arrived is begun before its connection counts as idle.
+            biased;
             result = connection.as_mut() => break result,
-            () = guard.closer.notified() => return,
+            () = guard.closer.notified() => {
+                if guard.held().confirm_close(id) {
+                    return;
+                }
+                connection.as_mut().graceful_shutdown();
+            }
             () = &mut stop, if !stopping => {
                 stopping = true;
                 connection.as_mut().graceful_shutdown();
@@ -139,6 +177,24 @@
     }
 }
 
+/// Sets the TCP options of an accepted connection; an option that can't be set is only logged.
+fn set_socket_options(stream: &TcpStream) {
+    let socket = SockRef::from(stream);
+    let results = [
+        ("nodelay", stream.set_nodelay(true)),
+        (
+            "user timeout",
+            socket.set_tcp_user_timeout(Some(UNACKED_TIMEOUT)),
+        ),
+        ("unsent bytes", socket.set_tcp_notsent_lowat(MAX_UNSENT)),
+    ];
+    for (option, result) in results {
+        if let Err(error) = result {
+            debug!(option, error:% = error; "socket option refused");
+        }
+    }
+}
+
 /// Reads a body of at most `limit` bytes, which are held for its connection; `idle` is the longest
 /// time until the next bytes arrive.
 ///
--- a/crates/cactuslane-held/src/record.rs
+++ b/crates/cactuslane-held/src/record.rs
@@ -24,6 +24,9 @@
 const RELEASE_TIMEOUT: Duration = Duration::from_millis(200);
 /// Largest number of connections that are closed for one reservation.
 const MAX_CLOSED: usize = 8;
+/// Number of connections that were chosen to be closed and are still open, beyond which no more are
+/// accepted.
+const MAX_CLOSING: usize = 32;
 /// Smallest number of bytes by which a buffer grows.
 const MIN_GROWTH: usize = 32 << 10;
 /// Shortest time between two log lines with the same reason, in milliseconds.
@@ -143,7 +146,7 @@
     /// Counts a connection until the guard is dropped; `None` if the door is full and no other
     /// connection can be closed for it.
     ///
-    /// Waits for the other one to be closed, so that descriptors stay bounded as well.
+    /// Waits while many others are still to be closed, so that descriptors stay bounded as well.
     pub async fn open(self: &Arc<Self>, door: Door) -> Option<ConnectionGuard> {
         let Opening::Opened(id, replaced) = self.book().held.open(door, self.now()) else {
             self.report("connection refused", door.label(), NO_CONNECTION);
@@ -159,25 +162,37 @@
         if let Some(replaced) = replaced {
             self.book().close(replaced);
             self.report("connection replaced", door.label(), replaced);
-            let _ = timeout(RELEASE_TIMEOUT, self.until_closed(replaced)).await;
+            let _ = timeout(RELEASE_TIMEOUT, self.until_few_close()).await;
         }
         Some(guard)
     }
 
-    /// Waits until a connection is closed.
-    async fn until_closed(&self, connection: ConnectionId) {
+    /// Waits until fewer than [`MAX_CLOSING`] connections are to be closed.
+    async fn until_few_close(&self) {
         loop {
             // Enabled before the check, so that no change after it is missed.
             let released = self.released.notified();
             tokio::pin!(released);
             released.as_mut().enable();
-            if !self.book().closers.contains_key(&connection) {
+            if self.book().held.closing() < MAX_CLOSING {
                 return;
             }
             released.await;
         }
     }
 
+    /// Returns whether a connection that was chosen may still be closed, without a request that has
+    /// begun being cut.
+    pub(crate) fn confirm_close(&self, connection: ConnectionId) -> bool {
+        let now = self.now();
+        let confirmed = self.book().held.confirm_close(connection, now);
+        if !confirmed {
+            // Reservations that wait for its bytes choose again.
+            self.released.notify_waiters();
+        }
+        confirmed
+    }
+
     /// Records what a connection does from now on.
     pub fn set_activity(&self, connection: ConnectionId, activity: Activity) {
         let now = self.now();
--- a/crates/cactuslane/src/gateway.rs
+++ b/crates/cactuslane/src/gateway.rs
@@ -53,7 +53,7 @@
         .await
         .map_err(|error| CommandError::Failed(error.to_string()))?;
     if let Some(port) = command.metrics_port {
-        handle.serve_metrics(port).await;
+        handle.serve_metrics(port);
     }
     let help = "Log lines that were dropped as the output was not read";
     handle
