--- a/crates/cactuslane-place/src/cache.rs
+++ b/crates/cactuslane-place/src/cache.rs
@@ -9,6 +9,11 @@
 /// request currently needs included.
 const CACHE_SHARE: f64 = 0.97;
 
+/// Largest number of parts that an estimate keeps, however short they are.
+pub const MAX_PARTS: usize = 4096;
+/// Number of parts that are left when there were more.
+const KEPT_PARTS: usize = MAX_PARTS / 8 * 7;
+
 /// Estimated contents of one engine's prefix cache, with least-recently-used eviction.
 #[derive(Clone, Debug, Default)]
 pub struct CacheEstimate {
@@ -100,6 +105,7 @@
         while self.total > bound && self.parts.len() > 1 {
             self.evict();
         }
+        self.trim();
     }
 
     /// Corrects the estimate by the complete list of parts that the engine caches.
@@ -119,6 +125,22 @@
             });
         }
         self.total = self.parts.values().map(|kept| u64::from(kept.tokens)).sum();
+        self.trim();
+    }
+
+    /// Evicts the least recently used parts if there are more than [`MAX_PARTS`].
+    fn trim(&mut self) {
+        if self.parts.len() <= MAX_PARTS {
+            return;
+        }
+        let parts = self.parts.iter();
+        let mut oldest: Vec<_> = parts.map(|(id, kept)| (kept.last_used, *id)).collect();
+        oldest.sort_unstable();
+        for (_, id) in &oldest[..oldest.len() - KEPT_PARTS] {
+            if let Some(kept) = self.parts.remove(id) {
+                self.total -= u64::from(kept.tokens);
+            }
+        }
     }
 
     /// Evicts the least recently used part, if there is any.
--- a/crates/cactuslane-place/tests/placing/main.rs
+++ b/crates/cactuslane-place/tests/placing/main.rs
@@ -12,6 +12,7 @@
 use cactuslane_flight::request_info::{PromptPart, RequestInfo};
 use cactuslane_flight::routing_config::EngineSpec;
 use cactuslane_flight::target::{Target, TargetState};
+use cactuslane_place::cache::MAX_PARTS;
 use cactuslane_place::load_view::PeerUpdate;
 use cactuslane_place::{
     CacheEstimate, CrashUpdate, Load, Observation, Observed, PlacedWork, Placement,
@@ -285,6 +286,21 @@
     assert!(cache.total() <= 800);
 }
 
+/// Guards against callers that fill the memory with prompts of very many short parts.
+#[test]
+fn an_estimate_keeps_a_bounded_number_of_short_parts() {
+    let mut cache = CacheEstimate::default();
+    let part = |id| PromptPart { id, tokens: 1 };
+    for id in 0..3 * MAX_PARTS as u64 {
+        cache.record_use(&[part(id)], 1 << 30, id, id);
+        assert!(cache.total() <= MAX_PARTS as u64);
+        assert_eq!(cache.cached(&[part(id)]), 1);
+    }
+    let listed: Vec<_> = (0..3 * MAX_PARTS as u64).map(part).collect();
+    cache.reconcile(&listed, 0, 0);
+    assert!(cache.total() <= MAX_PARTS as u64);
+}
+
 #[test]
 fn a_cached_part_counts_only_if_all_parts_before_it_are_cached() {
     let mut cache = CacheEstimate::default();
