--- a/crates/cactuslane-gateway/src/directory.rs
+++ b/crates/cactuslane-gateway/src/directory.rs
@@ -17,7 +17,6 @@
 use rand::seq::SliceRandom;
 use tokio::net::TcpListener;
 
-use crate::sockets::set_socket_options;
 use crate::state::Gateway;
 
 /// Time to live of the addresses in an answer, for which callers may cache them.
@@ -50,7 +49,6 @@
                 let response = respond(&gateway, &request);
                 async move { response }
             };
-            set_socket_options(&stream);
             connections::serve(guard, stream, HEAD_LIMITS, pending(), respond).await;
         });
     }
--- a/crates/cactuslane-gateway/src/ingress.rs
+++ b/crates/cactuslane-gateway/src/ingress.rs
@@ -22,7 +22,6 @@
 use crate::passing;
 use crate::reply::{self, AnswerBody, Cause};
 use crate::request::CallerRequest;
-use crate::sockets::set_socket_options;
 use crate::state::Gateway;
 use crate::taken::TakenGuard;
 use crate::{customers, generation, metrics, plain};
@@ -128,7 +127,6 @@
         let gateway = gateway.clone();
         async move { respond(&gateway, request, source, connection).await }
     };
-    set_socket_options(&stream);
     connections::serve(guard, stream, limits, pending(), respond).await;
 }
 
--- a/crates/cactuslane-gateway/src/sockets.rs
+++ b/crates/cactuslane-gateway/src/sockets.rs
@@ -9,7 +9,7 @@
 /// connection (`TCP_USER_TIMEOUT`).
 const UNACKED_TIMEOUT: Duration = Duration::from_secs(3);
 
-/// Sets the TCP options of a connection; an option that can't be set is only logged.
+/// Sets the TCP options of a connection that the instance makes; an option that can't be set is only logged.
 pub fn set_socket_options(stream: &TcpStream) {
     let socket = SockRef::from(stream);
     let results = [
