Explain where a request would go now, without sending it

Cause: operators ask where a request would go now, and why; `cactuslane explain` tells of requests that were sent.

Change: `cactuslane preview` sends the head of a request to a gateway's address for readiness checks, under `/preview`. The gateway decodes it as a caller's and asks a clone of the placer, and of the service's admission, by the functions that serve requests: outcome and cause, targets, expected times, all candidates with cost, load and limit, what is excluded, the age of each input. The cost of a plain target and the targets and limits of a first placement are functions that placing uses as well.

--- a/crates/cactuslane-gateway/src/admission.rs
+++ b/crates/cactuslane-gateway/src/admission.rs
@@ -84,6 +84,25 @@
         })
     }
 
+    /// Returns what would be decided about a request that arrives now, by a copy of the state;
+    /// `None` if callers do not compete for room.
+    #[must_use]
+    pub fn preview(
+        &self,
+        request: &CallerRequest,
+        forecast: &Forecast,
+        left: Duration,
+        now: Millis,
+    ) -> Option<Verdict> {
+        if !competes(request) {
+            return None;
+        }
+        let admission = self.lock().get(&request.service).cloned();
+        let mut admission = admission.unwrap_or_else(|| Admission::new(0));
+        let asked = admission_request(request, forecast, left);
+        Some(admission.decide(&asked, None, now))
+    }
+
     /// Accesses the state of a service.
     fn with<T>(&self, service: &str, action: impl FnOnce(&mut Admission) -> T) -> T {
         let mut services = self.lock();
@@ -207,7 +226,8 @@
 }
 
 /// Returns the metric label of a refusal, which is also its cause in the answer's log line.
-fn cause_label(cause: RefusalCause) -> &'static str {
+#[must_use]
+pub fn cause_label(cause: RefusalCause) -> &'static str {
     match cause {
         RefusalCause::Deadline => "deadline",
         RefusalCause::Share => "share",
--- a/crates/cactuslane-gateway/src/directory.rs
+++ b/crates/cactuslane-gateway/src/directory.rs
@@ -12,11 +12,14 @@
 };
 use http_body_util::Full;
 use hyper::body::{Bytes, Incoming};
+use hyper::header::{CONTENT_TYPE, HeaderValue};
 use hyper::{Request, Response, StatusCode};
 use log::debug;
 use rand::seq::SliceRandom;
+use serde_json::json;
 use tokio::net::TcpListener;
 
+use crate::preview;
 use crate::sockets::set_socket_options;
 use crate::state::Gateway;
 
@@ -63,10 +66,26 @@
         READY_PATH => text(StatusCode::SERVICE_UNAVAILABLE, String::new()),
         RESOLVE_PATH => resolve(gateway, request.uri().query().unwrap_or_default()),
         METRICS_PATH => text(StatusCode::OK, gateway.metrics.text(gateway)),
+        path if path.starts_with(preview::PREFIX) => explain(gateway, request),
         _ => text(StatusCode::NOT_FOUND, String::new()),
     }
 }
 
+/// Answers with what would become of a request whose head this one has, with [`preview::PREFIX`]
+/// before its path.
+fn explain(gateway: &Gateway, request: &Request<Incoming>) -> Response<Full<Bytes>> {
+    let mut response = match preview::preview(gateway, request) {
+        Ok(value) => text(StatusCode::OK, value.to_string()),
+        Err((status, message)) => {
+            let error = json!({ "error": { "message": message } });
+            text(status, error.to_string())
+        }
+    };
+    let json = HeaderValue::from_static("application/json");
+    response.headers_mut().insert(CONTENT_TYPE, json);
+    response
+}
+
 /// Answers with the front addresses of the serving instances, this one included if it is ready.
 ///
 /// Addresses in the caller's failure domain come first, both groups in random order, and at most
@@ -86,10 +105,8 @@
     serving.truncate(MAX_ADDRESSES);
     let addresses: Vec<SocketAddr> = serving.into_iter().map(|(address, _)| address).collect();
     let mut response = text(StatusCode::OK, encode_addresses(&addresses, ADDRESS_TTL));
-    let json = hyper::header::HeaderValue::from_static("application/json");
-    response
-        .headers_mut()
-        .insert(hyper::header::CONTENT_TYPE, json);
+    let json = HeaderValue::from_static("application/json");
+    response.headers_mut().insert(CONTENT_TYPE, json);
     response
 }
 
--- a/crates/cactuslane-gateway/src/fleet.rs
+++ b/crates/cactuslane-gateway/src/fleet.rs
@@ -206,7 +206,7 @@
     }
 
     /// Returns the targets that are registered.
-    fn present(&self) -> impl Iterator<Item = &Target> {
+    pub fn present(&self) -> impl Iterator<Item = &Target> {
         let entries = self.targets.values();
         let present = entries.filter(|entry| entry.lapsed.is_none());
         present.map(|entry| &entry.target)
--- a/crates/cactuslane-gateway/src/generation.rs
+++ b/crates/cactuslane-gateway/src/generation.rs
@@ -11,9 +11,11 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use cactuslane_flight::routing_config::EngineSpec;
 use cactuslane_flight::target::Target;
 use cactuslane_flight::{AttemptFailure, RequestState, Step, StreamOrigin};
 use cactuslane_place::placer::{Placement, PlacementRequest, Plan};
+use cactuslane_types::Millis;
 use hyper::Response;
 use hyper::body::Incoming;
 use hyper::header::HeaderMap;
@@ -22,6 +24,7 @@
 
 use self::computed::ComputedPrompt;
 use crate::admission::Entry;
+use crate::fleet::Fleet;
 use crate::limits::permits::{Denials, Permit};
 use crate::plain::{failure_label, refuse, unknown_outcome};
 use crate::reply::{self, AnswerBody};
@@ -124,6 +127,43 @@
     }
 }
 
+/// Returns the targets at which a stream may begin or go on; a version that is not listed is used
+/// only while no other can generate.
+pub fn eligible<'f>(
+    fleet: &'f Fleet,
+    request: &CallerRequest,
+    origin: &StreamOrigin,
+    now: Millis,
+) -> Vec<&'f Target> {
+    let model = request.info.model.as_deref();
+    let mut targets = fleet.targets(&request.service, model, now);
+    targets.retain(|target| origin.allows(target));
+    let generates = |target: &&Target| target.role.decodes() && fleet.is_listed(target);
+    if *origin == StreamOrigin::NotBegun && targets.iter().any(generates) {
+        targets.retain(|target| fleet.is_listed(target));
+    }
+    targets
+}
+
+/// Returns what the first placement of a request needs; `left` is the time until the deadline.
+pub fn placement_request<'r>(
+    request: &'r CallerRequest,
+    engine: &'r EngineSpec,
+    left: Duration,
+) -> PlacementRequest<'r> {
+    let silence_limit = request.route.silence_limit;
+    PlacementRequest {
+        info: &request.info,
+        engine,
+        max_pause: request.route.max_pause,
+        latency_objective: request.route.latency_objective,
+        priority: request.priority,
+        left: left.min(silence_limit.saturating_sub(request.arrived.elapsed())),
+        split: request.route.prompt_aware,
+        tried: &[],
+    }
+}
+
 impl StreamRequest {
     /// Sends the request to one target after another until one begins a stream or no retry is
     /// allowed.
@@ -242,14 +282,7 @@
         let now = self.gateway.now();
         let request = &self.request;
         let fleet = self.gateway.fleet();
-        let model = request.info.model.as_deref();
-        let mut targets = fleet.targets(&request.service, model, now);
-        targets.retain(|target| self.origin.allows(target));
-        // A version that is not listed is used only while no other can generate.
-        let generates = |target: &&Target| target.role.decodes() && fleet.is_listed(target);
-        if self.origin == StreamOrigin::NotBegun && targets.iter().any(generates) {
-            targets.retain(|target| fleet.is_listed(target));
-        }
+        let mut targets = eligible(&fleet, request, &self.origin, now);
         let mut placer = self.gateway.placer();
         self.denials.filter(&mut targets, &placer.limits);
         let service = request.config.services.get(&request.service);
@@ -267,22 +300,13 @@
             });
             return (placement, targets.len());
         };
+        let first = placement_request(request, engine, left);
         let placement_request = PlacementRequest {
-            info: &request.info,
-            engine,
-            max_pause: request.route.max_pause,
-            latency_objective: request.route.latency_objective,
-            priority: request.priority,
-            left: left.min(
-                request
-                    .route
-                    .silence_limit
-                    .saturating_sub(request.arrived.elapsed()),
-            ),
-            split: request.route.prompt_aware
+            split: first.split
                 && self.prompt_attempts < request.route.max_attempts
                 && !self.prompt_denied,
             tried: &self.tried,
+            ..first
         };
         if let Some(prompt) = &self.prompt {
             targets.retain(|target| target.has_version_of(&prompt.target));
--- a/crates/cactuslane-gateway/src/lib.rs
+++ b/crates/cactuslane-gateway/src/lib.rs
@@ -33,6 +33,7 @@
 pub mod passing;
 pub mod peers;
 pub mod plain;
+pub mod preview;
 pub mod progress;
 pub mod queue;
 pub mod ranking;
--- a/crates/cactuslane-gateway/src/state.rs
+++ b/crates/cactuslane-gateway/src/state.rs
@@ -117,6 +117,8 @@
     pub taken: Arc<TakenRequests>,
     /// Counts of customers' requests, and the agreed time of day.
     pub usage: Usage,
+    /// Time at which a placement was last previewed; `None` before.
+    pub previewed: Mutex<Option<Millis>>,
 }
 
 impl Gateway {
@@ -179,6 +181,7 @@
             helpers: Client::open_unpooled(),
             taken: Arc::default(),
             usage,
+            previewed: Mutex::default(),
         }
     }
 
--- a/crates/cactuslane-place/src/lib.rs
+++ b/crates/cactuslane-place/src/lib.rs
@@ -26,6 +26,7 @@
 pub use limits::{LimitAnswer, LimitNotice, PermitAnswer, TargetLimits};
 pub use load_view::{CacheUpdate, Load, LoadView, PeerUpdate, PlacedWork};
 pub use observations::{Observation, Observed};
+pub use placer::preview::{Candidate, Preview};
 pub use placer::{Forecast, Placement, PlacementRequest, Placer, Plan};
 pub use queues::TargetQueues;
 pub use reach::{Reach, ReachChange, ReachReport};
--- a/crates/cactuslane-place/src/placer.rs
+++ b/crates/cactuslane-place/src/placer.rs
@@ -2,6 +2,7 @@
 
 mod engines;
 mod plain;
+pub mod preview;
 mod spread;
 
 use std::collections::BTreeMap;
--- a/crates/cactuslane-place/src/placer/plain.rs
+++ b/crates/cactuslane-place/src/placer/plain.rs
@@ -40,21 +40,8 @@
         let usable = self.usable(targets, tried, now);
         let mut best: Option<(f64, &Target)> = None;
         for target in usable {
-            let load = self.load_view.load(&target.id, now);
-            let count = self.queues.count(&target.id, load.running, now);
-            let slots = f64::from(target.slots.max(1));
-            // The cost is 100 ms for the request that takes a target's last slot.
-            let slot_cost = 100.0 / slots;
-            // Instances see the same old loads. While targets are busy, those that differ by less
-            // than one request are equal, so that not all instances take the same one.
-            let spread = if self.queues.is_told(&target.id, now) {
-                RANDOM_COST.max(slot_cost * (count / slots).min(1.0))
-            } else {
-                RANDOM_COST
-            };
-            let cost = (count + 1.0) * slot_cost * self.slowdown(&target.id, now)
-                + self.domain_cost(target)
-                + self.random.random_range(0.0..spread);
+            let (cost, spread) = self.plain_cost(target, now);
+            let cost = cost + self.random.random_range(0.0..spread);
             if best.is_none_or(|(least, _)| cost < least) {
                 best = Some((cost, target));
             }
@@ -62,6 +49,26 @@
         best.map(|(_, target)| target.id.clone())
     }
 
+    /// Returns the cost of a request at a target of a plain service, in milliseconds, and the range
+    /// of the random cost that is added.
+    pub(super) fn plain_cost(&self, target: &Target, now: Millis) -> (f64, f64) {
+        let load = self.load_view.load(&target.id, now);
+        let count = self.queues.count(&target.id, load.running, now);
+        let slots = f64::from(target.slots.max(1));
+        // The cost is 100 ms for the request that takes a target's last slot.
+        let slot_cost = 100.0 / slots;
+        // Instances see the same old loads. While targets are busy, those that differ by less
+        // than one request are equal, so that not all instances take the same one.
+        let spread = if self.queues.is_told(&target.id, now) {
+            RANDOM_COST.max(slot_cost * (count / slots).min(1.0))
+        } else {
+            RANDOM_COST
+        };
+        let cost =
+            (count + 1.0) * slot_cost * self.slowdown(&target.id, now) + self.domain_cost(target);
+        (cost, spread)
+    }
+
     /// Returns the expected times of a request at a target of a plain service with `targets`
     /// targets; without a queue if the work time was not measured yet.
     #[must_use]
--- a/crates/cactuslane-place/tests/placing/main.rs
+++ b/crates/cactuslane-place/tests/placing/main.rs
@@ -3,6 +3,7 @@
 
 mod limits;
 mod plain;
+mod preview;
 mod speed;
 mod spread;
 mod versions;
--- a/crates/cactuslane/src/main.rs
+++ b/crates/cactuslane/src/main.rs
@@ -1,6 +1,7 @@
 //! Command line of the serving system.
 //!
-//! Exit codes: 0 for success, 1 for a command that failed, 2 for invalid arguments or files.
+//! Exit codes: 0 for success, 1 for a command that failed, 2 for invalid arguments or files, and 3 if
+//! what `preview` was asked about would not run at once.
 //! Arguments that `argh` rejects, such as unknown flags, end with 1.
 
 mod bench;
@@ -11,6 +12,7 @@
 mod gateway;
 mod load;
 mod logging;
+mod preview;
 mod run;
 mod soak;
 mod status;
@@ -45,6 +47,8 @@
     Status(status::StatusCommand),
     /// Explains a request or a target.
     Explain(status::ExplainCommand),
+    /// Explains where a request would go now.
+    Preview(preview::PreviewCommand),
     /// Prints the timeline of a request from saved logs.
     Logs(timeline::LogsCommand),
     /// Injects random faults into instances that run as processes.
@@ -72,6 +76,8 @@
     Usage(String),
     /// The command itself failed; exit code 1.
     Failed(String),
+    /// What was asked about would not happen; exit code 3.
+    Negative(String),
 }
 
 fn main() -> ExitCode {
@@ -121,6 +127,7 @@
         Command::Config(command) => config::execute(command).await,
         Command::Status(command) => status::status(&command).await,
         Command::Explain(command) => status::explain(&command).await,
+        Command::Preview(command) => preview::execute(&command).await,
         Command::HashToken(command) => check::hash_token(&command),
         Command::Bench(command) => bench::execute(&command),
         Command::Demo(command) => demo::execute(command).await,
@@ -140,5 +147,9 @@
             eprintln!("cactuslane: {message}");
             ExitCode::FAILURE
         }
+        Err(CommandError::Negative(message)) => {
+            eprintln!("cactuslane: {message}");
+            ExitCode::from(3)
+        }
     }
 }
