Teach the soak customers' keys and reports of usage

Cause: The soak knew neither keys nor the duties of one instance at a time. Change: Callers state four keys of two customers in turn, of which the first one is in the first configuration only; instances report usage to a stand-in, in windows of 2 s. New guarantees: a key is known until it is removed, and 401 is true; one holder and one content of each report by rising tokens; and with time bounds, a removed key stops within 3 s, and reports are within 5% and two requests of the runs at targets for windows near which there was no fault. Kills and freezes of the holder come from the faults that there were. Windows that are missing altogether are not checked.

--- a/crates/cactuslane-soak/src/check.rs
+++ b/crates/cactuslane-soak/src/check.rs
@@ -1,13 +1,16 @@
 //! The guarantees that a run verifies, from the answers of callers and the records of targets.
 
 use std::collections::BTreeMap;
-use std::time::Duration;
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
 use cactuslane_platform_standin::target::EVENT_COUNT;
 use serde::Serialize;
+use serde_json::Value;
 use tokio::time::Instant;
 
+use crate::customers::KEYS;
 use crate::load::{Outcome, RequestKind, RequestRecord};
+use crate::process::WINDOW_S;
 
 /// Time after the end of an unplanned fault during which its effects still excuse answers that are
 /// cut and requests run at draining targets.
@@ -30,6 +33,16 @@
 /// of the last fault or planned change.
 const MIN_SERVED_SHARE: f64 = 0.95;
 
+/// Time after the configuration without a key from which the key must not be served.
+const REVOKED_GRACE: Duration = Duration::from_secs(3);
+/// Time after the end of a window within which its report is written.
+const REPORT_TIME: Duration = Duration::from_secs(3);
+/// Largest error of a reported number of requests, as a share of it.
+const MAX_USAGE_ERROR: f64 = 0.05;
+/// Number of requests by which a report may be wrong beyond that, which began near the limits of
+/// the window.
+const USAGE_SLACK: f64 = 2.0;
+
 /// A guarantee that did not hold.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize)]
 pub struct Violation {
@@ -64,6 +77,12 @@
     /// Names of instances with the exit codes of their processes that ended other than by
     /// [`Action::Kill`](crate::plan::Action::Kill); `None` if a signal ended the process.
     pub exits: Vec<(String, Option<i32>)>,
+    /// Time of the configuration that removed the first key; `None` if there was none.
+    pub revoked: Option<Instant>,
+    /// Counts of each reported window of usage, with the number of its reports.
+    pub reports: BTreeMap<u64, (Value, usize)>,
+    /// What is wrong with the order of the reports and their contents.
+    pub crossings: Vec<String>,
     /// Latest end of a fault or planned change, or the start of one without a known duration;
     /// `None` if there was none.
     pub disruption_end: Option<Instant>,
@@ -93,7 +112,17 @@
     }
     checker.check_versions();
     checker.check_exits();
+    let crossings = &observations.crossings;
+    let observed = || format!("{crossings:?}");
+    checker.record_check(
+        "one holder, one content",
+        crossings.is_empty(),
+        "reports",
+        observed,
+    );
     if timed {
+        checker.check_usage(records);
+        checker.check_revoked(records);
         checker.check_drains();
         checker.check_limits();
         checker.check_recovery(records);
@@ -146,6 +175,15 @@
             } => {
                 if matches!(status, 408 | 421 | 429 | 503) {
                     self.record_check("not run is true", runs == 0, &record.id, observed);
+                } else if *status == 401 && record.key == Some(0) {
+                    let removed = self.observations.revoked;
+                    let is_true = runs == 0 && removed.is_some_and(|at| at <= record.ended);
+                    self.record_check(
+                        "keys are known until removed",
+                        is_true,
+                        &record.id,
+                        observed,
+                    );
                 } else if (400..500).contains(status) {
                     self.record_check("proper requests are allowed", false, &record.id, observed);
                 }
@@ -170,6 +208,61 @@
         }
     }
 
+    /// Checks that no request is served whose key was removed more than [`REVOKED_GRACE`] before,
+    /// except near an unplanned fault.
+    fn check_revoked(&mut self, records: &[RequestRecord]) {
+        let Some(removed) = self.observations.revoked else {
+            return;
+        };
+        for record in records {
+            if record.key != Some(0) || record.due < removed + REVOKED_GRACE {
+                continue;
+            }
+            let is_excused = self.is_near_fault(removed, record.ended);
+            let holds = is_excused || !record.outcome.is_served();
+            let observed = || format!("{:?}", record.outcome);
+            self.record_check("removed keys stop", holds, &record.id, observed);
+        }
+    }
+
+    /// Checks the reported windows near which there was no unplanned fault against the runs.
+    fn check_usage(&mut self, records: &[RequestRecord]) {
+        let keys: BTreeMap<&str, Option<usize>> = records
+            .iter()
+            .map(|record| (record.id.as_str(), record.key))
+            .collect();
+        let (now, unix_now) = (Instant::now(), SystemTime::now());
+        let unix_now = unix_now.duration_since(UNIX_EPOCH).unwrap_or_default();
+        let mut runs: BTreeMap<(u64, &str), f64> = BTreeMap::new();
+        for (request, times) in &self.observations.runs {
+            let key = keys.get(request.as_str()).copied().flatten();
+            let Some((_, customer)) = key.and_then(|key| KEYS.get(key)) else {
+                continue;
+            };
+            for at in times {
+                let window = unix_now.saturating_sub(now - *at).as_secs() / WINDOW_S;
+                *runs.entry((window, customer)).or_default() += 1.0;
+            }
+        }
+        for (window, (counts, _)) in &self.observations.reports {
+            let begin = Duration::from_secs(window * WINDOW_S);
+            let Some(begin) = now.checked_sub(unix_now.saturating_sub(begin)) else {
+                continue;
+            };
+            let end = begin + Duration::from_secs(WINDOW_S) + REPORT_TIME;
+            if self.is_near_fault(begin, end) {
+                continue;
+            }
+            for customer in ["acme", "bolt"] {
+                let ran = runs.get(&(*window, customer)).copied().unwrap_or_default();
+                let reported = counts[customer].as_f64().unwrap_or_default();
+                let holds = (reported - ran).abs() <= ran * MAX_USAGE_ERROR + USAGE_SLACK;
+                let observed = || format!("{reported} of {ran} requests of {customer}");
+                self.record_check("usage is right", holds, &window.to_string(), observed);
+            }
+        }
+    }
+
     /// Returns whether an unplanned fault overlaps the period, or ended at most [`FAULT_GRACE`]
     /// before it.
     fn is_near_fault(&self, start: Instant, end: Instant) -> bool {
--- /dev/null
+++ b/crates/cactuslane-soak/src/customers.rs
@@ -0,0 +1,28 @@
+//! The customers of a run, and the configuration with their keys.
+
+use std::collections::BTreeMap;
+
+use cactuslane_platform_standin::document;
+use serde_json::{Value, json};
+
+/// Keys that callers state in turn, with their customers; the first one is in the first
+/// configuration only.
+pub const KEYS: [(&str, &str); 4] = [
+    ("k-old", "acme"),
+    ("k-1", "acme"),
+    ("k-2", "bolt"),
+    ("k-3", "bolt"),
+];
+
+/// Returns the stand-in configuration with customers, whose first key is in version 1 only.
+#[must_use]
+pub fn keyed_document(version: u64) -> Value {
+    let mut document = document(version);
+    let mut customers: BTreeMap<&str, Vec<&str>> = BTreeMap::new();
+    for (key, customer) in &KEYS[usize::from(version > 1)..] {
+        customers.entry(customer).or_default().push(key);
+    }
+    let customer = |(name, keys)| json!({ "name": name, "api_keys": keys });
+    document["tenants"] = customers.into_iter().map(customer).collect();
+    document
+}
--- a/crates/cactuslane-soak/src/lib.rs
+++ b/crates/cactuslane-soak/src/lib.rs
@@ -7,6 +7,7 @@
 
 pub mod check;
 pub mod compare;
+pub mod customers;
 pub mod figures;
 pub mod follow_ups;
 pub mod load;
--- a/crates/cactuslane-soak/src/load.rs
+++ b/crates/cactuslane-soak/src/load.rs
@@ -7,9 +7,10 @@
 
 use cactuslane_platform_standin::caller::{self, is_signed_answer};
 use cactuslane_store::http::{Client, HttpError};
-use http_body_util::BodyExt;
-use hyper::Response;
-use hyper::body::Incoming;
+use http_body_util::{BodyExt, Full};
+use hyper::body::{Bytes, Incoming};
+use hyper::header::AUTHORIZATION;
+use hyper::{Request, Response};
 use rand::{Rng, SeedableRng};
 use rand_pcg::Pcg64Mcg;
 use serde::{Deserialize, Serialize};
@@ -48,6 +49,9 @@
     pub kinds: Vec<RequestKind>,
     /// Seed of arrival times, kinds and addresses.
     pub seed: u64,
+    /// Keys of customers, which requests state in turn; none if there are none.
+    #[serde(default)]
+    pub keys: Vec<String>,
 }
 
 /// The record of one request and its answer, as its caller saw it.
@@ -57,6 +61,8 @@
     pub id: String,
     /// Index into [`LoadSpec::kinds`].
     pub kind: usize,
+    /// Index into [`LoadSpec::keys`], if there are any.
+    pub key: Option<usize>,
     /// Address of the instance that it was sent to, or `None` if no address was known.
     pub front: Option<SocketAddr>,
     /// Time at which the request was due according to the plan of arrivals.
@@ -177,7 +183,27 @@
         let path = spec.kinds[kind].path.clone();
         let id = format!("s{}-{number}", spec.seed);
         let due = began + at;
-        tasks.spawn(async move { send_request(&client, front, &path, id, kind, due).await });
+        let key = number.checked_rem(spec.keys.len());
+        let authorization = key.map(|key| format!("Bearer {}", spec.keys[key]));
+        tasks.spawn(async move {
+            let mut request = front.map(|front| caller::request(front, &path, &id));
+            if let Some(request) = &mut request
+                && let Some(value) = authorization.and_then(|text| text.parse().ok())
+            {
+                request.headers_mut().insert(AUTHORIZATION, value);
+            }
+            let (outcome, first_byte) = send_request(&client, request, &id).await;
+            RequestRecord {
+                id,
+                kind,
+                key,
+                front,
+                due,
+                ended: Instant::now(),
+                first_byte,
+                outcome,
+            }
+        });
     }
     while let Some(ended) = tasks.join_next().await {
         records.extend(ended);
@@ -185,46 +211,30 @@
     records
 }
 
-/// Sends one request and waits for the end of its answer, at most [`ANSWER_TIMEOUT`].
+/// Sends one request, if there is one, and waits for the end of its answer, at most
+/// [`ANSWER_TIMEOUT`]; returns the time at which the first part of the body was received as well.
 async fn send_request(
     client: &Client,
-    front: Option<SocketAddr>,
-    path: &str,
-    id: String,
-    kind: usize,
-    due: Instant,
-) -> RequestRecord {
+    request: Option<Request<Full<Bytes>>>,
+    id: &str,
+) -> (Outcome, Option<Instant>) {
     let mut first_byte = None;
-    let outcome = match front {
-        None => Outcome::Unsent,
-        Some(front) => {
-            let exchange = exchange(client, front, path, &id, &mut first_byte);
-            timeout(ANSWER_TIMEOUT, exchange)
-                .await
-                .unwrap_or(Outcome::GaveUp)
-        }
+    let Some(request) = request else {
+        return (Outcome::Unsent, first_byte);
     };
-    RequestRecord {
-        id,
-        kind,
-        front,
-        due,
-        ended: Instant::now(),
-        first_byte,
-        outcome,
-    }
+    let exchange = exchange(client, request, id, &mut first_byte);
+    let outcome = timeout(ANSWER_TIMEOUT, exchange).await;
+    (outcome.unwrap_or(Outcome::GaveUp), first_byte)
 }
 
 /// Sends one request and reads its answer; sets `first_byte` as soon as a part of the body is
 /// received.
 async fn exchange(
     client: &Client,
-    front: SocketAddr,
-    path: &str,
+    request: Request<Full<Bytes>>,
     id: &str,
     first_byte: &mut Option<Instant>,
 ) -> Outcome {
-    let request = caller::request(front, path, id);
     match client.send(request).await {
         Ok(response) => read_answer(response, id, first_byte).await,
         Err(HttpError::Connect(_)) => Outcome::Unsent,
--- a/crates/cactuslane-soak/src/process.rs
+++ b/crates/cactuslane-soak/src/process.rs
@@ -15,6 +15,9 @@
 /// Maximum time from the start of a process until it logs the event `started`.
 const START_TIMEOUT: Duration = Duration::from_secs(30);
 
+/// Length of a window of usage in seconds, in the settings of all instances.
+pub const WINDOW_S: u64 = 2;
+
 /// An instance, which may be started repeatedly with the same settings file and log.
 #[derive(Debug)]
 pub struct Instance {
@@ -30,6 +33,8 @@
     write_count: u32,
     /// Address of the store in the settings, which is that of the proxy in front of it.
     store: SocketAddr,
+    /// Address of the platform in the settings, to which usage is reported.
+    platform: SocketAddr,
     /// Process that was started last, until it is killed or found to have ended.
     process: Option<Process>,
 }
@@ -59,7 +64,13 @@
 impl Instance {
     /// Creates an instance without a process; its settings and log are files in `folder`.
     #[must_use]
-    pub fn new(name: &str, binary: &Path, folder: &Path, store: SocketAddr) -> Self {
+    pub fn new(
+        name: &str,
+        binary: &Path,
+        folder: &Path,
+        store: SocketAddr,
+        platform: SocketAddr,
+    ) -> Self {
         Self {
             name: name.to_owned(),
             binary: binary.to_owned(),
@@ -67,6 +78,7 @@
             log: folder.join(format!("{name}.log")),
             write_count: 0,
             store,
+            platform,
             process: None,
         }
     }
@@ -180,7 +192,12 @@
         self.write_count += 1;
         let drain = 1900 + self.write_count % 100;
         let text = settings_text(&self.name, self.store);
-        let text = text.replace("drain_ms = 2000", &format!("drain_ms = {drain}"));
+        let bounds = format!("report_window_s = {WINDOW_S}\nusage_late_s = 10\ndrain_ms = {drain}");
+        let duties = format!(
+            "[cloud]\naddress = \"{}\"\nduties = [\"usage_reporting\"]\nduty_per_s = 20\n",
+            self.platform
+        );
+        let text = text.replace("drain_ms = 2000", &bounds) + &duties;
         fs::write(&self.settings, text)
     }
 
--- a/crates/cactuslane-soak/src/run.rs
+++ b/crates/cactuslane-soak/src/run.rs
@@ -6,7 +6,7 @@
 use std::sync::PoisonError;
 use std::time::Duration;
 
-use cactuslane_platform_standin::{Fault, Mode, Store, Target, TargetKind, caller, document};
+use cactuslane_platform_standin::{DutyEndpoint, Fault, Mode, Store, Target, TargetKind, caller};
 use cactuslane_store::http::Client;
 use http_body_util::Full;
 use hyper::Request;
@@ -15,6 +15,7 @@
 use tokio::time::{Instant, sleep, sleep_until, timeout};
 
 use crate::check::{self, Observations};
+use crate::customers::{KEYS, keyed_document};
 use crate::figures::Figures;
 use crate::follow_ups::{FollowUp, FollowUps};
 use crate::load::{self, LoadSpec, RequestKind, SharedAddresses};
@@ -34,6 +35,9 @@
 /// still under way end.
 const SETTLE_TIME: Duration = Duration::from_secs(1);
 
+/// `lease_ms` of the stand-in's settings, within which no holder of the duties acts between two
+/// calls of another.
+const HOLDER_LEASE: Duration = Duration::from_secs(3);
 /// Parameters of a run.
 #[derive(Clone, Debug)]
 pub struct Options {
@@ -59,6 +63,8 @@
 struct Deployment {
     /// Stand-in for the platform's store.
     store: Store,
+    /// Stand-in for the address that takes reports of usage.
+    platform: DutyEndpoint,
     /// Proxies in front of the store, one for each instance, in the same order.
     store_links: Vec<Proxy>,
     /// Stand-ins for the platform's targets.
@@ -101,6 +107,7 @@
         bursts: vec![(options.length.mul_f64(0.4), Duration::from_secs(3), 3.0)],
         kinds: kinds(),
         seed: options.seed,
+        keys: KEYS.map(|(key, _)| key.to_owned()).to_vec(),
     };
     let began = Instant::now();
     let addresses = deployment.addresses.clone();
@@ -121,6 +128,13 @@
                 .extend(runs);
         }
     }
+    deployment.observations.reports = deployment.platform.windows();
+    let lease = if options.timed {
+        HOLDER_LEASE
+    } else {
+        Duration::ZERO
+    };
+    deployment.observations.crossings = deployment.platform.violations(lease);
     let (violations, check_counts) = check::check(
         &records,
         &spec.kinds,
@@ -160,7 +174,8 @@
     /// all.
     async fn start(options: &Options) -> io::Result<Self> {
         let store = Store::bind().await?;
-        store.configure(&document(1));
+        let platform = DutyEndpoint::bind().await?;
+        store.configure(&keyed_document(1));
         let (mut targets, mut target_links) = (Vec::new(), Vec::new());
         for (id, kind) in [
             ("i-w1", TargetKind::Plain),
@@ -182,12 +197,19 @@
         for number in 0..options.instances {
             let link = Proxy::bind(store.address).await?;
             let name = format!("front-{number}");
-            let instance = Instance::new(&name, &options.binary, &options.folder, link.address);
+            let instance = Instance::new(
+                &name,
+                &options.binary,
+                &options.folder,
+                link.address,
+                platform.address,
+            );
             instances.push(instance);
             store_links.push(link);
         }
         let mut deployment = Self {
             store,
+            platform,
             store_links,
             targets,
             target_links,
@@ -315,7 +337,8 @@
             }
             Action::Configure => {
                 self.version += 1;
-                self.store.configure(&document(self.version));
+                self.store.configure(&keyed_document(self.version));
+                self.observations.revoked.get_or_insert(now);
             }
         }
         Ok(())
--- a/crates/cactuslane-soak/tests/checks.rs
+++ b/crates/cactuslane-soak/tests/checks.rs
@@ -1,9 +1,11 @@
 //! Each check reports the violations of its guarantee and no others.
 
-use std::time::Duration;
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
 use cactuslane_soak::check::{self, Observations};
 use cactuslane_soak::load::{Outcome, RequestKind, RequestRecord};
+use cactuslane_soak::process::WINDOW_S;
+use serde_json::json;
 use tokio::time::Instant;
 use yare::parameterized;
 
@@ -22,6 +24,7 @@
     RequestRecord {
         id: "r1".to_owned(),
         kind: 0,
+        key: None,
         front: None,
         due,
         ended: due + Duration::from_millis(500),
@@ -149,3 +152,61 @@
     let (violations, _) = check::check(&[], &[], &observations, true);
     assert_eq!(violations.is_empty(), holds, "{violations:?}");
 }
+
+#[parameterized(
+    known = { 200, 1, None, &[] },
+    just_removed = { 200, 1, Some(100), &[] },
+    served_after_removal = { 200, 1, Some(4_000), &["removed keys stop"] },
+    unknown_after_removal = { 401, 0, Some(4_000), &[] },
+    unknown_before = { 401, 0, None, &["keys are known until removed"] },
+    run_without_a_key = { 401, 1, Some(4_000), &["keys are known until removed"] },
+)]
+fn a_key_is_known_until_it_is_removed(
+    status: u16,
+    runs: usize,
+    removed_ms: Option<u64>,
+    expected: &[&str],
+) {
+    let now = Instant::now() + Duration::from_secs(10);
+    let mut observations = Observations {
+        revoked: removed_ms.map(|ms| now - Duration::from_millis(ms)),
+        ..Observations::default()
+    };
+    observations.runs.insert("r1".to_owned(), vec![now; runs]);
+    let asked = RequestRecord {
+        key: Some(0),
+        ..record(now, complete(status, status == 200, "x"))
+    };
+    let (violations, _) = check::check(&[asked], &[kind(false, false)], &observations, true);
+    let found: Vec<_> = violations.iter().map(|found| found.guarantee).collect();
+    assert_eq!(found, expected);
+}
+
+#[parameterized(
+    right = { 40, false, true },
+    nearly = { 37, false, true },
+    low = { 35, false, false },
+    high = { 45, false, false },
+    low_near_a_fault = { 35, true, true },
+)]
+fn a_report_is_compared_with_the_runs(reported: u64, fault: bool, holds: bool) {
+    let now = Instant::now();
+    let unix = SystemTime::now().duration_since(UNIX_EPOCH);
+    let unix = unix.expect("the clock is set");
+    let window = unix.as_secs() / WINDOW_S - 5;
+    let middle = Duration::from_secs(window * WINDOW_S) + Duration::from_secs(WINDOW_S) / 2;
+    let middle = now - unix.saturating_sub(middle);
+    let asked = RequestRecord {
+        key: Some(1),
+        ..record(middle, complete(200, true, "x"))
+    };
+    let mut observations = Observations::default();
+    observations.runs.insert("r1".to_owned(), vec![middle; 40]);
+    let report = (json!({ "acme": reported }), 1);
+    observations.reports.insert(window, report);
+    if fault {
+        observations.faults.push((middle, middle));
+    }
+    let (violations, _) = check::check(&[asked], &[kind(false, false)], &observations, true);
+    assert_eq!(violations.is_empty(), holds, "{violations:?}");
+}
--- a/crates/cactuslane-soak/tests/load.rs
+++ b/crates/cactuslane-soak/tests/load.rs
@@ -23,6 +23,7 @@
         bursts: vec![(Duration::from_secs(50), Duration::from_secs(10), 4.0)],
         kinds: vec![kind("/a/1", 3), kind("/b/1", 1)],
         seed: 5,
+        keys: Vec::new(),
     }
 }
 
@@ -84,6 +85,7 @@
     let record = |wait| RequestRecord {
         id: "r".to_owned(),
         kind: 0,
+        key: None,
         front: None,
         due: began,
         ended: began,
--- a/crates/cactuslane/src/load.rs
+++ b/crates/cactuslane/src/load.rs
@@ -77,6 +77,7 @@
             .map(parse_kind)
             .collect::<Result<_, _>>()?,
         seed: command.seed,
+        keys: Vec::new(),
     };
     let addresses = Arc::new(Mutex::new(command.addresses.clone()));
     let start = Instant::now();
