Read the metrics in the tests of crowds without pooled connections

Cause: cases took 10 s longer now and then (many_members_at_addresses once, endless_query twice). The sockets of such a run show three connections at the ready door, all of the test's own client, whose pool opens another one at times; the test waits until two are left, which the head's time-out ends.

Change: the metrics are read over a connection for each request. The check itself stays.

--- a/crates/cactuslane/tests/clients/process.rs
+++ b/crates/cactuslane/tests/clients/process.rs
@@ -54,6 +54,8 @@
     pub peer: SocketAddr,
     /// Client of ordinary callers.
     pub client: Client,
+    /// Client that reads the metrics, and keeps no connections that would count.
+    monitor: Client,
     /// Key of ordinary callers.
     key: Option<&'static str>,
     /// The key-value store.
@@ -112,6 +114,7 @@
             directory: address("directory"),
             peer: address("peer"),
             client: Client::open(),
+            monitor: Client::open_unpooled(),
             key: keys.first().copied(),
             _store: store,
             _targets: targets,
@@ -134,7 +137,7 @@
     async fn metric(&self, start: &str) -> Option<u64> {
         let request = Request::get(format!("http://{}/metrics", self.ready));
         let request = request.body(Full::new(Bytes::new())).ok()?;
-        let (_, text) = self.client.send_and_collect(request).await.ok()?;
+        let (_, text) = self.monitor.send_and_collect(request).await.ok()?;
         let text = String::from_utf8(text.to_vec()).ok()?;
         let line = text.lines().find(|line| line.starts_with(start))?;
         line.rsplit(' ').next()?.parse().ok()
