Place by what targets tell of their speed and by what they take well

Cause: two of the figures that targets tell of their load were read, so that a target that is slow now, or slows down long before it is full, got as many requests as any other until its answers were late.

Change: all figures are decoded once, with what cannot be true left out. Each instance keeps a belief of how long work takes at a target now (the last figure, which fades within a second, over an average) and, for plain targets, of how many requests it takes well (from the times of its answers by the number that ran, divided by the figure). Costs, expected times and forecasts use both. The health gets what neither explains. Without figures, and where answers do not slow down, nothing changes.

--- a/crates/cactuslane-gateway/src/answers.rs
+++ b/crates/cactuslane-gateway/src/answers.rs
@@ -2,7 +2,7 @@
 
 use cactuslane_flight::target::Target;
 use cactuslane_place::Observed;
-use cactuslane_platform::exchange;
+use cactuslane_platform::exchange::{self, TargetLoad};
 use cactuslane_types::Millis;
 use hyper::StatusCode;
 use hyper::header::HeaderMap;
@@ -27,9 +27,18 @@
     observe_pause(gateway, target, status, headers);
     let config = gateway.routing_config();
     let competes = config.is_some_and(|config| config.customers.is_some());
-    if competes && let Some((running, waiting)) = exchange::target_load(headers) {
+    let load = exchange::target_load(headers);
+    if load != TargetLoad::default() {
+        let counts = load.running.zip(load.waiting);
         let (mut placer, now) = (gateway.placer(), gateway.now());
-        placer.queues.observe(&target.id, running, waiting, now);
+        if let Some((running, waiting)) = counts
+            && (competes || load.slowdown.is_some())
+        {
+            placer.queues.observe(&target.id, running, waiting, now);
+        }
+        placer
+            .paces
+            .observe_told(target, counts, load.slowdown, now);
     }
     if !exchange::is_leaving(headers) {
         return;
--- a/crates/cactuslane-gateway/src/generation/attempt.rs
+++ b/crates/cactuslane-gateway/src/generation/attempt.rs
@@ -115,9 +115,9 @@
         let mut placer = self.gateway.placer();
         placer.answered(&target.id, 1.0, 1.0, now);
         if prompt.is_some() {
-            placer
-                .speed
-                .observe_first(began.elapsed().as_secs_f64() * 1000.0);
+            let elapsed = began.elapsed().as_secs_f64() * 1000.0;
+            let factor = placer.paces.factor(&target.id, elapsed, now);
+            placer.speed.observe_first(elapsed / factor);
         }
         drop(placer);
         self.log_begun(target, &head.headers, last_event);
@@ -135,13 +135,17 @@
 
     /// Logs that a target begins a stream, after the event with this id if it resumes one.
     fn log_begun(&self, target: &Target, headers: &HeaderMap, last_event: Option<u64>) {
-        let load = exchange::target_load(headers)
+        let told = exchange::target_load(headers);
+        let load = told
+            .running
+            .zip(told.waiting)
             .map(|(running, waiting)| format!("{running} running, {waiting} waiting"));
         info!(
             request = self.request.info.id,
             target_id = target.id,
             since_arrival_ms = self.request.arrived.elapsed().as_millis() as u64,
             target_load = load.as_deref().unwrap_or(""),
+            target_slowdown:? = told.slowdown,
             target_version = target.version.as_deref().unwrap_or(""),
             process:? = target.started_at,
             last_event = last_event.unwrap_or(0);
--- a/crates/cactuslane-gateway/src/generation/prompt.rs
+++ b/crates/cactuslane-gateway/src/generation/prompt.rs
@@ -118,9 +118,10 @@
                 );
                 let mut placer = self.gateway.placer();
                 let priority = self.request.priority;
+                let usual = elapsed / placer.paces.factor(&target.id, elapsed, now);
                 placer
                     .speed
-                    .observe(priority, plan.uncached, plan.ahead, elapsed);
+                    .observe(priority, plan.uncached, plan.ahead, usual);
                 placer.answered(&target.id, elapsed, plan.expected, now);
                 Ok(ComputedPrompt {
                     gateway: self.gateway.clone(),
--- a/crates/cactuslane-gateway/src/plain.rs
+++ b/crates/cactuslane-gateway/src/plain.rs
@@ -200,8 +200,7 @@
             let observed = began.elapsed().as_secs_f64() * 1000.0;
             let expected = request.route.latency_objective.as_secs_f64() * 1000.0 * EXPECTED_SHARE;
             let mut placer = gateway.placer();
-            placer.answered(&target.id, observed, expected, now);
-            placer.queues.observe_work(target, observed, now);
+            placer.answered_plain(target, observed, expected, now);
             drop(placer);
             crashes::record_begun(gateway, &request.info, now);
             (None, Some(answer))
--- a/crates/cactuslane-place/src/lib.rs
+++ b/crates/cactuslane-place/src/lib.rs
@@ -2,7 +2,8 @@
 //!
 //! [`Placer`] chooses targets by their load ([`LoadView`]), which instances exchange with each
 //! other, and by the estimated contents of their prefix caches ([`CacheEstimate`]). [`TargetLimits`]
-//! keeps the limits that targets name for all instances together. [`Admission`] decides who runs,
+//! keeps the limits that targets name for all instances together. [`TargetPaces`] holds how fast
+//! targets work and how much each of them takes well. [`Admission`] decides who runs,
 //! waits or is refused while there is too little room. [`CrashTracker`] finds requests
 //! and prompt parts on which targets crash. [`Reach`] tells whether the instance itself is cut off.
 
@@ -12,6 +13,7 @@
 pub mod limits;
 pub mod load_view;
 pub mod observations;
+pub mod pace;
 pub mod placer;
 pub mod queues;
 pub mod reach;
@@ -26,6 +28,7 @@
 pub use limits::{LimitAnswer, LimitNotice, PermitAnswer, TargetLimits};
 pub use load_view::{CacheUpdate, Load, LoadView, PeerUpdate, PlacedWork};
 pub use observations::{Observation, Observed};
+pub use pace::{Belief, LevelReport, PaceChange, PaceReport, TargetPaces};
 pub use placer::{Forecast, Placement, PlacementRequest, Placer, Plan};
 pub use queues::TargetQueues;
 pub use reach::{Reach, ReachChange, ReachReport};
--- a/crates/cactuslane-place/src/placer.rs
+++ b/crates/cactuslane-place/src/placer.rs
@@ -19,6 +19,7 @@
 use crate::limits::TargetLimits;
 use crate::load_view::{CacheUpdate, LoadView, PeerUpdate, decode_parts, encode_parts};
 use crate::observations::{Observations, Observed};
+use crate::pace::TargetPaces;
 use crate::queues::TargetQueues;
 use crate::speed::PromptSpeed;
 
@@ -61,6 +62,8 @@
     pub speed: PromptSpeed,
     /// Queues at the targets of plain services.
     pub queues: TargetQueues,
+    /// Speed of the targets, and how much each of them takes well.
+    pub paces: TargetPaces,
     /// Estimated contents of the engines' prefix caches.
     caches: BTreeMap<TargetId, CacheEstimate>,
     /// Health of the targets, as this instance measures it.
@@ -154,6 +157,7 @@
             limits: TargetLimits::default(),
             speed: PromptSpeed::default(),
             queues: TargetQueues::default(),
+            paces: TargetPaces::default(),
             caches: BTreeMap::new(),
             health: BTreeMap::new(),
             observations: Observations::default(),
@@ -395,12 +399,13 @@
         self.pending_updates.drain(..limit).collect()
     }
 
-    /// Discards the cache estimate and the health of a target that is gone or has restarted: both
-    /// apply to the previous process only.
+    /// Discards the cache estimate, the health and the speed of a target that is gone or has
+    /// restarted: they apply to the previous process only.
     pub fn forget(&mut self, target: &str) {
         self.caches.remove(target);
         self.health.remove(target);
         self.queues.forget(target);
+        self.paces.forget(target);
     }
 
     /// Returns the targets that a request may be sent to, without those that were tried.
--- a/crates/cactuslane-place/src/placer/engines.rs
+++ b/crates/cactuslane-place/src/placer/engines.rs
@@ -69,13 +69,16 @@
             let uncached = self.uncached(&target.id, request.info);
             let tokens = f64::from(load.prompt_tokens + uncached);
             let fixed = self.speed.fixed_ms(request.priority);
-            let expected = self.speed.direct_ms(tokens) * self.slowdown(&target.id, now)
+            let tokens_ms = self.speed.direct_ms(tokens);
+            let factor = self.paces.factor(&target.id, tokens_ms, now);
+            let expected = (tokens_ms * self.slowdown(&target.id, now)
                 + fixed.max(0.0)
-                + self.speed.first_ms();
-            let prompt_ms = self.speed.direct_ms(f64::from(uncached));
+                + self.speed.first_ms())
+                * factor;
+            let prompt_ms = self.speed.direct_ms(f64::from(uncached)) * factor;
             let stalled = prompt_ms * f64::from(load.running) * STALL_WEIGHT;
             candidates.push(Candidate {
-                cost: expected + stalled + self.decode_cost(target, load, request),
+                cost: expected + stalled + self.decode_cost(target, load, request, factor),
                 target,
                 fetch: None,
                 uncached,
@@ -115,8 +118,10 @@
                 continue;
             }
             let load = self.load_view.load(&target.id, now);
-            let slowdown = self.slowdown(&target.id, now);
-            let waiting = self.speed.prefill_ms(f64::from(load.prompt_tokens)) * slowdown;
+            let waiting = self.speed.prefill_ms(f64::from(load.prompt_tokens));
+            let factor = self.paces.factor(&target.id, waiting, now);
+            let slowdown = self.slowdown(&target.id, now) * factor;
+            let waiting = waiting * slowdown;
             let begins = now + waiting as Millis;
             let missing = self.uncached(&target.id, request.info);
             let source = self.fetch_source(targets, target, request.info, begins);
@@ -133,7 +138,7 @@
                 0.0
             };
             let prompt_ms = self.speed.prefill_ms(f64::from(uncached)) * slowdown;
-            let fixed = self.speed.fixed_ms(request.priority);
+            let fixed = self.speed.fixed_ms(request.priority) * factor;
             let computing = (waiting + fixed).max(0.0) + fetching + prompt_ms;
             let filled = self.caches.get(&target.id).map_or(0, CacheEstimate::total);
             let full = filled as f64 / (request.engine.kv_capacity.max(1)) as f64;
@@ -168,13 +173,15 @@
             cost + transfer_cost(chosen.target, decode, transfer).1
         };
         let (_, decode) = self.choose(&decoders, decode_cost, unseen_ms)?;
+        let first_ms = self.speed.first_ms();
+        let slow_first = first_ms * (self.paces.factor(&decode.id, first_ms, now) - 1.0);
         let plan = Plan {
             fetch: chosen.fetch.map(|source| source.id.clone()),
             prefill: Some(chosen.target.id.clone()),
             decode: decode.id.clone(),
             uncached: chosen.uncached,
             ahead: chosen.ahead,
-            expected: chosen.expected,
+            expected: chosen.expected + slow_first,
         };
         Some((chosen.cost, plan))
     }
@@ -224,16 +231,26 @@
             }
             let load = self.load_view.load(&target.id, now);
             let waiting = self.speed.direct_ms(f64::from(load.prompt_tokens));
-            let cost =
-                waiting * self.slowdown(&target.id, now) + self.decode_cost(target, load, request);
+            let first_ms = self.speed.first_ms();
+            let factor = self.paces.factor(&target.id, first_ms, now);
+            let cost = waiting * self.slowdown(&target.id, now) * factor
+                + first_ms * (factor - 1.0)
+                + self.decode_cost(target, load, request, factor);
             candidates.push((cost, *target));
         }
         candidates
     }
 
-    /// Returns the cost of one more stream at an engine, in milliseconds.
-    fn decode_cost(&mut self, target: &Target, load: Load, request: &PlacementRequest<'_>) -> f64 {
-        f64::from(load.running) * STREAM_COST
+    /// Returns the cost of one more stream at an engine where work takes longer than usual by a
+    /// factor, in milliseconds.
+    fn decode_cost(
+        &mut self,
+        target: &Target,
+        load: Load,
+        request: &PlacementRequest<'_>,
+        factor: f64,
+    ) -> f64 {
+        f64::from(load.running) * STREAM_COST * factor
             + memory_shortage(load, request) * MEMORY_SHORTAGE_COST
             + self.domain_cost(target)
             + self.random.random_range(0.0..RANDOM_COST)
--- a/crates/cactuslane-place/src/placer/plain.rs
+++ b/crates/cactuslane-place/src/placer/plain.rs
@@ -37,22 +37,23 @@
         now: Millis,
     ) -> Option<TargetId> {
         self.load_view.expire(now);
+        self.paces.refresh(targets, now);
         let usable = self.usable(targets, tried, now);
         let mut best: Option<(f64, &Target)> = None;
         for target in usable {
             let load = self.load_view.load(&target.id, now);
             let count = self.queues.count(&target.id, load.running, now);
-            let slots = f64::from(target.slots.max(1));
-            // The cost is 100 ms for the request that takes a target's last slot.
-            let slot_cost = 100.0 / slots;
+            let capacity = self.paces.capacity(target);
+            // The cost is 100 ms for the last request that a target takes well.
+            let slot_cost = 100.0 / capacity;
             // Instances see the same old loads. While targets are busy, those that differ by less
             // than one request are equal, so that not all instances take the same one.
             let spread = if self.queues.is_told(&target.id, now) {
-                RANDOM_COST.max(slot_cost * (count / slots).min(1.0))
+                RANDOM_COST.max(slot_cost * (count / capacity).min(1.0))
             } else {
                 RANDOM_COST
             };
-            let cost = (count + 1.0) * slot_cost * self.slowdown(&target.id, now)
+            let cost = (count + 1.0) * slot_cost * self.plain_slowdown(&target.id, now)
                 + self.domain_cost(target)
                 + self.random.random_range(0.0..spread);
             if best.is_none_or(|(least, _)| cost < least) {
@@ -62,6 +63,25 @@
         best.map(|(_, target)| target.id.clone())
     }
 
+    /// Records a successful answer of a target of a plain service: its time, and the time that would
+    /// be usual for its route at a target that works as fast as usual, both in milliseconds.
+    ///
+    /// The health counts only what neither the target's figure nor its load explains.
+    pub fn answered_plain(&mut self, target: &Target, elapsed_ms: f64, usual_ms: f64, now: Millis) {
+        let known = self.load_view.load(&target.id, now).running;
+        self.paces.observe_answer(target, elapsed_ms, known, now);
+        let factor = self.paces.service_factor(&target.id, now);
+        let capacity = self.paces.capacity(target);
+        let mut expected_ms = usual_ms * factor;
+        if self.paces.tells(&target.id) || capacity < f64::from(target.slots) {
+            let count = self.queues.count(&target.id, known, now);
+            expected_ms *= (count / capacity).max(1.0);
+        }
+        self.queues
+            .observe_work(target, elapsed_ms / factor, capacity, now);
+        self.answered(&target.id, elapsed_ms, expected_ms, now);
+    }
+
     /// Returns the expected times of a request at a target of a plain service with `targets`
     /// targets; without a queue if the work time was not measured yet.
     #[must_use]
@@ -69,15 +89,15 @@
         let Some(work) = self.queues.work_ms(&target.service) else {
             return Forecast::default();
         };
-        let work = work * self.slowdown(&target.id, now);
+        let work = work * self.plain_slowdown(&target.id, now);
         let load = self.load_view.load(&target.id, now);
         let count = self.queues.count(&target.id, load.running, now);
-        let slots = f64::from(target.slots.max(1));
+        let capacity = self.paces.capacity(target);
         let (rivals, view_age) = self.rivals(targets, now);
         Forecast {
             service_ms: work,
-            wait_ms: (count + 1.0 - slots).max(0.0) * work / slots,
-            target_ms: work / slots,
+            wait_ms: (count + 1.0 - capacity).max(0.0) * work / capacity,
+            target_ms: work / capacity,
             rivals,
             view_age,
         }
@@ -106,6 +126,12 @@
         }
     }
 
+    /// Returns the factor by which answers of a target of a plain service take longer than usual:
+    /// by its figure and its answers over a while, and by its health.
+    fn plain_slowdown(&self, target: &str, now: Millis) -> f64 {
+        self.slowdown(target, now) * self.paces.service_factor(target, now)
+    }
+
     /// Returns the number of other instances for each of some targets, and the age of what they
     /// tell.
     fn rivals(&self, targets: usize, now: Millis) -> (f64, Duration) {
--- a/crates/cactuslane-place/src/queues.rs
+++ b/crates/cactuslane-place/src/queues.rs
@@ -29,12 +29,14 @@
         self.told.insert(target.to_owned(), told);
     }
 
-    /// Records the time of an answer of a service, in milliseconds.
+    /// Records the time of an answer of a service, in milliseconds, at a target that takes
+    /// `capacity` requests well.
     ///
-    /// It counts only if nothing waited at the target when it answered: other times hold the wait.
-    pub fn observe_work(&mut self, target: &Target, elapsed_ms: f64, now: Millis) {
+    /// It counts only if the target had no more of them when it answered: other times hold the wait.
+    pub fn observe_work(&mut self, target: &Target, elapsed_ms: f64, capacity: f64, now: Millis) {
         let told = self.told.get(&target.id);
-        if told.is_none_or(|(count, at)| *at + TOLD_LIFETIME < now || *count > target.slots) {
+        let is_full = |count: u32| f64::from(count) > capacity;
+        if told.is_none_or(|(count, at)| *at + TOLD_LIFETIME < now || is_full(*count)) {
             return;
         }
         let work = self.work.entry(target.service.clone());
--- a/crates/cactuslane-place/src/speed.rs
+++ b/crates/cactuslane-place/src/speed.rs
@@ -36,7 +36,8 @@
 /// computes prompts.
 const GENERATING_SLOWDOWN: f64 = 2.0;
 
-/// Estimated times that engines take for prompts, over all engines.
+/// Estimated times that engines take for prompts, over all engines, where work takes as long as
+/// usual.
 ///
 /// Waiting only adds to the time of a prompt, and hardly depends on its length. The fastest of the
 /// long prompts therefore show the time for one token, and the rest of the time is averaged by
--- a/crates/cactuslane-place/tests/placing/plain.rs
+++ b/crates/cactuslane-place/tests/placing/plain.rs
@@ -18,7 +18,7 @@
 fn measured(target: &Target) -> Placer {
     let mut placer = Placer::new("a".to_owned(), 1);
     placer.queues.observe(&target.id, 1, 0, 1_000);
-    placer.queues.observe_work(target, 30.0, 1_000);
+    placer.queues.observe_work(target, 30.0, 6.0, 1_000);
     placer
 }
 
@@ -37,7 +37,7 @@
     let target = target("w1");
     let mut placer = measured(&target);
     placer.queues.observe(&target.id, 6, 10, 1_100);
-    placer.queues.observe_work(&target, 500.0, 1_100);
+    placer.queues.observe_work(&target, 500.0, 6.0, 1_100);
     let work = placer.queues.work_ms(&target.service);
     assert!(
         work.is_some_and(|work| (work - 30.0).abs() < 0.1),
