--- a/crates/cactuslane-gateway/src/answers.rs
+++ b/crates/cactuslane-gateway/src/answers.rs
@@ -1,7 +1,7 @@
 //! What targets say of themselves in their answers, of whatever purpose.
 
 use cactuslane_flight::target::Target;
-use cactuslane_place::Observed;
+use cactuslane_place::{Observed, PaceChange};
 use cactuslane_platform::exchange::{self, TargetLoad};
 use cactuslane_types::Millis;
 use hyper::StatusCode;
@@ -80,3 +80,18 @@
         );
     }
 }
+
+/// Logs beliefs of the speed of targets that have changed by much.
+pub fn log_changes(changes: &[PaceChange]) {
+    for change in changes {
+        info!(
+            target_id = change.target,
+            capacity = change.now.capacity,
+            capacity_before = change.before.capacity,
+            slowdown = change.now.slowdown,
+            slowdown_before = change.before.slowdown,
+            answers = change.answers;
+            "target works at another speed"
+        );
+    }
+}
--- a/crates/cactuslane-gateway/src/plain.rs
+++ b/crates/cactuslane-gateway/src/plain.rs
@@ -201,7 +201,9 @@
             let expected = request.route.latency_objective.as_secs_f64() * 1000.0 * EXPECTED_SHARE;
             let mut placer = gateway.placer();
             placer.answered_plain(target, observed, expected, now);
+            let changes = placer.paces.take_changes();
             drop(placer);
+            answers::log_changes(&changes);
             crashes::record_begun(gateway, &request.info, now);
             (None, Some(answer))
         }
--- a/crates/cactuslane-place/src/lib.rs
+++ b/crates/cactuslane-place/src/lib.rs
@@ -28,7 +28,7 @@
 pub use limits::{LimitAnswer, LimitNotice, PermitAnswer, TargetLimits};
 pub use load_view::{CacheUpdate, Load, LoadView, PeerUpdate, PlacedWork};
 pub use observations::{Observation, Observed};
-pub use pace::{Belief, LevelReport, PaceChange, PaceReport, TargetPaces};
+pub use pace::{Belief, PaceChange, TargetPaces};
 pub use placer::{Forecast, Placement, PlacementRequest, Placer, Plan};
 pub use queues::TargetQueues;
 pub use reach::{Reach, ReachChange, ReachReport};
--- a/crates/cactuslane-place/src/pace.rs
+++ b/crates/cactuslane-place/src/pace.rs
@@ -2,7 +2,7 @@
 
 mod curve;
 mod figure;
-mod report;
+mod memory;
 
 use std::collections::BTreeMap;
 
@@ -11,19 +11,21 @@
 
 use self::curve::Curve;
 use self::figure::Figure;
-use self::report::Unsent;
-pub use self::report::{LevelReport, PaceReport};
+use self::memory::Memory;
 
 /// Time between two estimates of what targets take well, in milliseconds.
 const REFRESH_INTERVAL: Millis = 500;
 /// Time for which what a target told of its load counts for an answer, in milliseconds.
 const TOLD_LIFETIME: Millis = 1_500;
+/// Largest number of requests that run or wait at a target, as a multiple of its slots, with which
+/// an answer still shows how long its work took.
+const MAX_QUEUE: u32 = 3;
 /// Weight of a new answer in the moving average of the time that answers of a service take.
 const USUAL_WEIGHT: f64 = 0.02;
 /// Weight, in answers, of the service's time over that of a target's own answers.
-const SERVICE_WEIGHT: f64 = 8.0;
+const SERVICE_WEIGHT: f64 = 4.0;
 /// Least and largest factor on the time of a service at a target, beside the figure that it tells.
-const RATIO_RANGE: (f64, f64) = (0.25, 4.0);
+const RATIO_RANGE: (f64, f64) = (0.05, 8.0);
 /// Ratio of the factors before and after, from which a change is told.
 const CHANGE_RATIO: f64 = 1.5;
 /// Time between two changes of a target that are told, in milliseconds.
@@ -39,12 +41,10 @@
     /// Moving averages of the logarithm of the time that an answer of a service takes at a target
     /// that takes its requests well and works as fast as usual, in milliseconds.
     usual: BTreeMap<ServiceName, f64>,
-    /// Time of the last estimates.
-    refreshed: Millis,
+    /// How long a figure goes on to say something.
+    memory: Memory,
     /// Changes that were not taken yet, oldest first.
     changes: Vec<PaceChange>,
-    /// Target that the last reports ended with.
-    reported: Option<TargetId>,
 }
 
 /// What this instance believes of the speed of one target.
@@ -60,8 +60,8 @@
     curve: Option<Curve>,
     /// Factor on the time of the service, beside the figure, by its answers.
     ratio: Option<f64>,
-    /// Observations that the other instances were not sent yet.
-    unsent: Unsent,
+    /// Time of the last estimate of what it takes well.
+    refreshed: Millis,
     /// Beliefs as last told by a change, with the time.
     last_change: Option<(Belief, Millis)>,
 }
@@ -101,7 +101,7 @@
         if counts.is_none() && slowdown.is_none() {
             return;
         }
-        let Some(pace) = self.pace(target) else {
+        let Some(pace) = pace_of(&mut self.targets, target) else {
             return;
         };
         if let Some((running, waiting)) = counts {
@@ -109,51 +109,52 @@
         }
         if let Some(factor) = slowdown {
             let figure = pace.figure.get_or_insert_with(|| Figure::new(now));
-            let weight = figure.observe(factor, now);
-            pace.unsent.add_figure(factor, weight);
+            figure.observe(factor, &mut self.memory, now);
         }
     }
 
     /// Records the time of a successful answer of a plain target, in milliseconds.
     ///
     /// `known` is the number of requests that run there as far as instances know, which counts if
-    /// the target tells nothing. An answer counts only if nothing waited at the target: other times
-    /// hold the wait.
+    /// the target tells nothing.
     pub fn observe_answer(&mut self, target: &Target, elapsed_ms: f64, known: u32, now: Millis) {
-        let Some(pace) = self.pace(target) else {
+        let Some(pace) = pace_of(&mut self.targets, target) else {
             return;
         };
         let told = pace
             .told
             .filter(|(.., at)| now.saturating_sub(*at) <= TOLD_LIFETIME);
-        let (running, waiting) =
-            told.map_or((known, 0), |(running, waiting, _)| (running, waiting));
-        if waiting > 0 || running > target.slots {
+        let count = told.map_or(known, |(running, waiting, _)| {
+            running.saturating_add(waiting)
+        });
+        let slots = target.slots.max(1);
+        if count > slots.saturating_mul(MAX_QUEUE) {
             return;
         }
-        let factor = pace.figure.map_or(1.0, |figure| figure.factor(0.0, now));
-        let time = (elapsed_ms.max(0.1) / factor).ln();
+        let factor = pace
+            .figure
+            .map_or(1.0, |figure| figure.factor(0.0, &self.memory, now));
+        // Without its wait, which is about as long as the requests beyond the slots take.
+        let queue = (f64::from(count) / f64::from(slots)).max(1.0);
+        let time = (elapsed_ms.max(0.1) / factor / queue).ln();
         let curve = pace.curve(target.slots, now);
-        let (level, count) = (curve.level(running), curve.len());
-        curve.observe(level, time, now);
-        let is_taken = f64::from(running) <= curve.capacity();
-        pace.unsent.add_answer(count, level, time);
-        if is_taken {
-            let usual = self.usual.entry(target.service.clone()).or_insert(time);
-            *usual += (time - *usual) * USUAL_WEIGHT;
-        }
+        curve.observe(curve.level(count), time, now);
+        let crowd = f64::from(count.min(slots)) / curve.capacity();
+        let time = time - crowd.max(1.0).ln();
+        let usual = self.usual.entry(target.service.clone()).or_insert(time);
+        *usual += (time - *usual) * USUAL_WEIGHT;
     }
 
     /// Estimates anew what targets take well, unless that was done in the last 500 ms.
     pub fn refresh(&mut self, targets: &[&Target], now: Millis) {
-        if self.targets.is_empty() || now.saturating_sub(self.refreshed) < REFRESH_INTERVAL {
-            return;
-        }
-        self.refreshed = now;
         for target in targets {
             let Some(pace) = self.targets.get_mut(&target.id) else {
                 continue;
             };
+            if now.saturating_sub(pace.refreshed) < REFRESH_INTERVAL {
+                continue;
+            }
+            pace.refreshed = now;
             let Some(curve) = &mut pace.curve else {
                 continue;
             };
@@ -184,7 +185,7 @@
     #[must_use]
     pub fn factor(&self, target: &str, span_ms: f64, now: Millis) -> f64 {
         let figure = self.targets.get(target).and_then(|pace| pace.figure);
-        figure.map_or(1.0, |figure| figure.factor(span_ms, now))
+        figure.map_or(1.0, |figure| figure.factor(span_ms, &self.memory, now))
     }
 
     /// Returns the factor by which answers of a target take longer than those of its service
@@ -195,7 +196,9 @@
         let Some(pace) = self.targets.get(target) else {
             return 1.0;
         };
-        let figure = pace.figure.map(|figure| figure.factor(0.0, now));
+        let figure = pace
+            .figure
+            .map(|figure| figure.factor(0.0, &self.memory, now));
         figure.map_or(1.0, |figure| figure * pace.ratio.unwrap_or(1.0))
     }
 
@@ -227,23 +230,6 @@
         });
         told.map(move |(target, pace)| (target, pace.belief(now)))
     }
-
-    /// Returns what is known of a target; `None` if that is about a later process. What is known of
-    /// an earlier one is discarded.
-    fn pace(&mut self, target: &Target) -> Option<&mut TargetPace> {
-        if !self.targets.contains_key(&target.id) {
-            self.targets
-                .insert(target.id.clone(), TargetPace::new(target));
-        }
-        let pace = self.targets.get_mut(&target.id)?;
-        if pace.started_at > target.started_at {
-            return None;
-        }
-        if pace.started_at != target.started_at {
-            *pace = TargetPace::new(target);
-        }
-        Some(pace)
-    }
 }
 
 impl TargetPace {
@@ -263,7 +249,6 @@
             .is_some_and(|curve| curve.slots() != slots)
         {
             self.curve = None;
-            self.unsent.forget_levels();
         }
         self.curve.get_or_insert_with(|| Curve::new(slots, now))
     }
@@ -301,3 +286,22 @@
         })
     }
 }
+
+/// Returns what is known of a target; `None` if that is about a later process. What is known of an
+/// earlier one is discarded.
+fn pace_of<'p>(
+    targets: &'p mut BTreeMap<TargetId, TargetPace>,
+    target: &Target,
+) -> Option<&'p mut TargetPace> {
+    if !targets.contains_key(&target.id) {
+        targets.insert(target.id.clone(), TargetPace::new(target));
+    }
+    let pace = targets.get_mut(&target.id)?;
+    if pace.started_at > target.started_at {
+        return None;
+    }
+    if pace.started_at != target.started_at {
+        *pace = TargetPace::new(target);
+    }
+    Some(pace)
+}
--- a/crates/cactuslane-place/src/pace/curve.rs
+++ b/crates/cactuslane-place/src/pace/curve.rs
@@ -80,11 +80,6 @@
         self.slots
     }
 
-    /// Returns the number of levels.
-    pub(super) fn len(&self) -> usize {
-        self.levels.len()
-    }
-
     /// Returns the level of a number of running requests, which counts as 1 to the slots.
     pub(super) fn level(&self, running: u32) -> usize {
         let running = u64::from(running.clamp(1, self.slots.max(1)));
--- a/crates/cactuslane-place/src/placer/plain.rs
+++ b/crates/cactuslane-place/src/placer/plain.rs
@@ -39,8 +39,10 @@
         self.load_view.expire(now);
         self.paces.refresh(targets, now);
         let usable = self.usable(targets, tried, now);
+        let room = self.room(&usable, now);
         let mut best: Option<(f64, &Target)> = None;
         for target in usable {
+            let work = self.queues.work_ms(&target.service).unwrap_or_default();
             let load = self.load_view.load(&target.id, now);
             let count = self.queues.count(&target.id, load.running, now);
             let capacity = self.paces.capacity(target);
@@ -53,8 +55,12 @@
             } else {
                 RANDOM_COST
             };
+            // Callers wait longer at a slow target, which counts as far as there is room elsewhere.
+            let factor = self.paces.service_factor(&target.id, now);
+            let longer_ms = work * room * (factor - 1.0);
             let cost = (count + 1.0) * slot_cost * self.plain_slowdown(&target.id, now)
                 + self.domain_cost(target)
+                + longer_ms
                 + self.random.random_range(0.0..spread);
             if best.is_none_or(|(least, _)| cost < least) {
                 best = Some((cost, target));
@@ -126,6 +132,23 @@
         }
     }
 
+    /// Returns the share of the requests that targets take well for which there is room; 0 if none
+    /// of them tells its speed.
+    fn room(&self, targets: &[&Target], now: Millis) -> f64 {
+        if !targets.iter().any(|target| self.paces.tells(&target.id)) {
+            return 0.0;
+        }
+        let (mut taken, mut all) = (0.0, 0.0);
+        for target in targets {
+            let load = self.load_view.load(&target.id, now);
+            let capacity = self.paces.capacity(target);
+            let count = self.queues.count(&target.id, load.running, now);
+            taken += count.min(capacity);
+            all += capacity;
+        }
+        1.0 - taken / f64::max(all, 1.0)
+    }
+
     /// Returns the factor by which answers of a target of a plain service take longer than usual:
     /// by its figure and its answers over a while, and by its health.
     fn plain_slowdown(&self, target: &str, now: Millis) -> f64 {
