--- a/crates/cactuslane-gateway/src/answers.rs
+++ b/crates/cactuslane-gateway/src/answers.rs
@@ -1,8 +1,8 @@
 //! What targets say of themselves in their answers, of whatever purpose.
 
 use cactuslane_flight::target::Target;
-use cactuslane_place::Observed;
-use cactuslane_platform::exchange;
+use cactuslane_place::{Observed, PaceChange};
+use cactuslane_platform::exchange::{self, TargetLoad};
 use cactuslane_types::Millis;
 use hyper::StatusCode;
 use hyper::header::HeaderMap;
@@ -27,11 +27,20 @@
     observe_pause(gateway, target, status, headers);
     let config = gateway.routing_config();
     let competes = config.is_some_and(|config| config.customers.is_some());
-    if competes && let Some((running, waiting)) = exchange::target_load(headers) {
+    let load = exchange::target_load(headers);
+    if load != TargetLoad::default() {
+        let counts = load.running.zip(load.waiting);
         let (mut placer, now) = (gateway.placer(), gateway.now());
-        let known = placer.load_view.load(&target.id, now).running;
-        let queues = &mut placer.queues;
-        queues.observe(&target.id, running, waiting, known, now);
+        if competes || load.slowdown.is_some() {
+            if let Some((running, waiting)) = counts {
+                let known = placer.load_view.load(&target.id, now).running;
+                let queues = &mut placer.queues;
+                queues.observe(&target.id, running, waiting, known, now);
+            }
+            placer
+                .paces
+                .observe_told(target, counts, load.slowdown, now);
+        }
     }
     if !exchange::is_leaving(headers) {
         return;
@@ -73,3 +82,18 @@
         );
     }
 }
+
+/// Logs beliefs of the speed of targets that have changed by much.
+pub fn log_changes(changes: &[PaceChange]) {
+    for change in changes {
+        info!(
+            target_id = change.target,
+            capacity = change.now.capacity,
+            capacity_before = change.before.capacity,
+            slowdown = change.now.slowdown,
+            slowdown_before = change.before.slowdown,
+            answers = change.answers;
+            "target works at another speed"
+        );
+    }
+}
--- a/crates/cactuslane-gateway/src/plain.rs
+++ b/crates/cactuslane-gateway/src/plain.rs
@@ -198,11 +198,10 @@
             let observed = began.elapsed().as_secs_f64() * 1000.0;
             let expected = request.route.latency_objective.as_secs_f64() * 1000.0 * EXPECTED_SHARE;
             let mut placer = gateway.placer();
-            // A queue does not make a target slow.
-            let expected = expected.max(placer.queues.expected_ms(target, ahead));
-            placer.answered(&target.id, observed, expected, now);
-            placer.queues.observe_work(target, observed, ahead, now);
+            placer.answered_plain(target, observed, expected, ahead, now);
+            let changes = placer.paces.take_changes();
             drop(placer);
+            answers::log_changes(&changes);
             crashes::record_begun(gateway, &request.info, now);
             (None, Some(answer))
         }
--- a/crates/cactuslane-place/src/placer/preview.rs
+++ b/crates/cactuslane-place/src/placer/preview.rs
@@ -51,10 +51,11 @@
         let mut placer = self.clone();
         let chosen = placer.place_plain(targets, &[], now);
         let usable = placer.usable(targets, &[], now);
+        let room = placer.room(&usable, now);
         let mut candidates = Vec::new();
         for target in targets {
             let mut candidate = placer.candidate(&usable, target, now);
-            candidate.cost = Some(placer.plain_cost(target, now).0);
+            candidate.cost = Some(placer.plain_cost(target, room, now).0);
             candidate.wait_ms = placer.forecast_plain(target, targets.len(), now).wait_ms;
             candidates.push(candidate);
         }
--- a/crates/cactuslane-place/src/queues.rs
+++ b/crates/cactuslane-place/src/queues.rs
@@ -49,19 +49,26 @@
     }
 
     /// Records the time of an answer of a service, in milliseconds; `ahead` requests were expected at
-    /// the target when the request was sent.
+    /// the target, which takes `capacity` well, when the request was sent.
     ///
     /// It counts as measured only if nothing waited at the target when the request was sent and
     /// when it was answered: other times hold the wait. They count, less what `ahead` explains, until
     /// one was measured: where every answer waits, as after a start under overload, the overload
     /// would else never be noticed.
-    pub fn observe_work(&mut self, target: &Target, elapsed_ms: f64, ahead: f64, now: Millis) {
+    pub fn observe_work(
+        &mut self,
+        target: &Target,
+        elapsed_ms: f64,
+        ahead: f64,
+        capacity: f64,
+        now: Millis,
+    ) {
         let told = self.told.get(&target.id);
         let Some(told) = told.filter(|told| told.at + TOLD_LIFETIME >= now) else {
             return;
         };
-        let rounds = rounds(target, ahead);
-        let is_measured = told.count <= target.slots && rounds <= 1.0;
+        let rounds = rounds(capacity, ahead);
+        let is_measured = f64::from(told.count) <= capacity && rounds <= 1.0;
         if !is_measured && self.work.contains_key(&target.service) {
             return;
         }
@@ -79,9 +86,9 @@
     /// Returns the time that a request with `ahead` others before it takes at a target by the work
     /// time of its service, in milliseconds; 0 if that is not known.
     #[must_use]
-    pub fn expected_ms(&self, target: &Target, ahead: f64) -> f64 {
+    pub fn expected_ms(&self, target: &Target, ahead: f64, capacity: f64) -> f64 {
         let work = self.work_ms(&target.service).unwrap_or_default();
-        work * rounds(target, ahead)
+        work * rounds(capacity, ahead)
     }
 
     /// Returns the time that a request takes at a target of a service without a queue, in
@@ -124,8 +131,8 @@
     }
 }
 
-/// Returns how often the slots of a target are filled before a request with `ahead` others before it
-/// is done; at least 1.
-fn rounds(target: &Target, ahead: f64) -> f64 {
-    ((ahead + 1.0) / f64::from(target.slots.max(1))).max(1.0)
+/// Returns how often a target that takes `capacity` requests well is filled before a request with
+/// `ahead` others before it is done; at least 1.
+fn rounds(capacity: f64, ahead: f64) -> f64 {
+    ((ahead + 1.0) / capacity).max(1.0)
 }
--- a/crates/cactuslane-place/tests/placing/plain.rs
+++ b/crates/cactuslane-place/tests/placing/plain.rs
@@ -19,7 +19,7 @@
 fn measured(target: &Target) -> Placer {
     let mut placer = Placer::new("a".to_owned(), 1);
     placer.queues.observe(&target.id, 1, 0, 0, 1_000);
-    placer.queues.observe_work(target, 30.0, 0.0, 1_000);
+    placer.queues.observe_work(target, 30.0, 0.0, 6.0, 1_000);
     placer
 }
 
@@ -38,7 +38,7 @@
     let target = target("w1");
     let mut placer = measured(&target);
     placer.queues.observe(&target.id, 6, 10, 0, 1_100);
-    placer.queues.observe_work(&target, 500.0, 0.0, 1_100);
+    placer.queues.observe_work(&target, 500.0, 0.0, 6.0, 1_100);
     let work = placer.queues.work_ms(&target.service);
     assert!(
         work.is_some_and(|work| (work - 30.0).abs() < 0.1),
@@ -53,19 +53,19 @@
     let mut placer = Placer::new("a".to_owned(), 1);
     let queues = &mut placer.queues;
     let work = |queues: &TargetQueues| queues.work_ms(&target.service).unwrap_or_default();
-    queues.observe_work(&target, 90.0, 17.0, 900);
+    queues.observe_work(&target, 90.0, 17.0, 6.0, 900);
     assert!(work(queues) < f64::EPSILON, "the target tells of no queue");
     queues.observe(&target.id, 6, 12, 0, 1_000);
-    queues.observe_work(&target, 90.0, 17.0, 1_000);
+    queues.observe_work(&target, 90.0, 17.0, 6.0, 1_000);
     assert!((work(queues) - 30.0).abs() < 0.1, "{}", work(queues));
     // The last ones of a queue leave nobody waiting behind them.
     queues.observe(&target.id, 3, 0, 0, 1_100);
-    queues.observe_work(&target, 100.0, 11.0, 1_100);
+    queues.observe_work(&target, 100.0, 11.0, 6.0, 1_100);
     assert!((work(queues) - 31.0).abs() < 0.1, "{}", work(queues));
-    queues.observe_work(&target, 40.0, 2.0, 1_100);
-    queues.observe_work(&target, 600.0, 17.0, 1_100);
+    queues.observe_work(&target, 40.0, 2.0, 6.0, 1_100);
+    queues.observe_work(&target, 600.0, 17.0, 6.0, 1_100);
     assert!((work(queues) - 40.0).abs() < 0.1, "{}", work(queues));
-    let expected = queues.expected_ms(&target, 17.0);
+    let expected = queues.expected_ms(&target, 17.0, 6.0);
     assert!((expected - 120.0).abs() < 0.1, "{expected}");
 }
 
