Take the placer's lock only where an answer's load counts

Cause: each answer with a load took it, also where nothing is recorded. Change: the condition comes first.

--- a/crates/cactuslane-gateway/src/answers.rs
+++ b/crates/cactuslane-gateway/src/answers.rs
@@ -2,7 +2,7 @@
 
 use cactuslane_flight::target::Target;
 use cactuslane_place::{Observed, PaceChange};
-use cactuslane_platform::exchange::{self, TargetLoad};
+use cactuslane_platform::exchange;
 use cactuslane_types::Millis;
 use hyper::StatusCode;
 use hyper::header::HeaderMap;
@@ -28,19 +28,16 @@
     let config = gateway.routing_config();
     let competes = config.is_some_and(|config| config.customers.is_some());
     let load = exchange::target_load(headers);
-    if load != TargetLoad::default() {
+    if competes || load.slowdown.is_some() {
         let counts = load.running.zip(load.waiting);
         let (mut placer, now) = (gateway.placer(), gateway.now());
-        if competes || load.slowdown.is_some() {
-            if let Some((running, waiting)) = counts {
-                let known = placer.load_view.load(&target.id, now).running;
-                let queues = &mut placer.queues;
-                queues.observe(&target.id, running, waiting, known, now);
-            }
-            placer
-                .paces
-                .observe_told(target, counts, load.slowdown, now);
+        if let Some((running, waiting)) = counts {
+            let known = placer.load_view.load(&target.id, now).running;
+            let queues = &mut placer.queues;
+            queues.observe(&target.id, running, waiting, known, now);
         }
+        let paces = &mut placer.paces;
+        paces.observe_told(target, counts, load.slowdown, now);
     }
     if !exchange::is_leaving(headers) {
         return;
