--- /dev/null
+++ b/review/standins/main.rs
@@ -0,0 +1,69 @@
+//! Stand-ins and scripts of the review: `standins CASE FOLDER`, run in the repository's root.
+//!
+//! Exits with 1 if the rule was broken, 0 if it held and 2 if the case could not run. With
+//! `TROUBLE=0` in the environment, the disruption is left out.
+
+mod config;
+mod fleet;
+mod http;
+mod json;
+mod leaders;
+mod load;
+mod record;
+mod store;
+mod worker;
+
+use std::path::{Path, PathBuf};
+use std::sync::Arc;
+
+use record::Record;
+
+/// What a script gets.
+pub struct Setting {
+    pub trouble: bool,
+    pub range: (u8, u8),
+    pub folder: PathBuf,
+    pub record: Arc<Record>,
+}
+
+/// The outcome: whether the rule was broken.
+pub type Outcome = Result<bool, String>;
+
+fn main() {
+    let arguments: Vec<String> = std::env::args().collect();
+    let [_, case, folder] = arguments.as_slice() else {
+        eprintln!("usage: standins CASE FOLDER");
+        std::process::exit(2);
+    };
+    let record = match Record::create(&Path::new(folder).join("record.txt")) {
+        Ok(record) => Arc::new(record),
+        Err(error) => {
+            eprintln!("{error}");
+            std::process::exit(2);
+        }
+    };
+    let temporary = std::env::temp_dir().join(format!("cactuslane-review-{}", std::process::id()));
+    let _ = std::fs::create_dir_all(&temporary);
+    let setting = Setting {
+        trouble: std::env::var("TROUBLE").map_or(true, |value| value != "0"),
+        range: fleet::free_range(),
+        folder: temporary.clone(),
+        record: record.clone(),
+    };
+    let outcome = match case.as_str() {
+        "leaders" => leaders::run(&setting),
+        "config" => config::run(&setting),
+        _ => Err(format!("no case {case}")),
+    };
+    if std::env::var("KEEP_LOGS").is_err() {
+        let _ = std::fs::remove_dir_all(&temporary);
+    }
+    let (text, code) = match outcome {
+        Ok(true) => ("the rule was broken".to_owned(), 1),
+        Ok(false) => ("the rule held".to_owned(), 0),
+        Err(why) => (format!("the case could not run: {why}"), 2),
+    };
+    record.line(&text);
+    println!("{text}");
+    std::process::exit(code);
+}
