--- a/review/standins/config.rs
+++ b/review/standins/config.rs
@@ -1,4 +1,5 @@
-//! Rule CONFIG: a version that the store acknowledged as it came back from a copy.
+//! Rule CONFIG: a version that the store acknowledged as it came back from a copy, or after
+//! connections to it went silent.
 
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
@@ -48,7 +49,16 @@
     status: u16,
 }
 
-pub fn run(setting: &Setting) -> Outcome {
+/// What happens before the operator's change.
+#[derive(Clone, Copy, PartialEq)]
+pub enum Trouble {
+    /// The store comes back from a copy.
+    Drill,
+    /// The machines' connections to the store go silent for good, and new ones work.
+    Silence,
+}
+
+pub fn run(setting: &Setting, trouble: Trouble) -> Outcome {
     let record = &setting.record;
     let fail = |error: std::io::Error| error.to_string();
     let at = |last: u8, port: u16| SocketAddr::new(ip(setting.range, last), port);
@@ -129,21 +139,29 @@
     };
     ask(&machines, 2.0);
 
-    if setting.trouble {
-        store.copy();
-    }
-    sleep(Duration::from_secs(1));
-    // Planned work: a worker is emptied. It goes on serving for longer than `drain_ms`.
-    workers[2].register("draining");
-    sleep(Duration::from_millis(2500));
+    if trouble == Trouble::Drill {
+        if setting.trouble {
+            store.copy();
+        }
+        sleep(Duration::from_secs(1));
+        // Planned work: a worker is emptied. It goes on serving for longer than `drain_ms`.
+        workers[2].register("draining");
+        sleep(Duration::from_millis(2500));
 
-    if setting.trouble {
-        store.leave();
-        let store = store.clone();
-        std::thread::spawn(move || {
-            sleep(Duration::from_secs(1));
-            store.restore(false);
-        });
+        if setting.trouble {
+            store.leave();
+            let store = store.clone();
+            std::thread::spawn(move || {
+                sleep(Duration::from_secs(1));
+                store.restore(false);
+            });
+        }
+    } else {
+        if setting.trouble {
+            store.silence();
+        }
+        // The machines are in touch again after `contact_ms`.
+        sleep(Duration::from_secs_f64(CONTACT));
     }
     // The operator sends the next version, and again until the store acknowledges it: bookings move
     // to another service, and a route is dropped.
@@ -157,18 +175,25 @@
         "operator: version 5 acknowledged at revision {}",
         store.revision()
     ));
-    // The worker writes its entry again with its next heartbeat, and is gone later.
-    sleep(Duration::from_millis(700));
-    workers[2].register("draining");
-    ask(&machines, 2.0);
-    store.remove("servers/i-2");
+    if trouble == Trouble::Drill {
+        // The worker writes its entry again with its next heartbeat, and is gone later.
+        sleep(Duration::from_millis(700));
+        workers[2].register("draining");
+        ask(&machines, 2.0);
+        store.remove("servers/i-2");
+    }
     ask(&machines, 23.0);
 
+    // After the drill, the store has to be sound for `contact_ms`.
+    let grace = match trouble {
+        Trouble::Drill => CONTACT + APPLY,
+        Trouble::Silence => APPLY,
+    };
     let mut broken: BTreeMap<String, u32> = BTreeMap::new();
     let mut judged = 0;
     for request in &sent {
-        // Until then machines may be out of touch, and the version need not be in force.
-        if request.at < acknowledged + CONTACT + APPLY {
+        // Until then machines may be out of touch, or the version need not be in force.
+        if request.at < acknowledged + grace {
             continue;
         }
         judged += 1;
@@ -188,8 +213,7 @@
         record.line(&format!("CONFIG: {count} times: {finding}"));
     }
     record.line(&format!(
-        "judged {judged} requests, sent {:.0} s and more after the acknowledgement",
-        CONTACT + APPLY
+        "judged {judged} requests, sent {grace:.0} s and more after the acknowledgement"
     ));
     if judged == 0 {
         return Err("no request was judged".to_owned());
--- a/review/standins/main.rs
+++ b/review/standins/main.rs
@@ -52,7 +52,8 @@
     };
     let outcome = match case.as_str() {
         "leaders" => leaders::run(&setting),
-        "config" => config::run(&setting),
+        "config" => config::run(&setting, config::Trouble::Drill),
+        "silence" => config::run(&setting, config::Trouble::Silence),
         _ => Err(format!("no case {case}")),
     };
     if std::env::var("KEEP_LOGS").is_err() {
--- a/review/standins/store.rs
+++ b/review/standins/store.rs
@@ -1,7 +1,7 @@
 //! The platform's store, with the drill of the users' fifth letter: away for a moment, back from a
 //! copy some seconds old.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::io::{self, Write};
 use std::net::{SocketAddr, TcpStream};
 use std::sync::{Arc, Condvar, Mutex};
@@ -43,6 +43,9 @@
     next_lease: u64,
     era: u64,
     away: bool,
+    /// Callers' addresses of all connections, and of those that are silent for good.
+    callers: BTreeSet<SocketAddr>,
+    silent: BTreeSet<SocketAddr>,
 }
 
 pub struct Store {
@@ -109,6 +112,8 @@
             next_lease: 7000,
             era: 1,
             away: false,
+            callers: BTreeSet::new(),
+            silent: BTreeSet::new(),
         };
         let store = Arc::new(Self {
             state: Mutex::new(state),
@@ -169,6 +174,21 @@
         self.state.lock().unwrap().data.revision
     }
 
+    /// Makes all open connections silent for good; they stay open, and new ones work.
+    pub fn silence(&self) {
+        let mut state = self.state.lock().unwrap();
+        state.silent = state.callers.clone();
+        self.record
+            .line("store: the open connections are silent from now on, new ones work");
+    }
+
+    /// Does not return if a connection is silent.
+    fn await_silence(&self, caller: SocketAddr) {
+        while self.state.lock().unwrap().silent.contains(&caller) {
+            thread::sleep(Duration::from_secs(1));
+        }
+    }
+
     /// Takes a copy.
     pub fn copy(&self) {
         let mut state = self.state.lock().unwrap();
@@ -246,6 +266,9 @@
     }
 
     fn handle(&self, message: &Message, stream: &mut TcpStream) -> io::Result<bool> {
+        let caller = stream.peer_addr()?;
+        self.state.lock().unwrap().callers.insert(caller);
+        self.await_silence(caller);
         thread::sleep(Duration::from_millis(4));
         if self.state.lock().unwrap().away {
             return Ok(false);
@@ -260,6 +283,7 @@
                 Some(result)
             }
         };
+        self.await_silence(caller);
         let Some((status, value)) = result else {
             return Ok(false);
         };
