--- a/review/standins/main.rs
+++ b/review/standins/main.rs
@@ -53,6 +53,7 @@
     let outcome = match case.as_str() {
         "leaders" => leaders::run(&setting),
         "config" => config::run(&setting, config::Trouble::Drill),
+        "rejection" => config::run(&setting, config::Trouble::Rejection),
         "silence" => config::run(&setting, config::Trouble::Silence),
         _ => Err(format!("no case {case}")),
     };
--- a/review/standins/store.rs
+++ b/review/standins/store.rs
@@ -12,6 +12,9 @@
 use crate::json::{Json, decode_base64, encode_base64};
 use crate::record::Record;
 
+/// Time for which history is kept (`history_s`).
+const HISTORY: Duration = Duration::from_secs(20);
+
 #[derive(Clone)]
 struct Item {
     value: Vec<u8>,
@@ -31,8 +34,12 @@
 struct Data {
     revision: u64,
     items: BTreeMap<String, Item>,
-    /// Changes by revision, as events.
+    /// Changes of the last [`HISTORY`] by revision, as events.
     history: Vec<(u64, String, Json)>,
+    /// Times of the changes by revision.
+    times: Vec<(Instant, u64)>,
+    /// The revision up to which the history is gone.
+    forgotten: u64,
     leases: BTreeMap<u64, Lease>,
 }
 
@@ -46,6 +53,8 @@
     /// Callers' addresses of all connections, and of those that are silent for good.
     callers: BTreeSet<SocketAddr>,
     silent: BTreeSet<SocketAddr>,
+    /// Addresses of the store at which it turns calls away.
+    rejecting: BTreeSet<SocketAddr>,
 }
 
 pub struct Store {
@@ -63,6 +72,7 @@
             created,
             lease,
         };
+        self.times.push((Instant::now(), revision));
         self.history
             .push((revision, key.to_owned(), describe(key, &item)));
         self.items.insert(key.to_owned(), item);
@@ -75,6 +85,7 @@
                 ("revision", revision.into()),
                 ("deleted", Json::Bool(true)),
             ]);
+            self.times.push((Instant::now(), revision));
             self.history.push((revision, key.to_owned(), event));
         }
     }
@@ -114,16 +125,14 @@
             away: false,
             callers: BTreeSet::new(),
             silent: BTreeSet::new(),
+            rejecting: BTreeSet::new(),
         };
         let store = Arc::new(Self {
             state: Mutex::new(state),
             changed: Condvar::new(),
             record,
         });
-        let shared = store.clone();
-        http::serve(address, move |message, stream| {
-            shared.handle(message, stream)
-        })?;
+        store.listen(address)?;
         let shared = store.clone();
         thread::spawn(move || {
             loop {
@@ -134,6 +143,30 @@
         Ok(store)
     }
 
+    /// Answers calls at a further address.
+    pub fn listen(self: &Arc<Self>, address: SocketAddr) -> io::Result<()> {
+        let shared = self.clone();
+        http::serve(address, move |message, stream| {
+            if shared.state.lock().unwrap().rejecting.contains(&address) {
+                stream.write_all(&answer(503, &[], "{}"))?;
+                return Ok(true);
+            }
+            shared.handle(message, stream)
+        })
+    }
+
+    /// Sets whether the store turns away calls at an address (503), waiting watches included.
+    pub fn reject(&self, address: SocketAddr, rejects: bool) {
+        let mut state = self.state.lock().unwrap();
+        if rejects {
+            state.rejecting.insert(address);
+        } else {
+            state.rejecting.remove(&address);
+        }
+        self.record
+            .line(&format!("store: turns calls at {address} away: {rejects}"));
+    }
+
     /// Deletes a key, as when a worker has left.
     pub fn remove(&self, key: &str) {
         let mut state = self.state.lock().unwrap();
@@ -263,6 +296,17 @@
             state.data.end_lease(lease);
             self.changed.notify_all();
         }
+        let data = &mut state.data;
+        let old = data
+            .times
+            .iter()
+            .take_while(|(at, _)| at.elapsed() > HISTORY);
+        if let Some((_, forgotten)) = old.last().copied() {
+            data.forgotten = forgotten;
+            data.times.retain(|(_, revision)| *revision > forgotten);
+            data.history
+                .retain(|(revision, _, _)| *revision > forgotten);
+        }
     }
 
     fn handle(&self, message: &Message, stream: &mut TcpStream) -> io::Result<bool> {
@@ -412,7 +456,7 @@
             if state.away || state.era != era {
                 return None;
             }
-            if after > state.data.revision {
+            if after > state.data.revision || after < state.data.forgotten {
                 return Some((410, Json::object(&[])));
             }
             let history = state.data.history.iter();
