--- a/review/1/run.sh
+++ b/review/1/run.sh
@@ -1,4 +1,6 @@
 #!/usr/bin/env bash
 # Exits with 1 if rule ONE was broken, 0 if it held, 2 if the case could not run.
-cd "$(dirname "$0")/../.."
+# With TROUBLE=0 it does the same without the disruption.
+cd "$(dirname "$0")/../.." || exit 2
+export TROUBLE="${TROUBLE:-1}"
 exec target/review/standins leaders review/1
--- a/review/standins/fleet.rs
+++ b/review/standins/fleet.rs
@@ -8,6 +8,7 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
+use crate::guard::Guard;
 use crate::http;
 use crate::record::Record;
 
@@ -23,6 +24,7 @@
     log: PathBuf,
     child: Option<Child>,
     record: Arc<Record>,
+    guard: Arc<Guard>,
 }
 
 /// Returns a part of the loopback range that is not in use, as its second and third number.
@@ -51,6 +53,7 @@
         store: SocketAddr,
         folder: &Path,
         record: &Arc<Record>,
+        guard: &Arc<Guard>,
     ) -> io::Result<Self> {
         let text = format!(
             r#"node = "{name}"
@@ -130,6 +133,7 @@
             log,
             child: None,
             record: record.clone(),
+            guard: guard.clone(),
         })
     }
 
@@ -150,6 +154,7 @@
             self.zone,
             child.id()
         ));
+        self.guard.started(child.id());
         self.child = Some(child);
         Ok(())
     }
@@ -196,6 +201,7 @@
         if let Some(mut child) = self.child.take() {
             let _ = child.kill();
             let _ = child.wait();
+            self.guard.ended(child.id());
             self.record.line(&format!("{}: process ended", self.name));
         }
     }
--- a/review/standins/leaders.rs
+++ b/review/standins/leaders.rs
@@ -95,6 +95,7 @@
             address,
             &setting.folder,
             record,
+            &setting.guard,
         )
         .map_err(fail)?;
         machine.start().map_err(fail)?;
--- a/review/standins/main.rs
+++ b/review/standins/main.rs
@@ -5,6 +5,7 @@
 
 mod config;
 mod fleet;
+mod guard;
 mod http;
 mod json;
 mod leaders;
@@ -16,6 +17,7 @@
 use std::path::{Path, PathBuf};
 use std::sync::Arc;
 
+use guard::Guard;
 use record::Record;
 
 /// What a script gets.
@@ -24,6 +26,7 @@
     pub range: (u8, u8),
     pub folder: PathBuf,
     pub record: Arc<Record>,
+    pub guard: Arc<Guard>,
 }
 
 /// The outcome: whether the rule was broken.
@@ -31,6 +34,11 @@
 
 fn main() {
     let arguments: Vec<String> = std::env::args().collect();
+    if let [_, first, folder] = arguments.as_slice()
+        && first == guard::ARGUMENT
+    {
+        return guard::run(folder);
+    }
     let [_, case, folder] = arguments.as_slice() else {
         eprintln!("usage: standins CASE FOLDER");
         std::process::exit(2);
@@ -44,22 +52,27 @@
     };
     let temporary = std::env::temp_dir().join(format!("cactuslane-review-{}", std::process::id()));
     let _ = std::fs::create_dir_all(&temporary);
+    let guard = match Guard::start(&temporary) {
+        Ok(guard) => Arc::new(guard),
+        Err(error) => {
+            eprintln!("{error}");
+            std::process::exit(2);
+        }
+    };
     let setting = Setting {
         trouble: std::env::var("TROUBLE").map_or(true, |value| value != "0"),
         range: fleet::free_range(),
         folder: temporary.clone(),
         record: record.clone(),
+        guard: guard.clone(),
     };
     let outcome = match case.as_str() {
         "leaders" => leaders::run(&setting),
         "config" => config::run(&setting, config::Trouble::Drill),
-        "rejection" => config::run(&setting, config::Trouble::Rejection),
         "silence" => config::run(&setting, config::Trouble::Silence),
         _ => Err(format!("no case {case}")),
     };
-    if std::env::var("KEEP_LOGS").is_err() {
-        let _ = std::fs::remove_dir_all(&temporary);
-    }
+    guard.stop();
     let (text, code) = match outcome {
         Ok(true) => ("the rule was broken".to_owned(), 1),
         Ok(false) => ("the rule held".to_owned(), 0),
