--- a/review/standins/leaders.rs
+++ b/review/standins/leaders.rs
@@ -20,16 +20,22 @@
     per_s: 3.0,
     prompt: 300,
     output: 10,
+    deadline_ms: 8000,
+    gap_ms: 4000,
 };
 const PROMPTS: Mix = Mix {
     per_s: 8.0,
     prompt: 17_000,
     output: 10,
+    deadline_ms: 8000,
+    gap_ms: 4000,
 };
 const STREAMS: Mix = Mix {
     per_s: 14.0,
     prompt: 200,
     output: 100,
+    deadline_ms: 8000,
+    gap_ms: 4000,
 };
 
 /// The configuration, with a number of routes that nobody uses.
--- a/review/standins/main.rs
+++ b/review/standins/main.rs
@@ -10,7 +10,9 @@
 mod json;
 mod leaders;
 mod load;
+mod preempted;
 mod record;
+mod resumes;
 mod store;
 mod worker;
 
@@ -70,6 +72,8 @@
         "leaders" => leaders::run(&setting),
         "config" => config::run(&setting, config::Trouble::Drill),
         "silence" => config::run(&setting, config::Trouble::Silence),
+        "preempted" => preempted::run(&setting),
+        "resumes" => resumes::run(&setting),
         _ => Err(format!("no case {case}")),
     };
     guard.stop();
--- a/review/standins/worker.rs
+++ b/review/standins/worker.rs
@@ -1,8 +1,9 @@
 //! Workers: model engines with one stage, and workers of a plain service.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::io::{self, Write};
 use std::net::{SocketAddr, TcpStream};
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
 use std::thread;
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
@@ -18,8 +19,8 @@
 const SWITCH: Duration = Duration::from_secs(3);
 /// Prompt tokens that an engine reads in a millisecond.
 const READ_RATE: f64 = 51.1;
-/// Time between two events of a stream.
-const EVENT_TIME: Duration = Duration::from_millis(40);
+/// Usual time between two events of a stream, in milliseconds.
+const EVENT_MS: u64 = 40;
 
 /// An order that reached a worker.
 #[derive(Clone, Debug)]
@@ -30,6 +31,16 @@
     pub status: u16,
 }
 
+/// The work on one request, up to now if it goes on.
+#[derive(Clone, Debug)]
+pub struct Span {
+    pub request: String,
+    pub from: f64,
+    pub to: f64,
+    /// Number of the event after which it went on, 0 for a stream from its beginning.
+    pub after: u64,
+}
+
 #[derive(Clone, Debug)]
 struct Stage {
     stage: String,
@@ -44,6 +55,13 @@
     orders: Vec<Order>,
     /// Runs by request id.
     runs: BTreeMap<String, u32>,
+    /// Streams that were worked on.
+    spans: Vec<Span>,
+    /// Callers' addresses of all connections, and of those that are silent for good.
+    callers: BTreeSet<SocketAddr>,
+    silent: BTreeSet<SocketAddr>,
+    /// Callers' addresses of connections that were made after that.
+    later: BTreeSet<SocketAddr>,
 }
 
 pub struct Worker {
@@ -57,6 +75,12 @@
     state: Mutex<State>,
     /// Held while a prompt is read.
     reading: Mutex<()>,
+    /// Time between two events of a stream, in milliseconds.
+    pub event_ms: AtomicU64,
+    /// Number of the event after which each eighth stream is preempted, 0 if none is, and the time
+    /// until it goes on, in milliseconds.
+    pub preempted_at: AtomicU64,
+    pub preempted_ms: AtomicU64,
 }
 
 impl Worker {
@@ -91,8 +115,15 @@
                 handles: 0,
                 orders: Vec::new(),
                 runs: BTreeMap::new(),
+                spans: Vec::new(),
+                callers: BTreeSet::new(),
+                silent: BTreeSet::new(),
+                later: BTreeSet::new(),
             }),
             reading: Mutex::new(()),
+            event_ms: AtomicU64::new(EVENT_MS),
+            preempted_at: AtomicU64::new(0),
+            preempted_ms: AtomicU64::new(0),
         });
         let shared = worker.clone();
         http::serve(address, move |message, stream| {
@@ -158,6 +189,46 @@
         self.state.lock().unwrap().runs.clone()
     }
 
+    pub fn spans(&self) -> Vec<Span> {
+        self.state.lock().unwrap().spans.clone()
+    }
+
+    /// Makes all open connections silent for good; they stay open, and new ones work.
+    pub fn silence(&self) {
+        let mut state = self.state.lock().unwrap();
+        state.silent = state.callers.clone();
+    }
+
+    /// Returns the number of connections that were made and used since.
+    pub fn later_connections(&self) -> usize {
+        self.state.lock().unwrap().later.len()
+    }
+
+    /// Records the connection of a caller; does not return if it is silent.
+    fn admit(&self, caller: SocketAddr) {
+        let mut state = self.state.lock().unwrap();
+        if !state.silent.is_empty() && !state.silent.contains(&caller) {
+            state.later.insert(caller);
+        }
+        state.callers.insert(caller);
+        drop(state);
+        while self.is_silent(caller) {
+            thread::sleep(Duration::from_secs(1));
+        }
+    }
+
+    fn is_silent(&self, caller: SocketAddr) -> bool {
+        self.state.lock().unwrap().silent.contains(&caller)
+    }
+
+    /// Writes, unless the connection is silent: then the bytes are lost, and nothing shows it.
+    fn send(&self, stream: &mut TcpStream, caller: SocketAddr, bytes: &[u8]) -> io::Result<()> {
+        if self.is_silent(caller) {
+            return Ok(());
+        }
+        stream.write_all(bytes)
+    }
+
     fn set_stage(&self, stage: Stage) {
         self.state
             .lock()
@@ -167,6 +238,8 @@
     }
 
     fn handle(self: &Arc<Self>, message: &Message, stream: &mut TcpStream) -> io::Result<bool> {
+        let caller = stream.peer_addr()?;
+        self.admit(caller);
         let id = message
             .header("x-request-id")
             .unwrap_or_default()
@@ -177,7 +250,7 @@
         }
         let expected = message.header("x-expect-instance");
         if expected.is_some_and(|expected| expected != self.id) {
-            stream.write_all(&answer(421, &headers, "{}"))?;
+            self.send(stream, caller, &answer(421, &headers, "{}"))?;
             return Ok(true);
         }
         let path = message.path().to_owned();
@@ -186,7 +259,7 @@
             answer(status, &headers, &value.write())
         };
         match path.as_str() {
-            "/health" => stream.write_all(&answer(200, &headers, ""))?,
+            "/health" => self.send(stream, caller, &answer(200, &headers, ""))?,
             "/api/report" => {
                 let stage = self.reported();
                 let report = Json::object(&[
@@ -200,7 +273,7 @@
                     ("kv_total", 479_042u64.into()),
                     ("kv_handles", 0u64.into()),
                 ]);
-                stream.write_all(&json(200, report))?;
+                self.send(stream, caller, &json(200, report))?;
             }
             "/api/kv-list" => {
                 let list = Json::object(&[
@@ -208,16 +281,16 @@
                     ("next", 1u64.into()),
                     ("held", Json::List(Vec::new())),
                 ]);
-                stream.write_all(&json(200, list))?;
+                self.send(stream, caller, &json(200, list))?;
             }
             "/api/order" => {
                 let body =
                     Json::parse(&String::from_utf8_lossy(&message.body)).unwrap_or(Json::Null);
                 let status = self.order(&body);
-                stream.write_all(&json(status, Json::object(&[])))?;
+                self.send(stream, caller, &json(status, Json::object(&[])))?;
             }
             path if path.starts_with("/api/kv-handle/") => {
-                stream.write_all(&json(200, Json::object(&[])))?;
+                self.send(stream, caller, &json(200, Json::object(&[])))?;
             }
             _ => return self.run(message, &id, headers, stream),
         }
@@ -281,15 +354,16 @@
         mut headers: Vec<(&str, String)>,
         stream: &mut TcpStream,
     ) -> io::Result<bool> {
+        let caller = stream.peer_addr()?;
         let stage = self.stage();
         let prefills = message.header("x-serving-stage") == Some("prefill");
         if stage.busy {
             headers.push(("x-not-executed", "1".to_owned()));
-            stream.write_all(&answer(503, &headers, ""))?;
+            self.send(stream, caller, &answer(503, &headers, ""))?;
             return Ok(true);
         }
         if !stage.stage.is_empty() && prefills != (stage.stage == "prefill") {
-            stream.write_all(&answer(421, &headers, ""))?;
+            self.send(stream, caller, &answer(421, &headers, ""))?;
             return Ok(true);
         }
         let counts = message.header("x-token-counts").unwrap_or("0,0");
@@ -309,7 +383,7 @@
                 ("version", 1u64.into()),
             ]);
             headers.push(("content-type", "application/json".to_owned()));
-            stream.write_all(&answer(200, &headers, &body.write()))?;
+            self.send(stream, caller, &answer(200, &headers, &body.write()))?;
             return Ok(true);
         }
         *self
@@ -328,7 +402,11 @@
         headers.push(("x-server-stamp", format!("{}.{id}", self.id)));
         if stage.stage.is_empty() {
             thread::sleep(Duration::from_millis(20));
-            stream.write_all(&answer(200, &headers, &format!("done by {}", self.id)))?;
+            self.send(
+                stream,
+                caller,
+                &answer(200, &headers, &format!("done by {}", self.id)),
+            )?;
             return Ok(true);
         }
         let mut head =
@@ -337,17 +415,74 @@
         for (name, value) in &headers {
             head.push_str(&format!("{name}: {value}\r\n"));
         }
-        stream.write_all(format!("{head}\r\n").as_bytes())?;
+        self.send(stream, caller, format!("{head}\r\n").as_bytes())?;
         let after: u64 = message
             .header("last-event-id")
             .and_then(|id| id.parse().ok())
             .unwrap_or(0);
-        for number in after + 1..=output {
-            thread::sleep(EVENT_TIME);
+        let deadline = message
+            .header("x-deadline-ms")
+            .and_then(|millis| millis.parse().ok())
+            .unwrap_or(u64::MAX >> 20);
+        let end = Instant::now() + Duration::from_millis(deadline);
+        let from = self.record.now();
+        let number = {
+            let mut state = self.state.lock().unwrap();
+            state.spans.push(Span {
+                request: id.to_owned(),
+                from,
+                to: from,
+                after,
+            });
+            state.spans.len() - 1
+        };
+        let result = self.stream(stream, caller, id, after + 1..=output, end, number);
+        self.record.line(&format!(
+            "worker {}: works on {id} no more, from event {after} on, {}",
+            self.id,
+            if result.is_err() {
+                "its connection is closed"
+            } else {
+                "it is whole or late"
+            }
+        ));
+        result?;
+        Ok(true)
+    }
+
+    /// Makes and sends the events of a stream, and keeps the end of the work on it up to date.
+    fn stream(
+        &self,
+        stream: &mut TcpStream,
+        caller: SocketAddr,
+        id: &str,
+        numbers: std::ops::RangeInclusive<u64>,
+        end: Instant,
+        span: usize,
+    ) -> io::Result<()> {
+        for number in numbers {
+            thread::sleep(Duration::from_millis(self.event_ms.load(Ordering::Relaxed)));
+            if Instant::now() >= end {
+                return Err(io::ErrorKind::TimedOut.into());
+            }
             let event = format!("id: {number}\ndata: piece {number} of {id}\n\n");
-            stream.write_all(format!("{:x}\r\n{event}\r\n", event.len()).as_bytes())?;
+            let chunk = format!("{:x}\r\n{event}\r\n", event.len());
+            self.send(stream, caller, chunk.as_bytes())?;
+            self.state.lock().unwrap().spans[span].to = self.record.now();
+            if number == self.preempted_at.load(Ordering::Relaxed) && is_eighth(id) {
+                let pause = self.preempted_ms.load(Ordering::Relaxed);
+                self.record.line(&format!(
+                    "worker {}: {id} is preempted after event {number} for {pause} ms",
+                    self.id
+                ));
+                thread::sleep(Duration::from_millis(pause));
+            }
         }
-        stream.write_all(b"0\r\n\r\n")?;
-        Ok(true)
+        self.send(stream, caller, b"0\r\n\r\n")
     }
 }
+
+/// Returns whether a request is an eighth one by its number.
+pub fn is_eighth(id: &str) -> bool {
+    u64::from_str_radix(id, 16).is_ok_and(|number| number % 8 == 0)
+}
