--- a/review/standins/preempted.rs
+++ b/review/standins/preempted.rs
@@ -12,6 +12,8 @@
 use crate::worker::{Worker, is_eighth};
 use crate::{Outcome, Setting};
 
+/// `grace_s`.
+const GRACE: f64 = 8.0;
 /// Time after SIGTERM for which clients still connect there; streams sent then are over long before
 /// the last sixth of `grace_s`.
 const KEPT: f64 = 2.0;
@@ -30,6 +32,9 @@
     gap_ms: 2_400,
 };
 
+/// What a client sees if a connection ends within an answer.
+const CLOSED: &str = "unexpected end of file";
+
 /// The configuration, with the route `bylaw-check` of the site.
 fn document() -> Json {
     let text = r#"{"version":3,"routes":[{"name":"bylaw-check","host":"permits.example","prefix":"/bylaw/","kind":"streaming","timeout_ms":6000,"target_latency_ms":600,"priority":2,"service":"clerk-assist","max_attempts":2,"sticky":true,"resumable":true,"gap_aim_ms":150}],"services":[{"name":"clerk-assist","health_path":"/health","max_connections":360,"engine":{"slots":64,"kv_capacity":479042,"token_kv_bytes":163840,"link_mbps":1700000.0,"handle_ttl_s":5.0,"stage_switch_s":3.0}}],"limits":{"max_header_bytes":16384,"max_body_bytes":4194304,"header_timeout_ms":3000,"idle_timeout_ms":15000}}"#;
@@ -111,8 +116,11 @@
             .iter()
             .flat_map(|worker| worker.spans())
             .find(|span| span.request == stream.id);
-        // Only if it was passed on, and neither the deadline was reached nor the client's patience.
-        let Some(span) = span.filter(|_| cut && whole_time < 5.5) else {
+        // Only if it was passed on and the machine ended the connection within the answer: not after a
+        // refusal, at the deadline, by the client, or in the last sixth of `grace_s`.
+        let is_ended = matches!(&stream.result, Err(why) if why == CLOSED || why.contains("reset"));
+        let is_early = whole_time < 5.5 && stream.to < stopped + GRACE * 5.0 / 6.0;
+        let Some(span) = span.filter(|_| is_ended && is_early) else {
             continue;
         };
         broken += 1;
--- a/review/standins/resumes.rs
+++ b/review/standins/resumes.rs
@@ -78,11 +78,14 @@
     let fronts: Vec<_> = machines.iter().map(Machine::front).collect();
     let load = Load::start(DRAFTS, fronts, record);
     sleep(Duration::from_secs(14));
-    let silent = record.now();
     if setting.trouble {
         for worker in &workers {
             worker.silence();
         }
+    }
+    // Taken after the last one, so that no run counts too early.
+    let silent = record.now();
+    if setting.trouble {
         record.line("the open connections to workers are silent from now on, new ones work");
     }
     sleep(Duration::from_secs(12));
