--- a/review/standins/main.rs
+++ b/review/standins/main.rs
@@ -12,7 +12,6 @@
 mod load;
 mod preempted;
 mod record;
-mod resumes;
 mod store;
 mod worker;
 
@@ -73,7 +72,6 @@
         "config" => config::run(&setting, config::Trouble::Drill),
         "silence" => config::run(&setting, config::Trouble::Silence),
         "preempted" => preempted::run(&setting),
-        "resumes" => resumes::run(&setting),
         _ => Err(format!("no case {case}")),
     };
     guard.stop();
--- a/review/standins/worker.rs
+++ b/review/standins/worker.rs
@@ -1,6 +1,6 @@
 //! Workers: model engines with one stage, and workers of a plain service.
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeMap;
 use std::io::{self, Write};
 use std::net::{SocketAddr, TcpStream};
 use std::sync::atomic::{AtomicU64, Ordering};
@@ -35,10 +35,7 @@
 #[derive(Clone, Debug)]
 pub struct Span {
     pub request: String,
-    pub from: f64,
     pub to: f64,
-    /// Number of the event after which it went on, 0 for a stream from its beginning.
-    pub after: u64,
 }
 
 #[derive(Clone, Debug)]
@@ -57,11 +54,6 @@
     runs: BTreeMap<String, u32>,
     /// Streams that were worked on.
     spans: Vec<Span>,
-    /// Callers' addresses of all connections, and of those that are silent for good.
-    callers: BTreeSet<SocketAddr>,
-    silent: BTreeSet<SocketAddr>,
-    /// Callers' addresses of connections that were made after that.
-    later: BTreeSet<SocketAddr>,
 }
 
 pub struct Worker {
@@ -116,9 +108,6 @@
                 orders: Vec::new(),
                 runs: BTreeMap::new(),
                 spans: Vec::new(),
-                callers: BTreeSet::new(),
-                silent: BTreeSet::new(),
-                later: BTreeSet::new(),
             }),
             reading: Mutex::new(()),
             event_ms: AtomicU64::new(EVENT_MS),
@@ -193,42 +182,6 @@
         self.state.lock().unwrap().spans.clone()
     }
 
-    /// Makes all open connections silent for good; they stay open, and new ones work.
-    pub fn silence(&self) {
-        let mut state = self.state.lock().unwrap();
-        state.silent = state.callers.clone();
-    }
-
-    /// Returns the number of connections that were made and used since.
-    pub fn later_connections(&self) -> usize {
-        self.state.lock().unwrap().later.len()
-    }
-
-    /// Records the connection of a caller; does not return if it is silent.
-    fn admit(&self, caller: SocketAddr) {
-        let mut state = self.state.lock().unwrap();
-        if !state.silent.is_empty() && !state.silent.contains(&caller) {
-            state.later.insert(caller);
-        }
-        state.callers.insert(caller);
-        drop(state);
-        while self.is_silent(caller) {
-            thread::sleep(Duration::from_secs(1));
-        }
-    }
-
-    fn is_silent(&self, caller: SocketAddr) -> bool {
-        self.state.lock().unwrap().silent.contains(&caller)
-    }
-
-    /// Writes, unless the connection is silent: then the bytes are lost, and nothing shows it.
-    fn send(&self, stream: &mut TcpStream, caller: SocketAddr, bytes: &[u8]) -> io::Result<()> {
-        if self.is_silent(caller) {
-            return Ok(());
-        }
-        stream.write_all(bytes)
-    }
-
     fn set_stage(&self, stage: Stage) {
         self.state
             .lock()
@@ -238,8 +191,6 @@
     }
 
     fn handle(self: &Arc<Self>, message: &Message, stream: &mut TcpStream) -> io::Result<bool> {
-        let caller = stream.peer_addr()?;
-        self.admit(caller);
         let id = message
             .header("x-request-id")
             .unwrap_or_default()
@@ -250,7 +201,7 @@
         }
         let expected = message.header("x-expect-instance");
         if expected.is_some_and(|expected| expected != self.id) {
-            self.send(stream, caller, &answer(421, &headers, "{}"))?;
+            stream.write_all(&answer(421, &headers, "{}"))?;
             return Ok(true);
         }
         let path = message.path().to_owned();
@@ -259,7 +210,7 @@
             answer(status, &headers, &value.write())
         };
         match path.as_str() {
-            "/health" => self.send(stream, caller, &answer(200, &headers, ""))?,
+            "/health" => stream.write_all(&answer(200, &headers, ""))?,
             "/api/report" => {
                 let stage = self.reported();
                 let report = Json::object(&[
@@ -273,7 +224,7 @@
                     ("kv_total", 479_042u64.into()),
                     ("kv_handles", 0u64.into()),
                 ]);
-                self.send(stream, caller, &json(200, report))?;
+                stream.write_all(&json(200, report))?;
             }
             "/api/kv-list" => {
                 let list = Json::object(&[
@@ -281,16 +232,16 @@
                     ("next", 1u64.into()),
                     ("held", Json::List(Vec::new())),
                 ]);
-                self.send(stream, caller, &json(200, list))?;
+                stream.write_all(&json(200, list))?;
             }
             "/api/order" => {
                 let body =
                     Json::parse(&String::from_utf8_lossy(&message.body)).unwrap_or(Json::Null);
                 let status = self.order(&body);
-                self.send(stream, caller, &json(status, Json::object(&[])))?;
+                stream.write_all(&json(status, Json::object(&[])))?;
             }
             path if path.starts_with("/api/kv-handle/") => {
-                self.send(stream, caller, &json(200, Json::object(&[])))?;
+                stream.write_all(&json(200, Json::object(&[])))?;
             }
             _ => return self.run(message, &id, headers, stream),
         }
@@ -354,16 +305,15 @@
         mut headers: Vec<(&str, String)>,
         stream: &mut TcpStream,
     ) -> io::Result<bool> {
-        let caller = stream.peer_addr()?;
         let stage = self.stage();
         let prefills = message.header("x-serving-stage") == Some("prefill");
         if stage.busy {
             headers.push(("x-not-executed", "1".to_owned()));
-            self.send(stream, caller, &answer(503, &headers, ""))?;
+            stream.write_all(&answer(503, &headers, ""))?;
             return Ok(true);
         }
         if !stage.stage.is_empty() && prefills != (stage.stage == "prefill") {
-            self.send(stream, caller, &answer(421, &headers, ""))?;
+            stream.write_all(&answer(421, &headers, ""))?;
             return Ok(true);
         }
         let counts = message.header("x-token-counts").unwrap_or("0,0");
@@ -383,7 +333,7 @@
                 ("version", 1u64.into()),
             ]);
             headers.push(("content-type", "application/json".to_owned()));
-            self.send(stream, caller, &answer(200, &headers, &body.write()))?;
+            stream.write_all(&answer(200, &headers, &body.write()))?;
             return Ok(true);
         }
         *self
@@ -402,11 +352,8 @@
         headers.push(("x-server-stamp", format!("{}.{id}", self.id)));
         if stage.stage.is_empty() {
             thread::sleep(Duration::from_millis(20));
-            self.send(
-                stream,
-                caller,
-                &answer(200, &headers, &format!("done by {}", self.id)),
-            )?;
+            let text = format!("done by {}", self.id);
+            stream.write_all(&answer(200, &headers, &text))?;
             return Ok(true);
         }
         let mut head =
@@ -415,7 +362,7 @@
         for (name, value) in &headers {
             head.push_str(&format!("{name}: {value}\r\n"));
         }
-        self.send(stream, caller, format!("{head}\r\n").as_bytes())?;
+        stream.write_all(format!("{head}\r\n").as_bytes())?;
         let after: u64 = message
             .header("last-event-id")
             .and_then(|id| id.parse().ok())
@@ -425,18 +372,15 @@
             .and_then(|millis| millis.parse().ok())
             .unwrap_or(u64::MAX >> 20);
         let end = Instant::now() + Duration::from_millis(deadline);
-        let from = self.record.now();
         let number = {
             let mut state = self.state.lock().unwrap();
             state.spans.push(Span {
                 request: id.to_owned(),
-                from,
-                to: from,
-                after,
+                to: self.record.now(),
             });
             state.spans.len() - 1
         };
-        let result = self.stream(stream, caller, id, after + 1..=output, end, number);
+        let result = self.stream(stream, id, after + 1..=output, end, number);
         self.record.line(&format!(
             "worker {}: works on {id} no more, from event {after} on, {}",
             self.id,
@@ -454,7 +398,6 @@
     fn stream(
         &self,
         stream: &mut TcpStream,
-        caller: SocketAddr,
         id: &str,
         numbers: std::ops::RangeInclusive<u64>,
         end: Instant,
@@ -467,7 +410,7 @@
             }
             let event = format!("id: {number}\ndata: piece {number} of {id}\n\n");
             let chunk = format!("{:x}\r\n{event}\r\n", event.len());
-            self.send(stream, caller, chunk.as_bytes())?;
+            stream.write_all(chunk.as_bytes())?;
             self.state.lock().unwrap().spans[span].to = self.record.now();
             if number == self.preempted_at.load(Ordering::Relaxed) && is_eighth(id) {
                 let pause = self.preempted_ms.load(Ordering::Relaxed);
@@ -478,7 +421,7 @@
                 thread::sleep(Duration::from_millis(pause));
             }
         }
-        self.send(stream, caller, b"0\r\n\r\n")
+        stream.write_all(b"0\r\n\r\n")
     }
 }
 
