--- a/crates/cactuslane-flight/src/origin/history.rs
+++ b/crates/cactuslane-flight/src/origin/history.rs
@@ -3,7 +3,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
-use cactuslane_types::{Millis, ServiceName, SoftwareVersion};
+use cactuslane_types::{Millis, Position, ServiceName, SoftwareVersion};
 
 use crate::target::Target;
 
@@ -28,8 +28,8 @@
     last: BTreeMap<(ServiceName, Option<SoftwareVersion>), Millis>,
     /// The list in the store.
     list: VersionList,
-    /// Revision of the list in the store; 0 if there is none.
-    revision: u64,
+    /// Position of the list in the store; revision 0 if there is none.
+    position: Position,
 }
 
 impl VersionHistory {
@@ -45,24 +45,24 @@
         self.last.retain(|_, at| now < *at + HISTORY_RETENTION);
     }
 
-    /// Applies the list that the store has at a revision, unless a later one is known.
-    pub fn set_list(&mut self, list: VersionList, revision: u64) {
-        if revision >= self.revision {
+    /// Applies the list that the store has at a position, unless a later one is known.
+    pub fn set_list(&mut self, list: VersionList, position: Position) {
+        if position >= self.position {
             self.list = list;
-            self.revision = revision;
+            self.position = position;
         }
     }
 
     /// Discards the list, before the store is read anew.
     pub fn clear_list(&mut self) {
         self.list.clear();
-        self.revision = 0;
+        self.position = Position::default();
     }
 
-    /// Returns the revision of the list in the store; 0 if there is none.
+    /// Returns the position of the list in the store; revision 0 if there is none.
     #[must_use]
-    pub fn revision(&self) -> u64 {
-        self.revision
+    pub fn position(&self) -> Position {
+        self.position
     }
 
     /// Returns whether a stream that begins at a target begins at a listed version; any is allowed
--- a/crates/cactuslane-flight/tests/origin.rs
+++ b/crates/cactuslane-flight/tests/origin.rs
@@ -8,7 +8,7 @@
     VersionHistory, VersionList, stream_id,
 };
 use cactuslane_flight::{Target, TargetState};
-use cactuslane_types::{Millis, Role};
+use cactuslane_types::{Millis, Position, Role};
 use rand::{Rng, SeedableRng};
 use rand_pcg::Pcg64Mcg;
 use yare::parameterized;
@@ -18,6 +18,11 @@
 /// The same in milliseconds.
 const PERIOD_MS: Millis = 12_000;
 
+/// Returns the position of a revision of the first era.
+fn at(revision: u64) -> Position {
+    Position::new(1, revision)
+}
+
 /// Creates a target of a service with a version.
 fn target(service: &str, version: Option<&str>) -> Target {
     Target {
@@ -142,7 +147,7 @@
 ) {
     let mut history = VersionHistory::default();
     if !listed.is_empty() {
-        history.set_list(list(listed), 7);
+        history.set_list(list(listed), at(7));
     }
     let present = target("model", Some(version));
     history.record(&present, 0);
@@ -174,7 +179,7 @@
 ) {
     let mut history = VersionHistory::default();
     if !listed.is_empty() {
-        history.set_list(list(listed), 7);
+        history.set_list(list(listed), at(7));
     }
     history.record_listing(0);
     let mut present = target("model", Some(changes[0].1));
@@ -190,12 +195,17 @@
 #[test]
 fn an_older_list_does_not_replace_a_newer_one() {
     let mut history = VersionHistory::default();
-    history.set_list(list(&["v1", "v2"]), 9);
-    history.set_list(list(&["v1"]), 8);
+    history.set_list(list(&["v1", "v2"]), at(9));
+    history.set_list(list(&["v1"]), at(8));
     assert!(history.is_listed(&target("model", Some("v2"))));
-    assert_eq!(history.revision(), 9);
+    assert_eq!(history.position(), at(9));
+    history.set_list(list(&["v1"]), Position::new(2, 8));
+    assert!(
+        !history.is_listed(&target("model", Some("v2"))),
+        "a later era"
+    );
     history.clear_list();
-    history.set_list(list(&["v1"]), 8);
+    history.set_list(list(&["v1"]), at(8));
     assert!(!history.is_listed(&target("model", Some("v2"))));
 }
 
@@ -324,7 +334,7 @@
             None if random.random_bool(0.9) => continue,
             None => {
                 let started = history.insert(VersionHistory::default());
-                started.set_list(stored.clone(), revision);
+                started.set_list(stored.clone(), at(revision));
                 started.record_listing(now);
                 started
             }
@@ -341,7 +351,7 @@
         let wanted = history.wanted_list(fleet.iter(), PERIOD, now);
         if let Some(wanted) = wanted.filter(|_| random.random_bool(0.3)) {
             (stored, revision) = (wanted, revision + 1);
-            history.set_list(stored.clone(), revision);
+            history.set_list(stored.clone(), at(revision));
         }
         let at = &fleet[random.random_range(0..fleet.len())];
         if history.is_listed(at) || !fleet.iter().any(|target| history.is_listed(target)) {
--- a/crates/cactuslane-gateway/src/control.rs
+++ b/crates/cactuslane-gateway/src/control.rs
@@ -7,7 +7,7 @@
 use cactuslane_platform::store::{CONFIG_KEY, TARGETS};
 use cactuslane_platform::{document, registry};
 use cactuslane_store::kv::{Change, Item, KvError, Lease, Update};
-use cactuslane_types::Millis;
+use cactuslane_types::{Millis, Position};
 use log::{info, warn};
 use tokio::task::JoinSet;
 
@@ -15,7 +15,9 @@
 use crate::crashes::HELD_PREFIX;
 use crate::fleet::Effect;
 use crate::keys::RECORDS_PREFIX;
-use crate::leadership::{LAST_LEADER_KEY, LEADER_KEY, LEASE_TTL, LeaderRecord, boot_millis};
+use crate::leadership::{
+    LAST_LEADER_KEY, LEADER_KEY, LEASE_TTL, LeaderKey, LeaderRecord, SettleTime, boot_millis,
+};
 use crate::members::Member;
 use crate::orders::is_candidate;
 use crate::ranking::is_small_deployment;
@@ -48,10 +50,12 @@
 pub async fn register(gateway: Arc<Gateway>) {
     let mut lease: Option<Lease> = None;
     let mut backoff = Backoff::default();
+    let mut eras = gateway.store.subscribe_era();
     loop {
         if gateway.is_leaving() {
             return;
         }
+        eras.mark_unchanged();
         let sent = boot_millis();
         let result = match lease {
             Some(lease) => gateway.store.renew(lease).await.map(|()| lease),
@@ -60,7 +64,7 @@
         let pause = match result {
             Ok(current) => {
                 if lease != Some(current) {
-                    info!(lease = current; "registered");
+                    info!(lease = current.id, era = current.era; "registered");
                 }
                 lease = Some(current);
                 backoff.reset();
@@ -81,7 +85,14 @@
                 pause.min(LEASE_TTL)
             }
         };
-        tokio::time::sleep(pause).await;
+        tokio::select! {
+            () = tokio::time::sleep(pause) => {}
+            // The entry and its lease may be lost.
+            Ok(()) = eras.changed() => {
+                let factor = backoff_factor(gateway.alive_peers());
+                tokio::time::sleep(random_pause().mul_f64(factor)).await;
+            }
+        }
     }
 }
 
@@ -90,13 +101,13 @@
 ///
 /// The entry is written without a lease and stays until [`unregister`] deletes it.
 pub async fn announce_leaving(gateway: &Gateway) {
-    let update = Update {
-        writes: vec![(member_key(gateway), encode_member(gateway, true), None)],
-        ..Update::default()
-    };
     for _ in 0..ANNOUNCE_ATTEMPTS {
-        match gateway.store.update(&update).await {
-            Ok(_) => return,
+        let update = Update {
+            writes: vec![(member_key(gateway), encode_member(gateway, true), None)],
+            ..Update::default()
+        };
+        match update_entry(gateway, update).await {
+            Ok(()) => return,
             Err(error) => warn!(error:% = error; "leaving not announced"),
         }
         tokio::time::sleep(random_pause()).await;
@@ -109,11 +120,37 @@
         deletes: vec![member_key(gateway)],
         ..Update::default()
     };
-    if let Err(error) = gateway.store.update(&update).await {
+    if let Err(error) = update_entry(gateway, update).await {
         warn!(error:% = error; "entry not deleted");
     }
 }
 
+/// Applies an update of the instance's entry, if no other process of the instance has written it.
+///
+/// The condition also keeps an update that is carried out late from undoing a later one.
+async fn update_entry(gateway: &Gateway, mut update: Update) -> Result<(), KvError> {
+    let key = member_key(gateway);
+    update.expected = vec![(key.clone(), gateway.entry_position())];
+    let mut result = gateway.store.update(&update).await;
+    if result == Err(KvError::Conflict) {
+        // The entry has lapsed, is of an earlier era, or an update without an answer has changed it.
+        let read = gateway.store.get(&key).await?;
+        let is_other = read.item.as_ref().is_some_and(|item| {
+            serde_json::from_slice::<Member>(&item.value)
+                .is_ok_and(|member| member.started > gateway.started)
+        });
+        if is_other {
+            info!("the entry is of a later process, it stays");
+            return Ok(());
+        }
+        let position = read.item.map(|item| item.position).unwrap_or_default();
+        update.expected = vec![(key, position)];
+        result = gateway.store.update(&update).await;
+    }
+    gateway.record_entry(result?);
+    Ok(())
+}
+
 /// Returns the time to live for a lease granted now, which also sets the interval of renewals.
 ///
 /// A lease that was granted before keeps its time to live.
@@ -140,20 +177,24 @@
         )],
         ..Update::default()
     };
-    gateway.store.update(&update).await?;
+    let position = gateway.store.update(&update).await?;
+    gateway.record_entry(position);
     Ok(lease)
 }
 
-/// Reads and applies all keys of the store but the records of streams, and returns the revision from
+/// Reads and applies all keys of the store but the records of streams, and returns the position from
 /// which to watch.
 ///
 /// # Errors
 ///
 /// Returns the error of the store call if any page of keys could not be read.
-pub async fn read_all(gateway: &Gateway) -> Result<u64, KvError> {
-    let (items, revision) = fetch_all(gateway).await?;
+pub async fn read_all(gateway: &Gateway) -> Result<Position, KvError> {
+    let (items, position) = fetch_all(gateway).await?;
     let now = gateway.now();
     gateway.fleet().record_store_contact(now);
+    if gateway.fleet().begin_era(position.era, now) {
+        info!(era = position.era, revision = position.revision, keys = items.len(); "the store is back from an older copy");
+    }
     let mut targets = Vec::new();
     let mut instances = Vec::new();
     let mut held = Vec::new();
@@ -172,58 +213,59 @@
     gateway.members().retain(&instances, now);
     let has = |key: &str| items.iter().any(|item| item.key == key);
     if !has(LEADER_KEY) {
-        observe_leader(gateway, None, revision);
+        observe_leader(gateway, None, position);
     }
     if !has(LAST_LEADER_KEY) {
-        gateway.leadership().observe_last_leader(None, 0);
+        let absent = Position::new(position.era, 0);
+        gateway.leadership().observe_last_leader(None, absent);
     }
-    info!(revision, keys = items.len(), targets = targets.len(); "read the store");
+    info!(revision = position.revision, era = position.era, keys = items.len(), targets = targets.len(); "read the store");
     for item in items {
         apply_item(gateway, &item, now);
     }
     gateway.fleet().record_listing(now);
-    Ok(revision)
+    Ok(position)
 }
 
-/// Fetches the document and all small values, with the lowest of the revisions at which they were
+/// Fetches the document and all small values, with the lowest of the positions at which they were
 /// read.
-async fn fetch_all(gateway: &Gateway) -> Result<(Vec<Item>, u64), KvError> {
+async fn fetch_all(gateway: &Gateway) -> Result<(Vec<Item>, Position), KvError> {
     let mut fetches = JoinSet::new();
     for prefix in SMALL_KEYS {
         let store = gateway.store.clone();
         fetches.spawn(async move { store.range(prefix).await });
     }
     let document = gateway.store.get(CONFIG_KEY).await?;
-    let mut revision = document.revision;
+    let mut position = document.position;
     let mut items: Vec<Item> = document.item.into_iter().collect();
     while let Some(fetched) = fetches.join_next().await {
         let (some, read_at) =
             fetched.unwrap_or_else(|error| Err(KvError::Lost(error.to_string())))?;
-        revision = revision.min(read_at);
+        position = position.min(read_at);
         items.extend(some);
     }
-    Ok((items, revision))
+    Ok((items, position))
 }
 
 /// Applies one change of the store.
 pub fn apply(gateway: &Gateway, change: Change) {
     let now = gateway.now();
-    let (key, revision) = match change {
+    let (key, position) = match change {
         Change::Written(item) => return apply_item(gateway, &item, now),
-        Change::Deleted { key, revision } => (key, revision),
+        Change::Deleted { key, position } => (key, position),
     };
     if let Some(id) = registry::target_id(&key) {
         if gateway.fleet().lapse(id, now) {
-            info!(target_id = id, revision; "target vanished");
+            info!(target_id = id, revision = position.revision; "target vanished");
         }
     } else if let Some(id) = key.strip_prefix(MEMBER_PREFIX) {
         gateway.members().lapse(id, now);
-        info!(peer = id, revision; "instance vanished");
+        info!(peer = id, revision = position.revision; "instance vanished");
     } else if let Some(suspect) = crashes::stored_suspect(&key) {
         gateway.crashes().record_deleted(suspect);
     } else if key == LEADER_KEY {
-        info!(revision; "office is vacant");
-        observe_leader(gateway, None, revision);
+        info!(revision = position.revision; "office is vacant");
+        observe_leader(gateway, None, position);
     }
 }
 
@@ -236,14 +278,21 @@
         put_target(gateway, id, item);
     } else if item.key == LEADER_KEY {
         match serde_json::from_slice::<LeaderRecord>(&item.value) {
-            Ok(leader) => observe_leader(gateway, Some(leader), item.revision),
+            Ok(record) => {
+                let key = LeaderKey {
+                    record,
+                    position: item.position,
+                    lease: item.lease,
+                };
+                observe_leader(gateway, Some(key), item.position);
+            }
             Err(error) => warn!(error:% = error; "holder of the office is unreadable"),
         }
     } else if item.key == LAST_LEADER_KEY {
         let instance = String::from_utf8_lossy(&item.value).into_owned();
         gateway
             .leadership()
-            .observe_last_leader(Some(instance), item.revision);
+            .observe_last_leader(Some(instance), item.position);
     } else if let Some(suspect) = crashes::stored_suspect(&item.key) {
         crashes::apply_stored(gateway, suspect, item);
     } else if item.key == LIST_KEY {
@@ -259,12 +308,12 @@
     }
 }
 
-/// Applies the leader key at a revision; `leader` is `None` if the key is absent.
-fn observe_leader(gateway: &Gateway, leader: Option<LeaderRecord>, revision: u64) {
-    let settle = (gateway.settings().order_gap + LEASE_TTL).as_millis() as Millis;
+/// Applies the leader key at a position; `leader` is `None` if the key is absent.
+fn observe_leader(gateway: &Gateway, leader: Option<LeaderKey>, position: Position) {
+    let settle = SettleTime::of(&gateway.settings());
     gateway.leadership().observe_leader(
         leader,
-        revision,
+        position,
         &gateway.leader_record(),
         settle,
         boot_millis(),
@@ -276,13 +325,13 @@
     let config = match document::decode(&item.value) {
         Ok(config) => config,
         Err(error) => {
-            warn!(revision = item.revision, error; "configuration is unreadable, the old one stays");
+            warn!(revision = item.position.revision, error; "configuration is unreadable, the old one stays");
             return;
         }
     };
     let version = config.version;
     let in_force = gateway.fleet().set_routing_config(config);
-    info!(version, revision = item.revision, in_force; "configuration");
+    info!(version, revision = item.position.revision, in_force; "configuration");
 }
 
 /// Applies a target's entry; one that cannot be decoded removes the target.
@@ -313,7 +362,7 @@
         gateway.begun_changed.notify_one();
     }
     if effect != Effect::Same {
-        info!(target_id = id, state:? = state, role:? = role, revision = item.revision; "target");
+        info!(target_id = id, state:? = state, role:? = role, revision = item.position.revision; "target");
     }
 }
 
--- a/crates/cactuslane-gateway/src/duties.rs
+++ b/crates/cactuslane-gateway/src/duties.rs
@@ -8,7 +8,7 @@
 
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
-use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::sync::{Mutex, MutexGuard, PoisonError};
 
 use cactuslane_authority::duties::{CallEnd, CallGate, Subject};
 use cactuslane_platform::Settings;
@@ -21,7 +21,7 @@
 use tokio::time::Instant;
 
 use crate::duties::exchange::ExchangeError;
-use crate::leadership::{LEASE_TTL, Leadership, boot_millis};
+use crate::leadership::{LEASE_TTL, SharedLeadership, boot_millis};
 
 /// The labels of the counters of calls: `duty` and `result`.
 pub type DutyLabels = [(&'static str, &'static str); 2];
@@ -82,7 +82,7 @@
     /// Settings of the calls; `None` if there are none to be made.
     settings: Mutex<Option<DutySettings>>,
     /// Leadership of the instance.
-    leadership: Arc<Mutex<Leadership>>,
+    leadership: SharedLeadership,
     /// Calls in flight and their rate.
     gate: Mutex<CallGate>,
     /// Time at which the clock of the gate shows 0.
@@ -166,7 +166,7 @@
 impl Duties {
     /// Creates the calls of an instance, which makes none yet.
     #[must_use]
-    pub fn open(settings: &Settings, leadership: Arc<Mutex<Leadership>>) -> Self {
+    pub fn open(settings: &Settings, leadership: SharedLeadership) -> Self {
         Self {
             holder: settings.instance.clone(),
             settings: Mutex::new(settings.duties.clone()),
@@ -207,13 +207,13 @@
     #[must_use]
     pub fn token(&self) -> Option<FencingToken> {
         let ttl = LEASE_TTL.as_millis() as Millis;
-        lock(&self.leadership).may_call(ttl, boot_millis())
+        self.leadership.lock().may_call(ttl, boot_millis())
     }
 
     /// Returns the fencing token of the leadership, also while no call may be made yet.
     #[must_use]
     pub fn acquired_token(&self) -> Option<FencingToken> {
-        lock(&self.leadership).token()
+        self.leadership.lock().token()
     }
 
     /// Makes a call, unless this instance is not the holder or another call of the subject has not
--- a/crates/cactuslane-gateway/src/duties/usage.rs
+++ b/crates/cactuslane-gateway/src/duties/usage.rs
@@ -10,7 +10,7 @@
 use cactuslane_authority::reports::{Counts, Punctuality, ReportPlan, Step, WindowNumber};
 use cactuslane_platform::settings::UsageSettings;
 use cactuslane_store::kv::{KvClient, KvError, Update};
-use cactuslane_types::{CustomerName, FencingToken, InstanceId, Millis};
+use cactuslane_types::{CustomerName, FencingToken, InstanceId, Millis, Position};
 use log::{info, warn};
 use serde::{Deserialize, Serialize};
 use tokio::time::{Instant, sleep};
@@ -187,7 +187,7 @@
         let obsolete = self.plan.obsolete(self.now());
         let deletes = obsolete.iter().map(|old| format!("{USAGE_PREFIX}{old}"));
         let update = Update {
-            expected: vec![(key.clone(), 0)],
+            expected: vec![(key.clone(), Position::default())],
             writes: vec![(
                 key.clone(),
                 serde_json::to_vec(&report).unwrap_or_default(),
--- a/crates/cactuslane-gateway/src/fleet.rs
+++ b/crates/cactuslane-gateway/src/fleet.rs
@@ -1,6 +1,8 @@
 //! The routing configuration in force and the targets, as read from the store and corrected by
 //! observations of the targets' answers.
 
+mod observed;
+
 use std::collections::BTreeMap;
 use std::sync::Arc;
 use std::time::Duration;
@@ -9,22 +11,18 @@
 use cactuslane_flight::origin::VersionList;
 use cactuslane_flight::routing_config::RoutingConfig;
 use cactuslane_flight::target::{Target, TargetState};
-use cactuslane_place::Observed;
-use cactuslane_types::{Millis, Role, ServiceName, SoftwareVersion, TargetId};
-
-/// Time within which an engine whose answers show first one role and then the other is considered
-/// to be changing its role, in milliseconds.
-const CONTRADICTION_WINDOW: Millis = 3_000;
-/// Time for which an engine that is changing its role gets no new work, in milliseconds; the next
-/// request then shows whether the change is complete.
-const CHANGING_PAUSE: Millis = 1_000;
-/// Longest pause of a target that counts, in milliseconds; then a request shows whether it goes on.
-const MAX_PAUSE: Millis = 60_000;
-/// Time added to a pause, in milliseconds, as the target's clock may be slower.
-const PAUSE_MARGIN: Millis = 20;
+use cactuslane_types::{Era, Millis, Position, Role, ServiceName, SoftwareVersion, TargetId};
+
 /// Time after the last store failure within which targets whose entries lapsed meanwhile are
 /// expected to register again, in milliseconds.
 const REREGISTRATION_TIME: Millis = 2200;
+/// Time in a new era of the store for which a target that had left gets no new work although the
+/// older copy lists it, in milliseconds: within it, the target or the platform has written its entry
+/// again.
+const RETURNED_HOLD: Millis = 10_000;
+/// Time for which a target is remembered that left while it was draining, in milliseconds; older
+/// copies of the store list it.
+const DEPARTED_RETENTION: Millis = 60_000;
 
 /// The routing configuration and the targets.
 ///
@@ -47,6 +45,13 @@
     /// The time for which a target whose entry vanished may be used if no other target is left, in
     /// milliseconds.
     fallback_period: Millis,
+    /// The era of the store in which the entries were read.
+    era: Era,
+    /// The targets that left while they were draining, with the starts of their processes and the
+    /// times at which they left.
+    departed: BTreeMap<TargetId, (Option<u64>, Millis)>,
+    /// The time until which targets that had left before this era get no new work.
+    hold_until: Millis,
 }
 
 /// A target with what was observed of it.
@@ -60,6 +65,8 @@
     replaced: bool,
     /// Whether an answer of its process said that it is leaving.
     leaving: bool,
+    /// The time until which it gets no new work, as it had left before the era of the store.
+    held_until: Millis,
     /// The time until which it wants no request from this instance.
     paused_until: Millis,
     /// The role in the store entry, if an answer of the target has shown another one since.
@@ -149,6 +156,30 @@
         usable
     }
 
+    /// Begins to apply the entries of an era; returns whether an older copy has replaced those that
+    /// were applied before.
+    ///
+    /// Entries may be missing from it until their targets register again, and entries of targets that
+    /// have left may be there again.
+    pub fn begin_era(&mut self, era: Era, now: Millis) -> bool {
+        let known = std::mem::replace(&mut self.era, era);
+        if known == 0 || era <= known {
+            return false;
+        }
+        self.hold_until = now + RETURNED_HOLD;
+        let failed_recently = self.store_failed_recently(now);
+        for entry in self.targets.values_mut() {
+            let may_return = |at| at >= self.disrupted_since && failed_recently;
+            if entry.lapsed.is_some_and(|at| !may_return(at)) {
+                entry.held_until = self.hold_until;
+            }
+            // A process that was draining does not take work again.
+            entry.leaving |= entry.target.state == TargetState::Draining;
+        }
+        self.record_store_failure(now);
+        true
+    }
+
     /// Records that all targets were listed at `now`.
     pub fn record_listing(&mut self, now: Millis) {
         self.versions.record_listing(now);
@@ -184,9 +215,9 @@
         self.versions.is_listed(target)
     }
 
-    /// Applies the list of versions that the store has at a revision.
-    pub fn set_version_list(&mut self, list: VersionList, revision: u64) {
-        self.versions.set_list(list, revision);
+    /// Applies the list of versions that the store has at a position.
+    pub fn set_version_list(&mut self, list: VersionList, position: Position) {
+        self.versions.set_list(list, position);
     }
 
     /// Discards the list of versions, before the store is read anew.
@@ -194,15 +225,19 @@
         self.versions.clear_list();
     }
 
-    /// Returns the list of versions that the store should have, with the revision of the one that
+    /// Returns the list of versions that the store should have, with the position of the one that
     /// it has, if they differ and the store did not fail recently.
     #[must_use]
-    pub fn wanted_versions(&self, period: Duration, now: Millis) -> Option<(VersionList, u64)> {
+    pub fn wanted_versions(
+        &self,
+        period: Duration,
+        now: Millis,
+    ) -> Option<(VersionList, Position)> {
         if self.store_failed_recently(now) {
             return None;
         }
         let wanted = self.versions.wanted_list(self.present(), period, now)?;
-        Some((wanted, self.versions.revision()))
+        Some((wanted, self.versions.position()))
     }
 
     /// Returns the targets that are registered.
@@ -257,12 +292,20 @@
         let replaced = effect == Effect::Same && self.is_replaced(&id);
         let same_process = self.targets.get(&id).filter(|_| effect != Effect::Started);
         let leaving = same_process.is_some_and(|old| old.leaving);
+        let departed = self.departed.get(&id);
+        let is_returned = departed.is_some_and(|(started, _)| *started == target.started_at);
+        let held_until = match same_process {
+            Some(old) => old.held_until,
+            None if is_returned => self.hold_until,
+            None => 0,
+        };
         let paused_until = same_process.map_or(0, |old| old.paused_until);
         let entry = Entry {
             target,
             lapsed,
             replaced,
             leaving,
+            held_until,
             paused_until,
             stated_role,
             contradicted_at: unchanged.and_then(|old| old.contradicted_at),
@@ -272,130 +315,6 @@
         effect
     }
 
-    /// Records that another target answered at a target's address.
-    ///
-    /// The target gets no new work until its entry changes. The observation applies only to the
-    /// process that started at `started_at`. Returns whether it was new.
-    pub fn observe_replaced(&mut self, id: &str, started_at: Option<u64>) -> bool {
-        let Some(entry) = self.entry_of_process(id, started_at) else {
-            return false;
-        };
-        !std::mem::replace(&mut entry.replaced, true)
-    }
-
-    /// Records that an answer of a target's process said that it is leaving: it gets no new work
-    /// until another process of it registers. Returns whether this was new.
-    pub fn observe_leaving(&mut self, id: &str, started_at: Option<u64>) -> bool {
-        let Some(entry) = self.entry_of_process(id, started_at) else {
-            return false;
-        };
-        !std::mem::replace(&mut entry.leaving, true)
-    }
-
-    /// Returns the targets whose answers said that they are leaving, with the starts of their
-    /// processes.
-    #[must_use]
-    pub fn leaving(&self) -> Vec<(TargetId, Option<u64>)> {
-        let leaving = self.targets.iter().filter(|(_, entry)| entry.leaving);
-        leaving
-            .map(|(id, entry)| (id.clone(), entry.target.started_at))
-            .collect()
-    }
-
-    /// Records that a target's process wants no request from this instance for a time, of which at
-    /// most [`MAX_PAUSE`] counts. Returns whether the target had no pause.
-    pub fn observe_pause(
-        &mut self,
-        id: &str,
-        started_at: Option<u64>,
-        pause: Duration,
-        now: Millis,
-    ) -> bool {
-        let Some(entry) = self.entry_of_process(id, started_at) else {
-            return false;
-        };
-        let is_new = now >= entry.paused_until;
-        let pause = pause.as_millis().min(u128::from(MAX_PAUSE)) as Millis;
-        entry.paused_until = entry.paused_until.max(now + pause + PAUSE_MARGIN);
-        is_new
-    }
-
-    /// Returns the time for which a target wants no request from this instance; zero if it has no
-    /// pause.
-    #[must_use]
-    pub fn pause_left(&self, id: &str, now: Millis) -> Duration {
-        let until = self.targets.get(id).map_or(0, |entry| entry.paused_until);
-        Duration::from_millis(until.saturating_sub(now))
-    }
-
-    /// Returns the time until the first target of a service has no pause, if all that take new work
-    /// otherwise have one.
-    #[must_use]
-    pub fn service_pause(&self, service: &str, now: Millis) -> Option<Duration> {
-        let mut least = None;
-        for entry in self.targets.values() {
-            let paused = entry.paused_until > now;
-            if entry.target.service == service && paused && self.may_use(entry, entry.paused_until)
-            {
-                let left = Duration::from_millis(entry.paused_until - now);
-                least = Some(least.map_or(left, |least: Duration| least.min(left)));
-            }
-        }
-        least
-    }
-
-    /// Returns the entry of a target if it belongs to the process that started at `started_at`.
-    fn entry_of_process(&mut self, id: &str, started_at: Option<u64>) -> Option<&mut Entry> {
-        let known = self.targets.get_mut(id);
-        known.filter(|entry| entry.target.started_at == started_at)
-    }
-
-    /// Returns whether another target answered at a target's address.
-    fn is_replaced(&self, id: &str) -> bool {
-        self.targets.get(id).is_some_and(|entry| entry.replaced)
-    }
-
-    /// Records the role that an answer of a target shows.
-    ///
-    /// An engine that shows one role and then the other within 3 s is changing its role: it refuses
-    /// work of either kind and gets none for 1 s. The observation applies only to the process that
-    /// started at `started_at`. Returns the observation to share with the other instances, or
-    /// `None` if it changes nothing.
-    pub fn observe_role(
-        &mut self,
-        id: &str,
-        started_at: Option<u64>,
-        role: Role,
-        now: Millis,
-    ) -> Option<Observed> {
-        let entry = self.entry_of_process(id, started_at)?;
-        if entry.target.role == role || now < entry.changing_until {
-            return None;
-        }
-        let before = entry.contradicted_at.replace(now);
-        entry.stated_role.get_or_insert(entry.target.role);
-        entry.target.role = role;
-        if before.is_some_and(|before| now < before + CONTRADICTION_WINDOW) {
-            entry.changing_until = now + CHANGING_PAUSE;
-            return Some(Observed::Changing);
-        }
-        Some(Observed::Role(role))
-    }
-
-    /// Records that another instance observed that a target is changing its role.
-    ///
-    /// The observation applies only to the process that started at `started_at`. Returns whether it
-    /// was new.
-    pub fn observe_changing(&mut self, id: &str, started_at: Option<u64>, now: Millis) -> bool {
-        let Some(entry) = self.entry_of_process(id, started_at) else {
-            return false;
-        };
-        let new = now >= entry.changing_until;
-        entry.contradicted_at = Some(now);
-        entry.changing_until = now + CHANGING_PAUSE;
-        new
-    }
-
     /// Removes a target whose entry cannot be decoded.
     pub fn remove(&mut self, id: &str) {
         self.targets.remove(id);
@@ -412,7 +331,11 @@
             self.versions.record(&entry.target, now);
         }
         if entry.target.state == TargetState::Draining {
+            let started = entry.target.started_at;
             self.targets.remove(id);
+            self.departed
+                .retain(|_, (_, at)| now < *at + DEPARTED_RETENTION);
+            self.departed.insert(id.to_owned(), (started, now));
             return true;
         }
         entry.lapsed.get_or_insert(now);
@@ -472,7 +395,8 @@
     /// period, or if that may be due to a recent failure of the store.
     fn may_use(&self, entry: &Entry, now: Millis) -> bool {
         let leaving = entry.target.state == TargetState::Draining;
-        let held_back = now < entry.changing_until.max(entry.paused_until);
+        let held_until = entry.held_until.max(entry.paused_until);
+        let held_back = now < entry.changing_until.max(held_until);
         if leaving || entry.leaving || entry.replaced || held_back {
             return false;
         }
--- a/crates/cactuslane-gateway/src/messages.rs
+++ b/crates/cactuslane-gateway/src/messages.rs
@@ -13,7 +13,7 @@
 use cactuslane_place::admission::ShareReport;
 use cactuslane_place::load_view::PeerUpdate;
 use cactuslane_place::{LimitNotice, Observation, PermitAnswer, ReachReport, Suspect};
-use cactuslane_types::{InstanceId, SoftwareVersion};
+use cactuslane_types::{Era, InstanceId, SoftwareVersion};
 use serde::{Deserialize, Serialize};
 
 use crate::calls::CallNumber;
@@ -23,7 +23,7 @@
 /// The first byte from which on a message is of a later form.
 pub const LATER_FORM: u8 = 0x80;
 /// Number of kinds of messages of the first form.
-const KINDS: u8 = 13;
+const KINDS: u8 = 14;
 /// Kind of [`Message::Update`].
 const UPDATE_KIND: u8 = 0;
 
@@ -32,7 +32,7 @@
 pub enum Message {
     /// The sender's load, cache updates and observations, and the state of its links to targets.
     Update(PeerUpdate, ReachReport),
-    /// Store changes that the sender read.
+    /// Store changes that the sender read in the first era, or in a store that states none.
     Relay(Relay),
     /// The limit of a target, as the sender has just learned it.
     Limit(InstanceId, LimitNotice),
@@ -56,6 +56,9 @@
     Usage(UsageUpdate),
     /// Work that the sender has recently admitted for customers of a service.
     Shares(InstanceId, ShareReport),
+    /// Store changes that the sender read in this era, which is later than the first one: a build
+    /// that knows no eras skips them and reads the store itself.
+    RelayOfEra(Era, Relay),
 }
 
 /// A message as it was read.
--- a/crates/cactuslane-gateway/src/orders.rs
+++ b/crates/cactuslane-gateway/src/orders.rs
@@ -8,16 +8,17 @@
 use cactuslane_flight::target::Target;
 use cactuslane_place::RolePlanner;
 use cactuslane_platform::engine::{self, OrderAnswer};
-use cactuslane_store::kv::Update;
-use cactuslane_types::{Millis, Role, ServiceName, TargetId};
+use cactuslane_store::kv::KvError;
+use cactuslane_types::{Millis, Position, Role, ServiceName, TargetId};
 use hyper::Method;
 use log::{info, warn};
 use rand::Rng;
 use tokio::time::{Instant, sleep, timeout};
 
 use crate::answers;
+use crate::backoff::random_pause;
 use crate::engines::{self, CALL_TIMEOUT, CallError};
-use crate::leadership::{LEADER_KEY, LEASE_TTL, LeaderRecord, boot_millis};
+use crate::leadership::{LEADER_KEY, LeaderRecord, SettleTime, boot_millis, delete_key};
 use crate::limits;
 use crate::limits::permits::Purpose;
 use crate::ranking::is_top_ranked;
@@ -78,7 +79,7 @@
     loop {
         sleep(INTERVAL).await;
         if gateway.is_leaving() {
-            resign(&gateway).await;
+            give_up(&gateway).await;
             return;
         }
         if gateway.leadership().is_held(boot_millis()) {
@@ -86,7 +87,7 @@
             if gateway.duties.is_cut() && gateway.alive_peers() > 0 {
                 warn!("cut off from the platform's address, another instance may do better");
                 gateway.duties.record_given_up();
-                resign(&gateway).await;
+                give_up(&gateway).await;
                 not_before = Instant::now() + CUT_PAUSE;
                 continue;
             }
@@ -100,9 +101,20 @@
             continue;
         }
         let me = gateway.leader_record();
-        let gap = gateway.settings().order_gap.as_millis() as Millis;
-        let ttl = LEASE_TTL.as_millis() as Millis;
-        let Some(candidacy) = gateway.leadership().candidacy(&me, gap, ttl, boot_millis()) else {
+        let settle = SettleTime::of(&gateway.settings());
+        if gateway.leadership().resume(&me, settle, boot_millis()) {
+            info!("office resumed, its key still names this process");
+            state = LeaderState::default();
+            continue;
+        }
+        let update = gateway.leadership().stale_key(&me);
+        if let Some(update) = update {
+            let deleted = gateway.store.update(&update).await;
+            info!(deleted:? = deleted; "key of the office is under an earlier lease, it is deleted");
+            sleep(random_pause()).await;
+            continue;
+        }
+        let Some(candidacy) = gateway.leadership().candidacy(&me, settle, boot_millis()) else {
             campaign_at = None;
             continue;
         };
@@ -116,11 +128,11 @@
         campaign_at = None;
         state = LeaderState::default();
         match gateway.store.update(&candidacy.update).await {
-            Ok(fencing) => {
-                info!(fencing, settle_ms = candidacy.settle; "office taken");
-                gateway
-                    .leadership()
-                    .acquired(fencing, candidacy.settle, boot_millis());
+            Ok(position) => {
+                let mut leadership = gateway.leadership();
+                leadership.acquired(position, candidacy.settle, boot_millis());
+                let fencing = leadership.token();
+                info!(fencing, era = position.era, settle_ms = candidacy.settle; "office taken");
             }
             Err(error) => info!(error:% = error; "office not taken"),
         }
@@ -137,20 +149,34 @@
 }
 
 /// Ends this instance's term, if it leads, and deletes the leader key.
-async fn resign(gateway: &Gateway) {
-    if !gateway.leadership().resign() {
+async fn give_up(gateway: &Gateway) {
+    let Some(update) = gateway.leadership().give_up() else {
         return;
-    }
-    let update = Update {
-        deletes: vec![LEADER_KEY.to_owned()],
-        ..Update::default()
     };
-    match gateway.store.update(&update).await {
+    let mut result = gateway.store.update(&update).await;
+    if result == Err(KvError::Conflict) {
+        // The key of an update need not have the position of the update itself.
+        result = delete_own_key(gateway).await;
+    }
+    match result {
         Ok(_) => info!("office given up"),
         Err(error) => warn!(error:% = error; "office given up, but its key stays until it lapses"),
     }
 }
 
+/// Deletes the leader key if it names this process, and returns the position of the deletion.
+async fn delete_own_key(gateway: &Gateway) -> Result<Position, KvError> {
+    let read = gateway.store.get(LEADER_KEY).await?;
+    let me = gateway.leader_record();
+    let own = read.item.filter(|item| {
+        serde_json::from_slice::<LeaderRecord>(&item.value).is_ok_and(|leader| leader == me)
+    });
+    match own {
+        Some(item) => gateway.store.update(&delete_key(item.position)).await,
+        None => Ok(read.position),
+    }
+}
+
 impl LeaderState {
     /// Updates the demand of each service and starts the role changes that pay off now.
     ///
--- a/crates/cactuslane-gateway/src/peers.rs
+++ b/crates/cactuslane-gateway/src/peers.rs
@@ -6,6 +6,7 @@
 
 use cactuslane_place::load_view::PeerUpdate;
 use cactuslane_place::{Observation, Observed, ReachReport};
+use cactuslane_types::{Era, FIRST_ERA};
 use log::{debug, info, warn};
 use rand::seq::SliceRandom;
 use tokio::net::UdpSocket;
@@ -13,9 +14,10 @@
 
 use crate::limits;
 use crate::messages::{self, Message, MessageError, Received};
+use crate::relay::Relay;
 use crate::sending::send;
 use crate::state::Gateway;
-use crate::watch::RelaySender;
+use crate::watch::{ReceivedRelay, RelaySender};
 use crate::{crashes, origins, usage};
 
 /// Interval between the updates of an instance while there is something new to send, in a
@@ -198,6 +200,19 @@
     }
 }
 
+/// Passes a relay to the task that tracks the store.
+fn pass_relay(gateway: &Gateway, era: Era, relay: Relay, relays: &RelaySender) {
+    let (start, end) = (relay.from, relay.to);
+    let received = ReceivedRelay {
+        era,
+        relay,
+        arrival: gateway.now(),
+    };
+    if relays.try_send(received).is_err() {
+        info!(era, start, end; "relay dropped, the next one shows the gap");
+    }
+}
+
 /// Decodes and applies a message of another instance; relays go to the task that tracks the store.
 fn receive(
     gateway: &Gateway,
@@ -213,12 +228,8 @@
     };
     match message {
         Message::Update(update, report) => apply_update(gateway, &update, Some(report)),
-        Message::Relay(relay) => {
-            let (start, end) = (relay.from, relay.to);
-            if relays.try_send((relay, gateway.now())).is_err() {
-                info!(start, end; "relay dropped, the next one shows the gap");
-            }
-        }
+        Message::Relay(relay) => pass_relay(gateway, FIRST_ERA, relay, relays),
+        Message::RelayOfEra(era, relay) => pass_relay(gateway, era, relay, relays),
         Message::Limit(peer, notice) => limits::apply_notice(gateway, &notice, &peer),
         Message::LimitQuery => answer_limit_query(gateway, socket, from),
         Message::PermitRequest(peer, request) => {
--- a/crates/cactuslane-gateway/src/progress.rs
+++ b/crates/cactuslane-gateway/src/progress.rs
@@ -1,6 +1,6 @@
 //! How far an instance knows the store: up to which revisions, and as of which times.
 
-use cactuslane_types::Millis;
+use cactuslane_types::{Era, Millis, Position};
 
 use crate::relay::DocumentRange;
 
@@ -11,6 +11,8 @@
 /// changes that the store had acknowledged by then are applied.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Progress {
+    /// The era of the store in which all of this was read; no revision holds beyond it.
+    pub era: Era,
     /// The revision up to which all changes of entries are applied.
     pub entries: u64,
     /// The time as of which the entries are known.
@@ -38,11 +40,13 @@
 }
 
 impl Progress {
-    /// Creates the progress of an instance that has read all keys at a revision, with a call that
+    /// Creates the progress of an instance that has read all keys at a position, with a call that
     /// was sent at `seen`.
     #[must_use]
-    pub fn at(revision: u64, seen: Millis) -> Self {
+    pub fn at(position: Position, seen: Millis) -> Self {
+        let revision = position.revision;
         Self {
+            era: position.era,
             entries: revision,
             entries_seen: seen,
             document: revision,
@@ -52,10 +56,16 @@
         }
     }
 
-    /// Returns the revision up to which all changes are known.
+    /// Returns the position up to which all changes are known.
     #[must_use]
-    pub fn revision(&self) -> u64 {
-        self.entries.min(self.document)
+    pub fn position(&self) -> Position {
+        self.position_at(self.entries.min(self.document))
+    }
+
+    /// Returns the position of a revision of this era.
+    #[must_use]
+    pub fn position_at(&self, revision: u64) -> Position {
+        Position::new(self.era, revision)
     }
 
     /// Returns whether the document is known to have changed since it was last read.
--- a/crates/cactuslane-gateway/src/records.rs
+++ b/crates/cactuslane-gateway/src/records.rs
@@ -14,7 +14,7 @@
 
 use cactuslane_flight::origin::{SegmentNumber, SegmentWrite, StreamId, StreamSegments};
 use cactuslane_store::kv::{Change, Changes, Item, KvError, Lease, Update};
-use cactuslane_types::SoftwareVersion;
+use cactuslane_types::{Position, SoftwareVersion};
 use log::{info, warn};
 use serde::{Deserialize, Serialize};
 use tokio::time::{Instant, sleep, timeout};
@@ -141,31 +141,31 @@
         let changes = read_changes(gateway, from).await;
         if changes != Err(KvError::Compacted) {
             let changes = changes?;
-            let (revision, count) = (changes.revision, changes.changes.len());
+            let (position, count) = (changes.position, changes.changes.len());
             for change in &changes.changes {
                 if let Change::Written(item) = change {
                     apply_record(gateway, item);
                 }
             }
             let elapsed_ms = asked.elapsed().as_millis() as u64;
-            info!(from, revision, count, elapsed_ms; "read new records of streams");
-            last.known = Some((revision, asked));
+            info!(from = from.revision, revision = position.revision, count, elapsed_ms; "read new records of streams");
+            last.known = Some((position, asked));
             return Ok(());
         }
     }
-    let (items, revision) = gateway.store.range(RECORDS_PREFIX).await?;
+    let (items, position) = gateway.store.range(RECORDS_PREFIX).await?;
     let elapsed_ms = asked.elapsed().as_millis() as u64;
-    info!(revision, records = items.len(), elapsed_ms; "read the records of streams");
+    info!(revision = position.revision, records = items.len(), elapsed_ms; "read the records of streams");
     for item in &items {
         apply_record(gateway, item);
     }
-    last.known = Some((revision, asked));
+    last.known = Some((position, asked));
     gateway.records_complete.store(true, Ordering::Relaxed);
     Ok(())
 }
 
-/// Reads the changes of records after a revision.
-async fn read_changes(gateway: &Gateway, from: u64) -> Result<Changes, KvError> {
+/// Reads the changes of records after a position.
+async fn read_changes(gateway: &Gateway, from: Position) -> Result<Changes, KvError> {
     let watch = gateway.store.watch(RECORDS_PREFIX, from, NO_WAIT);
     watch.await?.changes().await
 }
--- a/crates/cactuslane-gateway/src/relay.rs
+++ b/crates/cactuslane-gateway/src/relay.rs
@@ -10,7 +10,7 @@
 
 use cactuslane_platform::store::CONFIG_KEY;
 use cactuslane_store::kv::{Change, Changes, Item, WATCH_GRACE, key_of};
-use cactuslane_types::{InstanceId, Millis};
+use cactuslane_types::{Era, FIRST_ERA, InstanceId, Millis, Position};
 use serde::{Deserialize, Serialize};
 
 use crate::backoff::FIRST_PAUSE;
@@ -42,8 +42,8 @@
 /// several changes of one revision may exceed it together.
 const MAX_BYTES: usize = 8 << 10;
 
-/// A message that holds all store changes between two revisions, except for those of a large
-/// document.
+/// A message that holds all store changes between two revisions of one era, except for those of a
+/// large document. The era is stated beside it.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Relay {
     /// The revision after which the changes begin, exclusive.
@@ -102,7 +102,8 @@
     /// that is too large are left out, which receivers notice as a gap.
     #[must_use]
     pub fn pack(from: u64, document: u64, changes: &Changes) -> Vec<Self> {
-        let to = changes.revision.max(from);
+        let last = changes.position.revision;
+        let to = last.max(from);
         let mut relays = Vec::new();
         let mut relay = Self::after(from);
         relay.document.from = document;
@@ -143,7 +144,7 @@
         relay.to = relay.to.max(to);
         relays.push(relay);
         for relay in &mut relays {
-            relay.document.to = relay.to.min(changes.revision);
+            relay.document.to = relay.to.min(last);
         }
         relays
     }
@@ -177,21 +178,26 @@
         self
     }
 
-    /// Returns how the relay continues the state of an instance that knows all changes up to
-    /// `known`, except perhaps those of the document.
+    /// Returns how the relay of an era continues the state of an instance that knows all changes up
+    /// to `known`, except perhaps those of the document.
+    ///
+    /// A relay of an earlier era changes nothing, and one of a later era leaves a gap.
     #[must_use]
-    pub fn continue_from(self, known: u64) -> Continuation {
-        if self.to <= known {
+    pub fn continue_from(self, era: Era, known: Position) -> Continuation {
+        // A relay without an era is one of the first era or of a store that states none.
+        let order = era.max(FIRST_ERA).cmp(&known.era.max(FIRST_ERA));
+        let (era, known) = (known.era, known.revision);
+        if order.is_lt() || (order.is_eq() && self.to <= known) {
             return Continuation::Known;
         }
-        if self.from > known {
+        if order.is_gt() || self.from > known {
             return Continuation::Gap;
         }
         let mut changes = Vec::new();
         for change in self.changes {
             // An older document does not replace a newer one.
             if change.revision > known || change.key == CONFIG_KEY {
-                changes.push(change.into_change());
+                changes.push(change.into_change(era));
             }
         }
         Continuation::Changes(changes, self.to)
@@ -204,27 +210,28 @@
         match change {
             Change::Written(item) => Self {
                 key: item.key.clone(),
-                revision: item.revision,
+                revision: item.position.revision,
                 value: Some(item.value.clone()),
             },
-            Change::Deleted { key, revision } => Self {
+            Change::Deleted { key, position } => Self {
                 key: key.clone(),
-                revision: *revision,
+                revision: position.revision,
                 value: None,
             },
         }
     }
 
     /// Converts the change back to the form in which the store reports it.
-    fn into_change(self) -> Change {
-        let (key, revision) = (self.key, self.revision);
+    fn into_change(self, era: Era) -> Change {
+        let (key, position) = (self.key, Position::new(era, self.revision));
         match self.value {
             Some(value) => Change::Written(Item {
                 key,
                 value,
-                revision,
+                position,
+                lease: None,
             }),
-            None => Change::Deleted { key, revision },
+            None => Change::Deleted { key, position },
         }
     }
 }
--- a/crates/cactuslane-gateway/src/sending.rs
+++ b/crates/cactuslane-gateway/src/sending.rs
@@ -5,7 +5,7 @@
 use cactuslane_authority::UsageUpdate;
 use cactuslane_flight::origin::StreamId;
 use cactuslane_place::{LimitNotice, Suspect};
-use cactuslane_types::InstanceId;
+use cactuslane_types::{Era, FIRST_ERA, InstanceId};
 use log::{debug, warn};
 use tokio::net::UdpSocket;
 
@@ -15,13 +15,18 @@
 use crate::relay::Relay;
 use crate::state::Gateway;
 
-/// Sends relays to the other instances of the same failure domain.
-pub fn send_relays(gateway: &Gateway, socket: &UdpSocket, relays: Vec<Relay>) {
+/// Sends relays of an era to the other instances of the same failure domain.
+pub fn send_relays(gateway: &Gateway, socket: &UdpSocket, era: Era, relays: Vec<Relay>) {
     let peers = gateway
         .members()
         .domain_peer_addresses(&gateway.settings().domain);
     for relay in relays {
-        send(socket, &Message::Relay(relay), &peers);
+        let message = if era > FIRST_ERA {
+            Message::RelayOfEra(era, relay)
+        } else {
+            Message::Relay(relay)
+        };
+        send(socket, &message, &peers);
     }
 }
 
--- a/crates/cactuslane-gateway/src/state.rs
+++ b/crates/cactuslane-gateway/src/state.rs
@@ -18,7 +18,7 @@
 use cactuslane_platform::Settings;
 use cactuslane_store::http::Client;
 use cactuslane_store::kv::KvClient;
-use cactuslane_types::{Millis, ServiceName, SoftwareVersion, TargetId};
+use cactuslane_types::{Millis, Position, ServiceName, SoftwareVersion, TargetId};
 use log::warn;
 use tokio::net::UdpSocket;
 use tokio::sync::Notify;
@@ -28,7 +28,7 @@
 use crate::calls::PeerCalls;
 use crate::duties::Duties;
 use crate::fleet::Fleet;
-use crate::leadership::{LeaderRecord, Leadership};
+use crate::leadership::{LeaderRecord, Leadership, SharedLeadership};
 use crate::members::Members;
 use crate::metrics::Metrics;
 use crate::progress::Progress;
@@ -62,7 +62,7 @@
     /// Other instances, as known from the store and their messages.
     members: Mutex<Members>,
     /// Leadership: the right of one instance at a time to give orders to engines.
-    leadership: Arc<Mutex<Leadership>>,
+    leadership: SharedLeadership,
     /// Calls to the platform that the leader makes.
     pub duties: Arc<Duties>,
     /// Placer that chooses targets, with its records of load, caches and health.
@@ -101,6 +101,8 @@
     pub pool: ConnectionPool,
     /// Client of the key-value store.
     pub store: KvClient,
+    /// Position of this instance's own entry in the store; of revision 0 if it has none.
+    entry: Mutex<Position>,
     /// Metrics of the instance.
     pub metrics: Metrics,
     /// Time at which the instance began to stop; `None` before.
@@ -141,7 +143,7 @@
         let clock_origin = Instant::now();
         let usage = Usage::new((settings.instance.clone(), started));
         fleet.set_fallback_period(settings.drain_limit);
-        let leadership: Arc<Mutex<Leadership>> = Arc::default();
+        let leadership = SharedLeadership::new(&store);
         let duties = Duties::open(&settings, leadership.clone());
         metrics.add_duties(&duties);
         Self {
@@ -171,6 +173,7 @@
             retry_budgets: Mutex::default(),
             pool: ConnectionPool::open(clock_origin),
             store,
+            entry: Mutex::default(),
             metrics,
             leaving: Mutex::default(),
             held,
@@ -230,7 +233,18 @@
 
     /// Locks the leadership.
     pub fn leadership(&self) -> MutexGuard<'_, Leadership> {
-        lock(&self.leadership)
+        self.leadership.lock()
+    }
+
+    /// Returns the position of this instance's own entry in the store, as this process last wrote it.
+    #[must_use]
+    pub fn entry_position(&self) -> Position {
+        *lock(&self.entry)
+    }
+
+    /// Records the position at which this process wrote its own entry in the store.
+    pub fn record_entry(&self, position: Position) {
+        *lock(&self.entry) = position;
     }
 
     /// Returns the record that names this process as the leader.
--- a/crates/cactuslane-gateway/src/versions.rs
+++ b/crates/cactuslane-gateway/src/versions.rs
@@ -9,7 +9,7 @@
 
 use cactuslane_flight::origin::VersionList;
 use cactuslane_store::kv::{Item, KvError, Update};
-use cactuslane_types::Millis;
+use cactuslane_types::{Millis, Position};
 use log::{info, warn};
 use tokio::time::{MissedTickBehavior, interval, sleep};
 
@@ -39,7 +39,7 @@
         let now = gateway.now();
         let lifetime = gateway.stream_lifetime();
         let wanted = gateway.fleet().wanted_versions(lifetime, now);
-        let Some((list, revision)) = wanted else {
+        let Some((list, position)) = wanted else {
             wanted_since = None;
             continue;
         };
@@ -47,10 +47,10 @@
         if gateway.is_leaving() || now < since + TURN * rank(&gateway, now) {
             continue;
         }
-        match write(&gateway, &list, revision).await {
-            Ok(revision) => {
-                info!(revision, versions:? = list; "versions of streams listed");
-                gateway.fleet().set_version_list(list, revision);
+        match write(&gateway, &list, position).await {
+            Ok(position) => {
+                info!(revision = position.revision, versions:? = list; "versions of streams listed");
+                gateway.fleet().set_version_list(list, position);
             }
             // The list that another instance wrote arrives with the store's changes.
             Err(KvError::Conflict) => {}
@@ -68,14 +68,18 @@
         warn!(key = item.key, error:% = error; "list of versions is unreadable, it is written anew");
         VersionList::default()
     });
-    gateway.fleet().set_version_list(list, item.revision);
+    gateway.fleet().set_version_list(list, item.position);
 }
 
-/// Writes a list in place of the one at a revision, and returns its own revision.
-async fn write(gateway: &Gateway, list: &VersionList, revision: u64) -> Result<u64, KvError> {
+/// Writes a list in place of the one at a position, and returns its own position.
+async fn write(
+    gateway: &Gateway,
+    list: &VersionList,
+    position: Position,
+) -> Result<Position, KvError> {
     let value = serde_json::to_vec(list).unwrap_or_default();
     let update = Update {
-        expected: vec![(LIST_KEY.to_owned(), revision)],
+        expected: vec![(LIST_KEY.to_owned(), position)],
         writes: vec![(LIST_KEY.to_owned(), value, None)],
         ..Update::default()
     };
--- a/crates/cactuslane-gateway/src/watch.rs
+++ b/crates/cactuslane-gateway/src/watch.rs
@@ -7,14 +7,14 @@
 
 use cactuslane_platform::store::CONFIG_KEY;
 use cactuslane_store::kv::{Change, KeyRead, KvError, WATCH_GRACE};
-use cactuslane_types::Millis;
+use cactuslane_types::{Era, Millis};
 use log::{info, warn};
 use tokio::net::UdpSocket;
 use tokio::sync::mpsc;
 use tokio::task::JoinSet;
 use tokio::time::{sleep, timeout};
 
-use crate::backoff::Backoff;
+use crate::backoff::{Backoff, backoff_factor, random_pause};
 use crate::control::{apply, read_all};
 use crate::progress::Progress;
 use crate::ranking::is_small_deployment;
@@ -42,8 +42,17 @@
 /// Capacity of the channel for received relays; further ones are dropped.
 const MAX_RELAYS: usize = 64;
 
-/// A relay with the time of its arrival, on the instance's clock.
-pub type ReceivedRelay = (Relay, Millis);
+/// A relay that has arrived from another instance.
+#[derive(Debug)]
+pub struct ReceivedRelay {
+    /// The era in which its sender read the changes.
+    pub era: Era,
+    /// The changes.
+    pub relay: Relay,
+    /// The time of its arrival, on the instance's clock.
+    pub arrival: Millis,
+}
+
 /// The sender of received relays to the task that tracks the store.
 pub type RelaySender = mpsc::Sender<ReceivedRelay>;
 
@@ -123,8 +132,8 @@
     let mut backoff = Backoff::default();
     loop {
         let asked = gateway.now();
-        let revision = match read_all(&gateway).await {
-            Ok(revision) => revision,
+        let position = match read_all(&gateway).await {
+            Ok(position) => position,
             Err(error) => {
                 sleep(record_failure(&gateway, "read", &error, &mut backoff)).await;
                 store_ok = false;
@@ -137,7 +146,7 @@
         let mut follower = Follower {
             gateway: gateway.clone(),
             socket: socket.clone(),
-            progress: Progress::at(revision, asked),
+            progress: Progress::at(position, asked),
             store_ok,
             backoff: Backoff::default(),
             retry_at: 0,
@@ -151,21 +160,38 @@
 }
 
 impl Follower {
-    /// Tracks the store's changes until those after the known revision have been compacted.
+    /// Tracks the store's changes until those after the known position are not available any more,
+    /// as they have been compacted or the store is in a new era.
     async fn run(&mut self, relays: &mut mpsc::Receiver<ReceivedRelay>) {
+        let mut eras = self.gateway.store.subscribe_era();
         loop {
             self.gateway.observe_progress(&self.progress);
+            let era = *eras.borrow_and_update();
+            if era > self.progress.era {
+                let revision = self.progress.position().revision;
+                info!(revision, era; "new era of the store, reading all keys");
+                self.spread_reads().await;
+                return;
+            }
             let mode = self.sync_mode();
             let pause = match mode {
                 SyncMode::Receiving | SyncMode::StandingIn => Duration::ZERO,
                 SyncMode::Relaying => WATCH_PAUSE,
                 SyncMode::Direct => watch_pause(&self.gateway),
             };
-            let result = self.step(mode, relays).await;
+            let result = tokio::select! {
+                result = self.step(mode, relays) => result,
+                // Another call to the store has shown it.
+                Ok(()) = eras.changed() => continue,
+            };
             match result {
                 Ok(()) => sleep(pause).await,
                 Err(KvError::Compacted) => {
-                    info!(revision = self.progress.revision(); "history is gone, reading all keys");
+                    if self.gateway.store.era() > self.progress.era {
+                        continue;
+                    }
+                    let revision = self.progress.position().revision;
+                    info!(revision; "history is gone, reading all keys");
                     return;
                 }
                 Err(error) => {
@@ -212,6 +238,15 @@
         }
     }
 
+    /// Waits for a random time before all keys are read in a new era, as all instances of a large
+    /// deployment do so at the same time.
+    async fn spread_reads(&self) {
+        let others = self.gateway.alive_peers();
+        if !is_small_deployment(others) {
+            sleep(random_pause().mul_f64(backoff_factor(others))).await;
+        }
+    }
+
     /// Returns how this instance learns of changes at present.
     fn sync_mode(&self) -> SyncMode {
         let now = self.gateway.now();
@@ -260,23 +295,26 @@
             Some(read) = self.document.join_next() => {
                 let read = read.unwrap_or_else(|error| Err(KvError::Lost(error.to_string())));
                 let (read, asked) = read?;
+                if read.position.era != self.progress.era {
+                    return Err(KvError::Compacted);
+                }
                 if let Some(item) = read.item {
                     apply(&self.gateway, Change::Written(item));
                 }
-                self.progress.record_document(read.revision, asked);
+                self.progress.record_document(read.position.revision, asked);
                 Ok(Fetch::Nothing)
             }
             received = timeout(limit, relays.recv()) => {
-                let Ok(Some((relay, arrival))) = received else {
+                let Ok(Some(received)) = received else {
                     info!(age, timeout_ms; "no relay in time, reading the store for the others too");
                     return Ok(Fetch::Relayed);
                 };
-                let (from, to) = (relay.from, relay.to);
-                let is_missing = self.apply_relay(relay, arrival);
+                let (era, from, to) = (received.era, received.relay.from, received.relay.to);
+                let is_missing = self.apply_relay(received);
                 let may_call = self.gateway.now() >= self.retry_at;
                 if is_missing {
                     let known = self.progress.entries;
-                    info!(known, from, to, age, may_call; "relay leaves a gap");
+                    info!(known, era, from, to, age, may_call; "relay leaves a gap");
                 }
                 Ok(if is_missing && may_call { Fetch::Missing } else { Fetch::Nothing })
             }
@@ -284,7 +322,13 @@
     }
 
     /// Applies a relay; returns whether changes before it must be fetched from the store.
-    fn apply_relay(&mut self, relay: Relay, arrival: Millis) -> bool {
+    fn apply_relay(&mut self, received: ReceivedRelay) -> bool {
+        let ReceivedRelay {
+            era,
+            relay,
+            arrival,
+        } = received;
+        let known = self.progress.position_at(self.progress.entries);
         if relay.recovered {
             // Entries may have vanished only because they were not renewed while the store failed.
             let now = self.gateway.now();
@@ -292,8 +336,11 @@
         }
         let seen = arrival.saturating_sub(relay.age);
         let (range, to) = (relay.document, relay.to);
-        match relay.continue_from(self.progress.entries) {
+        match relay.continue_from(era, known) {
+            Continuation::Known if era < known.era => return false,
             Continuation::Known => {}
+            // The watch that follows shows the later era, in which all keys are read again.
+            Continuation::Gap if era > known.era => return true,
             Continuation::Gap => {
                 self.progress.want_document(range.missing);
                 return true;
--- a/crates/cactuslane-gateway/src/watch/fetch.rs
+++ b/crates/cactuslane-gateway/src/watch/fetch.rs
@@ -3,8 +3,8 @@
 use std::time::Duration;
 
 use cactuslane_platform::store::CONFIG_KEY;
-use cactuslane_store::kv::{Change, Changes, KvError, revision_of};
-use cactuslane_types::Millis;
+use cactuslane_store::kv::{Change, Changes, KvError, position_of};
+use cactuslane_types::{Millis, Position};
 use log::info;
 use tokio::sync::mpsc;
 use tokio::task::JoinSet;
@@ -42,7 +42,7 @@
             SyncMode::Direct => watch_wait(self.gateway.settings().contact_grace),
         };
         let asked = self.gateway.now();
-        let from = self.progress.revision();
+        let from = self.progress.position();
         let response = self.gateway.store.watch(ALL_KEYS, from, wait).await?;
         let mut reading = JoinSet::new();
         reading.spawn(response.changes());
@@ -61,7 +61,7 @@
         let recovered = !std::mem::replace(&mut self.store_ok, true);
         self.backoff.reset();
         if recovered {
-            info!(revision = self.progress.revision(); "store is back");
+            info!(revision = self.progress.position().revision; "store is back");
         }
         self.last_read = self.gateway.now();
         self.gateway.fleet().record_store_contact(self.last_read);
@@ -74,7 +74,7 @@
             self.send(relays, seen);
         }
         self.apply_all(&changes);
-        self.progress.record_all(changes.revision, seen);
+        self.progress.record_all(changes.position.revision, seen);
         Ok(())
     }
 
@@ -94,14 +94,14 @@
                 Some(read) = reading.join_next() => {
                     return read.unwrap_or_else(|error| Err(KvError::Lost(error.to_string())));
                 }
-                Some((relay, arrival)) = relays.recv(), if mode.receives() => {
-                    has_gap |= self.apply_relay(relay, arrival);
+                Some(received) = relays.recv(), if mode.receives() => {
+                    has_gap |= self.apply_relay(received);
                     continue;
                 }
                 () = sleep_until(next) => {}
             }
             if !std::mem::replace(&mut is_large, true) {
-                let revision = self.progress.revision();
+                let revision = self.progress.position().revision;
                 info!(mode:?, revision; "large response of the store, reading other changes beside it");
             }
             let age = self
@@ -141,7 +141,7 @@
         missing: Option<u64>,
     ) -> Result<Option<u64>, KvError> {
         let asked = self.gateway.now();
-        let from = self.progress.entries;
+        let from = self.progress.position_at(self.progress.entries);
         let mut fetches = JoinSet::new();
         for prefix in SMALL_KEYS {
             let store = self.gateway.store.clone();
@@ -152,19 +152,20 @@
             None => self.find_unchanged().await,
         };
         let mut changes = Changes {
-            revision: unchanged.unwrap_or(u64::MAX),
+            position: self.progress.position_at(unchanged.unwrap_or(u64::MAX)),
             ..Changes::default()
         };
         while let Some(fetched) = fetches.join_next().await {
             let some = fetched.unwrap_or_else(|error| Err(KvError::Lost(error.to_string())))?;
-            changes.revision = changes.revision.min(some.revision);
+            changes.position = changes.position.min(some.position);
             changes.changes.extend(some.changes);
         }
-        let revision = changes.revision;
+        let position = changes.position;
         changes
             .changes
-            .retain(|change| revision_of(change) <= revision);
-        changes.changes.sort_by_key(revision_of);
+            .retain(|change| position_of(change) <= position);
+        changes.changes.sort_by_key(position_of);
+        let revision = position.revision;
         let missing = match unchanged {
             Some(_) => None,
             None => Some(missing.unwrap_or(revision)),
@@ -193,7 +194,8 @@
     /// is not known in a short time.
     async fn find_unchanged(&self) -> Option<u64> {
         let fetch = async {
-            let (store, known) = (&self.gateway.store, self.progress.document);
+            let store = &self.gateway.store;
+            let known = self.progress.position_at(self.progress.document);
             let response = store.watch(CONFIG_KEY, known, NO_WAIT).await?;
             if response
                 .length()
@@ -202,7 +204,12 @@
                 return Ok(None);
             }
             let changes = response.changes().await?;
-            Ok::<_, KvError>(changes.changes.is_empty().then_some(changes.revision))
+            Ok::<_, KvError>(
+                changes
+                    .changes
+                    .is_empty()
+                    .then_some(changes.position.revision),
+            )
         };
         timeout(LARGE_RESPONSE, fetch).await.ok()?.ok()?
     }
@@ -213,14 +220,14 @@
         for relay in &mut relays {
             relay.age = age;
         }
-        send_relays(&self.gateway, &self.socket, relays);
+        send_relays(&self.gateway, &self.socket, self.progress.era, relays);
     }
 
     /// Applies changes in the order of their revisions, unless they are known.
     fn apply_all(&self, changes: &Changes) {
         for change in &changes.changes {
             let is_document = matches!(change, Change::Written(item) if item.key == CONFIG_KEY);
-            if is_document || revision_of(change) > self.progress.entries {
+            if is_document || position_of(change).revision > self.progress.entries {
                 apply(&self.gateway, change.clone());
             }
         }
@@ -228,7 +235,7 @@
 }
 
 /// Logs what a read of the store brought that was large, or that no relay made needless.
-fn log_read(mode: SyncMode, from: u64, changes: &Changes, elapsed_ms: Millis) {
+fn log_read(mode: SyncMode, from: Position, changes: &Changes, elapsed_ms: Millis) {
     let (mut bytes, mut record_bytes) = (0, 0);
     for change in &changes.changes {
         let Change::Written(item) = change else {
@@ -239,6 +246,7 @@
             record_bytes += item.value.len();
         }
     }
-    let (count, to) = (changes.changes.len(), changes.revision);
+    let (from, to) = (from.revision, changes.position.revision);
+    let count = changes.changes.len();
     info!(mode:?, from, to, count, bytes, record_bytes, elapsed_ms; "read changes of the store");
 }
--- a/crates/cactuslane-gateway/tests/builds.rs
+++ b/crates/cactuslane-gateway/tests/builds.rs
@@ -80,6 +80,24 @@
     }
 }
 
+/// Guards against revisions of a later era that a build without eras takes for those of the first
+/// one: they are in a message of a kind that it skips, and not in the one that it reads.
+#[test]
+fn relays_of_a_later_era_are_a_kind_of_their_own() {
+    let relays = recorded(BUILD_2E8F6AB);
+    let (_, bytes) = relays
+        .iter()
+        .find(|(name, _)| name == "relay")
+        .expect("it is recorded");
+    let Ok(Received::Whole(Message::Relay(relay))) = decode(bytes) else {
+        panic!("the relay is not read");
+    };
+    let message = Message::RelayOfEra(2, relay);
+    let bytes = message.encode().expect("it is encoded");
+    assert_eq!(bytes[0], 13, "the kind after those of the last build");
+    assert_eq!(decode(&bytes), Ok(Received::Whole(message)));
+}
+
 /// Returns counts of so many customers with names of `length` bytes in six windows.
 fn full_book(customers: usize, length: usize) -> UsageBook {
     let mut book = UsageBook::new(("front-a-1".to_owned(), 1_700_000_000_000));
@@ -137,7 +155,7 @@
 
 #[parameterized(
     later_form = { &[LATER_FORM, 1, 2], MessageError::LaterForm(LATER_FORM) },
-    unknown_kind = { &[13, 0], MessageError::UnknownKind(13) },
+    unknown_kind = { &[14, 0], MessageError::UnknownKind(14) },
     empty = { &[], MessageError::Malformed("empty".to_owned()) },
 )]
 fn a_message_that_cannot_be_read_says_why(bytes: &[u8], expected: MessageError) {
--- a/crates/cactuslane-gateway/tests/duties/calls.rs
+++ b/crates/cactuslane-gateway/tests/duties/calls.rs
@@ -77,7 +77,7 @@
         holder.take_under(12, 100_000, 60_000, boot_millis());
         unsent().await;
         holder.take(13);
-        holder.leadership.lock().unwrap().leave();
+        holder.leadership.lock().leave();
         unsent().await;
         assert_eq!(platform.arrived(), 0);
     });
--- a/crates/cactuslane-gateway/tests/duties/holder.rs
+++ b/crates/cactuslane-gateway/tests/duties/holder.rs
@@ -3,18 +3,19 @@
 use std::collections::BTreeMap;
 use std::future::Future;
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
-use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
 use cactuslane_authority::reports::Counts;
 use cactuslane_gateway::duties::usage::{self, Sources};
 use cactuslane_gateway::duties::{Duties, DutyCall};
-use cactuslane_gateway::leadership::{Leadership, boot_millis};
+use cactuslane_gateway::leadership::{SharedLeadership, boot_millis};
 use cactuslane_platform::Settings;
 use cactuslane_platform::settings::{DutySettings, UsageSettings};
 use cactuslane_platform_standin::settings;
-use cactuslane_store::kv::KvClient;
+use cactuslane_store::kv::{KvClient, Lease};
+use cactuslane_types::Position;
 use tokio::task::JoinHandle;
 use tokio::time::{sleep, timeout};
 
@@ -34,7 +35,7 @@
     /// Its calls.
     pub duties: Arc<Duties>,
     /// Its leadership.
-    pub leadership: Arc<Mutex<Leadership>>,
+    pub leadership: SharedLeadership,
     /// Number of requests that it counts for each window; 0 if it counts none.
     pub counted: Arc<AtomicU64>,
 }
@@ -84,7 +85,8 @@
 impl Holder {
     /// Creates an instance that makes calls to an address and holds no duty.
     pub fn new(name: &str, address: SocketAddr) -> Self {
-        let leadership: Arc<Mutex<Leadership>> = Arc::default();
+        let store = KvClient::open(address, cactuslane_platform::store::codec());
+        let leadership = SharedLeadership::new(&store);
         let settings = duty_settings(name, address, address);
         Self {
             duties: Arc::new(Duties::open(&settings, leadership.clone())),
@@ -101,14 +103,15 @@
     /// Lets the instance have taken the duties at a time, under a lease of `ttl` milliseconds and
     /// with a settling time of `settle` milliseconds.
     pub fn take_under(&self, token: u64, ttl: u64, settle: u64, at: u64) {
-        let mut leadership = self.leadership.lock().unwrap();
-        leadership.renewed(77, at, ttl);
-        leadership.acquired(token, settle, at);
+        let mut leadership = self.leadership.lock();
+        let lease = Lease { era: 1, id: 77 };
+        leadership.renewed(lease, at, ttl);
+        leadership.acquired(Position::new(1, token), settle, at);
     }
 
     /// Lets the instance lose the duties.
     pub fn lose(&self) {
-        self.leadership.lock().unwrap().lapsed();
+        self.leadership.lock().lapsed();
     }
 
     /// Starts the reports of the instance, whose clock the test sets.
--- a/crates/cactuslane-gateway/tests/instance_state.rs
+++ b/crates/cactuslane-gateway/tests/instance_state.rs
@@ -1,4 +1,4 @@
-//! State of an instance: routing configuration, targets, other instances and leadership.
+//! State of an instance: routing configuration, targets and other instances.
 
 use std::time::Duration;
 
@@ -6,7 +6,6 @@
 use cactuslane_flight::target::{Target, TargetState};
 use cactuslane_gateway::Gateway;
 use cactuslane_gateway::fleet::{Effect, Fleet};
-use cactuslane_gateway::leadership::{LeaderRecord, Leadership};
 use cactuslane_gateway::members::{Member, Members};
 use cactuslane_gateway::watch::watch_wait;
 use cactuslane_place::Observed;
@@ -217,63 +216,6 @@
     assert_eq!(members.sweep(20_000), ["a"]);
 }
 
-/// Creates the record of the leader with a name.
-fn leader(name: &str) -> LeaderRecord {
-    LeaderRecord {
-        instance: name.to_owned(),
-        started: 1,
-    }
-}
-
-#[test]
-fn leadership_after_another_leader_settles_and_ends_with_the_next_leader() {
-    let mut leadership = Leadership::default();
-    let me = leader("a");
-    assert!(
-        leadership.candidacy(&me, 3_300, 4_000, 1_100).is_none(),
-        "there is no lease, and the last leader was not read"
-    );
-    leadership.observe_last_leader(Some("b".to_owned()), 5);
-    leadership.renewed(77, 1_000, 4_000);
-    let candidacy = leadership
-        .candidacy(&me, 3_300, 4_000, 1_100)
-        .expect("the leadership is vacant");
-    assert_eq!(candidacy.settle, 7_300);
-    assert_eq!(candidacy.update.expected[1].1, 5);
-    leadership.acquired(9, candidacy.settle, 1_100);
-    assert!(leadership.is_held(1_200) && leadership.may_order(1_200).is_none());
-    // A revision from before the acquisition is ignored; another leader's record ends the term.
-    leadership.observe_leader(None, 8, &me, 0, 1_200);
-    assert!(leadership.is_held(1_200));
-    leadership.observe_leader(Some(leader("b")), 12, &me, 0, 1_200);
-    assert!(!leadership.is_held(1_200));
-}
-
-#[test]
-fn the_last_leader_acquires_the_leadership_again_without_settling() {
-    let mut leadership = Leadership::default();
-    let me = leader("a");
-    leadership.observe_last_leader(Some("a".to_owned()), 5);
-    leadership.renewed(77, 1_000, 4_000);
-    let candidacy = leadership
-        .candidacy(&me, 3_300, 4_000, 1_100)
-        .expect("the leadership is vacant");
-    leadership.acquired(9, candidacy.settle, 1_100);
-    assert_eq!(leadership.may_order(1_200), Some(9));
-    leadership.lapsed();
-    assert!(leadership.may_order(1_200).is_none());
-}
-
-#[test]
-fn leadership_whose_acquisition_got_no_answer_is_detected_and_settles() {
-    let mut leadership = Leadership::default();
-    let me = leader("a");
-    leadership.observe_last_leader(None, 0);
-    leadership.renewed(77, 1_000, 4_000);
-    leadership.observe_leader(Some(me.clone()), 12, &me, 7_300, 1_200);
-    assert!(leadership.is_held(1_200) && leadership.may_order(1_200).is_none());
-}
-
 #[tokio::test]
 async fn the_fallback_period_follows_the_settings() {
     let mut settings = cactuslane_platform_standin::settings(
--- a/crates/cactuslane-gateway/tests/relay.rs
+++ b/crates/cactuslane-gateway/tests/relay.rs
@@ -7,22 +7,33 @@
 use cactuslane_gateway::keys::RECORDS_PREFIX;
 use cactuslane_gateway::relay::{Continuation, READ_TIME, Relay, is_watcher, relay_timeout};
 use cactuslane_platform::store::CONFIG_KEY;
-use cactuslane_store::kv::{Change, Changes, Item, KvError, WATCH_GRACE};
+use cactuslane_store::kv::{Change, Changes, Item, KvError, WATCH_GRACE, position_of};
+use cactuslane_types::{Era, Position};
 use yare::parameterized;
 
+/// The era of the store in these tests.
+const ERA: Era = 3;
+
+/// Returns the position of a revision.
+fn at(revision: u64) -> Position {
+    Position::new(ERA, revision)
+}
+
 /// Returns the change that writes a value of `bytes` bytes at a revision.
 fn written(revision: u64, bytes: usize) -> Change {
     Change::Written(Item {
         key: format!("k{revision}"),
         value: vec![7; bytes],
-        revision,
+        position: at(revision),
+        lease: None,
     })
 }
 
 /// Returns the change that deletes the key of a revision.
 fn deleted(revision: u64) -> Change {
     let key = format!("k{revision}");
-    Change::Deleted { key, revision }
+    let position = at(revision);
+    Change::Deleted { key, position }
 }
 
 /// Applies relays to an instance that knows all changes up to `known`.
@@ -32,7 +43,7 @@
 fn apply(relays: Vec<Relay>, mut known: u64) -> (Vec<Change>, u64, bool) {
     let (mut all, mut gap) = (Vec::new(), false);
     for relay in relays {
-        match relay.continue_from(known) {
+        match relay.continue_from(ERA, at(known)) {
             Continuation::Changes(changes, revision) => {
                 all.extend(changes);
                 known = revision;
@@ -52,12 +63,13 @@
         Change::Written(Item {
             key: format!("{RECORDS_PREFIX}front-1/7"),
             value: vec![7; bytes],
-            revision,
+            position: at(revision),
+            lease: None,
         })
     };
     let changes = Changes {
         changes: vec![record(11, 5), written(12, 5), record(13, 9_000)],
-        revision: 13,
+        position: at(13),
     };
     let (all, revision, missing) = apply(Relay::pack(10, 10, &changes), 10);
     assert_eq!(all, [written(12, 5)]);
@@ -79,13 +91,13 @@
 ) {
     let changes = Changes {
         changes: vec![written(11, 5), deleted(12), written(14, 5)],
-        revision: 14,
+        position: at(14),
     };
     let (all, revision, missing) = apply(Relay::pack(10, 10, &changes), known);
     let mut expected = changes.changes;
     expected.retain(|change| match change {
-        Change::Written(item) => applied.contains(&item.revision),
-        Change::Deleted { revision, .. } => applied.contains(revision),
+        Change::Written(item) => applied.contains(&item.position.revision),
+        Change::Deleted { position, .. } => applied.contains(&position.revision),
     });
     assert_eq!((all, revision, missing), (expected, known_after, gap));
 }
@@ -99,7 +111,7 @@
     }
     let packed = Changes {
         changes: changes.clone(),
-        revision: 45,
+        position: at(45),
     };
     let relays = Relay::pack(0, 0, &packed);
     assert!(relays.len() > 1);
@@ -118,7 +130,7 @@
 fn a_change_too_large_for_a_relay_leaves_a_gap() {
     let packed = Changes {
         changes: vec![written(1, 10), written(2, 100_000), written(3, 10)],
-        revision: 3,
+        position: at(3),
     };
     let relays = Relay::pack(0, 0, &packed);
     let (all, known, gap) = apply(relays.clone(), 0);
@@ -162,7 +174,7 @@
     let changes = [vec![written(4, 10)], update, vec![written(6, 10)]].concat();
     let packed = Changes {
         changes,
-        revision: 6,
+        position: at(6),
     };
     let relays = Relay::pack(3, 3, &packed);
     let (all, known, gap) = apply(relays.clone(), 3);
@@ -232,12 +244,13 @@
         Change::Written(Item {
             key: CONFIG_KEY.to_owned(),
             value: vec![7; bytes],
-            revision,
+            position: at(revision),
+            lease: None,
         })
     };
     let changes = Changes {
         changes: vec![written(11, 5), document(12, 20_000), written(13, 5)],
-        revision: 14,
+        position: at(14),
     };
     let relays = Relay::pack(10, 10, &changes);
     assert_eq!(relays[0].document.missing, 12);
@@ -246,11 +259,11 @@
     // A small one is applied even if the entries are known beyond its revision.
     let changes = Changes {
         changes: vec![written(11, 5), document(12, 20)],
-        revision: 14,
+        position: at(14),
     };
     let relays = Relay::pack(13, 10, &changes);
     assert_eq!((relays[0].document.from, relays[0].document.to), (10, 14));
-    let Continuation::Changes(changes, _) = relays[0].clone().continue_from(13) else {
+    let Continuation::Changes(changes, _) = relays[0].clone().continue_from(ERA, at(13)) else {
         panic!("the relay goes further than the instance");
     };
     assert_eq!(changes, [document(12, 20)]);
@@ -275,3 +288,35 @@
         assert!(age + failed + READ_TIME <= limit_ms, "{me}: {age} ms");
     }
 }
+
+/// Guards against changes of an earlier era that arrive late, and against those of a later era that
+/// continue the revisions of the earlier one.
+#[parameterized(
+    same_era = { 3, 3, Some(Vec::from([12])) },
+    earlier_era = { 2, 3, Some(Vec::new()) },
+    later_era = { 4, 3, None },
+    no_era_in_the_first_one = { 1, 1, Some(Vec::from([12])) },
+    no_era_from_a_store_without = { 1, 0, Some(Vec::from([12])) },
+    no_era_in_a_later_one = { 1, 2, Some(Vec::new()) },
+)]
+fn a_relay_continues_its_own_era_only(era: Era, known: Era, applied: Option<Vec<u64>>) {
+    let changes = Changes {
+        changes: vec![written(12, 5)],
+        position: Position::new(era, 12),
+    };
+    let relay = Relay::pack(10, 10, &changes).remove(0);
+    let found = match relay.continue_from(era, Position::new(known, 10)) {
+        Continuation::Changes(changes, _) => {
+            assert!(
+                changes
+                    .iter()
+                    .all(|change| position_of(change).era == known)
+            );
+            let revisions = changes.iter().map(|change| position_of(change).revision);
+            Some(revisions.collect())
+        }
+        Continuation::Known => Some(Vec::new()),
+        Continuation::Gap => None,
+    };
+    assert_eq!(found, applied);
+}
--- a/crates/cactuslane-gateway/tests/scaling.rs
+++ b/crates/cactuslane-gateway/tests/scaling.rs
@@ -14,7 +14,8 @@
 use cactuslane_gateway::scaling;
 use cactuslane_place::Load;
 use cactuslane_platform::settings::DutySettings;
-use cactuslane_types::Role;
+use cactuslane_store::kv::Lease;
+use cactuslane_types::{Position, Role};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::time::{Instant, sleep};
@@ -166,15 +167,19 @@
         };
         gateway.placer().load_view.add(&id, load);
     }
-    gateway.observe_progress(&Progress::at(1, gateway.now()));
+    gateway.observe_progress(&Progress::at(Position::new(1, 1), gateway.now()));
     gateway
 }
 
 /// Makes the instance the leader under a fencing token.
 fn lead(gateway: &Gateway, token: u64) {
     let now = boot_millis();
-    gateway.leadership().renewed(7, now, 600_000);
-    gateway.leadership().acquired(token, 0, now);
+    gateway
+        .leadership()
+        .renewed(Lease { era: 1, id: 7 }, now, 600_000);
+    gateway
+        .leadership()
+        .acquired(Position::new(1, token), 0, now);
 }
 
 /// Waits until the platform has received calls that fulfil a condition, and returns them all.
@@ -288,7 +293,7 @@
     let known = gateway.clone();
     let store = tokio::spawn(async move {
         loop {
-            known.observe_progress(&Progress::at(1, known.now()));
+            known.observe_progress(&Progress::at(Position::new(1, 1), known.now()));
             sleep(Duration::from_millis(200)).await;
         }
     });
@@ -315,7 +320,7 @@
 async fn nothing_is_given_up_once_the_store_was_not_heard_of_for_long() {
     let (platform, calls) = open_platform(Vec::new()).await;
     let gateway = open_loaded_gateway(platform, 10, 1);
-    gateway.observe_progress(&Progress::at(1, 0));
+    gateway.observe_progress(&Progress::at(Position::new(1, 1), 0));
     let limit = gateway.knowledge_limit();
     sleep(limit + Duration::from_millis(100)).await;
     lead(&gateway, 5);
--- a/crates/cactuslane-gateway/tests/serving/lost.rs
+++ b/crates/cactuslane-gateway/tests/serving/lost.rs
@@ -7,6 +7,7 @@
 use cactuslane_place::Load;
 use cactuslane_platform_standin::{Fault, Mode, Store, Target, TargetKind, caller, document};
 use cactuslane_store::http::Client;
+use cactuslane_types::Position;
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
 use serde_json::{Value, json};
@@ -271,7 +272,9 @@
         let gateway = &fleet.processes[0].handle.gateway;
         // No write of the store can have this revision as its condition.
         let list = BTreeMap::from([("model".to_owned(), BTreeSet::from([Some("v1".to_owned())]))]);
-        gateway.fleet().set_version_list(list, u64::MAX);
+        gateway
+            .fleet()
+            .set_version_list(list, Position::new(1, u64::MAX));
         let front = gateway.settings().front;
         for (id, expected) in [("r1", 1), ("r2", 0)] {
             let request = caller::request(front, "/summary/7", id);
@@ -296,7 +299,9 @@
         let gateway = &fleet.processes[0].handle.gateway;
         wait_until(|| gateway.target("i-old").is_some()).await;
         let list = BTreeMap::from([("model".to_owned(), BTreeSet::from([Some("v1".to_owned())]))]);
-        gateway.fleet().set_version_list(list, u64::MAX);
+        gateway
+            .fleet()
+            .set_version_list(list, Position::new(1, u64::MAX));
         let request = caller::request(gateway.settings().front, "/summary/7", "r1");
         let response = fleet.client.send(request).await;
         let answer = read_answer(response.expect("the request is answered")).await;
--- a/crates/cactuslane-gateway/tests/serving/main.rs
+++ b/crates/cactuslane-gateway/tests/serving/main.rs
@@ -14,6 +14,7 @@
 mod lost;
 mod plain;
 mod raw;
+mod rewind;
 mod streams;
 mod usage;
 mod versions;
--- a/crates/cactuslane-types/src/lib.rs
+++ b/crates/cactuslane-types/src/lib.rs
@@ -22,6 +22,9 @@
 pub type DomainName = String;
 /// Revision of a stored document or entry, assigned by the key-value service.
 pub type Revision = u64;
+/// Number of a run of the key-value service, which rises each time that the service comes back from
+/// an older copy of its contents; it counts from 1, and is 0 while the service states none.
+pub type Era = u64;
 /// Fencing token of an owner or leader, assigned by the key-value service; it only grows from one
 /// owner to the next.
 pub type FencingToken = u64;
@@ -32,6 +35,50 @@
 /// chooses, such as the start of the process or the Unix epoch.
 pub type Millis = u64;
 
+/// The first era of a key-value service.
+pub const FIRST_ERA: Era = 1;
+/// Number of low bits of a fencing token that hold a revision.
+const REVISION_BITS: u32 = 40;
+/// Number of bits of a fencing token, which the readers of JSON numbers represent exactly.
+const TOKEN_BITS: u32 = 53;
+
+/// A position in the history of the key-value service.
+///
+/// A later era is after an earlier one at any revision: the service gives out the same revisions
+/// again once it has come back from an older copy.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct Position {
+    /// The era in which the service stated the revision.
+    pub era: Era,
+    /// The revision; 0 if there is none, as before the creation of a key.
+    pub revision: Revision,
+}
+
+impl Position {
+    /// Creates a position.
+    #[must_use]
+    pub const fn new(era: Era, revision: Revision) -> Self {
+        Self { era, revision }
+    }
+
+    /// Returns the fencing token of a change at this position, which is higher than that of any
+    /// earlier position; `None` if the era or the revision is too high for a token.
+    ///
+    /// In the first era it is the revision itself, as builds that know no eras have it.
+    #[must_use]
+    pub fn fencing_token(self) -> Option<FencingToken> {
+        let era = self.era.saturating_sub(FIRST_ERA);
+        let fits = era >> (TOKEN_BITS - REVISION_BITS) == 0 && self.revision >> REVISION_BITS == 0;
+        fits.then_some(era << REVISION_BITS | self.revision)
+    }
+}
+
+impl fmt::Display for Position {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}.{}", self.era, self.revision)
+    }
+}
+
 /// Whether a call that did not succeed may have been executed.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case")]
