Close all idle connections of a client once a request got no answer in time

Cause: the client kept any number of idle connections for 20 s, about seven after a read of all keys. Each call without an answer took the next one, which was silent too, and waited for its whole time-out: four watches of 2 s in a row.

Change: the client replaces its pool when a request gets no response in time, unless an exchange beside it has done so since it began. The next call makes a new connection; connections in use end with their requests.

--- a/crates/cactuslane-gateway/tests/serving/main.rs
+++ b/crates/cactuslane-gateway/tests/serving/main.rs
@@ -15,6 +15,7 @@
 mod plain;
 mod raw;
 mod rewind;
+mod silent;
 mod streams;
 mod usage;
 mod versions;
--- a/crates/cactuslane-store/src/http.rs
+++ b/crates/cactuslane-store/src/http.rs
@@ -1,7 +1,9 @@
 //! An HTTP client that distinguishes requests that were not sent from those without a response.
 
 use std::fmt;
+use std::future::Future;
 use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
 use http_body_util::{BodyExt, Full, Limited};
@@ -21,10 +23,25 @@
 pub const MAX_RESPONSE_BYTES: usize = 8 << 20;
 
 /// An HTTP client with a connection pool; clones share the pool.
+///
+/// A request that gets no response in time makes the client close all idle connections: what made the
+/// connection of that request silent, such as a device on the way that lost its state, may have made
+/// the others silent too, and each would cost a later request its whole time.
 #[derive(Clone, Debug)]
 pub struct Client {
-    /// The client with its connection pool.
-    pool: hyper_util::client::legacy::Client<HttpConnector, Full<Bytes>>,
+    /// The connections.
+    pool: Arc<Mutex<Pool>>,
+    /// The maximum number of idle connections per address.
+    max_idle: usize,
+}
+
+/// Connections that are closed together once they are idle.
+#[derive(Clone, Debug)]
+struct Pool {
+    /// The client that makes and reuses the connections.
+    client: hyper_util::client::legacy::Client<HttpConnector, Full<Bytes>>,
+    /// The number of pools before this one.
+    generation: u64,
 }
 
 /// The error of a request without a usable response, by whether the request may have been sent.
@@ -63,18 +80,50 @@
 
     /// Creates a client that keeps at most `max_idle` idle connections per address.
     fn with_max_idle(max_idle: usize) -> Self {
-        let mut connector = HttpConnector::new();
-        connector.set_connect_timeout(Some(CONNECT_TIMEOUT));
-        connector.set_nodelay(true);
-        let mut builder = hyper_util::client::legacy::Client::builder(TokioExecutor::new());
-        builder.pool_timer(TokioTimer::new());
-        builder.pool_idle_timeout(IDLE_TIMEOUT);
-        builder.pool_max_idle_per_host(max_idle);
-        // The pool must not resend requests: one that is not safe to repeat must be sent only once.
-        builder.retry_canceled_requests(false);
-        Self {
-            pool: builder.build(connector),
+        let pool = Arc::new(Mutex::new(Pool::open(max_idle, 0)));
+        Self { pool, max_idle }
+    }
+
+    /// Locks the pool.
+    fn pool(&self) -> MutexGuard<'_, Pool> {
+        self.pool.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Closes the connections that are idle, and those in use once their requests have ended.
+    pub fn close_idle(&self) {
+        let mut pool = self.pool();
+        *pool = Pool::open(self.max_idle, pool.generation + 1);
+    }
+
+    /// Waits for an exchange, and closes the idle connections if it takes longer than `wait`, unless
+    /// an exchange beside it has closed them since it began.
+    async fn within<T>(
+        &self,
+        wait: Duration,
+        exchange: impl Future<Output = Result<T, HttpError>>,
+    ) -> Result<T, HttpError> {
+        let generation = self.pool().generation;
+        if let Ok(result) = timeout(wait, exchange).await {
+            return result;
+        }
+        if self.max_idle > 0 && self.pool().generation == generation {
+            self.close_idle();
         }
+        Err(timeout_error(wait))
+    }
+
+    /// Sends a request and returns the response as soon as its head is received.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`HttpError::Connect`] only if nothing was sent, and [`HttpError::Broken`] if no head
+    /// is received within `wait`.
+    pub async fn send_within(
+        &self,
+        request: Request<Full<Bytes>>,
+        wait: Duration,
+    ) -> Result<Response<Incoming>, HttpError> {
+        self.within(wait, self.send(request)).await
     }
 
     /// Sends a request and returns the response as soon as its head is received.
@@ -86,7 +135,8 @@
         &self,
         request: Request<Full<Bytes>>,
     ) -> Result<Response<Incoming>, HttpError> {
-        self.pool.request(request).await.map_err(|error| {
+        let client = self.pool().client.clone();
+        client.request(request).await.map_err(|error| {
             if error.is_connect() {
                 HttpError::Connect(error_chain(&error))
             } else {
@@ -182,9 +232,7 @@
                 value.map_err(|error| HttpError::Broken(error.to_string()))?,
             )))
         };
-        timeout(wait, exchange)
-            .await
-            .unwrap_or_else(|_| Err(timeout_error(wait)))
+        self.within(wait, exchange).await
     }
 
     /// Posts JSON and returns the first line of the streamed response that `accept` matches.
@@ -206,20 +254,17 @@
     ) -> Result<Option<Value>, HttpError> {
         let deadline = Instant::now() + wait;
         let request = json_request("POST", address, path, Some(body));
-        let no_line = || HttpError::Broken("no line received in time".to_owned());
-        let response = timeout_at(deadline, self.send(request))
-            .await
-            .map_err(|_| no_line())?;
-        let mut body = response?.into_body();
+        let response = self.send_within(request, wait).await?;
+        let mut body = response.into_body();
         let mut buffer = Vec::new();
         let mut line_received = false;
         loop {
             let Ok(frame) = timeout_at(deadline, body.frame()).await else {
-                return if line_received {
-                    Ok(None)
-                } else {
-                    Err(no_line())
-                };
+                if line_received {
+                    return Ok(None);
+                }
+                self.close_idle();
+                return Err(HttpError::Broken("no line received in time".to_owned()));
             };
             let Some(frame) = frame else {
                 return Err(HttpError::Broken("the response ended early".to_owned()));
@@ -262,10 +307,24 @@
             };
             Ok((status, value))
         };
-        match timeout(wait, exchange).await {
-            Ok(result) => result,
-            Err(_) => Err(timeout_error(wait)),
-        }
+        self.within(wait, exchange).await
+    }
+}
+
+impl Pool {
+    /// Creates a pool without connections that keeps at most `max_idle` idle ones per address.
+    fn open(max_idle: usize, generation: u64) -> Self {
+        let mut connector = HttpConnector::new();
+        connector.set_connect_timeout(Some(CONNECT_TIMEOUT));
+        connector.set_nodelay(true);
+        let mut builder = hyper_util::client::legacy::Client::builder(TokioExecutor::new());
+        builder.pool_timer(TokioTimer::new());
+        builder.pool_idle_timeout(IDLE_TIMEOUT);
+        builder.pool_max_idle_per_host(max_idle);
+        // The pool must not resend requests: one that is not safe to repeat must be sent only once.
+        builder.retry_canceled_requests(false);
+        let client = builder.build(connector);
+        Self { client, generation }
     }
 }
 
--- a/crates/cactuslane-store/src/kv.rs
+++ b/crates/cactuslane-store/src/kv.rs
@@ -244,8 +244,8 @@
             .header("content-type", "application/json")
             .body(Full::new(body))
             .map_err(|error| KvError::Malformed(error.to_string()))?;
-        match timeout(wait, self.client.send(request)).await {
-            Ok(Ok(response)) => {
+        match self.client.send_within(request, wait).await {
+            Ok(response) => {
                 let era = self
                     .eras
                     .observe((self.codec.read_era)(response.headers()))?;
@@ -256,9 +256,8 @@
                     eras,
                 })
             }
-            Ok(Err(HttpError::Connect(why))) => Err(KvError::Unreachable(why)),
-            Ok(Err(HttpError::Broken(why))) => Err(KvError::Lost(why)),
-            Err(_) => Err(KvError::Lost(format!("no response within {wait:?}"))),
+            Err(HttpError::Connect(why)) => Err(KvError::Unreachable(why)),
+            Err(HttpError::Broken(why)) => Err(KvError::Lost(why)),
         }
     }
 }
