Delete the entry of a stopping instance before the last look at its requests

Cause: `GatewayHandle::stop` ended its wait once there was no request, and then awaited the store's answer to its last call, up to 1.5 s, with the listeners open. A request that arrived meanwhile was cut when the process ended.

Change: the entry is deleted beside the wait, once there is no request or 3 s before the end of the grace period; the instance ends when that is done and there is neither a request nor a connection, with nothing awaited in between.

Evidence: `a_request_that_arrives_during_the_last_call_to_the_store_is_answered` failed before (1 request in progress when `stop` returned, of 0) and passes.

--- a/crates/cactuslane-gateway/src/lib.rs
+++ b/crates/cactuslane-gateway/src/lib.rs
@@ -72,6 +72,9 @@
 /// Time before the end of the grace period at which a stopping instance no longer waits for
 /// requests; also the margin added to the time for which callers may cache its address.
 const STOP_MARGIN: Duration = Duration::from_millis(350);
+/// Time before the end of the grace period from which a stopping instance deletes its entry although
+/// it still serves requests: a call to the store that gets no answer, and another one.
+const UNREGISTER_TIME: Duration = Duration::from_secs(3);
 /// Number of free ports that are tried for the address between instances.
 const BIND_ATTEMPTS: u32 = 20;
 /// Interval at which a stopping instance checks whether all requests and connections have ended.
@@ -193,7 +196,8 @@
     /// arrive, and stops within the grace period.
     ///
     /// It stops early once callers can no longer have its address cached and no request or
-    /// connection is open.
+    /// connection is open. The instance's entry is deleted before the last look at them, as a request
+    /// may arrive while the store is slow to answer.
     pub async fn stop(self) {
         let settings = self.gateway.settings();
         let began = tokio::time::Instant::now();
@@ -202,15 +206,24 @@
         info!(grace_ms = settings.grace.as_millis() as u64; "stopping");
         control::announce_leaving(&self.gateway).await;
         let addresses_expire = began + settings.address_ttl + STOP_MARGIN;
+        let mut unregistering: Option<JoinHandle<()>> = None;
         while tokio::time::Instant::now() < end {
             tokio::time::sleep(STOP_CHECK_INTERVAL).await;
-            let expired = tokio::time::Instant::now() >= addresses_expire;
-            if expired && self.gateway.requests() == 0 && self.gateway.connections() == 0 {
+            let now = tokio::time::Instant::now();
+            let idle = self.gateway.requests() == 0 && self.gateway.connections() == 0;
+            let is_last = now + UNREGISTER_TIME >= end;
+            if unregistering.is_none() && (is_last || (idle && now >= addresses_expire)) {
+                usage::flush(&self.gateway);
+                let gateway = self.gateway.clone();
+                let unregister = async move { control::unregister(&gateway).await };
+                unregistering = Some(tokio::spawn(unregister));
+                continue;
+            }
+            if idle && unregistering.as_ref().is_some_and(JoinHandle::is_finished) {
                 break;
             }
         }
         usage::flush(&self.gateway);
-        control::unregister(&self.gateway).await;
         info!(requests = self.gateway.requests(); "stopped");
         for task in &self.tasks {
             task.abort();
--- a/crates/cactuslane-gateway/tests/serving/main.rs
+++ b/crates/cactuslane-gateway/tests/serving/main.rs
@@ -16,6 +16,7 @@
 mod raw;
 mod rewind;
 mod silent;
+mod stopping;
 mod streams;
 mod usage;
 mod versions;
