Read the leader key again after a lost acquisition, and ignore its earlier states

Cause, by reading and from a store whose changes of one update have different revisions: an instance that had overlooked its own leader key tried to acquire the leadership again and again, and nothing showed it the key that was in the way.

Change: a conflict is followed by one read of the key; a key under which this process cannot lead, as it knows a higher fencing token, is deleted. Observations from before a later one are ignored, as this read may arrive after a watch.

Evidence: `an_earlier_state_of_the_leader_key_does_not_replace_a_later_one`; the tests of leadership and duties pass. That an instance of the platform was ever in this state is not shown.

--- a/crates/cactuslane-gateway/src/control.rs
+++ b/crates/cactuslane-gateway/src/control.rs
@@ -227,6 +227,20 @@
     Ok(position)
 }
 
+/// Reads and applies the leader key, without those of other kinds.
+///
+/// # Errors
+///
+/// Returns the error of the store call.
+pub async fn read_leader(gateway: &Gateway) -> Result<(), KvError> {
+    let read = gateway.store.get(LEADER_KEY).await?;
+    match read.item {
+        Some(item) => apply_item(gateway, &item, gateway.now()),
+        None => observe_leader(gateway, None, read.position),
+    }
+    Ok(())
+}
+
 /// Fetches the document and all small values, with the lowest of the positions at which they were
 /// read.
 async fn fetch_all(gateway: &Gateway) -> Result<(Vec<Item>, Position), KvError> {
--- a/crates/cactuslane-gateway/src/leadership.rs
+++ b/crates/cactuslane-gateway/src/leadership.rs
@@ -43,6 +43,8 @@
     lease: Option<(Lease, Millis)>,
     /// The current leader according to the store.
     leader: Option<LeaderKey>,
+    /// The latest position at which the leader key was observed.
+    observed: Position,
     /// The instance that acquired the leadership last, if any ever did, and the position of
     /// [`LAST_LEADER_KEY`]; `None` until the store was read.
     last: Option<(Option<InstanceId>, Position)>,
@@ -175,7 +177,8 @@
     /// Applies the leader key as read from the store at a position; `leader` is `None` if there is
     /// none.
     ///
-    /// Positions from before the era or the acquisition by this process are out of date and ignored.
+    /// Positions from before the era, an earlier observation or the acquisition by this process are out
+    /// of date and ignored.
     pub fn observe_leader(
         &mut self,
         leader: Option<LeaderKey>,
@@ -185,9 +188,11 @@
         now: Millis,
     ) {
         let token = position.fencing_token().unwrap_or_default();
-        if position.era < self.era || self.term.is_some_and(|term| token < term.fencing) {
+        let is_outdated = position.era < self.era || position < self.observed;
+        if is_outdated || self.term.is_some_and(|term| token < term.fencing) {
             return;
         }
+        self.observed = position;
         if !leader.as_ref().is_some_and(|key| key.record == *me) {
             self.term = None;
         }
@@ -224,13 +229,15 @@
     }
 
     /// Returns the update that deletes the leader key if it names this process, which cannot lead by
-    /// it: it gave the key up, or holds another lease than the one that the key is attached to.
+    /// it: it gave the key up, knows a higher fencing token, or holds another lease than the one that
+    /// the key is attached to.
     #[must_use]
     pub fn stale_key(&self, me: &LeaderRecord) -> Option<Update> {
         let (lease, _) = self.lease?;
         let key = self.leader.as_ref().filter(|key| key.record == *me)?;
         let is_other = key.lease.is_some_and(|id| id != lease.id);
-        let is_stale = is_other || key.position <= self.given_up;
+        let is_low = self.token_at(key.position).is_none();
+        let is_stale = is_other || is_low || key.position <= self.given_up;
         (is_stale && self.term.is_none()).then(|| delete_key(key.position))
     }
 
--- a/crates/cactuslane-gateway/src/orders.rs
+++ b/crates/cactuslane-gateway/src/orders.rs
@@ -17,6 +17,7 @@
 
 use crate::answers;
 use crate::backoff::random_pause;
+use crate::control::read_leader;
 use crate::engines::{self, CALL_TIMEOUT, CallError};
 use crate::leadership::{LEADER_KEY, LeaderRecord, SettleTime, boot_millis, delete_key};
 use crate::limits;
@@ -110,7 +111,7 @@
         let update = gateway.leadership().stale_key(&me);
         if let Some(update) = update {
             let deleted = gateway.store.update(&update).await;
-            info!(deleted:? = deleted; "key of the office is under an earlier lease, it is deleted");
+            info!(deleted:? = deleted; "key of the office names this process, which can't use it");
             sleep(random_pause()).await;
             continue;
         }
@@ -134,7 +135,15 @@
                 let fencing = leadership.token();
                 info!(fencing, era = position.era, settle_ms = candidacy.settle; "office taken");
             }
-            Err(error) => info!(error:% = error; "office not taken"),
+            Err(error) => {
+                info!(error:% = error; "office not taken");
+                if error == KvError::Conflict {
+                    // Without a further change of the key, nothing else shows who leads.
+                    if let Err(error) = read_leader(&gateway).await {
+                        warn!(error:% = error; "key of the office not read");
+                    }
+                }
+            }
         }
     }
 }
--- a/crates/cactuslane-gateway/tests/leadership/main.rs
+++ b/crates/cactuslane-gateway/tests/leadership/main.rs
@@ -218,3 +218,16 @@
     leadership.acquired(at(52), 0, 1_100);
     assert!(leadership.is_held(1_200));
 }
+
+/// Guards against a vacancy that is overlooked because an earlier read of the key arrives late.
+#[test]
+fn an_earlier_state_of_the_leader_key_does_not_replace_a_later_one() {
+    let mut leadership = Leadership::default();
+    let me = leader("a");
+    leadership.renewed(LEASE, 1_000, 4_000);
+    leadership.observe_last_leader(Some("b".to_owned()), at(5));
+    leadership.observe_leader(Some(key("b", 5)), at(5), &me, SETTLE, 1_050);
+    leadership.observe_leader(None, at(8), &me, SETTLE, 1_100);
+    leadership.observe_leader(Some(key("b", 5)), at(5), &me, SETTLE, 1_150);
+    assert!(leadership.candidacy(&me, SETTLE, 1_200).is_some());
+}
