Apply nothing that was read in two eras of the store together

Cause, by reading: the seven calls that read all keys may span the beginning of an era. The lowest position, of the earlier era, was returned with items of the later one, so that targets that had left before were put in use until the next read.

Change: such a read fails and is repeated after a pause.

--- a/crates/cactuslane-gateway/src/control.rs
+++ b/crates/cactuslane-gateway/src/control.rs
@@ -243,6 +243,11 @@
 
 /// Fetches the document and all small values, with the lowest of the positions at which they were
 /// read.
+///
+/// # Errors
+///
+/// Returns [`KvError::Compacted`] if a new era of the store began meanwhile, as what was read in two
+/// eras must not be applied together.
 async fn fetch_all(gateway: &Gateway) -> Result<(Vec<Item>, Position), KvError> {
     let mut fetches = JoinSet::new();
     for prefix in SMALL_KEYS {
@@ -255,6 +260,9 @@
     while let Some(fetched) = fetches.join_next().await {
         let (some, read_at) =
             fetched.unwrap_or_else(|error| Err(KvError::Lost(error.to_string())))?;
+        if read_at.era != position.era {
+            return Err(KvError::Compacted);
+        }
         position = position.min(read_at);
         items.extend(some);
     }
--- a/crates/cactuslane-gateway/tests/leadership/exploration.rs
+++ b/crates/cactuslane-gateway/tests/leadership/exploration.rs
@@ -5,11 +5,7 @@
 //! their answers arrive late or are lost, processes are paused and restarted, and the store comes back
 //! from copies that are some seconds old. Orders reach one engine, which checks nothing by itself.
 
-use std::collections::BTreeMap;
-
-use cactuslane_gateway::leadership::{
-    Candidacy, LAST_LEADER_KEY, LEADER_KEY, LeaderKey, LeaderRecord, Leadership,
-};
+use cactuslane_gateway::leadership::{Candidacy, LeaderKey, LeaderRecord, Leadership};
 use cactuslane_store::kv::{Lease, Update};
 use cactuslane_types::{Era, Millis, Position};
 use rand::{Rng, SeedableRng};
@@ -17,6 +13,7 @@
 use yare::parameterized;
 
 use super::SETTLE;
+use super::contents::Contents;
 
 /// Number of instances.
 const INSTANCES: usize = 3;
@@ -37,21 +34,6 @@
 /// Number of copies that are kept, one for each second.
 const COPIES: usize = 9;
 
-/// The contents of the store.
-#[derive(Clone, Default)]
-struct Contents {
-    /// The revision of the last change.
-    revision: u64,
-    /// The leader key, with its revision and the id of its lease.
-    leader: Option<(LeaderRecord, u64, u64)>,
-    /// The last leader, with the revision of its key.
-    last: Option<(String, u64)>,
-    /// The ends of the leases by id.
-    leases: BTreeMap<u64, Millis>,
-    /// The number of leases that were granted, which are numbered in turn.
-    granted: u64,
-}
-
 /// A call to the store.
 #[derive(Clone)]
 enum Call {
@@ -143,60 +125,6 @@
     random: Pcg64Mcg,
 }
 
-impl Contents {
-    /// Removes the leases that have ended, with their keys.
-    fn expire(&mut self, now: Millis) {
-        self.leases.retain(|_, end| *end > now);
-        let leases = &self.leases;
-        if self
-            .leader
-            .take_if(|(_, _, lease)| !leases.contains_key(lease))
-            .is_some()
-        {
-            self.revision += 1;
-        }
-    }
-
-    /// Returns the revision of a key; 0 if it does not exist.
-    fn revision_of(&self, key: &str) -> u64 {
-        if key == LEADER_KEY {
-            self.leader.as_ref().map_or(0, |(_, revision, _)| *revision)
-        } else {
-            self.last.as_ref().map_or(0, |(_, revision)| *revision)
-        }
-    }
-
-    /// Applies an update, of which the store knows revisions and lease ids only.
-    fn update(&mut self, update: &Update) -> Option<u64> {
-        for (key, position) in &update.expected {
-            if self.revision_of(key) != position.revision {
-                return None;
-            }
-        }
-        for (_, _, lease) in &update.writes {
-            if lease.is_some_and(|lease| !self.leases.contains_key(&lease.id)) {
-                return None;
-            }
-        }
-        self.revision += 1;
-        for (key, value, lease) in &update.writes {
-            if key == LEADER_KEY {
-                let record = serde_json::from_slice(value).expect("it is a record");
-                let lease = lease.map_or(0, |lease| lease.id);
-                self.leader = Some((record, self.revision, lease));
-            } else {
-                assert_eq!(key, LAST_LEADER_KEY);
-                let name = String::from_utf8(value.clone()).expect("it is a name");
-                self.last = Some((name, self.revision));
-            }
-        }
-        if !update.deletes.is_empty() {
-            self.leader = None;
-        }
-        Some(self.revision)
-    }
-}
-
 impl Process {
     /// Starts the process of an instance.
     fn start(index: usize, now: Millis) -> Self {
--- a/crates/cactuslane-gateway/tests/leadership/main.rs
+++ b/crates/cactuslane-gateway/tests/leadership/main.rs
@@ -1,5 +1,6 @@
 //! Leadership: who may send orders, by the leader key, the lease and the era of the store.
 
+mod contents;
 mod exploration;
 
 use cactuslane_gateway::leadership::{LeaderKey, LeaderRecord, Leadership, SettleTime};
