--- /dev/null
+++ b/crates/cactuslane-soak/src/deployment.rs
@@ -0,0 +1,243 @@
+//! The deployment of a run: its start, and the steps and queries while it runs.
+
+mod apply;
+
+use std::collections::BTreeMap;
+use std::fmt::Debug;
+use std::io;
+use std::sync::PoisonError;
+use std::time::Duration;
+
+use cactuslane_platform_standin::{DutyEndpoint, Store, Target, TargetKind, caller};
+use tokio::time::{Instant, sleep, sleep_until};
+
+use crate::check::Observations;
+use crate::follow_ups::FollowUps;
+use crate::load::SharedAddresses;
+use crate::options::Options;
+use crate::plan::PlanStep;
+use crate::probes::Probes;
+use crate::process::Instance;
+use crate::proxy::Proxy;
+use crate::queries;
+use crate::workers::{SECOND_VERSION, Workers};
+
+/// Interval at which the instances are polled for addresses and configuration versions.
+const POLL_INTERVAL: Duration = Duration::from_millis(100);
+/// Time from which an operation of the run is reported as a stall, as steps are applied late.
+const STALL_TIME: Duration = Duration::from_secs(1);
+
+/// The deployment of a run and what was observed of it.
+#[derive(Debug)]
+pub(crate) struct Deployment {
+    /// Stand-in for the platform's store.
+    pub(crate) store: Store,
+    /// Stand-in for the address that takes reports of usage.
+    pub(crate) platform: DutyEndpoint,
+    /// Proxies in front of the store, one for each instance, in the same order.
+    pub(crate) store_links: Vec<Proxy>,
+    /// Stand-ins for the platform's targets.
+    pub(crate) targets: Vec<Target>,
+    /// Proxies in front of the targets, in the same order.
+    pub(crate) target_links: Vec<Proxy>,
+    /// Targets that run as processes.
+    pub(crate) workers: Workers,
+    /// Probes of the configuration in force, with targets of their own.
+    pub(crate) probes: Probes,
+    /// Instances under test.
+    pub(crate) instances: Vec<Instance>,
+    /// Addresses of instances that callers send requests to.
+    pub(crate) addresses: SharedAddresses,
+    /// Version of the configuration that was written last.
+    pub(crate) version: u64,
+    /// Observations for the checks.
+    pub(crate) observations: Observations,
+    /// Actions that end or follow up steps.
+    pub(crate) follow_ups: FollowUps,
+    /// Times at which faults were first injected into targets that still have pending ones, by
+    /// target.
+    pub(crate) target_faults: BTreeMap<usize, Instant>,
+    /// Operations that took [`STALL_TIME`] or more.
+    pub(crate) stalls: Vec<String>,
+}
+
+impl Deployment {
+    /// Starts stand-ins, proxies and instances, and waits until an instance lists the addresses of
+    /// all.
+    pub(crate) async fn start(options: &Options) -> io::Result<Self> {
+        let store = Store::bind().await?;
+        let platform = DutyEndpoint::bind().await?;
+        let (mut targets, mut target_links) = (Vec::new(), Vec::new());
+        for (id, kind) in [
+            ("i-w1", TargetKind::Plain),
+            ("i-w2", TargetKind::Plain),
+            ("i-w3", TargetKind::Plain),
+            ("i-p1", TargetKind::Prefill),
+            ("i-p2", TargetKind::Prefill),
+            ("i-d1", TargetKind::Decode),
+            ("i-d2", TargetKind::Decode),
+            ("i-d3", TargetKind::Decode),
+        ] {
+            let target = Target::bind(id, kind, &store).await?;
+            let link = Proxy::bind(target.address).await?;
+            if options.target_processes && ["i-p2", "i-d2"].contains(&id) {
+                target.set_version(SECOND_VERSION);
+            }
+            target.register_at(&store, link.address, "ready");
+            targets.push(target);
+            target_links.push(link);
+        }
+        let mut workers = Workers::default();
+        if options.target_processes {
+            workers = Workers::new(&options.binary, &options.folder, options.seed);
+        }
+        let probes = Probes::new(options);
+        store.configure(&probes.document(1));
+        let (mut instances, mut store_links) = (Vec::new(), Vec::new());
+        for number in 0..options.instances {
+            let link = Proxy::bind(store.address).await?;
+            let name = format!("front-{number}");
+            let instance = Instance::new(
+                &name,
+                options.host(),
+                &options.binary,
+                &options.folder,
+                link.address,
+                platform.address,
+            );
+            instances.push(instance);
+            store_links.push(link);
+        }
+        let mut deployment = Self {
+            store,
+            platform,
+            store_links,
+            targets,
+            target_links,
+            workers,
+            probes,
+            instances,
+            addresses: SharedAddresses::default(),
+            version: 1,
+            observations: Observations::default(),
+            follow_ups: FollowUps::default(),
+            target_faults: BTreeMap::new(),
+            stalls: Vec::new(),
+        };
+        for number in 0..options.instances {
+            deployment.start_instance(number)?;
+        }
+        while deployment.poll_addresses().await < options.instances
+            || !deployment.workers.all_serve()
+            || !deployment.probes.all_serve()
+        {
+            deployment.workers.tick(&deployment.store)?;
+            deployment.probes.tick_targets(&deployment.store)?;
+            deployment.poll_started()?;
+            sleep(POLL_INTERVAL).await;
+        }
+        Ok(deployment)
+    }
+
+    /// Starts the process of an instance.
+    fn start_instance(&mut self, number: usize) -> io::Result<()> {
+        tokio::task::block_in_place(|| self.instances[number].start())
+    }
+
+    /// Reads the addresses of the processes that are starting.
+    fn poll_started(&mut self) -> io::Result<()> {
+        for instance in &mut self.instances {
+            instance.poll_started()?;
+        }
+        Ok(())
+    }
+
+    /// Applies the steps and polls the instances until `length` has passed since `began`.
+    pub(crate) async fn play(
+        &mut self,
+        steps: &[PlanStep],
+        began: Instant,
+        length: Duration,
+    ) -> io::Result<()> {
+        let end = began + length;
+        let mut steps = steps.iter().peekable();
+        let mut next_poll = began;
+        while Instant::now() < end {
+            let now = Instant::now();
+            while let Some(step) = steps.next_if(|step| began + step.at <= now) {
+                let since = Instant::now();
+                self.apply(&step.action)?;
+                self.note_stall(&step.action, since, began);
+            }
+            for follow_up in self.follow_ups.take_due(now) {
+                let since = Instant::now();
+                self.apply_follow_up(&follow_up)?;
+                self.note_stall(&follow_up, since, began);
+            }
+            let since = Instant::now();
+            self.poll_started()?;
+            self.workers.tick(&self.store)?;
+            self.probes.tick_targets(&self.store)?;
+            self.probes.send_due(&self.instances);
+            self.collect_exits();
+            self.record_target_faults();
+            self.note_stall(&"records", since, began);
+            if now >= next_poll {
+                next_poll = now + POLL_INTERVAL;
+                let since = Instant::now();
+                self.poll_addresses().await;
+                self.poll_versions().await;
+                self.note_stall(&"queries", since, began);
+            }
+            let since = Instant::now();
+            sleep_until(since + POLL_INTERVAL / 4).await;
+            self.note_stall(&"pause", since, began);
+        }
+        Ok(())
+    }
+
+    /// Records an operation that took [`STALL_TIME`] or more.
+    fn note_stall(&mut self, operation: &impl Debug, since: Instant, began: Instant) {
+        let took = since.elapsed();
+        if took >= STALL_TIME {
+            let at = since.duration_since(began);
+            let stall = format!("{operation:?} from {at:.1?} on took {took:.1?}");
+            self.stalls.push(stall);
+        }
+    }
+
+    /// Replaces the callers' addresses by those that the first instance that answers lists, in the
+    /// order of their numbers, unless it lists none.
+    ///
+    /// Returns the number of addresses in that list, or 0 if no instance answers.
+    async fn poll_addresses(&mut self) -> usize {
+        let answers = queries::ask_all(&self.instances, caller::ADDRESSES_PATH).await;
+        if let Some(first) = answers.first() {
+            let listed = caller::addresses(&first.body);
+            let serving = listed.len();
+            let mut known = self
+                .addresses
+                .lock()
+                .unwrap_or_else(PoisonError::into_inner);
+            if !listed.is_empty() {
+                *known = listed;
+            }
+            return serving;
+        }
+        0
+    }
+
+    /// Records the configuration version in force in each instance, from its metrics.
+    async fn poll_versions(&mut self) {
+        for answer in queries::ask_all(&self.instances, "/metrics").await {
+            let text = String::from_utf8_lossy(&answer.body).into_owned();
+            let name = "cactuslane_configuration_version ";
+            let version = text.lines().find_map(|line| line.strip_prefix(name));
+            if let Some(version) = version.and_then(|version| version.parse().ok()) {
+                let versions = &mut self.observations.versions;
+                let process = versions.entry(answer.process).or_default();
+                process.push((answer.at, version));
+            }
+        }
+    }
+}
--- a/crates/cactuslane-soak/src/lib.rs
+++ b/crates/cactuslane-soak/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod check;
 pub mod compare;
 pub mod customers;
+mod deployment;
 pub mod faults;
 pub mod figures;
 pub mod follow_ups;
