Send a caller's place in its stream as decoded

Cause: a request that takes a stream up and is passed on to another instance lost `last-event-id` and `resumes` if its `connection` header names them, as headers that concern one connection are left out. The other instance then began the stream once more. The computation of a prompt named the caller's place or none where the run named the present one.

Requests whose answers are no streams keep what the caller sent.

Test first: `a_stream_that_is_taken_up_goes_on_at_its_place_at_another_instance::named_by_connection` failed with left: (200, true, "id: 1 data: piece 1 ... id: 8 data: piece 8"), right: (200, true, "id: 4 ... id: 8"); the case without a `connection` header passed.

--- a/crates/cactuslane-flight/src/request_info.rs
+++ b/crates/cactuslane-flight/src/request_info.rs
@@ -35,6 +35,15 @@
     pub fingerprint: Fingerprint,
 }
 
+/// What the caller of a stream has of it, after which the stream goes on.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct StreamPlace<'a> {
+    /// Id of the last event that the caller has; `None` for a new stream.
+    pub last_event: Option<u64>,
+    /// Id of the caller's attempt that brought the first event, if the caller named it.
+    pub resumes: Option<&'a str>,
+}
+
 /// One part of a prompt, the unit in which prompt prefixes are cached and shared.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct PromptPart {
@@ -45,6 +54,15 @@
 }
 
 impl RequestInfo {
+    /// Returns the place at which the stream goes on once the caller has the event `last_event`.
+    #[must_use]
+    pub fn place(&self, last_event: Option<u64>) -> StreamPlace<'_> {
+        StreamPlace {
+            last_event,
+            resumes: self.resumes.as_deref(),
+        }
+    }
+
     /// Returns the parts that other requests may share: all but the last.
     #[must_use]
     pub fn shared_parts(&self) -> &[PromptPart] {
--- a/crates/cactuslane-gateway/src/generation.rs
+++ b/crates/cactuslane-gateway/src/generation.rs
@@ -319,7 +319,9 @@
         if let Some(prefill) = &plan.prefill {
             let prefill = self.usable_target(prefill).ok_or(unsent)?;
             let permit = permit.take().ok_or((AttemptFailure::Unsent, None))?;
-            let computed = self.compute_prompt(&prefill, plan, left, permit).await;
+            let computed = self
+                .compute_prompt(&prefill, plan, left, permit, last_event)
+                .await;
             if !matches!(
                 computed,
                 Err((AttemptFailure::Unsent | AttemptFailure::Rejected, _))
--- a/crates/cactuslane-gateway/src/generation/attempt.rs
+++ b/crates/cactuslane-gateway/src/generation/attempt.rs
@@ -57,7 +57,7 @@
             identity: self.request.identity(),
             phases: source.as_deref().map_or(Phases::All, Phases::Decode),
             fetch: None,
-            last_event,
+            place: Some(self.request.info.place(last_event)),
         };
         let began = Instant::now();
         let wait = left.min(self.head_timeout(plan));
--- a/crates/cactuslane-gateway/src/generation/prompt.rs
+++ b/crates/cactuslane-gateway/src/generation/prompt.rs
@@ -30,13 +30,15 @@
 impl StreamRequest {
     /// Sends the request to a prefill engine, which computes the prompt and keeps it.
     ///
-    /// `left` is the time until the deadline. A failure comes with a description of its cause.
+    /// `left` is the time until the deadline, `last_event` the event after which the stream is to go
+    /// on. A failure comes with a description of its cause.
     pub(super) async fn compute_prompt(
         &self,
         target: &Target,
         plan: &Plan,
         left: Duration,
         permit: Permit,
+        last_event: Option<u64>,
     ) -> Result<ComputedPrompt, (AttemptFailure, String)> {
         let load = Load {
             prompt_tokens: plan.uncached,
@@ -56,7 +58,7 @@
             identity: self.request.identity(),
             phases: Phases::Prefill,
             fetch: fetch.map(|engine| engine.address),
-            last_event: None,
+            place: Some(self.request.info.place(last_event)),
         };
         let exchange = async {
             let (connection, response) =
--- a/crates/cactuslane-gateway/src/passing.rs
+++ b/crates/cactuslane-gateway/src/passing.rs
@@ -129,7 +129,12 @@
     let mut outgoing = Request::new(Full::new(request.body.clone()));
     *outgoing.method_mut() = request.method.clone();
     *outgoing.uri_mut() = uri;
-    *outgoing.headers_mut() = exchange::passed_headers(&request.headers, &settings.instance, left);
+    let mut headers = exchange::passed_headers(&request.headers, &settings.instance, left);
+    if request.route.stream {
+        let place = request.info.place(request.info.last_event);
+        exchange::set_place(&mut headers, place);
+    }
+    *outgoing.headers_mut() = headers;
     Some((helper, outgoing))
 }
 
--- a/crates/cactuslane-gateway/tests/serving/cut.rs
+++ b/crates/cactuslane-gateway/tests/serving/cut.rs
@@ -5,7 +5,7 @@
 use cactuslane_gateway::GatewayHandle;
 use cactuslane_place::ReachReport;
 use cactuslane_platform_standin::link::{Blackhole, Cut, Link};
-use cactuslane_platform_standin::{Fault, caller};
+use cactuslane_platform_standin::{Fault, Target, caller};
 use hyper::header::HeaderValue;
 use serde_json::json;
 use tokio::io::AsyncReadExt;
@@ -154,6 +154,47 @@
     });
 }
 
+/// Guards against a stream that begins once more, or goes on at another event, because the request that
+/// takes it up loses its place when another instance serves it.
+#[parameterized(
+    plain = { None },
+    named_by_connection = { Some("last-event-id, resumes") },
+)]
+fn a_stream_that_is_taken_up_goes_on_at_its_place_at_another_instance(connection: Option<&str>) {
+    let connection = connection.map(|names| HeaderValue::from_str(names).expect("it is a value"));
+    run_test(async move {
+        let deployment = deploy().await;
+        let other = start_instance("front-2", &deployment.store).await;
+        let knows = |running: &GatewayHandle| running.gateway.alive_peers() == 1;
+        wait_until(|| knows(&deployment.running) && knows(&other)).await;
+        let links = Links::lay(&deployment, &deployment.running).await;
+        serve_in_a_row(&deployment, "before").await;
+        let first = deployment.ask("/summary/7", "r1").await;
+        assert_eq!((first.status, first.body), (200, all_events()));
+        links.cut(&deployment.running, Cut::Reset);
+        serve_in_a_row(&deployment, "during").await;
+        wait_until(|| deployment.running.gateway.pool.reach().is_cut()).await;
+        let mut request = caller::resumption(deployment.front(), "/summary/7", "r2", "r1", 3);
+        if let Some(names) = connection {
+            request.headers_mut().insert("connection", names);
+        }
+        let response = deployment.client.send(request).await;
+        let answer = read_answer(response.expect("it is answered")).await;
+        let at = all_events().find("id: 4").expect("there is such an event");
+        let whole = (answer.status, answer.complete, answer.body.as_str());
+        assert_eq!(whole, (200, true, &all_events()[at..]));
+        assert!(deployment.running.gateway.pool.reach().is_cut());
+        // The computation of a prompt names the same place as the run.
+        let asked = deployment.engines.iter().chain([&deployment.prefill]);
+        let headers: Vec<_> = asked.flat_map(Target::headers).collect();
+        let of_caller = headers.iter().filter(|sent| sent["x-request-id"] == "r2");
+        for sent in of_caller {
+            let text = |name: &str| sent[name].to_str().expect("it is text");
+            assert_eq!((text("last-event-id"), text("resumes")), ("3", "r1"));
+        }
+    });
+}
+
 /// Guards against the claim that a request did not run which an instance took and did not answer,
 /// and against its repetition.
 #[parameterized(
