Refuse a request whose place in its stream is not clear

Change: on streaming routes such a request, and one with several values of `resumes`, is answered with 400 and a reason that names the header; nothing runs, and a log line says so. Equal values, spaces around them and empty ones are accepted, and instance and target go by the same value. Other routes pass both headers on as they are.

Test first: the eight cases of `a_request_with_an_unclear_place_in_a_stream_is_an_error` failed with left: 200, right: 400 and the whole stream from event 1 as the body; the seven cases of accepted requests and of the route without streams passed before. All 15 pass now, with those of `cut` and `lines` (29 of 29).

--- a/crates/cactuslane-gateway/src/ingress.rs
+++ b/crates/cactuslane-gateway/src/ingress.rs
@@ -209,6 +209,14 @@
             return Err(customers::deny(&info.id, denial));
         }
     };
+    // The target must not go by another place in the stream than this instance.
+    if route.stream
+        && let Err(error) = exchange::stream_place(request.headers())
+    {
+        info!(request = info.id, route = route.name, error:? = error; "place in a stream not clear");
+        let status = StatusCode::BAD_REQUEST;
+        return Err(reply::error(&info.id, status, error.reason()));
+    }
     let Some(service) = route.pick_service(rand::random()).cloned() else {
         info!(request = info.id, route = route.name; "route has no service");
         let cause = "the route has no service";
--- a/crates/cactuslane-gateway/tests/serving/main.rs
+++ b/crates/cactuslane-gateway/tests/serving/main.rs
@@ -20,6 +20,7 @@
 mod lines;
 mod lost;
 mod order;
+mod places;
 mod plain;
 mod preempted;
 mod raw;
--- /dev/null
+++ b/crates/cactuslane-gateway/tests/serving/places.rs
@@ -0,0 +1,117 @@
+//! What callers say of their place in a stream, and what instances and targets make of it.
+
+use cactuslane_platform_standin::{Target, caller};
+use hyper::header::HeaderValue;
+use yare::parameterized;
+
+use crate::deployment::{CallerAnswer, Deployment, all_events, deploy, read_answer, run_test};
+
+/// Headers by name; names may repeat.
+type Headers = &'static [(&'static str, &'static str)];
+
+/// Sends a request with headers and reads the answer.
+async fn ask(deployment: &Deployment, path: &str, headers: Headers) -> CallerAnswer {
+    let mut request = caller::request(deployment.front(), path, "r2");
+    for (name, value) in headers {
+        let value = HeaderValue::from_static(value);
+        request.headers_mut().append(*name, value);
+    }
+    let response = deployment.client.send(request).await;
+    read_answer(response.expect("the request is answered")).await
+}
+
+/// Returns the values of a header that targets got.
+fn told(deployment: &Deployment, name: &str) -> Vec<Vec<String>> {
+    let engines = deployment.engines.iter().chain(&deployment.workers);
+    let requests = engines.flat_map(Target::headers);
+    let values = requests.map(|headers| {
+        let values = headers.get_all(name).iter();
+        values
+            .map(|value| value.to_str().expect("it is text").to_owned())
+            .collect()
+    });
+    values.collect()
+}
+
+/// Guards against a stream that begins once more, or at another version, at an instance that does not
+/// see the place that its target sees.
+#[parameterized(
+    two_events = { "/summary/7", &[("last-event-id", "3"), ("last-event-id", "4")], "last-event-id" },
+    second_is_no_number = { "/summary/7", &[("last-event-id", "3"), ("last-event-id", "x")], "last-event-id" },
+    no_number = { "/summary/7", &[("last-event-id", "three")], "last-event-id" },
+    negative = { "/summary/7", &[("last-event-id", "-1")], "last-event-id" },
+    too_large = { "/summary/7", &[("last-event-id", "18446744073709551616")], "last-event-id" },
+    list = { "/summary/7", &[("last-event-id", "3, 4")], "last-event-id" },
+    two_attempts = { "/summary/7", &[("last-event-id", "3"), ("resumes", "r1"), ("resumes", "r0")], "resumes" },
+    not_resumable = { "/report/7", &[("last-event-id", "3"), ("last-event-id", "4")], "last-event-id" },
+)]
+fn a_request_with_an_unclear_place_in_a_stream_is_an_error(
+    path: &str,
+    headers: Headers,
+    named: &str,
+) {
+    run_test(async {
+        let deployment = deploy().await;
+        let answer = ask(&deployment, path, headers).await;
+        assert_eq!(answer.status, 400, "{answer:?}");
+        assert!(answer.body.contains(named), "{answer:?}");
+        assert_eq!(
+            (deployment.runs("r2"), deployment.prefill.prompts()),
+            (0, 0)
+        );
+        // The next request is not concerned.
+        let answer = deployment.ask(path, "r3").await;
+        assert_eq!((answer.status, answer.body), (200, all_events()));
+    });
+}
+
+/// Guards against an error for a proper request.
+#[parameterized(
+    once = { &[("last-event-id", "3"), ("resumes", "r1")], &["3"], &["r1"] },
+    twice = { &[("last-event-id", "3"), ("last-event-id", "03"), ("resumes", "r1"), ("resumes", "r1")], &["3"], &["r1"] },
+    spaces = { &[("last-event-id", " 3\t"), ("resumes", " r1 ")], &["3"], &["r1"] },
+    one_is_empty = { &[("last-event-id", ""), ("last-event-id", "3"), ("resumes", "r1"), ("resumes", "")], &["3"], &["r1"] },
+    empty = { &[("last-event-id", ""), ("resumes", "")], &[], &[] },
+    new = { &[], &[], &[] },
+)]
+fn instances_and_targets_go_by_the_same_place(headers: Headers, last: &[&str], resumes: &[&str]) {
+    run_test(async {
+        let deployment = deploy().await;
+        let first = deployment.ask("/summary/7", "r1").await;
+        assert_eq!((first.status, first.body), (200, all_events()));
+        let before = told(&deployment, "last-event-id").len();
+        let answer = ask(&deployment, "/summary/7", headers).await;
+        let at = if last.is_empty() { "id: 1" } else { "id: 4" };
+        let all = all_events();
+        let rest = &all[all.find(at).expect("there is such an event")..];
+        assert_eq!((answer.status, answer.body.as_str()), (200, rest));
+        assert_eq!(told(&deployment, "last-event-id").len(), before + 1);
+        assert!(
+            told(&deployment, "last-event-id")
+                .iter()
+                .any(|values| values == last)
+        );
+        assert!(
+            told(&deployment, "resumes")
+                .iter()
+                .any(|values| values == resumes)
+        );
+    });
+}
+
+/// Guards against a change of headers that mean something else to a service without streams.
+#[test]
+fn a_service_without_streams_gets_the_headers_of_its_caller() {
+    run_test(async {
+        let deployment = deploy().await;
+        let headers = &[
+            ("last-event-id", "a"),
+            ("last-event-id", "b"),
+            ("resumes", ""),
+        ];
+        let answer = ask(&deployment, "/lookup/7", headers).await;
+        assert_eq!(answer.status, 200, "{answer:?}");
+        assert_eq!(told(&deployment, "last-event-id"), [["a", "b"]]);
+        assert_eq!(told(&deployment, "resumes"), [[""]]);
+    });
+}
