Give each run of the soak's targets a text and each stream a length of its own

The soak's targets that are tasks sent the same events for every run, and every stream had 8 events, so that two runs joined there, or a missing tail, could not be told from a whole stream.

`Target::set_own_answers`, which the soak sets, names the run in each event and plain body, draws the number of events (3 to 40) from the id of the attempt that began the stream (`Resumes` in a take-up) and records what each run made; without it the streams of 8 events stay. Targets that are processes do the same always. The judge takes all runs from these records: it knows no events without a run any more, compares plain answers of tasks in full, takes the number of events from the caller's first attempt, and lists what each run made with each finding. Tests that stated constant events state runs now; the case of a short stream has one violation more, and `not_as_made` is new.

--- a/crates/cactuslane-soak/src/check.rs
+++ b/crates/cactuslane-soak/src/check.rs
@@ -3,6 +3,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
+use cactuslane_platform_standin::script::event_count;
 use serde::Serialize;
 use serde_json::Value;
 use tokio::time::Instant;
@@ -66,9 +67,7 @@
     /// Start and end of each unplanned fault; faults of targets end when requests have used up all
     /// that were pending.
     pub faults: Vec<(Instant, Instant)>,
-    /// Versions of the targets within the soak at which a request ran, by request id.
-    pub software: BTreeMap<String, BTreeSet<String>>,
-    /// Runs at the targets that are processes, from their logs, by request id.
+    /// What the runs at all targets made, by request id.
     pub made: BTreeMap<String, Vec<Made>>,
     /// Id of a target that is a process, with start and end of a fault of it.
     pub process_faults: Vec<(String, Instant, Instant)>,
@@ -157,7 +156,7 @@
     streams: BTreeMap<String, BTreeSet<String>>,
 }
 
-impl<'f> Checker<'f> {
+impl Checker<'_> {
     /// Counts a check, and adds a violation if `holds` is false.
     fn record_check(
         &mut self,
@@ -182,10 +181,10 @@
         let observed = || format!("{runs} runs, {:?}", record.outcome);
         let made = self.observations.made.get(&record.id);
         let made = made.map_or(&[][..], Vec::as_slice);
+        let began = record.taken_up.as_ref().map(|part| part.stream.as_str());
         let sources = Sources {
             made,
-            others: runs > made.len(),
-            others_version: self.others_version(&record.id),
+            count: event_count(began.unwrap_or(&record.id)),
             resumable: !kind.once,
             last: record.taken_up.as_ref().map_or(0, |part| part.last),
         };
@@ -224,8 +223,9 @@
             }
             Outcome::Cut { body, .. } => {
                 if kind.stream {
-                    let in_order = sources.follow(body).is_ok();
-                    self.record_check("events in order", in_order, &record.id, observed);
+                    let result = sources.follow(body);
+                    let observed = || made::describe(result.as_ref().err(), made);
+                    self.record_check("events in order", result.is_ok(), &record.id, observed);
                 }
                 // If the instance closes the connection while the request is being sent, the
                 // request was not run and the caller may safely send it to another instance.
@@ -239,13 +239,6 @@
         }
     }
 
-    /// Returns the version of the targets within the soak that a request ran at, if it was one version.
-    fn others_version(&self, request: &str) -> Option<&'f str> {
-        let versions = self.observations.software.get(request)?;
-        let only = versions.first().filter(|_| versions.len() == 1)?;
-        Some(only.as_str())
-    }
-
     /// Checks that the events of a stream, over all attempts of its caller, are of one version of the
     /// targets' software.
     fn check_software(&mut self, record: &RequestRecord, sources: &Sources) {
@@ -264,7 +257,13 @@
         let versions = self.streams.entry(stream).or_default();
         versions.extend(followed.versions);
         let (holds, seen) = (versions.len() <= 1, versions.clone());
-        let observed = || format!("{seen:?}, {:?}, {:?}", record.taken_up, record.outcome);
+        let observed = || {
+            let runs = made::describe(None, sources.made);
+            format!(
+                "{seen:?}, {:?}, {:?}{runs}",
+                record.taken_up, record.outcome
+            )
+        };
         let guarantee = if record.taken_up.is_some() {
             "streams that are taken up go on at their version"
         } else {
@@ -273,7 +272,7 @@
         self.record_check(guarantee, holds, &record.id, observed);
     }
 
-    /// Checks the answer to a request that ran at targets which are processes against their logs.
+    /// Checks the answer to a request that ran against what its runs made.
     fn check_made(&mut self, record: &RequestRecord, kind: &RequestKind, sources: &Sources) {
         let made = sources.made;
         if made.is_empty() {
@@ -294,7 +293,7 @@
         let [only] = made else {
             return;
         };
-        let lived = only.ended && !only.copied && !sources.others && only.framing.is_close();
+        let lived = only.ended && !only.copied && only.framing.is_close();
         let disturbed = self.is_near_fault(record.due, record.ended)
             || self.is_near_process_fault(record, sources);
         if lived && !disturbed && !matches!(record.outcome, Outcome::GaveUp) {
@@ -315,7 +314,7 @@
             })
         };
         let made = sources.made;
-        !sources.others && !made.is_empty() && made.iter().all(disturbed)
+        !made.is_empty() && made.iter().all(disturbed)
     }
 
     /// Checks that no request is served whose key was removed more than [`REVOKED_GRACE`] before,
--- a/crates/cactuslane-soak/src/deployment.rs
+++ b/crates/cactuslane-soak/src/deployment.rs
@@ -80,6 +80,7 @@
         ] {
             let target = Target::bind(id, kind, &store).await?;
             let link = Proxy::bind(target.address).await?;
+            target.set_own_answers();
             if options.target_processes && ["i-p2", "i-d2"].contains(&id) {
                 target.set_version(SECOND_VERSION);
             }
--- a/crates/cactuslane-soak/src/made.rs
+++ b/crates/cactuslane-soak/src/made.rs
@@ -1,17 +1,19 @@
-//! What targets that run as processes made, by their logs, and answers that are judged by it.
+//! What the runs at targets made, by the targets' records, and answers that are judged by it.
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
 use cactuslane_platform_standin::process::Framing;
-use cactuslane_platform_standin::target::EVENT_COUNT;
+use cactuslane_platform_standin::target::Run;
 use tokio::time::Instant;
 
-/// One run of a request at a target that is a process.
+/// One run of a request at a target.
 #[derive(Clone, Debug)]
 pub struct Made {
     /// Id of the target.
     pub target: String,
+    /// Name of the run, which its events state.
+    pub run: String,
     /// Version of its software.
     pub version: String,
     /// Time at which the run began.
@@ -35,12 +37,10 @@
 /// Runs from which the answer to a request may come.
 #[derive(Clone, Copy, Debug)]
 pub struct Sources<'m> {
-    /// Runs at targets that are processes.
+    /// Runs at all targets.
     pub made: &'m [Made],
-    /// Whether the request ran at targets within the soak as well, whose events are all the same.
-    pub others: bool,
-    /// Version of these targets; `None` if it ran at several ones.
-    pub others_version: Option<&'m str>,
+    /// Number of events of the whole stream.
+    pub count: u64,
     /// Whether a stream may go on at another target.
     pub resumable: bool,
     /// Id of the last event that the caller had before; 0 if the request takes up no stream.
@@ -59,6 +59,29 @@
 }
 
 impl Made {
+    /// Returns the record of a run at a target within the soak, whose software has a version.
+    #[must_use]
+    pub fn of_run(target: &str, version: &str, run: Run) -> Self {
+        let framing = if run.body.is_some() {
+            Framing::Length
+        } else {
+            Framing::Chunks
+        };
+        Self {
+            target: target.to_owned(),
+            run: run.name,
+            version: version.to_owned(),
+            at: run.at,
+            after: run.after,
+            framing,
+            copied: false,
+            events: run.events,
+            body: run.body,
+            ended: run.ended,
+            broken: false,
+        }
+    }
+
     /// Returns whether the run has sent a part of an answer and has more to send.
     #[must_use]
     pub fn is_open(&self) -> bool {
@@ -77,20 +100,16 @@
     pub fn follow<'b>(&self, body: &'b [u8]) -> Result<Followed<'b>, String> {
         let mut rest = body;
         let mut versions = BTreeSet::new();
-        let mut source: Option<Option<usize>> = None;
-        for id in self.last + 1..=EVENT_COUNT {
-            let mut texts: Vec<(Option<usize>, String)> = Vec::new();
-            for (number, run) in self.made.iter().enumerate() {
-                texts.extend(run.events.get(&id).map(|text| (Some(number), text.clone())));
-            }
-            if self.others || self.made.is_empty() {
-                texts.push((None, event_of_others(id)));
-            }
+        let mut source: Option<usize> = None;
+        for id in self.last + 1..=self.count {
+            let runs = self.made.iter().enumerate();
+            let texts = runs.filter_map(|(number, run)| Some((number, run.events.get(&id)?)));
+            let texts: Vec<(usize, &String)> = texts.collect();
             let found = texts
                 .iter()
                 .find(|(_, text)| rest.starts_with(text.as_bytes()));
-            let Some((from, text)) = found else {
-                let is_begun = |(_, text): &(_, String)| text.as_bytes().starts_with(rest);
+            let Some(&(from, text)) = found else {
+                let is_begun = |(_, text): &(_, &String)| text.as_bytes().starts_with(rest);
                 if rest.is_empty() || texts.iter().any(is_begun) {
                     let last = id - 1;
                     return Ok(Followed {
@@ -102,25 +121,22 @@
                 let text = String::from_utf8_lossy(rest);
                 return Err(format!("no run made event {id} as {text:?}"));
             };
-            if source != Some(*from) {
+            if source != Some(from) {
                 if source.is_some() && !self.resumable {
                     return Err(format!("event {id} is of another run"));
                 }
-                let after = from.map(|number| self.made[number].after);
-                if after.is_some_and(|after| after != id - 1) {
-                    return Err(format!("event {id} is of a run that began after {after:?}"));
+                let run = &self.made[from];
+                if run.after != id - 1 {
+                    let after = run.after;
+                    return Err(format!("event {id} is of a run that began after {after}"));
                 }
-                source = Some(*from);
-                let version = match from {
-                    Some(number) => Some(self.made[*number].version.as_str()),
-                    None => self.others_version,
-                };
-                versions.extend(version.map(str::to_owned));
+                source = Some(from);
+                versions.insert(run.version.clone());
             }
             rest = &rest[text.len()..];
         }
         if rest.is_empty() {
-            let last = EVENT_COUNT;
+            let last = self.count;
             return Ok(Followed {
                 last,
                 rest,
@@ -137,12 +153,12 @@
     /// Returns what is wrong with it.
     pub fn check_whole(&self, body: &[u8]) -> Result<(), String> {
         let Followed { last, rest, .. } = self.follow(body)?;
-        if last == EVENT_COUNT {
+        if last == self.count {
             return Ok(());
         }
-        let bytes = rest.len();
+        let (count, bytes) = (self.count, rest.len());
         Err(format!(
-            "ended as whole after event {last} of {EVENT_COUNT} and {bytes} bytes of the next"
+            "ended as whole after event {last} of {count} and {bytes} bytes of the next"
         ))
     }
 
@@ -156,9 +172,6 @@
         if bodies.into_iter().any(|text| text.as_bytes() == body) {
             return Ok(());
         }
-        if self.others && body.starts_with(b"{\"by\":") && body.ends_with(b"}") {
-            return Ok(());
-        }
         let text = String::from_utf8_lossy(body);
         Err(format!("no run made the body {text:?}"))
     }
@@ -174,7 +187,7 @@
 /// Describes a run in short.
 fn describe_run(run: &Made) -> String {
     let Made {
-        target,
+        run: name,
         version,
         framing,
         after,
@@ -182,17 +195,17 @@
         broken,
         ..
     } = run;
-    let events = run.events.len();
+    let ids = (run.events.first_key_value(), run.events.last_key_value());
+    let events = match (ids, &run.body) {
+        ((Some((first, _)), Some((last, _))), _) => format!("events {first} to {last}"),
+        (_, Some(body)) => format!("a body of {} bytes", body.len()),
+        _ => "nothing".to_owned(),
+    };
     format!(
-        "{target} {version} {framing:?} after {after}: {events} events, ended {ended}, broken {broken}"
+        "{name} {version} {framing:?} after {after} made {events}, ended {ended}, broken {broken}"
     )
 }
 
-/// Returns the text of an event of the targets within the soak.
-fn event_of_others(id: u64) -> String {
-    format!("id: {id}\ndata: piece {id}\n\n")
-}
-
 /// Returns the instant of a time since the Unix epoch in microseconds, which has passed.
 pub(crate) fn instant(at_us: u64) -> Instant {
     let now = SystemTime::now().duration_since(UNIX_EPOCH);
--- a/crates/cactuslane-soak/src/run.rs
+++ b/crates/cactuslane-soak/src/run.rs
@@ -10,6 +10,7 @@
 use crate::deployment::Deployment;
 use crate::figures::Figures;
 use crate::load::{self, LoadSpec};
+use crate::made::Made;
 use crate::options::Options;
 use crate::plan;
 use crate::report::Report;
@@ -66,16 +67,13 @@
     sleep(SETTLE_TIME).await;
     for target in &deployment.targets {
         let version = target.version();
+        let observations = &mut deployment.observations;
         for (request, runs) in target.run_times() {
-            let software = &mut deployment.observations.software;
-            let versions = software.entry(request.clone()).or_default();
-            versions.insert(version.clone());
-            deployment
-                .observations
-                .runs
-                .entry(request)
-                .or_default()
-                .extend(runs);
+            observations.runs.entry(request).or_default().extend(runs);
+        }
+        for run in target.made() {
+            let of_request = observations.made.entry(run.request.clone()).or_default();
+            of_request.push(Made::of_run(&target.id, &version, run));
         }
     }
     let processes = deployment.workers.finish(&mut deployment.observations)?;
--- a/crates/cactuslane-soak/src/workers.rs
+++ b/crates/cactuslane-soak/src/workers.rs
@@ -440,6 +440,7 @@
         {
             let made = Made {
                 target: self.id.clone(),
+                run: line.run.clone(),
                 version: self.version().to_owned(),
                 at: instant(line.at_us),
                 after,
--- a/crates/cactuslane-soak/tests/checks.rs
+++ b/crates/cactuslane-soak/tests/checks.rs
@@ -2,8 +2,11 @@
 
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
+use cactuslane_platform_standin::process::Framing;
+use cactuslane_platform_standin::script::event_count;
 use cactuslane_soak::check::{self, Observations};
 use cactuslane_soak::load::{Outcome, RequestKind, RequestRecord};
+use cactuslane_soak::made::Made;
 use cactuslane_soak::process::WINDOW_S;
 use serde_json::json;
 use tokio::time::Instant;
@@ -51,12 +54,32 @@
     }
 }
 
+/// Returns a run at `at`, which made the plain body "x" and a whole stream.
+fn made(at: Instant) -> Made {
+    let event = |id: u64| (id, format!("id: {id}\ndata: piece {id}\n\n"));
+    Made {
+        target: "a".to_owned(),
+        run: "a/1/1".to_owned(),
+        version: "v1".to_owned(),
+        at,
+        after: 0,
+        framing: Framing::Chunks,
+        copied: false,
+        events: (1..=event_count("r1")).map(event).collect(),
+        body: Some("x".to_owned()),
+        ended: true,
+        broken: false,
+    }
+}
+
 /// Returns the guarantees violated by one request with the given result and number of runs, at the
 /// time of an unplanned fault if `fault` is set.
 fn violated(outcome: Outcome, kind: RequestKind, runs: usize, fault: bool) -> Vec<&'static str> {
     let now = Instant::now();
     let mut observations = Observations::default();
     observations.runs.insert("r1".to_owned(), vec![now; runs]);
+    let runs = vec![made(now); runs];
+    observations.made.insert("r1".to_owned(), runs);
     if fault {
         observations.faults.push((now, now));
     }
@@ -75,7 +98,8 @@
     refused_after_a_run = { complete(503, false, ""), kind(false, true), 1, &["not run is true"] },
     unsigned_or_of_another = { complete(200, false, "x"), kind(false, false), 1, &["own whole answer"] },
     served_without_a_run = { complete(200, true, "x"), kind(false, false), 0, &["own whole answer"] },
-    short_stream = { complete(200, true, "id: 1\ndata: piece 1\n\n"), kind(true, false), 1, &["own whole answer"] },
+    short_stream = { complete(200, true, "id: 1\ndata: piece 1\n\n"), kind(true, false), 1, &["streams are whole and in order", "own whole answer"] },
+    not_as_made = { complete(200, true, "y"), kind(false, false), 1, &["plain answers are as made"] },
     denied = { complete(404, false, ""), kind(false, false), 0, &["proper requests are allowed"] },
     cut_without_fault = { truncated("id: 1\ndata: piece 1\n\n"), kind(true, false), 1, &["no planned change cuts"] },
     not_sent = { Outcome::Unsent, kind(true, false), 0, &[] },
--- a/crates/cactuslane-soak/tests/made.rs
+++ b/crates/cactuslane-soak/tests/made.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use cactuslane_platform_standin::process::Framing;
+use cactuslane_platform_standin::script::event_count;
 use cactuslane_soak::check::{self, Observations};
 use cactuslane_soak::load::{Outcome, RequestKind, RequestRecord, TakenUp};
 use cactuslane_soak::made::{Made, Sources};
@@ -11,14 +12,16 @@
 use tokio::time::Instant;
 use yare::parameterized;
 
-/// Returns the text of an event of a run, or of the targets within the soak if `run` is empty.
+/// Returns the text of an event of a run.
 fn event(run: &str, id: u64) -> String {
-    let of = if run.is_empty() {
-        String::new()
-    } else {
-        format!(" of {run}")
-    };
-    format!("id: {id}\ndata: piece {id}{of}\n\n")
+    format!("id: {id}\ndata: piece {id} of {run}\n\n")
+}
+
+/// Returns the id of a request that begins a stream of 8 events.
+fn request() -> String {
+    let ids = (1..).map(|number| format!("r{number}"));
+    let found = ids.into_iter().find(|id| event_count(id) == 8);
+    found.expect("the ids do not end")
 }
 
 /// Returns a run that made the events from `after` to `last`.
@@ -26,6 +29,7 @@
     let events: BTreeMap<u64, String> = (after + 1..=last).map(|id| (id, event(run, id))).collect();
     Made {
         target: run.to_owned(),
+        run: run.to_owned(),
         version: "v1".to_owned(),
         at: Instant::now(),
         after,
@@ -48,9 +52,11 @@
 
 #[parameterized(
     of_one_run = { &[("a", 1..=8)], true, true },
-    of_one_run_elsewhere = { &[("", 1..=8)], true, true },
+    of_a_run_that_was_not_resumed = { &[("c", 1..=8)], false, true },
     resumed = { &[("a", 1..=3), ("b", 4..=8)], true, true },
-    resumed_elsewhere = { &[("a", 1..=4), ("", 5..=8)], true, true },
+    resumed_twice = { &[("a", 1..=3), ("b", 4..=5), ("d", 6..=8)], true, true },
+    joined_with_a_run_of_the_same_beginning = { &[("a", 1..=4), ("c", 5..=8)], true, false },
+    resumed_and_without_its_end = { &[("a", 1..=3), ("b", 4..=7)], true, false },
     joined_though_not_resumable = { &[("a", 1..=3), ("b", 4..=8)], false, false },
     joined_at_another_event = { &[("a", 1..=5), ("b", 6..=8)], true, false },
     without_its_end = { &[("a", 1..=3)], true, false },
@@ -59,7 +65,7 @@
     with_an_event_twice = { &[("a", 1..=3), ("a", 3..=8)], true, false },
     with_an_event_twice_by_another_run = { &[("a", 1..=4), ("b", 4..=8)], true, false },
     out_of_order = { &[("a", 1..=1), ("a", 3..=3), ("a", 2..=2), ("a", 4..=8)], true, false },
-    not_made = { &[("c", 1..=8)], true, false },
+    not_made = { &[("e", 1..=8)], true, false },
     beyond_its_end = { &[("a", 1..=8), ("a", 8..=8)], true, false },
 )]
 fn a_stream_is_whole_if_each_event_was_made_in_turn(
@@ -67,11 +73,15 @@
     resumable: bool,
     whole: bool,
 ) {
-    let made = [made("a", 0, 8), made("b", 3, 8)];
+    let made = [
+        made("a", 0, 8),
+        made("b", 3, 8),
+        made("c", 0, 8),
+        made("d", 5, 8),
+    ];
     let sources = Sources {
         made: &made,
-        others: true,
-        others_version: Some("v1"),
+        count: 8,
         resumable,
         last: 0,
     };
@@ -88,8 +98,7 @@
     let made = [made("a", 0, 8)];
     let sources = Sources {
         made: &made,
-        others: false,
-        others_version: None,
+        count: 8,
         resumable: true,
         last: 0,
     };
@@ -102,7 +111,7 @@
 fn violated(outcome: Outcome, stream: bool, run: Made, disturbed: bool) -> Vec<&'static str> {
     let now = run.at;
     let record = RequestRecord {
-        id: "r1".to_owned(),
+        id: request(),
         kind: 0,
         key: None,
         front: None,
@@ -119,12 +128,12 @@
         once: true,
     };
     let mut observations = Observations::default();
-    observations.runs.insert("r1".to_owned(), vec![now]);
+    observations.runs.insert(request(), vec![now]);
     if disturbed {
         let fault = (run.target.clone(), now, now);
         observations.process_faults.push(fault);
     }
-    observations.made.insert("r1".to_owned(), vec![run]);
+    observations.made.insert(request(), vec![run]);
     let (violations, _) = check::check(&[record], &[kind], &observations, false);
     let names = violations.into_iter().map(|violation| violation.guarantee);
     names.collect()
@@ -252,22 +261,25 @@
         observations.made.insert(id.to_owned(), made);
     };
     let records = if joined {
-        add("r1", vec![run("a", first, 0), run("b", second, 3)]);
+        add(&request(), vec![run("a", first, 0), run("b", second, 3)]);
         let parts = [("a", 1..=3), ("b", 4..=8)];
-        vec![record("r1", complete(200, body(&parts)), None)]
+        vec![record(&request(), complete(200, body(&parts)), None)]
     } else {
-        add("r1", vec![run("a", first, 0)]);
-        add("r1-1", vec![run("b", second, 3)]);
+        add(&request(), vec![run("a", first, 0)]);
+        add("next", vec![run("b", second, 3)]);
         let cut = Outcome::Cut {
             status: Some(200),
             body: body(&[("a", 1..=3)]).into_bytes(),
         };
         let part = TakenUp {
-            stream: "r1".to_owned(),
+            stream: request(),
             last: 3,
         };
         let rest = complete(200, body(&[("b", 4..=8)]));
-        vec![record("r1", cut, None), record("r1-1", rest, Some(part))]
+        vec![
+            record(&request(), cut, None),
+            record("next", rest, Some(part)),
+        ]
     };
     let (violations, _) = check::check(&records, &[kind], &observations, false);
     let names = violations.iter().map(|violation| violation.guarantee);
