Play the deployment of a site file in the soak

Cause: the soak knows one deployment of four instances with whole processors in one failure domain, and callers with one client library that send requests in one form.

Half of the requests of such a run have an unusual form: HTTP/1.0, Connection: close, chunks, headers that Connection lists, equal headers twice, slow reading, leaving in the middle and taking up elsewhere, repeats at once, and instances that a caller stays with. Each run prints processes, memory and processor time of its instances.

A run removes the logs of an earlier run in its folder: they were read again, and each of its requests counted as run twice. A caller that leaves excuses an answer without a length, as one that gives up does.

--- a/crates/cactuslane-soak/src/check.rs
+++ b/crates/cactuslane-soak/src/check.rs
@@ -235,6 +235,12 @@
                     || self.is_near_process_fault(record, &sources);
                 self.record_check("no planned change cuts", excused, &record.id, observed);
             }
+            Outcome::Left { body, .. } => {
+                if kind.stream {
+                    let in_order = sources.follow(body).is_ok();
+                    self.record_check("events in order", in_order, &record.id, observed);
+                }
+            }
             Outcome::Unsent | Outcome::GaveUp => {}
         }
     }
@@ -252,7 +258,8 @@
         let (Outcome::Whole {
             status: 200, body, ..
         }
-        | Outcome::Cut { body, .. }) = &record.outcome
+        | Outcome::Cut { body, .. }
+        | Outcome::Left { body, .. }) = &record.outcome
         else {
             return;
         };
@@ -297,7 +304,8 @@
         let lived = only.ended && !only.copied && !sources.others && only.framing.is_close();
         let disturbed = self.is_near_fault(record.due, record.ended)
             || self.is_near_process_fault(record, sources);
-        if lived && !disturbed && !matches!(record.outcome, Outcome::GaveUp) {
+        let has_left = matches!(record.outcome, Outcome::GaveUp | Outcome::Left { .. });
+        if lived && !disturbed && !has_left {
             let served = record.outcome.is_served();
             let observed = || format!("{:?}, {only:?}", record.outcome);
             let guarantee = "answers without a length are served";
--- a/crates/cactuslane-soak/src/deployment.rs
+++ b/crates/cactuslane-soak/src/deployment.rs
@@ -8,11 +8,13 @@
 use std::sync::PoisonError;
 use std::time::Duration;
 
-use cactuslane_platform_standin::{DutyEndpoint, Store, Target, TargetKind, caller};
+use cactuslane_platform_standin::{DutyEndpoint, Store, Target, caller};
 use tokio::time::{Instant, sleep, sleep_until};
 
 use crate::check::Observations;
+use crate::figures::Usage;
 use crate::follow_ups::FollowUps;
+use crate::layout::Layout;
 use crate::load::SharedAddresses;
 use crate::options::Options;
 use crate::plan::PlanStep;
@@ -57,6 +59,8 @@
     /// Times at which faults were first injected into targets that still have pending ones, by
     /// target.
     pub(crate) target_faults: BTreeMap<usize, Instant>,
+    /// Largest memory of all instances at a time so far, in bytes.
+    peak_memory: u64,
     /// Operations that took [`STALL_TIME`] or more.
     pub(crate) stalls: Vec<String>,
 }
@@ -68,43 +72,41 @@
         let store = Store::bind().await?;
         let platform = DutyEndpoint::bind().await?;
         let (mut targets, mut target_links) = (Vec::new(), Vec::new());
-        for (id, kind) in [
-            ("i-w1", TargetKind::Plain),
-            ("i-w2", TargetKind::Plain),
-            ("i-w3", TargetKind::Plain),
-            ("i-p1", TargetKind::Prefill),
-            ("i-p2", TargetKind::Prefill),
-            ("i-d1", TargetKind::Decode),
-            ("i-d2", TargetKind::Decode),
-            ("i-d3", TargetKind::Decode),
-        ] {
-            let target = Target::bind(id, kind, &store).await?;
+        let layout = Layout::of(options);
+        for spec in &layout.tasks {
+            let target = Target::bind(&spec.id, spec.kind, &store).await?;
             let link = Proxy::bind(target.address).await?;
-            if options.target_processes && ["i-p2", "i-d2"].contains(&id) {
+            if spec.is_second {
                 target.set_version(SECOND_VERSION);
             }
+            if let Some(place) = &spec.place {
+                target.set_place(place);
+            }
             target.register_at(&store, link.address, "ready");
             targets.push(target);
             target_links.push(link);
         }
-        let mut workers = Workers::default();
-        if options.target_processes {
-            workers = Workers::new(&options.binary, &options.folder, options.seed);
-        }
+        let (binary, folder) = (&options.binary, &options.folder);
+        let workers = Workers::of(&layout.processes, binary, folder, options.seed);
         let probes = Probes::new(options);
         store.configure(&probes.document(1));
+        let bounds = options.shape.as_ref().map(|shape| shape.bounds);
+        let bounds = bounds.unwrap_or_default();
         let (mut instances, mut store_links) = (Vec::new(), Vec::new());
         for number in 0..options.instances {
             let link = Proxy::bind(store.address).await?;
             let name = format!("front-{number}");
-            let instance = Instance::new(
+            let mut instance = Instance::new(
                 &name,
                 options.host(),
-                &options.binary,
-                &options.folder,
+                binary,
+                folder,
                 link.address,
                 platform.address,
             );
+            let domain = &layout.domains[number % layout.domains.len()];
+            instance.set_place(domain, bounds);
+            instance.limit_cpu(options.cpu_share, number as f64 / options.instances as f64);
             instances.push(instance);
             store_links.push(link);
         }
@@ -122,6 +124,7 @@
             observations: Observations::default(),
             follow_ups: FollowUps::default(),
             target_faults: BTreeMap::new(),
+            peak_memory: 0,
             stalls: Vec::new(),
         };
         for number in 0..options.instances {
@@ -187,6 +190,7 @@
                 let since = Instant::now();
                 self.poll_addresses().await;
                 self.poll_versions().await;
+                self.read_usage();
                 self.note_stall(&"queries", since, began);
             }
             let since = Instant::now();
@@ -196,6 +200,24 @@
         Ok(())
     }
 
+    /// Reads what the processes used so far.
+    pub(crate) fn read_usage(&mut self) -> Usage {
+        let mut usage = Usage {
+            targets: self.workers.processes() + self.probes.processes(),
+            ..Usage::default()
+        };
+        for instance in &mut self.instances {
+            usage.slices += instance.slices();
+            let figures = instance.read_usage();
+            usage.instances += figures.processes;
+            usage.memory += figures.memory;
+            usage.cpu_time += figures.cpu_time();
+        }
+        self.peak_memory = self.peak_memory.max(usage.memory);
+        usage.memory = self.peak_memory;
+        usage
+    }
+
     /// Records an operation that took [`STALL_TIME`] or more.
     fn note_stall(&mut self, operation: &impl Debug, since: Instant, began: Instant) {
         let took = since.elapsed();
--- a/crates/cactuslane-soak/src/figures.rs
+++ b/crates/cactuslane-soak/src/figures.rs
@@ -146,6 +146,37 @@
     format!("{:.1} s", time.as_secs_f64())
 }
 
+/// What the processes of a run used.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize)]
+pub struct Usage {
+    /// Number of processes of instances.
+    pub instances: u64,
+    /// Number of processes of targets.
+    pub targets: u64,
+    /// Largest memory of all instances at a time, in bytes.
+    pub memory: u64,
+    /// Processor time of all processes of instances.
+    pub cpu_time: Duration,
+    /// Number of times that instances were stopped as their slice of a processor ended.
+    pub slices: u64,
+}
+
+impl Usage {
+    /// Returns the figures in one line.
+    #[must_use]
+    pub fn summary(&self) -> String {
+        format!(
+            "{} processes of instances and {} of targets; the instances used {} MiB at most and {} of \
+             processor time, and were stopped {} times at the end of a slice",
+            self.instances,
+            self.targets,
+            self.memory >> 20,
+            format_seconds(self.cpu_time),
+            self.slices,
+        )
+    }
+}
+
 /// What was done to the targets that run as processes.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize)]
 pub struct WorkerFigures {
--- a/crates/cactuslane-soak/src/lib.rs
+++ b/crates/cactuslane-soak/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod faults;
 pub mod figures;
 pub mod follow_ups;
+pub mod layout;
 pub mod load;
 pub mod made;
 pub mod options;
--- a/crates/cactuslane-soak/src/load.rs
+++ b/crates/cactuslane-soak/src/load.rs
@@ -1,36 +1,28 @@
 //! An open-loop load generator: requests are sent at predetermined times, whether or not earlier
 //! ones have been answered.
 
+mod callers;
+pub mod forms;
+
 use std::net::SocketAddr;
-use std::sync::{Arc, Mutex, PoisonError};
+use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
-use cactuslane_platform_standin::caller::{self, is_signed_answer};
-use cactuslane_store::http::{Client, HttpError};
-use http_body_util::{BodyExt, Full};
-use hyper::body::{Bytes, Incoming};
-use hyper::header::AUTHORIZATION;
-use hyper::{Request, Response};
 use rand::{Rng, SeedableRng};
 use rand_pcg::Pcg64Mcg;
 use serde::{Deserialize, Serialize};
-use tokio::task::JoinSet;
-use tokio::time::{Instant, sleep, sleep_until, timeout};
+use tokio::time::Instant;
+
+pub use self::callers::send;
+pub(crate) use self::callers::send_request;
 
-/// Time after which a caller abandons a request: one second more than the deadline of 5 s that it
-/// sends in `x-deadline-ms`.
-const ANSWER_TIMEOUT: Duration = Duration::from_secs(6);
-/// Number of simulated callers; each has its own connection pool.
-const CALLER_COUNT: usize = 8;
-/// Ids of the parts of prompts that requests share, one each, so that streams begin at several targets.
-const SHARED_PARTS: [&str; 5] = ["a1", "a2", "a3", "a4", "a5"];
-/// Largest number of attempts at a stream, of which all but the first one take it up.
-const MAX_ATTEMPTS: usize = 5;
-/// Range of the times after which a caller takes up a stream that was cut, in milliseconds.
-const TAKE_UP_MS: std::ops::Range<u64> = 50..600;
+/// Time for which callers wait where the kind of request states none.
+pub const DEADLINE: Duration = Duration::from_secs(5);
+/// Time after its deadline at which a caller abandons a request.
+pub const ANSWER_SLACK: Duration = Duration::from_secs(1);
 
 /// One kind of request of a load.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct RequestKind {
     /// Path of the URL that requests are sent to.
     pub path: String,
@@ -40,6 +32,28 @@
     pub stream: bool,
     /// Whether a request may run at most once, because it is not safe to repeat.
     pub once: bool,
+    /// Time for which callers wait; [`DEADLINE`] if `None`.
+    #[serde(default)]
+    pub deadline: Option<Duration>,
+    /// Sizes of the prompt and the answer; those of the stand-in's callers if `None`.
+    #[serde(default)]
+    pub size: Option<Size>,
+    /// Whether requests only read, with the method GET and without a body.
+    #[serde(default)]
+    pub is_read: bool,
+}
+
+/// Mean sizes of the prompts and streams of a kind of request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Size {
+    /// Tokens of the part of the prompt that requests share.
+    pub shared_tokens: u32,
+    /// Tokens of the part that only its request has.
+    pub own_tokens: u32,
+    /// Number of different shared parts.
+    pub parts: u32,
+    /// Number of events that callers expect.
+    pub events: u32,
 }
 
 /// Parameters of a load.
@@ -58,6 +72,9 @@
     /// Keys of customers, which requests state in turn; none if there are none.
     #[serde(default)]
     pub keys: Vec<String>,
+    /// Share of the requests that callers send or read in an unusual, but allowed form.
+    #[serde(default)]
+    pub unusual: f64,
 }
 
 /// The record of one request and its answer, as its caller saw it.
@@ -106,8 +123,15 @@
         /// Part of the body that was received.
         body: Vec<u8>,
     },
-    /// The caller abandoned the request after `ANSWER_TIMEOUT`.
+    /// The caller abandoned the request [`ANSWER_SLACK`] after its deadline.
     GaveUp,
+    /// The caller closed the connection in the middle of the answer.
+    Left {
+        /// Status of the answer.
+        status: u16,
+        /// Part of the body that was received.
+        body: Vec<u8>,
+    },
     /// A complete answer was received.
     Whole {
         /// HTTP status.
@@ -143,7 +167,7 @@
         match self {
             Self::Unsent | Self::GaveUp => None,
             Self::Cut { status, .. } => *status,
-            Self::Whole { status, .. } => Some(*status),
+            Self::Whole { status, .. } | Self::Left { status, .. } => Some(*status),
         }
     }
 }
@@ -189,6 +213,7 @@
         weight,
         stream,
         once,
+        ..RequestKind::default()
     };
     vec![
         kind("/summary/1", 4, true, false),
@@ -197,177 +222,3 @@
         kind("/correction/1", 3, false, true),
     ]
 }
-
-/// Sends a load, in which callers take up streams that were cut, and returns the records of its
-/// requests; those of the attempts at one stream follow each other.
-pub async fn send(spec: &LoadSpec, addresses: &SharedAddresses) -> Vec<RequestRecord> {
-    let clients: Vec<Client> = (0..CALLER_COUNT).map(|_| Client::open()).collect();
-    let mut rng = Pcg64Mcg::seed_from_u64(spec.seed ^ 1);
-    let began = Instant::now();
-    let mut tasks = JoinSet::new();
-    let mut records = Vec::new();
-    for (number, (at, kind)) in spec.arrivals().into_iter().enumerate() {
-        sleep_until(began + at).await;
-        while let Some(ended) = tasks.try_join_next() {
-            records.extend(ended.into_iter().flatten());
-        }
-        let known = addresses.lock().unwrap_or_else(PoisonError::into_inner);
-        let front = (!known.is_empty()).then(|| known[rng.random_range(0..known.len())]);
-        drop(known);
-        let client = clients[number % CALLER_COUNT].clone();
-        let path = spec.kinds[kind].path.clone();
-        let id = format!("s{}-{number}", spec.seed);
-        let due = began + at;
-        let key = number.checked_rem(spec.keys.len());
-        let authorization = key.map(|key| format!("Bearer {}", spec.keys[key]));
-        let shared = SHARED_PARTS[number % SHARED_PARTS.len()];
-        let is_resumable = spec.kinds[kind].stream && !spec.kinds[kind].once;
-        let take_up_seed = spec.seed ^ (number as u64) << 8;
-        let addresses = addresses.clone();
-        tasks.spawn(async move {
-            let send =
-                async |due, id: String, front: Option<SocketAddr>, taken_up: Option<TakenUp>| {
-                    let mut request =
-                        front.map(|front| build(front, &path, (&id, shared), taken_up.as_ref()));
-                    if let Some(request) = &mut request
-                        && let Some(value) =
-                            authorization.as_ref().and_then(|text| text.parse().ok())
-                    {
-                        request.headers_mut().insert(AUTHORIZATION, value);
-                    }
-                    let (outcome, first_byte) = send_request(&client, request, &id).await;
-                    RequestRecord {
-                        id,
-                        kind,
-                        key,
-                        front,
-                        due,
-                        ended: Instant::now(),
-                        first_byte,
-                        outcome,
-                        taken_up,
-                    }
-                };
-            let mut attempts = vec![send(due, id.clone(), front, None).await];
-            if !is_resumable {
-                return attempts;
-            }
-            let mut rng = Pcg64Mcg::seed_from_u64(take_up_seed);
-            while attempts.len() < MAX_ATTEMPTS {
-                let Some(taken_up) = part_received(&attempts) else {
-                    break;
-                };
-                sleep(Duration::from_millis(rng.random_range(TAKE_UP_MS))).await;
-                let known = addresses
-                    .lock()
-                    .unwrap_or_else(PoisonError::into_inner)
-                    .clone();
-                let front = (!known.is_empty()).then(|| known[rng.random_range(0..known.len())]);
-                let id = format!("{id}-{}", attempts.len());
-                attempts.push(send(Instant::now(), id, front, Some(taken_up)).await);
-            }
-            attempts
-        });
-    }
-    while let Some(ended) = tasks.join_next().await {
-        records.extend(ended.into_iter().flatten());
-    }
-    records
-}
-
-/// Builds a request, which takes up a stream if the caller has a part of it.
-fn build(
-    front: SocketAddr,
-    path: &str,
-    (id, shared): (&str, &str),
-    taken_up: Option<&TakenUp>,
-) -> Request<Full<Bytes>> {
-    let mut request = caller::request_with_parts(front, path, id, &[shared]);
-    if let Some(part) = taken_up {
-        caller::take_up(&mut request, &part.stream, part.last);
-    }
-    request
-}
-
-/// Returns what a caller has of a stream after some attempts, unless it has nothing or the stream is
-/// whole.
-fn part_received(attempts: &[RequestRecord]) -> Option<TakenUp> {
-    let (mut stream, mut last) = (None, 0);
-    for attempt in attempts {
-        let body = match &attempt.outcome {
-            Outcome::Whole { status: 200, .. } => return None,
-            Outcome::Cut {
-                status: Some(200),
-                body,
-            } => body.as_slice(),
-            _ => continue,
-        };
-        let events = body.windows(2).filter(|pair| pair == b"\n\n").count() as u64;
-        if events > 0 {
-            stream.get_or_insert_with(|| attempt.id.clone());
-        }
-        last += events;
-    }
-    stream.map(|stream| TakenUp { stream, last })
-}
-
-/// Sends one request, if there is one, and waits for the end of its answer, at most
-/// [`ANSWER_TIMEOUT`]; returns the time at which the first part of the body was received as well.
-pub(crate) async fn send_request(
-    client: &Client,
-    request: Option<Request<Full<Bytes>>>,
-    id: &str,
-) -> (Outcome, Option<Instant>) {
-    let mut first_byte = None;
-    let Some(request) = request else {
-        return (Outcome::Unsent, first_byte);
-    };
-    let exchange = exchange(client, request, id, &mut first_byte);
-    let outcome = timeout(ANSWER_TIMEOUT, exchange).await;
-    (outcome.unwrap_or(Outcome::GaveUp), first_byte)
-}
-
-/// Sends one request and reads its answer; sets `first_byte` as soon as a part of the body is
-/// received.
-async fn exchange(
-    client: &Client,
-    request: Request<Full<Bytes>>,
-    id: &str,
-    first_byte: &mut Option<Instant>,
-) -> Outcome {
-    match client.send(request).await {
-        Ok(response) => read_answer(response, id, first_byte).await,
-        Err(HttpError::Connect(_)) => Outcome::Unsent,
-        Err(HttpError::Broken(_)) => Outcome::Cut {
-            status: None,
-            body: Vec::new(),
-        },
-    }
-}
-
-/// Reads the body of an answer up to its end or to the failure of the connection.
-async fn read_answer(
-    response: Response<Incoming>,
-    id: &str,
-    first_byte: &mut Option<Instant>,
-) -> Outcome {
-    let (head, mut body) = response.into_parts();
-    let status = head.status.as_u16();
-    let mut bytes = Vec::new();
-    while let Some(frame) = body.frame().await {
-        first_byte.get_or_insert_with(Instant::now);
-        let Ok(frame) = frame else {
-            return Outcome::Cut {
-                status: Some(status),
-                body: bytes,
-            };
-        };
-        bytes.extend(frame.into_data().unwrap_or_default());
-    }
-    first_byte.get_or_insert_with(Instant::now);
-    Outcome::Whole {
-        status,
-        signed: is_signed_answer(&head.headers, id),
-        body: bytes,
-    }
-}
--- a/crates/cactuslane-soak/src/options.rs
+++ b/crates/cactuslane-soak/src/options.rs
@@ -4,6 +4,8 @@
 use std::path::PathBuf;
 use std::time::Duration;
 
+use cactuslane_platform::Shape;
+
 /// Parameters of a run.
 #[derive(Clone, Debug)]
 pub struct Options {
@@ -24,6 +26,13 @@
     pub timed: bool,
     /// Whether there are targets that run as processes, which are killed and stopped.
     pub target_processes: bool,
+    /// Deployment that the run plays, with its own instances, targets, routes and load; that of the
+    /// stand-ins if `None`.
+    pub shape: Option<Shape>,
+    /// Share of the requests that callers send or read in an unusual, but allowed form.
+    pub unusual: f64,
+    /// Share of a processor that each instance gets, between 0 and 1; not limited if `None`.
+    pub cpu_share: Option<f64>,
 }
 
 impl Options {
--- a/crates/cactuslane-soak/src/probes.rs
+++ b/crates/cactuslane-soak/src/probes.rs
@@ -6,7 +6,8 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use cactuslane_platform_standin::{Store, TargetKind, caller};
+use cactuslane_platform::Shape;
+use cactuslane_platform_standin::{Place, Store, TargetKind, caller};
 use cactuslane_store::http::Client;
 use hyper::header::{AUTHORIZATION, HeaderValue};
 use serde_json::{Value, json};
@@ -15,6 +16,7 @@
 
 use crate::check::{FAULT_GRACE, Observations};
 use crate::customers::{PROBE_KEY, keyed_document};
+use crate::layout::{Layout, TargetSpec};
 use crate::load::send_request;
 use crate::options::Options;
 use crate::plan::{Action, Change};
@@ -41,6 +43,8 @@
 const OBJECTIVE_MS: u64 = 200;
 /// The two limits on the idle time of callers' connections in milliseconds.
 const IDLE_MS: [u64; 2] = [15_000, 4_000];
+/// Number of slots that the entries of the targets state.
+const SLOTS: u32 = 6;
 /// Names of the targets.
 const TARGETS: [&str; 3] = ["i-h1", "i-h2", "i-h3"];
 
@@ -116,6 +120,9 @@
 pub struct Probes {
     /// The targets.
     targets: Workers,
+    /// Deployment whose routes the configuration has beside the probed ones; the stand-in's if
+    /// `None`.
+    shape: Option<Shape>,
     /// Routes of the configuration that was written last.
     routes: Routes,
     /// What was recorded so far.
@@ -149,12 +156,23 @@
     pub fn new(options: &Options) -> Self {
         let mut targets = Workers::default();
         if options.target_processes {
-            let specs = TARGETS.map(|name| (name, TargetKind::Plain, Some(SERVICE)));
+            let place = Place {
+                service: SERVICE.to_owned(),
+                domain: Layout::of(options).domains.swap_remove(0),
+                slots: SLOTS,
+            };
+            let specs = TARGETS.map(|name| TargetSpec {
+                id: name.to_owned(),
+                kind: TargetKind::Plain,
+                place: Some(place.clone()),
+                is_second: false,
+            });
             targets = Workers::of(&specs, &options.binary, &options.folder, options.seed);
         }
         let routes = Routes::default();
         Self {
             targets,
+            shape: options.shape.clone(),
             routes,
             log: ProbeLog {
                 versions: vec![(Instant::now(), routes)],
@@ -174,6 +192,12 @@
         self.targets.len()
     }
 
+    /// Returns the number of processes of targets that were started.
+    #[must_use]
+    pub fn processes(&self) -> u64 {
+        self.targets.processes()
+    }
+
     /// Returns whether all targets have started.
     #[must_use]
     pub fn all_serve(&self) -> bool {
@@ -192,7 +216,7 @@
     /// Returns the configuration with a version and the probed routes.
     #[must_use]
     pub fn document(&self, version: u64) -> Value {
-        let mut document = keyed_document(version);
+        let mut document = keyed_document(version, self.shape.as_ref());
         if self.targets.is_empty() {
             return document;
         }
@@ -201,7 +225,8 @@
         } else {
             SERVICE
         };
-        let mut route = document["routes"][0].clone();
+        let template = cactuslane_platform_standin::document(version);
+        let mut route = template["routes"][0].clone();
         route["target_latency_ms"] = json!(OBJECTIVE_MS);
         let mut routes = vec![(Route::Steady, SERVICE), (Route::Moved, service)];
         if self.routes.added {
@@ -214,7 +239,7 @@
             route["timeout_ms"] = json!(self.routes.timeout_ms);
             append(&mut document["routes"], &route);
         }
-        let mut service = document["services"][0].clone();
+        let mut service = template["services"][0].clone();
         for name in [SERVICE, EMPTY_SERVICE] {
             service["name"] = json!(name);
             append(&mut document["services"], &service);
--- a/crates/cactuslane-soak/src/process.rs
+++ b/crates/cactuslane-soak/src/process.rs
@@ -1,20 +1,32 @@
 //! Instances that run as separate processes, and the signals sent to them.
 
+mod slices;
+pub mod usage;
+
 use std::fs;
 use std::io::{self, BufRead, BufReader, Write};
 use std::net::{Ipv4Addr, SocketAddr};
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::mpsc::{self, Receiver, TryRecvError};
 use std::time::{Duration, Instant};
 
-use cactuslane_platform_standin::settings_text;
+use cactuslane_platform::site::Bounds;
+use cactuslane_platform_standin::shape_settings;
 use rustix::process::{Pid, Signal, kill_process};
 use serde_json::Value;
 
+use self::slices::Slicer;
+use self::usage::ProcessUsage;
+
 /// Maximum time from the start of a process until it logs the event `started`.
 const START_TIMEOUT: Duration = Duration::from_secs(30);
 
+/// Time within which a leaving target must stop receiving new requests, where no deployment states it.
+const DRAIN_TIME: Duration = Duration::from_secs(2);
+
 /// Length of a window of usage in seconds, in the settings of all instances.
 pub const WINDOW_S: u64 = 2;
 
@@ -25,6 +37,17 @@
     pub name: String,
     /// Loopback address that it listens on.
     host: Ipv4Addr,
+    /// Failure domain in the settings.
+    domain: String,
+    /// Bounds in the settings.
+    bounds: Bounds,
+    /// Share of a processor that its processes get, and the part of a period by which their slices are
+    /// late; not limited if `None`.
+    cpu_share: Option<(f64, f64)>,
+    /// Number of times that its processes were stopped as their slice ended.
+    slices: Arc<AtomicU64>,
+    /// Processor time and memory of its processes.
+    usage: ProcessUsage,
     /// Executable of the gateway.
     binary: PathBuf,
     /// Path of the settings file in TOML.
@@ -52,6 +75,8 @@
     started: Receiver<Addresses>,
     /// Addresses from that event, once it was logged.
     addresses: Option<Addresses>,
+    /// Gives the process its share of a processor, once it has started.
+    slicer: Option<Slicer>,
 }
 
 /// Addresses that an instance listens on.
@@ -77,6 +102,11 @@
         Self {
             name: name.to_owned(),
             host,
+            domain: "a".to_owned(),
+            bounds: Bounds::default(),
+            cpu_share: None,
+            slices: Arc::default(),
+            usage: ProcessUsage::default(),
             binary: binary.to_owned(),
             settings: folder.join(format!("{name}.toml")),
             log: folder.join(format!("{name}.log")),
@@ -87,6 +117,35 @@
         }
     }
 
+    /// Sets the failure domain and the bounds in the settings.
+    pub fn set_place(&mut self, domain: &str, bounds: Bounds) {
+        domain.clone_into(&mut self.domain);
+        self.bounds = bounds;
+    }
+
+    /// Limits the processes that are started from now on to a share of a processor; their slices are
+    /// late by a part of a period, from 0 to 1.
+    pub fn limit_cpu(&mut self, share: Option<f64>, phase: f64) {
+        self.cpu_share = share.map(|share| (share, phase));
+    }
+
+    /// Returns the number of times that its processes were stopped as their slice ended.
+    #[must_use]
+    pub fn slices(&self) -> u64 {
+        self.slices.load(Ordering::Relaxed)
+    }
+
+    /// Reads the processor time and memory of the process, and returns those of all processes of the
+    /// instance so far.
+    pub fn read_usage(&mut self) -> &ProcessUsage {
+        let child = self
+            .process
+            .as_ref()
+            .and_then(|process| process.child.as_ref());
+        self.usage.read(child.map(Child::id));
+        &self.usage
+    }
+
     /// Starts a process, whose addresses are known once [`Self::poll_started`] has read them.
     ///
     /// # Errors
@@ -125,6 +184,7 @@
             since: Instant::now(),
             started,
             addresses: None,
+            slicer: None,
         });
         Ok(())
     }
@@ -143,7 +203,14 @@
             return Ok(());
         }
         match process.started.try_recv() {
-            Ok(addresses) => process.addresses = Some(addresses),
+            Ok(addresses) => {
+                process.addresses = Some(addresses);
+                let id = process.child.as_ref().map(Child::id);
+                if let (Some((share, phase)), Some(id)) = (self.cpu_share, id) {
+                    let slicer = Slicer::spawn(id, share, phase, self.slices.clone());
+                    process.slicer = Some(slicer?);
+                }
+            }
             Err(TryRecvError::Empty) if process.since.elapsed() < START_TIMEOUT => {}
             Err(_) => {
                 self.process = None;
@@ -177,6 +244,12 @@
         if process.addresses.is_none() {
             return;
         }
+        if let Some(slicer) = &process.slicer
+            && (signal == Signal::STOP || signal == Signal::CONT)
+        {
+            slicer.set_paused(signal == Signal::STOP);
+            return;
+        }
         let id = process.child.as_ref().map(Child::id);
         let pid = id.and_then(|id| Pid::from_raw(i32::try_from(id).ok()?));
         if let Some(pid) = pid {
@@ -185,22 +258,27 @@
         }
     }
 
-    /// Writes the settings file with another drain time (`drain_ms`, from 1900 to 1999), so that
-    /// each reload changes a setting.
+    /// Writes the settings file with another drain time (`drain_ms`, up to 100 below that of the
+    /// bounds), so that each reload changes a setting.
     ///
     /// # Errors
     ///
     /// Returns an error if the file cannot be written.
     pub fn write_settings(&mut self) -> io::Result<()> {
         self.write_count += 1;
-        let drain = 1900 + self.write_count % 100;
-        let text = settings_text(&self.name, self.store);
-        let bounds = format!("report_window_s = {WINDOW_S}\nusage_late_s = 10\ndrain_ms = {drain}");
+        let longest = self.bounds.drain.unwrap_or(DRAIN_TIME);
+        let earlier = Duration::from_millis(u64::from(100 - self.write_count % 100));
+        let bounds = Bounds {
+            drain: Some(longest.saturating_sub(earlier)),
+            ..self.bounds
+        };
+        let text = shape_settings(&self.name, self.store, &self.domain, &bounds);
+        let windows = format!("[bounds]\nreport_window_s = {WINDOW_S}\nusage_late_s = 10");
         let duties = format!(
             "[cloud]\naddress = \"{}\"\nduties = [\"usage_reporting\"]\nduty_per_s = 20\n",
             self.platform
         );
-        let text = text.replace("drain_ms = 2000", &bounds) + &duties;
+        let text = text.replace("[bounds]", &windows) + &duties;
         // Callers of another run must not reach this one where ports are given out again.
         let text = text.replace("127.0.0.1:0", &format!("{}:0", self.host));
         fs::write(&self.settings, text)
--- a/crates/cactuslane-soak/src/report.rs
+++ b/crates/cactuslane-soak/src/report.rs
@@ -10,8 +10,7 @@
 use serde::Serialize;
 
 use crate::check::{CheckCounts, Violation};
-use crate::figures::WorkerFigures;
-use crate::figures::{Figures, format_seconds};
+use crate::figures::{Figures, Usage, WorkerFigures, format_seconds};
 use crate::plan::PlanStep;
 use crate::plot;
 
@@ -36,6 +35,8 @@
     pub check_counts: CheckCounts,
     /// What was done to the targets that run as processes.
     pub processes: WorkerFigures,
+    /// What the processes used.
+    pub usage: Usage,
     /// Statistics of the load.
     pub figures: Figures,
 }
--- a/crates/cactuslane-soak/src/run.rs
+++ b/crates/cactuslane-soak/src/run.rs
@@ -1,6 +1,7 @@
 //! One run: a deployment of instances and stand-ins on one machine, with faults and a load.
 
 use std::io;
+use std::path::Path;
 use std::time::Duration;
 
 use tokio::time::{Instant, sleep};
@@ -9,6 +10,7 @@
 use crate::customers::KEYS;
 use crate::deployment::Deployment;
 use crate::figures::Figures;
+use crate::layout;
 use crate::load::{self, LoadSpec};
 use crate::options::Options;
 use crate::plan;
@@ -30,6 +32,7 @@
 /// cannot be restarted, its settings cannot be written or the load generator panics.
 pub async fn run(options: &Options) -> io::Result<Report> {
     std::fs::create_dir_all(&options.folder)?;
+    remove_records(&options.folder)?;
     let mut deployment = Deployment::start(options).await?;
     let mut steps = plan::draw(
         options.seed,
@@ -51,9 +54,10 @@
         length: options.length,
         rate: options.rate,
         bursts: vec![(options.length.mul_f64(0.4), Duration::from_secs(3), 3.0)],
-        kinds: load::kinds(),
+        kinds: layout::kinds(options.shape.as_ref()),
         seed: options.seed,
         keys: KEYS.map(|(key, _)| key.to_owned()).to_vec(),
+        unusual: options.unusual,
     };
     let began = Instant::now();
     let addresses = deployment.addresses.clone();
@@ -78,6 +82,7 @@
                 .extend(runs);
         }
     }
+    let usage = deployment.read_usage();
     let processes = deployment.workers.finish(&mut deployment.observations)?;
     deployment
         .probes
@@ -106,6 +111,21 @@
         violations,
         check_counts,
         processes,
+        usage,
         figures,
     })
 }
+
+/// Removes the logs of an earlier run with the same folder, whose request ids are the same.
+fn remove_records(folder: &Path) -> io::Result<()> {
+    for entry in std::fs::read_dir(folder)? {
+        let path = entry?.path();
+        let is_record = path
+            .extension()
+            .is_some_and(|end| end == "made" || end == "log");
+        if is_record {
+            std::fs::remove_file(path)?;
+        }
+    }
+    Ok(())
+}
--- a/crates/cactuslane-soak/src/workers.rs
+++ b/crates/cactuslane-soak/src/workers.rs
@@ -10,12 +10,13 @@
 use std::time::Duration;
 
 use cactuslane_platform_standin::process::{Line, Step};
-use cactuslane_platform_standin::{Store, TargetKind, target};
+use cactuslane_platform_standin::{Place, Store, TargetKind, target};
 use rustix::process::{Pid, Signal, kill_process};
 use tokio::time::Instant;
 
 use crate::check::Observations;
 use crate::figures::WorkerFigures;
+use crate::layout::TargetSpec;
 use crate::made::{Made, instant};
 use crate::plan::{self, ProcessFault};
 
@@ -44,15 +45,15 @@
 #[derive(Debug)]
 struct Worker {
     /// First id.
-    name: &'static str,
+    name: String,
     /// Current id.
     id: String,
     /// Kind of the target.
     kind: TargetKind,
     /// Whether its software has [`SECOND_VERSION`], and the first one otherwise.
     is_second: bool,
-    /// Service of the target, if it is not that of its kind.
-    service: Option<&'static str>,
+    /// Place of the target in the deployment, if it is not that of its kind.
+    place: Option<Place>,
     /// Executable with the command `target`.
     binary: PathBuf,
     /// Folder of the logs.
@@ -107,29 +108,13 @@
 impl Workers {
     /// Creates the targets, whose processes are started by [`Self::tick`].
     #[must_use]
-    pub fn new(binary: &Path, folder: &Path, seed: u64) -> Self {
-        let targets = [
-            ("i-x1", TargetKind::Plain, None),
-            ("i-x2", TargetKind::Plain, None),
-            ("i-s1", TargetKind::Decode, None),
-            ("i-s2", TargetKind::Decode, None),
-        ];
-        Self::of(&targets, binary, folder, seed)
-    }
-
-    /// Creates targets by name, kind and service, if this is not that of the kind.
-    pub(crate) fn of(
-        targets: &[(&'static str, TargetKind, Option<&'static str>)],
-        binary: &Path,
-        folder: &Path,
-        seed: u64,
-    ) -> Self {
-        let worker = |&(name, kind, service): &(&'static str, _, _)| Worker {
-            name,
-            id: name.to_owned(),
-            kind,
-            is_second: name == "i-s2",
-            service,
+    pub fn of(targets: &[TargetSpec], binary: &Path, folder: &Path, seed: u64) -> Self {
+        let worker = |spec: &TargetSpec| Worker {
+            name: spec.id.clone(),
+            id: spec.id.clone(),
+            kind: spec.kind,
+            is_second: spec.is_second,
+            place: spec.place.clone(),
             binary: binary.to_owned(),
             folder: folder.to_owned(),
             seed,
@@ -161,6 +146,12 @@
         self.targets.is_empty()
     }
 
+    /// Returns the number of processes that were started.
+    #[must_use]
+    pub fn processes(&self) -> u64 {
+        self.targets.iter().map(|worker| worker.process).sum()
+    }
+
     /// Returns whether all processes have started.
     #[must_use]
     pub fn all_serve(&self) -> bool {
@@ -257,10 +248,11 @@
                 if self.poll_started()? {
                     let address = self.address.expect("it has started");
                     let (id, process) = (&*self.id, self.process);
-                    if let Some(service) = self.service {
-                        target::register_plain(store, id, service, process, address);
+                    let software = (process, self.version());
+                    if let Some(place) = &self.place {
+                        let place = (self.kind, place);
+                        target::register_place(store, id, place, software, address);
                     } else {
-                        let software = (process, self.version());
                         target::register_version(store, id, self.kind, software, address);
                     }
                     self.phase = Phase::Serving;
--- a/crates/cactuslane-soak/tests/checks.rs
+++ b/crates/cactuslane-soak/tests/checks.rs
@@ -16,6 +16,7 @@
         weight: 1,
         stream,
         once,
+        ..RequestKind::default()
     }
 }
 
--- a/crates/cactuslane-soak/tests/load.rs
+++ b/crates/cactuslane-soak/tests/load.rs
@@ -16,6 +16,7 @@
         weight,
         stream: false,
         once: false,
+        ..RequestKind::default()
     };
     LoadSpec {
         length: Duration::from_secs(100),
@@ -24,6 +25,7 @@
         kinds: vec![kind("/a/1", 3), kind("/b/1", 1)],
         seed: 5,
         keys: Vec::new(),
+        unusual: 0.0,
     }
 }
 
--- a/crates/cactuslane-soak/tests/made.rs
+++ b/crates/cactuslane-soak/tests/made.rs
@@ -117,6 +117,7 @@
         weight: 1,
         stream,
         once: true,
+        ..RequestKind::default()
     };
     let mut observations = Observations::default();
     observations.runs.insert("r1".to_owned(), vec![now]);
@@ -243,6 +244,7 @@
         weight: 1,
         stream: true,
         once: false,
+        ..RequestKind::default()
     };
     let mut observations = Observations::default();
     observations.faults.push((now, now));
--- a/crates/cactuslane/src/load.rs
+++ b/crates/cactuslane/src/load.rs
@@ -78,6 +78,7 @@
             .collect::<Result<_, _>>()?,
         seed: command.seed,
         keys: Vec::new(),
+        unusual: 0.0,
     };
     let addresses = Arc::new(Mutex::new(command.addresses.clone()));
     let start = Instant::now();
@@ -151,6 +152,7 @@
         weight,
         stream,
         once: false,
+        ..RequestKind::default()
     })
 }
 
--- a/crates/cactuslane/src/soak.rs
+++ b/crates/cactuslane/src/soak.rs
@@ -1,13 +1,21 @@
 //! The `soak` command: random faults injected into instances that run as processes.
 
-use std::path::PathBuf;
+use std::path::{Path, PathBuf};
 use std::time::Duration;
 
 use argh::FromArgs;
-use cactuslane_soak::{Options, run};
+use cactuslane_platform::Shape;
+use cactuslane_soak::{Options, layout, run};
 
 use crate::CommandError;
 
+/// Number of instances without a site file.
+const DEFAULT_INSTANCES: usize = 4;
+/// Share of the requests in an unusual form with a site file.
+const UNUSUAL: f64 = 0.5;
+/// Mean rate in requests per second without a site file.
+const DEFAULT_RATE: f64 = 40.0;
+
 /// runs instances as separate processes with simulated platform and targets, injects random faults,
 /// and checks guarantees against what callers and targets see; the seed determines the faults
 #[derive(Debug, FromArgs)]
@@ -22,12 +30,20 @@
     /// time in seconds during which a run sends requests, at least 4 (default: 40)
     #[argh(option, default = "40")]
     seconds: u64,
-    /// number of instances, at least 1 (default: 4)
-    #[argh(option, default = "4")]
-    instances: usize,
-    /// mean rate in requests per second outside the burst of each run (default: 40)
-    #[argh(option, default = "40.0")]
-    rate: f64,
+    /// number of instances, at least 1 (default: those of the site file, or 4)
+    #[argh(option)]
+    instances: Option<usize>,
+    /// mean rate in requests per second outside the burst of each run (default: that of the site file,
+    /// or 40)
+    #[argh(option)]
+    rate: Option<f64>,
+    /// site file of the platform: plays its instances, failure domains, targets, routes and load
+    #[argh(option)]
+    site: Option<PathBuf>,
+    /// share of a processor that each instance gets, above 0 and at most 1 (default: that of the site
+    /// file, or no limit)
+    #[argh(option)]
+    cpu_share: Option<f64>,
     /// skip guarantees with a time bound, for machines that are short of processor time
     #[argh(switch)]
     untimed: bool,
@@ -39,10 +55,23 @@
 
 /// Runs one soak per seed and prints each summary and violation; fails if a guarantee was violated.
 pub async fn execute(command: &SoakCommand) -> Result<(), CommandError> {
-    if command.instances == 0 || command.seconds < 4 || command.rate <= 0.0 {
-        let hint = "give at least one instance, at least four seconds and a rate above 0";
+    let shape = match &command.site {
+        Some(path) => Some(read_site(path)?),
+        None => None,
+    };
+    let of_site = shape.as_ref();
+    let instances = of_site.map_or(DEFAULT_INSTANCES, |shape| shape.domains().len());
+    let instances = command.instances.unwrap_or(instances);
+    let rate = command.rate.or_else(|| of_site.map(Shape::rate));
+    let rate = rate.unwrap_or(DEFAULT_RATE);
+    let cpu_share = command.cpu_share.or_else(|| of_site.map(Shape::cpu_share));
+    let is_share = |share: f64| share > 0.0 && share <= 1.0;
+    if instances == 0 || command.seconds < 4 || rate <= 0.0 || !cpu_share.is_none_or(is_share) {
+        let hint = "give at least one instance, at least four seconds, a rate above 0, and a share of \
+                    a processor above 0 and of at most 1";
         return Err(CommandError::Usage(hint.to_owned()));
     }
+    let cpu_share = cpu_share.filter(|share| *share < 1.0);
     let failed = |error: std::io::Error| CommandError::Failed(error.to_string());
     let binary = std::env::current_exe().map_err(failed)?;
     let mut failed_seeds = Vec::new();
@@ -52,14 +81,18 @@
             folder: command.output.join(seed.to_string()),
             seed,
             length: Duration::from_secs(command.seconds),
-            instances: command.instances,
-            rate: command.rate,
+            instances,
+            rate,
             timed: !command.untimed,
             target_processes: true,
+            shape: shape.clone(),
+            unusual: if shape.is_some() { UNUSUAL } else { 0.0 },
+            cpu_share,
         };
         let report = run(&options).await.map_err(failed)?;
         report.write(&options.folder).map_err(failed)?;
         println!("{}", report.summary());
+        println!("  {}", report.usage.summary());
         for stall in &report.stalls {
             println!("  the run itself stood still: {stall}");
         }
@@ -81,3 +114,21 @@
         "guarantees were violated with seeds {seeds}; logs and reports are in {output}"
     )))
 }
+
+/// Reads a site file, and prints what of it the runs do not play.
+fn read_site(path: &Path) -> Result<Shape, CommandError> {
+    let shape = Shape::open(path).map_err(|error| CommandError::Usage(error.to_string()))?;
+    let unknown: Vec<&str> = shape.unknown.iter().map(String::as_str).collect();
+    if !unknown.is_empty() {
+        println!(
+            "not understood in {}: {}",
+            path.display(),
+            unknown.join(", ")
+        );
+    }
+    let others = layout::not_played(&shape);
+    if !others.is_empty() {
+        println!("disruptions that no run plays: {}", others.join(", "));
+    }
+    Ok(shape)
+}
