--- a/crates/cactuslane-soak/tests/checks.rs
+++ b/crates/cactuslane-soak/tests/checks.rs
@@ -19,6 +19,7 @@
         weight: 1,
         stream,
         once,
+        ..RequestKind::default()
     }
 }
 
