Judge streams over all attempts of their callers

Cause: each attempt was compared with the runs of its own request alone, so that a stream which is joined from attempts at several instances was judged in parts.

Change: the events that a caller got of a stream in several attempts must follow each other from the first one, be made by a target in one of the attempts, and end as whole only with the last event of a whole run.

--- a/crates/cactuslane-soak/src/check.rs
+++ b/crates/cactuslane-soak/src/check.rs
@@ -7,6 +7,7 @@
 use serde_json::Value;
 use tokio::time::Instant;
 
+use crate::attempts;
 use crate::customers::KEYS;
 use crate::load::{Outcome, RequestKind, RequestRecord};
 use crate::made::{self, Made, Sources};
@@ -44,6 +45,9 @@
 /// the window.
 const USAGE_SLACK: f64 = 2.0;
 
+/// Name of the guarantee of streams over all attempts of their callers.
+const ATTEMPTS: &str = "streams are in order over all attempts";
+
 /// A guarantee that did not hold.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize)]
 pub struct Violation {
@@ -120,6 +124,11 @@
     for record in records {
         checker.check_request(record, &kinds[record.kind]);
     }
+    for judgement in attempts::judge(records, kinds, observations) {
+        let observed = || judgement.wrong.clone().unwrap_or_default();
+        let (name, holds) = (ATTEMPTS, judgement.wrong.is_none());
+        checker.record_check(name, holds, &judgement.stream, observed);
+    }
     checker.check_versions();
     checker.check_exits();
     let crossings = &observations.crossings;
--- a/crates/cactuslane-soak/src/lib.rs
+++ b/crates/cactuslane-soak/src/lib.rs
@@ -5,6 +5,7 @@
 //! [`check`] from the answers that callers received and the runs that targets recorded. [`load`] is
 //! the load generator, which is also usable without faults.
 
+pub mod attempts;
 pub mod check;
 pub mod compare;
 pub mod customers;
