Inject faults into the paths of callers, instances and targets in the soak

Cause: a target had one link for all instances, and callers and instances connected to instances directly, so that no instance of a soak was ever cut off from all targets while others reached them, and none passed a request on.

Change: each path has a link of its own: from callers to each instance, from each instance to each target and to each other instance, connections and datagrams. A generator of its own draws faults of them: silence, resets with refusals, cuts one way, resets and stalls of a share of the open connections, loss and delay, which overlap. They count as faults that excuse cut answers, and excuse nothing else. Instances are of three failure domains. The report counts the faults and, from the logs, the requests passed on.

--- a/crates/cactuslane-soak/src/deployment.rs
+++ b/crates/cactuslane-soak/src/deployment.rs
@@ -4,18 +4,23 @@
 
 use std::collections::BTreeMap;
 use std::fmt::Debug;
+use std::fs;
 use std::io;
-use std::sync::PoisonError;
+use std::net::SocketAddr;
+use std::sync::{Arc, PoisonError};
 use std::time::Duration;
 
+use cactuslane_platform_standin::store::View;
 use cactuslane_platform_standin::{DutyEndpoint, Store, Target, TargetKind, caller};
 use tokio::time::{Instant, sleep, sleep_until};
 
 use crate::check::Observations;
 use crate::follow_ups::FollowUps;
+use crate::links::{Links, Source};
 use crate::load::SharedAddresses;
 use crate::options::Options;
-use crate::plan::PlanStep;
+use crate::passed::PathFigures;
+use crate::plan::{self, PlanStep};
 use crate::probes::Probes;
 use crate::process::Instance;
 use crate::proxy::Proxy;
@@ -32,6 +37,10 @@
 pub(crate) struct Deployment {
     /// Stand-in for the platform's store.
     pub(crate) store: Store,
+    /// Views of the store, one for each instance, if the paths have links.
+    _views: Vec<View>,
+    /// Links of the paths between callers, instances and targets, if they have any.
+    pub(crate) links: Option<Links>,
     /// Stand-in for the address that takes reports of usage.
     pub(crate) platform: DutyEndpoint,
     /// Proxies in front of the store, one for each instance, in the same order.
@@ -46,6 +55,8 @@
     pub(crate) probes: Probes,
     /// Instances under test.
     pub(crate) instances: Vec<Instance>,
+    /// Sizes of the logs of the instances at the start of the run, in bytes.
+    log_starts: Vec<u64>,
     /// Addresses of instances that callers send requests to.
     pub(crate) addresses: SharedAddresses,
     /// Version of the configuration that was written last.
@@ -93,11 +104,22 @@
         }
         let probes = Probes::new(options);
         store.configure(&probes.document(1));
+        let names: Vec<String> = (0..options.instances).map(instance_name).collect();
+        let links = options.links.then(|| Links::open(options.host(), names));
         let (mut instances, mut store_links) = (Vec::new(), Vec::new());
+        let mut views = Vec::new();
         for number in 0..options.instances {
-            let link = Proxy::bind(store.address).await?;
-            let name = format!("front-{number}");
-            let instance = Instance::new(
+            let mut address = store.address;
+            if let Some(links) = links.clone() {
+                let source = Source::Instance(number);
+                let route = move |name: &str, to| links.route(source, name, to);
+                let view = View::bind(&store, Arc::new(route)).await?;
+                address = view.address;
+                views.push(view);
+            }
+            let link = Proxy::bind(address).await?;
+            let name = instance_name(number);
+            let mut instance = Instance::new(
                 &name,
                 options.host(),
                 &options.binary,
@@ -105,11 +127,18 @@
                 link.address,
                 platform.address,
             );
+            if links.is_some() {
+                instance.set_domain(plan::domain(number));
+            }
             instances.push(instance);
             store_links.push(link);
         }
+        let size = |instance: &Instance| fs::metadata(instance.log()).map_or(0, |log| log.len());
+        let log_starts = instances.iter().map(size).collect();
         let mut deployment = Self {
             store,
+            _views: views,
+            links,
             platform,
             store_links,
             targets,
@@ -117,6 +146,7 @@
             workers,
             probes,
             instances,
+            log_starts,
             addresses: SharedAddresses::default(),
             version: 1,
             observations: Observations::default(),
@@ -213,7 +243,10 @@
     async fn poll_addresses(&mut self) -> usize {
         let answers = queries::ask_all(&self.instances, caller::ADDRESSES_PATH).await;
         if let Some(first) = answers.first() {
-            let listed = caller::addresses(&first.body);
+            let mut listed = caller::addresses(&first.body);
+            for address in &mut listed {
+                *address = self.callers_address(*address);
+            }
             let serving = listed.len();
             let mut known = self
                 .addresses
@@ -227,6 +260,34 @@
         0
     }
 
+    /// Returns the address that callers use for one that an instance lists: that of a link, if the
+    /// paths have links and an instance has the address.
+    fn callers_address(&self, listed: SocketAddr) -> SocketAddr {
+        let is_listed = |instance: &&Instance| {
+            let addresses = instance.addresses();
+            addresses.is_some_and(|addresses| addresses.front == listed)
+        };
+        let instance = self.instances.iter().find(is_listed);
+        match (&self.links, instance) {
+            (Some(links), Some(instance)) => links.route(Source::Callers, &instance.name, listed),
+            _ => listed,
+        }
+    }
+
+    /// Returns the counts of the faults of paths and of the events in the logs of the instances.
+    pub(crate) fn path_figures(&self, steps: &[PlanStep]) -> io::Result<PathFigures> {
+        let mut figures = PathFigures::default();
+        let Some(links) = &self.links else {
+            return Ok(figures);
+        };
+        figures.count_faults(steps);
+        figures.unbound = links.unbound();
+        for (instance, from) in self.instances.iter().zip(&self.log_starts) {
+            figures.count_events(instance.log(), *from)?;
+        }
+        Ok(figures)
+    }
+
     /// Records the configuration version in force in each instance, from its metrics.
     async fn poll_versions(&mut self) {
         for answer in queries::ask_all(&self.instances, "/metrics").await {
@@ -241,3 +302,8 @@
         }
     }
 }
+
+/// Returns the name of the instance with a number.
+fn instance_name(number: usize) -> String {
+    format!("front-{number}")
+}
--- a/crates/cactuslane-soak/src/deployment/apply.rs
+++ b/crates/cactuslane-soak/src/deployment/apply.rs
@@ -92,6 +92,12 @@
                 self.configure(now);
             }
             Action::Silence(count, time) => self.probes.silence(count, time),
+            Action::Path(scope, fault, _) => {
+                if let Some(links) = &self.links {
+                    let end = FollowUp::EndFault(links.inject(scope, fault));
+                    self.follow_ups.schedule(until, end);
+                }
+            }
         }
         Ok(())
     }
@@ -115,6 +121,11 @@
             FollowUp::HealStore => self.store.set_mode(Mode::Serving),
             FollowUp::HealStoreLink(number) => self.store_links[number].heal(),
             FollowUp::HealTargetLink(number) => self.target_links[number].heal(),
+            FollowUp::EndFault(id) => {
+                if let Some(links) = &self.links {
+                    links.end(id);
+                }
+            }
             FollowUp::EndDrain(number, from) => {
                 let history = self.targets[number].run_times().into_values();
                 let runs = history.flatten().filter(|run| *run >= from).collect();
--- a/crates/cactuslane-soak/src/follow_ups.rs
+++ b/crates/cactuslane-soak/src/follow_ups.rs
@@ -2,6 +2,8 @@
 
 use tokio::time::Instant;
 
+use crate::links::FaultId;
+
 /// An action that ends or follows up a step of the plan.
 #[derive(Clone, Debug, PartialEq)]
 pub enum FollowUp {
@@ -15,6 +17,8 @@
     HealStoreLink(usize),
     /// Ends the fault on the connections to a target.
     HealTargetLink(usize),
+    /// Ends a fault of paths.
+    EndFault(FaultId),
     /// Ends the drain of a target that started at the given time.
     EndDrain(usize, Instant),
     /// Ends the limit of a target, in requests a second, that it has named since the given time.
--- a/crates/cactuslane-soak/src/options.rs
+++ b/crates/cactuslane-soak/src/options.rs
@@ -22,6 +22,8 @@
     pub rate: f64,
     /// Whether guarantees that bound a time are checked, which fail if the machine lacks CPU time.
     pub timed: bool,
+    /// Whether each path between callers, instances and targets has a link, whose faults are injected.
+    pub links: bool,
     /// Whether there are targets that run as processes, which are killed and stopped.
     pub target_processes: bool,
 }
--- a/crates/cactuslane-soak/src/plan.rs
+++ b/crates/cactuslane-soak/src/plan.rs
@@ -1,5 +1,7 @@
 //! The faults and planned changes of one run, drawn from a seed.
 
+mod paths;
+
 use std::time::Duration;
 
 use rand::seq::IndexedRandom;
@@ -7,6 +9,8 @@
 use rand_pcg::Pcg64Mcg;
 use serde::Serialize;
 
+pub use self::paths::{PathFault, Scope, domain, draw_paths};
+
 /// Mean time between two steps of a plan; each gap is uniformly distributed from 0.1 to 1.9 times
 /// this.
 const MEAN_GAP: Duration = Duration::from_millis(900);
@@ -80,6 +84,8 @@
     StoreLink(usize, LinkFault, Duration),
     /// Disturbs the connections to a target for a time.
     TargetLink(usize, LinkFault, Duration),
+    /// Disturbs the paths of a scope for a time.
+    Path(Scope, PathFault, Duration),
     /// Makes a target misbehave on the given number of requests, one fault for each.
     Target(usize, TargetFault, u32),
     /// Sets the state of a target to draining, and back to ready after a time.
@@ -195,6 +201,7 @@
             | Self::Store(_, time)
             | Self::StoreLink(_, _, time)
             | Self::TargetLink(_, _, time)
+            | Self::Path(_, _, time)
             | Self::Limit(_, _, time)
             | Self::Process(_, _, time)
             | Self::Silence(_, time)
--- a/crates/cactuslane-soak/src/probes.rs
+++ b/crates/cactuslane-soak/src/probes.rs
@@ -17,7 +17,7 @@
 use crate::customers::{PROBE_KEY, keyed_document};
 use crate::load::send_request;
 use crate::options::Options;
-use crate::plan::{Action, Change};
+use crate::plan::{Action, Change, Scope};
 use crate::process::Instance;
 use crate::workers::Workers;
 
@@ -248,6 +248,13 @@
             Action::Kill(number, time)
             | Action::Freeze(number, time)
             | Action::StoreLink(number, _, time) => (Some(number), time),
+            Action::Path(scope, _, time) => match scope {
+                Scope::Targets(number) | Scope::Peers(number) | Scope::Instance(number) => {
+                    (Some(number), time)
+                }
+                Scope::Domain(_) | Scope::All(_) => (None, time),
+                Scope::Callers(_) | Scope::AllCallers(_) => return,
+            },
             Action::Stop(number) => (Some(number), STOP_TIME),
             Action::Store(_, time) | Action::KillAll(time) => (None, time),
             _ => return,
--- a/crates/cactuslane-soak/src/process.rs
+++ b/crates/cactuslane-soak/src/process.rs
@@ -23,6 +23,8 @@
 pub struct Instance {
     /// Node name in the settings, and base name of the files.
     pub name: String,
+    /// Failure domain.
+    domain: &'static str,
     /// Loopback address that it listens on.
     host: Ipv4Addr,
     /// Executable of the gateway.
@@ -76,6 +78,7 @@
     ) -> Self {
         Self {
             name: name.to_owned(),
+            domain: "a",
             host,
             binary: binary.to_owned(),
             settings: folder.join(format!("{name}.toml")),
@@ -87,6 +90,17 @@
         }
     }
 
+    /// Sets the failure domain of the processes that are started from now on, which is `a` before.
+    pub fn set_domain(&mut self, domain: &'static str) {
+        self.domain = domain;
+    }
+
+    /// Returns the path of the log of all processes.
+    #[must_use]
+    pub fn log(&self) -> &Path {
+        &self.log
+    }
+
     /// Starts a process, whose addresses are known once [`Self::poll_started`] has read them.
     ///
     /// # Errors
@@ -200,6 +214,8 @@
             "[cloud]\naddress = \"{}\"\nduties = [\"usage_reporting\"]\nduty_per_s = 20\n",
             self.platform
         );
+        let zone = format!("zone = \"{}\"", self.domain);
+        let text = text.replace("zone = \"a\"", &zone);
         let text = text.replace("drain_ms = 2000", &bounds) + &duties;
         // Callers of another run must not reach this one where ports are given out again.
         let text = text.replace("127.0.0.1:0", &format!("{}:0", self.host));
--- a/crates/cactuslane-soak/src/report.rs
+++ b/crates/cactuslane-soak/src/report.rs
@@ -12,6 +12,7 @@
 use crate::check::{CheckCounts, Violation};
 use crate::figures::WorkerFigures;
 use crate::figures::{Figures, format_seconds};
+use crate::passed::PathFigures;
 use crate::plan::PlanStep;
 use crate::plot;
 
@@ -36,6 +37,8 @@
     pub check_counts: CheckCounts,
     /// What was done to the targets that run as processes.
     pub processes: WorkerFigures,
+    /// Faults of the paths, and what instances did about them.
+    pub paths: PathFigures,
     /// Statistics of the load.
     pub figures: Figures,
 }
@@ -60,12 +63,16 @@
         let checks: u64 = self.check_counts.values().sum();
         format!(
             "seed {}: {} steps, {served} of {sent} requests served, {checks} checks, {} broken, {} \
-             target processes killed, {} answers without a length cut by it",
+             target processes killed, {} answers without a length cut by it, {} faults of paths, \
+             {} requests passed on, {} of them to take up a stream",
             self.seed,
             self.steps.len(),
             self.violations.len(),
             self.processes.kills,
             self.processes.cut_without_length,
+            self.paths.faults.values().sum::<u64>(),
+            self.paths.passed,
+            self.paths.passed_resumptions,
         )
     }
 
--- a/crates/cactuslane-soak/src/run.rs
+++ b/crates/cactuslane-soak/src/run.rs
@@ -42,6 +42,10 @@
     if options.target_processes {
         steps.extend(plan::draw_losses(options.seed, options.length));
     }
+    if options.links {
+        let paths = plan::draw_paths(options.seed, options.length, options.instances);
+        steps.extend(paths);
+    }
     let silent = deployment.probes.targets();
     if silent > 0 {
         steps.extend(plan::draw_silences(options.seed, options.length, silent));
@@ -96,6 +100,7 @@
         &deployment.observations,
         options.timed,
     );
+    let paths = deployment.path_figures(&steps)?;
     let figures = Figures::from_records(&records, &spec, began);
     Ok(Report {
         seed: options.seed,
@@ -106,6 +111,7 @@
         violations,
         check_counts,
         processes,
+        paths,
         figures,
     })
 }
--- a/crates/cactuslane/src/soak.rs
+++ b/crates/cactuslane/src/soak.rs
@@ -55,6 +55,7 @@
             instances: command.instances,
             rate: command.rate,
             timed: !command.untimed,
+            links: true,
             target_processes: true,
         };
         let report = run(&options).await.map_err(failed)?;
--- a/crates/cactuslane/tests/soak.rs
+++ b/crates/cactuslane/tests/soak.rs
@@ -20,6 +20,7 @@
         instances: 3,
         rate: 30.0,
         timed: false,
+        links: false,
         target_processes,
     };
     let report = run(&options).await.expect("the run completes");
