--- a/crates/cactuslane-soak/src/layout.rs
+++ b/crates/cactuslane-soak/src/layout.rs
@@ -161,6 +161,8 @@
         | DisruptionKind::StopInstances
         | DisruptionKind::Reload
         | DisruptionKind::CutStore
+        | DisruptionKind::CutInstances
+        | DisruptionKind::LoseOnLinks
         | DisruptionKind::ResetConnections
         | DisruptionKind::StoreDown
         | DisruptionKind::StoreLosing
@@ -178,8 +180,6 @@
         | DisruptionKind::KillAfterChange
         | DisruptionKind::SlowInstances
         | DisruptionKind::StepClock
-        | DisruptionKind::CutInstances
-        | DisruptionKind::LoseOnLinks
         | DisruptionKind::StoreSlow
         | DisruptionKind::Changes
         | DisruptionKind::Enlarge
--- a/crates/cactuslane-soak/src/process.rs
+++ b/crates/cactuslane-soak/src/process.rs
@@ -146,6 +146,12 @@
         &self.usage
     }
 
+    /// Returns the path of the log of all processes.
+    #[must_use]
+    pub fn log(&self) -> &Path {
+        &self.log
+    }
+
     /// Starts a process, whose addresses are known once [`Self::poll_started`] has read them.
     ///
     /// # Errors
--- a/crates/cactuslane-soak/src/run.rs
+++ b/crates/cactuslane-soak/src/run.rs
@@ -46,6 +46,10 @@
     if options.target_processes {
         steps.extend(plan::draw_losses(options.seed, options.length));
     }
+    if options.links {
+        let paths = plan::draw_paths(options.seed, options.length, options.instances);
+        steps.extend(paths);
+    }
     let silent = deployment.probes.targets();
     if silent > 0 {
         steps.extend(plan::draw_silences(options.seed, options.length, silent));
@@ -99,6 +103,7 @@
         &deployment.observations,
         options.timed,
     );
+    let paths = deployment.path_figures(&steps)?;
     let figures = Figures::from_records(&records, &spec, began);
     Ok(Report {
         seed: options.seed,
@@ -110,6 +115,7 @@
         check_counts,
         processes,
         usage,
+        paths,
         figures,
     })
 }
--- a/crates/cactuslane-soak/tests/attempts.rs
+++ b/crates/cactuslane-soak/tests/attempts.rs
@@ -25,6 +25,7 @@
 fn run(after: u64, to: u64, name: &str) -> Made {
     Made {
         target: name.to_owned(),
+        run: name.to_owned(),
         version: "v1".to_owned(),
         at: Instant::now(),
         after,
--- a/crates/cactuslane-soak/tests/layout.rs
+++ b/crates/cactuslane-soak/tests/layout.rs
@@ -19,6 +19,7 @@
         instances: 3,
         rate: 30.0,
         timed: false,
+        links: false,
         target_processes,
         shape,
         unusual: 0.0,
--- a/crates/cactuslane/src/soak.rs
+++ b/crates/cactuslane/src/soak.rs
@@ -84,6 +84,7 @@
             instances,
             rate,
             timed: !command.untimed,
+            links: true,
             target_processes: true,
             shape: shape.clone(),
             unusual: if shape.is_some() { UNUSUAL } else { 0.0 },
--- a/crates/cactuslane/tests/soak.rs
+++ b/crates/cactuslane/tests/soak.rs
@@ -21,6 +21,7 @@
         instances: 3,
         rate: 30.0,
         timed: false,
+        links: false,
         target_processes,
         shape: None,
         unusual: 0.0,
