Write what is known of each violation to a file of its own

Cause: a violation named the request and its outcome; attempts, runs, disruptions and log lines had to be joined by hand.

Change: each run writes finding-N.txt with seed and command, the attempts of the caller, the runs at targets with their events, the disruptions that lasted then and the instances' log lines that name the requests, in the order of time. The command counts violations over all runs by guarantee and by disruption.

--- a/crates/cactuslane-soak/src/lib.rs
+++ b/crates/cactuslane-soak/src/lib.rs
@@ -12,6 +12,7 @@
 mod deployment;
 pub mod faults;
 pub mod figures;
+pub mod findings;
 pub mod follow_ups;
 pub mod layout;
 pub mod load;
--- a/crates/cactuslane-soak/src/options.rs
+++ b/crates/cactuslane-soak/src/options.rs
@@ -31,6 +31,8 @@
     pub shape: Option<Shape>,
     /// Share of the requests that callers send or read in an unusual, but allowed form.
     pub unusual: f64,
+    /// Command line of the run, which findings state.
+    pub command: String,
     /// Share of a processor that each instance gets, between 0 and 1; not limited if `None`.
     pub cpu_share: Option<f64>,
 }
--- a/crates/cactuslane-soak/src/report.rs
+++ b/crates/cactuslane-soak/src/report.rs
@@ -11,6 +11,7 @@
 
 use crate::check::{CheckCounts, Violation};
 use crate::figures::{Figures, Usage, WorkerFigures, format_seconds};
+use crate::findings::Finding;
 use crate::plan::PlanStep;
 use crate::plot;
 
@@ -30,6 +31,8 @@
     /// Guarantees that did not hold, with what was observed.
     #[serde(rename = "broken")]
     pub violations: Vec<Violation>,
+    /// What is known of each violation, of which the first ones are in files as well.
+    pub findings: Vec<Finding>,
     /// Number of checks of each guarantee, by name.
     #[serde(rename = "checked")]
     pub check_counts: CheckCounts,
--- a/crates/cactuslane-soak/src/run.rs
+++ b/crates/cactuslane-soak/src/run.rs
@@ -10,6 +10,7 @@
 use crate::customers::KEYS;
 use crate::deployment::Deployment;
 use crate::figures::Figures;
+use crate::findings::{self, RunRecords};
 use crate::layout;
 use crate::load::{self, LoadSpec};
 use crate::options::Options;
@@ -29,7 +30,7 @@
 /// # Errors
 ///
 /// Returns an error if the folder cannot be created, the deployment cannot be started, an instance
-/// cannot be restarted, its settings cannot be written or the load generator panics.
+/// cannot be restarted, its settings or a finding cannot be written or the load generator panics.
 pub async fn run(options: &Options) -> io::Result<Report> {
     std::fs::create_dir_all(&options.folder)?;
     remove_records(&options.folder)?;
@@ -101,6 +102,14 @@
         &deployment.observations,
         options.timed,
     );
+    let found = RunRecords {
+        options,
+        began,
+        steps: &steps,
+        records: &records,
+        observations: &deployment.observations,
+    };
+    let findings = findings::write(&found, &violations)?;
     let figures = Figures::from_records(&records, &spec, began);
     Ok(Report {
         seed: options.seed,
@@ -109,6 +118,7 @@
         steps,
         stalls: deployment.stalls,
         violations,
+        findings,
         check_counts,
         processes,
         usage,
--- a/crates/cactuslane-soak/tests/layout.rs
+++ b/crates/cactuslane-soak/tests/layout.rs
@@ -22,6 +22,7 @@
         target_processes,
         shape,
         unusual: 0.0,
+        command: String::new(),
         cpu_share: None,
     }
 }
--- a/crates/cactuslane/src/soak.rs
+++ b/crates/cactuslane/src/soak.rs
@@ -5,6 +5,7 @@
 
 use argh::FromArgs;
 use cactuslane_platform::Shape;
+use cactuslane_soak::findings::Summary;
 use cactuslane_soak::{Options, layout, run};
 
 use crate::CommandError;
@@ -74,6 +75,8 @@
     let cpu_share = cpu_share.filter(|share| *share < 1.0);
     let failed = |error: std::io::Error| CommandError::Failed(error.to_string());
     let binary = std::env::current_exe().map_err(failed)?;
+    let command_line = std::env::args().collect::<Vec<String>>().join(" ");
+    let mut summary = Summary::default();
     let mut failed_seeds = Vec::new();
     for seed in command.seed..command.seed + command.runs {
         let options = Options {
@@ -87,6 +90,7 @@
             target_processes: true,
             shape: shape.clone(),
             unusual: if shape.is_some() { UNUSUAL } else { 0.0 },
+            command: command_line.clone(),
             cpu_share,
         };
         let report = run(&options).await.map_err(failed)?;
@@ -102,6 +106,7 @@
                 violation.guarantee, violation.subject, violation.observed
             );
         }
+        summary.add(&report.findings);
         if !report.violations.is_empty() {
             failed_seeds.push(seed.to_string());
         }
@@ -109,9 +114,12 @@
     if failed_seeds.is_empty() {
         return Ok(());
     }
+    for line in summary.lines() {
+        println!("{line}");
+    }
     let (seeds, output) = (failed_seeds.join(", "), command.output.display());
     Err(CommandError::Failed(format!(
-        "guarantees were violated with seeds {seeds}; logs and reports are in {output}"
+        "guarantees were violated with seeds {seeds}; logs, reports and findings are in {output}"
     )))
 }
 
--- a/crates/cactuslane/tests/soak.rs
+++ b/crates/cactuslane/tests/soak.rs
@@ -24,6 +24,7 @@
         target_processes,
         shape: None,
         unusual: 0.0,
+        command: String::new(),
         cpu_share: None,
     }
 }
