--- a/crates/cactuslane-soak/src/links.rs
+++ b/crates/cactuslane-soak/src/links.rs
@@ -50,7 +50,8 @@
 /// The paths and the faults in force.
 #[derive(Debug, Default)]
 struct State {
-    /// Paths by their open end and the name of the instance or target at the far one.
+    /// Paths by their open end and what is at the far one: the name of an instance, or the address of
+    /// a target, as a target with another id may serve there later.
     paths: BTreeMap<(Source, String), Path>,
     /// Faults in force, in the order in which they were injected.
     faults: BTreeMap<FaultId, (Scope, PathFault)>,
@@ -98,7 +99,13 @@
     #[must_use]
     pub fn route(&self, source: Source, name: &str, to: SocketAddr) -> SocketAddr {
         let mut state = self.0.state();
-        if let Ok(link) = self.link(&mut state, source, name, to) {
+        let is_instance = self.0.number(name).is_some();
+        let far = if is_instance {
+            name.to_owned()
+        } else {
+            to.to_string()
+        };
+        if let Ok(link) = self.link(&mut state, source, &far, to) {
             return link.listener.address;
         }
         state.unbound += 1;
@@ -143,7 +150,7 @@
         self.0.update(&mut state);
     }
 
-    /// Returns the link of a path to an address, which is bound if there is none.
+    /// Returns the link of the path to a far end at an address, which is bound if there is none.
     fn link<'s>(
         &self,
         state: &'s mut State,
@@ -173,7 +180,7 @@
 
     /// Binds a link of a path to an address.
     fn bind(&self, path: &Path, source: Source, name: &str, to: SocketAddr) -> io::Result<Link> {
-        let far = self.0.instances.iter().position(|known| known == name);
+        let far = self.0.number(name);
         let mut attempts = BIND_ATTEMPTS;
         loop {
             attempts -= 1;
@@ -216,6 +223,11 @@
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// Returns the number of the instance with a name, or `None` if it is no instance's.
+    fn number(&self, name: &str) -> Option<usize> {
+        self.instances.iter().position(|known| known == name)
+    }
+
     /// Returns the socket of datagrams from an instance to an address of another one.
     fn socket(self: &Arc<Self>, near: usize, far: usize, to: SocketAddr) -> Option<Arc<UdpSocket>> {
         let links = Links(self.clone());
@@ -255,7 +267,7 @@
         source: Source,
         name: &str,
     ) -> Option<PathFault> {
-        let far = self.instances.iter().position(|known| known == name);
+        let far = self.number(name);
         let near = match source {
             Source::Callers => None,
             Source::Instance(number) => Some(number),
--- a/crates/cactuslane-soak/tests/links.rs
+++ b/crates/cactuslane-soak/tests/links.rs
@@ -98,6 +98,8 @@
     let other = links.route(Source::Instance(1), "t", target);
     assert_eq!(links.route(Source::Instance(0), "t", target), address);
     assert_ne!(address, other);
+    let renamed = links.route(Source::Instance(0), "another id", target);
+    assert_eq!(renamed, address);
     let mut open = TcpStream::connect(address).await.expect("it accepts");
     assert_eq!(echo(&mut open, ARRIVAL_TIMEOUT).await, Echo::Back);
     let fault = links.inject(Scope::Targets(0), fault);
@@ -125,7 +127,7 @@
     let second = links.inject(Scope::Instance(0), PathFault::Refused);
     links.end(first);
     become_of_new(address, ABSENCE_TIMEOUT, Echo::Failed).await;
-    let later = links.route(Source::Instance(0), "u", target);
+    let later = links.route(Source::Instance(0), "u", echo_server().await);
     become_of_new(later, ABSENCE_TIMEOUT, Echo::Failed).await;
     links.end(second);
     become_of_new(address, ARRIVAL_TIMEOUT, Echo::Back).await;
--- a/crates/cactuslane/tests/soak.rs
+++ b/crates/cactuslane/tests/soak.rs
@@ -7,9 +7,9 @@
 use yare::parameterized;
 
 /// Performs a run, writes its report and returns it.
-async fn soak(seed: u64, target_processes: bool) -> Report {
+async fn soak(seed: u64, target_processes: bool, links: bool) -> Report {
     let name = format!(
-        "cactuslane-soak-{seed}-{target_processes}-{}",
+        "cactuslane-soak-{seed}-{target_processes}-{links}-{}",
         std::process::id()
     );
     let options = Options {
@@ -20,7 +20,7 @@
         instances: 3,
         rate: 30.0,
         timed: false,
-        links: false,
+        links,
         target_processes,
     };
     let report = run(&options).await.expect("the run completes");
@@ -43,7 +43,7 @@
 )]
 #[test_macro(tokio::test(flavor = "multi_thread"))]
 async fn no_guarantee_is_violated(seed: u64) {
-    soak(seed, false).await;
+    soak(seed, false, false).await;
 }
 
 // Guards against an answer that its target's process did not make to the end, as it was killed, and
@@ -54,7 +54,7 @@
 )]
 #[test_macro(tokio::test(flavor = "multi_thread"))]
 async fn no_answer_of_a_killed_target_passes_for_whole(seed: u64) {
-    let report = soak(seed, true).await;
+    let report = soak(seed, true, false).await;
     assert!(
         report.processes.cut_without_length > 0,
         "{:?}",
@@ -65,7 +65,7 @@
 // Guards against an answer without a length that is withheld though its target lives on.
 #[tokio::test(flavor = "multi_thread")]
 async fn answers_without_a_length_of_living_targets_are_served() {
-    let report = soak(3, true).await;
+    let report = soak(3, true, false).await;
     assert_eq!(report.processes.kills, 0);
     let checks = &report.check_counts;
     assert!(
@@ -73,3 +73,11 @@
         "{checks:?}"
     );
 }
+
+// Guards against answers that break a guarantee while paths fail that no other run has: those of one
+// instance to the targets, to the other instances and to its callers.
+#[tokio::test(flavor = "multi_thread")]
+async fn no_guarantee_is_violated_while_paths_fail() {
+    let paths = soak(31, true, true).await.paths;
+    assert!(!paths.faults.is_empty() && paths.unbound == 0, "{paths:?}");
+}
