Hold back resets in the links of the soak while a path is silent

Cause: a reset, or a far end that could not be connected to, came through a cut or stalled path at once, where an end of the stream was held back. Dropped links left their connections open.

Change: both wait for the end of the fault; dropping a path resets its connections.

--- a/crates/cactuslane-soak/src/links.rs
+++ b/crates/cactuslane-soak/src/links.rs
@@ -72,6 +72,12 @@
     links: Vec<Link>,
 }
 
+impl Drop for Path {
+    fn drop(&mut self) {
+        self.open.reset(100);
+    }
+}
+
 /// A link of a path to one address.
 #[derive(Debug)]
 struct Link {
--- a/crates/cactuslane-soak/src/links/connections.rs
+++ b/crates/cactuslane-soak/src/links/connections.rs
@@ -189,6 +189,9 @@
 async fn forward(mut client: TcpStream, to: SocketAddr, faults: Faults, refused: Arc<Notify>) {
     set_linger(&client, Some(Duration::ZERO));
     let Ok(mut server) = TcpStream::connect(to).await else {
+        let mut faults = faults;
+        // An error tells that the links are closed.
+        let _ = delay(&mut faults, false).await;
         return refused.notify_one();
     };
     set_linger(&server, Some(Duration::ZERO));
@@ -211,7 +214,7 @@
     let _ = SockRef::from(stream).set_linger(time);
 }
 
-/// Forwards bytes, and the end of the stream, in one direction; `is_up` is set from the open end to
+/// Forwards bytes, and the end of the stream or its reset, in one direction; `is_up` is set from the open end to
 /// the far one.
 async fn forward_one_way(
     from: &mut (impl AsyncRead + Unpin),
@@ -221,8 +224,9 @@
 ) -> io::Result<()> {
     let mut buffer = vec![0; BUFFER_BYTES];
     loop {
-        let read = from.read(&mut buffer).await?;
+        let read = from.read(&mut buffer).await;
         delay(&mut faults, is_up).await?;
+        let read = read?;
         if read == 0 {
             return to.shutdown().await;
         }
--- a/crates/cactuslane-soak/tests/links.rs
+++ b/crates/cactuslane-soak/tests/links.rs
@@ -133,8 +133,12 @@
     become_of_new(address, ARRIVAL_TIMEOUT, Echo::Back).await;
 }
 
-#[tokio::test]
-async fn a_reset_at_one_end_is_a_reset_at_the_other() {
+#[parameterized(
+    whole = { None },
+    silent = { Some(PathFault::Silent) },
+)]
+#[test_macro(tokio::test)]
+async fn a_reset_at_one_end_is_one_at_the_other_after_a_silence(fault: Option<PathFault>) {
     let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).await;
     let listener = listener.expect("a port can be bound");
     let target = listener.local_addr().expect("the listener is bound");
@@ -144,7 +148,13 @@
     let (server, _) = listener.accept().await.expect("it is connected");
     let linger = socket2::SockRef::from(&server).set_linger(Some(Duration::ZERO));
     linger.expect("the option is set");
+    let fault = fault.map(|fault| links.inject(Scope::Callers(0), fault));
     drop(server);
+    if let Some(fault) = fault {
+        let read = timeout(ABSENCE_TIMEOUT, client.read_u8()).await;
+        assert!(read.is_err(), "{read:?}");
+        links.end(fault);
+    }
     let read = timeout(ARRIVAL_TIMEOUT, client.read_u8()).await;
     let error = read.expect("it ends").expect_err("no byte was sent");
     assert_eq!(error.kind(), std::io::ErrorKind::ConnectionReset);
