Start a soak's target processes with empty logs

Cause: a run appended to the logs of targets that an ended run had left in its folder, and took the runs in them for its own.

Change: the log of a target process is emptied when it starts.

Result: the_log_of_an_earlier_run_does_not_count fails before the change and passes after it.

--- a/crates/cactuslane-soak/src/workers.rs
+++ b/crates/cactuslane-soak/src/workers.rs
@@ -369,8 +369,8 @@
         let log = format!("{}-{}.made", self.name, self.process);
         let log = self.folder.join(log);
         let free = SocketAddr::from((Ipv4Addr::LOCALHOST, 0));
-        let file = File::options().create(true).append(true).open(&log)?;
-        drop(file);
+        // A run that was ended may have left the log of a process with the same number.
+        drop(File::create(&log)?);
         let mut command = Command::new(&self.binary);
         command.args(["target", "--id", &self.id]);
         command.args(["--process", &self.process.to_string()]);
--- a/crates/cactuslane-soak/tests/steps.rs
+++ b/crates/cactuslane-soak/tests/steps.rs
@@ -3,12 +3,15 @@
 use std::fs;
 use std::net::Ipv4Addr;
 use std::os::unix::fs::PermissionsExt;
+use std::path::PathBuf;
 use std::sync::Arc;
 use std::time::Duration;
 
+use cactuslane_platform_standin::Store;
 use cactuslane_soak::follow_ups::{FollowUp, FollowUps};
 use cactuslane_soak::process::Instance;
 use cactuslane_soak::queries;
+use cactuslane_soak::workers::Workers;
 use rustix::process::Signal;
 use tokio::sync::Barrier;
 use tokio::time::{Instant, timeout};
@@ -35,16 +38,23 @@
     assert_eq!(follow_ups.take_limit_ends(5), [limit]);
 }
 
-// Seeds 44023 and 44026: no step was applied any more from some moment on. A start that waited for
-// its process could stop the loop.
-#[test]
-fn an_instance_that_starts_slowly_does_not_block_the_soak() {
-    let folder = std::env::temp_dir().join(format!("cactuslane-steps-{}", std::process::id()));
+/// Creates a folder with a program that logs nothing, and returns both paths.
+fn silent_binary(name: &str) -> (PathBuf, PathBuf) {
+    let folder = format!("cactuslane-steps-{name}-{}", std::process::id());
+    let folder = std::env::temp_dir().join(folder);
     fs::create_dir_all(&folder).expect("the folder is created");
     let binary = folder.join("silent");
     fs::write(&binary, "#!/bin/sh\nexec sleep 60\n").expect("the program is written");
     let executable = fs::Permissions::from_mode(0o755);
     fs::set_permissions(&binary, executable).expect("the program is executable");
+    (folder, binary)
+}
+
+// Seeds 44023 and 44026: no step was applied any more from some moment on. A start that waited for
+// its process could stop the loop.
+#[test]
+fn an_instance_that_starts_slowly_does_not_block_the_soak() {
+    let (folder, binary) = silent_binary("instance");
     let store = ([127, 0, 0, 1], 1).into();
     let mut instance = Instance::new(
         "front-0",
@@ -66,6 +76,21 @@
     fs::remove_dir_all(&folder).expect("the folder is removed");
 }
 
+// Seed 63003, played again in the folder of a run that was ended: requests of both runs have the same
+// ids, and those of the first one counted as second runs.
+#[tokio::test(flavor = "multi_thread")]
+async fn the_log_of_an_earlier_run_does_not_count() {
+    let (folder, binary) = silent_binary("log");
+    let log = folder.join("i-x1-1.made");
+    fs::write(&log, "a line of an earlier run\n").expect("the log is written");
+    let store = Store::bind().await.expect("a port can be bound");
+    let mut workers = Workers::new(&binary, &folder, 1);
+    workers.tick(&store).expect("the processes start");
+    assert_eq!(fs::read_to_string(&log).expect("the log is there"), "");
+    drop(workers);
+    fs::remove_dir_all(&folder).expect("the folder is removed");
+}
+
 // Seed 44023: three frozen instances were asked one after the other, and no step was applied for 1.2 s.
 #[tokio::test]
 async fn instances_are_asked_at_once() {
