--- a/crates/cactuslane/tests/soak.rs
+++ b/crates/cactuslane/tests/soak.rs
@@ -104,3 +104,15 @@
         "{usage:?}"
     );
 }
+
+// Guards against answers that break a guarantee while paths fail that no other run has: those of one
+// instance to the targets, to the other instances and to its callers.
+#[tokio::test(flavor = "multi_thread")]
+async fn no_guarantee_is_violated_while_paths_fail() {
+    let options = Options {
+        links: true,
+        ..options(31, true)
+    };
+    let paths = soak(options).await.paths;
+    assert!(!paths.faults.is_empty() && paths.unbound == 0, "{paths:?}");
+}
