--- a/crates/cactuslane-flight/src/events.rs
+++ b/crates/cactuslane-flight/src/events.rs
@@ -22,6 +22,8 @@
     after: Option<u64>,
     /// Whether the caller took the stream up.
     is_taken_up: bool,
+    /// Id that was not valid where it came.
+    rejected_id: Option<u64>,
     /// Number of complete events.
     events: u64,
     /// Whether an event with data and without an id came after the last one with an id.
@@ -93,10 +95,12 @@
             }
             if let Some(id) = event_id(event) {
                 if last_id.is_some_and(|last| id <= last) {
+                    self.rejected_id = Some(id);
                     return Err(EventError::OutOfOrder);
                 }
                 let is_next = last_id.unwrap_or(0).checked_add(1) == Some(id);
                 if self.is_next_due && first_id.is_none() && !is_next {
+                    self.rejected_id = Some(id);
                     return Err(EventError::Missing);
                 }
                 by_one = Some(by_one.unwrap_or(true) && is_next);
@@ -138,6 +142,12 @@
         next.filter(|_| self.is_next_due)
     }
 
+    /// Returns the id that was not valid where it came, if one was not.
+    #[must_use]
+    pub fn rejected_id(&self) -> Option<u64> {
+        self.rejected_id
+    }
+
     /// Returns whether the ids of a new stream are 1, 2, 3 and so on; `None` if it had none, or if its
     /// caller took it up.
     #[must_use]
--- a/crates/cactuslane-flight/tests/event_ids.rs
+++ b/crates/cactuslane-flight/tests/event_ids.rs
@@ -55,6 +55,8 @@
     let found = scanner.feed(event.as_bytes());
     assert_eq!(found, expected.map(|()| event.into_bytes()));
     assert_eq!(scanner.due(), Some(due));
+    let rejected = expected.is_err().then_some(first);
+    assert_eq!(scanner.rejected_id(), rejected);
 }
 
 /// Guards against a stream that is cut though nothing of it is missing.
--- a/crates/cactuslane-gateway/src/origins.rs
+++ b/crates/cactuslane-gateway/src/origins.rs
@@ -8,7 +8,7 @@
 use cactuslane_flight::target::Target;
 use cactuslane_types::SoftwareVersion;
 use log::{info, warn};
-use tokio::time::timeout;
+use tokio::time::{Instant, timeout};
 
 use crate::ranking::top_ranked;
 use crate::records;
@@ -65,6 +65,7 @@
     if request.info.last_event.unwrap_or(0) == 0 {
         return StreamOrigin::NotBegun;
     }
+    let started = Instant::now();
     let began = request.info.resumes.as_deref().unwrap_or_default();
     let stream = stream_id(began);
     let known = gateway.origins().version(stream).cloned();
@@ -87,6 +88,9 @@
         resumes = began,
         target_version = version.as_deref().unwrap_or(""),
         source,
+        asked_ms = started.elapsed().as_millis() as u64,
+        passed_by = request.passed_by(),
+        odd_headers = request.has_odd_place(),
         last_event = request.info.last_event.unwrap_or(0);
         "stream is taken up"
     );
--- a/crates/cactuslane-gateway/src/passing.rs
+++ b/crates/cactuslane-gateway/src/passing.rs
@@ -61,7 +61,9 @@
             request = id,
             helper,
             left_ms = left.as_millis() as u64,
-            last_event = request.info.last_event.unwrap_or(0);
+            last_event = request.info.last_event.unwrap_or(0),
+            resumes = request.info.resumes.as_deref().unwrap_or(""),
+            odd_headers = request.route.stream && request.has_odd_place();
             "request passed on"
         );
         asked.push(helper);
--- a/crates/cactuslane-gateway/src/request.rs
+++ b/crates/cactuslane-gateway/src/request.rs
@@ -6,7 +6,7 @@
 
 use cactuslane_flight::routing_config::{Route, RoutingConfig};
 use cactuslane_flight::{ConnectionId, RequestInfo};
-use cactuslane_platform::exchange::Identity;
+use cactuslane_platform::exchange::{self, Identity};
 use cactuslane_types::{CustomerName, TargetId};
 use hyper::body::Bytes;
 use hyper::header::HeaderMap;
@@ -58,6 +58,21 @@
         targets.insert(target.to_owned())
     }
 
+    /// Returns the name of the instance that passed the request on; empty if its caller sent it here.
+    #[must_use]
+    pub fn passed_by(&self) -> &str {
+        match self.taken {
+            Some(_) => exchange::passed_by(&self.headers),
+            None => "",
+        }
+    }
+
+    /// Returns whether the headers state the caller's place in the stream in an unusual form.
+    #[must_use]
+    pub fn has_odd_place(&self) -> bool {
+        exchange::has_odd_place(&self.headers, self.info.place(self.info.last_event))
+    }
+
     /// Returns what targets are told of the caller's identity.
     #[must_use]
     pub fn identity(&self) -> Identity<'_> {
--- a/crates/cactuslane-gateway/tests/serving/cut.rs
+++ b/crates/cactuslane-gateway/tests/serving/cut.rs
@@ -15,6 +15,7 @@
 use crate::deployment::{
     Deployment, all_events, deploy, read_answer, run_test, start_fleet, start_instance, wait_until,
 };
+use crate::lines;
 
 /// Address at which nothing listens.
 const CLOSED: &str = "127.0.0.1:1";
@@ -162,6 +163,9 @@
 )]
 fn a_stream_that_is_taken_up_goes_on_at_its_place_at_another_instance(connection: Option<&str>) {
     let connection = connection.map(|names| HeaderValue::from_str(names).expect("it is a value"));
+    let is_odd = connection.is_some();
+    let id = format!("{}{is_odd}", lines::WATCHED);
+    lines::watch();
     run_test(async move {
         let deployment = deploy().await;
         let other = start_instance("front-2", &deployment.store).await;
@@ -174,7 +178,7 @@
         links.cut(&deployment.running, Cut::Reset);
         serve_in_a_row(&deployment, "during").await;
         wait_until(|| deployment.running.gateway.pool.reach().is_cut()).await;
-        let mut request = caller::resumption(deployment.front(), "/summary/7", "r2", "r1", 3);
+        let mut request = caller::resumption(deployment.front(), "/summary/7", &id, "r1", 3);
         if let Some(names) = connection {
             request.headers_mut().insert("connection", names);
         }
@@ -184,10 +188,47 @@
         let whole = (answer.status, answer.complete, answer.body.as_str());
         assert_eq!(whole, (200, true, &all_events()[at..]));
         assert!(deployment.running.gateway.pool.reach().is_cut());
+        // The log tells who passed the request on, whether its headers were odd and what came first.
+        let odd = is_odd.to_string();
+        for (event, fields) in [
+            (
+                "request passed on",
+                &[
+                    ("last_event", "3"),
+                    ("resumes", "r1"),
+                    ("odd_headers", odd.as_str()),
+                ],
+            ),
+            (
+                "stream is taken up",
+                &[
+                    ("passed_by", "front-1"),
+                    ("odd_headers", "false"),
+                    ("last_event", "3"),
+                ],
+            ),
+            (
+                "stream ended",
+                &[
+                    ("passed_by", "front-1"),
+                    ("resumed_after", "3"),
+                    ("first_event", "4"),
+                ],
+            ),
+        ] {
+            let line = lines::watched(&id, event);
+            for (name, value) in fields {
+                assert_eq!(
+                    line.get(*name).map(String::as_str),
+                    Some(*value),
+                    "{event} {name}"
+                );
+            }
+        }
         // The computation of a prompt names the same place as the run.
         let asked = deployment.engines.iter().chain([&deployment.prefill]);
         let headers: Vec<_> = asked.flat_map(Target::headers).collect();
-        let of_caller = headers.iter().filter(|sent| sent["x-request-id"] == "r2");
+        let of_caller = headers.iter().filter(|sent| sent["x-request-id"] == *id);
         for sent in of_caller {
             let text = |name: &str| sent[name].to_str().expect("it is text");
             assert_eq!((text("last-event-id"), text("resumes")), ("3", "r1"));
--- a/crates/cactuslane-gateway/tests/serving/lines.rs
+++ b/crates/cactuslane-gateway/tests/serving/lines.rs
@@ -41,13 +41,19 @@
 /// Log lines of all levels that hold [`SECRET`].
 static LEAKS: Mutex<Vec<String>> = Mutex::new(Vec::new());
 
-/// A warning about a request.
+/// Beginning of the ids of requests all of whose log lines are collected.
+pub const WATCHED: &str = "watched-";
+
+/// Log lines of all levels about the requests whose ids begin with [`WATCHED`], by request id.
+static LINES: Mutex<BTreeMap<String, Vec<Warning>>> = Mutex::new(BTreeMap::new());
+
+/// A log line about a request.
 #[derive(Clone, Debug, Default)]
-struct Warning {
+pub struct Warning {
     /// Message of the log line.
-    event: String,
+    pub event: String,
     /// Fields of the log line by name.
-    fields: BTreeMap<String, String>,
+    pub fields: BTreeMap<String, String>,
 }
 
 impl<'kvs> VisitSource<'kvs> for Warning {
@@ -80,6 +86,12 @@
                 .unwrap_or_else(PoisonError::into_inner)
                 .push(text);
         }
+        let request = warning.fields.get("request");
+        if let Some(request) = request.filter(|request| request.starts_with(WATCHED)) {
+            let mut lines = LINES.lock().unwrap_or_else(PoisonError::into_inner);
+            let lines = lines.entry(request.clone()).or_default();
+            lines.push(warning.clone());
+        }
         if record.level() > Level::Warn {
             return;
         }
@@ -111,6 +123,21 @@
     LEAKS.lock().unwrap_or_else(PoisonError::into_inner).clone()
 }
 
+/// Begins to collect the log lines about requests whose ids begin with [`WATCHED`].
+pub fn watch() {
+    collect_warnings();
+}
+
+/// Returns the fields of the only log line with an event about a request that is watched.
+pub fn watched(request: &str, event: &str) -> BTreeMap<String, String> {
+    let lines = LINES.lock().unwrap_or_else(PoisonError::into_inner);
+    let lines = lines.get(request).cloned().unwrap_or_default();
+    let mut of_event = lines.iter().filter(|line| line.event == event);
+    let (first, second) = (of_event.next(), of_event.next());
+    assert!(first.is_some() && second.is_none(), "{event}: {lines:?}");
+    first.map(|line| line.fields.clone()).unwrap_or_default()
+}
+
 /// Checks that an unsuccessful answer has exactly one warning, with its cause, and a successful one
 /// has none.
 fn check(id: &str, answer: &CallerAnswer) {
