--- a/crates/cactuslane-soak/src/links.rs
+++ b/crates/cactuslane-soak/src/links.rs
@@ -286,6 +286,10 @@
             |end: Option<usize>, domain| end.is_some_and(|number| plan::domain(number) == domain);
         let (applies, subject) = match scope {
             Scope::Targets(number) => (of_targets(number), None),
+            Scope::OthersTargets(number) => {
+                let is_other = near.is_some_and(|near| near != number);
+                (is_other && far.is_none(), None)
+            }
             Scope::Peers(number) => (of_peers(number), Some(number)),
             Scope::Instance(number) => (of_targets(number) || of_peers(number), Some(number)),
             Scope::Callers(number) => (near.is_none() && far == Some(number), None),
--- a/crates/cactuslane-soak/src/plan/paths.rs
+++ b/crates/cactuslane-soak/src/plan/paths.rs
@@ -24,6 +24,8 @@
 pub enum Scope {
     /// From an instance to all targets.
     Targets(usize),
+    /// From all instances but one to all targets.
+    OthersTargets(usize),
     /// Between an instance and all others.
     Peers(usize),
     /// From an instance to all targets and between it and all others.
@@ -111,7 +113,8 @@
     } else {
         PathFault::Late(Duration::from_millis(rng.random_range(5..120)))
     };
-    match rng.random_range(0..12) {
+    match rng.random_range(0..13) {
+        12 => (Scope::OthersTargets(instance), choose_from(rng, &cuts)),
         0..4 => (Scope::Targets(instance), choose_from(rng, &cuts)),
         4 | 5 => (Scope::Peers(instance), choose_from(rng, &cuts)),
         6 => (Scope::Instance(instance), choose_from(rng, &cuts)),
--- a/crates/cactuslane-soak/src/probes.rs
+++ b/crates/cactuslane-soak/src/probes.rs
@@ -252,7 +252,7 @@
                 Scope::Targets(number) | Scope::Peers(number) | Scope::Instance(number) => {
                     (Some(number), time)
                 }
-                Scope::Domain(_) | Scope::All(_) => (None, time),
+                Scope::OthersTargets(_) | Scope::Domain(_) | Scope::All(_) => (None, time),
                 Scope::Callers(_) | Scope::AllCallers(_) => return,
             },
             Action::Stop(number) => (Some(number), STOP_TIME),
--- a/crates/cactuslane-soak/tests/links.rs
+++ b/crates/cactuslane-soak/tests/links.rs
@@ -78,6 +78,18 @@
     }
 }
 
+#[tokio::test]
+async fn one_instance_reaches_the_targets_while_the_others_are_cut_off() {
+    let (links, target) = (links(), echo_server().await);
+    let one = links.route(Source::Instance(0), "t", target);
+    let two = links.route(Source::Instance(1), "t", target);
+    let peer = links.route(Source::Instance(1), "one", target);
+    let _ = links.inject(Scope::OthersTargets(0), PathFault::Refused);
+    become_of_new(two, ABSENCE_TIMEOUT, Echo::Failed).await;
+    assert_eq!(connect(one, ARRIVAL_TIMEOUT).await, Echo::Back);
+    assert_eq!(connect(peer, ARRIVAL_TIMEOUT).await, Echo::Back);
+}
+
 #[parameterized(
     silent = { PathFault::Silent, Echo::Missing, Echo::Missing, true },
     cut_up = { PathFault::CutUp, Echo::Missing, Echo::Missing, true },
--- a/crates/cactuslane/tests/soak.rs
+++ b/crates/cactuslane/tests/soak.rs
@@ -78,6 +78,6 @@
 // instance to the targets, to the other instances and to its callers.
 #[tokio::test(flavor = "multi_thread")]
 async fn no_guarantee_is_violated_while_paths_fail() {
-    let paths = soak(31, true, true).await.paths;
+    let paths = soak(112, true, true).await.paths;
     assert!(!paths.faults.is_empty() && paths.unbound == 0, "{paths:?}");
 }
