Refuse previews of requests whose place is not clear

Cause: since such requests are refused, their preview was that of a new stream.

Change: the preview says that the request is refused, and why. A test beside it: a stream that is taken up behind its last event is whole and empty, where the next event is due as well (it passed at once).

Test first: the cases `unclear_place` and `no_place` of `what_cannot_be_previewed_says_why` failed as a preview was given ("outcome": "run").

--- a/crates/cactuslane-gateway/src/preview.rs
+++ b/crates/cactuslane-gateway/src/preview.rs
@@ -57,6 +57,12 @@
     let Some(route) = config.find_route(host, uri.path()).cloned() else {
         return Err((StatusCode::NOT_FOUND, no_route(&config, host, uri.path())));
     };
+    if route.stream
+        && let Err(error) = exchange::stream_place(asked.headers())
+    {
+        let message = format!("{}, so that the request is refused", error.reason());
+        return Err((StatusCode::BAD_REQUEST, message));
+    }
     let info = exchange::request_info(asked.headers());
     if info.last_event.is_some() || info.resumes.is_some() {
         let message = "a stream that goes on depends on where it began, which other instances are asked \
--- a/crates/cactuslane-gateway/tests/preview.rs
+++ b/crates/cactuslane-gateway/tests/preview.rs
@@ -148,6 +148,8 @@
 #[parameterized(
     no_route = { "/none/7", &[], 404, "no route of configuration 3" },
     goes_on = { "/summary/7", &[("last-event-id", "3")], 400, "leave out the headers" },
+    unclear_place = { "/summary/7", &[("last-event-id", "3"), ("last-event-id", "4")], 400, "last-event-id is not one event number" },
+    no_place = { "/report/7", &[("last-event-id", "x")], 400, "last-event-id is not one event number" },
 )]
 fn what_cannot_be_previewed_says_why(
     path: &str,
--- a/crates/cactuslane-gateway/tests/serving/places.rs
+++ b/crates/cactuslane-gateway/tests/serving/places.rs
@@ -160,6 +160,23 @@
     }
 }
 
+/// Guards against an error, or a stream that is cut, for a caller that has all events already.
+#[test]
+fn a_stream_that_is_taken_up_after_its_last_event_is_whole_and_empty() {
+    run_test(async {
+        let deployment = deploy().await;
+        for number in 0..STREAMS {
+            let answer = deployment.ask("/summary/7", &format!("s-{number}")).await;
+            assert_eq!((answer.complete, answer.body), (true, all_events()));
+        }
+        let headers = &[("last-event-id", "8"), ("resumes", "s-0")];
+        let answer = ask(&deployment, "/summary/7", headers).await;
+        let whole = (answer.status, answer.complete, answer.body.as_str());
+        assert_eq!(whole, (200, true, ""));
+        assert_eq!(broken_attempts(&deployment), 0);
+    });
+}
+
 /// Guards against a stream in which events are missing at the beginning, or at the place where its
 /// caller takes it up, at a target that sends others than it was asked for.
 #[parameterized(
