Do not take streams without a name for one stream

Cause: the version of a stream that began without a request id was kept under the empty id, and a take-up that names no attempt looked that up. It went on at the version of the last such stream known, whichever stream it was, while versions differed.

Change: nothing is kept for a stream without an id, and a take-up without a name goes on only where the service has had one version since.

Test first: `a_stream_that_is_not_named_does_not_go_on_at_the_version_of_another_one`, without its look into the tables of the instances, failed with left: (200, false), right: (503, true). It passes now, with those of `versions` and `lost` (25 of 25, one run).

--- a/crates/cactuslane-gateway/src/origins.rs
+++ b/crates/cactuslane-gateway/src/origins.rs
@@ -42,6 +42,10 @@
         );
         return StreamOrigin::Unknown;
     };
+    if request.info.id.is_empty() {
+        // A caller cannot name the stream, and others without an id are not the same one.
+        return StreamOrigin::Version(version);
+    }
     let stream = stream_id(&request.info.id);
     let now = gateway.now();
     gateway.origins().record(stream, &version, now);
@@ -70,8 +74,8 @@
     let stream = stream_id(began);
     let known = gateway.origins().version(stream).cloned();
     let (version, source) = match known {
+        _ if began.is_empty() => (None, "not named"),
         Some(version) => (Some(version), "own"),
-        None if began.is_empty() => (None, "not named"),
         None => (ask(gateway, stream).await, "asked"),
     };
     let (mut version, mut source) = match version {
--- a/crates/cactuslane-gateway/tests/serving/versions.rs
+++ b/crates/cactuslane-gateway/tests/serving/versions.rs
@@ -3,6 +3,7 @@
 use std::net::{SocketAddr, TcpListener};
 use std::time::Duration;
 
+use cactuslane_flight::origin::stream_id;
 use cactuslane_gateway::GatewayHandle;
 use cactuslane_place::Load;
 use cactuslane_platform_standin::{Fault, Target, TargetKind, caller, target};
@@ -241,6 +242,24 @@
     });
 }
 
+/// Guards against the belief that a stream whose first attempt has no name began as another one did.
+#[test]
+fn a_stream_that_is_not_named_does_not_go_on_at_the_version_of_another_one() {
+    run_test(async {
+        let versions = Versions::start(true).await;
+        versions.begin("").await;
+        let running = &versions.deployment.running;
+        for instance in versions.instances() {
+            let gateway = &instance.gateway;
+            let version = gateway.origins().version(stream_id("")).cloned();
+            assert_eq!(version, None);
+        }
+        let answer = versions.resume(running, "r2", "").await;
+        assert_eq!((answer.status, answer.retry_after), (503, true));
+        assert_eq!(versions.deployment.runs("r2"), 0);
+    });
+}
+
 /// Guards against a version that is taken from a target's id instead of its process.
 #[test]
 fn a_stream_does_not_go_on_at_a_target_that_has_another_version_now() {
