Let a stream's own ids go before those of its service

Cause: where the next id is due for a service, a stream whose own ids had not gone up by one was held to it too when it went on at another target, and was cut though nothing was missing.

Test first: `a_stream_whose_own_ids_do_not_count_by_one_goes_on_with_any_larger_id` failed with left: Err(Missing), right: Ok(the event). It passes now, with the other 21 of `event_ids` and the 37 of `events`.

--- a/crates/cactuslane-flight/src/events.rs
+++ b/crates/cactuslane-flight/src/events.rs
@@ -70,9 +70,10 @@
         }
     }
 
-    /// Makes the next id the only valid first one, 1 in a new stream.
+    /// Makes the next id the only valid first one, 1 in a new stream, unless ids of the stream itself
+    /// did not go up by one.
     pub fn expect_next(&mut self) {
-        self.is_next_due = true;
+        self.is_next_due = self.by_one != Some(false);
     }
 
     /// Adds bytes of the stream and returns all complete events that are buffered now.
--- a/crates/cactuslane-flight/tests/event_ids.rs
+++ b/crates/cactuslane-flight/tests/event_ids.rs
@@ -71,6 +71,20 @@
     assert_eq!(scanner.feed(bytes), Ok(bytes.to_vec()));
 }
 
+/// Guards against a cut where the stream itself has shown that its ids do not count by one.
+#[test]
+fn a_stream_whose_own_ids_do_not_count_by_one_goes_on_with_any_larger_id() {
+    let mut scanner = EventScanner::default();
+    scanner.expect_next();
+    let events = b"id: 1\ndata: a\n\nid: 4\ndata: b\n\n";
+    assert_eq!(scanner.feed(events), Ok(events.to_vec()));
+    let mut resumed = scanner.resumed();
+    resumed.expect_next();
+    let event = b"id: 7\ndata: c\n\n";
+    assert_eq!(resumed.feed(event), Ok(event.to_vec()));
+    assert_eq!(resumed.due(), None);
+}
+
 /// Guards against checks of services whose ids mean something else.
 #[parameterized(
     by_tokens = { &[1, 4, 5] },
