Let target processes of the soak compute prompts, deviate and succeed each other

The soak's processes were two plain and two decode targets that were killed, renamed, stopped or slowed; prefill engines were tasks that only rejected.

Targets: five more processes, of which two compute prompts, keep them for 5 s and hand each over once, by TCP, to the decode process that the header names; if it is gone, that one answers 503 with X-Not-Executed. A line on standard input lets a share of a process's requests meet a deviation (`Trouble`): errors, shed, hang, reset, mute, breaking off within or between parts (with a reset, or in due form where a length or chunks show it), other bytes or a second copy after an answer, the id of another request, a pause in mid-stream, prompts that lapse at once or are handed over slowly. `plan/targets.rs` draws these and further faults from generators of their own: dark and replaced elsewhere, draining and leaving with open connections, and a start at an address that another target had. `Upgrade`, a restart under the same id with another version whose entry comes late, is there but not drawn yet.

Judge: findings on versions list which run made which events; a stream is whole with exactly the lines after its last event that its run made (none are sent yet). Some events hold two lines of data.

--- a/crates/cactuslane-soak/src/check.rs
+++ b/crates/cactuslane-soak/src/check.rs
@@ -255,14 +255,12 @@
         let stream = record.taken_up.as_ref().map(|part| part.stream.as_str());
         let stream = stream.unwrap_or(&record.id).to_owned();
         let versions = self.streams.entry(stream).or_default();
-        versions.extend(followed.versions);
+        versions.extend(followed.versions());
         let (holds, seen) = (versions.len() <= 1, versions.clone());
         let observed = || {
-            let runs = made::describe(None, sources.made);
-            format!(
-                "{seen:?}, {:?}, {:?}{runs}",
-                record.taken_up, record.outcome
-            )
+            let (status, part) = (record.outcome.status(), &record.taken_up);
+            let (got, runs) = (followed.describe(), made::describe(None, sources.made));
+            format!("{seen:?}, {part:?}, status {status:?} with {got}{runs}")
         };
         let guarantee = if record.taken_up.is_some() {
             "streams that are taken up go on at their version"
--- a/crates/cactuslane-soak/src/deployment.rs
+++ b/crates/cactuslane-soak/src/deployment.rs
@@ -90,7 +90,7 @@
         }
         let mut workers = Workers::default();
         if options.target_processes {
-            workers = Workers::new(&options.binary, &options.folder, options.seed);
+            workers = Workers::new(options);
         }
         let probes = Probes::new(options);
         store.configure(&probes.document(1));
--- a/crates/cactuslane-soak/src/deployment/apply.rs
+++ b/crates/cactuslane-soak/src/deployment/apply.rs
@@ -22,7 +22,11 @@
         let planned = action.is_planned();
         let for_some = matches!(
             action,
-            Action::Target(..) | Action::Limit(..) | Action::Process(..) | Action::Silence(..)
+            Action::Target(..)
+                | Action::Limit(..)
+                | Action::Process(..)
+                | Action::Mood(..)
+                | Action::Silence(..)
         );
         self.probes.record_fault(action, now);
         if !planned && !for_some {
@@ -86,6 +90,7 @@
                     .schedule(until, FollowUp::EndLimit(number, rate, now));
             }
             Action::Process(number, fault, time) => self.workers.disturb(number, fault, time),
+            Action::Mood(number, mood, time) => self.workers.set_mood(number, mood, time),
             Action::Configure => self.configure(now),
             Action::Change(change) => {
                 self.probes.change(change);
--- a/crates/cactuslane-soak/src/figures.rs
+++ b/crates/cactuslane-soak/src/figures.rs
@@ -157,6 +157,24 @@
     pub freezes: u64,
     /// Number of times that a process was slowed down.
     pub slowed: u64,
+    /// Number of targets that were stopped for good.
+    pub dark: u64,
+    /// Number of targets that were draining and left.
+    pub left: u64,
+    /// Number of targets that started again under their id with another version.
+    pub upgraded: u64,
+    /// Number of targets that started again at an address that another one had, or at a free one.
+    pub moved: u64,
+    /// Number of times that a target deviated from correct behaviour for a time.
+    pub moods: u64,
+    /// Number of computed prompts.
+    pub prompts: u64,
+    /// Number of computed prompts that other targets fetched.
+    pub fetched: u64,
+    /// Number of computed prompts that were gone when other targets fetched them.
+    pub gone: u64,
+    /// Number of computed prompts that a process kept when it was killed, lapsed ones included.
+    pub lost_prompts: u64,
     /// Number of faults that were left out, as the process had not started again.
     pub left_out: u64,
     /// Number of runs of streams whose answer had no length.
--- a/crates/cactuslane-soak/src/made.rs
+++ b/crates/cactuslane-soak/src/made.rs
@@ -26,6 +26,8 @@
     pub copied: bool,
     /// Events that were made, by id.
     pub events: BTreeMap<u64, String>,
+    /// Lines after the last event, if they were made.
+    pub tail: String,
     /// Whole body of a plain answer, if it was made.
     pub body: Option<String>,
     /// Whether all of the answer was made.
@@ -48,14 +50,16 @@
 }
 
 /// The part of a stream that a body holds.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug)]
 pub struct Followed<'b> {
     /// Id of the last whole event, or of the last one that the caller had before.
     pub last: u64,
-    /// Bytes after it.
+    /// Bytes after it: the beginning of the next event, or of the lines after the last one.
     pub rest: &'b [u8],
-    /// Versions of the targets that made the events.
-    pub versions: BTreeSet<String>,
+    /// Whether all events came and the lines after the last one as they were made.
+    pub whole: bool,
+    /// Runs that made the events, in their order, with the first and last id of each.
+    pub parts: Vec<(&'b Made, u64, u64)>,
 }
 
 impl Made {
@@ -76,6 +80,7 @@
             framing,
             copied: false,
             events: run.events,
+            tail: String::new(),
             body: run.body,
             ended: run.ended,
             broken: false,
@@ -90,6 +95,25 @@
     }
 }
 
+impl Followed<'_> {
+    /// Returns the versions of the targets that made the events.
+    #[must_use]
+    pub fn versions(&self) -> BTreeSet<String> {
+        let versions = self.parts.iter().map(|(run, ..)| run.version.clone());
+        versions.collect()
+    }
+
+    /// Describes which run made which events.
+    #[must_use]
+    pub fn describe(&self) -> String {
+        let part = |(run, first, last): &(&Made, u64, u64)| {
+            format!("{first} to {last} of {} {}", run.run, run.version)
+        };
+        let parts: Vec<String> = self.parts.iter().map(part).collect();
+        format!("events {}", parts.join(", "))
+    }
+}
+
 impl Sources<'_> {
     /// Follows the body of a stream, which may end within an event, along the events that were made.
     ///
@@ -97,9 +121,9 @@
     ///
     /// Returns what is wrong if an event is missing, comes twice or was not made for the request, or
     /// if it comes from another run than the one before and that run was not resumed there.
-    pub fn follow<'b>(&self, body: &'b [u8]) -> Result<Followed<'b>, String> {
+    pub fn follow<'b>(&'b self, body: &'b [u8]) -> Result<Followed<'b>, String> {
         let mut rest = body;
-        let mut versions = BTreeSet::new();
+        let mut parts: Vec<(&Made, u64, u64)> = Vec::new();
         let mut source: Option<usize> = None;
         for id in self.last + 1..=self.count {
             let runs = self.made.iter().enumerate();
@@ -115,7 +139,8 @@
                     return Ok(Followed {
                         last,
                         rest,
-                        versions,
+                        whole: false,
+                        parts,
                     });
                 }
                 let text = String::from_utf8_lossy(rest);
@@ -131,19 +156,29 @@
                     return Err(format!("event {id} is of a run that began after {after}"));
                 }
                 source = Some(from);
-                versions.insert(run.version.clone());
+                parts.push((run, id, id));
+            }
+            if let Some((_, _, last)) = parts.last_mut() {
+                *last = id;
             }
             rest = &rest[text.len()..];
         }
-        if rest.is_empty() {
-            let last = self.count;
-            return Ok(Followed {
-                last,
-                rest,
-                versions,
-            });
+        // A stream that breaks off after its last event goes on at a run that makes no event.
+        let may_end = |(number, run): &(usize, &Made)| {
+            source.is_none_or(|from| from == *number) || run.after == self.count
+        };
+        let runs = self.made.iter().enumerate().filter(may_end);
+        let tails: Vec<&[u8]> = runs.map(|(_, run)| run.tail.as_bytes()).collect();
+        if !rest.is_empty() && !tails.iter().any(|tail| tail.starts_with(rest)) {
+            return Err(format!("{} bytes follow the last event", rest.len()));
         }
-        Err(format!("{} bytes follow the last event", rest.len()))
+        let last = self.count;
+        Ok(Followed {
+            last,
+            rest,
+            whole: tails.contains(&rest) || tails.is_empty() && rest.is_empty(),
+            parts,
+        })
     }
 
     /// Checks that a body is a whole stream.
@@ -152,8 +187,10 @@
     ///
     /// Returns what is wrong with it.
     pub fn check_whole(&self, body: &[u8]) -> Result<(), String> {
-        let Followed { last, rest, .. } = self.follow(body)?;
-        if last == self.count {
+        let Followed {
+            last, rest, whole, ..
+        } = self.follow(body)?;
+        if whole {
             return Ok(());
         }
         let (count, bytes) = (self.count, rest.len());
--- a/crates/cactuslane-soak/src/options.rs
+++ b/crates/cactuslane-soak/src/options.rs
@@ -34,4 +34,17 @@
         let [.., high, low] = std::process::id().to_be_bytes();
         Ipv4Addr::new(127, high % 254 + 1, low, (self.seed % 254) as u8 + 1)
     }
+
+    /// Returns the loopback address of the targets that run as processes, at which no other server
+    /// takes a port that one of them leaves.
+    #[must_use]
+    pub fn target_host(&self) -> Ipv4Addr {
+        let [first, second, third, fourth] = self.host().octets();
+        Ipv4Addr::new(
+            first,
+            second,
+            third,
+            ((u16::from(fourth) + 126) % 254 + 1) as u8,
+        )
+    }
 }
--- a/crates/cactuslane-soak/src/plan.rs
+++ b/crates/cactuslane-soak/src/plan.rs
@@ -1,12 +1,17 @@
 //! The faults and planned changes of one run, drawn from a seed.
 
+mod targets;
+
 use std::time::Duration;
 
+use cactuslane_platform_standin::process::Mood;
 use rand::seq::IndexedRandom;
 use rand::{Rng, SeedableRng};
 use rand_pcg::Pcg64Mcg;
 use serde::Serialize;
 
+pub use targets::{draw_moods, draw_successions};
+
 /// Mean time between two steps of a plan; each gap is uniformly distributed from 0.1 to 1.9 times
 /// this.
 const MEAN_GAP: Duration = Duration::from_millis(900);
@@ -88,6 +93,8 @@
     Limit(usize, f64, Duration),
     /// Disturbs a target that runs as a process for a time.
     Process(usize, ProcessFault, Duration),
+    /// Lets a target that runs as a process deviate from correct behaviour for a time.
+    Mood(usize, Mood, Duration),
     /// Writes a configuration with the next version number.
     Configure,
     /// Writes a configuration with the next version number and a change of the probed routes.
@@ -120,6 +127,18 @@
     Freeze,
     /// It is stopped and resumed over and over, so that it runs for a quarter of the time.
     Slow,
+    /// It is stopped with SIGSTOP for good and killed at the end of the fault, and a process with
+    /// another id serves at another address.
+    Dark,
+    /// It is draining and ends with open connections at the end of the fault, and a process with
+    /// another id serves at another address.
+    Leave,
+    /// It is killed with SIGKILL, and a process of another version serves its id at its address,
+    /// whose entry is written this much later.
+    Upgrade(Duration),
+    /// It is killed with SIGKILL, and a process with another id serves at an address that another
+    /// target had.
+    Move,
 }
 
 /// How the store misbehaves.
@@ -197,6 +216,7 @@
             | Self::TargetLink(_, _, time)
             | Self::Limit(_, _, time)
             | Self::Process(_, _, time)
+            | Self::Mood(_, _, time)
             | Self::Silence(_, time)
             | Self::Drain(_, time) => *time,
             Self::Stop(_)
--- a/crates/cactuslane-soak/src/probes.rs
+++ b/crates/cactuslane-soak/src/probes.rs
@@ -150,7 +150,7 @@
         let mut targets = Workers::default();
         if options.target_processes {
             let specs = TARGETS.map(|name| (name, TargetKind::Plain, Some(SERVICE)));
-            targets = Workers::of(&specs, &options.binary, &options.folder, options.seed);
+            targets = Workers::of(&specs, options);
         }
         let routes = Routes::default();
         Self {
--- a/crates/cactuslane-soak/src/run.rs
+++ b/crates/cactuslane-soak/src/run.rs
@@ -14,6 +14,7 @@
 use crate::options::Options;
 use crate::plan;
 use crate::report::Report;
+use crate::workers::{KILLED_TARGETS, PROMPT_TARGETS};
 
 /// Time between the end of the load and reading the runs of the targets, in which runs that are
 /// still under way end.
@@ -38,10 +39,16 @@
         options.instances,
         deployment.targets.len(),
     );
-    let workers = deployment.workers.len();
-    steps.extend(plan::draw_processes(options.seed, options.length, workers));
     if options.target_processes {
-        steps.extend(plan::draw_losses(options.seed, options.length));
+        let (seed, length, targets) = (options.seed, options.length, deployment.workers.len());
+        steps.extend(plan::draw_processes(seed, length, KILLED_TARGETS));
+        steps.extend(plan::draw_losses(seed, length));
+        steps.extend(plan::draw_successions(
+            seed,
+            length,
+            KILLED_TARGETS..targets,
+        ));
+        steps.extend(plan::draw_moods(seed, length, targets, PROMPT_TARGETS));
     }
     let silent = deployment.probes.targets();
     if silent > 0 {
--- a/crates/cactuslane-soak/tests/checks.rs
+++ b/crates/cactuslane-soak/tests/checks.rs
@@ -66,6 +66,7 @@
         framing: Framing::Chunks,
         copied: false,
         events: (1..=event_count("r1")).map(event).collect(),
+        tail: String::new(),
         body: Some("x".to_owned()),
         ended: true,
         broken: false,
--- a/crates/cactuslane-soak/tests/made.rs
+++ b/crates/cactuslane-soak/tests/made.rs
@@ -36,6 +36,7 @@
         framing: Framing::Close,
         copied: false,
         events,
+        tail: String::new(),
         body: None,
         ended: last == 8,
         broken: false,
@@ -106,6 +107,33 @@
     assert_eq!(result.is_ok(), in_order, "{result:?}");
 }
 
+#[parameterized(
+    all = { ": end\n\n", true, true },
+    none = { "", true, false },
+    a_part = { ": e", true, false },
+    other_lines = { ": and\n\n", false, false },
+    lines_of_a_run_that_ended_elsewhere = { "\n", false, false },
+)]
+fn a_stream_is_whole_with_the_lines_after_its_last_event(end: &str, in_order: bool, whole: bool) {
+    let ends = |run: Made, tail: &str| Made {
+        tail: tail.to_owned(),
+        ..run
+    };
+    let made = [
+        ends(made("a", 0, 8), ": end\n\n"),
+        ends(made("b", 3, 8), "\n"),
+    ];
+    let sources = Sources {
+        made: &made,
+        count: 8,
+        resumable: true,
+        last: 0,
+    };
+    let text = body(&[("a", 1..=8)]) + end;
+    assert_eq!(sources.follow(text.as_bytes()).is_ok(), in_order);
+    assert_eq!(sources.check_whole(text.as_bytes()).is_ok(), whole);
+}
+
 /// Returns the guarantees that the answer `outcome` to a request violates, whose only run was `run`,
 /// at the time of a fault of its target if `disturbed` is set.
 fn violated(outcome: Outcome, stream: bool, run: Made, disturbed: bool) -> Vec<&'static str> {
--- a/crates/cactuslane/src/target.rs
+++ b/crates/cactuslane/src/target.rs
@@ -10,8 +10,8 @@
 
 use crate::CommandError;
 
-/// runs a simulated target of the soak until its standard input ends; prints its address, and logs
-/// each answer and event before it sends them
+/// runs a simulated target of the soak until its standard input ends, whose lines set how it deviates
+/// from correct behaviour; prints its address, and logs each answer and event before it sends them
 #[derive(Debug, FromArgs)]
 #[argh(subcommand, name = "target")]
 pub struct TargetCommand {
@@ -21,6 +21,9 @@
     /// serve streams as an engine that generates, in place of plain answers
     #[argh(switch)]
     streams: bool,
+    /// compute prompts as an engine that does nothing else, in place of plain answers
+    #[argh(switch)]
+    prompts: bool,
     /// start of the process, higher after each restart
     #[argh(option)]
     process: u64,
@@ -42,6 +45,8 @@
 pub async fn execute(command: TargetCommand) -> Result<(), CommandError> {
     let kind = if command.streams {
         TargetKind::Decode
+    } else if command.prompts {
+        TargetKind::Prefill
     } else {
         TargetKind::Plain
     };
@@ -57,7 +62,21 @@
     let serving = serving.map_err(failed)?;
     println!("{}", serving.address);
     // The process that started this one holds the input open.
-    let input = spawn_blocking(|| std::io::copy(&mut std::io::stdin(), &mut std::io::sink()));
+    let input = spawn_blocking(move || follow_input(&serving));
     let ended = input.await.map_err(std::io::Error::other).flatten();
-    ended.map(|_| ()).map_err(failed)
+    ended.map_err(failed)
+}
+
+/// Sets the deviations from correct behaviour that the lines of the standard input state, until its
+/// end.
+fn follow_input(serving: &Serving) -> std::io::Result<()> {
+    for line in std::io::stdin().lines() {
+        let line = line?;
+        let mood = serde_json::from_str(&line);
+        let hint = "write null, or an object with trouble and percent";
+        let mood =
+            mood.map_err(|error| std::io::Error::other(format!("{line:?}: {error}; {hint}")))?;
+        serving.set_mood(mood);
+    }
+    Ok(())
 }
