--- a/crates/cactuslane-soak/src/deployment.rs
+++ b/crates/cactuslane-soak/src/deployment.rs
@@ -99,7 +99,7 @@
             target_links.push(link);
         }
         let (binary, folder) = (&options.binary, &options.folder);
-        let workers = Workers::of(&layout.processes, binary, folder, options.seed);
+        let workers = Workers::of(&layout.processes, options);
         let probes = Probes::new(options);
         store.configure(&probes.document(1));
         let bounds = options.shape.as_ref().map(|shape| shape.bounds);
--- a/crates/cactuslane-soak/src/layout.rs
+++ b/crates/cactuslane-soak/src/layout.rs
@@ -13,6 +13,8 @@
 /// Number of targets of a kind of which one is a task within the soak, so that its links and drains
 /// can be disturbed; the others are processes.
 const TASK_INTERVAL: usize = 3;
+/// Targets of the stand-in's deployment whose software has the second version at first.
+const SECOND_TARGETS: [&str; 5] = ["i-p2", "i-d2", "i-s2", "i-s4", "i-q2"];
 /// Factor on the requests per second of a route that gives its weight in the load.
 const WEIGHT_FACTOR: f64 = 1000.0;
 
@@ -64,7 +66,7 @@
             id: id.to_owned(),
             kind,
             place: None,
-            is_second: options.target_processes && ["i-p2", "i-d2", "i-s2"].contains(&id),
+            is_second: options.target_processes && SECOND_TARGETS.contains(&id),
         };
         let tasks = [
             ("i-w1", TargetKind::Plain),
@@ -83,6 +85,11 @@
                 ("i-x2", TargetKind::Plain),
                 ("i-s1", TargetKind::Decode),
                 ("i-s2", TargetKind::Decode),
+                ("i-x3", TargetKind::Plain),
+                ("i-s3", TargetKind::Decode),
+                ("i-s4", TargetKind::Decode),
+                ("i-q1", TargetKind::Prefill),
+                ("i-q2", TargetKind::Prefill),
             ]);
         }
         Self {
--- a/crates/cactuslane-soak/src/probes.rs
+++ b/crates/cactuslane-soak/src/probes.rs
@@ -167,7 +167,7 @@
                 place: Some(place.clone()),
                 is_second: false,
             });
-            targets = Workers::of(&specs, &options.binary, &options.folder, options.seed);
+            targets = Workers::of(&specs, options);
         }
         let routes = Routes::default();
         Self {
--- a/crates/cactuslane-soak/src/run.rs
+++ b/crates/cactuslane-soak/src/run.rs
@@ -17,6 +17,7 @@
 use crate::options::Options;
 use crate::plan;
 use crate::report::Report;
+use crate::workers::KILLED_TARGETS;
 
 /// Time between the end of the load and reading the runs of the targets, in which runs that are
 /// still under way end.
@@ -42,10 +43,13 @@
         options.instances,
         deployment.targets.len(),
     );
-    let workers = deployment.workers.len();
-    steps.extend(plan::draw_processes(options.seed, options.length, workers));
     if options.target_processes {
-        steps.extend(plan::draw_losses(options.seed, options.length));
+        let (seed, length, targets) = (options.seed, options.length, deployment.workers.len());
+        let (killed, prompts) = (KILLED_TARGETS.min(targets), deployment.workers.prompts());
+        steps.extend(plan::draw_processes(seed, length, killed));
+        steps.extend(plan::draw_losses(seed, length));
+        steps.extend(plan::draw_successions(seed, length, killed..targets));
+        steps.extend(plan::draw_moods(seed, length, targets, prompts));
     }
     if options.links {
         let paths = plan::draw_paths(options.seed, options.length, options.instances);
