--- a/crates/cactuslane-soak/tests/steps.rs
+++ b/crates/cactuslane-soak/tests/steps.rs
@@ -7,8 +7,9 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use cactuslane_platform_standin::Store;
+use cactuslane_platform_standin::{Store, TargetKind};
 use cactuslane_soak::follow_ups::{FollowUp, FollowUps};
+use cactuslane_soak::layout::TargetSpec;
 use cactuslane_soak::process::Instance;
 use cactuslane_soak::queries;
 use cactuslane_soak::workers::Workers;
@@ -84,7 +85,13 @@
     let log = folder.join("i-x1-1.made");
     fs::write(&log, "a line of an earlier run\n").expect("the log is written");
     let store = Store::bind().await.expect("a port can be bound");
-    let mut workers = Workers::new(&binary, &folder, 1);
+    let spec = TargetSpec {
+        id: "i-x1".to_owned(),
+        kind: TargetKind::Plain,
+        place: None,
+        is_second: false,
+    };
+    let mut workers = Workers::of(&[spec], &binary, &folder, 1);
     workers.tick(&store).expect("the processes start");
     assert_eq!(fs::read_to_string(&log).expect("the log is there"), "");
     drop(workers);
