Take an empty rest without a length as broken off again

A review showed that also held for streams that this instance resumed itself: a stream that broke off after event 1, and whose next target sent a head without a length and no event, reached its caller as whole. A living target that ends its answer early cannot be told from one whose stream has no rest, so that the end is no proof.

Also: tests of the soak state the tail of a run, which the targets' records have now.

--- a/crates/cactuslane-gateway/src/generation/stream.rs
+++ b/crates/cactuslane-gateway/src/generation/stream.rs
@@ -276,10 +276,7 @@
         if is_event_cut {
             return broken("end within an event".into());
         }
-        // A caller that has all events gets no more of them; where another target may say so, it is
-        // asked first.
-        let may_be_empty = scanner.last_id().unwrap_or(0) > 0 && !self.state.may_retry();
-        if opened.framing == Framing::Connection && !begun && !may_be_empty {
+        if opened.framing == Framing::Connection && !begun {
             return broken("end before any event".into());
         }
         let answered = Answered {
--- a/crates/cactuslane-soak/src/layout.rs
+++ b/crates/cactuslane-soak/src/layout.rs
@@ -176,6 +176,8 @@
         | DisruptionKind::Compact
         | DisruptionKind::Change
         | DisruptionKind::KillTargets
+        | DisruptionKind::ReplaceTargets
+        | DisruptionKind::RemoveTargets
         | DisruptionKind::FailRequests
         | DisruptionKind::LoseAnswers
         | DisruptionKind::WrongBytes
@@ -190,8 +192,6 @@
         | DisruptionKind::StoreSlow
         | DisruptionKind::Changes
         | DisruptionKind::Enlarge
-        | DisruptionKind::ReplaceTargets
-        | DisruptionKind::RemoveTargets
         | DisruptionKind::LateOrders
         | DisruptionKind::DropHandles
         | DisruptionKind::SlowTransfers => false,
--- a/crates/cactuslane-soak/tests/attempts.rs
+++ b/crates/cactuslane-soak/tests/attempts.rs
@@ -26,6 +26,7 @@
     Made {
         target: name.to_owned(),
         run: name.to_owned(),
+        tail: String::new(),
         version: "v1".to_owned(),
         at: Instant::now(),
         after,
--- a/crates/cactuslane-soak/tests/findings.rs
+++ b/crates/cactuslane-soak/tests/findings.rs
@@ -88,6 +88,7 @@
     let made = Made {
         target: "i-x1".to_owned(),
         run: "a/1/1".to_owned(),
+        tail: String::new(),
         version: "v1".to_owned(),
         at: began + Duration::from_millis(10_500),
         after: 0,
