--- a/crates/cactuslane-demo/tests/streams.rs
+++ b/crates/cactuslane-demo/tests/streams.rs
@@ -186,6 +186,28 @@
     });
 }
 
+/// Guards against a stream that goes on at another event than its caller has, or begins once more, as
+/// it is not clear what the caller has.
+#[parameterized(
+    two_events = { &["3", "50"] },
+    second_is_no_number = { &["3", "x"] },
+)]
+fn a_stream_is_not_resumed_at_an_unclear_place(places: &'static [&'static str]) {
+    with_cluster(20.0, move |cluster| async move {
+        let model = cluster.deployment.model.0;
+        let first = caller(&cluster, 0);
+        let whole = first.complete(model, "resume me", TOKENS, true).await;
+        let token = whole.header("cactuslane-resume").to_owned();
+        let mut headers = vec![("cactuslane-resume", token.as_str())];
+        headers.extend(places.iter().map(|place| ("last-event-id", *place)));
+        let second = caller(&cluster, 3);
+        let rest = second
+            .complete_with(model, "resume me", TOKENS, true, &headers)
+            .await;
+        assert_eq!(rest.status, 400, "{}", rest.text());
+    });
+}
+
 /// If the caller disconnects, its stream is cancelled at the engine.
 #[test]
 fn a_disconnect_cancels_the_stream() {
--- a/crates/cactuslane-gateway/tests/serving/confirmed.rs
+++ b/crates/cactuslane-gateway/tests/serving/confirmed.rs
@@ -32,6 +32,8 @@
 struct Play {
     /// Framing headers and body of its answer, until its end.
     answer: &'static str,
+    /// Framing headers and body of its answer to a request that resumes a stream, if they differ.
+    resumed: Option<&'static str>,
     /// What follows once the deadline that it was told has passed; none if empty.
     at_deadline: &'static str,
     /// Answer to calls, which ends with its connection if it has no length.
@@ -110,7 +112,8 @@
                     hold.arrived.notify_one();
                     hold.released.notified().await;
                 }
-                let text = head + play.answer;
+                let resumed = play.resumed.filter(|_| request.last_event.is_some());
+                let text = head + resumed.unwrap_or(play.answer);
                 let _ = stream.write_all(text.as_bytes()).await;
                 if !play.at_deadline.is_empty() {
                     sleep(request.timeout.unwrap_or_default()).await;
@@ -328,3 +331,25 @@
         assert_eq!((ended, answer.body.as_str()), (whole, ""), "{answer:?}");
     });
 }
+
+/// Guards against a stream whose end is missing and that reaches its caller as whole, because the
+/// target that was to go on with it sent nothing of it.
+#[test]
+fn a_stream_that_broke_off_and_was_resumed_without_any_event_is_not_whole() {
+    run_test(async {
+        let play = Play {
+            answer: "transfer-encoding: chunked\r\n\r\n15\r\nid: 1\ndata: piece 1\n\n\r\n",
+            resumed: Some("\r\n"),
+            call: "HTTP/1.1 200 OK\r\ncontent-length: 52\r\n\r\n{\"stage\":\"decode\",\"busy\":false,\"models\":[],\"born\":1}",
+            ..Play::default()
+        };
+        let deployment = deploy_one(TargetKind::Decode, play).await;
+        let answer = deployment.ask("/summary/7", "r1").await;
+        let body = "id: 1\ndata: piece 1\n\n";
+        assert_eq!(
+            (answer.complete, answer.body.as_str()),
+            (false, body),
+            "{answer:?}"
+        );
+    });
+}
--- a/crates/cactuslane-gateway/tests/serving/places.rs
+++ b/crates/cactuslane-gateway/tests/serving/places.rs
@@ -1,5 +1,7 @@
 //! What callers say of their place in a stream, and what instances and targets make of it.
 
+use std::sync::atomic::{AtomicUsize, Ordering};
+
 use cactuslane_place::Load;
 use cactuslane_platform_standin::{Target, TargetKind, caller};
 use hyper::header::HeaderValue;
@@ -260,3 +262,53 @@
         assert_eq!((answer.complete, answer.body.as_str()), (false, body));
     });
 }
+
+/// A whole stream whose ids go up by one.
+const BY_ONE: &str = stream!("2a\r\nid: 1\ndata: piece 1\n\nid: 2\ndata: piece 2\n\n\r\n");
+/// A stream of which the events 2 to 4 are missing.
+const WITHOUT_2_TO_4: &str = stream!("2a\r\nid: 1\ndata: piece 1\n\nid: 5\ndata: piece 5\n\n\r\n");
+
+/// Guards against sound streams that are cut for ever at a service with two kinds of them.
+#[test]
+fn sound_streams_with_ids_of_another_kind_are_given_on_after_some_time() {
+    /// Number of streams that were begun.
+    static BEGUN: AtomicUsize = AtomicUsize::new(0);
+    run_test(async {
+        let script = |_| {
+            let begun = BEGUN.fetch_add(1, Ordering::Relaxed);
+            let is_other = begun > STREAMS && begun % 2 == 0;
+            whole(if is_other { BY_TOKENS } else { BY_ONE })
+        };
+        let (deployment, _raw) = deploy_raw(TargetKind::Decode, script).await;
+        let mut answers = Vec::new();
+        for number in 0..8 * STREAMS {
+            let answer = deployment.ask("/report/7", &format!("s-{number}")).await;
+            answers.push((answer.status, answer.complete));
+        }
+        let last = &answers[6 * STREAMS..];
+        let given_on = last.iter().filter(|answer| **answer == (200, true));
+        assert_eq!(given_on.count(), last.len(), "{answers:?}");
+    });
+}
+
+/// Guards against a stream in the middle of which events are missing, at a service whose ids count by
+/// one.
+#[test]
+fn a_stream_in_the_middle_of_which_events_are_missing_is_not_whole() {
+    run_test(async {
+        let script = |number| {
+            whole(if number > 3 * STREAMS {
+                WITHOUT_2_TO_4
+            } else {
+                BY_ONE
+            })
+        };
+        let (deployment, _raw) = deploy_raw(TargetKind::Decode, script).await;
+        let mut cut = 0;
+        for number in 0..6 * STREAMS {
+            let answer = deployment.ask("/report/7", &format!("s-{number}")).await;
+            cut += usize::from(!answer.complete);
+        }
+        assert!(cut > 0, "no stream was cut");
+    });
+}
