--- a/crates/cactuslane-gateway/tests/serving/places.rs
+++ b/crates/cactuslane-gateway/tests/serving/places.rs
@@ -277,7 +277,7 @@
     run_test(async {
         let script = |_| {
             let begun = BEGUN.fetch_add(1, Ordering::Relaxed);
-            let is_other = begun > STREAMS && begun % 2 == 0;
+            let is_other = begun > STREAMS && begun.is_multiple_of(2);
             whole(if is_other { BY_TOKENS } else { BY_ONE })
         };
         let (deployment, _raw) = deploy_raw(TargetKind::Decode, script).await;
