Cut streams in whose middle events are missing, and new ones without any event

What callers saw: an answer that is whole without the events 2 to 4, and an answer without any event that is whole; a stream of the product's own entry that goes on at the first of two places.

Causes: only the first id was held to the one that is due; an end by a last chunk or a length was taken as the stream's although no event had come; the entry took the first last-event-id and left others out of account.

Changes: where the ids of a service count by one, each id is held to the next; a new stream without an event has broken off; several places that differ are an error at the entry too. A service with two kinds of ids was checked for ever, as right streams set the count of wrong ones back: three within 256 right ones end the check now. The test of that count states the new rule, and a test of a stream's own ids learns them without a check, since a gap in its middle is refused now.

--- a/crates/cactuslane-entry/src/api/completions.rs
+++ b/crates/cactuslane-entry/src/api/completions.rs
@@ -120,10 +120,16 @@
     {
         return Err(ApiError::BadResume);
     }
-    let from = header(LAST_EVENT_HEADER)
-        .unwrap_or("0")
-        .parse()
-        .map_err(|_| ApiError::BadResume)?;
+    let mut last = None;
+    for value in call.headers.get_all(LAST_EVENT_HEADER) {
+        let value = value.to_str().ok().and_then(|text| text.parse().ok());
+        let value: u32 = value.ok_or(ApiError::BadResume)?;
+        if last.is_some_and(|last| last != value) {
+            return Err(ApiError::BadResume);
+        }
+        last = Some(value);
+    }
+    let from = last.unwrap_or(0);
     if from > params.max_tokens {
         return Err(ApiError::BadResume);
     }
--- a/crates/cactuslane-flight/src/event_ids.rs
+++ b/crates/cactuslane-flight/src/event_ids.rs
@@ -10,8 +10,10 @@
 const MIN_STREAMS: u32 = 16;
 /// Number of events of a stream that shows whether ids count by one.
 const MIN_EVENTS: u64 = 2;
-/// Number of streams in a row that begin at another event after which none is due any more.
+/// Number of streams with another event than the one that was due after which none is due any more.
 const MAX_WRONG: u32 = 3;
+/// Number of streams with the events that were due after which earlier ones with others are forgotten.
+const FORGET_STREAMS: u32 = 256;
 /// Largest number of services and versions of which something is known; all is learnt anew then.
 const MAX_ENTRIES: usize = 256;
 
@@ -30,9 +32,11 @@
 struct Seen {
     /// Number of whole streams that counted by one.
     streams: u32,
-    /// Number of streams in a row that began at another event than the one that was due.
+    /// Number of streams that had another event than the one that was due, until it is forgotten.
     wrong: u32,
-    /// Whether a whole stream did not count by one, or too many began at another event.
+    /// Number of streams since then that had the events that were due.
+    right: u32,
+    /// Whether a whole stream did not count by one, or too many had another event than was due.
     varies: bool,
 }
 
@@ -58,16 +62,21 @@
         }
     }
 
-    /// Records that a stream began or went on with the event that was due.
+    /// Records that a stream had the events that were due.
     pub fn record_right(&mut self, service: &str, version: Option<&str>) {
-        self.entry(service, version).wrong = 0;
+        let seen = self.entry(service, version);
+        seen.right = seen.right.saturating_add(1);
+        if seen.right >= FORGET_STREAMS {
+            seen.wrong = 0;
+        }
     }
 
-    /// Records that a stream began or went on at another event than the one that was due; returns
-    /// whether events are due any longer.
+    /// Records that a stream had another event than the one that was due; returns whether events are
+    /// due any longer.
     pub fn record_wrong(&mut self, service: &str, version: Option<&str>) -> bool {
         let seen = self.entry(service, version);
         seen.wrong = seen.wrong.saturating_add(1);
+        seen.right = 0;
         seen.varies |= seen.wrong >= MAX_WRONG;
         !seen.varies
     }
--- a/crates/cactuslane-flight/src/events.rs
+++ b/crates/cactuslane-flight/src/events.rs
@@ -16,7 +16,7 @@
     first_id: Option<u64>,
     /// Whether each id so far was the one after the previous one; `None` if there was no id.
     by_one: Option<bool>,
-    /// Whether the first id must be the next one, as ids went up by one before.
+    /// Whether each id must be the next one, as ids went up by one before.
     is_next_due: bool,
     /// Id after which the caller took the stream up, or the target was to go on.
     after: Option<u64>,
@@ -37,7 +37,7 @@
     TooLong,
     /// An event's id is not larger than the previous one.
     OutOfOrder,
-    /// Ids go up by one, and the first one is larger than the next.
+    /// Ids go up by one, and one is larger than the next.
     Missing,
     /// The lines before an empty line are not those of an event.
     NotAnEvent,
@@ -70,7 +70,7 @@
         }
     }
 
-    /// Makes the next id the only valid first one, 1 in a new stream, unless ids of the stream itself
+    /// Makes the next id the only valid one, 1 first in a new stream, unless ids of the stream itself
     /// did not go up by one.
     pub fn expect_next(&mut self) {
         self.is_next_due = self.by_one != Some(false);
@@ -80,7 +80,7 @@
     ///
     /// # Errors
     ///
-    /// Returns an error if event ids don't increase, if the first id is larger than the next
+    /// Returns an error if event ids don't increase, if an id is larger than the next one
     /// where that is due, if lines are not those of an event or if an incomplete event exceeds
     /// 256 KiB; events that earlier calls returned stay valid. Complete events that this call found
     /// before the fault are neither returned nor counted by `last_id`.
@@ -100,7 +100,7 @@
                     return Err(EventError::OutOfOrder);
                 }
                 let is_next = last_id.unwrap_or(0).checked_add(1) == Some(id);
-                if self.is_next_due && first_id.is_none() && !is_next {
+                if self.is_next_due && !is_next {
                     self.rejected_id = Some(id);
                     return Err(EventError::Missing);
                 }
--- a/crates/cactuslane-flight/tests/event_ids.rs
+++ b/crates/cactuslane-flight/tests/event_ids.rs
@@ -75,7 +75,6 @@
 #[test]
 fn a_stream_whose_own_ids_do_not_count_by_one_goes_on_with_any_larger_id() {
     let mut scanner = EventScanner::default();
-    scanner.expect_next();
     let events = b"id: 1\ndata: a\n\nid: 4\ndata: b\n\n";
     assert_eq!(scanner.feed(events), Ok(events.to_vec()));
     let mut resumed = scanner.resumed();
@@ -143,11 +142,15 @@
         ids.record_wrong("model", VERSION);
         ids.record_wrong("model", VERSION);
         assert!(ids.is_next_due("model", VERSION));
-        // Another target begins as it should.
-        ids.record_right("model", VERSION);
+        // Enough streams have the events that are due for the others to be forgotten.
+        for _ in 0..256 {
+            ids.record_right("model", VERSION);
+        }
     }
+    // Streams of two kinds may come in turn.
     for _ in 0..3 {
         ids.record_wrong("model", VERSION);
+        ids.record_right("model", VERSION);
     }
     assert!(!ids.is_next_due("model", VERSION));
     record(&mut ids, &[1, 2, 3]);
@@ -168,3 +171,20 @@
         assert!(ids.len() <= 256);
     }
 }
+
+/// Guards against a stream that is given on without the events that are missing in its middle.
+#[test]
+fn a_stream_in_whose_middle_an_event_is_missing_is_not_given_on() {
+    let mut scanner = EventScanner::default();
+    scanner.expect_next();
+    let first = b"id: 1\ndata: a\n\n";
+    assert_eq!(scanner.feed(first), Ok(first.to_vec()));
+    assert_eq!(
+        scanner.feed(b"id: 3\ndata: c\n\n"),
+        Err(EventError::Missing)
+    );
+    assert_eq!(
+        (scanner.last_id(), scanner.rejected_id()),
+        (Some(1), Some(3))
+    );
+}
--- a/crates/cactuslane-gateway/src/generation/stream.rs
+++ b/crates/cactuslane-gateway/src/generation/stream.rs
@@ -276,7 +276,9 @@
         if is_event_cut {
             return broken("end within an event".into());
         }
-        if opened.framing == Framing::Connection && !begun {
+        // Only a caller that has events may get no more of them.
+        let is_new = scanner.last_id().unwrap_or(0) == 0;
+        if !begun && (is_new || opened.framing == Framing::Connection) {
             return broken("end before any event".into());
         }
         let answered = Answered {
@@ -331,7 +333,10 @@
     fn record_ids(&self, scanner: &EventScanner, target: &Target, end: StreamEnd) {
         let (service, version) = (target.service.as_str(), target.version.as_deref());
         let mut ids = self.gateway.event_ids();
-        if scanner.due().is_some() && scanner.first_id().is_some() {
+        if scanner.due().is_some()
+            && scanner.first_id().is_some()
+            && scanner.rejected_id().is_none()
+        {
             ids.record_right(service, version);
         }
         if end != StreamEnd::Complete {
