Start targets of the soak again with another version before their entries say so

Cause: the soak's targets kept their version under an id, so that no run showed whether a stream goes on at another version while an entry is late.

The steps of a run are drawn in a function of their own.

--- a/crates/cactuslane-soak/src/options.rs
+++ b/crates/cactuslane-soak/src/options.rs
@@ -26,6 +26,9 @@
     pub timed: bool,
     /// Whether each path between callers, instances and targets has a link, whose faults are injected.
     pub links: bool,
+    /// Longest time by which the entry of a target follows its start under the same id with another
+    /// version; no target starts so if `None`.
+    pub entry_delay: Option<Duration>,
     /// Whether there are targets that run as processes, which are killed and stopped.
     pub target_processes: bool,
     /// Deployment that the run plays, with its own instances, targets, routes and load; that of the
--- a/crates/cactuslane-soak/src/plan/targets.rs
+++ b/crates/cactuslane-soak/src/plan/targets.rs
@@ -40,25 +40,35 @@
 
 /// Draws the faults of the targets with the numbers `targets`, most of which end with another
 /// process; none if the plan with the same seed consists of planned changes alone.
+///
+/// With `entry_delay` some start again under their ids with another version, which their entries state
+/// up to that time later.
 #[must_use]
 pub fn draw_successions(
     seed: u64,
     length: Duration,
     targets: std::ops::Range<usize>,
+    entry_delay: Option<Duration>,
 ) -> Vec<PlanStep> {
     let mut rng = Pcg64Mcg::seed_from_u64(seed ^ SUCCESSIONS_SEED);
+    let kinds = if entry_delay.is_some() { 8 } else { 5 };
     let end = length.mul_f64(1.0 - RECOVERY_SHARE);
     let mut steps = Vec::new();
     for target in targets {
         let mut at = WARM_UP;
         while !is_planned_only(seed) {
             at += Duration::from_secs_f64(rng.random_range(PROCESS_GAP));
-            let (fault, seconds) = match rng.random_range(0..5) {
+            let (fault, seconds) = match rng.random_range(0..kinds) {
                 0 => (ProcessFault::Kill, 0.05..0.8),
                 1 => (ProcessFault::Freeze, 0.1..2.0),
                 2 => (ProcessFault::Dark, 0.5..4.0),
                 3 => (ProcessFault::Leave, 1.0..4.0),
-                _ => (ProcessFault::Move, 0.05..0.8),
+                4 => (ProcessFault::Move, 0.05..0.8),
+                _ => {
+                    let delay = entry_delay.unwrap_or_default();
+                    let delay = delay.mul_f64(rng.random_range(0.0..1.0));
+                    (ProcessFault::Upgrade(delay), 0.05..0.8)
+                }
             };
             let time = Duration::from_secs_f64(rng.random_range(seconds));
             if at + time > end {
--- a/crates/cactuslane-soak/src/run.rs
+++ b/crates/cactuslane-soak/src/run.rs
@@ -15,7 +15,7 @@
 use crate::load::{self, LoadSpec};
 use crate::made::Made;
 use crate::options::Options;
-use crate::plan;
+use crate::plan::{self, PlanStep};
 use crate::report::Report;
 use crate::workers::KILLED_TARGETS;
 
@@ -37,29 +37,7 @@
     std::fs::create_dir_all(&options.folder)?;
     remove_records(&options.folder)?;
     let mut deployment = Deployment::start(options).await?;
-    let mut steps = plan::draw(
-        options.seed,
-        options.length,
-        options.instances,
-        deployment.targets.len(),
-    );
-    if options.target_processes {
-        let (seed, length, targets) = (options.seed, options.length, deployment.workers.len());
-        let (killed, prompts) = (KILLED_TARGETS.min(targets), deployment.workers.prompts());
-        steps.extend(plan::draw_processes(seed, length, killed));
-        steps.extend(plan::draw_losses(seed, length));
-        steps.extend(plan::draw_successions(seed, length, killed..targets));
-        steps.extend(plan::draw_moods(seed, length, targets, prompts));
-    }
-    if options.links {
-        let paths = plan::draw_paths(options.seed, options.length, options.instances);
-        steps.extend(paths);
-    }
-    let silent = deployment.probes.targets();
-    if silent > 0 {
-        steps.extend(plan::draw_silences(options.seed, options.length, silent));
-    }
-    steps.sort_by_key(|step| step.at);
+    let steps = draw_steps(options, &deployment);
     let spec = LoadSpec {
         length: options.length,
         rate: options.rate,
@@ -134,6 +112,35 @@
     })
 }
 
+/// Draws the steps of a run, in the order of their times.
+fn draw_steps(options: &Options, deployment: &Deployment) -> Vec<PlanStep> {
+    let mut steps = plan::draw(
+        options.seed,
+        options.length,
+        options.instances,
+        deployment.targets.len(),
+    );
+    if options.target_processes {
+        let (seed, length, targets) = (options.seed, options.length, deployment.workers.len());
+        let (killed, prompts) = (KILLED_TARGETS.min(targets), deployment.workers.prompts());
+        steps.extend(plan::draw_processes(seed, length, killed));
+        steps.extend(plan::draw_losses(seed, length));
+        let delay = options.entry_delay;
+        steps.extend(plan::draw_successions(seed, length, killed..targets, delay));
+        steps.extend(plan::draw_moods(seed, length, targets, prompts));
+    }
+    if options.links {
+        let paths = plan::draw_paths(options.seed, options.length, options.instances);
+        steps.extend(paths);
+    }
+    let silent = deployment.probes.targets();
+    if silent > 0 {
+        steps.extend(plan::draw_silences(options.seed, options.length, silent));
+    }
+    steps.sort_by_key(|step| step.at);
+    steps
+}
+
 /// Removes the logs of an earlier run with the same folder, whose request ids are the same.
 fn remove_records(folder: &Path) -> io::Result<()> {
     for entry in std::fs::read_dir(folder)? {
--- a/crates/cactuslane-soak/tests/findings.rs
+++ b/crates/cactuslane-soak/tests/findings.rs
@@ -28,6 +28,7 @@
         rate: 1.0,
         timed: false,
         links: false,
+        entry_delay: None,
         target_processes: true,
         shape: None,
         unusual: 0.0,
--- a/crates/cactuslane-soak/tests/layout.rs
+++ b/crates/cactuslane-soak/tests/layout.rs
@@ -20,6 +20,7 @@
         rate: 30.0,
         timed: false,
         links: false,
+        entry_delay: None,
         target_processes,
         shape,
         unusual: 0.0,
@@ -93,12 +94,12 @@
 #[test]
 fn without_a_site_file_the_stand_ins_deployment_is_played() {
     let layout = Layout::of(&options(None, true));
-    assert_eq!((layout.tasks.len(), layout.processes.len()), (8, 4));
+    assert_eq!((layout.tasks.len(), layout.processes.len()), (8, 9));
     assert_eq!(layout.domains, ["a", "a", "a"]);
     let seconds = layout.tasks.iter().chain(&layout.processes);
     let seconds = seconds.filter(|spec| spec.is_second);
     let ids: Vec<&str> = seconds.map(|spec| spec.id.as_str()).collect();
-    assert_eq!(ids, ["i-p2", "i-d2", "i-s2"]);
+    assert_eq!(ids, ["i-p2", "i-d2", "i-s2", "i-s4", "i-q2"]);
 }
 
 #[test]
--- a/crates/cactuslane-soak/tests/steps.rs
+++ b/crates/cactuslane-soak/tests/steps.rs
@@ -101,6 +101,7 @@
         rate: 1.0,
         timed: false,
         links: false,
+        entry_delay: None,
         target_processes: true,
         shape: None,
         unusual: 0.0,
--- a/crates/cactuslane-soak/tests/targets.rs
+++ b/crates/cactuslane-soak/tests/targets.rs
@@ -188,7 +188,7 @@
     let mut count = 0;
     for seed in 0..40 {
         let draw = || {
-            let mut steps = plan::draw_successions(seed, length, 4..9);
+            let mut steps = plan::draw_successions(seed, length, 4..9, None);
             steps.extend(plan::draw_moods(seed, length, 9, 7));
             steps
         };
--- a/crates/cactuslane/src/soak.rs
+++ b/crates/cactuslane/src/soak.rs
@@ -45,6 +45,10 @@
     /// file, or no limit)
     #[argh(option)]
     cpu_share: Option<f64>,
+    /// longest time in seconds by which the entry of a target follows its start under the same id with
+    /// another version (default: no target starts so)
+    #[argh(option)]
+    entry_delay: Option<f64>,
     /// skip guarantees with a time bound, for machines that are short of processor time
     #[argh(switch)]
     untimed: bool,
@@ -73,6 +77,14 @@
         return Err(CommandError::Usage(hint.to_owned()));
     }
     let cpu_share = cpu_share.filter(|share| *share < 1.0);
+    let entry_delay = match command.entry_delay.map(Duration::try_from_secs_f64) {
+        Some(Err(_)) => {
+            let hint = "give an entry delay of 0 s or more";
+            return Err(CommandError::Usage(hint.to_owned()));
+        }
+        Some(Ok(delay)) => Some(delay),
+        None => None,
+    };
     let failed = |error: std::io::Error| CommandError::Failed(error.to_string());
     let binary = std::env::current_exe().map_err(failed)?;
     let command_line = std::env::args().collect::<Vec<String>>().join(" ");
@@ -88,6 +100,7 @@
             rate,
             timed: !command.untimed,
             links: true,
+            entry_delay,
             target_processes: true,
             shape: shape.clone(),
             unusual: if shape.is_some() { UNUSUAL } else { 0.0 },
--- a/crates/cactuslane/tests/soak.rs
+++ b/crates/cactuslane/tests/soak.rs
@@ -22,6 +22,7 @@
         rate: 30.0,
         timed: false,
         links: false,
+        entry_delay: None,
         target_processes,
         shape: None,
         unusual: 0.0,
