--- a/crates/cactuslane-soak/src/workers/running.rs
+++ b/crates/cactuslane-soak/src/workers/running.rs
@@ -57,8 +57,8 @@
     ) -> io::Result<(Running, MadeLog)> {
         let log = self.folder.join(format!("{name}-{process}.made"));
         let free = SocketAddr::from((self.host, 0));
-        let file = File::options().create(true).append(true).open(&log)?;
-        drop(file);
+        // A run that was ended may have left the log of a process with the same number.
+        drop(File::create(&log)?);
         let mut command = Command::new(&self.binary);
         command.args(["target", "--id", id]);
         command.args(["--process", &process.to_string()]);
