--- a/crates/cactuslane-flight/src/event_ids.rs
+++ b/crates/cactuslane-flight/src/event_ids.rs
@@ -20,7 +20,7 @@
 /// What streams showed of the event ids of their services, for each software version.
 ///
 /// Ids need only grow, so that a stream whose ids count tokens may begin at any. Only where the
-/// whole streams so far counted 1, 2, 3 is the next id due for a stream that begins or is taken up.
+/// whole streams so far counted 1, 2, 3 is the next id due for each event of a stream.
 #[derive(Clone, Debug, Default)]
 pub struct EventIds {
     /// What is known by service and version.
--- a/crates/cactuslane-gateway/src/generation/stream.rs
+++ b/crates/cactuslane-gateway/src/generation/stream.rs
@@ -321,7 +321,7 @@
         );
     }
 
-    /// Makes the next id the only valid first one where the ids of the target's service count by one.
+    /// Makes the next id the only valid one where the ids of the target's service count by one.
     fn expect_next(&self, scanner: &mut EventScanner, target: &Target) {
         let ids = self.gateway.event_ids();
         if ids.is_next_due(&target.service, target.version.as_deref()) {
@@ -351,7 +351,7 @@
         }
     }
 
-    /// Records that a target's stream began at another event than the one that was due.
+    /// Records that a target's stream had another event than the one that was due.
     fn record_missing(&self, target: &Target) {
         let (service, version) = (target.service.as_str(), target.version.as_deref());
         let is_due = self.gateway.event_ids().record_wrong(service, version);
--- a/crates/cactuslane-gateway/tests/serving/streams.rs
+++ b/crates/cactuslane-gateway/tests/serving/streams.rs
@@ -5,6 +5,7 @@
 use cactuslane_gateway::GatewayHandle;
 use cactuslane_place::Load;
 use cactuslane_platform_standin::{Fault, Mode, Target, TargetKind, target};
+use hyper::HeaderMap;
 use hyper::body::Bytes;
 use yare::parameterized;
 
@@ -55,6 +56,24 @@
     });
 }
 
+/// Guards against a prompt that is computed for another place in the stream than the run goes on at.
+#[test]
+fn a_prompt_that_is_computed_again_is_for_the_place_of_the_run() {
+    run_test(async {
+        let deployment = deploy().await;
+        deployment.inject_fault(&deployment.engines, Fault::Break(3));
+        deployment.ask("/summary/7", "r1").await;
+        let headers = deployment.prefill.headers();
+        let of_caller = headers.iter().filter(|sent| sent["x-request-id"] == "r1");
+        let place = |sent: &HeaderMap| {
+            let last = sent.get("last-event-id")?;
+            last.to_str().ok().map(str::to_owned)
+        };
+        let places: Vec<Option<String>> = of_caller.map(place).collect();
+        assert_eq!(places, [None, Some("3".to_owned())]);
+    });
+}
+
 /// Guards against each instance learning by rejections of its own that an engine carries out an order
 /// that no running instance has given.
 #[test]
--- a/crates/cactuslane-soak/tests/targets.rs
+++ b/crates/cactuslane-soak/tests/targets.rs
@@ -7,7 +7,7 @@
 use cactuslane_platform_standin::TargetKind;
 use cactuslane_platform_standin::process::{Line, Mood, Serving, Spec, Step, Trouble};
 use cactuslane_platform_standin::script::{Script, event_count};
-use cactuslane_soak::plan::{self, Action};
+use cactuslane_soak::plan::{self, Action, ProcessFault};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
 use tokio::time::sleep;
@@ -208,3 +208,20 @@
     }
     assert!(count > 1_000);
 }
+
+#[test]
+fn targets_start_again_with_another_version_only_where_entries_may_be_late() {
+    let length = Duration::from_secs(30);
+    for delay in [None, Some(Duration::from_millis(800))] {
+        let mut upgrades = 0;
+        for seed in 0..40 {
+            for step in plan::draw_successions(seed, length, 4..9, delay) {
+                if let Action::Process(_, ProcessFault::Upgrade(late), _) = step.action {
+                    assert!(Some(late) <= delay, "{step:?}");
+                    upgrades += 1;
+                }
+            }
+        }
+        assert_eq!(upgrades > 0, delay.is_some(), "{upgrades}");
+    }
+}
