Count a second copy of an answer as a fault of its target in the soak

Cause: a run counted as disturbed only near a fault of a process, and a copy is none of the plan's. Plans of planned changes alone make no copies, so that nothing planned is excused.

Change: a run that met a copy is disturbed; a request of which one run is not stays judged. Events in order, whole answers and runs at most once are judged as before.

--- a/crates/cactuslane-soak/src/check.rs
+++ b/crates/cactuslane-soak/src/check.rs
@@ -321,14 +321,17 @@
         }
     }
 
-    /// Returns whether a request ran only at targets that are processes, and near a fault of each of
-    /// them.
+    /// Returns whether each run of a request was near a fault of a target that is a process, or met a
+    /// second copy of another answer.
     fn is_near_process_fault(&self, record: &RequestRecord, sources: &Sources) -> bool {
         let disturbed = |run: &Made| {
             let mut faults = self.observations.process_faults.iter();
-            faults.any(|(target, from, to)| {
-                run.target == *target && *from <= record.ended && *to + FAULT_GRACE >= record.due
-            })
+            run.copied
+                || faults.any(|(target, from, to)| {
+                    run.target == *target
+                        && *from <= record.ended
+                        && *to + FAULT_GRACE >= record.due
+                })
         };
         let made = sources.made;
         !made.is_empty() && made.iter().all(disturbed)
--- a/crates/cactuslane-soak/tests/checks.rs
+++ b/crates/cactuslane-soak/tests/checks.rs
@@ -283,3 +283,23 @@
     let (violations, _) = check::check(&[asked], &[kind(false, false)], &observations, true);
     assert_eq!(violations.is_empty(), holds, "{violations:?}");
 }
+
+/// A target that sends an answer twice has spoilt the attempt that met the copy.
+#[parameterized(
+    all_runs = { [true, true], &[] },
+    one_run = { [true, false], &["no planned change cuts"] },
+)]
+fn a_cut_is_excused_where_each_run_met_a_copy(copied: [bool; 2], expected: &[&str]) {
+    let now = Instant::now();
+    let mut observations = Observations::default();
+    observations.runs.insert("r1".to_owned(), vec![now; 2]);
+    let runs = copied.map(|copied| Made {
+        copied,
+        ..made(now)
+    });
+    observations.made.insert("r1".to_owned(), runs.to_vec());
+    let record = record(now, truncated("id: 1\ndata: piece 1\n\n"));
+    let (violations, _) = check::check(&[record], &[kind(true, false)], &observations, false);
+    let names: Vec<&str> = violations.iter().map(|found| found.guarantee).collect();
+    assert_eq!(names, expected);
+}
