Log the process that a connection's other end stated to be

The lines on begun and ended streams named the process of the target's entry, so that a stream at a process that is not registered yet could only be seen in the records of the targets. A connection keeps what a report on it stated; the lines have it as served_by, which is empty until a report was read on the connection. No decision changes.

--- a/crates/cactuslane-gateway/src/ending.rs
+++ b/crates/cactuslane-gateway/src/ending.rs
@@ -7,8 +7,8 @@
 
 use std::time::Duration;
 
-use cactuslane_flight::AttemptFailure;
 use cactuslane_flight::target::Target;
+use cactuslane_flight::{AttemptFailure, ServingProcess};
 use cactuslane_held::Framing;
 use cactuslane_platform::engine;
 use cactuslane_platform::exchange::{self, Verdict};
@@ -164,6 +164,9 @@
         Err(_) if plain.is_some() => None,
         Err(why) => return Err(format!("the report is not whole: {why}")),
     };
+    if plain.is_none() {
+        connection.record_process(ServingProcess::stated(told));
+    }
     let known = gateway
         .fleet()
         .known(&target.id)
--- a/crates/cactuslane-gateway/src/generation/attempt.rs
+++ b/crates/cactuslane-gateway/src/generation/attempt.rs
@@ -1,7 +1,7 @@
 //! One attempt at a target that generates.
 
-use cactuslane_flight::AttemptFailure;
 use cactuslane_flight::target::Target;
+use cactuslane_flight::{AttemptFailure, ServingProcess};
 use cactuslane_held::Framing;
 use cactuslane_place::Load;
 use cactuslane_place::placer::Plan;
@@ -21,6 +21,7 @@
 use crate::limits::permits::Permit;
 use crate::plain::send;
 use crate::reply::{self, AnswerBody};
+use crate::upstream::PooledConnection;
 use crate::{crashes, engines, usage};
 
 /// Maximum size of the body of a target's failure, in bytes.
@@ -110,7 +111,7 @@
             placer.speed.observe_first(elapsed / factor);
         }
         drop(placer);
-        self.log_begun(target, &head.headers, last_event);
+        self.log_begun(target, &connection, &head.headers, last_event);
         self.record_cached(target, 0.0);
         Ok(OpenStream {
             headers: head.headers,
@@ -159,7 +160,13 @@
     }
 
     /// Logs that a target begins a stream, after the event with this id if it resumes one.
-    fn log_begun(&self, target: &Target, headers: &HeaderMap, last_event: Option<u64>) {
+    fn log_begun(
+        &self,
+        target: &Target,
+        connection: &PooledConnection,
+        headers: &HeaderMap,
+        last_event: Option<u64>,
+    ) {
         let told = exchange::target_load(headers);
         let load = told
             .running
@@ -173,6 +180,7 @@
             target_slowdown:? = told.slowdown,
             target_version = target.version.as_deref().unwrap_or(""),
             process:? = target.started_at,
+            served_by:? = connection.process().and_then(ServingProcess::started_at),
             last_event = last_event.unwrap_or(0);
             "stream begun"
         );
--- a/crates/cactuslane-gateway/src/generation/stream.rs
+++ b/crates/cactuslane-gateway/src/generation/stream.rs
@@ -5,7 +5,7 @@
 
 use cactuslane_flight::events::{EventError, EventScanner};
 use cactuslane_flight::target::Target;
-use cactuslane_flight::{AttemptFailure, Silence, Step, StreamOrigin};
+use cactuslane_flight::{AttemptFailure, ServingProcess, Silence, Step, StreamOrigin};
 use cactuslane_held::{Framing, framing};
 use cactuslane_platform::exchange;
 use cactuslane_types::Millis;
@@ -302,6 +302,7 @@
             request = self.request.info.id,
             target_id = opened.target.id,
             process:? = opened.target.started_at,
+            served_by:? = opened.connection.process().and_then(ServingProcess::started_at),
             ending,
             end:? = end,
             shown_by,
--- a/crates/cactuslane-gateway/src/upstream.rs
+++ b/crates/cactuslane-gateway/src/upstream.rs
@@ -5,6 +5,7 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
+use cactuslane_flight::ServingProcess;
 use cactuslane_place::Reach;
 use cactuslane_types::{Millis, TargetId};
 use http_body_util::Full;
@@ -59,6 +60,8 @@
     sender: SendRequest<Full<Bytes>>,
     /// The connection, which hyper reads and writes.
     stream: Arc<TcpStream>,
+    /// The process at its other end, once that has stated which one it is.
+    process: Option<ServingProcess>,
     /// Ids of the requests that the target rejected on it. It may send a rejection once more, which
     /// would be taken for the answer to another request with the same id.
     rejected: BTreeSet<String>,
@@ -192,6 +195,7 @@
             target: target.to_owned(),
             sender,
             stream,
+            process: None,
             rejected: BTreeSet::new(),
             allowance,
             expires: Instant::now(),
@@ -264,6 +268,17 @@
 }
 
 impl PooledConnection {
+    /// Returns the process at its other end, if that has stated on it which one it is.
+    #[must_use]
+    pub fn process(&self) -> Option<ServingProcess> {
+        self.process
+    }
+
+    /// Records which process the other end stated to be.
+    pub fn record_process(&mut self, process: ServingProcess) {
+        self.process = Some(process);
+    }
+
     /// Records that the target rejected the request with an id.
     pub fn record_rejected(&mut self, id: &str) {
         self.rejected.insert(id.to_owned());
