Add failing tests of streams at processes that are not registered

A target starts again under its id with another version, and its entry still describes the process before.

--- a/crates/cactuslane-gateway/tests/serving/main.rs
+++ b/crates/cactuslane-gateway/tests/serving/main.rs
@@ -23,6 +23,7 @@
 mod places;
 mod plain;
 mod preempted;
+mod processes;
 mod raw;
 mod rewind;
 mod silent;
