Send streams and prompts only to the process that registered

Callers got events of two versions in one answer, or over their attempts, as a target started again under its id with another version before its entry said so. Cause: what an instance knows of a target is that of the process which wrote the entry, and nothing compared it with the process that answers. Class: who serves a stream is guessed from an entry.

A connection belongs to one process while it is open. A new connection to an engine carries a report first, whose start is kept with the pooled connection; a stream begins, is taken up and is resumed, and a prompt is computed, only where it is the start that the entry states. Another process counts as not registered: it gets no work until its entry follows. So a stream's version is that of the entry of the process which sent its first event, whatever registers in the meantime, and no call is due for a resumption.

--- a/crates/cactuslane-gateway/src/answers.rs
+++ b/crates/cactuslane-gateway/src/answers.rs
@@ -57,6 +57,18 @@
     }
 }
 
+/// Records that another target, or another process of it, answers at the address of a target, and
+/// tells the other instances.
+pub fn record_replaced(gateway: &Gateway, target: &Target) {
+    let is_new = gateway
+        .fleet()
+        .observe_replaced(&target.id, target.started_at);
+    if is_new {
+        info!(target_id = target.id; "another target has the address");
+        gateway.queue_observation(target, Observed::Replaced);
+    }
+}
+
 /// Applies the pause that a target asks for when it turns a request away.
 fn observe_pause(gateway: &Gateway, target: &Target, status: StatusCode, headers: &HeaderMap) {
     let pause = match exchange::requested_pause(status.as_u16(), headers) {
--- a/crates/cactuslane-gateway/src/ending.rs
+++ b/crates/cactuslane-gateway/src/ending.rs
@@ -17,12 +17,12 @@
 use hyper::body::{Bytes, Incoming};
 use hyper::{Method, StatusCode};
 use log::info;
-use tokio::time::{Instant, sleep, timeout};
+use tokio::time::{Instant, timeout};
 
 use crate::bodies::read_body;
 use crate::engines::build_call;
 use crate::leadership::boot_millis;
-use crate::limits::permits::{Permit, Purpose};
+use crate::limits::permits::Purpose;
 use crate::request::CallerRequest;
 use crate::state::Gateway;
 use crate::upstream::{PooledConnection, SendError};
@@ -30,8 +30,6 @@
 
 /// Time after which a kept connection without an answer may be silent, and a new one is used.
 const KEPT_TIMEOUT: Duration = Duration::from_secs(1);
-/// Minimum time between two requests for a permit.
-const MIN_PERMIT_WAIT: Duration = Duration::from_millis(20);
 /// Maximum size of the answer to that call, in bytes.
 const MAX_CONFIRM_BYTES: usize = 64 << 10;
 
@@ -136,7 +134,7 @@
     let service = request.config.services.get(&request.service);
     let plain = service.filter(|service| service.engine.is_none());
     let path = plain.map_or(engine::REPORT_PATH, |service| service.health_path.as_str());
-    let permit = acquire(gateway, target).await;
+    let permit = limits::acquire_in_time(gateway, target).await;
     let sent = gateway.now();
     let call = build_call(target, Method::GET, path, String::new());
     let response = connection.send(call, permit).await.map_err(describe)?;
@@ -182,16 +180,6 @@
     Ok(())
 }
 
-/// Acquires the permission for a call, once the target's limit allows one.
-async fn acquire(gateway: &Gateway, target: &Target) -> Permit {
-    loop {
-        match limits::acquire(gateway, target, "").await {
-            Ok(permit) => return permit,
-            Err(wait) => sleep(wait.max(MIN_PERMIT_WAIT)).await,
-        }
-    }
-}
-
 /// Returns the cause for which a call has no answer.
 fn describe(error: SendError) -> String {
     match error {
--- a/crates/cactuslane-gateway/src/engines.rs
+++ b/crates/cactuslane-gateway/src/engines.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use cactuslane_flight::ServingProcess;
 use cactuslane_flight::request_info::PromptPart;
 use cactuslane_flight::target::Target;
 use cactuslane_held::NO_CONNECTION;
@@ -18,9 +19,9 @@
 use crate::answers;
 use crate::bodies::read_body;
 use crate::limits;
-use crate::limits::permits::Purpose;
+use crate::limits::permits::{Permit, Purpose};
 use crate::state::Gateway;
-use crate::upstream::SendError;
+use crate::upstream::{PooledConnection, SendError};
 
 /// Maximum duration of one call to an engine.
 pub const CALL_TIMEOUT: Duration = Duration::from_secs(1);
@@ -153,25 +154,53 @@
             .pool
             .checkout(&target.id, target.address, "")
             .await?;
-        let sent = gateway.now();
-        let call = build_call(target, method, path, String::new());
-        let response = connection.send(call, permit).await?;
-        let (status, headers) = (response.status(), response.headers());
-        if !exchange::answers_call(headers) {
-            let why = format!("status {status}, the answer belongs to a request");
-            return Err(CallError::Unknown(why));
-        }
-        answers::observe(gateway, target, Purpose::Call, status, headers, sent);
-        let keep_alive = exchange::keep_alive_timeout(headers);
-        connection.allow(MAX_CALL_BYTES);
-        let body = read_body(gateway, NO_CONNECTION, response.into_body()).await;
-        let body = body.map_err(|(_, why)| CallError::Unknown(why))?;
-        if status != StatusCode::OK {
-            return Err(CallError::Unknown(format!("status {status}")));
-        }
+        let call = (method, path);
+        let (body, keep_alive) = call_on(gateway, target, &mut connection, call, permit).await?;
         gateway.pool.check_in(connection, keep_alive);
         Ok(body)
     };
     let result = timeout(CALL_TIMEOUT, answer).await;
     result.unwrap_or_else(|_| Err(CallError::Unknown("no answer in time".to_owned())))
 }
+
+/// Sends a call without a body, given by its method and path, on a connection to an engine, and
+/// returns the body of the answer with the time after which the engine closes the idle connection,
+/// if it states one.
+///
+/// # Errors
+///
+/// Returns an error if there is no complete answer with status 200; the connection must not be used
+/// again then.
+pub async fn call_on(
+    gateway: &Gateway,
+    target: &Target,
+    connection: &mut PooledConnection,
+    (method, path): (Method, &str),
+    permit: Permit,
+) -> Result<(Bytes, Option<Duration>), CallError> {
+    let sent = gateway.now();
+    let call = build_call(target, method, path, String::new());
+    let response = connection.send(call, permit).await?;
+    let (status, headers) = (response.status(), response.headers());
+    if !exchange::answers_call(headers) {
+        let why = format!("status {status}, the answer belongs to a request");
+        return Err(CallError::Unknown(why));
+    }
+    answers::observe(gateway, target, Purpose::Call, status, headers, sent);
+    if exchange::is_misdirected(status.as_u16()) {
+        answers::record_replaced(gateway, target);
+    }
+    let keep_alive = exchange::keep_alive_timeout(headers);
+    connection.allow(MAX_CALL_BYTES);
+    let body = read_body(gateway, NO_CONNECTION, response.into_body()).await;
+    let body = body.map_err(|(_, why)| CallError::Unknown(why))?;
+    if status != StatusCode::OK {
+        return Err(CallError::Unknown(format!("status {status}")));
+    }
+    if path == engine::REPORT_PATH
+        && let Ok(started_at) = engine::decode_started(&body)
+    {
+        connection.record_process(ServingProcess::stated(started_at));
+    }
+    Ok((body, keep_alive))
+}
--- a/crates/cactuslane-gateway/src/generation/stream.rs
+++ b/crates/cactuslane-gateway/src/generation/stream.rs
@@ -240,7 +240,8 @@
                 opened.attempt.settle();
                 if self.origin == StreamOrigin::NotBegun {
                     let (gateway, target) = (&self.gateway, &opened.target);
-                    self.origin = origins::record_begun(gateway, &self.request, target);
+                    let process = opened.connection.process();
+                    self.origin = origins::record_begun(gateway, &self.request, target, process);
                 }
             }
             if beginning.is_settled(now) {
--- a/crates/cactuslane-gateway/src/lib.rs
+++ b/crates/cactuslane-gateway/src/lib.rs
@@ -35,6 +35,7 @@
 pub mod peers;
 pub mod plain;
 pub mod preview;
+pub mod processes;
 pub mod progress;
 pub mod queue;
 pub mod ranking;
--- a/crates/cactuslane-gateway/src/limits.rs
+++ b/crates/cactuslane-gateway/src/limits.rs
@@ -13,7 +13,7 @@
 use hyper::StatusCode;
 use hyper::header::HeaderMap;
 use log::{info, warn};
-use tokio::time::timeout;
+use tokio::time::{sleep, timeout};
 
 use self::permits::{Permit, PermitRequest, Purpose};
 use crate::calls::CallNumber;
@@ -21,6 +21,8 @@
 use crate::sending;
 use crate::state::Gateway;
 
+/// Minimum time between two requests for a permit.
+const MIN_PERMIT_WAIT: Duration = Duration::from_millis(20);
 /// Maximum time to wait for the answer of an issuer.
 const ASK_TIMEOUT: Duration = Duration::from_millis(100);
 
@@ -92,6 +94,17 @@
     Err(wait)
 }
 
+/// Acquires the permission for a call or request, once the target's limit allows one; the caller
+/// bounds the wait.
+pub async fn acquire_in_time(gateway: &Gateway, target: &Target) -> Permit {
+    loop {
+        match acquire(gateway, target, "").await {
+            Ok(permit) => return permit,
+            Err(wait) => sleep(wait.max(MIN_PERMIT_WAIT)).await,
+        }
+    }
+}
+
 /// Records the limit that an answer of a target names or does not name, and notifies the other
 /// instances of a change.
 ///
--- a/crates/cactuslane-gateway/src/origins.rs
+++ b/crates/cactuslane-gateway/src/origins.rs
@@ -4,6 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use cactuslane_flight::ServingProcess;
 use cactuslane_flight::origin::{StreamId, StreamOrigin, stream_id};
 use cactuslane_flight::target::Target;
 use cactuslane_types::SoftwareVersion;
@@ -27,12 +28,18 @@
 /// Records that a target sent the first event of the stream of a request, and tells the instances
 /// that keep its version.
 ///
-/// Returns the origin of the stream, which is unknown if another process of the target has
-/// registered meanwhile.
-pub fn record_begun(gateway: &Gateway, request: &CallerRequest, target: &Target) -> StreamOrigin {
-    let registered = gateway.fleet().known(&target.id).cloned();
-    let same = registered.is_some_and(|known| known.started_at == target.started_at);
-    let version = target.version.clone().filter(|_| same);
+/// `process` is the one that sent the event; a target without an engine does not state it. Returns
+/// the origin of the stream, which is unknown if the process is not the one that wrote the entry of
+/// the target.
+pub fn record_begun(
+    gateway: &Gateway,
+    request: &CallerRequest,
+    target: &Target,
+    process: Option<ServingProcess>,
+) -> StreamOrigin {
+    let registered = || Some(gateway.fleet().known(&target.id)?.started_at);
+    let process = process.or_else(|| registered().map(ServingProcess::stated));
+    let version = process.and_then(|process| process.version(target).cloned());
     let Some(version) = version else {
         warn!(
             request = request.info.id,
--- a/crates/cactuslane-gateway/src/plain.rs
+++ b/crates/cactuslane-gateway/src/plain.rs
@@ -6,7 +6,7 @@
 use cactuslane_flight::target::Target;
 use cactuslane_flight::{AttemptFailure, Refusal, RequestState, Step};
 use cactuslane_held::{Framing, framing};
-use cactuslane_place::{Forecast, Load, Observed};
+use cactuslane_place::{Forecast, Load};
 use cactuslane_platform::exchange::{self, SendParams, Verdict};
 use cactuslane_types::{Millis, Role};
 use http_body_util::{BodyExt, Full, Limited};
@@ -26,7 +26,7 @@
 use crate::request::CallerRequest;
 use crate::state::Gateway;
 use crate::upstream::{PooledConnection, SendError};
-use crate::{answers, crashes, usage};
+use crate::{answers, crashes, processes, usage};
 
 /// Maximum size of the body of a rejection, in bytes; of a larger one the connection is closed.
 const MAX_REJECTION_BYTES: usize = 64 << 10;
@@ -287,12 +287,18 @@
     // A target may answer twice, and on the same connection the second copy of a rejection would
     // be taken for the answer to the repeated request, which has the same id or none.
     let id = &request.info.id;
-    let connection = if request.record_send(&target.id) && !id.is_empty() {
-        gateway.pool.checkout(&target.id, target.address, id).await
+    let may_reuse = request.record_send(&target.id) && !id.is_empty();
+    let service = request.config.services.get(&request.service);
+    let (mut connection, permit) = if service.is_some_and(|service| service.engine.is_some()) {
+        processes::connect(gateway, target, id, may_reuse, permit).await?
     } else {
-        gateway.pool.connect(&target.id, target.address).await
+        let connection = if may_reuse {
+            gateway.pool.checkout(&target.id, target.address, id).await
+        } else {
+            gateway.pool.connect(&target.id, target.address).await
+        };
+        (connection.map_err(attempt_failure)?, permit)
     };
-    let mut connection = connection.map_err(attempt_failure)?;
     // The target may have begun to drain, or may have been started again, while the connection was
     // being established.
     let usable = gateway.target(&target.id);
@@ -332,14 +338,8 @@
             gateway.queue_observation(target, observed);
         }
     }
-    let replaced = verdict == Verdict::Replaced;
-    if replaced
-        && gateway
-            .fleet()
-            .observe_replaced(&target.id, target.started_at)
-    {
-        info!(target_id = target.id; "another target has the address");
-        gateway.queue_observation(target, Observed::Replaced);
+    if verdict == Verdict::Replaced {
+        answers::record_replaced(gateway, target);
     }
     match verdict {
         Verdict::Answer => Ok((connection, response)),
@@ -434,7 +434,8 @@
 }
 
 /// Returns the kind of failure of a request that got no head of an answer, and its cause.
-fn attempt_failure(error: SendError) -> (AttemptFailure, String) {
+#[must_use]
+pub fn attempt_failure(error: SendError) -> (AttemptFailure, String) {
     match error {
         SendError::Unsent(why) => (AttemptFailure::Unsent, why),
         SendError::Broken(why) => (AttemptFailure::Broken, why),
--- a/crates/cactuslane-gateway/src/upstream.rs
+++ b/crates/cactuslane-gateway/src/upstream.rs
@@ -248,7 +248,8 @@
     /// Removes and returns the usable idle connection that was used last.
     ///
     /// Connections on which a request with the id was rejected stay idle.
-    fn take_idle(&self, target: &str, id: &str) -> Option<PooledConnection> {
+    #[must_use]
+    pub fn take_idle(&self, target: &str, id: &str) -> Option<PooledConnection> {
         let now = Instant::now();
         let mut idle = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
         let connections = idle.get_mut(target)?;
