Generate from a computed prompt only at the version that computed it

A prompt that v1 computes was used by v2, where the decode engine of the plan, or the prefill engine, registered another process while the prompt was computed: the versions were compared when both were placed and not again. The prompt is freed then, and the engine reads the prompt itself; an engine whose cached parts are fetched must have the version of the engine that fetches.

a_prompt_is_not_used_at_a_version_that_registered_while_it_was_computed failed before and passes now. The same for the fetch is by reading, without a test. The test of a resumption also demands the events that the first target sent.

--- a/crates/cactuslane-gateway/src/generation.rs
+++ b/crates/cactuslane-gateway/src/generation.rs
@@ -361,7 +361,9 @@
         let is_waiting = !self.unsent_pause().is_zero();
         self.tried.push(target.id.clone());
         self.runs += 1;
+        // Another version may have registered since the prompt was placed: it reads the prompt itself.
         let prompt = self.prompt.take();
+        let prompt = prompt.filter(|prompt| target.has_version_of(&prompt.target));
         // The clock is read first, so that the target is not told an earlier end than this.
         let now = boot_millis();
         let left = self.state.remaining(self.gateway.now());
--- a/crates/cactuslane-gateway/src/generation/prompt.rs
+++ b/crates/cactuslane-gateway/src/generation/prompt.rs
@@ -49,6 +49,7 @@
         self.record_cached(target, plan.expected);
         let began = Instant::now();
         let fetch = plan.fetch.as_ref().and_then(|id| self.gateway.target(id));
+        let fetch = fetch.filter(|engine| engine.has_version_of(target));
         let limit = Duration::from_secs_f64(plan.expected * PROMPT_TIMEOUT_FACTOR / 1000.0);
         let wait = left.min(limit.max(MIN_PROMPT_TIMEOUT));
         let params = SendParams {
--- a/crates/cactuslane-gateway/tests/serving/processes.rs
+++ b/crates/cactuslane-gateway/tests/serving/processes.rs
@@ -15,6 +15,8 @@
 
 /// Number of events that callers have received when a stream breaks off.
 const EVENTS: u64 = 3;
+/// Time that a prompt takes while versions change, in milliseconds.
+const SLOW_PROMPT_MS: u64 = 1_000;
 /// Interval between two looks at whether a target accepts connections.
 const POLL_INTERVAL: Duration = Duration::from_millis(5);
 
@@ -111,6 +113,8 @@
         }
         let answer = engines.deployment.ask("/summary/7", "r1").await;
         assert_eq!(engines.engine(1).runs("r1"), 0, "{answer:?}");
+        assert_eq!(answer.status, 200);
+        assert!(answer.body.len() >= all_events().len() - rest().len());
         assert!(all_events().starts_with(&answer.body));
     });
 }
@@ -198,3 +202,37 @@
         assert_eq!(prefill.prompts(), 0);
     });
 }
+
+/// Guards against a generation at one version from a prompt that another one computed.
+#[test]
+fn a_prompt_is_not_used_at_a_version_that_registered_while_it_was_computed() {
+    run_test(async {
+        let engines = Engines::start().await;
+        let deployment = &engines.deployment;
+        let gateway = &deployment.running.gateway;
+        let load = Load {
+            running: 20,
+            ..Load::default()
+        };
+        gateway.placer().load_view.add("i-d1", load);
+        deployment.prefill.inject_fault(Fault::Slow(SLOW_PROMPT_MS));
+        let register = async {
+            wait_until(|| deployment.prefill.pending_faults() == 0).await;
+            for engine in &deployment.engines {
+                engine.set_version("v2");
+                engine.replace_process();
+                engine.register(&deployment.store, "ready");
+            }
+        };
+        let (answer, ()) = tokio::join!(deployment.ask("/report/7", "r1"), register);
+        assert_eq!((answer.status, answer.body), (200, all_events()));
+        assert_eq!(deployment.prefill.prompts(), 1);
+        for engine in &deployment.engines {
+            let used = engine
+                .headers()
+                .iter()
+                .any(|headers| headers.contains_key("x-kv-source"));
+            assert!(!used);
+        }
+    });
+}
