--- a/crates/cactuslane-gateway/src/answers.rs
+++ b/crates/cactuslane-gateway/src/answers.rs
@@ -57,8 +57,7 @@
     }
 }
 
-/// Records that another target, or another process of it, answers at the address of a target, and
-/// tells the other instances.
+/// Records that another target answers at the address of a target, and tells the other instances.
 pub fn record_replaced(gateway: &Gateway, target: &Target) {
     let is_new = gateway
         .fleet()
--- a/crates/cactuslane-gateway/src/engines.rs
+++ b/crates/cactuslane-gateway/src/engines.rs
@@ -9,7 +9,7 @@
 use cactuslane_held::NO_CONNECTION;
 use cactuslane_place::Observed;
 use cactuslane_platform::engine::{self, Report};
-use cactuslane_platform::exchange;
+use cactuslane_platform::exchange::{self, Verdict};
 use http_body_util::Full;
 use hyper::body::Bytes;
 use hyper::{Method, Request, StatusCode};
@@ -187,7 +187,7 @@
         return Err(CallError::Unknown(why));
     }
     answers::observe(gateway, target, Purpose::Call, status, headers, sent);
-    if exchange::is_misdirected(status.as_u16()) {
+    if exchange::verdict("", &target.id, status.as_u16(), headers) == Verdict::Replaced {
         answers::record_replaced(gateway, target);
     }
     let keep_alive = exchange::keep_alive_timeout(headers);
--- a/crates/cactuslane-gateway/src/fleet.rs
+++ b/crates/cactuslane-gateway/src/fleet.rs
@@ -66,6 +66,8 @@
     lapsed: Option<Millis>,
     /// Whether another target answered at its address.
     replaced: bool,
+    /// The time at which another process of the target answered, whose entry has not arrived yet.
+    restarted_at: Option<Millis>,
     /// Whether an answer of its process said that it is leaving.
     leaving: bool,
     /// The time until which it gets no new work, as it had left before the era of the store.
@@ -307,6 +309,7 @@
             target,
             lapsed,
             replaced,
+            restarted_at: same_process.and_then(|old| old.restarted_at),
             leaving,
             held_until,
             paused_until,
@@ -394,8 +397,9 @@
         if ready.is_empty() { lapsed } else { ready }
     }
 
-    /// Returns whether the entry of a target of a service that fulfils a condition vanished, within
-    /// the last 5 seconds, though the target was not leaving: it may register again.
+    /// Returns whether the entry of a target of a service that fulfils a condition vanished, or
+    /// another process of such a target answered, within the last 5 seconds, though the target was not
+    /// leaving: it may register again.
     #[must_use]
     pub fn vanished_lately(
         &self,
@@ -404,7 +408,8 @@
         now: Millis,
     ) -> bool {
         self.targets.values().any(|entry| {
-            let lately = entry.lapsed.is_some_and(|at| now < at + RESTART_TIME);
+            let lately = |at: Option<Millis>| at.is_some_and(|at| now < at + RESTART_TIME);
+            let lately = lately(entry.lapsed) || lately(entry.restarted_at);
             let left = entry.leaving || entry.replaced;
             lately && !left && entry.target.service == service && condition(&entry.target)
         })
@@ -416,7 +421,8 @@
         let leaving = entry.target.state == TargetState::Draining;
         let held_until = entry.held_until.max(entry.paused_until);
         let held_back = now < entry.changing_until.max(held_until);
-        if leaving || entry.leaving || entry.replaced || held_back {
+        let restarted = entry.restarted_at.is_some();
+        if leaving || entry.leaving || entry.replaced || restarted || held_back {
             return false;
         }
         let Some(lapsed) = entry.lapsed else {
--- a/crates/cactuslane-gateway/src/fleet/observed.rs
+++ b/crates/cactuslane-gateway/src/fleet/observed.rs
@@ -30,6 +30,14 @@
         !std::mem::replace(&mut entry.replaced, true)
     }
 
+    /// Records that another process of a target answers than the one that started at `started_at` and
+    /// wrote its entry: the target gets no new work until the other one registers.
+    pub fn observe_restarted(&mut self, id: &str, started_at: Option<u64>, now: Millis) {
+        if let Some(entry) = self.entry_of_process(id, started_at) {
+            entry.restarted_at.get_or_insert(now);
+        }
+    }
+
     /// Records that an answer of a target's process said that it is leaving: it gets no new work
     /// until another process of it registers. Returns whether this was new.
     pub fn observe_leaving(&mut self, id: &str, started_at: Option<u64>) -> bool {
--- a/crates/cactuslane-gateway/src/plain.rs
+++ b/crates/cactuslane-gateway/src/plain.rs
@@ -25,7 +25,7 @@
 use crate::reply::{self, AnswerBody};
 use crate::request::CallerRequest;
 use crate::state::Gateway;
-use crate::upstream::{PooledConnection, SendError};
+use crate::upstream::{PooledConnection, attempt_failure};
 use crate::{answers, crashes, processes, usage};
 
 /// Maximum size of the body of a rejection, in bytes; of a larger one the connection is closed.
@@ -287,6 +287,7 @@
     // A target may answer twice, and on the same connection the second copy of a rejection would
     // be taken for the answer to the repeated request, which has the same id or none.
     let id = &request.info.id;
+    let began = Instant::now();
     let may_reuse = request.record_send(&target.id) && !id.is_empty();
     let service = request.config.services.get(&request.service);
     let (mut connection, permit) = if service.is_some_and(|service| service.engine.is_some()) {
@@ -309,7 +310,11 @@
     let mut outgoing = Request::new(Full::new(request.body.clone()));
     *outgoing.method_mut() = request.method.clone();
     *outgoing.uri_mut() = origin_form(&request.uri);
-    *outgoing.headers_mut() = exchange::request_headers(&request.headers, params);
+    let params = SendParams {
+        timeout: params.timeout.saturating_sub(began.elapsed()),
+        ..params.clone()
+    };
+    *outgoing.headers_mut() = exchange::request_headers(&request.headers, &params);
     let sent = gateway.now();
     gateway.pool.reach().record_sent(sent);
     let response = connection.send(outgoing, permit).await;
@@ -432,12 +437,3 @@
     let path = uri.path_and_query().map_or("/", |path| path.as_str());
     path.parse().unwrap_or_default()
 }
-
-/// Returns the kind of failure of a request that got no head of an answer, and its cause.
-#[must_use]
-pub fn attempt_failure(error: SendError) -> (AttemptFailure, String) {
-    match error {
-        SendError::Unsent(why) => (AttemptFailure::Unsent, why),
-        SendError::Broken(why) => (AttemptFailure::Broken, why),
-    }
-}
--- a/crates/cactuslane-gateway/src/processes.rs
+++ b/crates/cactuslane-gateway/src/processes.rs
@@ -5,7 +5,6 @@
 //! entry: a stream begins and goes on, and a prompt is computed, only on a connection whose other
 //! end has stated to be this process.
 
-use std::sync::Arc;
 use std::time::Duration;
 
 use cactuslane_flight::target::Target;
@@ -16,10 +15,9 @@
 use tokio::time::timeout;
 
 use crate::limits::permits::Permit;
-use crate::plain::attempt_failure;
 use crate::state::Gateway;
-use crate::upstream::PooledConnection;
-use crate::{answers, engines, limits};
+use crate::upstream::{PooledConnection, attempt_failure};
+use crate::{engines, limits};
 
 /// Maximum time for which an engine is waited for that is to state which process it is.
 const REPORT_TIMEOUT: Duration = Duration::from_millis(450);
@@ -32,60 +30,55 @@
 ///
 /// # Errors
 ///
-/// Returns [`AttemptFailure::Unsent`] and the cause if there is no connection, or if it leads to
-/// another process.
+/// Returns [`AttemptFailure::Unsent`] and the cause if there is no connection or no permit, or if the
+/// connection leads to another process or to one that does not state which it is.
 pub async fn connect(
-    gateway: &Arc<Gateway>,
+    gateway: &Gateway,
     target: &Target,
     id: &str,
     may_reuse: bool,
-    mut permit: Permit,
+    permit: Permit,
 ) -> Result<(PooledConnection, Permit), (AttemptFailure, String)> {
+    let unsent = |why: String| (AttemptFailure::Unsent, why);
+    if may_reuse && let Some(connection) = take_identified(gateway, target, id) {
+        return Ok((connection, permit));
+    }
     let pool = &gateway.pool;
-    let mut may_reuse = may_reuse;
+    let connection = pool.connect(&target.id, target.address).await;
+    let mut connection = connection.map_err(attempt_failure)?;
+    let stated = identify(gateway, target, &mut connection, permit).await;
+    let process = stated.map_err(|why| unsent(format!("the process is not known: {why}")))?;
+    if !process.has_registered(target) {
+        info!(
+            request = id,
+            target_id = target.id,
+            process:? = target.started_at,
+            served_by:? = process.started_at();
+            "another process than the registered one"
+        );
+        let now = gateway.now();
+        gateway
+            .fleet()
+            .observe_restarted(&target.id, target.started_at, now);
+        let why = "another process than the registered one answers";
+        return Err(unsent(why.to_owned()));
+    }
+    if !connection.is_ready().await {
+        return Err(unsent("closed after the report".to_owned()));
+    }
+    let permit = limits::acquire(gateway, target, id).await;
+    let permit = permit.map_err(|wait| unsent(format!("no permit for {wait:?}")))?;
+    Ok((connection, permit))
+}
+
+/// Removes and returns a kept connection whose other end stated to be the process that registered a
+/// target; closes those of other processes.
+fn take_identified(gateway: &Gateway, target: &Target, id: &str) -> Option<PooledConnection> {
     loop {
-        let kept = if may_reuse {
-            pool.take_idle(&target.id, id)
-        } else {
-            None
-        };
-        let is_kept = kept.is_some();
-        let mut connection = match kept {
-            Some(connection) => connection,
-            None => pool
-                .connect(&target.id, target.address)
-                .await
-                .map_err(attempt_failure)?,
-        };
-        if let Some(process) = connection.process() {
-            if process.has_registered(target) {
-                return Ok((connection, permit));
-            }
-            // The connection of a process that has ended.
-            continue;
-        }
-        let stated = identify(gateway, target, &mut connection, permit).await;
-        permit = limits::acquire_in_time(gateway, target).await;
-        match stated {
-            Ok(process) if process.has_registered(target) => return Ok((connection, permit)),
-            Ok(process) if !is_kept => {
-                info!(
-                    request = id,
-                    target_id = target.id,
-                    process:? = target.started_at,
-                    served_by:? = process.started_at();
-                    "another process than the registered one"
-                );
-                answers::record_replaced(gateway, target);
-                let why = "another process than the registered one answers";
-                return Err((AttemptFailure::Unsent, why.to_owned()));
-            }
-            Err(why) if !is_kept => {
-                let why = format!("the process is not known: {why}");
-                return Err((AttemptFailure::Unsent, why));
-            }
-            // A kept connection may have failed unnoticed.
-            Ok(_) | Err(_) => may_reuse = false,
+        let connection = gateway.pool.take_idle(&target.id, id)?;
+        let process = connection.process();
+        if process.is_some_and(|process| process.has_registered(target)) {
+            return Some(connection);
         }
     }
 }
@@ -96,7 +89,7 @@
 ///
 /// Returns the reason why it is not known.
 async fn identify(
-    gateway: &Arc<Gateway>,
+    gateway: &Gateway,
     target: &Target,
     connection: &mut PooledConnection,
     permit: Permit,
@@ -105,7 +98,10 @@
     let answer = engines::call_on(gateway, target, connection, call, permit);
     let answer = timeout(REPORT_TIMEOUT, answer).await;
     let answer = answer.map_err(|_| format!("no report within {REPORT_TIMEOUT:?}"))?;
-    answer.map_err(|error| format!("{error:?}"))?;
+    let (body, _) = answer.map_err(|error| format!("{error:?}"))?;
+    engine::decode_report(&body)?;
     let process = connection.process();
-    process.ok_or_else(|| "the report cannot be decoded".to_owned())
+    let stated =
+        process.filter(|process| process.started_at().is_some() || target.started_at.is_none());
+    stated.ok_or_else(|| "the report states no start".to_owned())
 }
--- a/crates/cactuslane-gateway/src/upstream.rs
+++ b/crates/cactuslane-gateway/src/upstream.rs
@@ -5,7 +5,7 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
-use cactuslane_flight::ServingProcess;
+use cactuslane_flight::{AttemptFailure, ServingProcess};
 use cactuslane_place::Reach;
 use cactuslane_types::{Millis, TargetId};
 use http_body_util::Full;
@@ -275,9 +275,15 @@
         self.process
     }
 
-    /// Records which process the other end stated to be.
+    /// Records which process the other end stated to be, unless it stated that before.
     pub fn record_process(&mut self, process: ServingProcess) {
-        self.process = Some(process);
+        self.process.get_or_insert(process);
+    }
+
+    /// Waits until the next request can be sent; returns whether it can, as the other end may have
+    /// closed the connection after the last answer.
+    pub async fn is_ready(&mut self) -> bool {
+        self.sender.ready().await.is_ok()
     }
 
     /// Records that the target rejected the request with an id.
@@ -320,3 +326,12 @@
             })
     }
 }
+
+/// Returns the kind of failure of a request that got no head of an answer, and its cause.
+#[must_use]
+pub fn attempt_failure(error: SendError) -> (AttemptFailure, String) {
+    match error {
+        SendError::Unsent(why) => (AttemptFailure::Unsent, why),
+        SendError::Broken(why) => (AttemptFailure::Broken, why),
+    }
+}
--- a/crates/cactuslane-gateway/tests/serving/processes.rs
+++ b/crates/cactuslane-gateway/tests/serving/processes.rs
@@ -236,3 +236,27 @@
         }
     });
 }
+
+/// Guards against a refusal because the only engine of a version started again and registers late.
+#[test]
+fn a_stream_waits_for_the_entry_of_a_process_that_started_again() {
+    run_test(async {
+        let engines = Engines::start().await;
+        let store = &engines.deployment.store;
+        let gateway = &engines.deployment.running.gateway;
+        engines.begin("r1").await;
+        engines.engine(1).register(store, "draining");
+        wait_until(|| gateway.target("i-d2").is_none()).await;
+        let first = engines.engine(0);
+        first.replace_process();
+        gateway.pool.close_all_idle();
+        let register = async {
+            wait_until(|| gateway.target("i-d1").is_none()).await;
+            first.register(store, "ready");
+        };
+        let resumed = engines.resume(&engines.deployment.running, "r2", "r1");
+        let (answer, ()) = tokio::join!(resumed, register);
+        assert_eq!((answer.status, answer.body), (200, rest()));
+        assert_eq!(first.runs("r2"), 1);
+    });
+}
