Pause anew after a store call without an answer that follows rejections

Cause: the pause after a call that got no answer was computed from the rejections before it, up to 1.5 s, though such a call has taken its time-out already; only the pause after it began anew.

Change: the pause after such a call is at most 300 ms, whatever failed before. Pauses after rejections are as before.

--- a/crates/cactuslane-gateway/src/backoff.rs
+++ b/crates/cactuslane-gateway/src/backoff.rs
@@ -26,7 +26,8 @@
 
 /// The pauses of one series of calls, which grow while the store answers that it rejects them.
 ///
-/// Calls without an answer do not make them grow, as each takes its time-out.
+/// Calls without an answer do not make them grow, as each takes its time-out. After such a call the
+/// pause is a first one, whatever failed before.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct Backoff {
     /// Number of rejections in a row.
@@ -42,12 +43,10 @@
     /// Returns the pause after a call that failed, for a random number in `0.0..1.0`.
     #[must_use]
     pub fn pause(&mut self, error: &KvError, draw: f64) -> Duration {
-        let longest = FIRST_PAUSE.saturating_mul(1 << self.rejections.min(8));
-        if matches!(error, KvError::Refused(_)) {
-            self.rejections += 1;
-        } else {
-            self.rejections = 0;
-        }
+        let is_rejection = matches!(error, KvError::Refused(_));
+        let before = if is_rejection { self.rejections } else { 0 };
+        self.rejections = if is_rejection { before + 1 } else { 0 };
+        let longest = FIRST_PAUSE.saturating_mul(1 << before.min(8));
         let share = FIXED_SHARE + (1.0 - FIXED_SHARE) * draw;
         longest.min(LONGEST_PAUSE).mul_f64(share)
     }
--- a/crates/cactuslane-gateway/tests/relay.rs
+++ b/crates/cactuslane-gateway/tests/relay.rs
@@ -228,6 +228,18 @@
     assert_eq!(first, Duration::from_millis(300));
 }
 
+/// Guards against a long pause after a call that took its time-out, as the store rejected others
+/// before it.
+#[test]
+fn the_pause_after_a_call_without_an_answer_does_not_depend_on_rejections() {
+    let mut backoff = Backoff::default();
+    for _ in 0..6 {
+        let _ = backoff.pause(&KvError::Refused(String::new()), 1.0);
+    }
+    let lost = backoff.pause(&KvError::Lost(String::new()), 1.0);
+    assert_eq!(lost, FIRST_PAUSE);
+}
+
 /// Guards against a growing pause after calls that took their time-out.
 #[test]
 fn calls_without_an_answer_are_repeated_at_once() {
