Follow the store on a new connection after a failed call

Cause: after a rejection the instance pauses up to 1.5 s, and the watch after it was sent on a kept connection. One that went silent meanwhile costs that watch its whole time-out, 2.0 s with contact_ms = 3000, so that the pause and the time-out alone exceed the 3 s. A body that stalls had left the other kept connections in use as well.

Change: the task that follows the store closes idle connections after each failed call of its own; pauses and the number of calls stay as they are.

--- a/crates/cactuslane-gateway/src/watch.rs
+++ b/crates/cactuslane-gateway/src/watch.rs
@@ -377,7 +377,9 @@
     pause.min(gateway.settings().apply_limit.mul_f64(MAX_PAUSE_SHARE))
 }
 
-/// Records that a call to the store failed, and returns the pause before the next one.
+/// Records that a call to the store failed, and returns the pause before the next one, which has a
+/// new connection: others may have gone silent in the same trouble, or do so during the pause, and
+/// each would cost a call its whole time.
 fn record_failure(
     gateway: &Gateway,
     call: &str,
@@ -386,6 +388,7 @@
 ) -> Duration {
     let now = gateway.now();
     gateway.fleet().record_store_failure(now);
+    gateway.store.close_idle();
     let pause = backoff.pause(error, rand::random());
     warn!(call, error:% = error, pause_ms = pause.as_millis() as u64; "store in trouble");
     pause
--- a/crates/cactuslane-store/src/kv.rs
+++ b/crates/cactuslane-store/src/kv.rs
@@ -83,6 +83,11 @@
         self.eras.subscribe()
     }
 
+    /// Closes the connections that are idle, so that the next call makes a new one.
+    pub fn close_idle(&self) {
+        self.client.close_idle();
+    }
+
     /// Reads all items with a prefix and returns them with the store's position at the first page.
     ///
     /// The pages are not a consistent snapshot: a watch after the returned position reports the
