Fit all waits on the way back to the store into the contact grace

Cause: watch_wait reserved 1 s for what follows a watch without an answer; the pause before that watch, which may begin on a connection that has gone silent already, was counted in no sum. With 12 instances: 0.41 s pause, 2.0 s time-out, 0.3 s pause and 0.4 s for the read are 3.11 s of 3 s.

Change: the wait is contact_grace less all of these: the pause between watches, the grace of the watch, the pause after it and the time of a read; 1.19 s in place of 1.3 s with 12 instances and contact_ms = 3000. The pause between watches is a function of its own. The existing test states the longest pause and keeps its bounds.

--- a/crates/cactuslane-gateway/src/watch.rs
+++ b/crates/cactuslane-gateway/src/watch.rs
@@ -14,18 +14,16 @@
 use tokio::task::JoinSet;
 use tokio::time::{sleep, timeout};
 
-use crate::backoff::{Backoff, backoff_factor, random_pause};
+use crate::backoff::{Backoff, FIRST_PAUSE, backoff_factor, random_pause};
 use crate::control::{apply, read_all};
 use crate::progress::Progress;
 use crate::ranking::is_small_deployment;
 use crate::records;
-use crate::relay::{self, Continuation, Relay};
+use crate::relay::{self, Continuation, READ_TIME, Relay};
 use crate::state::Gateway;
 
 /// The prefix of all keys.
 const ALL_KEYS: &str = "";
-/// Part of `Settings::contact_grace` that is reserved for a pause, the next watch and its answer.
-const WATCH_RESERVE: Duration = Duration::from_secs(1);
 /// Lower bound of the time that [`watch_wait`] returns.
 const MIN_WATCH_WAIT: Duration = Duration::from_millis(500);
 /// Pause between watches, so that several changes are fetched by one call.
@@ -177,7 +175,7 @@
             let pause = match mode {
                 SyncMode::Receiving | SyncMode::StandingIn => Duration::ZERO,
                 SyncMode::Relaying => WATCH_PAUSE,
-                SyncMode::Direct => watch_pause(&self.gateway),
+                SyncMode::Direct => direct_pause(&self.gateway),
             };
             let result = tokio::select! {
                 result = self.step(mode, relays) => result,
@@ -359,22 +357,32 @@
     }
 }
 
-/// Returns the longest wait of a watch in direct mode, at least 500 ms.
+/// Returns the longest wait of a watch in direct mode, at least 500 ms; `pause` is that between two
+/// watches.
 ///
 /// `contact_grace` is the time after trouble with its connections for which an instance need not be
-/// up to date. A watch without an answer may be on a connection that has silently failed: within
-/// that time it must be detected as broken, and the next watch must have fetched the changes.
+/// up to date. The connection of the next watch may have silently failed in that trouble: within
+/// that time this watch must have begun and be detected as broken, and the one after it must have
+/// fetched the changes. [`record_failure`] sees to it that this one has a new connection.
 #[must_use]
-pub fn watch_wait(contact_grace: Duration) -> Duration {
+pub fn watch_wait(contact_grace: Duration, pause: Duration) -> Duration {
+    let read = Duration::from_millis(READ_TIME);
     contact_grace
-        .saturating_sub(WATCH_GRACE + WATCH_RESERVE)
+        .saturating_sub(pause + WATCH_GRACE + FIRST_PAUSE + read)
         .max(MIN_WATCH_WAIT)
 }
 
-/// Returns the pause between two watches in direct mode, which grows with the number of instances.
-fn watch_pause(gateway: &Gateway) -> Duration {
-    let pause = WATCH_PAUSE.mul_f64(1.0 + gateway.alive_peers() as f64 / PAUSE_SCALE);
-    pause.min(gateway.settings().apply_limit.mul_f64(MAX_PAUSE_SHARE))
+/// Returns the pause between two watches in direct mode, which grows with the number of other
+/// instances; `apply_limit` is the time in which a configuration must be in force.
+#[must_use]
+pub fn watch_pause(others: usize, apply_limit: Duration) -> Duration {
+    let pause = WATCH_PAUSE.mul_f64(1.0 + others as f64 / PAUSE_SCALE);
+    pause.min(apply_limit.mul_f64(MAX_PAUSE_SHARE))
+}
+
+/// Returns the pause between two watches of an instance in direct mode.
+fn direct_pause(gateway: &Gateway) -> Duration {
+    watch_pause(gateway.alive_peers(), gateway.settings().apply_limit)
 }
 
 /// Records that a call to the store failed, and returns the pause before the next one, which has a
--- a/crates/cactuslane-gateway/src/watch/fetch.rs
+++ b/crates/cactuslane-gateway/src/watch/fetch.rs
@@ -10,7 +10,9 @@
 use tokio::task::JoinSet;
 use tokio::time::{Instant, sleep, sleep_until, timeout};
 
-use super::{ALL_KEYS, Follower, ReceivedRelay, SyncMode, record_failure, watch_wait};
+use super::{
+    ALL_KEYS, Follower, ReceivedRelay, SyncMode, direct_pause, record_failure, watch_wait,
+};
 use crate::control::{SMALL_KEYS, apply};
 use crate::keys::RECORDS_PREFIX;
 use crate::relay::Relay;
@@ -39,7 +41,10 @@
         let wait = match mode {
             SyncMode::Receiving | SyncMode::StandingIn => NO_WAIT,
             SyncMode::Relaying => RELAY_WAIT,
-            SyncMode::Direct => watch_wait(self.gateway.settings().contact_grace),
+            SyncMode::Direct => {
+                let pause = direct_pause(&self.gateway);
+                watch_wait(self.gateway.settings().contact_grace, pause)
+            }
         };
         let asked = self.gateway.now();
         let from = self.progress.position();
--- a/crates/cactuslane-gateway/tests/instance_state.rs
+++ b/crates/cactuslane-gateway/tests/instance_state.rs
@@ -5,11 +5,14 @@
 use cactuslane_flight::routing_config::RoutingConfig;
 use cactuslane_flight::target::{Target, TargetState};
 use cactuslane_gateway::Gateway;
+use cactuslane_gateway::backoff::Backoff;
 use cactuslane_gateway::fleet::{Effect, Fleet};
 use cactuslane_gateway::members::{Member, Members};
-use cactuslane_gateway::watch::watch_wait;
+use cactuslane_gateway::ranking::is_small_deployment;
+use cactuslane_gateway::relay::READ_TIME;
+use cactuslane_gateway::watch::{watch_pause, watch_wait};
 use cactuslane_place::Observed;
-use cactuslane_store::kv::WATCH_GRACE;
+use cactuslane_store::kv::{KvError, WATCH_GRACE};
 use cactuslane_types::Role;
 use yare::parameterized;
 
@@ -160,6 +163,13 @@
     assert_eq!(ids(&fleet, 30), ["i-1"]);
 }
 
+/// Returns the longest pause between two watches of a deployment in which each instance watches the
+/// store, whose configurations must be in force within 2 s.
+fn longest_pause() -> Duration {
+    let others = (0..100).filter(|others| is_small_deployment(*others));
+    watch_pause(others.max().unwrap_or(0), Duration::from_secs(2))
+}
+
 /// A watch whose connection fails silently just before the answer must time out, and the next watch
 /// must answer, within the time for which the instance need not be up to date.
 #[parameterized(
@@ -169,8 +179,35 @@
 fn a_silently_failed_watch_is_replaced_within_the_contact_grace(contact_grace: u64) {
     let contact_grace = Duration::from_millis(contact_grace);
     let next_watch = Duration::from_millis(900);
-    assert!(watch_wait(contact_grace) + WATCH_GRACE + next_watch <= contact_grace);
-    assert!(watch_wait(contact_grace) >= Duration::from_secs(1));
+    let wait = watch_wait(contact_grace, longest_pause());
+    assert!(wait + WATCH_GRACE + next_watch <= contact_grace);
+    assert!(wait >= Duration::from_secs(1));
+}
+
+/// Guards against waits that are short enough one by one, but add up to more than the time for which
+/// an instance need not be up to date after the last trouble with its connections.
+#[parameterized(
+    short_time = { 3_000 },
+    long_time = { 4_000 },
+)]
+fn all_waits_after_the_last_trouble_fit_in_the_contact_grace(contact_grace: u64) {
+    let contact_grace = Duration::from_millis(contact_grace);
+    let pause = longest_pause();
+    let watch = watch_wait(contact_grace, pause) + WATCH_GRACE;
+    let read = Duration::from_millis(READ_TIME);
+    let mut backoff = Backoff::default();
+    let mut refused = Duration::ZERO;
+    for _ in 0..9 {
+        refused = backoff.pause(&KvError::Refused(String::new()), 1.0);
+    }
+    let lost = backoff.pause(&KvError::Lost(String::new()), 1.0);
+    // The trouble ends just after the event that the first wait follows.
+    let answered_before = pause + watch + lost + read;
+    let sent_before = watch + lost + read;
+    let refused_before = refused + read;
+    for sum in [answered_before, sent_before, refused_before] {
+        assert!(sum <= contact_grace, "{sum:?}");
+    }
 }
 
 /// Creates the entry of an instance, whose front port is the length of its name.
