Pause before a placement is tried again in which nothing was sent

Cause: after an attempt in which nothing was sent, a stream that waits for targets paused only if each target that can go on with it had been tried.

Change: the attempt is also followed by the pause if the same targets had been placed before since the stream was opened. Each placement is still tried once without a pause; requests that do not wait have none, as before.

--- a/crates/cactuslane-gateway/src/generation.rs
+++ b/crates/cactuslane-gateway/src/generation.rs
@@ -10,6 +10,7 @@
 mod successor;
 mod waiting;
 
+use std::collections::BTreeSet;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -198,6 +199,7 @@
         let (gateway, request) = (self.gateway.clone(), self.request.clone());
         let mut entry = Entry::new(&gateway.admissions, &request);
         let mut has_begun = last_event.is_some() || self.runs > 0;
+        let mut placed = BTreeSet::new();
         loop {
             let now = self.gateway.now();
             let left = self.state.remaining(now);
@@ -230,6 +232,7 @@
             if left.is_zero() {
                 continue;
             }
+            let is_repeated = !placed.insert((plan.prefill.clone(), plan.decode.clone()));
             let (ending, answer) = match self.attempt(&plan, permit, left, last_event).await {
                 Ok(opened) => return Outcome::Opened(Box::new(opened)),
                 Err(failure) => failure,
@@ -248,7 +251,7 @@
             );
             let budget = || self.gateway.take_retry(&self.request.service);
             match (self.state.next_step(ending, now, budget), answer) {
-                (Step::Retry, _) => self.pause_after(ending).await,
+                (Step::Retry, _) => self.pause_after(ending, is_repeated).await,
                 (Step::ForwardFailure, Some(answer)) => return Outcome::Answer(Box::new(answer)),
                 (Step::ForwardFailure, None) => {
                     return final_answer(unknown_outcome(&self.request));
--- a/crates/cactuslane-gateway/src/generation/waiting.rs
+++ b/crates/cactuslane-gateway/src/generation/waiting.rs
@@ -50,10 +50,10 @@
             .unsent_pause(self.gateway.now(), rand::random::<f64>())
     }
 
-    /// Pauses after an attempt without anything sent if only targets that were tried before are
-    /// left.
-    pub(super) async fn pause_after(&self, ending: AttemptFailure) {
-        if ending == AttemptFailure::Unsent && self.has_only_tried() {
+    /// Pauses after an attempt without anything sent if it was a repeated one, or if only targets that
+    /// were tried before are left: those that give no permit are left, but never tried.
+    pub(super) async fn pause_after(&self, ending: AttemptFailure, is_repeated: bool) {
+        if ending == AttemptFailure::Unsent && (is_repeated || self.has_only_tried()) {
             tokio::time::sleep(self.unsent_pause()).await;
         }
     }
--- a/crates/cactuslane-gateway/tests/serving/main.rs
+++ b/crates/cactuslane-gateway/tests/serving/main.rs
@@ -24,6 +24,7 @@
 mod plain;
 mod preempted;
 mod raw;
+mod refusing;
 mod rewind;
 mod silent;
 mod stopping;
--- a/crates/cactuslane-gateway/tests/serving/versions.rs
+++ b/crates/cactuslane-gateway/tests/serving/versions.rs
@@ -22,9 +22,9 @@
 const DOWN_TIME: Duration = Duration::from_millis(700);
 
 /// Instances and three engines, of the versions v1, v2 and, unless it is gone, v1.
-struct Versions {
+pub struct Versions {
     /// The stand-ins and the first instance.
-    deployment: Deployment,
+    pub deployment: Deployment,
     /// The other instances.
     others: Vec<GatewayHandle>,
 }
@@ -32,7 +32,7 @@
 impl Versions {
     /// Starts the instances and the engines; all but the first engine are loaded, the second one
     /// less than the third.
-    async fn start(keeps_third: bool) -> Self {
+    pub async fn start(keeps_third: bool) -> Self {
         let mut deployment = deploy().await;
         let third = Target::bind("i-d3", TargetKind::Decode, &deployment.store).await;
         deployment.engines.push(third.expect("a port can be bound"));
@@ -74,7 +74,7 @@
     }
 
     /// Takes the stream of request `resumes` up again at an instance.
-    async fn resume(&self, at: &GatewayHandle, id: &str, resumes: &str) -> CallerAnswer {
+    pub async fn resume(&self, at: &GatewayHandle, id: &str, resumes: &str) -> CallerAnswer {
         let front = at.gateway.settings().front;
         let request = caller::resumption(front, "/summary/7", id, resumes, EVENTS);
         let response = self.deployment.client.send(request).await;
@@ -82,7 +82,7 @@
     }
 
     /// Begins a stream at the first engine, whose caller leaves after some events.
-    async fn begin(&self, id: &str) {
+    pub async fn begin(&self, id: &str) {
         let fault = Fault::Mute(EVENTS);
         self.deployment
             .inject_fault(&self.deployment.engines[..1], fault);
@@ -97,7 +97,7 @@
 }
 
 /// Returns an address at which connections are refused.
-fn closed_address() -> SocketAddr {
+pub fn closed_address() -> SocketAddr {
     let listener = TcpListener::bind("127.0.0.1:0").expect("a port can be bound");
     listener.local_addr().expect("it has an address")
 }
