--- a/crates/cactuslane-gateway/tests/serving/main.rs
+++ b/crates/cactuslane-gateway/tests/serving/main.rs
@@ -25,6 +25,7 @@
 mod preempted;
 mod processes;
 mod raw;
+mod refusing;
 mod rewind;
 mod silent;
 mod stopping;
