Show that a stream of v2 is taken up at v1 by an instance with an old view

An instance that neither knows a stream nor hears of it from others goes on at the only version that it believes the service to have. That is what the store showed when it last answered: the instance's link to the store may carry nothing, its open connections may be silent, or it may not have run for a while.

--- a/crates/cactuslane-gateway/tests/serving/lost.rs
+++ b/crates/cactuslane-gateway/tests/serving/lost.rs
@@ -1,11 +1,15 @@
 //! Streams that callers take up after all instances were lost at once.
 
 use std::collections::{BTreeMap, BTreeSet};
+use std::sync::mpsc;
 use std::time::Duration;
 
 use cactuslane_gateway::GatewayHandle;
 use cactuslane_place::Load;
-use cactuslane_platform_standin::{Fault, Mode, Store, Target, TargetKind, caller, document};
+use cactuslane_platform::Settings;
+use cactuslane_platform_standin::{
+    Fault, Mode, Store, Target, TargetKind, caller, document, settings,
+};
 use cactuslane_store::http::Client;
 use cactuslane_types::Position;
 use http_body_util::BodyExt;
@@ -31,22 +35,21 @@
 const TIMEOUT_MS: u64 = 1_500;
 
 /// An instance on a runtime of its own; its drop ends all its tasks at once.
-struct Process {
+pub struct Process {
     /// The runtime, until the drop.
     runtime: Option<Runtime>,
     /// The instance.
-    handle: GatewayHandle,
+    pub handle: GatewayHandle,
 }
 
 impl Process {
     /// Starts an instance.
-    async fn start(name: &str, store: &Store) -> Self {
+    pub async fn start(settings: Settings) -> Self {
         let runtime = Builder::new_multi_thread()
             .worker_threads(1)
             .enable_all()
             .build()
             .expect("the runtime starts");
-        let settings = cactuslane_platform_standin::settings(name, store.address);
         let started = runtime.spawn(cactuslane_gateway::Gateway::spawn(settings));
         let handle = started.await.expect("it does not panic");
         Self {
@@ -54,6 +57,17 @@
             handle: handle.expect("the instance starts"),
         }
     }
+
+    /// Stops all tasks of the instance until the sender that is returned is dropped.
+    pub fn stop(&self) -> mpsc::Sender<()> {
+        let (wake, woken) = mpsc::channel();
+        let runtime = self.runtime.as_ref().expect("it is not dropped");
+        runtime.spawn(async move {
+            // This holds the only thread.
+            let _ = woken.recv();
+        });
+        wake
+    }
 }
 
 impl Drop for Process {
@@ -106,7 +120,7 @@
         for number in 1..=INSTANCES {
             let name = format!("front-{number}");
             self.processes
-                .push(Process::start(&name, &self.store).await);
+                .push(Process::start(settings(&name, self.store.address)).await);
         }
         for process in &self.processes {
             let gateway = &process.handle.gateway;
@@ -158,7 +172,7 @@
 }
 
 /// Returns a configuration whose routes have short time-outs.
-fn short_document() -> Value {
+pub fn short_document() -> Value {
     let mut document = document(3);
     let routes = document["routes"].as_array_mut().expect("it has routes");
     for route in routes {
--- a/crates/cactuslane-gateway/tests/serving/main.rs
+++ b/crates/cactuslane-gateway/tests/serving/main.rs
@@ -26,6 +26,7 @@
 mod raw;
 mod rewind;
 mod silent;
+mod stale;
 mod stopping;
 mod streams;
 mod usage;
