Take up an unknown stream only by what the store shows once the request has arrived

Cause: a take-up that neither this instance nor another one knew was decided by the view that the instance had of the store, before the store was asked; what it had seen when the store last answered counted as what there is, and records read up to 100 ms before the request arrived counted as read for it.

Change: such a request is decided by linearizable reads that were sent after it arrived: the list of versions, the entries of targets since the changes that the instance has applied, and the records of streams. `StoreReads::evidence` gives the proof that `only_version` asks for only to questions that came up before the reads were sent; a version that the list or an entry adds counts beside all that the instance knows, and an answer of another era counts for nothing. Without an answer within 200 ms (1.5 s before all records were read once) and one interval the request is refused as not run. `source` of `stream is taken up` can be `store not read` or `several versions` with an empty version, where it was `store`.

The tests of the only version give the list that they had set as read; bulk.rs calls what a request calls now, as read_new has no time-out of its own any more.

--- a/crates/cactuslane-flight/src/origin.rs
+++ b/crates/cactuslane-flight/src/origin.rs
@@ -1,6 +1,7 @@
 //! The software versions that began streams, as other versions cannot go on with them.
 
 mod begun;
+mod evidence;
 mod history;
 mod segments;
 
@@ -9,6 +10,7 @@
 use cactuslane_types::{Millis, SoftwareVersion};
 
 pub use begun::{BegunStreams, StoredStreams};
+pub use evidence::{Evidence, RegisteredVersions, StoreReads};
 pub use history::{VersionHistory, VersionList};
 pub use segments::{SegmentNumber, SegmentWrite, StreamSegments};
 
--- a/crates/cactuslane-flight/src/origin/history.rs
+++ b/crates/cactuslane-flight/src/origin/history.rs
@@ -5,6 +5,7 @@
 
 use cactuslane_types::{Millis, Position, ServiceName, SoftwareVersion};
 
+use super::Evidence;
 use crate::target::Target;
 
 /// Time for which a version is kept that no target has any more, in milliseconds.
@@ -87,8 +88,8 @@
         self.versions(service, present, period, now).len() > 1
     }
 
-    /// Returns the version at which all streams of a service have begun within a period, if it is
-    /// known to be only one.
+    /// Returns the version at which all streams of a service have begun within the period before a
+    /// question came up, if the store's answer to it shows only one.
     ///
     /// `present` are the targets that have their versions now.
     #[must_use]
@@ -98,11 +99,13 @@
         present: impl Iterator<Item = &'t Target>,
         period: Duration,
         now: Millis,
+        evidence: Evidence<'t>,
     ) -> Option<SoftwareVersion> {
-        if !self.list.contains_key(service) && !self.is_complete(period, now) {
+        if !evidence.lists(service) && !self.is_complete(period, now) {
             return None;
         }
-        let versions = self.versions(service, present, period, now);
+        let mut versions = self.versions(service, present, period, now);
+        versions.extend(evidence.versions(service));
         let mut versions = versions.into_iter();
         match (versions.next(), versions.next()) {
             (Some(only), None) => only.cloned(),
--- a/crates/cactuslane-flight/tests/origin.rs
+++ b/crates/cactuslane-flight/tests/origin.rs
@@ -4,8 +4,8 @@
 use std::time::Duration;
 
 use cactuslane_flight::origin::{
-    BegunStreams, OriginTable, SegmentNumber, StoredStreams, StreamOrigin, StreamSegments,
-    VersionHistory, VersionList, stream_id,
+    BegunStreams, OriginTable, RegisteredVersions, SegmentNumber, StoreReads, StoredStreams,
+    StreamOrigin, StreamSegments, VersionHistory, VersionList, stream_id,
 };
 use cactuslane_flight::{Target, TargetState};
 use cactuslane_types::{Millis, Position, Role};
@@ -23,6 +23,16 @@
     Position::new(1, revision)
 }
 
+/// Creates reads of the store that were sent at 0 and show a list and no further targets.
+fn reads(list: VersionList, revision: u64) -> StoreReads {
+    StoreReads::new(
+        Duration::ZERO,
+        list,
+        at(revision),
+        RegisteredVersions::new(),
+    )
+}
+
 /// Creates a target of a service with a version.
 fn target(service: &str, version: Option<&str>) -> Target {
     Target {
@@ -110,7 +120,9 @@
         history.record(&present, *at);
     }
     history.record(&target("other", Some("v9")), now);
-    let only = history.only_version("model", [&present].into_iter(), PERIOD, now);
+    let reads = reads(VersionList::new(), 7);
+    let evidence = reads.evidence(Duration::ZERO).expect("they came later");
+    let only = history.only_version("model", [&present].into_iter(), PERIOD, now, evidence);
     assert_eq!(only.as_deref(), expected);
 }
 
@@ -119,8 +131,10 @@
     let mut history = VersionHistory::default();
     let present = target("model", Some("v1"));
     history.record(&present, 0);
+    let reads = reads(VersionList::new(), 7);
+    let evidence = reads.evidence(Duration::ZERO).expect("they came later");
     let only = |history: &VersionHistory, now| {
-        history.only_version("model", [&present].into_iter(), PERIOD, now)
+        history.only_version("model", [&present].into_iter(), PERIOD, now, evidence)
     };
     assert_eq!(only(&history, 30_000), None);
     history.record_listing(30_000);
@@ -128,6 +142,50 @@
     assert_eq!(only(&history, 42_000).as_deref(), Some("v1"));
 }
 
+/// Guards against an old view that is taken for the present one: the history knows v1 alone, what the
+/// store says beyond it came after the changes that were applied.
+#[parameterized(
+    nothing_else = { &["v1"], &[], 5, Some("v1") },
+    asked_when_the_question_came = { &["v1"], &[], 10, Some("v1") },
+    asked_before_the_question = { &["v1"], &[], 11, None },
+    another_is_listed = { &["v1", "v2"], &[], 5, None },
+    only_another_is_listed = { &["v2"], &[], 5, None },
+    another_has_registered = { &["v1"], &[("model", Some("v2"))], 5, None },
+    one_without_a_version_has_registered = { &["v1"], &[("model", None)], 5, None },
+    the_same_has_registered = { &["v1"], &[("model", Some("v1"))], 5, Some("v1") },
+    another_service_has_registered = { &["v1"], &[("other", Some("v2"))], 5, Some("v1") },
+    not_listed_any_more = { &[], &[], 5, None },
+)]
+fn the_only_version_is_known_by_what_the_store_says_after_the_question(
+    listed: &[&str],
+    registered: &[(&str, Option<&str>)],
+    arrived: u64,
+    expected: Option<&str>,
+) {
+    let mut history = VersionHistory::default();
+    history.record_listing(0);
+    history.set_list(list(&["v1"]), at(7));
+    let present = target("model", Some("v1"));
+    history.record(&present, 0);
+    let listed = if listed.is_empty() {
+        VersionList::new()
+    } else {
+        list(listed)
+    };
+    let registered = registered.iter();
+    let registered = registered.map(|(service, version)| {
+        let version = version.map(str::to_owned);
+        ((*service).to_owned(), version)
+    });
+    let asked = Duration::from_millis(10);
+    let reads = StoreReads::new(asked, listed, at(8), registered.collect());
+    let evidence = reads.evidence(Duration::from_millis(arrived));
+    let only = evidence.and_then(|evidence| {
+        history.only_version("model", [&present].into_iter(), PERIOD, 1, evidence)
+    });
+    assert_eq!(only.as_deref(), expected);
+}
+
 /// Creates a list of the versions of the service `model`.
 fn list(versions: &[&str]) -> VersionList {
     let versions = versions.iter().map(|version| Some((*version).to_owned()));
@@ -152,7 +210,14 @@
     let present = target("model", Some(version));
     history.record(&present, 0);
     history.record_listing(0);
-    let only = history.only_version("model", [&present].into_iter(), PERIOD, 1);
+    let listed_now = if listed.is_empty() {
+        VersionList::new()
+    } else {
+        list(listed)
+    };
+    let reads = reads(listed_now, 7);
+    let evidence = reads.evidence(Duration::ZERO).expect("they came later");
+    let only = history.only_version("model", [&present].into_iter(), PERIOD, 1, evidence);
     assert_eq!(only.as_deref(), expected);
     let is_mixed = history.is_mixed("model", [&present].into_iter(), PERIOD, 1);
     assert_eq!(is_mixed, expected.is_none() && !listed.is_empty());
@@ -342,7 +407,9 @@
         for present in &fleet {
             history.record(present, now);
         }
-        if let Some(only) = history.only_version("model", fleet.iter(), PERIOD, now) {
+        let reads = reads(stored.clone(), revision);
+        let evidence = reads.evidence(Duration::ZERO).expect("they came later");
+        if let Some(only) = history.only_version("model", fleet.iter(), PERIOD, now, evidence) {
             known += 1;
             let recent = streams.iter().filter(|(at, _)| now < at + PERIOD_MS);
             assert!(recent.into_iter().all(|(_, version)| *version == only));
--- a/crates/cactuslane-gateway/src/fleet.rs
+++ b/crates/cactuslane-gateway/src/fleet.rs
@@ -8,7 +8,7 @@
 use std::time::Duration;
 
 use cactuslane_flight::VersionHistory;
-use cactuslane_flight::origin::VersionList;
+use cactuslane_flight::origin::{Evidence, VersionList};
 use cactuslane_flight::routing_config::RoutingConfig;
 use cactuslane_flight::target::{Target, TargetState};
 use cactuslane_types::{Era, Millis, Position, Role, ServiceName, SoftwareVersion, TargetId};
@@ -188,20 +188,23 @@
         self.versions.record_listing(now);
     }
 
-    /// Returns the software version at which all streams of a service have begun within a period, if
-    /// it is known to be only one and the store did not fail recently.
+    /// Returns the software version at which all streams of a service have begun within the period
+    /// before a question came up, if the store's answer to it shows only one, the store did not fail
+    /// recently, and the answer is of the era of the entries.
     #[must_use]
     pub fn only_version(
         &self,
         service: &str,
         period: Duration,
         now: Millis,
+        evidence: Evidence<'_>,
     ) -> Option<SoftwareVersion> {
-        if self.store_failed_recently(now) {
+        if self.store_failed_recently(now) || evidence.era() != self.era {
             return None;
         }
         let present = self.present().filter(|target| target.service == service);
-        self.versions.only_version(service, present, period, now)
+        self.versions
+            .only_version(service, present, period, now, evidence)
     }
 
     /// Returns whether the streams of a service may have begun at several versions within a period.
--- a/crates/cactuslane-gateway/src/origins.rs
+++ b/crates/cactuslane-gateway/src/origins.rs
@@ -1,17 +1,18 @@
 //! Which software version began a stream: what instances tell each other of it, and where a caller
 //! may take the stream up again.
 
+pub mod reads;
+
 use std::sync::Arc;
 use std::time::Duration;
 
-use cactuslane_flight::origin::{StreamId, StreamOrigin, stream_id};
+use cactuslane_flight::origin::{Evidence, StreamId, StreamOrigin, stream_id};
 use cactuslane_flight::target::Target;
 use cactuslane_types::SoftwareVersion;
 use log::{info, warn};
 use tokio::time::{Instant, timeout};
 
 use crate::ranking::top_ranked;
-use crate::records;
 use crate::request::CallerRequest;
 use crate::sending;
 use crate::state::{Gateway, STREAM_LIFETIME_FACTOR};
@@ -64,29 +65,22 @@
 /// Returns at which version a request may begin or go on.
 ///
 /// A request that takes up a stream goes on at the version that began it, as this instance, one
-/// that keeps it or the store knows, or at the only version that the service has had since.
+/// that keeps it or the store knows, or at the only version that the service has had since, as the
+/// store shows once the request has arrived.
 pub async fn find(gateway: &Arc<Gateway>, request: &CallerRequest) -> StreamOrigin {
     if request.info.last_event.unwrap_or(0) == 0 {
         return StreamOrigin::NotBegun;
     }
-    let started = Instant::now();
+    let (started, arrived) = (Instant::now(), gateway.elapsed());
     let began = request.info.resumes.as_deref().unwrap_or_default();
-    let stream = stream_id(began);
-    let known = gateway.origins().version(stream).cloned();
-    let (version, source) = match known {
-        _ if began.is_empty() => (None, "not named"),
+    let stream = (!began.is_empty()).then(|| stream_id(began));
+    let (version, source) = match stream.and_then(|stream| known(gateway, stream)) {
         Some(version) => (Some(version), "own"),
-        None => (ask(gateway, stream).await, "asked"),
-    };
-    let (mut version, mut source) = match version {
-        Some(version) => (Some(version), source),
-        None => (only_version(gateway, request), "only version"),
+        None => match ask(gateway, stream).await {
+            Some(version) => (Some(version), "asked"),
+            None => find_in_store(gateway, request, stream, arrived).await,
+        },
     };
-    if version.is_none() && !began.is_empty() {
-        records::read_new(gateway).await;
-        version = gateway.origins().version(stream).cloned();
-        source = "store";
-    }
     info!(
         request = request.info.id,
         resumes = began,
@@ -104,11 +98,41 @@
 /// Returns the version that began a stream, for an instance that asks.
 #[must_use]
 pub fn answer_query(gateway: &Gateway, stream: StreamId) -> Option<SoftwareVersion> {
+    known(gateway, stream)
+}
+
+/// Returns the version that began a stream, if this instance knows it.
+fn known(gateway: &Gateway, stream: StreamId) -> Option<SoftwareVersion> {
     gateway.origins().version(stream).cloned()
 }
 
-/// Asks the instances that keep the version of a stream.
-async fn ask(gateway: &Gateway, stream: StreamId) -> Option<SoftwareVersion> {
+/// Returns the version at which a request that arrived at `arrived` may go on by what the store
+/// shows since then, and how that is known.
+///
+/// Without an answer of the store nothing is known.
+async fn find_in_store(
+    gateway: &Arc<Gateway>,
+    request: &CallerRequest,
+    stream: Option<StreamId>,
+    arrived: Duration,
+) -> (Option<SoftwareVersion>, &'static str) {
+    let reads = reads::read_since(gateway, arrived).await;
+    if let Some(version) = stream.and_then(|stream| known(gateway, stream)) {
+        return (Some(version), "store");
+    }
+    let evidence = reads.as_deref().and_then(|reads| reads.evidence(arrived));
+    let Some(evidence) = evidence else {
+        return (None, "store not read");
+    };
+    match only_version(gateway, request, evidence) {
+        Some(version) => (Some(version), "only version"),
+        None => (None, "several versions"),
+    }
+}
+
+/// Asks the instances that keep the version of a stream, if it is named.
+async fn ask(gateway: &Gateway, stream: Option<StreamId>) -> Option<SoftwareVersion> {
+    let stream = stream?;
     let keepers = keepers(gateway, stream, ASKED);
     let mut call = gateway.origin_calls.open(keepers.len());
     let asked = sending::query_origin(gateway, call.number, stream, &keepers);
@@ -124,13 +148,17 @@
 }
 
 /// Returns the version at which all streams of a request's service have begun that a caller can
-/// take up, if there was only one and the store shows all targets.
-fn only_version(gateway: &Gateway, request: &CallerRequest) -> Option<SoftwareVersion> {
+/// take up, if the store shows only one.
+fn only_version(
+    gateway: &Gateway,
+    request: &CallerRequest,
+    evidence: Evidence<'_>,
+) -> Option<SoftwareVersion> {
     let lifetime = request.route.timeout * STREAM_LIFETIME_FACTOR;
     let now = gateway.now();
     gateway
         .fleet()
-        .only_version(&request.service, lifetime, now)
+        .only_version(&request.service, lifetime, now, evidence)
 }
 
 /// Returns the instances, without this one, that keep the version of a stream.
--- a/crates/cactuslane-gateway/src/records.rs
+++ b/crates/cactuslane-gateway/src/records.rs
@@ -5,8 +5,6 @@
 //! stream, together with those of other streams; the event does not wait for it, as a stream without
 //! a record is not taken up at all.
 
-pub mod read;
-
 use std::collections::BTreeMap;
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
@@ -17,9 +15,8 @@
 use cactuslane_types::{Position, SoftwareVersion};
 use log::{info, warn};
 use serde::{Deserialize, Serialize};
-use tokio::time::{Instant, sleep, timeout};
+use tokio::time::{Instant, sleep};
 
-use self::read::RecordsRead;
 use crate::backoff::{backoff_factor, random_pause};
 use crate::keys::RECORDS_PREFIX;
 use crate::state::Gateway;
@@ -35,17 +32,15 @@
 const MAX_LEASE: Duration = Duration::from_mins(10);
 /// Time after which a process replaces the lease of its key.
 const LEASE_PERIOD: Duration = Duration::from_secs(15);
-/// Time within which records that were read for one stream are used for another.
-const READ_INTERVAL: Duration = Duration::from_millis(100);
-/// Longest time to wait for the records of the store once all were read.
-const READ_TIMEOUT: Duration = Duration::from_millis(200);
-/// Longest time to wait for them before, as the callers of a loss of all instances come back then.
-const FIRST_READ_TIMEOUT: Duration = Duration::from_millis(1_500);
 /// Time since the last read within which the changes since then are fewer than all records.
 const CHANGES_LIMIT: Duration = Duration::from_secs(5);
 /// Wait of a watch that only fetches changes.
 const NO_WAIT: Duration = Duration::from_millis(1);
 
+/// How far the records of all instances are known: the position up to which they are applied, and the
+/// time at which that was asked for.
+pub type RecordsRead = Option<(Position, Instant)>;
+
 /// Value of a record's key.
 #[derive(Debug, Serialize, Deserialize)]
 struct StoredRecord {
@@ -102,41 +97,20 @@
     }
 }
 
-/// Reads and applies the records that are not known yet, unless that was done just now; waits for
-/// them for a short time.
+/// Reads and applies the records that are not known yet, after reads in progress.
 ///
-/// The read goes on after that time, as one that is given up would begin again from nothing.
-pub async fn read_new(gateway: &Arc<Gateway>) {
-    let arrived = Instant::now();
-    let read = async {
-        let mut last = gateway.records_read.clone().lock_owned().await;
-        if last.asked.is_some_and(|at| arrived < at + READ_INTERVAL) {
-            return;
-        }
-        let gateway = gateway.clone();
-        let reading = tokio::spawn(async move {
-            if let Err(error) = apply_new(&gateway, &mut last).await {
-                warn!(error:% = error; "records of streams not read");
-            }
-        });
-        let _ = reading.await;
-    };
-    let limit = if gateway.records_complete.load(Ordering::Relaxed) {
-        READ_TIMEOUT
-    } else {
-        FIRST_READ_TIMEOUT
-    };
-    if timeout(limit, read).await.is_err() {
-        let limit_ms = limit.as_millis() as u64;
-        warn!(limit_ms; "records of streams not read in time");
-    }
+/// # Errors
+///
+/// Returns the error of the store call.
+pub async fn read_new(gateway: &Gateway) -> Result<(), KvError> {
+    let mut last = gateway.records_read.lock().await;
+    apply_new(gateway, &mut last).await
 }
 
 /// Reads the records that changed since they were last read, or all if that was long ago.
 async fn apply_new(gateway: &Gateway, last: &mut RecordsRead) -> Result<(), KvError> {
     let asked = Instant::now();
-    last.asked = Some(asked);
-    let recent = last.known.filter(|(_, at)| at.elapsed() < CHANGES_LIMIT);
+    let recent = last.filter(|(_, at)| at.elapsed() < CHANGES_LIMIT);
     if let Some((from, _)) = recent {
         let changes = read_changes(gateway, from).await;
         if changes != Err(KvError::Compacted) {
@@ -149,7 +123,7 @@
             }
             let elapsed_ms = asked.elapsed().as_millis() as u64;
             info!(from = from.revision, revision = position.revision, count, elapsed_ms; "read new records of streams");
-            last.known = Some((position, asked));
+            *last = Some((position, asked));
             return Ok(());
         }
     }
@@ -159,7 +133,7 @@
     for item in &items {
         apply_record(gateway, item);
     }
-    last.known = Some((position, asked));
+    *last = Some((position, asked));
     gateway.records_complete.store(true, Ordering::Relaxed);
     Ok(())
 }
@@ -211,8 +185,8 @@
     format!("{RECORDS_PREFIX}{instance}/{started}/{number}")
 }
 
-/// Returns the interval between the writes of this instance.
-fn write_interval(gateway: &Gateway) -> Duration {
+/// Returns the interval between the writes of this instance, which is that of its reads too.
+pub fn write_interval(gateway: &Gateway) -> Duration {
     let instances = gateway.members().instance_count() as f64;
     INTERVAL.mul_f64(1.0 + instances / INTERVAL_SCALE)
 }
--- a/crates/cactuslane-gateway/src/state.rs
+++ b/crates/cactuslane-gateway/src/state.rs
@@ -31,8 +31,9 @@
 use crate::leadership::{LeaderRecord, Leadership, SharedLeadership};
 use crate::members::Members;
 use crate::metrics::Metrics;
+use crate::origins::reads::LastReads;
 use crate::progress::Progress;
-use crate::records::read::RecordsRead;
+use crate::records::RecordsRead;
 use crate::taken::TakenRequests;
 use crate::upstream::ConnectionPool;
 use crate::usage::book::Usage;
@@ -88,7 +89,9 @@
     /// Wakes the task that lists the versions of streams in the store.
     pub versions_changed: Notify,
     /// How far the records of streams are known; locked while they are read.
-    pub records_read: Arc<tokio::sync::Mutex<RecordsRead>>,
+    pub records_read: tokio::sync::Mutex<RecordsRead>,
+    /// Last reads of the store for streams that are taken up; locked while others are made.
+    pub take_up_reads: Arc<tokio::sync::Mutex<LastReads>>,
     /// Whether all records were read once.
     pub records_complete: AtomicBool,
     /// Socket for messages to the other instances, once it is bound.
@@ -168,7 +171,8 @@
             begun: Mutex::default(),
             begun_changed: Notify::new(),
             versions_changed: Notify::new(),
-            records_read: Arc::default(),
+            records_read: tokio::sync::Mutex::default(),
+            take_up_reads: Arc::default(),
             records_complete: AtomicBool::new(false),
             peer_socket: OnceLock::new(),
             unread_logged: Mutex::default(),
--- a/crates/cactuslane-gateway/src/watch.rs
+++ b/crates/cactuslane-gateway/src/watch.rs
@@ -142,7 +142,11 @@
         };
         // Nothing but streams that are taken up waits for the records.
         let reader = gateway.clone();
-        tokio::spawn(async move { records::read_new(&reader).await });
+        tokio::spawn(async move {
+            if let Err(error) = records::read_new(&reader).await {
+                warn!(error:% = error; "records of streams not read");
+            }
+        });
         let mut follower = Follower {
             gateway: gateway.clone(),
             socket: socket.clone(),
--- a/crates/cactuslane-gateway/tests/serving/bulk.rs
+++ b/crates/cactuslane-gateway/tests/serving/bulk.rs
@@ -2,7 +2,8 @@
 
 use std::time::Duration;
 
-use cactuslane_gateway::{GatewayHandle, records};
+use cactuslane_gateway::GatewayHandle;
+use cactuslane_gateway::origins::reads;
 use cactuslane_platform::store::CONFIG_KEY;
 use tokio::time::sleep;
 
@@ -121,7 +122,8 @@
         sleep(Duration::from_secs(2)).await;
         let receiver = fleet.iter().find(lacks).expect("most receive relays");
         for _ in 0..REQUESTS {
-            records::read_new(&receiver.gateway).await;
+            let gateway = &receiver.gateway;
+            reads::read_since(gateway, gateway.elapsed()).await;
             if receiver.gateway.origins().version(17_999).is_some() {
                 return;
             }
--- a/crates/cactuslane-gateway/tests/serving/stale.rs
+++ b/crates/cactuslane-gateway/tests/serving/stale.rs
@@ -68,7 +68,7 @@
 
 impl Release {
     /// Starts the instances and an engine of v1, and waits until all know that version as listed.
-    async fn start() -> Self {
+    async fn start(contact_grace: Duration) -> Self {
         let store = Store::bind().await.expect("a port can be bound");
         store.configure(&short_document());
         let lost = UdpSocket::bind((Ipv4Addr::LOCALHOST, 0)).await;
@@ -83,7 +83,7 @@
         let view = view.expect("a port can be bound");
         let link = Link::bind(view.address).await.expect("a port can be bound");
         let mut stale_settings = settings(STALE, link.address);
-        stale_settings.contact_grace = CONTACT_GRACE;
+        stale_settings.contact_grace = contact_grace;
         let stale = Process::start(stale_settings).await;
         let others_view = View::bind(&store, route(&[STALE])).await;
         let others_view = others_view.expect("a port can be bound");
@@ -148,8 +148,7 @@
     /// Starts an engine of v2, waits until its version is listed, and begins a stream at it.
     async fn release(&mut self, id: &str) {
         self.add_engine("i-d2", "v2").await;
-        let both = json!({"model": ["v1", "v2"]});
-        wait_until(|| self.store.read(LIST_KEY).as_ref() == Some(&both)).await;
+        wait_until(|| self.lists_both()).await;
         let gateway = &self.others.0[0].gateway;
         let is_listed = || {
             let target = gateway.target("i-d2");
@@ -173,6 +172,12 @@
         assert_eq!(self.runs(id), [0, 1]);
     }
 
+    /// Returns whether the store lists both versions.
+    fn lists_both(&self) -> bool {
+        let both = json!({"model": ["v1", "v2"]});
+        self.store.read(LIST_KEY) == Some(both)
+    }
+
     /// Takes a stream up at the instance with the old view, as several callers at once, and then ends
     /// its stop.
     async fn resume(
@@ -225,7 +230,7 @@
 )]
 fn a_stream_is_not_taken_up_at_the_version_of_an_old_view(trouble: Trouble) {
     run_test(async move {
-        let mut release = Release::start().await;
+        let mut release = Release::start(CONTACT_GRACE).await;
         let stopped = release.begin(trouble).await;
         release.release("r1").await;
         let ids = ids(WAITING);
