Remove a version from the list only by what the store shows now

Cause: an instance removes a version that no target has had for the lifetime of a stream by what it has seen, under the condition that the list has not changed. A version that targets have again while it is still listed changes no list, and streams begin at it at once, so that an instance that has not seen these targets removes the version of running streams.

Change: what is seen only adds versions. For a removal, and the first list of a service, the store is read once more, and the versions of targets that registered since what this instance has seen count as present. What remains is a removal whose writer stops between that read and its write.

The tables of the list state the store's answer, and check what is added without it.

--- a/crates/cactuslane-flight/src/origin/history.rs
+++ b/crates/cactuslane-flight/src/origin/history.rs
@@ -113,7 +113,36 @@
         }
     }
 
-    /// Returns the list that the store should have, if it differs from the one that it has.
+    /// Returns the list with the versions of the targets that are there now, if they are not listed;
+    /// a service that is not listed stays so.
+    #[must_use]
+    pub fn extended_list<'t>(
+        &self,
+        present: impl Iterator<Item = &'t Target>,
+    ) -> Option<VersionList> {
+        let mut wanted = self.list.clone();
+        for target in present {
+            if wanted.contains_key(&target.service) {
+                insert(&mut wanted, &target.service, target.version.as_ref());
+            }
+        }
+        (wanted != self.list).then_some(wanted)
+    }
+
+    /// Returns whether the list should be another one by what this instance has seen, which may be
+    /// old.
+    #[must_use]
+    pub fn seems_outdated<'t>(
+        &self,
+        present: impl Iterator<Item = &'t Target>,
+        period: Duration,
+        now: Millis,
+    ) -> bool {
+        self.expected_list(present, period, now).is_some()
+    }
+
+    /// Returns the list that the store should have, if it differs from the one that it has, by an
+    /// answer of the store to the question.
     ///
     /// `present` are the targets that have their versions now, and `period` is the longest time
     /// since the beginning of a stream that a caller takes up. A service is listed, and a version is
@@ -124,6 +153,25 @@
         present: impl Iterator<Item = &'t Target>,
         period: Duration,
         now: Millis,
+        evidence: Evidence<'_>,
+    ) -> Option<VersionList> {
+        let expected = self.expected_list(present, period, now);
+        let mut wanted = expected.unwrap_or_else(|| self.list.clone());
+        for (service, version) in evidence.registered() {
+            if self.is_complete(period, now) || wanted.contains_key(service) {
+                insert(&mut wanted, service, version);
+            }
+        }
+        (wanted != self.list).then_some(wanted)
+    }
+
+    /// Returns the list that the store should have by what this instance has seen, if it differs from
+    /// the one that it has.
+    fn expected_list<'t>(
+        &self,
+        present: impl Iterator<Item = &'t Target>,
+        period: Duration,
+        now: Millis,
     ) -> Option<VersionList> {
         let is_complete = self.is_complete(period, now);
         let mut wanted = self.list.clone();
--- a/crates/cactuslane-flight/tests/origin.rs
+++ b/crates/cactuslane-flight/tests/origin.rs
@@ -253,7 +253,46 @@
         present = target("model", Some(version));
         history.record(&present, *at);
     }
-    let wanted = history.wanted_list([&present].into_iter(), PERIOD, now);
+    let outdated = history.seems_outdated([&present].into_iter(), PERIOD, now);
+    assert_eq!(outdated, expected.is_some());
+    let reads = reads(VersionList::new(), 7);
+    let evidence = reads.evidence(Duration::ZERO).expect("they came later");
+    let wanted = history.wanted_list([&present].into_iter(), PERIOD, now, evidence);
+    assert_eq!(wanted, expected.map(list));
+    // Without an answer of the store, a version is only added.
+    if let Some(extended) = history.extended_list([&present].into_iter()) {
+        let extended = extended.get("model").cloned().unwrap_or_default();
+        let listed = listed.iter().map(|version| Some((*version).to_owned()));
+        assert!(extended.is_superset(&listed.collect()));
+        assert!(extended.contains(&present.version));
+    }
+}
+
+/// Guards against a version that is removed from the list although targets have it again, which an old
+/// view does not show.
+#[parameterized(
+    gone = { &[], Some(&["v1"]) },
+    there_again = { &["v2"], None },
+    another_one_came = { &["v2", "v3"], Some(&["v1", "v2", "v3"]) },
+)]
+fn a_version_is_removed_only_by_what_the_store_says(
+    registered: &[&str],
+    expected: Option<&[&str]>,
+) {
+    let mut history = VersionHistory::default();
+    history.record_listing(0);
+    history.set_list(list(&["v1", "v2"]), at(7));
+    let present = target("model", Some("v1"));
+    history.record(&target("model", Some("v2")), 10);
+    let now = 10 + PERIOD_MS;
+    assert!(history.seems_outdated([&present].into_iter(), PERIOD, now));
+    assert_eq!(history.extended_list([&present].into_iter()), None);
+    let registered = registered.iter();
+    let registered = registered.map(|version| ("model".to_owned(), Some((*version).to_owned())));
+    let listed = list(&["v1", "v2"]);
+    let reads = StoreReads::new(Duration::ZERO, listed, at(8), registered.collect());
+    let evidence = reads.evidence(Duration::ZERO).expect("they came later");
+    let wanted = history.wanted_list([&present].into_iter(), PERIOD, now, evidence);
     assert_eq!(wanted, expected.map(list));
 }
 
@@ -415,7 +454,8 @@
             assert!(recent.into_iter().all(|(_, version)| *version == only));
         }
         // The write of a list takes some time.
-        let wanted = history.wanted_list(fleet.iter(), PERIOD, now);
+        let wanted = history.extended_list(fleet.iter());
+        let wanted = wanted.or_else(|| history.wanted_list(fleet.iter(), PERIOD, now, evidence));
         if let Some(wanted) = wanted.filter(|_| random.random_bool(0.3)) {
             (stored, revision) = (wanted, revision + 1);
             history.set_list(stored.clone(), at(revision));
--- a/crates/cactuslane-gateway/src/fleet.rs
+++ b/crates/cactuslane-gateway/src/fleet.rs
@@ -231,18 +231,40 @@
         self.versions.clear_list();
     }
 
-    /// Returns the list of versions that the store should have, with the position of the one that
-    /// it has, if they differ and the store did not fail recently.
+    /// Returns the list of versions with those of targets that it lacks, and the position of the one
+    /// that the store has, if they differ and the store did not fail recently.
+    #[must_use]
+    pub fn extended_versions(&self, now: Millis) -> Option<(VersionList, Position)> {
+        if self.store_failed_recently(now) {
+            return None;
+        }
+        let extended = self.versions.extended_list(self.present())?;
+        Some((extended, self.versions.position()))
+    }
+
+    /// Returns whether the store should have another list of versions by what this instance has seen,
+    /// and the store did not fail recently.
+    #[must_use]
+    pub fn seems_outdated(&self, period: Duration, now: Millis) -> bool {
+        let failed = self.store_failed_recently(now);
+        !failed && self.versions.seems_outdated(self.present(), period, now)
+    }
+
+    /// Returns the list of versions that the store should have by its answer to this question, with
+    /// the position of the one that it has, if they differ, the store did not fail recently and the
+    /// answer is of the era of the entries.
     #[must_use]
     pub fn wanted_versions(
         &self,
         period: Duration,
         now: Millis,
+        evidence: Evidence<'_>,
     ) -> Option<(VersionList, Position)> {
-        if self.store_failed_recently(now) {
+        if self.store_failed_recently(now) || evidence.era() != self.era {
             return None;
         }
-        let wanted = self.versions.wanted_list(self.present(), period, now)?;
+        let present = self.present();
+        let wanted = self.versions.wanted_list(present, period, now, evidence)?;
         Some((wanted, self.versions.position()))
     }
 
--- a/crates/cactuslane-gateway/src/versions.rs
+++ b/crates/cactuslane-gateway/src/versions.rs
@@ -14,6 +14,7 @@
 use tokio::time::{MissedTickBehavior, interval, sleep};
 
 use crate::backoff::{backoff_factor, random_pause};
+use crate::origins::reads;
 use crate::ranking;
 use crate::state::Gateway;
 
@@ -38,15 +39,17 @@
         }
         let now = gateway.now();
         let lifetime = gateway.stream_lifetime();
-        let wanted = gateway.fleet().wanted_versions(lifetime, now);
-        let Some((list, position)) = wanted else {
+        if !gateway.fleet().seems_outdated(lifetime, now) {
             wanted_since = None;
             continue;
-        };
+        }
         let since = *wanted_since.get_or_insert(now);
         if gateway.is_leaving() || now < since + TURN * rank(&gateway, now) {
             continue;
         }
+        let Some((list, position)) = wanted_list(&gateway).await else {
+            continue;
+        };
         match write(&gateway, &list, position).await {
             Ok(position) => {
                 info!(revision = position.revision, versions:? = list; "versions of streams listed");
@@ -71,6 +74,24 @@
     gateway.fleet().set_version_list(list, item.position);
 }
 
+/// Returns the list that the store should have, with the position of the one that it has, if they
+/// differ.
+///
+/// A version that targets have is added by what this instance has seen. One is removed, and a service
+/// is listed, only by what the store shows now, as other instances begin streams at a listed version
+/// as soon as a target has it again.
+async fn wanted_list(gateway: &Arc<Gateway>) -> Option<(VersionList, Position)> {
+    let extended = gateway.fleet().extended_versions(gateway.now());
+    if extended.is_some() {
+        return extended;
+    }
+    let asked = gateway.elapsed();
+    let reads = reads::read_since(gateway, asked).await?;
+    let evidence = reads.evidence(asked)?;
+    let (lifetime, now) = (gateway.stream_lifetime(), gateway.now());
+    gateway.fleet().wanted_versions(lifetime, now, evidence)
+}
+
 /// Writes a list in place of the one at a position, and returns its own position.
 async fn write(
     gateway: &Gateway,
--- a/crates/cactuslane-gateway/tests/serving/stale.rs
+++ b/crates/cactuslane-gateway/tests/serving/stale.rs
@@ -31,6 +31,8 @@
 /// Time after trouble with its connections for which an instance need not be up to date; a watch
 /// waits almost as long.
 const CONTACT_GRACE: Duration = Duration::from_secs(6);
+/// The same where the list of versions is written meanwhile.
+const LONG_GRACE: Duration = Duration::from_secs(11);
 /// Number of attempts of callers that wait at an instance that is woken.
 const WAITING: usize = 8;
 
@@ -246,3 +248,29 @@
         }
     });
 }
+
+/// Guards against a version that is dropped from the list although targets have it again, as the
+/// instance that writes the list has not seen them.
+#[test]
+fn a_version_is_not_dropped_from_the_list_by_an_old_view() {
+    run_test(async {
+        let mut release = Release::start(LONG_GRACE).await;
+        release.add_engine("i-d2", "v2").await;
+        let gateway = release.stale.handle.gateway.clone();
+        let knows = || {
+            gateway
+                .target("i-d2")
+                .is_some_and(|it| gateway.fleet().is_listed(&it))
+        };
+        wait_until(|| release.lists_both() && knows()).await;
+        release.store.remove_target("i-d2");
+        wait_until(|| gateway.fleet().present().all(|target| target.id != "i-d2")).await;
+        release.link.0.silence();
+        release.engines[1].register(&release.store, "ready");
+        // The view is old until its watch has failed.
+        while !gateway.fleet().store_failed_recently(gateway.now()) {
+            assert!(release.lists_both(), "v2 has been dropped");
+            sleep(Duration::from_millis(10)).await;
+        }
+    });
+}
