--- a/crates/cactuslane-gateway/src/origins/reads.rs
+++ b/crates/cactuslane-gateway/src/origins/reads.rs
@@ -21,7 +21,7 @@
 use crate::versions::LIST_KEY;
 
 /// Longest time to wait for reads, besides the interval between them, once all records were read.
-const READ_TIMEOUT: Duration = Duration::from_millis(200);
+const READ_TIMEOUT: Duration = Duration::from_millis(500);
 /// Longest time to wait for them before, as the callers of a loss of all instances come back then.
 const FIRST_READ_TIMEOUT: Duration = Duration::from_millis(1_500);
 /// Wait of a watch that only fetches changes.
@@ -81,11 +81,13 @@
         return Err(KvError::Lost("the store has not been read".to_owned()));
     };
     let seen = progress.position_at(progress.entries);
-    let (list, registered, ()) = tokio::try_join!(
+    // A failure of one call does not give the others up.
+    let (list, registered, records) = tokio::join!(
         gateway.store.get(LIST_KEY),
         read_registered(gateway, seen),
         records::read_new(gateway),
-    )?;
+    );
+    let (list, registered, ()) = (list?, registered?, records?);
     let position = list.position;
     if position.era != seen.era {
         // What was seen before belongs to another era.
