Show that a stream begins at a version that was removed from the list, and is joined

An instance and a target that are cut off from the store for longer than a stream may last go on beginning streams, at a version that the others have removed from the list meanwhile. The caller takes one up at an instance that is in touch: the store lists one version, the newer one, shows targets of it alone and has no record of the stream. Not fixed: the removal would have to wait for instances that are out of touch, or these would have to begin no streams.

--- a/crates/cactuslane-gateway/tests/serving/stale.rs
+++ b/crates/cactuslane-gateway/tests/serving/stale.rs
@@ -348,3 +348,35 @@
         }
     });
 }
+
+/// Guards against a stream of v1 that goes on at v2: an instance and a target that are cut off from the
+/// store begin it after v1 was removed from the list.
+#[test]
+fn a_stream_that_begins_at_a_removed_version_does_not_go_on_at_another_one() {
+    run_test(async {
+        let mut release = Release::start(CONTACT_GRACE).await;
+        release.begin(Trouble::Cut).await;
+        release.store.remove_target("i-d1");
+        release.add_engine("i-d2", "v2").await;
+        let newer = json!({"model": ["v2"]});
+        wait_until(|| release.store.read(LIST_KEY).as_ref() == Some(&newer)).await;
+        release.engines[0].inject_fault(Fault::Mute(EVENTS));
+        let stale = release.stale.handle.gateway.settings().front;
+        let response = release
+            .client
+            .send(caller::request(stale, "/summary/7", "r1"))
+            .await;
+        let mut body = response.expect("the request is answered").into_body();
+        if body.frame().await.is_none() || release.runs("r1") != [1, 0] {
+            return;
+        }
+        let gateway = &release.others.0[0].gateway;
+        wait_until(|| gateway.target("i-d1").is_none() && gateway.target("i-d2").is_some()).await;
+        let front = gateway.settings().front;
+        let request = caller::resumption(front, "/summary/7", "r2", "r1", EVENTS);
+        let response = release.client.send(request).await;
+        let answer = read_answer(response.expect("the request is answered")).await;
+        assert_eq!(release.runs("r2"), [0, 0], "{answer:?}");
+        assert_eq!((answer.status, answer.retry_after), (503, true));
+    });
+}
