--- a/crates/cactuslane-flight/src/origin/history.rs
+++ b/crates/cactuslane-flight/src/origin/history.rs
@@ -5,6 +5,7 @@
 
 use cactuslane_types::{Millis, Position, ServiceName, SoftwareVersion};
 
+use super::Evidence;
 use crate::target::Target;
 
 /// Time for which a version is kept that no target has any more, in milliseconds.
@@ -87,8 +88,8 @@
         self.versions(service, present, period, now).len() > 1
     }
 
-    /// Returns the version at which all streams of a service have begun within a period, if it is
-    /// known to be only one.
+    /// Returns the version at which all streams of a service have begun within the period before a
+    /// question came up, if the store's answer to it shows only one.
     ///
     /// `present` are the targets that have their versions now.
     #[must_use]
@@ -98,11 +99,13 @@
         present: impl Iterator<Item = &'t Target>,
         period: Duration,
         now: Millis,
+        evidence: Evidence<'t>,
     ) -> Option<SoftwareVersion> {
-        if !self.list.contains_key(service) && !self.is_complete(period, now) {
+        if !evidence.lists(service) && !self.is_complete(period, now) {
             return None;
         }
-        let versions = self.versions(service, present, period, now);
+        let mut versions = self.versions(service, present, period, now);
+        versions.extend(evidence.versions(service));
         let mut versions = versions.into_iter();
         match (versions.next(), versions.next()) {
             (Some(only), None) => only.cloned(),
@@ -110,7 +113,36 @@
         }
     }
 
-    /// Returns the list that the store should have, if it differs from the one that it has.
+    /// Returns the list with the versions of the targets that are there now, if they are not listed;
+    /// a service that is not listed stays so.
+    #[must_use]
+    pub fn extended_list<'t>(
+        &self,
+        present: impl Iterator<Item = &'t Target>,
+    ) -> Option<VersionList> {
+        let mut wanted = self.list.clone();
+        for target in present {
+            if wanted.contains_key(&target.service) {
+                insert(&mut wanted, &target.service, target.version.as_ref());
+            }
+        }
+        (wanted != self.list).then_some(wanted)
+    }
+
+    /// Returns whether the list should be another one by what this instance has seen, which may be
+    /// old.
+    #[must_use]
+    pub fn seems_outdated<'t>(
+        &self,
+        present: impl Iterator<Item = &'t Target>,
+        period: Duration,
+        now: Millis,
+    ) -> bool {
+        self.expected_list(present, period, now).is_some()
+    }
+
+    /// Returns the list that the store should have, if it differs from the one that it has, by an
+    /// answer of the store to the question.
     ///
     /// `present` are the targets that have their versions now, and `period` is the longest time
     /// since the beginning of a stream that a caller takes up. A service is listed, and a version is
@@ -121,6 +153,25 @@
         present: impl Iterator<Item = &'t Target>,
         period: Duration,
         now: Millis,
+        evidence: Evidence<'_>,
+    ) -> Option<VersionList> {
+        let expected = self.expected_list(present, period, now);
+        let mut wanted = expected.unwrap_or_else(|| self.list.clone());
+        for (service, version) in evidence.registered() {
+            if self.is_complete(period, now) || wanted.contains_key(service) {
+                insert(&mut wanted, service, version);
+            }
+        }
+        (wanted != self.list).then_some(wanted)
+    }
+
+    /// Returns the list that the store should have by what this instance has seen, if it differs from
+    /// the one that it has.
+    fn expected_list<'t>(
+        &self,
+        present: impl Iterator<Item = &'t Target>,
+        period: Duration,
+        now: Millis,
     ) -> Option<VersionList> {
         let is_complete = self.is_complete(period, now);
         let mut wanted = self.list.clone();
--- a/crates/cactuslane-gateway/src/fleet.rs
+++ b/crates/cactuslane-gateway/src/fleet.rs
@@ -8,7 +8,7 @@
 use std::time::Duration;
 
 use cactuslane_flight::VersionHistory;
-use cactuslane_flight::origin::VersionList;
+use cactuslane_flight::origin::{Evidence, VersionList};
 use cactuslane_flight::routing_config::RoutingConfig;
 use cactuslane_flight::target::{Target, TargetState};
 use cactuslane_types::{Era, Millis, Position, Role, ServiceName, SoftwareVersion, TargetId};
@@ -190,20 +190,23 @@
         self.versions.record_listing(now);
     }
 
-    /// Returns the software version at which all streams of a service have begun within a period, if
-    /// it is known to be only one and the store did not fail recently.
+    /// Returns the software version at which all streams of a service have begun within the period
+    /// before a question came up, if the store's answer to it shows only one, the store did not fail
+    /// recently, and the answer is of the era of the entries.
     #[must_use]
     pub fn only_version(
         &self,
         service: &str,
         period: Duration,
         now: Millis,
+        evidence: Evidence<'_>,
     ) -> Option<SoftwareVersion> {
-        if self.store_failed_recently(now) {
+        if self.store_failed_recently(now) || evidence.era() != self.era {
             return None;
         }
         let present = self.present().filter(|target| target.service == service);
-        self.versions.only_version(service, present, period, now)
+        self.versions
+            .only_version(service, present, period, now, evidence)
     }
 
     /// Returns whether the streams of a service may have begun at several versions within a period.
@@ -230,18 +233,40 @@
         self.versions.clear_list();
     }
 
-    /// Returns the list of versions that the store should have, with the position of the one that
-    /// it has, if they differ and the store did not fail recently.
+    /// Returns the list of versions with those of targets that it lacks, and the position of the one
+    /// that the store has, if they differ and the store did not fail recently.
+    #[must_use]
+    pub fn extended_versions(&self, now: Millis) -> Option<(VersionList, Position)> {
+        if self.store_failed_recently(now) {
+            return None;
+        }
+        let extended = self.versions.extended_list(self.present())?;
+        Some((extended, self.versions.position()))
+    }
+
+    /// Returns whether the store should have another list of versions by what this instance has seen,
+    /// and the store did not fail recently.
+    #[must_use]
+    pub fn seems_outdated(&self, period: Duration, now: Millis) -> bool {
+        let failed = self.store_failed_recently(now);
+        !failed && self.versions.seems_outdated(self.present(), period, now)
+    }
+
+    /// Returns the list of versions that the store should have by its answer to this question, with
+    /// the position of the one that it has, if they differ, the store did not fail recently and the
+    /// answer is of the era of the entries.
     #[must_use]
     pub fn wanted_versions(
         &self,
         period: Duration,
         now: Millis,
+        evidence: Evidence<'_>,
     ) -> Option<(VersionList, Position)> {
-        if self.store_failed_recently(now) {
+        if self.store_failed_recently(now) || evidence.era() != self.era {
             return None;
         }
-        let wanted = self.versions.wanted_list(self.present(), period, now)?;
+        let present = self.present();
+        let wanted = self.versions.wanted_list(present, period, now, evidence)?;
         Some((wanted, self.versions.position()))
     }
 
--- a/crates/cactuslane-gateway/tests/serving/main.rs
+++ b/crates/cactuslane-gateway/tests/serving/main.rs
@@ -28,6 +28,7 @@
 mod refusing;
 mod rewind;
 mod silent;
+mod stale;
 mod stopping;
 mod streams;
 mod usage;
