Judge the recovery of a soak by requests whose callers stay, and by enough of them

Change: a request whose caller left in the middle of a 200 counts neither as served nor as not served (the platform does not count what clients give up either). A share of 95% needs 20 requests, as one of fewer is more than 5%; runs with bounds on time send a load after the recovery, 80 requests in the mean, so that there are as many, whatever the length of the run. Cut, refused and unanswered requests count as before, and a finding names them. Runs of 30 s, in which no request was late enough before, are judged now too.

--- a/crates/cactuslane-soak/src/check.rs
+++ b/crates/cactuslane-soak/src/check.rs
@@ -1,5 +1,7 @@
 //! The guarantees that a run verifies, from the answers of callers and the records of targets.
 
+pub mod recovery;
+
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
@@ -32,9 +34,6 @@
 pub const CLOSE_RACE_TIME: Duration = Duration::from_millis(200);
 /// Time after the end of the last fault or planned change within which the system must recover.
 pub const RECOVERY_TIME: Duration = Duration::from_secs(12);
-/// Minimum share that must be served of the requests due later than [`RECOVERY_TIME`] after the end
-/// of the last fault or planned change.
-const MIN_SERVED_SHARE: f64 = 0.95;
 
 /// Time after the configuration without a key from which the key must not be served.
 const REVOKED_GRACE: Duration = Duration::from_secs(3);
@@ -147,7 +146,10 @@
         checker.check_revoked(records);
         checker.check_drains();
         checker.check_limits();
-        checker.check_recovery(records);
+        if let Some(recovery) = recovery::judge(records, observations) {
+            let observed = || recovery.observed.clone();
+            checker.record_check("recovers", recovery.holds, "the end of the run", observed);
+        }
     }
     (checker.violations, checker.check_counts)
 }
@@ -453,38 +455,6 @@
             self.record_check("limits of targets hold", holds, "a target", observed);
         }
     }
-
-    /// Checks that requests are served again once [`RECOVERY_TIME`] has passed since the last fault
-    /// or planned change; does nothing if there was none. Rejections of a key that was removed are
-    /// left out, as they are the proper answer.
-    fn check_recovery(&mut self, records: &[RequestRecord]) {
-        let Some(disruption_end) = self.observations.disruption_end else {
-            return;
-        };
-        let removed = self.observations.revoked;
-        let is_rejection = |record: &RequestRecord| {
-            let is_removed = record.key == Some(0) && removed.is_some_and(|at| at <= record.ended);
-            is_removed && matches!(record.outcome, Outcome::Whole { status: 401, .. })
-        };
-        let after = records
-            .iter()
-            .filter(|record| record.due > disruption_end + RECOVERY_TIME && !is_rejection(record));
-        let (mut total, mut served) = (0_u32, 0_u32);
-        // Numbers of the requests that were not served by status, which is 0 without an answer.
-        let mut others: BTreeMap<u16, u32> = BTreeMap::new();
-        for record in after {
-            total += 1;
-            if record.outcome.is_served() {
-                served += 1;
-            } else {
-                let status = record.outcome.status().unwrap_or(0);
-                *others.entry(status).or_default() += 1;
-            }
-        }
-        let recovered = f64::from(served) >= f64::from(total) * MIN_SERVED_SHARE;
-        let observed = || format!("{served} of {total} served, others by status: {others:?}");
-        self.record_check("recovers", recovered, "the end of the run", observed);
-    }
 }
 
 /// Returns whether an answer ended after the time-out of its route, which an instance that lacks
--- a/crates/cactuslane-soak/src/deployment.rs
+++ b/crates/cactuslane-soak/src/deployment.rs
@@ -233,6 +233,12 @@
         Ok(())
     }
 
+    /// Returns the latest end of a disruption so far; `None` if there was none.
+    pub(crate) fn disruption_end(&self) -> Option<Instant> {
+        let ends = [self.workers.faults_end(), self.probes.faults_end()];
+        self.observations.disruption_end.max(ends[0]).max(ends[1])
+    }
+
     /// Reads what the processes used so far.
     pub(crate) fn read_usage(&mut self) -> Usage {
         let mut usage = Usage {
--- a/crates/cactuslane-soak/src/probes.rs
+++ b/crates/cactuslane-soak/src/probes.rs
@@ -204,6 +204,12 @@
         self.targets.all_serve()
     }
 
+    /// Returns the latest end of a fault of a target that has ended.
+    #[must_use]
+    pub fn faults_end(&self) -> Option<Instant> {
+        self.targets.faults_end()
+    }
+
     /// Goes on with starting, stopping and resuming the targets.
     ///
     /// # Errors
--- a/crates/cactuslane-soak/src/run.rs
+++ b/crates/cactuslane-soak/src/run.rs
@@ -6,13 +6,13 @@
 
 use tokio::time::{Instant, sleep};
 
-use crate::check;
+use crate::check::{self, RECOVERY_TIME, recovery};
 use crate::customers::KEYS;
 use crate::deployment::Deployment;
 use crate::figures::Figures;
 use crate::findings::{self, RunRecords};
 use crate::layout;
-use crate::load::{self, LoadSpec};
+use crate::load::{self, LoadSpec, RequestRecord};
 use crate::made::Made;
 use crate::options::Options;
 use crate::plan::{self, PlanStep};
@@ -54,7 +54,11 @@
         tokio::spawn(async move { load::send(&spec, &addresses).await })
     };
     deployment.play(&steps, began, options.length).await?;
-    let records = callers.await.map_err(io::Error::other)?;
+    let mut records = callers.await.map_err(io::Error::other)?;
+    let figures = Figures::from_records(&records, &spec, began);
+    if options.timed {
+        records.extend(send_after_recovery(&mut deployment, &spec).await?);
+    }
     sleep(SETTLE_TIME).await;
     for target in &deployment.targets {
         let version = target.version();
@@ -95,7 +99,6 @@
         observations: &deployment.observations,
     };
     let findings = findings::write(&found, &violations)?;
-    let figures = Figures::from_records(&records, &spec, began);
     Ok(Report {
         seed: options.seed,
         length: options.length,
@@ -112,6 +115,25 @@
     })
 }
 
+/// Sends requests once [`RECOVERY_TIME`] has passed since the last disruption, so that enough are judged
+/// by whether they are served; sends none if there was no disruption.
+async fn send_after_recovery(
+    deployment: &mut Deployment,
+    spec: &LoadSpec,
+) -> io::Result<Vec<RequestRecord>> {
+    let Some(end) = deployment.disruption_end() else {
+        return Ok(Vec::new());
+    };
+    let now = Instant::now();
+    let wait = (end + RECOVERY_TIME).saturating_duration_since(now);
+    deployment.play(&[], now, wait).await?;
+    let spec = recovery::load_after(spec);
+    let (length, addresses) = (spec.length, deployment.addresses.clone());
+    let callers = tokio::spawn(async move { load::send(&spec, &addresses).await });
+    deployment.play(&[], Instant::now(), length).await?;
+    callers.await.map_err(io::Error::other)
+}
+
 /// Draws the steps of a run, in the order of their times.
 fn draw_steps(options: &Options, deployment: &Deployment) -> Vec<PlanStep> {
     let mut steps = plan::draw(
--- a/crates/cactuslane-soak/src/workers.rs
+++ b/crates/cactuslane-soak/src/workers.rs
@@ -140,6 +140,12 @@
         Ok(())
     }
 
+    /// Returns the latest end of a fault that has ended.
+    #[must_use]
+    pub fn faults_end(&self) -> Option<Instant> {
+        self.faults.iter().map(|(.., end)| *end).max()
+    }
+
     /// Adds the runs and faults to the observations and returns the counts; a fault that lasts ends
     /// now.
     ///
