--- a/crates/cactuslane-gateway/tests/serving/customers.rs
+++ b/crates/cactuslane-gateway/tests/serving/customers.rs
@@ -1,5 +1,6 @@
 //! Keys of customers: who is served, what targets get, and what happens when a key is removed.
 
+use std::net::IpAddr;
 use std::time::Duration;
 
 use cactuslane_platform_standin::link::Cut;
@@ -172,7 +173,8 @@
                 "{text}"
             );
         }
-        assert_eq!(headers_at_targets(&deployment).len(), 0);
+        let seen = headers_at_targets(&deployment);
+        assert_eq!(seen.len(), 0, "{seen:?}");
         let metrics = deployment
             .running
             .gateway
@@ -184,6 +186,26 @@
     });
 }
 
+/// Guards against requests at a target that instances of another deployment send to one with its id,
+/// whose port was free to be given again.
+#[test]
+fn deployments_share_no_address() {
+    run_test(async {
+        let (first, second) = (deploy().await, deploy().await);
+        let hosts = |deployment: &Deployment| {
+            let targets = deployment.workers.iter().chain(&deployment.engines);
+            let targets = targets.chain([&deployment.prefill]);
+            let mut hosts: Vec<IpAddr> = targets.map(|target| target.address.ip()).collect();
+            hosts.extend([deployment.store.address.ip(), deployment.front().ip()]);
+            hosts
+        };
+        let others = hosts(&second);
+        for host in hosts(&first) {
+            assert!(!others.contains(&host), "{host} of {others:?}");
+        }
+    });
+}
+
 /// Guards against keys at targets and names that callers choose, on each kind of route and at both
 /// engines of a generation.
 #[parameterized(
