--- a/crates/cactuslane-gateway/tests/serving/limits.rs
+++ b/crates/cactuslane-gateway/tests/serving/limits.rs
@@ -36,18 +36,27 @@
     response.expect("the request is answered")
 }
 
+/// Returns the number of orders of an instance that engines have refused.
+fn refused_orders(instance: &GatewayHandle) -> u64 {
+    let metrics = instance.gateway.metrics.text(&instance.gateway);
+    let mut lines = metrics.lines();
+    let count = lines.find_map(|line| line.split_once("orders_total{result=\"refused\"} "));
+    count.map_or(0, |(_, count)| count.parse().expect("it is a count"))
+}
+
 /// Guards against instances that go on sending at their own rates to a target that has named a
 /// limit for all of them together.
 #[parameterized(
-    plain = { "/lookup/7", |deployment| &deployment.workers[0], 2.0 },
-    decode_engine = { "/summary/7", |deployment| &deployment.engines[0], 2.0 },
-    prefill_engine = { "/summary/7", |deployment| &deployment.prefill, 2.0 },
-    below_one_request_an_instance = { "/lookup/7", |deployment| &deployment.workers[0], 0.5 },
+    plain = { "/lookup/7", |deployment| &deployment.workers[0], 2.0, 0 },
+    decode_engine = { "/summary/7", |deployment| &deployment.engines[0], 2.0, 0 },
+    prefill_engine = { "/summary/7", |deployment| &deployment.prefill, 2.0, 2 },
+    below_one_request_an_instance = { "/lookup/7", |deployment| &deployment.workers[0], 0.5, 0 },
 )]
 fn a_target_gets_no_more_than_its_limit_from_all_instances(
     path: &str,
     limited: fn(&Deployment) -> &Target,
     limit: f64,
+    orders: u64,
 ) {
     run_test(async {
         let deployment = deploy().await;
@@ -66,6 +75,16 @@
             }
         }
         sleep(REACTION_TIME).await;
+        // Without an engine for prompts that has no limit, each other one is asked once to become one,
+        // and gets no new work meanwhile: the engine that is left may be too busy for all requests.
+        wait_until(|| {
+            fleet
+                .iter()
+                .map(|instance| refused_orders(instance))
+                .sum::<u64>()
+                >= orders
+        })
+        .await;
         let began = Instant::now();
         let mut requests = JoinSet::new();
         for (number, instance) in fleet.iter().enumerate() {
@@ -81,7 +100,8 @@
             }
         }
         while let Some(answer) = requests.join_next().await {
-            assert_eq!(answer.expect("the request is sent").status, 200);
+            let answer = answer.expect("the request is sent");
+            assert_eq!(answer.status, 200, "{answer:?}");
         }
         let window = began.elapsed().as_secs_f64().max(WINDOW);
         let allowed = limit * window * 1.5 + 5.0;
@@ -179,3 +199,26 @@
         wait_until(|| other.gateway.placer().limits.count() == 1).await;
     });
 }
+
+/// Guards against an engine that is left idle beside an overloaded one, as its stand-in took an order for a
+/// request.
+#[test]
+fn an_engine_that_refuses_an_order_is_used_as_before() {
+    run_test(async {
+        let deployment = deploy().await;
+        deployment.prefill.name_limit(Some(2.0));
+        let gateway = &deployment.running.gateway;
+        let ordered = |result: &str| {
+            let metrics = gateway.metrics.text(gateway);
+            metrics.contains(&format!("orders_total{{result=\"{result}"))
+        };
+        // Without an engine for prompts that has no limit, one of the others is to become one.
+        let mut number = 0;
+        while !ordered("") {
+            number += 1;
+            deployment.ask("/summary/7", &format!("r{number}")).await;
+        }
+        assert!(ordered("refused"));
+        assert_eq!(deployment.runs(""), 0);
+    });
+}
