Count a plain run as the head of its answer arrives

Cause: a run was counted as begun at the end of its answer's body, less the shortest exchange of its service. Where some bodies take longer than others, runs count late, and near the end of a window in the next one.

Change: the head of an answer shows that the run has begun, so that it is counted then, less the shortest time to a head. Runs without a head count as before.

--- a/crates/cactuslane-gateway/src/plain.rs
+++ b/crates/cactuslane-gateway/src/plain.rs
@@ -165,7 +165,15 @@
     let mut sent = crashes::SentAttempt::new(gateway, &request.info, target);
     let run = usage::RunGuard::new(gateway, request);
     let pending = async {
-        let answer = send_and_read(gateway, request, target, &params, told_deadline, permit).await;
+        let answer = send_and_read(
+            gateway,
+            request,
+            target,
+            &params,
+            (told_deadline, &run),
+            permit,
+        )
+        .await;
         sent.settle();
         if matches!(answer, Err((AttemptFailure::Broken, _))) {
             crashes::check_lost(gateway, &request.info, target, began);
@@ -227,16 +235,18 @@
 
 /// Sends a request and reads the complete answer; a success must carry the target's signature.
 ///
-/// `told_deadline` is the time at which the target is told to stop, in milliseconds of [`boot_millis`].
+/// `told_deadline` is the time at which the target is told to stop, in milliseconds of [`boot_millis`]; `run`
+/// counts the run once the head of its answer has arrived.
 async fn send_and_read(
     gateway: &Arc<Gateway>,
     request: &CallerRequest,
     target: &Target,
     params: &SendParams<'_>,
-    told_deadline: Millis,
+    (told_deadline, run): (Millis, &usage::RunGuard<'_>),
     permit: Permit,
 ) -> Result<Response<AnswerBody>, (AttemptFailure, String)> {
     let (connection, response) = send(gateway, request, target, params, permit).await?;
+    run.answered();
     let keep_alive = exchange::keep_alive_timeout(response.headers());
     let framing = Framing::of(&response);
     let (head, body) = response.into_parts();
--- a/crates/cactuslane-gateway/src/usage.rs
+++ b/crates/cactuslane-gateway/src/usage.rs
@@ -5,6 +5,7 @@
 pub mod book;
 pub mod spread;
 
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
@@ -32,7 +33,8 @@
 /// Change of the agreed time of day from which on it is logged, in milliseconds.
 const LOGGED_CHANGE: u64 = 200;
 
-/// Guard of an attempt at a target without a model, which counts its run when it ends.
+/// Guard of an attempt at a target without a model, which counts its run when the head of an answer shows
+/// it, and else when the attempt ends.
 ///
 /// If it is dropped before, the request was given up, and counts as begun when it was sent.
 #[derive(Debug)]
@@ -45,8 +47,8 @@
     sent: Millis,
     /// Time at which it is sent.
     began: Instant,
-    /// Whether it has ended.
-    ended: bool,
+    /// Whether its run is counted, or none is to be counted.
+    settled: AtomicBool,
 }
 
 impl Gateway {
@@ -94,37 +96,41 @@
             request,
             sent: gateway.unix_now(),
             began: Instant::now(),
-            ended: false,
+            settled: AtomicBool::new(false),
         }
     }
 
-    /// Counts the run unless the attempt ended so that the target cannot have begun it.
-    pub fn end(mut self, ending: Option<AttemptFailure>) {
-        self.ended = true;
+    /// Counts the run as the head of its answer arrives: the body may follow much later.
+    pub fn answered(&self) {
+        let elapsed = self.began.elapsed().as_secs_f64() * 1000.0;
+        let mut runs = lock(&self.gateway.usage.runs);
+        let before_answer = runs.observe(&self.request.service, elapsed);
+        drop(runs);
+        self.count(self.sent + (elapsed - before_answer) as Millis);
+    }
+
+    /// Counts the run, if it is not counted yet, unless the attempt ended so that the target cannot have
+    /// begun it.
+    pub fn end(&self, ending: Option<AttemptFailure>) {
         match ending {
-            Some(AttemptFailure::Unsent | AttemptFailure::Rejected) => {}
-            Some(AttemptFailure::Broken | AttemptFailure::Late) => self.count(self.sent),
-            None | Some(AttemptFailure::Failed) => {
-                let elapsed = self.began.elapsed().as_secs_f64() * 1000.0;
-                let mut runs = lock(&self.gateway.usage.runs);
-                let before_answer = runs.observe(&self.request.service, elapsed);
-                drop(runs);
-                self.count(self.sent + (elapsed - before_answer) as Millis);
+            Some(AttemptFailure::Unsent | AttemptFailure::Rejected) => {
+                self.settled.store(true, Ordering::Relaxed);
             }
+            _ => self.count(self.sent),
         }
     }
 
-    /// Counts the run as begun at a time of day.
+    /// Counts the run as begun at a time of day, unless it is settled.
     fn count(&self, at: Millis) {
-        count_run(self.gateway, self.request, at);
+        if !self.settled.swap(true, Ordering::Relaxed) {
+            count_run(self.gateway, self.request, at);
+        }
     }
 }
 
 impl Drop for RunGuard<'_> {
     fn drop(&mut self) {
-        if !self.ended {
-            self.count(self.sent);
-        }
+        self.count(self.sent);
     }
 }
 
--- a/crates/cactuslane-gateway/tests/serving/usage.rs
+++ b/crates/cactuslane-gateway/tests/serving/usage.rs
@@ -6,12 +6,15 @@
 use cactuslane_gateway::{GatewayHandle, control, usage};
 use cactuslane_platform::Settings;
 use cactuslane_platform::settings::{DutySettings, UsageSettings};
-use cactuslane_platform_standin::{Fault, Target, settings};
+use cactuslane_platform_standin::{Fault, Target, TargetKind, settings, target};
+use tokio::io::AsyncWriteExt;
+use tokio::net::TcpListener;
 use tokio::time::sleep;
 use yare::parameterized;
 
 use crate::customers::{ask, configure, deploy_keyed, keyed, two_customers};
 use crate::deployment::{Deployment, run_test, start_fleet, start_instance, wait_until};
+use crate::raw::read_request;
 
 /// Window that no test outlasts.
 const WINDOW: Duration = Duration::from_secs(1 << 24);
@@ -158,6 +161,49 @@
     });
 }
 
+/// Guards against a run that counts in the window of its answer's end, which may be much later than the head.
+#[test]
+fn a_run_counts_once_the_head_of_its_answer_has_arrived() {
+    run_test(async {
+        let deployment = deploy_counting().await;
+        let listener = TcpListener::bind((deployment.store.address.ip(), 0)).await;
+        let listener = listener.expect("a port can be bound");
+        let address = listener.local_addr().expect("it is bound");
+        for worker in &deployment.workers {
+            worker.register(&deployment.store, "draining");
+        }
+        target::register(
+            &deployment.store,
+            "i-raw",
+            TargetKind::Plain,
+            1,
+            address,
+            "ready",
+        );
+        let gateway = &deployment.running.gateway;
+        wait_until(|| gateway.target("i-raw").is_some()).await;
+        let asking = ask(&deployment, "/correction/7", "r1", &KEYS[1]);
+        let answering = async {
+            let mut stream = loop {
+                let (mut stream, _) = listener.accept().await.expect("it is reached");
+                let request = read_request(&mut stream, &mut Vec::new()).await;
+                if request.is_some_and(|request| request.id == "r1") {
+                    break stream;
+                }
+            };
+            let head = "HTTP/1.1 200 OK\r\nx-instance-id: i-raw\r\nx-request-id: r1\r\n\
+                        x-server-stamp: stamp\r\ncontent-length: 4\r\n\r\n";
+            stream.write_all(head.as_bytes()).await.expect("it is open");
+            wait_until(|| counts(&deployment.running) == [0, 1]).await;
+            stream.write_all(b"done").await.expect("it is open");
+            stream
+        };
+        let (answer, _stream) = tokio::join!(asking, answering);
+        assert_eq!((answer.status, answer.complete), (200, true), "{answer:?}");
+        assert_eq!(counts(&deployment.running), [0, 1]);
+    });
+}
+
 /// Guards against a name of a customer that ends the line of a metric, and against as many lines as
 /// there are customers.
 #[test]
