Make late versions, long streams, late ends and streams without ids ordinary in the soak

Change, on the shape of a site file alone: - Releases under ids: the processes that generate start again one after the other with the other version, their entries up to 0.8 s late; a release takes the place of a kill of the same target. - A quarter of the streams that may be resumed has 45 to 65 events, and 15% have events without ids, which callers do not take up and which must be of one run. The id of the request that begins a stream decides, so that targets and judge agree; other runs keep their ids and streams. - Targets that are tasks send some streams with 600 ms between events and end them in due form at the deadline that they were told. That excuses no cut, as a slow stream is sound. - The report and the output say how often each situation occurred.

--- a/crates/cactuslane-soak/src/check.rs
+++ b/crates/cactuslane-soak/src/check.rs
@@ -3,7 +3,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
-use cactuslane_platform_standin::script::event_count;
+use cactuslane_platform_standin::script::{event_count, has_ids};
 use serde::Serialize;
 use serde_json::Value;
 use tokio::time::Instant;
@@ -191,10 +191,11 @@
         let made = self.observations.made.get(&record.id);
         let made = made.map_or(&[][..], Vec::as_slice);
         let began = record.taken_up.as_ref().map(|part| part.stream.as_str());
+        let began = began.unwrap_or(&record.id);
         let sources = Sources {
             made,
-            count: event_count(began.unwrap_or(&record.id)),
-            resumable: !kind.once,
+            count: event_count(began),
+            resumable: !kind.once && has_ids(began),
             last: record.taken_up.as_ref().map_or(0, |part| part.last),
         };
         self.check_made(record, kind, &sources);
--- a/crates/cactuslane-soak/src/deployment/apply.rs
+++ b/crates/cactuslane-soak/src/deployment/apply.rs
@@ -9,7 +9,7 @@
 use super::Deployment;
 use crate::faults::{standin_fault, store_mode};
 use crate::follow_ups::FollowUp;
-use crate::plan::Action;
+use crate::plan::{Action, TargetFault};
 
 impl Deployment {
     /// Applies a step, schedules its end and records it as a fault unless it is planned; faults of
@@ -71,7 +71,10 @@
                 for _ in 0..count {
                     self.targets[number].inject_fault(standin_fault(fault));
                 }
-                self.target_faults.entry(number).or_insert(now);
+                // A slow stream is no reason to cut an answer before its deadline.
+                if fault != TargetFault::Late {
+                    self.target_faults.entry(number).or_insert(now);
+                }
             }
             Action::Drain(number, _) => {
                 for end in self.follow_ups.take_drain_ends(number) {
--- a/crates/cactuslane-soak/src/faults.rs
+++ b/crates/cactuslane-soak/src/faults.rs
@@ -29,5 +29,6 @@
         TargetFault::Break => Fault::Break(3),
         TargetFault::Unsigned => Fault::Unsigned,
         TargetFault::Slow => Fault::Slow(SLOW_DELAY_MS),
+        TargetFault::Late => Fault::Late,
     }
 }
--- a/crates/cactuslane-soak/src/figures.rs
+++ b/crates/cactuslane-soak/src/figures.rs
@@ -10,7 +10,10 @@
 use tokio::time::Instant;
 
 use crate::load::{LoadSpec, Outcome, RequestRecord};
+use crate::made::Made;
 
+/// Number of events beyond which a stream counts as long.
+const LONG_STREAM: u64 = 40;
 /// Number of bootstrap resamples from which a confidence interval is estimated.
 const RESAMPLE_COUNT: usize = 400;
 
@@ -194,6 +197,8 @@
     pub left: u64,
     /// Number of targets that started again under their id with another version.
     pub upgraded: u64,
+    /// Number of streams that such targets began, or went on with, before their entries stated it.
+    pub before_entry: u64,
     /// Number of targets that started again at an address that another one had, or at a free one.
     pub moved: u64,
     /// Number of times that a target deviated from correct behaviour for a time.
@@ -219,3 +224,40 @@
     /// Number of those without a length.
     pub cut_without_length: u64,
 }
+
+/// Situations of streams that targets made.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize)]
+pub struct StreamFigures {
+    /// Number of runs that went on with a stream within one answer.
+    pub resumed: u64,
+    /// Number of runs that made an event of a long stream beyond those of the others.
+    pub long: u64,
+    /// Number of runs that made events without ids.
+    pub unnumbered: u64,
+    /// Number of those that ended before their last event.
+    pub unnumbered_cut: u64,
+    /// Number of streams that targets ended in due form at the deadline, before all was made.
+    pub stopped: u64,
+}
+
+impl StreamFigures {
+    /// Counts the situations among the runs at all targets, by request id.
+    #[must_use]
+    pub fn of(made: &BTreeMap<String, Vec<Made>>) -> Self {
+        let mut figures = Self::default();
+        for runs in made.values() {
+            let first = runs.iter().map(|run| run.after).min().unwrap_or(0);
+            for run in runs {
+                let Some((last, event)) = run.events.last_key_value() else {
+                    continue;
+                };
+                let is_unnumbered = !event.starts_with("id:");
+                figures.resumed += u64::from(run.after > first);
+                figures.long += u64::from(*last > LONG_STREAM);
+                figures.unnumbered += u64::from(is_unnumbered);
+                figures.unnumbered_cut += u64::from(is_unnumbered && !run.ended);
+            }
+        }
+        figures
+    }
+}
--- a/crates/cactuslane-soak/src/layout.rs
+++ b/crates/cactuslane-soak/src/layout.rs
@@ -217,6 +217,13 @@
     }
 }
 
+/// Returns the numbers of the targets that send streams.
+#[must_use]
+pub fn streaming(targets: &[TargetSpec]) -> Vec<usize> {
+    let sends = |number: &usize| targets[*number].kind == TargetKind::Decode;
+    (0..targets.len()).filter(sends).collect()
+}
+
 /// Returns the failure domain of each target, one domain after the other.
 fn spread(targets: &BTreeMap<String, usize>) -> Vec<String> {
     let mut domains = Vec::new();
--- a/crates/cactuslane-soak/src/load/callers.rs
+++ b/crates/cactuslane-soak/src/load/callers.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use cactuslane_platform_standin::caller::{self, Prompt, is_signed_answer};
+use cactuslane_platform_standin::script::FORMS_PREFIX;
 use cactuslane_store::http::{Client, HttpError};
 use http_body_util::{BodyExt, Full};
 use hyper::body::{Bytes, Incoming};
@@ -83,7 +84,10 @@
             kept: kept[number % CALLER_COUNT].clone(),
             addresses: addresses.clone(),
         };
-        let id = format!("s{}-{number}", spec.seed);
+        let kind_of = &spec.kinds[kind];
+        let has_forms = kind_of.size.is_some() && !kind_of.once;
+        let prefix = if has_forms { FORMS_PREFIX } else { "s" };
+        let id = format!("{prefix}{}-{number}", spec.seed);
         let take_up_seed = spec.seed ^ (number as u64) << 8;
         tasks.spawn(async move { attempts.run(began + at, id, front, take_up_seed).await });
     }
@@ -273,6 +277,10 @@
             _ => continue,
         };
         let events = body.windows(2).filter(|pair| pair == b"\n\n").count() as u64;
+        // A stream without ids has no place at which it could be taken up.
+        if events > 0 && !body.starts_with(b"id:") {
+            return None;
+        }
         if events > 0 {
             stream.get_or_insert_with(|| attempt.id.clone());
         }
--- a/crates/cactuslane-soak/src/plan.rs
+++ b/crates/cactuslane-soak/src/plan.rs
@@ -12,7 +12,7 @@
 use serde::Serialize;
 
 pub use self::paths::{PathFault, Scope, domain, draw_paths};
-pub use targets::{draw_moods, draw_successions};
+pub use targets::{ENTRY_DELAY, draw_late_ends, draw_moods, draw_releases, draw_successions};
 
 /// Mean time between two steps of a plan; each gap is uniformly distributed from 0.1 to 1.9 times
 /// this.
@@ -158,7 +158,7 @@
 
 /// How a target misbehaves on a request.
 ///
-/// Prefill engines only apply `Reject`; plain workers ignore `Break`, and decode engines ignore
+/// Prefill engines only apply `Reject`; plain workers ignore `Break` and `Late`, and decode engines ignore
 /// `Lose`, `Cross` and `Unsigned`.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize)]
 pub enum TargetFault {
@@ -177,6 +177,8 @@
     /// It delays its answer, or the first event of a stream, beyond the latency target of the plain
     /// service.
     Slow,
+    /// It sends a stream slowly and ends it in due form at the deadline.
+    Late,
 }
 
 /// A network fault, applied to all connections through one proxy, which goes on accepting
--- a/crates/cactuslane-soak/src/report.rs
+++ b/crates/cactuslane-soak/src/report.rs
@@ -10,7 +10,7 @@
 use serde::Serialize;
 
 use crate::check::{CheckCounts, Violation};
-use crate::figures::{Figures, Usage, WorkerFigures, format_seconds};
+use crate::figures::{Figures, StreamFigures, Usage, WorkerFigures, format_seconds};
 use crate::findings::Finding;
 use crate::passed::PathFigures;
 use crate::plan::PlanStep;
@@ -39,6 +39,8 @@
     pub check_counts: CheckCounts,
     /// What was done to the targets that run as processes.
     pub processes: WorkerFigures,
+    /// Situations of streams that targets made.
+    pub streams: StreamFigures,
     /// What the processes used.
     pub usage: Usage,
     /// Faults of the paths, and what instances did about them.
@@ -80,6 +82,25 @@
         )
     }
 
+    /// Returns in one line how often targets made situations that only some runs have.
+    #[must_use]
+    pub fn situations(&self) -> String {
+        let (processes, streams) = (&self.processes, &self.streams);
+        format!(
+            "{} targets started again under their ids with another version, which ran {} streams before \
+             their entries stated it; {} streams went on within an answer, {} runs were of long streams, {} \
+             answers were ended in due form at the deadline, {} runs made events without ids, {} of \
+             them not to the end",
+            processes.upgraded,
+            processes.before_entry,
+            streams.resumed,
+            streams.long,
+            streams.stopped,
+            streams.unnumbered,
+            streams.unnumbered_cut,
+        )
+    }
+
     /// Returns the HTML page.
     fn page(&self) -> io::Result<String> {
         let mut rows = String::new();
@@ -113,12 +134,13 @@
         }
         Ok(format!(
             "<!doctype html><meta charset=utf-8><title>Soak {}</title>\n<h1>{}</h1>\n<ul>{violations}</ul>\n{}\n\
-             <h2>Requests</h2><table>\n<tr><th>path<th>sent<th>served<th>refused<th>failed<th>first \
+             <p>{}</p>\n<h2>Requests</h2><table>\n<tr><th>path<th>sent<th>served<th>refused<th>failed<th>first \
              byte, ms</tr>\n{kinds}</table>\n<h2>Checks</h2><table>{checks}</table>\n\
              <h2>Faults and changes</h2><table>{rows}</table>\n",
             self.seed,
             self.summary(),
             self.plot()?,
+            self.situations(),
         ))
     }
 
--- a/crates/cactuslane-soak/src/run.rs
+++ b/crates/cactuslane-soak/src/run.rs
@@ -9,9 +9,9 @@
 use crate::check;
 use crate::customers::KEYS;
 use crate::deployment::Deployment;
-use crate::figures::Figures;
+use crate::figures::{Figures, StreamFigures};
 use crate::findings::{self, RunRecords};
-use crate::layout;
+use crate::layout::{self, Layout};
 use crate::load::{self, LoadSpec};
 use crate::made::Made;
 use crate::options::Options;
@@ -56,6 +56,7 @@
     deployment.play(&steps, began, options.length).await?;
     let records = callers.await.map_err(io::Error::other)?;
     sleep(SETTLE_TIME).await;
+    let mut stopped = 0;
     for target in &deployment.targets {
         let version = target.version();
         let observations = &mut deployment.observations;
@@ -63,6 +64,7 @@
             observations.runs.entry(request).or_default().extend(runs);
         }
         for run in target.made() {
+            stopped += u64::from(run.stopped);
             let of_request = observations.made.entry(run.request.clone()).or_default();
             of_request.push(Made::of_run(&target.id, &version, run));
         }
@@ -96,6 +98,10 @@
     };
     let findings = findings::write(&found, &violations)?;
     let figures = Figures::from_records(&records, &spec, began);
+    let streams = StreamFigures {
+        stopped,
+        ..StreamFigures::of(&deployment.observations.made)
+    };
     Ok(Report {
         seed: options.seed,
         length: options.length,
@@ -106,6 +112,7 @@
         findings,
         check_counts,
         processes,
+        streams,
         usage,
         paths,
         figures,
@@ -128,6 +135,14 @@
         let delay = options.entry_delay;
         steps.extend(plan::draw_successions(seed, length, killed..targets, delay));
         steps.extend(plan::draw_moods(seed, length, targets, prompts));
+        if options.shape.is_some() {
+            let layout = Layout::of(options);
+            let delay = delay.unwrap_or(plan::ENTRY_DELAY);
+            let streaming = layout::streaming(&layout.processes);
+            steps.extend(plan::draw_releases(seed, length, &streaming, delay));
+            let streaming = layout::streaming(&layout.tasks);
+            steps.extend(plan::draw_late_ends(seed, length, &streaming));
+        }
     }
     if options.links {
         let paths = plan::draw_paths(options.seed, options.length, options.instances);
--- a/crates/cactuslane-soak/src/workers.rs
+++ b/crates/cactuslane-soak/src/workers.rs
@@ -12,7 +12,7 @@
 use tokio::time::Instant;
 
 use self::running::Program;
-use self::worker::{Phase, Worker};
+use self::worker::{Phase, Successor, Worker};
 use crate::check::Observations;
 use crate::figures::WorkerFigures;
 use crate::layout::TargetSpec;
@@ -96,13 +96,19 @@
     }
 
     /// Disturbs a target as soon as it is in the middle of an answer; does nothing while an earlier
-    /// fault lasts.
+    /// fault lasts, but that a release takes the place of a kill.
     pub fn disturb(&mut self, number: usize, fault: ProcessFault, time: Duration) {
         let worker = &mut self.targets[number];
-        if matches!(worker.phase, Phase::Serving) {
-            worker.phase = Phase::Aiming(fault, time, Instant::now());
-        } else {
-            self.figures.left_out += 1;
+        match (&mut worker.phase, fault) {
+            (Phase::Serving, _) => worker.phase = Phase::Aiming(fault, time, Instant::now()),
+            (Phase::Aiming(earlier @ ProcessFault::Kill, ..), ProcessFault::Upgrade(_)) => {
+                *earlier = fault;
+            }
+            (Phase::Down(.., successor @ Successor::Same), ProcessFault::Upgrade(delay)) => {
+                *successor = Successor::Upgraded(delay);
+                self.figures.upgraded += 1;
+            }
+            _ => self.figures.left_out += 1,
         }
     }
 
--- a/crates/cactuslane-soak/src/workers/worker.rs
+++ b/crates/cactuslane-soak/src/workers/worker.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use cactuslane_platform_standin::process::{Line, Mood, Step};
-use cactuslane_platform_standin::{Place, Store, target};
+use cactuslane_platform_standin::{Place, Store, TargetKind, target};
 use rustix::process::Signal;
 use tokio::time::Instant;
 
@@ -382,6 +382,9 @@
                 ended: false,
                 broken: false,
             };
+            let is_stream = self.program.kind == TargetKind::Decode;
+            let is_unlisted = matches!(self.phase, Phase::Unlisted(..));
+            figures.before_entry += u64::from(is_stream && is_unlisted);
             self.runs.insert(line.run, (request, made));
             return;
         }
--- a/crates/cactuslane-soak/tests/layout.rs
+++ b/crates/cactuslane-soak/tests/layout.rs
@@ -132,3 +132,14 @@
     let shape = Shape::parse(&text).expect("it is valid");
     assert_eq!(layout::not_played(&shape), ["StepClock"]);
 }
+
+#[test]
+fn targets_that_send_streams_are_those_that_generate() {
+    let layout = Layout::of(&options(None, true));
+    let ids = |specs: &[TargetSpec]| -> Vec<String> {
+        let streaming = layout::streaming(specs).into_iter();
+        streaming.map(|number| specs[number].id.clone()).collect()
+    };
+    assert_eq!(ids(&layout.tasks), ["i-d1", "i-d2", "i-d3"]);
+    assert_eq!(ids(&layout.processes), ["i-s1", "i-s2", "i-s3", "i-s4"]);
+}
--- a/crates/cactuslane-soak/tests/made.rs
+++ b/crates/cactuslane-soak/tests/made.rs
@@ -6,6 +6,7 @@
 use cactuslane_platform_standin::process::Framing;
 use cactuslane_platform_standin::script::event_count;
 use cactuslane_soak::check::{self, Observations};
+use cactuslane_soak::figures::StreamFigures;
 use cactuslane_soak::load::{Outcome, RequestKind, RequestRecord, TakenUp};
 use cactuslane_soak::made::{Made, Sources};
 use cactuslane_soak::plan::{self, Action};
@@ -346,3 +347,50 @@
     let names = violations.iter().map(|violation| violation.guarantee);
     assert_eq!(names.collect::<Vec<_>>(), expected, "{violations:?}");
 }
+
+/// Returns the run with its events without ids.
+fn without_ids(run: Made) -> Made {
+    let strip = |(id, text): (u64, String)| (id, text.split_once('\n').unwrap().1.to_owned());
+    let events = run.events.into_iter().map(strip).collect();
+    Made { events, ..run }
+}
+
+// Guards against a stream that begins again as no id tells where it broke off.
+#[parameterized(
+    of_one_run = { &[("a", 1..=8)], true },
+    begun_again = { &[("a", 1..=3), ("b", 1..=8)], false },
+    begun_again_and_gone_on = { &[("a", 1..=3), ("b", 4..=8)], false },
+)]
+fn a_stream_without_ids_is_of_one_run(parts: &[(&str, std::ops::RangeInclusive<u64>)], ok: bool) {
+    let made = [made("a", 0, 8), made("b", 0, 8)].map(without_ids);
+    let text = |(run, ids): &(&str, std::ops::RangeInclusive<u64>)| {
+        let event = |id: u64| format!("data: piece {id} of {run}\n\n");
+        ids.clone().map(event).collect::<String>()
+    };
+    let body: String = parts.iter().map(text).collect();
+    let sources = Sources {
+        made: &made,
+        count: 8,
+        resumable: false,
+        last: 0,
+    };
+    assert_eq!(sources.check_whole(body.as_bytes()).is_ok(), ok);
+}
+
+#[test]
+fn situations_of_streams_are_counted() {
+    let made = BTreeMap::from([
+        ("r1".to_owned(), vec![made("a", 0, 3), made("b", 3, 8)]),
+        ("r1-1".to_owned(), vec![made("c", 5, 8)]),
+        ("r2".to_owned(), vec![without_ids(made("d", 0, 4))]),
+        ("r3".to_owned(), vec![made("e", 0, 45)]),
+    ]);
+    let figures = StreamFigures {
+        resumed: 1,
+        long: 1,
+        unnumbered: 1,
+        unnumbered_cut: 1,
+        stopped: 0,
+    };
+    assert_eq!(StreamFigures::of(&made), figures);
+}
--- a/crates/cactuslane-soak/tests/targets.rs
+++ b/crates/cactuslane-soak/tests/targets.rs
@@ -4,10 +4,10 @@
 use std::path::PathBuf;
 use std::time::Duration;
 
-use cactuslane_platform_standin::TargetKind;
 use cactuslane_platform_standin::process::{Line, Mood, Serving, Spec, Step, Trouble};
-use cactuslane_platform_standin::script::{Script, event_count};
-use cactuslane_soak::plan::{self, Action, ProcessFault};
+use cactuslane_platform_standin::script::{FORMS_PREFIX, Script, event_count, has_ids};
+use cactuslane_platform_standin::{self as standin, Fault, Store, TargetKind};
+use cactuslane_soak::plan::{self, Action, ProcessFault, TargetFault};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
 use tokio::time::sleep;
@@ -51,23 +51,7 @@
     /// Sends a request with header fields, and returns the answer until it contains a text or its
     /// connection ends.
     async fn ask(&self, fields: &str, until: &str) -> String {
-        let connected = TcpStream::connect(self.serving.address).await;
-        let mut stream = connected.expect("the target listens");
-        let text = format!(
-            "POST /a/1 HTTP/1.1\r\nhost: a\r\nx-request-id: {REQUEST}\r\n{fields}content-length: \
-             0\r\n\r\n"
-        );
-        let sent = stream.write_all(text.as_bytes()).await;
-        sent.expect("the request is sent");
-        let mut answer = String::new();
-        let mut block = [0; 4096];
-        while !answer.contains(until) {
-            let Ok(count @ 1..) = stream.read(&mut block).await else {
-                break;
-            };
-            answer.push_str(std::str::from_utf8(&block[..count]).expect("the answer is text"));
-        }
-        answer
+        ask(self.serving.address, fields, until).await
     }
 
     /// Computes a prompt and returns the header field by which another target fetches it.
@@ -86,6 +70,28 @@
     }
 }
 
+/// Sends a request with header fields to an address, and returns the answer until it contains a text
+/// or its connection ends.
+async fn ask(address: SocketAddr, fields: &str, until: &str) -> String {
+    let connected = TcpStream::connect(address).await;
+    let mut stream = connected.expect("the target listens");
+    let text = format!(
+        "POST /a/1 HTTP/1.1\r\nhost: a\r\nx-request-id: {REQUEST}\r\n{fields}content-length: \
+         0\r\n\r\n"
+    );
+    let sent = stream.write_all(text.as_bytes()).await;
+    sent.expect("the request is sent");
+    let mut answer = String::new();
+    let mut block = [0; 4096];
+    while !answer.contains(until) {
+        let Ok(count @ 1..) = stream.read(&mut block).await else {
+            break;
+        };
+        answer.push_str(std::str::from_utf8(&block[..count]).expect("the answer is text"));
+    }
+    answer
+}
+
 /// Returns the id line of the last event of all streams.
 fn last_id() -> String {
     format!("id: {}\n", event_count(REQUEST))
@@ -225,3 +231,69 @@
         assert_eq!(upgrades > 0, delay.is_some(), "{upgrades}");
     }
 }
+
+// Guards against a rig in whose runs no stream ends in due form before its last event.
+#[tokio::test]
+async fn a_late_target_ends_a_stream_in_due_form_at_the_deadline_and_made_no_whole_one() {
+    let store = Store::bind().await.expect("a port is free");
+    let target = standin::Target::bind("late", TargetKind::Decode, &store).await;
+    let target = target.expect("a port is free");
+    target.set_own_answers();
+    target.inject_fault(Fault::Late);
+    let fields = "x-deadline-ms: 400\r\n";
+    let answer = ask(target.address, fields, "\r\n0\r\n\r\n").await;
+    assert!(answer.contains("id: 1\n"), "{answer}");
+    assert!(!answer.contains(&last_id()), "{answer}");
+    assert!(answer.ends_with("\r\n0\r\n\r\n"), "{answer}");
+    let run = target.made().pop().expect("it ran");
+    assert!(run.stopped && !run.ended, "{run:?}");
+    let answer = ask(target.address, fields, "\r\n0\r\n\r\n").await;
+    assert!(answer.contains(&last_id()), "{answer}");
+}
+
+#[test]
+fn some_streams_of_callers_that_want_it_are_long_or_have_no_ids() {
+    let (mut long, mut unnumbered) = (0, 0);
+    for number in 0..400 {
+        assert!(event_count(&format!("s1-{number}")) <= 40);
+        assert!(has_ids(&format!("s1-{number}")));
+        let began = format!("{FORMS_PREFIX}1-{number}");
+        let script = Script::of_run("a", &began);
+        long += u32::from(script.count > 40);
+        let first = script.event(1);
+        assert_eq!(first.starts_with("id: 1\n"), has_ids(&began));
+        unnumbered += u32::from(!has_ids(&began));
+        assert_ne!(first, Script::of_run("b", &began).event(1));
+    }
+    assert!(long > 40 && unnumbered > 20, "{long} {unnumbered}");
+}
+
+#[test]
+fn releases_under_ids_and_late_ends_depend_on_the_seed_alone_and_end_before_the_recovery() {
+    let length = Duration::from_secs(20);
+    let (mut upgrades, mut late_ends) = (0, 0);
+    for seed in 0..40 {
+        let draw = || {
+            let mut steps = plan::draw_releases(seed, length, &[1, 4], plan::ENTRY_DELAY);
+            steps.extend(plan::draw_late_ends(seed, length, &[0, 2]));
+            steps
+        };
+        let steps = draw();
+        assert_eq!(steps, draw());
+        assert_eq!(steps.is_empty(), plan::is_planned_only(seed), "seed {seed}");
+        for step in steps {
+            let mut end = step.at + step.action.duration();
+            match step.action {
+                Action::Process(1 | 4, ProcessFault::Upgrade(late), _) => {
+                    assert!(late <= plan::ENTRY_DELAY);
+                    end += late;
+                    upgrades += 1;
+                }
+                Action::Target(0 | 2, TargetFault::Late, 1..) => late_ends += 1,
+                other => panic!("{other:?}"),
+            }
+            assert!(end <= length.mul_f64(0.7), "{end:?}");
+        }
+    }
+    assert!(upgrades > 200 && late_ends > 100, "{upgrades} {late_ends}");
+}
--- a/crates/cactuslane/src/soak.rs
+++ b/crates/cactuslane/src/soak.rs
@@ -46,7 +46,7 @@
     #[argh(option)]
     cpu_share: Option<f64>,
     /// longest time in seconds by which the entry of a target follows its start under the same id with
-    /// another version (default: no target starts so)
+    /// another version (default: 0.8 in the releases of a site's targets; otherwise no target starts so)
     #[argh(option)]
     entry_delay: Option<f64>,
     /// skip guarantees with a time bound, for machines that are short of processor time
@@ -111,6 +111,7 @@
         report.write(&options.folder).map_err(failed)?;
         println!("{}", report.summary());
         println!("  {}", report.usage.summary());
+        println!("  {}", report.situations());
         for stall in &report.stalls {
             println!("  the run itself stood still: {stall}");
         }
