--- a/crates/cactuslane-soak/src/deployment/apply.rs
+++ b/crates/cactuslane-soak/src/deployment/apply.rs
@@ -1,8 +1,9 @@
 //! The steps of a plan, as they are applied to a deployment.
 
 use std::io;
+use std::time::Duration;
 
-use cactuslane_platform_standin::Mode;
+use cactuslane_platform_standin::{Fault, Mode};
 use rustix::process::Signal;
 use tokio::time::Instant;
 
@@ -11,6 +12,10 @@
 use crate::follow_ups::FollowUp;
 use crate::plan::{Action, TargetFault};
 
+/// Time after which the late ends of a step that no request has met are removed, so that their streams
+/// end before the system must have recovered.
+const LATE_TIME: Duration = Duration::from_secs(3);
+
 impl Deployment {
     /// Applies a step, schedules its end and records it as a fault unless it is planned; faults of
     /// targets are recorded when requests have met all of them, those of target processes when the
@@ -72,7 +77,10 @@
                     self.targets[number].inject_fault(standin_fault(fault));
                 }
                 // A slow stream is no reason to cut an answer before its deadline.
-                if fault != TargetFault::Late {
+                if fault == TargetFault::Late {
+                    let end = now + LATE_TIME;
+                    self.follow_ups.schedule(end, FollowUp::EndLate(number));
+                } else {
                     self.target_faults.entry(number).or_insert(now);
                 }
             }
@@ -129,6 +137,7 @@
             FollowUp::HealStore => self.store.set_mode(Mode::Serving),
             FollowUp::HealStoreLink(number) => self.store_links[number].heal(),
             FollowUp::HealTargetLink(number) => self.target_links[number].heal(),
+            FollowUp::EndLate(number) => self.targets[number].remove_faults(Fault::Late),
             FollowUp::EndFault(id) => {
                 if let Some(links) = &self.links {
                     links.end(id);
--- a/crates/cactuslane-soak/src/follow_ups.rs
+++ b/crates/cactuslane-soak/src/follow_ups.rs
@@ -17,6 +17,8 @@
     HealStoreLink(usize),
     /// Ends the fault on the connections to a target.
     HealTargetLink(usize),
+    /// Removes the late ends of a target that no request has met.
+    EndLate(usize),
     /// Ends a fault of paths.
     EndFault(FaultId),
     /// Ends the drain of a target that started at the given time.
--- a/crates/cactuslane-soak/tests/targets.rs
+++ b/crates/cactuslane-soak/tests/targets.rs
@@ -247,6 +247,11 @@
     assert!(answer.ends_with("\r\n0\r\n\r\n"), "{answer}");
     let run = target.made().pop().expect("it ran");
     assert!(run.stopped && !run.ended, "{run:?}");
+    target.inject_fault(Fault::Late);
+    target.inject_fault(Fault::Fail);
+    target.remove_faults(Fault::Late);
+    let answer = ask(target.address, fields, "{}").await;
+    assert!(answer.starts_with("HTTP/1.1 500"), "{answer}");
     let answer = ask(target.address, fields, "\r\n0\r\n\r\n").await;
     assert!(answer.contains(&last_id()), "{answer}");
 }
