End the processes of a soak when a signal ends it

Cause: the soak had no handler for SIGTERM, SIGINT and SIGHUP, so that it ended without dropping its instances; targets end with their standard input, but instances do not, least of all one that is stopped in its slice. Change: a signal ends the runs by dropping them, whose guards kill each process by its id. A soak that is killed with SIGKILL still leaves its instances.

--- a/crates/cactuslane/src/soak.rs
+++ b/crates/cactuslane/src/soak.rs
@@ -7,6 +7,7 @@
 use cactuslane_platform::Shape;
 use cactuslane_soak::findings::Summary;
 use cactuslane_soak::{Options, layout, run};
+use tokio::signal::unix::{SignalKind, signal};
 
 use crate::CommandError;
 
@@ -58,8 +59,25 @@
     output: PathBuf,
 }
 
-/// Runs one soak per seed and prints each summary and violation; fails if a guarantee was violated.
+/// Performs the runs until a signal ends them, and with them the processes that they started.
 pub async fn execute(command: &SoakCommand) -> Result<(), CommandError> {
+    let failed = |error: std::io::Error| CommandError::Failed(error.to_string());
+    let mut terminate = signal(SignalKind::terminate()).map_err(failed)?;
+    let mut interrupt = signal(SignalKind::interrupt()).map_err(failed)?;
+    let mut hang_up = signal(SignalKind::hangup()).map_err(failed)?;
+    let name = tokio::select! {
+        result = perform(command) => return result,
+        _ = terminate.recv() => "SIGTERM",
+        _ = interrupt.recv() => "SIGINT",
+        _ = hang_up.recv() => "SIGHUP",
+    };
+    Err(CommandError::Failed(format!(
+        "{name} ended the run, which has no report; the processes that it started are killed"
+    )))
+}
+
+/// Runs one soak per seed and prints each summary and violation; fails if a guarantee was violated.
+async fn perform(command: &SoakCommand) -> Result<(), CommandError> {
     let shape = match &command.site {
         Some(path) => Some(read_site(path)?),
         None => None,
--- a/crates/cactuslane/tests/soak.rs
+++ b/crates/cactuslane/tests/soak.rs
@@ -1,7 +1,8 @@
 //! Short soak runs with fixed seeds, without the guarantees that have a time bound.
 
-use std::path::PathBuf;
-use std::time::Duration;
+use std::path::{Path, PathBuf};
+use std::process::{Command, Stdio};
+use std::time::{Duration, Instant};
 
 use cactuslane_platform::Shape;
 use cactuslane_soak::{Options, Report, run};
@@ -117,3 +118,76 @@
     let paths = soak(options).await.paths;
     assert!(!paths.faults.is_empty() && paths.unbound == 0, "{paths:?}");
 }
+
+/// Returns the ids and states of the processes whose command line names a folder, by `/proc`.
+fn processes_of(folder: &Path) -> Vec<(String, char)> {
+    let folder = folder.to_str().expect("it is text");
+    let entries = std::fs::read_dir("/proc").expect("processes can be listed");
+    let process = |entry: std::io::Result<std::fs::DirEntry>| {
+        let path = entry.ok()?.path();
+        let line = std::fs::read(path.join("cmdline")).ok()?;
+        let stat = std::fs::read_to_string(path.join("stat")).ok()?;
+        let state = stat.rsplit_once(") ")?.1.chars().next()?;
+        let id = path.file_name()?.to_str()?.to_owned();
+        let is_one = String::from_utf8_lossy(&line).contains(folder);
+        is_one.then_some((id, state))
+    };
+    entries.filter_map(process).collect()
+}
+
+/// Sends a signal, named without `SIG`, to a process.
+fn send_signal(name: &str, id: &str) {
+    let sent = Command::new("kill")
+        .args([&format!("-{name}"), id])
+        .status();
+    assert!(sent.expect("kill runs").success());
+}
+
+// Guards against instances and targets that go on after the end of the soak that started them; one of
+// them was stopped in its slice.
+#[parameterized(
+    terminated = { "TERM" },
+    interrupted = { "INT" },
+    hung_up = { "HUP" },
+)]
+fn a_soak_that_a_signal_ends_leaves_no_process(signal: &str) {
+    let folder = format!("cactuslane-ended-{signal}-{}", std::process::id());
+    let folder = std::env::temp_dir().join(folder);
+    let site = concat!(env!("CARGO_MANIFEST_DIR"), "/../../deploy/soak.toml");
+    let mut soak = Command::new(env!("CARGO_BIN_EXE_cactuslane"))
+        .args(["soak", "--site", site, "--seed", "5", "--seconds", "60"])
+        .arg("--output")
+        .arg(&folder)
+        .stdout(Stdio::null())
+        .spawn()
+        .expect("the soak starts");
+    let id = soak.id().to_string();
+    let others = || {
+        let mut found = processes_of(&folder);
+        found.retain(|(other, _)| *other != id);
+        found
+    };
+    // Three instances and some targets, one of them stopped.
+    loop {
+        let found = others();
+        if found.len() > 4 && found.iter().any(|(_, state)| *state == 'T') {
+            break;
+        }
+        let ended = soak.try_wait().expect("its state is known");
+        assert_eq!(ended, None, "the soak ended by itself");
+        std::thread::sleep(Duration::from_millis(5));
+    }
+    send_signal(signal, &id);
+    assert!(!soak.wait().expect("the soak ends").success());
+    let since = Instant::now();
+    let mut left = others();
+    while !left.is_empty() && since.elapsed() < Duration::from_secs(20) {
+        std::thread::sleep(Duration::from_millis(50));
+        left = others();
+    }
+    for (id, _) in &left {
+        send_signal("KILL", id);
+    }
+    std::fs::remove_dir_all(&folder).expect("the folder is removed");
+    assert!(left.is_empty(), "{left:?} are left");
+}
