--- a/crates/cactuslane-soak/tests/steps.rs
+++ b/crates/cactuslane-soak/tests/steps.rs
@@ -52,6 +52,34 @@
     (folder, binary)
 }
 
+// Guards against processes that go on after a panic of the soak.
+#[test]
+fn a_panic_ends_the_process_of_an_instance() {
+    let (folder, binary) = silent_binary("panic");
+    let id = folder.join("id");
+    let script = format!("#!/bin/sh\necho $$ > {}\nexec sleep 60\n", id.display());
+    fs::write(&binary, script).expect("the program is written");
+    let store = ([127, 0, 0, 1], 1).into();
+    let path = folder.clone();
+    let ended = std::thread::spawn(move || {
+        let mut instance =
+            Instance::new("front-0", Ipv4Addr::LOCALHOST, &binary, &path, store, store);
+        instance.start().expect("the process starts");
+        while fs::read_to_string(&id).map_or(true, |id| !id.ends_with('\n')) {
+            std::thread::yield_now();
+        }
+        panic!("as the test asks");
+    });
+    assert!(ended.join().is_err());
+    let id = fs::read_to_string(folder.join("id")).expect("it was written");
+    // The process is killed, and a thread waits for its end.
+    let process = PathBuf::from("/proc").join(id.trim());
+    while process.exists() {
+        std::thread::yield_now();
+    }
+    fs::remove_dir_all(&folder).expect("the folder is removed");
+}
+
 // Seeds 44023 and 44026: no step was applied any more from some moment on. A start that waited for
 // its process could stop the loop.
 #[test]
