Play releases that instances do not see, and take streams up at cut-off instances

Change: with a site's shape one instance after the other is cut off from all targets; the targets of engines begin at the first version and are released to the second one while one instance is silently cut off from the store and the others and another one is stopped; callers leave more streams, take most of them up at these instances, half of them with odd headers. The report counts it all.

--- a/crates/cactuslane-soak/src/deployment.rs
+++ b/crates/cactuslane-soak/src/deployment.rs
@@ -20,9 +20,10 @@
 use crate::layout::Layout;
 use crate::links::{Links, Source};
 use crate::load::SharedAddresses;
+use crate::load::aims::SharedAims;
 use crate::options::Options;
 use crate::passed::PathFigures;
-use crate::plan::{self, PlanStep};
+use crate::plan::{self, PlanStep, Release};
 use crate::probes::Probes;
 use crate::process::Instance;
 use crate::proxy::Proxy;
@@ -61,6 +62,8 @@
     log_starts: Vec<u64>,
     /// Addresses of instances that callers send requests to.
     pub(crate) addresses: SharedAddresses,
+    /// Instances at which callers prefer to take streams up.
+    pub(crate) aims: SharedAims,
     /// Version of the configuration that was written last.
     pub(crate) version: u64,
     /// Observations for the checks.
@@ -79,11 +82,16 @@
 impl Deployment {
     /// Starts stand-ins, proxies and instances, and waits until an instance lists the addresses of
     /// all.
-    pub(crate) async fn start(options: &Options) -> io::Result<Self> {
+    ///
+    /// With `release` all targets of engines begin at the first version.
+    pub(crate) async fn start(options: &Options, release: Option<&Release>) -> io::Result<Self> {
         let store = Store::bind().await?;
         let platform = DutyEndpoint::bind().await?;
         let (mut targets, mut target_links) = (Vec::new(), Vec::new());
-        let layout = Layout::of(options);
+        let mut layout = Layout::of(options);
+        if release.is_some() {
+            set_first_version(&mut layout);
+        }
         for spec in &layout.tasks {
             let target = Target::bind(&spec.id, spec.kind, &store).await?;
             let link = Proxy::bind(target.address).await?;
@@ -153,6 +161,7 @@
             instances,
             log_starts,
             addresses: SharedAddresses::default(),
+            aims: SharedAims::default(),
             version: 1,
             observations: Observations::default(),
             follow_ups: FollowUps::default(),
@@ -191,12 +200,12 @@
     /// Applies the steps and polls the instances until `length` has passed since `began`.
     pub(crate) async fn play(
         &mut self,
-        steps: &[PlanStep],
-        began: Instant,
-        length: Duration,
+        plan: &[PlanStep],
+        release: Option<&Release>,
+        (began, length): (Instant, Duration),
     ) -> io::Result<()> {
         let end = began + length;
-        let mut steps = steps.iter().peekable();
+        let mut steps = plan.iter().peekable();
         let mut next_poll = began;
         while Instant::now() < end {
             let now = Instant::now();
@@ -210,6 +219,7 @@
                 self.apply_follow_up(&follow_up)?;
                 self.note_stall(&follow_up, since, began);
             }
+            self.aim(plan, release, now.duration_since(began));
             let since = Instant::now();
             self.poll_started()?;
             self.workers.tick(&self.store)?;
@@ -233,6 +243,25 @@
         Ok(())
     }
 
+    /// Sets the instances at which callers prefer to take streams up at a time since the start of the
+    /// run.
+    fn aim(&self, plan: &[PlanStep], release: Option<&Release>, at: Duration) {
+        let addresses = |numbers: Vec<usize>| {
+            let address = |number: usize| {
+                let front = self.instances[number].addresses()?.front;
+                Some(self.callers_address(front))
+            };
+            numbers.into_iter().filter_map(address).collect()
+        };
+        let (cut, blind) = (
+            addresses(plan::cut_off(plan, at)),
+            addresses(plan::blind(plan, at)),
+        );
+        let mut aims = self.aims.lock().unwrap_or_else(PoisonError::into_inner);
+        (aims.cut, aims.blind) = (cut, blind);
+        aims.is_releasing = release.is_some_and(|release| release.is_at(at));
+    }
+
     /// Reads what the processes used so far.
     pub(crate) fn read_usage(&mut self) -> Usage {
         let mut usage = Usage {
@@ -332,3 +361,10 @@
 fn instance_name(number: usize) -> String {
     format!("front-{number}")
 }
+
+/// Gives all targets the first version.
+fn set_first_version(layout: &mut Layout) {
+    for spec in layout.tasks.iter_mut().chain(&mut layout.processes) {
+        spec.is_second = false;
+    }
+}
--- a/crates/cactuslane-soak/src/load.rs
+++ b/crates/cactuslane-soak/src/load.rs
@@ -1,6 +1,7 @@
 //! An open-loop load generator: requests are sent at predetermined times, whether or not earlier
 //! ones have been answered.
 
+pub mod aims;
 mod callers;
 pub mod forms;
 
--- a/crates/cactuslane-soak/src/load/callers.rs
+++ b/crates/cactuslane-soak/src/load/callers.rs
@@ -18,6 +18,7 @@
 use tokio::task::JoinSet;
 use tokio::time::{Instant, sleep, sleep_until, timeout};
 
+use super::aims::SharedAims;
 use super::forms::Form;
 use super::{
     ANSWER_SLACK, DEADLINE, LoadSpec, Outcome, RequestKind, RequestRecord, SharedAddresses, TakenUp,
@@ -37,6 +38,8 @@
 const CONNECT_TIME: Duration = Duration::from_secs(1);
 /// Part of the seed of the forms of requests that tells it from that of the other choices.
 const FORMS_SEED: u64 = 0x0066_6f72_6d73;
+/// Part of the seed of the callers who leave that tells it from that of the other choices.
+const LEAVING_SEED: u64 = 0x6c65_6176_6500;
 
 /// A caller's request and its further attempts.
 struct Attempts {
@@ -50,6 +53,10 @@
     number: usize,
     /// Form of the requests.
     form: Form,
+    /// Whether streams are taken up in a form of their own, and at instances that callers prefer.
+    is_aimed: bool,
+    /// Instances at which callers prefer to take streams up.
+    aims: SharedAims,
     /// Instance that the caller stays with, shared by the requests of the caller.
     kept: Arc<Mutex<Option<SocketAddr>>>,
     /// Addresses of the instances.
@@ -58,12 +65,18 @@
 
 /// Sends a load, in which callers take up streams that were cut, and returns the records of its
 /// requests; those of the attempts at one stream follow each other.
-pub async fn send(spec: &LoadSpec, addresses: &SharedAddresses) -> Vec<RequestRecord> {
+pub async fn send(
+    spec: &LoadSpec,
+    addresses: &SharedAddresses,
+    aims: &SharedAims,
+) -> Vec<RequestRecord> {
     let clients: Vec<Client> = (0..CALLER_COUNT).map(|_| Client::open()).collect();
     let kept: Vec<Arc<Mutex<Option<SocketAddr>>>> =
         (0..CALLER_COUNT).map(|_| Arc::default()).collect();
     let mut rng = Pcg64Mcg::seed_from_u64(spec.seed ^ 1);
     let mut forms = Pcg64Mcg::seed_from_u64(spec.seed ^ FORMS_SEED);
+    let mut leaving = Pcg64Mcg::seed_from_u64(spec.seed ^ LEAVING_SEED);
+    let is_aimed = spec.unusual > 0.0;
     let began = Instant::now();
     let mut tasks = JoinSet::new();
     let mut records = Vec::new();
@@ -74,12 +87,18 @@
         }
         let front = choose(addresses, &mut rng);
         let key = number.checked_rem(spec.keys.len());
+        let mut form = Form::draw(&mut forms, spec.unusual);
+        if is_aimed && spec.kinds[kind].stream && !spec.kinds[kind].once {
+            form.leave_often(&mut leaving);
+        }
         let attempts = Attempts {
             client: clients[number % CALLER_COUNT].clone(),
             kind: (kind, spec.kinds[kind].clone()),
             key: key.map(|key| (key, spec.keys[key].clone())),
             number,
-            form: Form::draw(&mut forms, spec.unusual),
+            form,
+            is_aimed,
+            aims: aims.clone(),
             kept: kept[number % CALLER_COUNT].clone(),
             addresses: addresses.clone(),
         };
@@ -104,7 +123,7 @@
         seed: u64,
     ) -> Vec<RequestRecord> {
         let front = self.kept_or(front);
-        let mut attempts = vec![self.send(due, id.clone(), front, None).await];
+        let mut attempts = vec![self.send(due, id.clone(), front, None, &self.form).await];
         let mut rng = Pcg64Mcg::seed_from_u64(seed);
         for repeat in 0..self.form.repeats {
             let status = attempts.last().and_then(|last| last.outcome.status());
@@ -113,7 +132,7 @@
             }
             let front = choose(&self.addresses, &mut rng);
             let id = format!("{id}-r{repeat}");
-            attempts.push(self.send(Instant::now(), id, front, None).await);
+            attempts.push(self.send(Instant::now(), id, front, None, &self.form).await);
         }
         let kind = &self.kind.1;
         if !kind.stream || kind.once {
@@ -125,13 +144,27 @@
                 break;
             };
             sleep(Duration::from_millis(rng.random_range(TAKE_UP_MS))).await;
-            let front = choose(&self.addresses, &mut rng);
+            let (front, form) = self.take_up(&mut rng);
             let id = format!("{id}-{}", attempts.len());
-            attempts.push(self.send(Instant::now(), id, front, Some(taken_up)).await);
+            let sent = self.send(Instant::now(), id, front, Some(taken_up), &form);
+            attempts.push(sent.await);
         }
         attempts
     }
 
+    /// Returns the instance at which the caller takes a stream up, and the form of the request.
+    fn take_up(&self, rng: &mut Pcg64Mcg) -> (Option<SocketAddr>, Form) {
+        let front = choose(&self.addresses, rng);
+        if !self.is_aimed {
+            return (front, self.form.clone());
+        }
+        let form = self.form.of_take_up(rng);
+        let mut aims = self.aims.lock().unwrap_or_else(PoisonError::into_inner);
+        let front = aims.choose(front, rng);
+        aims.count(front, form.has_odd_place());
+        (front, form)
+    }
+
     /// Returns the instance that the caller stays with, if it does, or else `front`.
     fn kept_or(&self, front: Option<SocketAddr>) -> Option<SocketAddr> {
         if !self.form.stays {
@@ -151,6 +184,7 @@
         id: String,
         front: Option<SocketAddr>,
         taken_up: Option<TakenUp>,
+        form: &Form,
     ) -> RequestRecord {
         let request = front.map(|front| self.build(front, &id, taken_up.as_ref()));
         let deadline = self.kind.1.deadline.unwrap_or(DEADLINE);
@@ -158,9 +192,8 @@
         let outcome = match (request, front) {
             (Some(request), Some(front)) => {
                 let exchange = async {
-                    if self.form.is_alone() {
-                        self.exchange_alone(front, request, &id, &mut first_byte)
-                            .await
+                    if form.is_alone() {
+                        exchange_alone(front, request, &id, &mut first_byte, form).await
                     } else {
                         exchange(&self.client, request, &id, &mut first_byte).await
                     }
@@ -222,34 +255,6 @@
         }
         request
     }
-
-    /// Sends a request in the caller's form on a connection of its own, and reads its answer.
-    async fn exchange_alone(
-        &self,
-        front: SocketAddr,
-        mut request: Request<Full<Bytes>>,
-        id: &str,
-        first_byte: &mut Option<Instant>,
-    ) -> Outcome {
-        self.form.apply(&mut request);
-        let Ok(Ok(stream)) = timeout(CONNECT_TIME, TcpStream::connect(front)).await else {
-            return Outcome::Unsent;
-        };
-        let cut = Outcome::Cut {
-            status: None,
-            body: Vec::new(),
-        };
-        let Ok((mut sender, connection)) = http1::handshake(TokioIo::new(stream)).await else {
-            return cut;
-        };
-        let mut tasks = JoinSet::new();
-        tasks.spawn(connection);
-        // The connection is closed as the task ends with this set.
-        match sender.send_request(request).await {
-            Ok(response) => read_answer(response, id, first_byte, &self.form).await,
-            Err(_) => cut,
-        }
-    }
 }
 
 /// Returns a random address of an instance, if any is known.
@@ -315,6 +320,34 @@
     }
 }
 
+/// Sends a request in a form on a connection of its own, and reads its answer.
+async fn exchange_alone(
+    front: SocketAddr,
+    mut request: Request<Full<Bytes>>,
+    id: &str,
+    first_byte: &mut Option<Instant>,
+    form: &Form,
+) -> Outcome {
+    form.apply(&mut request);
+    let Ok(Ok(stream)) = timeout(CONNECT_TIME, TcpStream::connect(front)).await else {
+        return Outcome::Unsent;
+    };
+    let cut = Outcome::Cut {
+        status: None,
+        body: Vec::new(),
+    };
+    let Ok((mut sender, connection)) = http1::handshake(TokioIo::new(stream)).await else {
+        return cut;
+    };
+    let mut tasks = JoinSet::new();
+    tasks.spawn(connection);
+    // The connection is closed as the task ends with this set.
+    match sender.send_request(request).await {
+        Ok(response) => read_answer(response, id, first_byte, form).await,
+        Err(_) => cut,
+    }
+}
+
 /// Reads the body of an answer up to its end, to the failure of the connection or to the point where
 /// the caller leaves.
 async fn read_answer(
--- a/crates/cactuslane-soak/src/load/forms.rs
+++ b/crates/cactuslane-soak/src/load/forms.rs
@@ -14,6 +14,10 @@
 const OTHER_HEADER: &str = "x-kiosk";
 /// Range of the numbers of blocks of a body after which a caller leaves.
 const LEAVE_BLOCKS: std::ops::Range<usize> = 1..8;
+/// Share of the streams that can be taken up of which a caller leaves the first attempt.
+const LEAVE_SHARE: f64 = 0.4;
+/// Share of the callers who left an attempt and leave the next one too.
+const LEAVE_AGAIN: f64 = 0.3;
 /// Time that a slow caller takes for a block of a body.
 const SLOW_TIME: Duration = Duration::from_millis(70);
 /// Number of times that an impatient caller repeats a refused request at once.
@@ -72,6 +76,40 @@
         form
     }
 
+    /// Returns the form in which a caller takes up a stream: half of the time with odd headers of the
+    /// place, and rarely to leave again.
+    #[must_use]
+    pub fn of_take_up(&self, rng: &mut Pcg64Mcg) -> Self {
+        let mut form = self.clone();
+        (form.listed, form.doubled) = (Vec::new(), Vec::new());
+        form.leaves = form.leaves.filter(|_| rng.random_bool(LEAVE_AGAIN));
+        if rng.random_bool(0.5) {
+            let count = rng.random_range(1..=TAKE_UP_HEADERS.len());
+            let names = TAKE_UP_HEADERS.choose_multiple(rng, count);
+            let names = names.copied().collect();
+            if rng.random_bool(0.75) {
+                form.listed = names;
+            } else {
+                form.doubled = names;
+            }
+        }
+        form
+    }
+
+    /// Returns whether the headers of the place are listed or come twice.
+    #[must_use]
+    pub fn has_odd_place(&self) -> bool {
+        let mut names = self.listed.iter().chain(&self.doubled);
+        names.any(|name| TAKE_UP_HEADERS.contains(name))
+    }
+
+    /// Lets the caller leave in the middle of the answer with a probability.
+    pub fn leave_often(&mut self, rng: &mut Pcg64Mcg) {
+        if rng.random_bool(LEAVE_SHARE) {
+            self.leaves = Some(rng.random_range(LEAVE_BLOCKS));
+        }
+    }
+
     /// Returns whether requests need a connection of their own.
     #[must_use]
     pub fn is_alone(&self) -> bool {
--- a/crates/cactuslane-soak/src/passed.rs
+++ b/crates/cactuslane-soak/src/passed.rs
@@ -21,6 +21,8 @@
     pub passed: u64,
     /// Number of those that take up a stream after an event.
     pub passed_resumptions: u64,
+    /// Number of those whose headers state the place in an odd form.
+    pub passed_odd: u64,
     /// Number of requests of another instance that an instance took.
     pub taken: u64,
     /// Number of answers to such requests that arrived whole.
@@ -62,6 +64,8 @@
                     self.passed += 1;
                     let is_resumption = line["last_event"].as_u64().is_some_and(|last| last > 0);
                     self.passed_resumptions += u64::from(is_resumption);
+                    let is_odd = line["odd_headers"] == true;
+                    self.passed_odd += u64::from(is_resumption && is_odd);
                 }
                 "request of another instance taken" => self.taken += 1,
                 "passed answer ended" => self.answered += 1,
--- a/crates/cactuslane-soak/src/plan.rs
+++ b/crates/cactuslane-soak/src/plan.rs
@@ -1,6 +1,7 @@
 //! The faults and planned changes of one run, drawn from a seed.
 
 mod paths;
+mod releases;
 mod targets;
 
 use std::time::Duration;
@@ -12,6 +13,7 @@
 use serde::Serialize;
 
 pub use self::paths::{PathFault, Scope, domain, draw_paths};
+pub use self::releases::{Release, blind, cut_off, draw_cuts};
 pub use targets::{draw_moods, draw_successions};
 
 /// Mean time between two steps of a plan; each gap is uniformly distributed from 0.1 to 1.9 times
@@ -197,6 +199,14 @@
     Late(Duration),
 }
 
+impl ProcessFault {
+    /// Returns whether the target has the same id and version afterwards.
+    #[must_use]
+    pub fn keeps_version(self) -> bool {
+        matches!(self, Self::Kill | Self::Freeze | Self::Slow)
+    }
+}
+
 impl Action {
     /// Returns whether the action is a planned change, which is a routine operation of the
     /// platform's operators that must not cut answers, rather than a fault.
--- a/crates/cactuslane-soak/src/plan/paths.rs
+++ b/crates/cactuslane-soak/src/plan/paths.rs
@@ -62,6 +62,17 @@
     Late(Duration),
 }
 
+impl PathFault {
+    /// Returns whether no new connection is made.
+    #[must_use]
+    pub fn cuts(self) -> bool {
+        matches!(
+            self,
+            Self::Silent | Self::CutUp | Self::CutDown | Self::Refused
+        )
+    }
+}
+
 /// Draws the faults of paths, in the order of their times; none if the plan with the same seed
 /// consists of planned changes alone.
 ///
--- a/crates/cactuslane-soak/src/report.rs
+++ b/crates/cactuslane-soak/src/report.rs
@@ -12,6 +12,7 @@
 use crate::check::{CheckCounts, Violation};
 use crate::figures::{Figures, Usage, WorkerFigures, format_seconds};
 use crate::findings::Finding;
+use crate::load::aims::TakeUpFigures;
 use crate::passed::PathFigures;
 use crate::plan::PlanStep;
 use crate::plot;
@@ -43,6 +44,10 @@
     pub usage: Usage,
     /// Faults of the paths, and what instances did about them.
     pub paths: PathFigures,
+    /// Number of releases of services beside instances that did not see them.
+    pub releases: u64,
+    /// Counts of the streams that callers took up.
+    pub take_ups: TakeUpFigures,
     /// Statistics of the load.
     pub figures: Figures,
 }
@@ -68,7 +73,8 @@
         format!(
             "seed {}: {} steps, {served} of {sent} requests served, {checks} checks, {} broken, {} \
              target processes killed, {} answers without a length cut by it, {} faults of paths, \
-             {} requests passed on, {} of them to take up a stream",
+             {} requests passed on, {} of them to take up a stream, {} of these with odd headers, \
+             {} releases; {}",
             self.seed,
             self.steps.len(),
             self.violations.len(),
@@ -77,6 +83,9 @@
             self.paths.faults.values().sum::<u64>(),
             self.paths.passed,
             self.paths.passed_resumptions,
+            self.paths.passed_odd,
+            self.releases,
+            self.take_ups.summary(),
         )
     }
 
--- a/crates/cactuslane-soak/src/run.rs
+++ b/crates/cactuslane-soak/src/run.rs
@@ -2,8 +2,10 @@
 
 use std::io;
 use std::path::Path;
+use std::sync::PoisonError;
 use std::time::Duration;
 
+use cactuslane_platform_standin::TargetKind;
 use tokio::time::{Instant, sleep};
 
 use crate::check;
@@ -11,11 +13,11 @@
 use crate::deployment::Deployment;
 use crate::figures::Figures;
 use crate::findings::{self, RunRecords};
-use crate::layout;
+use crate::layout::{self, Layout};
 use crate::load::{self, LoadSpec};
 use crate::made::Made;
 use crate::options::Options;
-use crate::plan::{self, PlanStep};
+use crate::plan::{self, PlanStep, Release};
 use crate::report::Report;
 use crate::workers::KILLED_TARGETS;
 
@@ -36,8 +38,20 @@
 pub async fn run(options: &Options) -> io::Result<Report> {
     std::fs::create_dir_all(&options.folder)?;
     remove_records(&options.folder)?;
-    let mut deployment = Deployment::start(options).await?;
-    let steps = draw_steps(options, &deployment);
+    let released = released(options);
+    let (seed, length) = (options.seed, options.length);
+    let release = Release::draw(seed, length, options.instances, &released);
+    let release = release.as_ref();
+    let mut deployment = Deployment::start(options, release).await?;
+    let mut steps = draw_steps(options, &deployment);
+    if options.links && options.shape.is_some() {
+        let cuts = plan::draw_cuts(seed, length, options.instances, release);
+        steps.extend(cuts);
+    }
+    if let Some(release) = release {
+        release.join(&mut steps, &released);
+    }
+    steps.sort_by_key(|step| step.at);
     let spec = LoadSpec {
         length: options.length,
         rate: options.rate,
@@ -48,12 +62,12 @@
         unusual: options.unusual,
     };
     let began = Instant::now();
-    let addresses = deployment.addresses.clone();
+    let (addresses, aims) = (deployment.addresses.clone(), deployment.aims.clone());
     let callers = {
         let spec = spec.clone();
-        tokio::spawn(async move { load::send(&spec, &addresses).await })
+        tokio::spawn(async move { load::send(&spec, &addresses, &aims).await })
     };
-    deployment.play(&steps, began, options.length).await?;
+    deployment.play(&steps, release, (began, length)).await?;
     let records = callers.await.map_err(io::Error::other)?;
     sleep(SETTLE_TIME).await;
     for target in &deployment.targets {
@@ -96,6 +110,8 @@
     };
     let findings = findings::write(&found, &violations)?;
     let figures = Figures::from_records(&records, &spec, began);
+    let aims = deployment.aims.lock();
+    let take_ups = aims.unwrap_or_else(PoisonError::into_inner).figures;
     Ok(Report {
         seed: options.seed,
         length: options.length,
@@ -108,11 +124,25 @@
         processes,
         usage,
         paths,
+        releases: u64::from(release.is_some()),
+        take_ups,
         figures,
     })
 }
 
-/// Draws the steps of a run, in the order of their times.
+/// Returns the numbers of the targets that are processes and are released together: those of engines
+/// in the shape of a deployment, whose paths have links.
+fn released(options: &Options) -> Vec<usize> {
+    if options.shape.is_none() || !options.links {
+        return Vec::new();
+    }
+    let processes = Layout::of(options).processes;
+    let released = processes.iter().enumerate();
+    let released = released.filter(|(_, spec)| spec.kind != TargetKind::Plain);
+    released.map(|(number, _)| number).collect()
+}
+
+/// Draws the steps of a run but those of a release.
 fn draw_steps(options: &Options, deployment: &Deployment) -> Vec<PlanStep> {
     let mut steps = plan::draw(
         options.seed,
@@ -137,7 +167,6 @@
     if silent > 0 {
         steps.extend(plan::draw_silences(options.seed, options.length, silent));
     }
-    steps.sort_by_key(|step| step.at);
     steps
 }
 
--- a/crates/cactuslane-soak/tests/forms.rs
+++ b/crates/cactuslane-soak/tests/forms.rs
@@ -75,3 +75,25 @@
     assert_eq!(headers["last-event-id"], "3");
     assert!(!headers.contains_key("x-absent"));
 }
+
+// Guards against take-ups that hardly ever have odd headers.
+#[test]
+fn half_of_the_streams_are_taken_up_with_odd_headers() {
+    let mut rng = Pcg64Mcg::seed_from_u64(9);
+    let form = Form {
+        closes: true,
+        ..Form::default()
+    };
+    let forms: Vec<Form> = (0..400).map(|_| form.of_take_up(&mut rng)).collect();
+    assert!(forms.iter().all(|form| form.closes));
+    let count = |has: fn(&Form) -> bool| forms.iter().filter(|form| has(form)).count();
+    let odd = count(Form::has_odd_place);
+    assert!((150..250).contains(&odd), "{odd}");
+    for name in ["last-event-id", "resumes"] {
+        let of = |list: fn(&Form) -> &Vec<&'static str>| {
+            let has = |form: &&Form| list(form).contains(&name);
+            forms.iter().filter(has).count()
+        };
+        assert!(of(|form| &form.listed) > 50 && of(|form| &form.doubled) > 10);
+    }
+}
--- a/crates/cactuslane/src/load.rs
+++ b/crates/cactuslane/src/load.rs
@@ -7,6 +7,7 @@
 
 use argh::FromArgs;
 use cactuslane_soak::figures::Figures;
+use cactuslane_soak::load::aims::SharedAims;
 use cactuslane_soak::{LoadSpec, RequestKind, compare, load};
 use tokio::time::Instant;
 
@@ -82,7 +83,7 @@
     };
     let addresses = Arc::new(Mutex::new(command.addresses.clone()));
     let start = Instant::now();
-    let records = load::send(&spec, &addresses).await;
+    let records = load::send(&spec, &addresses, &SharedAims::default()).await;
     let figures = Figures::from_records(&records, &spec, start);
     for (path, kind) in &figures.kinds {
         println!(
