--- a/crates/cactuslane-soak/src/plan/releases.rs
+++ b/crates/cactuslane-soak/src/plan/releases.rs
@@ -26,8 +26,10 @@
 const LEAD: std::ops::Range<f64> = 0.1..0.6;
 /// Time before a release in which its targets and instances have no other disturbance.
 const QUIET_TIME: Duration = Duration::from_millis(2_500);
-/// Range of the times for which an instance is stopped beside a release, in seconds.
-const FREEZE_SECONDS: std::ops::Range<f64> = 2.0..3.5;
+/// Time after a release in which streams of the second version begin, as it is listed.
+const LISTED_TIME: Duration = Duration::from_secs(3);
+/// Range of the times from a release to the end of the stop of an instance, in seconds.
+const THAW_SECONDS: std::ops::Range<f64> = 0.5..3.0;
 /// Range of the durations of cuts from all targets, in seconds.
 const CUT_SECONDS: std::ops::Range<f64> = 2.0..4.0;
 /// Shortest duration of the last one.
@@ -45,6 +47,8 @@
     pub from: Duration,
     /// Time at which all targets that are processes have the second version.
     pub to: Duration,
+    /// Time at which the last instance sees the deployment again.
+    pub until: Duration,
     /// Number of the instance that is cut off.
     pub cut: usize,
     /// Number of the instance that is stopped.
@@ -79,15 +83,17 @@
             at += Duration::from_secs_f64(rng.random_range(TARGET_GAP));
         }
         let to = at + SUCCESSOR_TIME;
-        if to + AFTER_TIME > length.mul_f64(1.0 - RECOVERY_SHARE) {
+        let until = to + LISTED_TIME;
+        if until > length.mul_f64(1.0 - RECOVERY_SHARE) {
             return None;
         }
         let cut = rng.random_range(0..instances);
         let frozen = (cut + rng.random_range(1..instances)) % instances;
         let mut lead = || from.saturating_sub(Duration::from_secs_f64(rng.random_range(LEAD)));
         let (at_cut, at_freeze) = (lead(), lead());
-        let time = to.saturating_sub(at_cut);
-        let frozen_time = Duration::from_secs_f64(rng.random_range(FREEZE_SECONDS));
+        let time = until.saturating_sub(at_cut);
+        let thaw = to + Duration::from_secs_f64(rng.random_range(THAW_SECONDS));
+        let frozen_time = thaw.saturating_sub(at_freeze);
         let beside = [
             (at_cut, Action::StoreLink(cut, LinkFault::Silent, time)),
             (
@@ -101,6 +107,7 @@
         Some(Self {
             from,
             to,
+            until,
             cut,
             frozen,
             steps,
@@ -110,14 +117,13 @@
     /// Adds the release to other steps, of which those are removed that would let its targets have
     /// two versions before, or end or hide it or what is beside it.
     pub fn join(&self, steps: &mut Vec<PlanStep>, targets: &[usize]) {
-        let quiet = self.from.saturating_sub(QUIET_TIME)..self.to;
+        let quiet = self.from.saturating_sub(QUIET_TIME)..self.until;
         steps.retain(|step| {
             let end = step.at + step.action.duration();
             let is_beside = step.at < quiet.end && end >= quiet.start;
             match &step.action {
                 Action::Process(target, fault, _) if targets.contains(target) => {
-                    let is_before = step.at < self.to && !fault.keeps_version();
-                    !is_before && !is_beside
+                    step.at >= self.to || fault.keeps_version() && !is_beside
                 }
                 Action::KillAll(_) => !is_beside,
                 Action::Kill(instance, _)
@@ -135,7 +141,7 @@
     /// Returns whether a time since the start of the run is within the release, or just after it.
     #[must_use]
     pub fn is_at(&self, at: Duration) -> bool {
-        (self.from..self.to + AFTER_TIME).contains(&at)
+        (self.from..self.until + AFTER_TIME).contains(&at)
     }
 }
 
@@ -155,7 +161,7 @@
     while !is_planned_only(seed) && at + SHORTEST_CUT <= end {
         let time = Duration::from_secs_f64(rng.random_range(CUT_SECONDS));
         let time = time.min(end.saturating_sub(at));
-        let beside = release.filter(|release| at < release.to && at + time >= release.from);
+        let beside = release.filter(|release| at < release.until && at + time >= release.from);
         let is_free = |instance: &usize| {
             let is_blind = |release: &Release| [release.cut, release.frozen].contains(instance);
             last != Some(*instance) && !beside.is_some_and(is_blind)
--- a/crates/cactuslane-soak/tests/releases.rs
+++ b/crates/cactuslane-soak/tests/releases.rs
@@ -42,7 +42,7 @@
             continue;
         };
         assert_ne!(release.cut, release.frozen);
-        for at in [release.from, (release.from + release.to) / 2] {
+        for at in [release.from, release.to] {
             let blind = plan::blind(&steps, at);
             assert!(blind.contains(&release.cut) && blind.contains(&release.frozen));
         }
@@ -50,7 +50,7 @@
         for step in &steps {
             let end = step.at + step.action.duration();
             assert!(end <= LENGTH.mul_f64(0.7), "seed {seed}: {step:?}");
-            let is_beside = step.at < release.to && end >= release.from;
+            let is_beside = step.at < release.until && end >= release.from;
             match step.action {
                 Action::Process(target, fault, _)
                     if TARGETS.contains(&target)
@@ -76,7 +76,7 @@
                 || matches!(step.action, Action::Path(Scope::Peers(instance), PathFault::Silent, _) if instance == release.cut)
         };
         let lasts = |step: &&PlanStep| {
-            step.at < release.from && step.at + step.action.duration() >= release.to
+            step.at < release.from && step.at + step.action.duration() >= release.until
         };
         assert_eq!(steps.iter().filter(silent).filter(lasts).count(), 2);
     }
