--- a/crates/cactuslane-gateway/src/processes.rs
+++ b/crates/cactuslane-gateway/src/processes.rs
@@ -21,6 +21,8 @@
 
 /// Maximum time for which an engine is waited for that is to state which process it is.
 const REPORT_TIMEOUT: Duration = Duration::from_millis(450);
+/// Maximum number of connections for one request, as targets close some after an answer.
+const MAX_CONNECTIONS: usize = 2;
 
 /// Returns a connection to the process that registered an engine, for a request with an id, and the
 /// permit to send on it.
@@ -43,32 +45,38 @@
     if may_reuse && let Some(connection) = take_identified(gateway, target, id) {
         return Ok((connection, permit));
     }
-    let pool = &gateway.pool;
-    let connection = pool.connect(&target.id, target.address).await;
-    let mut connection = connection.map_err(attempt_failure)?;
-    let stated = identify(gateway, target, &mut connection, permit).await;
-    let process = stated.map_err(|why| unsent(format!("the process is not known: {why}")))?;
-    if !process.has_registered(target) {
-        info!(
-            request = id,
-            target_id = target.id,
-            process:? = target.started_at,
-            served_by:? = process.started_at();
-            "another process than the registered one"
-        );
-        let now = gateway.now();
-        gateway
-            .fleet()
-            .observe_restarted(&target.id, target.started_at, now);
-        let why = "another process than the registered one answers";
-        return Err(unsent(why.to_owned()));
-    }
-    if !connection.is_ready().await {
-        return Err(unsent("closed after the report".to_owned()));
+    let mut permit = permit;
+    for _ in 0..MAX_CONNECTIONS {
+        let connection = gateway.pool.connect(&target.id, target.address).await;
+        let mut connection = connection.map_err(attempt_failure)?;
+        let stated = identify(gateway, target, &mut connection, permit).await;
+        let process = stated.map_err(|why| unsent(format!("the process is not known: {why}")))?;
+        if !process.has_registered(target) {
+            record_other(gateway, target, process, id);
+            let why = "another process than the registered one answers";
+            return Err(unsent(why.to_owned()));
+        }
+        let acquired = limits::acquire(gateway, target, id).await;
+        permit = acquired.map_err(|wait| unsent(format!("no permit for {wait:?}")))?;
+        if connection.is_ready().await {
+            return Ok((connection, permit));
+        }
     }
-    let permit = limits::acquire(gateway, target, id).await;
-    let permit = permit.map_err(|wait| unsent(format!("no permit for {wait:?}")))?;
-    Ok((connection, permit))
+    Err(unsent("closed after the report".to_owned()))
+}
+
+/// Records that another process of a target answers than the one that wrote its entry.
+fn record_other(gateway: &Gateway, target: &Target, process: ServingProcess, request: &str) {
+    info!(
+        request,
+        target_id = target.id,
+        process:? = target.started_at,
+        served_by:? = process.started_at();
+        "another process than the registered one"
+    );
+    let now = gateway.now();
+    let mut fleet = gateway.fleet();
+    fleet.observe_restarted(&target.id, target.started_at, now);
 }
 
 /// Removes and returns a kept connection whose other end stated to be the process that registered a
