Tell targets no earlier end than the one that their answers are judged by

Parts of milliseconds count as not passed now.

a_target_is_told_no_earlier_end_than_the_deadline: less_than_a_millisecond would have 3,999 in place of 4,000 with the former difference.

--- a/crates/cactuslane-gateway/src/ending.rs
+++ b/crates/cactuslane-gateway/src/ending.rs
@@ -44,6 +44,14 @@
     pub told_deadline: Millis,
 }
 
+/// Returns the time that a target is told, of which a part has passed; it is told in whole milliseconds,
+/// and an earlier end than its answer is judged by would pass for a regular one.
+#[must_use]
+pub fn told_time(left: Duration, passed: Duration) -> Duration {
+    let passed = Duration::from_millis(passed.as_millis() as Millis);
+    left.saturating_sub(passed)
+}
+
 /// Reads the body of a target's answer, which must be whole.
 ///
 /// # Errors
--- a/crates/cactuslane-gateway/src/plain.rs
+++ b/crates/cactuslane-gateway/src/plain.rs
@@ -321,7 +321,7 @@
     *outgoing.method_mut() = request.method.clone();
     *outgoing.uri_mut() = origin_form(&request.uri);
     let params = SendParams {
-        timeout: params.timeout.saturating_sub(began.elapsed()),
+        timeout: ending::told_time(params.timeout, began.elapsed()),
         ..params.clone()
     };
     *outgoing.headers_mut() = exchange::request_headers(&request.headers, &params);
--- a/crates/cactuslane-gateway/tests/instance_state.rs
+++ b/crates/cactuslane-gateway/tests/instance_state.rs
@@ -6,6 +6,7 @@
 use cactuslane_flight::target::{Target, TargetState};
 use cactuslane_gateway::Gateway;
 use cactuslane_gateway::backoff::Backoff;
+use cactuslane_gateway::ending;
 use cactuslane_gateway::fleet::{Effect, Fleet};
 use cactuslane_gateway::members::{Member, Members};
 use cactuslane_gateway::ranking::is_small_deployment;
@@ -347,3 +348,16 @@
     assert!(!fleet.observe_changing("i-1", Some(1), 9_200));
     assert!(ids(&fleet, 9_300).is_empty());
 }
+
+/// Guards against a target that ends a stream at a deadline which the instance does not take for one.
+#[parameterized(
+    nothing_passed = { 0, 4_000 },
+    less_than_a_millisecond = { 900, 4_000 },
+    more_than_one = { 1_900, 3_999 },
+    all = { 5_000_000, 0 },
+)]
+fn a_target_is_told_no_earlier_end_than_the_deadline(passed_us: u64, told_ms: u128) {
+    let passed = Duration::from_micros(passed_us);
+    let told = ending::told_time(Duration::from_secs(4), passed);
+    assert_eq!(told.as_millis(), told_ms);
+}
