--- /dev/null
+++ b/review/rig/cases.rs
@@ -0,0 +1,199 @@
+//! The cases.
+
+use super::store::Store;
+use super::workers::{Engine, Memory, Pace};
+use super::*;
+
+/// Zones of the deployment.
+const ZONES: [&str; 3] = ["hr-south-a", "hr-south-b", "hr-south-c"];
+/// The route of a stream that may not be resumed, as the site's `complaint-digest`.
+const DIGEST: Duration = Duration::from_millis(4000);
+
+/// Plays a case; returns the exit code.
+pub fn play(case: &str, trouble: bool, scratch: &Path) -> io::Result<i32> {
+    match case {
+        "counted" => play_streams(trouble, scratch, Case::Counted),
+        "leaving" => play_streams(trouble, scratch, Case::Leaving),
+        _ => Err(io::Error::other("no such case")),
+    }
+}
+
+/// Cases of streams.
+#[derive(Clone, Copy, PartialEq, Eq)]
+enum Case {
+    /// A burst, in which engines put the tokens of two steps into one event.
+    Counted,
+    /// An engine leaves whose streams end with their connections.
+    Leaving,
+}
+
+/// Returns the configuration.
+fn config() -> String {
+    "{\"version\":7,\"routes\":[{\"name\":\"complaint-digest\",\"host\":\"permits.example\",\"prefix\":\"/digest/\",\"kind\":\"streaming\",\"timeout_ms\":4000,\"target_latency_ms\":1000,\"priority\":1,\"service\":\"clerk-assist\",\"max_attempts\":1,\"sticky\":true,\"resumable\":false,\"gap_aim_ms\":150}],\"services\":[{\"name\":\"clerk-assist\",\"health_path\":\"/health\",\"max_connections\":360,\"protocol\":\"h1\",\"tls\":false,\"engine\":{\"slots\":64,\"kv_capacity\":479042,\"token_kv_bytes\":163840,\"link_mbps\":1700000.0,\"moves\":true,\"backups\":true,\"stride\":7,\"most\":12,\"handle_ttl_s\":5.0,\"stage_switch_s\":3.0,\"pin_ms\":4000.0,\"hold_ms\":2000.0,\"models\":[{\"name\":\"m\"}]}}],\"limits\":{\"max_header_bytes\":16384,\"max_body_bytes\":4194304,\"header_timeout_ms\":3000,\"idle_timeout_ms\":15000}}".to_owned()
+}
+
+/// What a client saw of one request.
+struct Outcome {
+    id: String,
+    /// Whether an answer was read on the connection before.
+    kept: bool,
+    sent: Duration,
+    ended: Duration,
+    seen: Seen,
+}
+
+/// Sends a request on a connection, on a new one if there is none.
+fn send(
+    connection: &mut Option<Connection>,
+    front: SocketAddr,
+    tokens: usize,
+) -> io::Result<Outcome> {
+    if connection.is_none() {
+        *connection = Some(Connection::open(front)?);
+    }
+    let open = connection.as_mut().expect("it was opened");
+    let id = format!("{:016x}", unique());
+    let part = unique() & 0xffff_ffff;
+    let body = "q".repeat(900);
+    let text = format!(
+        "POST /digest/2f HTTP/1.1\r\nHost: {HOST}\r\nX-Request-Id: {id}\r\nX-Model: m\r\nX-Token-Counts: 900,{tokens}\r\nX-Prompt-Prefix: 5c1e07a2:400,{part:08x}:500\r\nX-Deadline-Ms: {}\r\nContent-Length: {}\r\n\r\n{body}",
+        DIGEST.as_millis(),
+        body.len()
+    );
+    let kept = open.answers > 0;
+    let sent = elapsed();
+    let seen = open.exchange(&text, DIGEST);
+    let ended = elapsed();
+    record(format!(
+        "client: {id} on a {} connection to {front}, sent at {:.3} s: {}",
+        if kept { "kept" } else { "new" },
+        sent.as_secs_f64(),
+        match &seen {
+            Seen::Whole(status, body, _) => format!("{status}, whole, {} bytes", body.len()),
+            Seen::Cut(status, bytes) => format!("{status}, connection closed after {bytes} bytes"),
+            Seen::None => "connection closed without an answer".to_owned(),
+            Seen::Late => "no end in time".to_owned(),
+        }
+    ));
+    if !matches!(seen, Seen::Whole(..)) {
+        *connection = None;
+    }
+    Ok(Outcome {
+        id,
+        kept,
+        sent,
+        ended,
+        seen,
+    })
+}
+
+/// Plays a case of streams; the rule is broken if more than three streams that a sound engine sent
+/// whole were cut on kept connections.
+fn play_streams(trouble: bool, scratch: &Path, case: Case) -> io::Result<i32> {
+    let block = Block::choose();
+    let store_ip = block.ip(1);
+    let address = SocketAddr::new(store_ip, free_port(store_ip));
+    let store = Store::start(address)?;
+    store.put("op/config", &config());
+    let memory = Arc::new(Memory::default());
+    let pace = Pace {
+        first: Duration::from_millis(300),
+        step: Duration::from_millis(if case == Case::Counted { 60 } else { 110 }),
+        pairs_from: if case == Case::Counted { 12 } else { usize::MAX },
+        unframed: case == Case::Leaving,
+    };
+    let mut engines = Vec::new();
+    let (count, reading) = if case == Case::Counted { (3, 1) } else { (8, 3) };
+    for number in 0..count {
+        let stage = if number < reading { "prefill" } else { "decode" };
+        engines.push(Engine::start(
+            format!("i-{:010x}", unique() & 0xff_ffff_ffff),
+            block.ip(20 + number),
+            "clerk-assist",
+            ZONES[usize::from(number) % 3],
+            stage,
+            pace,
+            &store,
+            &memory,
+        )?);
+    }
+    let mut instances = Vec::new();
+    for (number, zone) in ZONES.iter().enumerate() {
+        let name = format!("front-{zone}-1");
+        let ip = block.ip(10 + number as u8);
+        instances.push(Instance::start(&name, ip, zone, address, scratch)?);
+    }
+    if !await_ready(&instances) {
+        record("the instances are not ready".to_owned());
+        return Ok(2);
+    }
+    sleep(Duration::from_secs(2));
+    let fronts: Vec<SocketAddr> = instances.iter().map(|instance| instance.front).collect();
+    let begin = elapsed();
+    record("traffic begins".to_owned());
+    let (length, burst_at, burst_for) = match case {
+        Case::Counted => (32.0, 18.0, 10.0),
+        Case::Leaving => (22.0, 10.0, 0.0),
+    };
+    let outcomes: Arc<Mutex<Vec<Outcome>>> = Arc::default();
+    let pools: Arc<Vec<Mutex<Vec<Connection>>>> =
+        Arc::new(fronts.iter().map(|_| Mutex::default()).collect());
+    let mut next = begin;
+    let mut number = 0usize;
+    let mut senders = Vec::new();
+    let mut has_left = false;
+    loop {
+        let at = (elapsed() - begin).as_secs_f64();
+        if at >= length {
+            break;
+        }
+        let bursts = trouble && at >= burst_at && at < burst_at + burst_for;
+        if case == Case::Leaving && trouble && !has_left && at >= burst_at {
+            has_left = true;
+            let busiest = engines.iter().max_by_key(|engine| engine.running());
+            busiest.expect("an engine").leave(Duration::from_millis(2300));
+        }
+        let rate = if bursts { 20.0 * 1.9 } else { 20.0 };
+        next += Duration::from_secs_f64(1.0 / rate);
+        sleep(next.saturating_sub(elapsed()));
+        number += 1;
+        let place = number % fronts.len();
+        let (front, outcomes, pools) = (fronts[place], outcomes.clone(), pools.clone());
+        let tokens = if case == Case::Counted { 7 + number % 3 } else { 30 };
+        senders.push(spawn(move || {
+            let mut connection = pools[place].lock().unwrap().pop();
+            match send(&mut connection, front, tokens) {
+                Ok(outcome) => outcomes.lock().unwrap().push(outcome),
+                Err(error) => record(format!("client: not connected to {front}: {error}")),
+            }
+            if let Some(connection) = connection {
+                pools[place].lock().unwrap().push(connection);
+            }
+        }));
+    }
+    for sender in senders {
+        let _ = sender.join();
+    }
+    let lines = RECORD.lock().unwrap().clone();
+    let has = |text: &str| lines.iter().any(|(_, line)| line.contains(text));
+    let (mut lost, mut whole) = (0, 0);
+    for outcome in outcomes.lock().unwrap().iter() {
+        let in_time = outcome.ended < outcome.sent + DIGEST;
+        match outcome.seen {
+            Seen::Whole(200, ..) => whole += 1,
+            Seen::Cut(..) | Seen::None
+                if outcome.kept && in_time && has(&format!(" runs {}", outcome.id)) =>
+            {
+                lost += 1;
+                record(format!("lost: {}", outcome.id));
+            }
+            _ => {}
+        }
+    }
+    record(format!("{whole} whole answers, {lost} requests passed on from kept connections and cut"));
+    println!("{whole} whole answers, {lost} lost");
+    if whole < 100 {
+        return Ok(2);
+    }
+    Ok(i32::from(lost > 3))
+}
