--- a/review/rig/cases.rs
+++ b/review/rig/cases.rs
@@ -14,6 +14,7 @@
     match case {
         "counted" => play_streams(trouble, scratch, Case::Counted),
         "leaving" => play_streams(trouble, scratch, Case::Leaving),
+        "slow" => play_streams(trouble, scratch, Case::Slow),
         _ => Err(io::Error::other("no such case")),
     }
 }
@@ -25,11 +26,13 @@
     Counted,
     /// An engine leaves whose streams end with their connections.
     Leaving,
+    /// An engine works eight times as long, in the middle of streams too.
+    Slow,
 }
 
 /// Returns the configuration.
 fn config() -> String {
-    "{\"version\":7,\"routes\":[{\"name\":\"complaint-digest\",\"host\":\"permits.example\",\"prefix\":\"/digest/\",\"kind\":\"streaming\",\"timeout_ms\":4000,\"target_latency_ms\":1000,\"priority\":1,\"service\":\"clerk-assist\",\"max_attempts\":1,\"sticky\":true,\"resumable\":false,\"gap_aim_ms\":150}],\"services\":[{\"name\":\"clerk-assist\",\"health_path\":\"/health\",\"max_connections\":360,\"protocol\":\"h1\",\"tls\":false,\"engine\":{\"slots\":64,\"kv_capacity\":479042,\"token_kv_bytes\":163840,\"link_mbps\":1700000.0,\"moves\":true,\"backups\":true,\"stride\":7,\"most\":12,\"handle_ttl_s\":5.0,\"stage_switch_s\":3.0,\"pin_ms\":4000.0,\"hold_ms\":2000.0,\"models\":[{\"name\":\"m\"}]}}],\"limits\":{\"max_header_bytes\":16384,\"max_body_bytes\":4194304,\"header_timeout_ms\":3000,\"idle_timeout_ms\":15000}}".to_owned()
+    "{\"version\":7,\"routes\":[{\"name\":\"complaint-digest\",\"host\":\"permits.example\",\"prefix\":\"/digest/\",\"kind\":\"streaming\",\"timeout_ms\":4000,\"target_latency_ms\":1000,\"priority\":1,\"service\":\"clerk-assist\",\"max_attempts\":1,\"sticky\":true,\"resumable\":false,\"gap_aim_ms\":150},{\"name\":\"bylaw-check\",\"host\":\"permits.example\",\"prefix\":\"/bylaw/\",\"kind\":\"streaming\",\"timeout_ms\":6000,\"target_latency_ms\":600,\"priority\":2,\"service\":\"clerk-assist\",\"max_attempts\":2,\"sticky\":true,\"resumable\":true,\"gap_aim_ms\":150}],\"services\":[{\"name\":\"clerk-assist\",\"health_path\":\"/health\",\"max_connections\":360,\"protocol\":\"h1\",\"tls\":false,\"engine\":{\"slots\":64,\"kv_capacity\":479042,\"token_kv_bytes\":163840,\"link_mbps\":1700000.0,\"moves\":true,\"backups\":true,\"stride\":7,\"most\":12,\"handle_ttl_s\":5.0,\"stage_switch_s\":3.0,\"pin_ms\":4000.0,\"hold_ms\":2000.0,\"models\":[{\"name\":\"m\"}]}}],\"limits\":{\"max_header_bytes\":16384,\"max_body_bytes\":4194304,\"header_timeout_ms\":3000,\"idle_timeout_ms\":15000}}".to_owned()
 }
 
 /// What a client saw of one request.
@@ -46,6 +49,7 @@
 fn send(
     connection: &mut Option<Connection>,
     front: SocketAddr,
+    case: Case,
     tokens: usize,
 ) -> io::Result<Outcome> {
     if connection.is_none() {
@@ -55,14 +59,18 @@
     let id = format!("{:016x}", unique());
     let part = unique() & 0xffff_ffff;
     let body = "q".repeat(900);
+    let (path, deadline) = match case {
+        Case::Slow => ("/bylaw/2f", Duration::from_millis(6000)),
+        _ => ("/digest/2f", DIGEST),
+    };
     let text = format!(
-        "POST /digest/2f HTTP/1.1\r\nHost: {HOST}\r\nX-Request-Id: {id}\r\nX-Model: m\r\nX-Token-Counts: 900,{tokens}\r\nX-Prompt-Prefix: 5c1e07a2:400,{part:08x}:500\r\nX-Deadline-Ms: {}\r\nContent-Length: {}\r\n\r\n{body}",
-        DIGEST.as_millis(),
+        "POST {path} HTTP/1.1\r\nHost: {HOST}\r\nX-Request-Id: {id}\r\nX-Model: m\r\nX-Token-Counts: 900,{tokens}\r\nX-Prompt-Prefix: 5c1e07a2:400,{part:08x}:500\r\nX-Deadline-Ms: {}\r\nContent-Length: {}\r\n\r\n{body}",
+        deadline.as_millis(),
         body.len()
     );
     let kept = open.answers > 0;
     let sent = elapsed();
-    let seen = open.exchange(&text, DIGEST);
+    let seen = open.exchange(&text, deadline);
     let ended = elapsed();
     record(format!(
         "client: {id} on a {} connection to {front}, sent at {:.3} s: {}",
@@ -98,9 +106,10 @@
     let memory = Arc::new(Memory::default());
     let pace = Pace {
         first: Duration::from_millis(300),
-        step: Duration::from_millis(if case == Case::Counted { 60 } else { 110 }),
+        step: Duration::from_millis(if case == Case::Leaving { 110 } else { 60 }),
         pairs_from: if case == Case::Counted { 12 } else { usize::MAX },
         unframed: case == Case::Leaving,
+        preempted_after: (case == Case::Slow).then_some(3),
     };
     let mut engines = Vec::new();
     let (count, reading) = if case == Case::Counted { (3, 1) } else { (8, 3) };
@@ -134,6 +143,7 @@
     let (length, burst_at, burst_for) = match case {
         Case::Counted => (32.0, 18.0, 10.0),
         Case::Leaving => (22.0, 10.0, 0.0),
+        Case::Slow => (24.0, 10.0, 0.0),
     };
     let outcomes: Arc<Mutex<Vec<Outcome>>> = Arc::default();
     let pools: Arc<Vec<Mutex<Vec<Connection>>>> =
@@ -142,6 +152,7 @@
     let mut number = 0usize;
     let mut senders = Vec::new();
     let mut has_left = false;
+    let mut is_slow = false;
     loop {
         let at = (elapsed() - begin).as_secs_f64();
         if at >= length {
@@ -153,6 +164,13 @@
             let busiest = engines.iter().max_by_key(|engine| engine.running());
             busiest.expect("an engine").leave(Duration::from_millis(2300));
         }
+        if case == Case::Slow && trouble {
+            let slow = at >= burst_at && at < burst_at + 6.5;
+            if slow != is_slow {
+                engines[7].slow_down(if slow { 8 } else { 1 });
+                is_slow = slow;
+            }
+        }
         let rate = if bursts { 20.0 * 1.9 } else { 20.0 };
         next += Duration::from_secs_f64(1.0 / rate);
         sleep(next.saturating_sub(elapsed()));
@@ -162,7 +180,7 @@
         let tokens = if case == Case::Counted { 7 + number % 3 } else { 30 };
         senders.push(spawn(move || {
             let mut connection = pools[place].lock().unwrap().pop();
-            match send(&mut connection, front, tokens) {
+            match send(&mut connection, front, case, tokens) {
                 Ok(outcome) => outcomes.lock().unwrap().push(outcome),
                 Err(error) => record(format!("client: not connected to {front}: {error}")),
             }
@@ -174,6 +192,9 @@
     for sender in senders {
         let _ = sender.join();
     }
+    if case == Case::Slow {
+        return Ok(check_overlaps(&engines, &outcomes.lock().unwrap()));
+    }
     let lines = RECORD.lock().unwrap().clone();
     let has = |text: &str| lines.iter().any(|(_, line)| line.contains(text));
     let (mut lost, mut whole) = (0, 0);
@@ -197,3 +218,36 @@
     }
     Ok(i32::from(lost > 3))
 }
+
+/// Returns 1 if an engine worked on a request 400 ms after it had gone on at another engine.
+fn check_overlaps(engines: &[Arc<Engine>], outcomes: &[Outcome]) -> i32 {
+    let mut runs: BTreeMap<String, Vec<(Duration, Duration, String)>> = BTreeMap::new();
+    for engine in engines {
+        for (id, began, ended) in engine.runs.lock().unwrap().iter() {
+            let ended = ended.unwrap_or_else(elapsed);
+            let run = (*began, ended, engine.id.clone());
+            runs.entry(id.clone()).or_default().push(run);
+        }
+    }
+    let mut twice = 0;
+    for (id, runs) in &mut runs {
+        runs.sort();
+        for pair in runs.windows(2) {
+            let ((_, ended, first), (began, _, second)) = (&pair[0], &pair[1]);
+            if *ended > *began + Duration::from_millis(400) {
+                twice += 1;
+                record(format!(
+                    "twice: {id} went on at {second} at {:.3} s, {first} worked on it until {:.3} s",
+                    began.as_secs_f64(),
+                    ended.as_secs_f64()
+                ));
+            }
+        }
+    }
+    let whole = outcomes.iter();
+    let whole = whole.filter(|outcome| matches!(outcome.seen, Seen::Whole(200, ..)));
+    let whole = whole.count();
+    record(format!("{whole} whole answers, {twice} requests at two engines at once"));
+    println!("{whole} whole answers, {twice} at two engines at once");
+    if whole < 100 { 2 } else { i32::from(twice > 0) }
+}
--- a/review/rig/workers.rs
+++ b/review/rig/workers.rs
@@ -14,6 +14,9 @@
     pub pairs_from: usize,
     /// Whether streams have no chunks and end with their connection.
     pub unframed: bool,
+    /// Number of events after which a request is preempted once, and its prompt is read in again, which
+    /// takes as long as the first token.
+    pub preempted_after: Option<usize>,
 }
 
 /// What engines share: the memory of prompts that were read apart.
@@ -33,6 +36,10 @@
     state: Mutex<State>,
     running: AtomicUsize,
     closed: AtomicBool,
+    /// How many times as long all work takes.
+    slowness: AtomicUsize,
+    /// Runs: the request's id, the time at which work on it began, and at which it ended.
+    pub runs: Mutex<Vec<(String, Duration, Option<Duration>)>>,
     /// Connections that are open, to be closed when the process ends.
     open: Mutex<HashMap<u64, (TcpStream, bool)>>,
 }
@@ -80,6 +87,8 @@
             }),
             running: AtomicUsize::new(0),
             closed: AtomicBool::new(false),
+            slowness: AtomicUsize::new(1),
+            runs: Mutex::default(),
             open: Mutex::default(),
         });
         listener.set_nonblocking(true)?;
@@ -124,6 +133,17 @@
         }
     }
 
+    /// Makes all work take so many times as long.
+    pub fn slow_down(&self, factor: usize) {
+        self.slowness.store(factor, Ordering::SeqCst);
+        record(format!("{} works {factor} times as long", self.id));
+    }
+
+    /// Works for a time.
+    fn work(&self, time: Duration) {
+        sleep(time * self.slowness.load(Ordering::SeqCst) as u32);
+    }
+
     /// Leaves: reports `draining`, goes on serving for `serving`, takes no connections from then on,
     /// lets what runs end, and exits.
     pub fn leave(self: &Arc<Self>, serving: Duration) {
@@ -291,7 +311,7 @@
             return Ok(true);
         }
         if reads {
-            sleep(Duration::from_millis(30));
+            self.work(Duration::from_millis(30));
             let handle = format!("{:012x}", unique() & 0xffff_ffff_ffff);
             self.memory
                 .0
@@ -307,7 +327,13 @@
             return Ok(true);
         }
         self.running.fetch_add(1, Ordering::SeqCst);
+        let run = {
+            let mut runs = self.runs.lock().unwrap();
+            runs.push((id.to_owned(), elapsed(), None));
+            runs.len() - 1
+        };
         let sent = self.stream_events(stream, request);
+        self.runs.lock().unwrap()[run].2 = Some(elapsed());
         // The end of the connection is the end of an answer without a length.
         if self.pace.unframed {
             let _ = stream.shutdown(std::net::Shutdown::Write);
@@ -323,7 +349,11 @@
     /// Sends the events of a request, whose ids count its tokens; returns their number.
     fn stream_events(&self, stream: &mut TcpStream, request: &Request) -> io::Result<usize> {
         let id = request.header("x-request-id");
-        record(format!("{} runs {id}", self.id));
+        record(format!(
+            "{} runs {id}, after event {}",
+            self.id,
+            request.headers.get("last-event-id").map_or("0", String::as_str)
+        ));
         let tokens: u64 = request
             .header("x-token-counts")
             .split(',')
@@ -340,7 +370,7 @@
             self.id
         );
         stream.write_all(head.as_bytes())?;
-        sleep(self.pace.first);
+        self.work(self.pace.first);
         let mut made = request.header("last-event-id").parse().unwrap_or(0);
         let (mut pending, mut events) = (0, 0);
         while made < tokens {
@@ -357,9 +387,12 @@
                 stream.write_all(text.as_bytes())?;
                 pending = 0;
                 events += 1;
+                if self.pace.preempted_after == Some(events) && made < tokens {
+                    self.work(self.pace.first);
+                }
             }
             if made < tokens {
-                sleep(self.pace.step);
+                self.work(self.pace.step);
             }
         }
         if !self.pace.unframed {
