--- a/review/rig/cases.rs
+++ b/review/rig/cases.rs
@@ -111,16 +111,32 @@
     let memory = Arc::new(Memory::default());
     let pace = Pace {
         first: Duration::from_millis(300),
-        step: Duration::from_millis(if matches!(case, Case::Leaving | Case::Deadline) { 110 } else { 60 }),
-        pairs_from: if case == Case::Counted { 12 } else { usize::MAX },
+        step: Duration::from_millis(if matches!(case, Case::Leaving | Case::Deadline) {
+            110
+        } else {
+            60
+        }),
+        pairs_from: if case == Case::Counted {
+            12
+        } else {
+            usize::MAX
+        },
         unframed: case == Case::Leaving,
         ends_at_deadline: case == Case::Deadline,
         preempted_after: (case == Case::Slow).then_some(3),
     };
     let mut engines = Vec::new();
-    let (count, reading) = if case == Case::Counted { (3, 1) } else { (8, 3) };
+    let (count, reading) = if case == Case::Counted {
+        (3, 1)
+    } else {
+        (8, 3)
+    };
     for number in 0..count {
-        let stage = if number < reading { "prefill" } else { "decode" };
+        let stage = if number < reading {
+            "prefill"
+        } else {
+            "decode"
+        };
         engines.push(Engine::start(
             format!("i-{:010x}", unique() & 0xff_ffff_ffff),
             block.ip(20 + number),
@@ -140,6 +156,7 @@
         let ip = block.ip(10 + number as u8);
         instances.push(Instance::start(&name, ip, zone, address, scratch)?);
     }
+    let _guard = Guard::start(&instances)?;
     if !await_ready(&instances) {
         record("the instances are not ready".to_owned());
         return Ok(2);
@@ -171,7 +188,9 @@
         if case == Case::Leaving && trouble && !has_left && at >= burst_at {
             has_left = true;
             let busiest = engines.iter().max_by_key(|engine| engine.running());
-            busiest.expect("an engine").leave(Duration::from_millis(2300));
+            busiest
+                .expect("an engine")
+                .leave(Duration::from_millis(2300));
         }
         if case == Case::Slow && trouble {
             let slow = at >= burst_at && at < burst_at + 6.5;
@@ -192,7 +211,11 @@
         number += 1;
         let place = number % fronts.len();
         let (front, outcomes, pools) = (fronts[place], outcomes.clone(), pools.clone());
-        let tokens = if case == Case::Counted { 7 + number % 3 } else { 30 };
+        let tokens = if case == Case::Counted {
+            7 + number % 3
+        } else {
+            30
+        };
         senders.push(spawn(move || {
             let mut connection = pools[place].lock().unwrap().pop();
             match send(&mut connection, front, case, tokens) {
@@ -229,7 +252,9 @@
             _ => {}
         }
     }
-    record(format!("{whole} whole answers, {lost} requests passed on from kept connections and cut"));
+    record(format!(
+        "{whole} whole answers, {lost} requests passed on from kept connections and cut"
+    ));
     println!("{whole} whole answers, {lost} lost");
     if whole < 100 {
         return Ok(2);
@@ -265,9 +290,15 @@
     let whole = outcomes.iter();
     let whole = whole.filter(|outcome| matches!(outcome.seen, Seen::Whole(200, ..)));
     let whole = whole.count();
-    record(format!("{whole} whole answers, {twice} requests at two engines at once"));
+    record(format!(
+        "{whole} whole answers, {twice} requests at two engines at once"
+    ));
     println!("{whole} whole answers, {twice} at two engines at once");
-    if whole < 100 { 2 } else { i32::from(twice > 0) }
+    if whole < 100 {
+        2
+    } else {
+        i32::from(twice > 0)
+    }
 }
 
 /// Returns 1 if a client got a stream as whole that its engine had stopped before the last token.
@@ -287,11 +318,20 @@
         whole += 1;
         if stopped.contains(&outcome.id) {
             early += 1;
-            record(format!("whole to its client, but stopped before its end: {}", outcome.id));
+            record(format!(
+                "whole to its client, but stopped before its end: {}",
+                outcome.id
+            ));
         }
     }
     let stopped = stopped.len();
-    record(format!("{whole} whole answers, {stopped} streams stopped, {early} of them whole to their clients"));
+    record(format!(
+        "{whole} whole answers, {stopped} streams stopped, {early} of them whole to their clients"
+    ));
     println!("{whole} whole answers, {stopped} stopped, {early} of them whole to their clients");
-    if outcomes.len() < 1000 { 2 } else { i32::from(early > 0) }
+    if outcomes.len() < 1000 {
+        2
+    } else {
+        i32::from(early > 0)
+    }
 }
--- a/review/rig/json.rs
+++ b/review/rig/json.rs
@@ -113,7 +113,10 @@
         }
         _ => {
             let start = *at;
-            while text.get(*at).is_some_and(|b| b"+-.eE0123456789".contains(b)) {
+            while text
+                .get(*at)
+                .is_some_and(|b| b"+-.eE0123456789".contains(b))
+            {
                 *at += 1;
             }
             let number = std::str::from_utf8(&text[start..*at]).ok()?;
--- a/review/rig/rig.rs
+++ b/review/rig/rig.rs
@@ -37,10 +37,7 @@
 
 /// Adds a line to the record.
 pub fn record(line: String) {
-    RECORD
-        .lock()
-        .unwrap()
-        .push((elapsed().as_micros(), line));
+    RECORD.lock().unwrap().push((elapsed().as_micros(), line));
 }
 
 /// Returns a number that differs between calls and runs.
@@ -319,6 +316,40 @@
     }
 }
 
+/// A process that ends the instances if this program ends without a word to it, however that is.
+pub struct Guard {
+    process: Child,
+}
+
+impl Guard {
+    /// Starts the guard of instances.
+    pub fn start(instances: &[Instance]) -> io::Result<Self> {
+        let ids = instances.iter().map(|instance| instance.process.id());
+        let ids: Vec<String> = ids.map(|id| id.to_string()).collect();
+        // The signals that end a script by hand reach its whole group.
+        let script = format!(
+            "trap '' INT TERM HUP; read word || kill -9 {}",
+            ids.join(" ")
+        );
+        let process = Command::new("sh")
+            .args(["-c", &script])
+            .stdin(Stdio::piped())
+            .stdout(Stdio::null())
+            .stderr(Stdio::null())
+            .spawn()?;
+        Ok(Self { process })
+    }
+}
+
+impl Drop for Guard {
+    fn drop(&mut self) {
+        if let Some(mut input) = self.process.stdin.take() {
+            let _ = input.write_all(b"done\n");
+        }
+        let _ = self.process.wait();
+    }
+}
+
 /// Waits until all instances are ready, 15 s at most.
 pub fn await_ready(instances: &[Instance]) -> bool {
     let end = Instant::now() + Duration::from_secs(15);
--- a/review/rig/workers.rs
+++ b/review/rig/workers.rs
@@ -273,7 +273,8 @@
             _ => return 400,
         };
         let mut state = self.state.lock().unwrap();
-        if state.busy || (order.get("expected").is_some() && order.number("expected") != state.orders)
+        if state.busy
+            || (order.get("expected").is_some() && order.number("expected") != state.orders)
         {
             return 409;
         }
@@ -311,8 +312,8 @@
         }
         let source = request.header("x-kv-source");
         let handle = source.split_once('/').map(|(_, handle)| handle);
-        let is_gone = handle
-            .is_some_and(|handle| self.memory.0.lock().unwrap().remove(handle).is_none());
+        let is_gone =
+            handle.is_some_and(|handle| self.memory.0.lock().unwrap().remove(handle).is_none());
         if busy || is_gone {
             let text = format!(
                 "HTTP/1.1 503 Unavailable\r\nX-Request-Id: {id}\r\nX-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n"
@@ -351,8 +352,14 @@
         match &sent {
             // Its line is there already.
             Ok(0) => {}
-            Ok(events) => record(format!("{} sent the whole stream of {id}, {events} events", self.id)),
-            Err(error) => record(format!("{} could not send the stream of {id}: {error}", self.id)),
+            Ok(events) => record(format!(
+                "{} sent the whole stream of {id}, {events} events",
+                self.id
+            )),
+            Err(error) => record(format!(
+                "{} could not send the stream of {id}: {error}",
+                self.id
+            )),
         }
         self.running.fetch_sub(1, Ordering::SeqCst);
         sent.map(|_| !self.pace.unframed)
@@ -364,7 +371,10 @@
         record(format!(
             "{} runs {id}, after event {}",
             self.id,
-            request.headers.get("last-event-id").map_or("0", String::as_str)
+            request
+                .headers
+                .get("last-event-id")
+                .map_or("0", String::as_str)
         ));
         let tokens: u64 = request
             .header("x-token-counts")
@@ -407,7 +417,10 @@
             }
             if self.pace.ends_at_deadline && elapsed() + self.pace.step >= end {
                 sleep_until(end);
-                record(format!("{} stops {id} at its deadline, {made} of {tokens} tokens", self.id));
+                record(format!(
+                    "{} stops {id} at its deadline, {made} of {tokens} tokens",
+                    self.id
+                ));
                 events = 0;
                 break;
             }
