--- a/review/7/run.sh
+++ b/review/7/run.sh
@@ -3,4 +3,5 @@
 # TROUBLE=0 plays the same without the disruption.
 case "$0" in */*) here=$(cd "${0%/*}" && pwd) ;; *) here=$(pwd) ;; esac
 cd "$here/../.." || exit 2
+[ -x target/review-2/rig ] || exit 2
 exec target/review-2/rig counted "$here"
