Cut streams for missing events only where their target states them

Cause: after 16 whole streams whose ids counted by one, another id than the next one ended a stream as broken. The scanner of an open stream kept its copy of that after the instance had unlearnt it.

Change: such an id is a question, not a conclusion. The process that sends the stream is asked for its report, which lists the events made in each run. Events behind the gap are held back while it states more than arrived; if the stream ends so, it has broken off before the gap. Otherwise they are given on. Other streams are no evidence any more (cactuslane_flight::Gap, generation/gap.rs).

A target that leaves events out and states nothing is not told from one with larger steps any more.

--- a/crates/cactuslane-flight/src/event_ids.rs
+++ b/crates/cactuslane-flight/src/event_ids.rs
@@ -1,4 +1,7 @@
-//! Which event is due next in a stream, as far as the earlier streams of its service showed.
+//! Which event is likely next in a stream, as far as the earlier streams of its service showed.
+//!
+//! That is no reason to cut a stream: another event than the likely one raises the question
+//! whether events are missing, which [`Gap`](crate::gaps::Gap) decides.
 
 use std::collections::BTreeMap;
 
@@ -41,7 +44,7 @@
 }
 
 impl EventIds {
-    /// Returns whether a stream of a service must begin, or go on, with the next id.
+    /// Returns whether a stream of a service is likely to begin, or to go on, with the next id.
     #[must_use]
     pub fn is_next_due(&self, service: &str, version: Option<&str>) -> bool {
         let seen = self.seen.get(&key(service, version));
@@ -71,8 +74,8 @@
         }
     }
 
-    /// Records that a stream had another event than the one that was due; returns whether events are
-    /// due any longer.
+    /// Records that a stream had another event than the one that was due, and nothing showed that
+    /// events are missing; returns whether events are due any longer.
     pub fn record_wrong(&mut self, service: &str, version: Option<&str>) -> bool {
         let seen = self.entry(service, version);
         seen.wrong = seen.wrong.saturating_add(1);
--- a/crates/cactuslane-flight/src/events.rs
+++ b/crates/cactuslane-flight/src/events.rs
@@ -16,7 +16,7 @@
     first_id: Option<u64>,
     /// Whether each id so far was the one after the previous one; `None` if there was no id.
     by_one: Option<bool>,
-    /// Whether each id must be the next one, as ids went up by one before.
+    /// Whether an id that is not the next one is reported, as ids went up by one before.
     is_next_due: bool,
     /// Id after which the caller took the stream up, or the target was to go on.
     after: Option<u64>,
@@ -37,7 +37,8 @@
     TooLong,
     /// An event's id is not larger than the previous one.
     OutOfOrder,
-    /// Ids go up by one, and one is larger than the next.
+    /// Ids went up by one, and one is larger than the next: events may be missing, or this one has
+    /// several tokens. The scanner goes on with it after [`EventScanner::accept_gap`].
     Missing,
     /// The lines before an empty line are not those of an event.
     NotAnEvent,
@@ -70,18 +71,24 @@
         }
     }
 
-    /// Makes the next id the only valid one, 1 first in a new stream, unless ids of the stream itself
-    /// did not go up by one.
+    /// Reports ids other than the next one from now on, which is 1 first in a new stream, unless ids of
+    /// the stream itself did not go up by one.
     pub fn expect_next(&mut self) {
         self.is_next_due = self.by_one != Some(false);
     }
 
+    /// Accepts the id that was reported as [`EventError::Missing`], and any larger one after it.
+    pub fn accept_gap(&mut self) {
+        self.is_next_due = false;
+        self.rejected_id = None;
+    }
+
     /// Adds bytes of the stream and returns all complete events that are buffered now.
     ///
     /// # Errors
     ///
     /// Returns an error if event ids don't increase, if an id is larger than the next one
-    /// where that is due, if lines are not those of an event or if an incomplete event exceeds
+    /// where that is to be reported, if lines are not those of an event or if an incomplete event exceeds
     /// 256 KiB; events that earlier calls returned stay valid. Complete events that this call found
     /// before the fault are neither returned nor counted by `last_id`.
     pub fn feed(&mut self, bytes: &[u8]) -> Result<Vec<u8>, EventError> {
--- a/crates/cactuslane-flight/src/lib.rs
+++ b/crates/cactuslane-flight/src/lib.rs
@@ -6,7 +6,7 @@
 //!
 //! [`routing_config`] holds the routing configuration, [`customers`] the keys of customers, [`request_info`] the parameters of a
 //! caller's request and [`target`] the targets. [`events`] splits event streams at event
-//! boundaries, [`event_ids`] learns which event is due next, [`origin`] keeps the versions that began streams, [`process`] tells the processes of a target apart, [`budget`] limits retries to a
+//! boundaries, [`event_ids`] learns which event is likely next, [`gaps`] decides whether events are missing, [`origin`] keeps the versions that began streams, [`process`] tells the processes of a target apart, [`budget`] limits retries to a
 //! share of the requests, [`silence`] decides when streams of silent targets are resumed elsewhere, [`held_bytes`] what is held for callers, and [`stopping`] decides which requests an instance still accepts after
 //! the signal to stop.
 
@@ -14,6 +14,7 @@
 pub mod customers;
 pub mod event_ids;
 pub mod events;
+pub mod gaps;
 pub mod held_bytes;
 pub mod origin;
 pub mod process;
@@ -28,6 +29,7 @@
 pub use customers::{Customer, Customers, KeyConflict};
 pub use event_ids::EventIds;
 pub use events::EventScanner;
+pub use gaps::{Gap, StatedRun};
 pub use held_bytes::{Activity, ConnectionId, Door, HeldBytes, HeldLimits, Kind};
 pub use origin::{BegunStreams, OriginTable, StreamOrigin, VersionHistory};
 pub use process::ServingProcess;
--- a/crates/cactuslane-gateway/src/engines.rs
+++ b/crates/cactuslane-gateway/src/engines.rs
@@ -3,9 +3,9 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use cactuslane_flight::ServingProcess;
 use cactuslane_flight::request_info::PromptPart;
 use cactuslane_flight::target::Target;
+use cactuslane_flight::{ServingProcess, StatedRun};
 use cactuslane_held::NO_CONNECTION;
 use cactuslane_place::Observed;
 use cactuslane_platform::engine::{self, Report};
@@ -57,6 +57,21 @@
     engine::decode_report(&body).map_err(CallError::Unknown)
 }
 
+/// Requests the runs of an engine, and the start of the process that states them, if it does.
+///
+/// # Errors
+///
+/// Returns an error if no valid answer arrives within [`CALL_TIMEOUT`].
+pub async fn stated_runs(
+    gateway: &Gateway,
+    target: &Target,
+) -> Result<(Vec<StatedRun>, Option<u64>), CallError> {
+    let body = send_call(gateway, target, Method::GET, engine::REPORT_PATH).await?;
+    let runs = engine::decode_runs(&body).map_err(CallError::Unknown)?;
+    let started_at = engine::decode_started(&body).map_err(CallError::Unknown)?;
+    Ok((runs, started_at))
+}
+
 /// Asks an engine that turned a request away whether it is carrying out an order, unless it was asked
 /// just now; if it is, it gets no new work for a time, and the other instances are told.
 ///
--- a/crates/cactuslane-gateway/src/generation.rs
+++ b/crates/cactuslane-gateway/src/generation.rs
@@ -3,6 +3,7 @@
 mod attempt;
 mod choice;
 mod computed;
+mod gap;
 mod overload;
 mod permits;
 mod prompt;
--- a/crates/cactuslane-gateway/src/generation/stream.rs
+++ b/crates/cactuslane-gateway/src/generation/stream.rs
@@ -3,9 +3,9 @@
 use std::borrow::Cow;
 use std::error::Error;
 
-use cactuslane_flight::events::{EventError, EventScanner};
+use cactuslane_flight::events::EventScanner;
 use cactuslane_flight::target::Target;
-use cactuslane_flight::{AttemptFailure, ServingProcess, Silence, Step, StreamOrigin};
+use cactuslane_flight::{AttemptFailure, Gap, ServingProcess, Silence, Step, StreamOrigin};
 use cactuslane_held::{Framing, framing};
 use cactuslane_platform::exchange;
 use cactuslane_types::Millis;
@@ -15,6 +15,7 @@
 use log::{info, warn};
 use tokio::time::{Instant, timeout};
 
+use super::gap::MISSING;
 use super::{OpenStream, Outcome, StreamRequest};
 use crate::ending::{self, Answered};
 use crate::metrics;
@@ -154,12 +155,36 @@
         }
     }
 
-    /// Forwards the complete events of one target's stream until it ends.
+    /// Forwards the complete events of one target's stream until it ends; events that were held back
+    /// then are as if they had not arrived.
     async fn forward_events(
         &mut self,
         opened: &mut OpenStream,
         scanner: &mut EventScanner,
         sender: &AnswerSender,
+    ) -> Observed {
+        let mut gap = None;
+        let observed = self
+            .forward_until_end(opened, scanner, sender, &mut gap)
+            .await;
+        let Some(gap) = gap.filter(|gap| gap.is_open(scanner.events())) else {
+            return observed;
+        };
+        *scanner = gap.into_before();
+        if observed.0 == StreamEnd::Complete {
+            return (StreamEnd::Broken, MISSING.into());
+        }
+        observed
+    }
+
+    /// Forwards the complete events of one target's stream until it ends, but for those after a gap
+    /// that is not decided.
+    async fn forward_until_end(
+        &mut self,
+        opened: &mut OpenStream,
+        scanner: &mut EventScanner,
+        sender: &AnswerSender,
+        gap: &mut Option<Gap>,
     ) -> Observed {
         let may_retry = self.state.may_retry();
         let mut silence = Silence::new(self.request.route.silence_limit);
@@ -220,14 +245,9 @@
             let received = Instant::now();
             let pause = received - std::mem::replace(&mut last_received, received);
             self.gateway.metrics.pauses.observe(pause.as_secs_f64());
-            let events = match scanner.feed(&data) {
+            let events = match self.read_events(opened, scanner, gap, &data, sender).await {
                 Ok(events) => events,
-                Err(error) => {
-                    if error == EventError::Missing {
-                        self.record_missing(&opened.target);
-                    }
-                    return (StreamEnd::Broken, format!("{error:?}").into());
-                }
+                Err(observed) => return observed,
             };
             if !events.is_empty() {
                 last_event = received;
@@ -253,6 +273,29 @@
         }
     }
 
+    /// Returns the complete events that bytes of a target's stream end, but for those that are held
+    /// back after a gap.
+    ///
+    /// # Errors
+    ///
+    /// Returns how the forwarding ended if the stream is not valid or the caller left.
+    async fn read_events(
+        &self,
+        opened: &OpenStream,
+        scanner: &mut EventScanner,
+        gap: &mut Option<Gap>,
+        bytes: &[u8],
+        sender: &AnswerSender,
+    ) -> Result<Vec<u8>, Observed> {
+        tokio::select! {
+            biased;
+            events = self.feed(opened, scanner, gap, bytes) => {
+                events.map_err(|why| (StreamEnd::Broken, why))
+            }
+            () = sender.closed() => Err((StreamEnd::CallerLeft, "closed".into())),
+        }
+    }
+
     /// Confirms that a stream whose body has ended, or failed, is whole.
     ///
     /// # Errors
@@ -323,7 +366,7 @@
         );
     }
 
-    /// Makes the next id the only valid one where the ids of the target's service count by one.
+    /// Reports ids other than the next one where those of the target's service counted by one.
     fn expect_next(&self, scanner: &mut EventScanner, target: &Target) {
         let ids = self.gateway.event_ids();
         if ids.is_next_due(&target.service, target.version.as_deref()) {
@@ -353,15 +396,6 @@
         }
     }
 
-    /// Records that a target's stream had another event than the one that was due.
-    fn record_missing(&self, target: &Target) {
-        let (service, version) = (target.service.as_str(), target.version.as_deref());
-        let is_due = self.gateway.event_ids().record_wrong(service, version);
-        if !is_due {
-            info!(request = self.request.info.id, service, version, is_due; "event ids of a service");
-        }
-    }
-
     /// Records, once, that the target began to answer the request and did not crash on it.
     fn record_begun(&self, beginning: &mut Beginning) {
         if let Some(first) = beginning.first
--- a/crates/cactuslane-gateway/tests/serving/main.rs
+++ b/crates/cactuslane-gateway/tests/serving/main.rs
@@ -12,6 +12,7 @@
 mod deployment;
 mod dropped;
 mod ends;
+mod grouped;
 mod heads;
 mod idle;
 mod invalid;
