Confirm ends without a length by any sign that their process went on

Cause: a call without an answer was taken for the death of the process. A process that leaves, is full or is out of reach for a moment answers no call either.

Change: such an end is confirmed by one sign that the process went on after it, and that is what the conclusion rests on (Sign, Removal, Presence in cactuslane_flight::ends): an answer to a call, repeated where the answer names its process; bytes on another connection, here or at another instance, more than 250 ms after the end; the removal of the entry of a process that was draining, sooner than silence removes it. Another process at the address or under the id is the opposite, at once. Without a sign the answer has broken off, after 0.5 s where the request can go on elsewhere, at the deadline where the process is leaving, after 1 s otherwise. Two kinds of messages between instances follow the last; a build that does not know them skips them. `draining` alone confirms nothing.

Not changed: the product's own entry, which cannot tell a process from the next one at its address, so that a repeated call would confirm a cut answer; the same holds for plain services, which are called once.

In builds.rs the number of known kinds is 16 in two tests, as kinds 14 and 15 are known now; their form has a test.

--- a/crates/cactuslane-flight/src/lib.rs
+++ b/crates/cactuslane-flight/src/lib.rs
@@ -6,12 +6,13 @@
 //!
 //! [`routing_config`] holds the routing configuration, [`customers`] the keys of customers, [`request_info`] the parameters of a
 //! caller's request and [`target`] the targets. [`events`] splits event streams at event
-//! boundaries, [`event_ids`] learns which event is likely next, [`gaps`] decides whether events are missing, [`origin`] keeps the versions that began streams, [`process`] tells the processes of a target apart, [`budget`] limits retries to a
+//! boundaries, [`event_ids`] learns which event is likely next, [`gaps`] decides whether events are missing, [`origin`] keeps the versions that began streams, [`process`] tells the processes of a target apart, [`ends`] says what shows that one went on after an answer, [`budget`] limits retries to a
 //! share of the requests, [`silence`] decides when streams of silent targets are resumed elsewhere, [`held_bytes`] what is held for callers, and [`stopping`] decides which requests an instance still accepts after
 //! the signal to stop.
 
 pub mod budget;
 pub mod customers;
+pub mod ends;
 pub mod event_ids;
 pub mod events;
 pub mod gaps;
@@ -27,6 +28,7 @@
 
 pub use budget::WindowedRetryBudget;
 pub use customers::{Customer, Customers, KeyConflict};
+pub use ends::{Presence, Removal, Sign};
 pub use event_ids::EventIds;
 pub use events::EventScanner;
 pub use gaps::{Gap, StatedRun};
--- a/crates/cactuslane-gateway/src/generation/attempt.rs
+++ b/crates/cactuslane-gateway/src/generation/attempt.rs
@@ -98,7 +98,10 @@
         });
         if !head.status.is_success() {
             attempt.settle();
-            return Err(self.read_failure(target, framing, head, body).await);
+            let failure = self
+                .read_failure(target, (framing, began), head, body)
+                .await;
+            return Err(failure);
         }
         if !exchange::is_signed(&head.headers) {
             return Err((AttemptFailure::Broken, None));
@@ -127,11 +130,11 @@
     }
 
     /// Reads the body of a target's failure, and returns the answer to the caller unless its status
-    /// promises that the request did not run.
+    /// promises that the request did not run; `sent` is the time at which the request was sent.
     async fn read_failure(
         &self,
         target: &Target,
-        framing: Framing,
+        (framing, sent): (Framing, Instant),
         head: Parts,
         body: Incoming,
     ) -> (AttemptFailure, Option<Response<AnswerBody>>) {
@@ -143,6 +146,8 @@
             target,
             framing,
             told_deadline: self.told_deadline,
+            sent,
+            goes_on: self.state.may_retry(),
         };
         let reading = ending::read_whole(gateway, request, answered, body);
         let left = self.state.remaining(now);
--- a/crates/cactuslane-gateway/src/generation/stream.rs
+++ b/crates/cactuslane-gateway/src/generation/stream.rs
@@ -329,6 +329,8 @@
             target: &opened.target,
             framing: opened.framing,
             told_deadline: self.told_deadline,
+            sent: opened.sent,
+            goes_on: self.state.may_retry() && scanner.may_resume(),
         };
         let confirmed = ending::confirm(&self.gateway, &self.request, answered).await;
         confirmed.map_err(|(ending, why)| (ending, why.into()))
--- a/crates/cactuslane-gateway/src/lib.rs
+++ b/crates/cactuslane-gateway/src/lib.rs
@@ -8,6 +8,7 @@
 
 pub mod admission;
 pub mod answers;
+pub mod arrivals;
 pub mod backoff;
 pub mod bodies;
 pub mod caches;
--- a/crates/cactuslane-gateway/src/messages.rs
+++ b/crates/cactuslane-gateway/src/messages.rs
@@ -13,7 +13,7 @@
 use cactuslane_place::admission::ShareReport;
 use cactuslane_place::load_view::PeerUpdate;
 use cactuslane_place::{LimitNotice, Observation, PermitAnswer, ReachReport, Suspect};
-use cactuslane_types::{Era, InstanceId, SoftwareVersion};
+use cactuslane_types::{Era, InstanceId, SoftwareVersion, TargetId};
 use serde::{Deserialize, Serialize};
 
 use crate::calls::CallNumber;
@@ -23,7 +23,7 @@
 /// The first byte from which on a message is of a later form.
 pub const LATER_FORM: u8 = 0x80;
 /// Number of kinds of messages of the first form.
-const KINDS: u8 = 14;
+const KINDS: u8 = 16;
 /// Kind of [`Message::Update`].
 const UPDATE_KIND: u8 = 0;
 
@@ -59,6 +59,11 @@
     /// Store changes that the sender read in this era, which is later than the first one: a build
     /// that knows no eras skips them and reads the store itself.
     RelayOfEra(Era, Relay),
+    /// A query, with this number, whether bytes arrive from now on of the process of a target that started at this
+    /// Unix time in milliseconds.
+    ProcessQuery(CallNumber, TargetId, u64),
+    /// The answer to the query with this number: bytes of the process have arrived.
+    ProcessHeard(CallNumber),
 }
 
 /// A message as it was read.
--- a/crates/cactuslane-gateway/src/metered.rs
+++ b/crates/cactuslane-gateway/src/metered.rs
@@ -14,6 +14,8 @@
 use tokio::net::TcpStream;
 use tokio::time::Instant;
 
+use crate::arrivals::{Arrivals, Line};
+
 /// Number of bytes that may still be read from a connection.
 #[derive(Clone, Debug)]
 pub struct Allowance(Arc<AtomicUsize>);
@@ -57,6 +59,12 @@
     allowance: Allowance,
     /// Record of the arrival of bytes.
     heard: Heard,
+    /// The connection, as tasks that await bytes of a process know it.
+    line: Arc<Line>,
+    /// Those tasks.
+    arrivals: Arrivals,
+    /// Whether all bytes that had arrived were read since the last ones.
+    is_drained: bool,
 }
 
 impl Default for Allowance {
@@ -82,11 +90,28 @@
 impl MeteredStream {
     /// Creates a stream of which no more is read than the allowance says.
     #[must_use]
-    pub fn new(stream: Arc<TcpStream>, allowance: Allowance, heard: Heard) -> Self {
+    pub fn new(
+        stream: Arc<TcpStream>,
+        allowance: Allowance,
+        heard: Heard,
+        line: Arc<Line>,
+        arrivals: Arrivals,
+    ) -> Self {
         Self {
             stream,
             allowance,
             heard,
+            line,
+            arrivals,
+            is_drained: false,
+        }
+    }
+
+    /// Records that bytes were read.
+    fn record_read(&mut self) {
+        self.heard.record();
+        if std::mem::take(&mut self.is_drained) {
+            self.arrivals.record(&self.line);
         }
     }
 
@@ -116,12 +141,14 @@
 
 impl AsyncRead for MeteredStream {
     fn poll_read(
-        self: Pin<&mut Self>,
+        mut self: Pin<&mut Self>,
         context: &mut Context<'_>,
         buffer: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
         let read = loop {
-            ready!(self.stream.poll_read_ready(context))?;
+            let readiness = self.stream.poll_read_ready(context);
+            self.is_drained |= readiness.is_pending();
+            ready!(readiness)?;
             match self.stream.try_read(buffer.initialize_unfilled()) {
                 Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
                 result => break result?,
@@ -129,7 +156,7 @@
         };
         buffer.advance(read);
         if read > 0 {
-            self.heard.record();
+            self.record_read();
         }
         if !self.allowance.take(read) {
             let error = io::Error::new(io::ErrorKind::InvalidData, "the target sends too much");
--- a/crates/cactuslane-gateway/src/peers.rs
+++ b/crates/cactuslane-gateway/src/peers.rs
@@ -12,6 +12,7 @@
 use tokio::net::UdpSocket;
 use tokio::time::{Instant, MissedTickBehavior, interval};
 
+use crate::ending::signs;
 use crate::limits;
 use crate::messages::{self, Message, MessageError, Received};
 use crate::relay::Relay;
@@ -215,8 +216,8 @@
 
 /// Decodes and applies a message of another instance; relays go to the task that tracks the store.
 fn receive(
-    gateway: &Gateway,
-    socket: &UdpSocket,
+    gateway: &Arc<Gateway>,
+    socket: &Arc<UdpSocket>,
     message: &[u8],
     from: SocketAddr,
     relays: &RelaySender,
@@ -260,6 +261,10 @@
             gateway.admissions.apply(&peer, report, now);
         }
         Message::Permit(number, answer) => gateway.permit_calls.answer(number, answer),
+        Message::ProcessQuery(number, target, started_at) => {
+            signs::answer_query(gateway, socket, (number, target, started_at), from);
+        }
+        Message::ProcessHeard(number) => gateway.process_calls.answer(number, ()),
     }
 }
 
--- a/crates/cactuslane-gateway/src/plain.rs
+++ b/crates/cactuslane-gateway/src/plain.rs
@@ -170,7 +170,7 @@
             request,
             target,
             &params,
-            (told_deadline, &run),
+            (told_deadline, state.may_retry(), &run),
             permit,
         )
         .await;
@@ -235,16 +235,17 @@
 
 /// Sends a request and reads the complete answer; a success must carry the target's signature.
 ///
-/// `told_deadline` is the time at which the target is told to stop, in milliseconds of [`boot_millis`]; `run`
-/// counts the run once the head of its answer has arrived.
+/// `told_deadline` is the time at which the target is told to stop, in milliseconds of [`boot_millis`], `goes_on` whether
+/// the request can be sent elsewhere; `run` counts the run once the head of its answer has arrived.
 async fn send_and_read(
     gateway: &Arc<Gateway>,
     request: &CallerRequest,
     target: &Target,
     params: &SendParams<'_>,
-    (told_deadline, run): (Millis, &usage::RunGuard<'_>),
+    (told_deadline, goes_on, run): (Millis, bool, &usage::RunGuard<'_>),
     permit: Permit,
 ) -> Result<Response<AnswerBody>, (AttemptFailure, String)> {
+    let sent = Instant::now();
     let (connection, response) = send(gateway, request, target, params, permit).await?;
     run.answered();
     let keep_alive = exchange::keep_alive_timeout(response.headers());
@@ -255,6 +256,8 @@
         target,
         framing,
         told_deadline,
+        sent,
+        goes_on,
     };
     let body = ending::read_whole(gateway, request, answered, body).await?;
     info!(
--- a/crates/cactuslane-gateway/src/sending.rs
+++ b/crates/cactuslane-gateway/src/sending.rs
@@ -5,7 +5,7 @@
 use cactuslane_authority::UsageUpdate;
 use cactuslane_flight::origin::StreamId;
 use cactuslane_place::{LimitNotice, Suspect};
-use cactuslane_types::{Era, FIRST_ERA, InstanceId};
+use cactuslane_types::{Era, FIRST_ERA, InstanceId, TargetId};
 use log::{debug, warn};
 use tokio::net::UdpSocket;
 
@@ -83,6 +83,16 @@
     send_to(gateway, &Message::OriginQuery(number, stream), keepers)
 }
 
+/// Asks the other instances whether bytes arrive from now on of the process of a target that started
+/// at a Unix time in milliseconds.
+pub fn query_process(gateway: &Gateway, number: CallNumber, target: &TargetId, started_at: u64) {
+    let Some(socket) = gateway.peer_socket.get() else {
+        return;
+    };
+    let message = Message::ProcessQuery(number, target.clone(), started_at);
+    send(socket, &message, &gateway.members().peer_addresses());
+}
+
 /// Sends counts of customers' requests to instances, also to those from which no message arrives.
 pub fn send_usage(gateway: &Gateway, update: UsageUpdate, instances: &[InstanceId]) {
     let Some(socket) = gateway.peer_socket.get() else {
--- a/crates/cactuslane-gateway/src/state.rs
+++ b/crates/cactuslane-gateway/src/state.rs
@@ -78,6 +78,8 @@
     pub permit_calls: PeerCalls<PermitAnswer>,
     /// Queries for the versions of streams that other instances have not answered yet.
     pub origin_calls: PeerCalls<Option<SoftwareVersion>>,
+    /// Queries for processes of targets that other instances have not answered yet.
+    pub process_calls: PeerCalls<()>,
     /// Versions of the streams that have begun.
     origins: Mutex<OriginTable>,
     /// What streams showed of the event ids of their services.
@@ -166,6 +168,7 @@
             held_changed: Notify::new(),
             permit_calls: PeerCalls::default(),
             origin_calls: PeerCalls::default(),
+            process_calls: PeerCalls::default(),
             origins: Mutex::default(),
             event_ids: Mutex::default(),
             begun: Mutex::default(),
--- a/crates/cactuslane-gateway/src/upstream.rs
+++ b/crates/cactuslane-gateway/src/upstream.rs
@@ -16,6 +16,7 @@
 use tokio::net::TcpStream;
 use tokio::time::{Instant, timeout};
 
+use crate::arrivals::{Arrivals, Line};
 use crate::limits::permits::Permit;
 use crate::metered::{Allowance, Heard, MeteredStream, is_disturbed};
 use crate::sockets::set_socket_options;
@@ -43,6 +44,8 @@
     origin: Instant,
     /// Time at which a byte of any target last arrived.
     heard: Heard,
+    /// Tasks that await bytes of a target's process.
+    pub arrivals: Arrivals,
     /// Whether the instance is cut off from all targets.
     reach: Mutex<Reach>,
     /// Addresses that are connected to in place of those of targets, where a proxy is between.
@@ -56,12 +59,12 @@
 pub struct PooledConnection {
     /// Id of the target that the connection leads to.
     target: TargetId,
+    /// The process at its other end, once that has stated which one it is.
+    line: Arc<Line>,
     /// Hyper's handle for sending requests.
     sender: SendRequest<Full<Bytes>>,
     /// The connection, which hyper reads and writes.
     stream: Arc<TcpStream>,
-    /// The process at its other end, once that has stated which one it is.
-    process: Option<ServingProcess>,
     /// Ids of the requests that the target rejected on it. It may send a rejection once more, which
     /// would be taken for the answer to another request with the same id.
     rejected: BTreeSet<String>,
@@ -88,6 +91,7 @@
         Self {
             origin,
             heard: Heard::new(origin),
+            arrivals: Arrivals::default(),
             reach: Mutex::default(),
             proxies: Mutex::default(),
             idle: Mutex::default(),
@@ -182,7 +186,14 @@
         set_socket_options(&stream);
         let allowance = Allowance::default();
         let stream = Arc::new(stream);
-        let metered = MeteredStream::new(stream.clone(), allowance.clone(), self.heard.clone());
+        let line = Arc::new(Line::new(target));
+        let metered = MeteredStream::new(
+            stream.clone(),
+            allowance.clone(),
+            self.heard.clone(),
+            line.clone(),
+            self.arrivals.clone(),
+        );
         let (sender, connection) = http1::handshake(TokioIo::new(metered))
             .await
             .map_err(|error| unsent(error.to_string()))?;
@@ -195,7 +206,7 @@
             target: target.to_owned(),
             sender,
             stream,
-            process: None,
+            line,
             rejected: BTreeSet::new(),
             allowance,
             expires: Instant::now(),
@@ -272,12 +283,12 @@
     /// Returns the process at its other end, if that has stated on it which one it is.
     #[must_use]
     pub fn process(&self) -> Option<ServingProcess> {
-        self.process
+        self.line.process()
     }
 
     /// Records which process the other end stated to be, unless it stated that before.
-    pub fn record_process(&mut self, process: ServingProcess) {
-        self.process.get_or_insert(process);
+    pub fn record_process(&self, process: ServingProcess) {
+        self.line.record_process(process);
     }
 
     /// Waits until the next request can be sent; returns whether it can, as the other end may have
--- a/crates/cactuslane-gateway/tests/builds.rs
+++ b/crates/cactuslane-gateway/tests/builds.rs
@@ -155,13 +155,23 @@
 
 #[parameterized(
     later_form = { &[LATER_FORM, 1, 2], MessageError::LaterForm(LATER_FORM) },
-    unknown_kind = { &[14, 0], MessageError::UnknownKind(14) },
+    unknown_kind = { &[16, 0], MessageError::UnknownKind(16) },
     empty = { &[], MessageError::Malformed("empty".to_owned()) },
 )]
 fn a_message_that_cannot_be_read_says_why(bytes: &[u8], expected: MessageError) {
     assert_eq!(decode(bytes), Err(expected));
 }
 
+/// Guards against a change of what instances ask each other of the processes of targets.
+#[parameterized(
+    query = { Message::ProcessQuery(300, "i".to_owned(), 400), &[14, 172, 2, 1, b'i', 144, 3] },
+    heard = { Message::ProcessHeard(300), &[15, 172, 2] },
+)]
+fn questions_for_processes_keep_their_form(message: Message, bytes: &[u8]) {
+    assert_eq!(message.encode().as_deref(), Ok(bytes));
+    assert_eq!(decode(bytes), Ok(Received::Whole(message)));
+}
+
 #[test]
 fn what_a_later_build_appends_is_skipped() {
     for (name, mut bytes) in recorded(BUILD_2E8F6AB) {
@@ -210,7 +220,7 @@
     #[test]
     fn any_bytes_are_read_or_refused(bytes in vec(any::<u8>(), 0..200)) {
         let read = decode(&bytes);
-        let known = bytes.first().is_some_and(|kind| *kind < 13);
+        let known = bytes.first().is_some_and(|kind| *kind < 16);
         prop_assert!(known || read.is_err());
     }
 
--- a/crates/cactuslane-gateway/tests/serving/main.rs
+++ b/crates/cactuslane-gateway/tests/serving/main.rs
@@ -10,6 +10,7 @@
 mod cut_calls;
 mod cut_target;
 mod deployment;
+mod drained;
 mod dropped;
 mod ends;
 mod grouped;
