Take no answer whose status is not that of a final one

What callers saw, in tests: an answer with the status 600 or 999 reached them as the target's answer, and a 101 as a change of the protocol; from targets of all routes, and from services at the product's own entry.

Cause: nothing looked at the range of a status. Such an answer is none now: the attempt has broken off, and the request may have run.

--- a/crates/cactuslane-demo/tests/endings.rs
+++ b/crates/cactuslane-demo/tests/endings.rs
@@ -9,6 +9,7 @@
 use cactuslane_demo::{Cluster, Options};
 use cactuslane_standin::{Deployment, Faults};
 use hyper::body::Bytes;
+use socket2::SockRef;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::Notify;
@@ -26,6 +27,10 @@
 const FRAMED: &str = "HTTP/1.1 200 OK\r\ncontent-length: 14\r\n\r\n";
 /// Answer to a request for the load.
 const LOAD: &str = "HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\n{}";
+/// Length of an upload, which no socket buffers hold, in bytes.
+const UPLOAD: usize = 7 << 20;
+/// Length of a request for which it does not matter, in bytes.
+const SHORT: usize = 100;
 /// Time after which a test counts as hung and fails.
 const TEST_TIMEOUT: Duration = Duration::from_mins(1);
 
@@ -83,7 +88,8 @@
 /// still.
 ///
 /// A path ends with what is sent, `framed` or `unframed`, the number of its bytes and what then ends,
-/// the `connection` or the `process`.
+/// the `connection` or the `process`. Of a request for `early`, the answer is sent and the connection reset
+/// before its body is read; `status` is followed by the status.
 async fn serve(stream: &mut TcpStream, arrivals: &AtomicUsize) -> bool {
     let mut buffer = Vec::new();
     loop {
@@ -102,6 +108,15 @@
             .unwrap_or_default()
             .split('-')
             .collect();
+        if words[0] == "status" {
+            arrivals.fetch_add(1, Ordering::Relaxed);
+            let text = format!(
+                "HTTP/1.1 {} Trouble\r\ncontent-length: 2\r\n\r\nno",
+                words[1]
+            );
+            let _ = stream.write_all(text.as_bytes()).await;
+            continue;
+        }
         let head = if words[0] == "framed" {
             FRAMED
         } else {
@@ -111,6 +126,10 @@
         let at: usize = words[1].parse().expect("a number of bytes");
         arrivals.fetch_add(1, Ordering::Relaxed);
         let _ = stream.write_all(&text.as_bytes()[..at]).await;
+        if words[0] == "early" {
+            let linger = SockRef::from(&*stream).set_linger(Some(Duration::ZERO));
+            linger.expect("it is a socket");
+        }
         return words[2] == "process";
     }
 }
@@ -124,7 +143,15 @@
             let length = lines
                 .filter(|(name, _)| name.eq_ignore_ascii_case("content-length"))
                 .find_map(|(_, value)| value.parse().ok());
-            let length: usize = length.unwrap_or_default();
+            let is_early = head
+                .lines()
+                .next()
+                .is_some_and(|line| line.contains("/early-"));
+            let length: usize = if is_early {
+                0
+            } else {
+                length.unwrap_or_default()
+            };
             if rest.len() >= length {
                 buffer.drain(..head.len() + 4 + length);
                 return head.split(' ').nth(1).map(str::to_owned);
@@ -176,12 +203,56 @@
 
 /// Sends a request for an answer that is cut, with an idempotency key unless that is empty.
 async fn ask(cluster: &Cluster, method: &str, key: &str, cut: &str) -> Response {
+    upload(cluster, method, key, cut, Bytes::new()).await
+}
+
+/// Sends such a request with a body.
+async fn upload(cluster: &Cluster, method: &str, key: &str, cut: &str, body: Bytes) -> Response {
     let entry = cluster.entries.values().next().expect("there is an entry");
     let headers = [("idempotency-key", key)];
     let headers = if key.is_empty() { &[][..] } else { &headers };
     let path = format!("{SERVICE}/{cut}");
     let caller = Caller::new(entry.address());
-    caller.send(method, &path, headers, Bytes::new()).await
+    caller.send(method, &path, headers, body).await
+}
+
+/// Guards against a part of an answer that reaches its caller as whole, as the service resets the
+/// connection while the upload is still being written, and against an answer whose status is none.
+#[parameterized(
+    early = { "POST", "", &["early-58-connection", "early-44-connection"] },
+    early_and_repeatable = { "GET", "", &["early-58-connection"] },
+    early_and_keyed = { "POST", "key", &["early-50-connection"] },
+    statuses = { "POST", "", &["status-000", "status-099", "status-20", "status-101", "status-600", "status-999"] },
+    statuses_and_repeatable = { "GET", "", &["status-000", "status-700"] },
+    statuses_and_keyed = { "POST", "key", &["status-000", "status-700"] },
+)]
+#[test_macro(tokio::test)]
+async fn an_early_or_odd_answer_of_a_service_is_no_success(
+    method: &str,
+    key: &str,
+    answers: &[&str],
+) {
+    let test = async {
+        let (cluster, process, _) = deploy().await;
+        for answer in answers {
+            // A whole answer ends the pause after the failure before.
+            let whole = ask(&cluster, "POST", "", "framed-53-connection").await;
+            assert_eq!((whole.status, whole.text().as_str()), (200, BODY));
+            let before = process.arrivals();
+            let key = if key.is_empty() { "" } else { answer };
+            let is_early = answer.starts_with("early");
+            let body = Bytes::from(vec![b'u'; if is_early { UPLOAD } else { SHORT }]);
+            let response = upload(&cluster, method, key, answer, body).await;
+            assert!(process.arrivals() > before, "{answer}: {}", response.status);
+            let status = response.status;
+            assert!(
+                [502, 504].contains(&status),
+                "{answer}: {status} {}",
+                response.text()
+            );
+        }
+    };
+    timeout(TEST_TIMEOUT, test).await.expect("the test hangs");
 }
 
 /// Guards against an answer of a process that ends and reaches its caller as a success.
--- a/crates/cactuslane-gateway/src/ending/calls.rs
+++ b/crates/cactuslane-gateway/src/ending/calls.rs
@@ -74,7 +74,7 @@
         // A health check may fail, or be rejected for want of a slot; a report needs none.
         Verdict::Answer => plain.is_some() || status == StatusCode::OK,
         Verdict::NotRun => plain.is_some() && !exchange::is_misdirected(status.as_u16()),
-        Verdict::WrongRole | Verdict::Replaced | Verdict::Foreign => false,
+        Verdict::WrongRole | Verdict::Replaced | Verdict::Foreign | Verdict::Invalid => false,
     };
     if !lives {
         let why = format!("status {status} does not show that it lives");
--- a/crates/cactuslane-gateway/src/plain.rs
+++ b/crates/cactuslane-gateway/src/plain.rs
@@ -337,7 +337,13 @@
     })?;
     let status = response.status().as_u16();
     let verdict = exchange::verdict(&request.info.id, &target.id, status, response.headers());
-    if !matches!(verdict, Verdict::Foreign | Verdict::Replaced) {
+    let is_own = |verdict| {
+        !matches!(
+            verdict,
+            Verdict::Foreign | Verdict::Replaced | Verdict::Invalid
+        )
+    };
+    if is_own(verdict) {
         let (status, headers) = (response.status(), response.headers());
         answers::observe(gateway, target, Purpose::Request, status, headers, sent);
     }
@@ -379,6 +385,10 @@
             AttemptFailure::Broken,
             format!("status {status}, the answer does not belong to the request"),
         )),
+        Verdict::Invalid => Err((
+            AttemptFailure::Broken,
+            format!("status {status} is not that of an answer"),
+        )),
     }
 }
 
--- a/crates/cactuslane-gateway/tests/serving/main.rs
+++ b/crates/cactuslane-gateway/tests/serving/main.rs
@@ -12,6 +12,7 @@
 mod deployment;
 mod drained;
 mod dropped;
+mod early;
 mod ends;
 mod grouped;
 mod heads;
--- a/crates/cactuslane-store/src/http.rs
+++ b/crates/cactuslane-store/src/http.rs
@@ -22,6 +22,12 @@
 /// Maximum size of a response body, in bytes; in a streamed response, of the unparsed part.
 pub const MAX_RESPONSE_BYTES: usize = 8 << 20;
 
+/// Returns whether a status is that of a final response in the protocol.
+#[must_use]
+pub const fn is_final_status(status: u16) -> bool {
+    matches!(status, 200..=599)
+}
+
 /// An HTTP client with a connection pool; clones share the pool.
 ///
 /// A request that gets no response in time makes the client close all idle connections: what made the
@@ -136,13 +142,19 @@
         request: Request<Full<Bytes>>,
     ) -> Result<Response<Incoming>, HttpError> {
         let client = self.pool().client.clone();
-        client.request(request).await.map_err(|error| {
+        let response = client.request(request).await.map_err(|error| {
             if error.is_connect() {
                 HttpError::Connect(error_chain(&error))
             } else {
                 HttpError::Broken(error_chain(&error))
             }
-        })
+        })?;
+        let status = response.status().as_u16();
+        if !is_final_status(status) {
+            let why = format!("status {status} is not that of a response");
+            return Err(HttpError::Broken(why));
+        }
+        Ok(response)
     }
 
     /// Sends a request and returns the status and the complete body of the response.
