Hand on no refusal after an attempt at another instance that may have run

Cause: a refusal is true of the attempts that the refusing side knows, and was handed on after one whose outcome is not known. An instance that does not state it counts as "may have run".

--- a/crates/cactuslane-flight/src/request_state.rs
+++ b/crates/cactuslane-flight/src/request_state.rs
@@ -105,6 +105,14 @@
         }
     }
 
+    /// Returns the state of a request that may have run before, at a target that another instance
+    /// chose.
+    #[must_use]
+    pub fn after_unknown_run(mut self) -> Self {
+        self.possible_runs += 1;
+        self
+    }
+
     /// Returns the time from `now`, in milliseconds on the instance's clock, until the deadline;
     /// zero after it.
     #[must_use]
--- a/crates/cactuslane-gateway/src/ingress.rs
+++ b/crates/cactuslane-gateway/src/ingress.rs
@@ -306,6 +306,7 @@
     source: RequestSource,
 ) -> Response<AnswerBody> {
     let time_limit = request.time_left();
+    let state = begin_state(gateway, &request, source, time_limit);
     let grace = gateway.settings().grace;
     if let Some(since) = gateway.since_stop()
         && !stopping::accepts_request(since, grace, time_limit)
@@ -315,25 +316,21 @@
             since_ms = since.as_millis() as u64;
             "not taken while stopping"
         );
-        return reply::refusal(
-            &request.info.id,
-            Refusal::NotRun,
-            STOPPING_RETRY_AFTER,
-            "stopping",
-        );
+        let refusal = state.refusal();
+        return reply::refusal(&request.info.id, refusal, STOPPING_RETRY_AFTER, "stopping");
     }
     let may_pass = source == RequestSource::Caller;
     if may_pass && gateway.pool.reach().is_cut() {
-        return passing::pass_on(gateway, &request).await;
+        return passing::pass_on(gateway, &request, state).await;
     }
     if may_pass {
         let request = Arc::new(request);
-        let response = execute_here(gateway, &request, time_limit).await;
+        let response = execute_here(gateway, &request, state.clone()).await;
         // Only the refusals of this instance itself promise that the request did not run.
         let is_unsent = response.extensions().get::<Cause>() == Some(&Cause(UNSENT));
         let is_refused = response.status() == StatusCode::SERVICE_UNAVAILABLE;
         if is_refused && is_unsent && gateway.pool.reach().is_unreached() {
-            return passing::pass_on(gateway, &request).await;
+            return passing::pass_on(gateway, &request, state).await;
         }
         return response;
     }
@@ -346,23 +343,32 @@
     }
     info!(request = request.info.id, peer; "request of another instance taken");
     request.taken = taken;
-    execute_here(gateway, &Arc::new(request), time_limit).await
+    execute_here(gateway, &Arc::new(request), state).await
+}
+
+/// Returns the state of a request before its first attempt here.
+fn begin_state(
+    gateway: &Gateway,
+    request: &CallerRequest,
+    source: RequestSource,
+    time_limit: Duration,
+) -> RequestState {
+    let (retry, max_attempts) = (request.route.retry, request.route.max_attempts);
+    let state = RequestState::new(retry, max_attempts, gateway.now(), time_limit);
+    if source != RequestSource::Caller && exchange::may_have_run(&request.headers) {
+        state.after_unknown_run()
+    } else {
+        state
+    }
 }
 
 /// Executes a request at the targets.
 async fn execute_here(
     gateway: &Arc<Gateway>,
     request: &Arc<CallerRequest>,
-    time_limit: Duration,
+    state: RequestState,
 ) -> Response<AnswerBody> {
     gateway.record_request(&request.service);
-    let now = gateway.now();
-    let state = RequestState::new(
-        request.route.retry,
-        request.route.max_attempts,
-        now,
-        time_limit,
-    );
     if request.route.stream {
         generation::execute(gateway, request.clone(), state).await
     } else {
--- a/crates/cactuslane-gateway/src/passing.rs
+++ b/crates/cactuslane-gateway/src/passing.rs
@@ -6,8 +6,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use cactuslane_flight::Refusal;
-use cactuslane_flight::routing_config::RetryPolicy;
+use cactuslane_flight::{AttemptFailure, Refusal, RequestState, Step};
 use cactuslane_held::Framing;
 use cactuslane_platform::exchange;
 use cactuslane_store::http::HttpError;
@@ -30,6 +29,8 @@
 const ANSWER_GRACE: Duration = Duration::from_millis(100);
 /// Value of `Retry-After` when no instance takes a request.
 const NO_HELPER_RETRY_AFTER: Duration = Duration::from_millis(500);
+/// Cause of the refusal of a request that no instance takes.
+const NO_INSTANCE: &str = "no instance";
 
 /// Returns the answer of an instance that takes no request of others' callers at present.
 #[must_use]
@@ -45,18 +46,23 @@
 /// The request must not have run, and must not have been passed on before. It is sent to a second
 /// instance only if the first one cannot be reached or declines it, or if it may be repeated
 /// and the retry budget allows that.
-pub async fn pass_on(gateway: &Arc<Gateway>, request: &CallerRequest) -> Response<AnswerBody> {
+pub async fn pass_on(
+    gateway: &Arc<Gateway>,
+    request: &CallerRequest,
+    mut state: RequestState,
+) -> Response<AnswerBody> {
     let id = &request.info.id;
     let mut asked = Vec::new();
-    let mut may_have_run = false;
     while asked.len() < MAX_HELPERS {
         let left = request.time_left();
         if left.is_zero() {
             break;
         }
-        let Some((helper, outgoing)) = prepare(gateway, request, left, &asked) else {
+        let Some((helper, mut outgoing)) = prepare(gateway, request, left, &asked) else {
             break;
         };
+        let may_have_run = state.refusal() != Refusal::NotRun;
+        exchange::set_may_have_run(outgoing.headers_mut(), may_have_run);
         info!(
             request = id,
             helper,
@@ -80,6 +86,12 @@
             }
             Ok(Ok(response)) => {
                 gateway.metrics.count_passed("answered");
+                let status = response.status().as_u16();
+                // It is true of the other instance's part alone.
+                if may_have_run && exchange::promises_not_run(status) {
+                    warn!(request = id, status; "refused after an attempt that may have run");
+                    return unknown_outcome(request);
+                }
                 return return_answer(gateway, request, response);
             }
             Ok(Err(HttpError::Connect(why))) => {
@@ -89,9 +101,9 @@
             Ok(Err(HttpError::Broken(why))) => {
                 gateway.metrics.count_passed("broken");
                 warn!(request = id, why, after_ms; "other instance gave no answer");
-                may_have_run = true;
-                let may_repeat = request.route.retry != RetryPolicy::Never;
-                if !may_repeat || !gateway.take_retry(&request.service) {
+                let budget = || gateway.take_retry(&request.service);
+                let step = state.next_step(AttemptFailure::Broken, gateway.now(), budget);
+                if step != Step::Retry {
                     return unknown_outcome(request);
                 }
             }
@@ -101,11 +113,9 @@
             }
         }
     }
-    warn!(request = id, asked = asked.len(), may_have_run; "no instance takes the request");
-    if may_have_run {
-        return unknown_outcome(request);
-    }
-    refuse(id)
+    let refusal = state.refusal();
+    warn!(request = id, asked = asked.len(), refusal:?; "no instance takes the request");
+    reply::refusal(id, refusal, NO_HELPER_RETRY_AFTER, NO_INSTANCE)
 }
 
 /// Chooses an instance that was not asked yet, and builds the request for it.
@@ -188,7 +198,7 @@
     answer
 }
 
-/// Returns the refusal of a request that no instance takes.
+/// Returns the refusal of a request that has not run, and that this instance does not take.
 fn refuse(id: &str) -> Response<AnswerBody> {
-    reply::refusal(id, Refusal::NotRun, NO_HELPER_RETRY_AFTER, "no instance")
+    reply::refusal(id, Refusal::NotRun, NO_HELPER_RETRY_AFTER, NO_INSTANCE)
 }
--- a/crates/cactuslane-gateway/tests/serving/main.rs
+++ b/crates/cactuslane-gateway/tests/serving/main.rs
@@ -34,5 +34,6 @@
 mod stale;
 mod stopping;
 mod streams;
+mod unknown;
 mod usage;
 mod versions;
