Tell callers of services no refusal after an attempt that may have run

What callers saw, in a test: 503, not_sent, not-run for a repeatable call to a plain service at the product's own entry, whose first attempt ran and broke off, and whose second one found no connection. The same for one that found no target.

Cause: the error of the last attempt alone decided. The last one that was sent does now. A keyed call that is repeatable was recorded as not sent by it, too.

--- a/crates/cactuslane-demo/tests/endings.rs
+++ b/crates/cactuslane-demo/tests/endings.rs
@@ -300,6 +300,26 @@
     Process::bind(address).await.0
 }
 
+/// Guards against a caller who is told that its call did not run, as no target takes it again, though the
+/// first one may have run it.
+#[tokio::test]
+async fn a_refusal_after_an_unknown_outcome_is_no_promise() {
+    let test = async {
+        let (cluster, mut process, address) = deploy().await;
+        for number in 0..4 {
+            // A whole answer ends the pause after the failure before.
+            let whole = ask(&cluster, "POST", "", "framed-53-connection").await;
+            assert_eq!((whole.status, whole.text().as_str()), (200, BODY));
+            let before = process.arrivals();
+            let answer = ask(&cluster, "GET", "", "unframed-45-process").await;
+            assert_eq!(process.arrivals(), before + 1);
+            assert_eq!(answer.status, 502, "{number}: {}", answer.text());
+            process = rebind(address).await;
+        }
+    };
+    timeout(TEST_TIMEOUT, test).await.expect("the test hangs");
+}
+
 /// Guards against an answer that is withheld because it has no length, though its process lives on.
 #[parameterized(
     repeatable = { "GET", "" },
--- a/crates/cactuslane-entry/src/api/services/attempt.rs
+++ b/crates/cactuslane-entry/src/api/services/attempt.rs
@@ -30,14 +30,20 @@
 ///
 /// # Errors
 ///
-/// Returns the error of the last attempt, or [`ApiError::NoTarget`].
+/// Returns the error of the last attempt that may have run the call, if one did; otherwise that of the
+/// last attempt, or [`ApiError::NoTarget`].
 pub async fn execute(call: &ServiceCall) -> Result<ServiceAnswer, ApiError> {
     let shared = &call.request.shared;
     shared.routing().retries.attempted();
     let deadline = Instant::now() + call.timeout();
     let mut tried: Vec<TargetId> = Vec::new();
+    let mut unknown = None;
     loop {
-        let (target, dispatch) = select_target(call, &tried).await?;
+        let selected = select_target(call, &tried).await;
+        let (target, dispatch) = match selected {
+            Ok(selected) => selected,
+            Err(error) => return Err(unknown.map_or(error, final_error)),
+        };
         let error = match attempt(call, &target, &dispatch, tried.len(), deadline).await {
             Ok(answer) => return Ok(answer),
             Err(error) => error,
@@ -47,10 +53,13 @@
             .event("attempt failed", format!("{target}: {error:?}"));
         tried.push(target);
         let sent = !matches!(error, CallError::NotSent(_));
+        if sent {
+            unknown = Some(error.clone());
+        }
         let may_retry = !sent || call.repeatable;
         let attempts_left = tried.len() < MAX_ATTEMPTS as usize && Instant::now() < deadline;
         if !may_retry || !attempts_left || !shared.routing().retries.take() {
-            return Err(final_error(error));
+            return Err(final_error(unknown.unwrap_or(error)));
         }
         shared.metrics.retries.inc();
     }
