Tell a target the end that its answer is judged by, from one reading

Cause: for streams, the end by which an answer is judged and the time that the engine is told came from two readings of the time that is left, each cut to whole milliseconds, so that the engine could be told an end up to 1 ms before the one that counts.

Change: Told is one reading; a target is told what is left of it, and its answer is judged by it. It is a part of each attempt, and plain::send takes no other end.

--- a/crates/cactuslane-gateway/src/ending.rs
+++ b/crates/cactuslane-gateway/src/ending.rs
@@ -30,14 +30,55 @@
     pub target: &'a Target,
     /// What ends the body.
     pub framing: Framing,
-    /// Time at which the target was told to stop work, in milliseconds of [`boot_millis`].
-    pub told_deadline: Millis,
+    /// The end that the target was told.
+    pub told: Told,
     /// Time at which the request was sent; the process had the address of the target then.
     pub sent: Instant,
     /// Whether the request can go on at another target if the answer is not whole.
     pub goes_on: bool,
 }
 
+/// The end of the time that a target is given, which it is told and by which its answer is judged.
+///
+/// Both come from one reading of the clocks: from two, a target can be told a time that ends before the
+/// one by which its answer is judged, and an answer that it ends then would pass for whole.
+#[derive(Clone, Copy, Debug)]
+pub struct Told {
+    /// The end, in milliseconds of [`boot_millis`].
+    deadline: Millis,
+    /// Time until then when the clocks were read.
+    left: Duration,
+    /// Time at which they were read.
+    read: Instant,
+}
+
+impl Told {
+    /// Reads the clocks; `left` returns the time until the deadline of the request.
+    #[must_use]
+    pub fn read(left: impl FnOnce() -> Duration) -> Self {
+        // First, so that the end is not later than the one that the target is told.
+        let now = boot_millis();
+        let left = left();
+        Self {
+            deadline: now + left.as_millis() as Millis,
+            left,
+            read: Instant::now(),
+        }
+    }
+
+    /// Returns the end, in milliseconds of [`boot_millis`].
+    #[must_use]
+    pub fn deadline(&self) -> Millis {
+        self.deadline
+    }
+
+    /// Returns the time that a target is told now.
+    #[must_use]
+    pub fn left(&self) -> Duration {
+        told_time(self.left, self.read.elapsed())
+    }
+}
+
 /// Returns the time that a target is told, of which a part has passed; it is told in whole milliseconds,
 /// and an earlier end than its answer is judged by would pass for a regular one.
 #[must_use]
@@ -82,7 +123,7 @@
     if framing == Framing::Length {
         return Ok(());
     }
-    if boot_millis() >= answered.told_deadline || request.time_left().is_zero() {
+    if boot_millis() >= answered.told.deadline || request.time_left().is_zero() {
         let why = "the end came after the deadline".to_owned();
         return Err((AttemptFailure::Late, why));
     }
--- a/crates/cactuslane-gateway/src/generation.rs
+++ b/crates/cactuslane-gateway/src/generation.rs
@@ -30,8 +30,8 @@
 use self::computed::ComputedPrompt;
 use self::successor::Successor;
 use crate::admission::Entry;
+use crate::ending::Told;
 use crate::fleet::Fleet;
-use crate::leadership::boot_millis;
 use crate::limits::permits::{Denials, Permit};
 use crate::plain::{failure_label, refuse, unknown_outcome};
 use crate::reply::{self, AnswerBody};
@@ -61,9 +61,6 @@
     prompt_attempts: u32,
     /// Number of attempts at targets that generate.
     runs: u32,
-    /// Deadline that the last of these targets was told, in milliseconds since the machine started,
-    /// suspended time included.
-    told_deadline: Millis,
     /// Permits that the request was denied since it was last sent.
     denials: Denials,
     /// Version at which the stream may begin or go on.
@@ -83,6 +80,8 @@
     headers: HeaderMap,
     /// What ends the body.
     framing: Framing,
+    /// The end that the target was told.
+    told: Told,
     /// Id of the last event that the caller has, after which the target was asked to go on.
     resumed_after: Option<u64>,
     /// Body of the answer, which holds the events.
@@ -126,7 +125,6 @@
         prompt: None,
         prompt_attempts: 0,
         runs: 0,
-        told_deadline: Millis::MAX,
         denials: Denials::default(),
         prompt_denied: false,
         last_event: request.arrived,
@@ -368,10 +366,6 @@
         // Another version may have registered since the prompt was placed: it reads the prompt itself.
         let prompt = self.prompt.take();
         let prompt = prompt.filter(|prompt| target.has_version_of(&prompt.target));
-        // The clock is read first, so that the target is not told an earlier end than this.
-        let now = boot_millis();
-        let left = self.state.remaining(self.gateway.now());
-        self.told_deadline = now + left.as_millis() as Millis;
         let result = self
             .generate(&target, plan, prompt.as_ref(), last_event, permit)
             .await;
--- a/crates/cactuslane-gateway/src/generation/attempt.rs
+++ b/crates/cactuslane-gateway/src/generation/attempt.rs
@@ -17,7 +17,7 @@
 use super::computed::ComputedPrompt;
 use super::waiting::{HELD, with_timeout};
 use super::{OpenStream, StreamRequest};
-use crate::ending::{self, Answered};
+use crate::ending::{self, Answered, Told};
 use crate::limits::permits::Permit;
 use crate::plain::send;
 use crate::reply::{self, AnswerBody};
@@ -50,21 +50,22 @@
         let load = self.gateway.track_load(&target.id, load);
         let source =
             prompt.map(|prompt| engine::prompt_source(prompt.target.address, &prompt.handle));
-        let left = self.state.remaining(self.gateway.now());
+        let told = Told::read(|| self.state.remaining(self.gateway.now()));
+        let left = told.left();
         let params = SendParams {
             target: &target.id,
-            timeout: left,
             priority: Some(self.request.priority),
             identity: self.request.identity(),
             phases: source.as_deref().map_or(Phases::All, Phases::Decode),
             fetch: None,
             place: Some(self.request.info.place(last_event)),
+            ..SendParams::default()
         };
         let began = Instant::now();
         let wait = left.min(self.head_timeout(plan));
         let mut attempt = crashes::SentAttempt::new(&self.gateway, &self.request.info, target);
         let head = async {
-            let head = send(&self.gateway, &self.request, target, &params, permit).await;
+            let head = send(&self.gateway, &self.request, target, &params, told, permit).await;
             if let Err((ending, _)) = &head {
                 attempt.settle();
                 if *ending == AttemptFailure::Broken {
@@ -99,7 +100,7 @@
         if !head.status.is_success() {
             attempt.settle();
             let failure = self
-                .read_failure(target, (framing, began), head, body)
+                .read_failure(target, (framing, began, told), head, body)
                 .await;
             return Err(failure);
         }
@@ -119,6 +120,7 @@
         Ok(OpenStream {
             headers: head.headers,
             framing,
+            told,
             resumed_after: last_event,
             body,
             connection,
@@ -134,7 +136,7 @@
     async fn read_failure(
         &self,
         target: &Target,
-        (framing, sent): (Framing, Instant),
+        (framing, sent, told): (Framing, Instant, Told),
         head: Parts,
         body: Incoming,
     ) -> (AttemptFailure, Option<Response<AnswerBody>>) {
@@ -145,7 +147,7 @@
         let answered = Answered {
             target,
             framing,
-            told_deadline: self.told_deadline,
+            told,
             sent,
             goes_on: self.state.may_retry(),
         };
--- a/crates/cactuslane-gateway/src/generation/prompt.rs
+++ b/crates/cactuslane-gateway/src/generation/prompt.rs
@@ -17,6 +17,7 @@
 use super::computed::ComputedPrompt;
 use super::waiting::{PROMPT_TIMEOUT_FACTOR, with_timeout};
 use crate::bodies::read_body;
+use crate::ending::Told;
 use crate::engines;
 use crate::limits::permits::Permit;
 use crate::plain::send;
@@ -54,16 +55,17 @@
         let wait = left.min(limit.max(MIN_PROMPT_TIMEOUT));
         let params = SendParams {
             target: &target.id,
-            timeout: left,
             priority: Some(self.request.priority),
             identity: self.request.identity(),
             phases: Phases::Prefill,
             fetch: fetch.map(|engine| engine.address),
             place: Some(self.request.info.place(last_event)),
+            ..SendParams::default()
         };
+        let told = Told::read(|| left);
         let exchange = async {
             let (connection, response) =
-                send(&self.gateway, &self.request, target, &params, permit).await?;
+                send(&self.gateway, &self.request, target, &params, told, permit).await?;
             let keep_alive = exchange::keep_alive_timeout(response.headers());
             let status = response.status();
             connection.allow(MAX_COMPUTED_BYTES);
--- a/crates/cactuslane-gateway/src/generation/stream.rs
+++ b/crates/cactuslane-gateway/src/generation/stream.rs
@@ -328,7 +328,7 @@
         let answered = Answered {
             target: &opened.target,
             framing: opened.framing,
-            told_deadline: self.told_deadline,
+            told: opened.told,
             sent: opened.sent,
             goes_on: self.state.may_retry() && scanner.may_resume(),
         };
--- a/crates/cactuslane-gateway/src/plain.rs
+++ b/crates/cactuslane-gateway/src/plain.rs
@@ -8,7 +8,7 @@
 use cactuslane_held::{Framing, framing};
 use cactuslane_place::{Forecast, Load};
 use cactuslane_platform::exchange::{self, SendParams, Verdict};
-use cactuslane_types::{Millis, Role};
+use cactuslane_types::Role;
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::Incoming;
 use hyper::{Request, Response};
@@ -17,8 +17,7 @@
 
 use crate::admission::Entry;
 use crate::bodies::MAX_ANSWER_BYTES;
-use crate::ending::{self, Answered};
-use crate::leadership::boot_millis;
+use crate::ending::{self, Answered, Told};
 use crate::limits;
 use crate::limits::permits::{Denials, Permit, Purpose};
 use crate::metrics;
@@ -145,10 +144,8 @@
     target: &Target,
     permit: Permit,
 ) -> Attempt {
-    // The clock is read first, so that the target is not told an earlier end than this.
-    let told_from = boot_millis();
-    let left = state.remaining(gateway.now());
-    let told_deadline = told_from + left.as_millis() as Millis;
+    let told = Told::read(|| state.remaining(gateway.now()));
+    let left = told.left();
     let load = Load {
         running: 1,
         ..Load::default()
@@ -158,7 +155,6 @@
     let began = Instant::now();
     let params = SendParams {
         target: &target.id,
-        timeout: left,
         identity: request.identity(),
         ..SendParams::default()
     };
@@ -170,7 +166,7 @@
             request,
             target,
             &params,
-            (told_deadline, state.may_retry(), &run),
+            (told, state.may_retry(), &run),
             permit,
         )
         .await;
@@ -235,18 +231,17 @@
 
 /// Sends a request and reads the complete answer; a success must carry the target's signature.
 ///
-/// `told_deadline` is the time at which the target is told to stop, in milliseconds of [`boot_millis`], `goes_on` whether
-/// the request can be sent elsewhere; `run` counts the run once the head of its answer has arrived.
+/// `told` is the end that the target is told, `goes_on` whether the request can be sent elsewhere; `run` counts the run once the head of its answer has arrived.
 async fn send_and_read(
     gateway: &Arc<Gateway>,
     request: &CallerRequest,
     target: &Target,
     params: &SendParams<'_>,
-    (told_deadline, goes_on, run): (Millis, bool, &usage::RunGuard<'_>),
+    (told, goes_on, run): (Told, bool, &usage::RunGuard<'_>),
     permit: Permit,
 ) -> Result<Response<AnswerBody>, (AttemptFailure, String)> {
     let sent = Instant::now();
-    let (connection, response) = send(gateway, request, target, params, permit).await?;
+    let (connection, response) = send(gateway, request, target, params, told, permit).await?;
     run.answered();
     let keep_alive = exchange::keep_alive_timeout(response.headers());
     let framing = Framing::of(&response);
@@ -255,7 +250,7 @@
     let answered = Answered {
         target,
         framing,
-        told_deadline,
+        told,
         sent,
         goes_on,
     };
@@ -281,7 +276,8 @@
     Ok(reply::buffered(head.status, headers, body))
 }
 
-/// Sends a request and returns the answer once its head has arrived.
+/// Sends a request and returns the answer once its head has arrived; `told` is the end that the target is
+/// told, in place of the time-out in `params`.
 ///
 /// If the head shows that the target has another role, or that another target has the address, this
 /// is recorded and queued for the other instances.
@@ -295,12 +291,12 @@
     request: &CallerRequest,
     target: &Target,
     params: &SendParams<'_>,
+    told: Told,
     permit: Permit,
 ) -> Result<(PooledConnection, Response<Incoming>), (AttemptFailure, String)> {
     // A target may answer twice, and on the same connection the second copy of a rejection would
     // be taken for the answer to the repeated request, which has the same id or none.
     let id = &request.info.id;
-    let began = Instant::now();
     let may_reuse = request.record_send(&target.id) && !id.is_empty();
     let service = request.config.services.get(&request.service);
     let (mut connection, permit) = if service.is_some_and(|service| service.engine.is_some()) {
@@ -324,7 +320,7 @@
     *outgoing.method_mut() = request.method.clone();
     *outgoing.uri_mut() = origin_form(&request.uri);
     let params = SendParams {
-        timeout: ending::told_time(params.timeout, began.elapsed()),
+        timeout: told.left(),
         ..params.clone()
     };
     *outgoing.headers_mut() = exchange::request_headers(&request.headers, &params);
--- a/crates/cactuslane-gateway/tests/instance_state.rs
+++ b/crates/cactuslane-gateway/tests/instance_state.rs
@@ -6,7 +6,7 @@
 use cactuslane_flight::target::{Target, TargetState};
 use cactuslane_gateway::Gateway;
 use cactuslane_gateway::backoff::Backoff;
-use cactuslane_gateway::ending;
+use cactuslane_gateway::ending::{self, Told};
 use cactuslane_gateway::fleet::{Effect, Fleet};
 use cactuslane_gateway::members::{Member, Members};
 use cactuslane_gateway::ranking::is_small_deployment;
@@ -15,6 +15,7 @@
 use cactuslane_place::Observed;
 use cactuslane_store::kv::{KvError, WATCH_GRACE};
 use cactuslane_types::Role;
+use rustix::time::{ClockId, clock_gettime};
 use yare::parameterized;
 
 /// Creates a decode engine of service `desk` that serves model `m`.
@@ -361,3 +362,28 @@
     let told = ending::told_time(Duration::from_secs(4), passed);
     assert_eq!(told.as_millis(), told_ms);
 }
+
+/// Guards against a target that is told, from a second reading of a clock, an end before the one by
+/// which its answer is judged: what it ends then would pass for whole.
+#[test]
+fn the_end_that_a_target_is_told_is_the_one_that_its_answer_is_judged_by() {
+    let now = || {
+        let time = clock_gettime(ClockId::Boottime);
+        Duration::new(time.tv_sec as u64, time.tv_nsec as u32)
+    };
+    let end = now() + Duration::from_secs(4);
+    for number in 0..2_000_u32 {
+        // The time that is left is told in whole milliseconds, as that of requests.
+        let told = Told::read(|| {
+            let left = end.saturating_sub(now());
+            Duration::from_millis(left.as_millis() as u64)
+        });
+        let sent = now() + Duration::from_micros(u64::from(number % 700));
+        while now() < sent {}
+        // The target counts from the arrival of the request, which is later.
+        let left = told.left();
+        let stops = now() + left;
+        let judged = Duration::from_millis(told.deadline());
+        assert!(stops >= judged, "{number}: {stops:?} {judged:?}");
+    }
+}
