Confirm an end by a report only if it states the start of its process

Found on the last reading: calls to an engine are repeated now, and a report without a start passed for one of the process that sent the answer, so that the next process could confirm a cut one.

--- a/crates/cactuslane-flight/src/request_state.rs
+++ b/crates/cactuslane-flight/src/request_state.rs
@@ -105,8 +105,8 @@
         }
     }
 
-    /// Returns the state of a request that may have run before, at a target that another instance
-    /// chose.
+    /// Returns the state of a request that may have run already, as an instance before this one got no
+    /// answer to it.
     #[must_use]
     pub fn after_unknown_run(mut self) -> Self {
         self.possible_runs += 1;
--- a/crates/cactuslane-gateway/src/ending/calls.rs
+++ b/crates/cactuslane-gateway/src/ending/calls.rs
@@ -95,6 +95,9 @@
     };
     if plain.is_none() {
         connection.record_process(ServingProcess::stated(told));
+        if told.is_none() && target.started_at.is_some() {
+            return Err(Denial::Unknown("the report states no start".to_owned()));
+        }
     }
     let known = gateway
         .fleet()
--- a/crates/cactuslane-gateway/src/plain.rs
+++ b/crates/cactuslane-gateway/src/plain.rs
@@ -333,13 +333,11 @@
     })?;
     let status = response.status().as_u16();
     let verdict = exchange::verdict(&request.info.id, &target.id, status, response.headers());
-    let is_own = |verdict| {
-        !matches!(
-            verdict,
-            Verdict::Foreign | Verdict::Replaced | Verdict::Invalid
-        )
-    };
-    if is_own(verdict) {
+    let is_own = matches!(
+        verdict,
+        Verdict::Answer | Verdict::NotRun | Verdict::WrongRole
+    );
+    if is_own {
         let (status, headers) = (response.status(), response.headers());
         answers::observe(gateway, target, Purpose::Request, status, headers, sent);
     }
