Take the removal of an entry as no sign that a process ended its streams

Cause: the entry of a draining target that was removed sooner than silence removes it was taken as a sign that the target had ended its streams. A target that exits at the end of its drain cuts them at the same time, and nothing tells the two apart from outside.

Change: the sign is gone, with the reads of entries, the interval of heartbeats and the times of writes that it needed.

--- a/crates/cactuslane-flight/src/lib.rs
+++ b/crates/cactuslane-flight/src/lib.rs
@@ -28,7 +28,7 @@
 
 pub use budget::WindowedRetryBudget;
 pub use customers::{Customer, Customers, KeyConflict};
-pub use ends::{Presence, Removal, Sign};
+pub use ends::{Presence, Sign};
 pub use event_ids::EventIds;
 pub use events::EventScanner;
 pub use gaps::{Gap, StatedRun};
--- a/crates/cactuslane-gateway/src/control.rs
+++ b/crates/cactuslane-gateway/src/control.rs
@@ -273,15 +273,7 @@
 pub fn apply(gateway: &Gateway, change: Change) {
     let now = gateway.now();
     let (key, position) = match change {
-        Change::Written(item) => {
-            apply_item(gateway, &item, now);
-            if let Some(id) = registry::target_id(&item.key) {
-                // What was known before does not have this change.
-                let known = gateway.progress().map_or(0, |known| known.entries_seen);
-                gateway.fleet().record_written(id, known);
-            }
-            return;
-        }
+        Change::Written(item) => return apply_item(gateway, &item, now),
         Change::Deleted { key, position } => (key, position),
     };
     if let Some(id) = registry::target_id(&key) {
--- a/crates/cactuslane-gateway/src/ending/signs.rs
+++ b/crates/cactuslane-gateway/src/ending/signs.rs
@@ -6,7 +6,6 @@
 
 use cactuslane_flight::ends::{Presence, Sign, TRANSIT_TIME, patience};
 use cactuslane_flight::target::Target;
-use cactuslane_platform::registry;
 use cactuslane_types::TargetId;
 use tokio::net::UdpSocket;
 use tokio::task::yield_now;
@@ -23,8 +22,6 @@
 
 /// Pause between calls to a process that did not answer one.
 const CALL_PAUSE: Duration = Duration::from_millis(500);
-/// Pause between reads of the entry of a process that is leaving.
-const READ_PAUSE: Duration = Duration::from_millis(100);
 /// Number of times that the other instances are asked, as messages may be lost.
 const QUERIES: u32 = 2;
 /// Pause between these.
@@ -60,7 +57,6 @@
         called = call_until_denied(gateway, request, answered) => called,
         () = hear(gateway, sought) => Ok(Sign::OtherConnection),
         () = hear_elsewhere(gateway, target), if is_engine => Ok(Sign::OtherInstance),
-        () = await_removal(gateway, target) => Ok(Sign::EntryRemoved),
     }
 }
 
@@ -101,9 +97,7 @@
 
 /// Returns what the store shows of the process that registered a target.
 fn presence(gateway: &Gateway, target: &Target) -> Presence {
-    let (heartbeat, now) = (gateway.settings().heartbeat, gateway.now());
-    let fleet = gateway.fleet();
-    fleet.presence(&target.id, target.started_at, heartbeat, now)
+    gateway.fleet().presence(&target.id, target.started_at)
 }
 
 /// Waits until bytes of a process arrive that it sent later than now.
@@ -132,35 +126,6 @@
     }
 }
 
-/// Waits until the process that registered a target has left in order, as its entry shows.
-async fn await_removal(gateway: &Gateway, target: &Target) {
-    if presence(gateway, target) == Presence::Left {
-        // It was removed before the end, so that it does not show what came after.
-        return std::future::pending().await;
-    }
-    loop {
-        match presence(gateway, target) {
-            Presence::Left => return,
-            Presence::Leaving if is_removed(gateway, target).await => return,
-            _ => {}
-        }
-        sleep(READ_PAUSE).await;
-    }
-}
-
-/// Reads the entry of a target that is leaving, and returns whether it has left in order.
-async fn is_removed(gateway: &Gateway, target: &Target) -> bool {
-    let key = registry::target_key(&target.id);
-    let Ok(read) = gateway.store.get(&key).await else {
-        return false;
-    };
-    let (heartbeat, now) = (gateway.settings().heartbeat, gateway.now());
-    let fleet = gateway.fleet();
-    read.item.is_none()
-        && read.position.era == fleet.era()
-        && fleet.has_left(&target.id, target.started_at, heartbeat, now)
-}
-
 /// Answers the query of another instance once bytes of a process arrive.
 pub fn answer_query(
     gateway: &Arc<Gateway>,
--- a/crates/cactuslane-gateway/src/fleet.rs
+++ b/crates/cactuslane-gateway/src/fleet.rs
@@ -8,10 +8,10 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use cactuslane_flight::VersionHistory;
 use cactuslane_flight::origin::{Evidence, VersionList};
 use cactuslane_flight::routing_config::RoutingConfig;
 use cactuslane_flight::target::{Target, TargetState};
-use cactuslane_flight::{Removal, VersionHistory};
 use cactuslane_types::{Era, Millis, Position, Role, ServiceName, SoftwareVersion, TargetId};
 
 /// Time after the last store failure within which targets whose entries lapsed meanwhile are
@@ -52,8 +52,8 @@
     /// The era of the store in which the entries were read.
     era: Era,
     /// The targets that left while they were draining, with the starts of their processes and the
-    /// removals of their entries.
-    departed: BTreeMap<TargetId, (Option<u64>, Removal)>,
+    /// times at which they left.
+    departed: BTreeMap<TargetId, (Option<u64>, Millis)>,
     /// The time until which targets that had left before this era get no new work.
     hold_until: Millis,
 }
@@ -63,8 +63,6 @@
 struct Entry {
     /// The target as it registered itself, except that an observed role replaces the stated one.
     target: Target,
-    /// The time after which its process last wrote the entry.
-    written_after: Millis,
     /// The time at which its entry vanished from the store, unless it was written again.
     lapsed: Option<Millis>,
     /// Whether another target answered at its address.
@@ -335,7 +333,6 @@
         let paused_until = same_process.map_or(0, |old| old.paused_until);
         let entry = Entry {
             target,
-            written_after: 0,
             lapsed,
             replaced,
             restarted_at: same_process.and_then(|old| old.restarted_at),
@@ -367,11 +364,10 @@
         }
         if entry.target.state == TargetState::Draining {
             let started = entry.target.started_at;
-            let removal = entry.removal(now);
             self.targets.remove(id);
             self.departed
-                .retain(|_, (_, removal)| now < removal.removed_by + DEPARTED_RETENTION);
-            self.departed.insert(id.to_owned(), (started, removal));
+                .retain(|_, (_, at)| now < *at + DEPARTED_RETENTION);
+            self.departed.insert(id.to_owned(), (started, now));
             return true;
         }
         entry.lapsed.get_or_insert(now);
