--- /dev/null
+++ b/review/standins-3/main.rs
@@ -0,0 +1,28 @@
+//! Stand-ins of the platform, workers and clients for the scripts of this review.
+
+mod caller;
+mod gateway;
+mod http;
+mod json;
+mod moved;
+mod proxy;
+mod record;
+mod silent;
+mod store;
+mod worker;
+
+fn main() {
+    let mut args = std::env::args().skip(1);
+    let case = args.next().unwrap_or_default();
+    let folder = args.next().unwrap_or_default();
+    let trouble = std::env::var("TROUBLE").map_or(true, |value| value != "0");
+    let code = match case.as_str() {
+        "silent" => silent::run(&folder, trouble),
+        "moved" => moved::run(&folder, trouble),
+        _ => {
+            eprintln!("unknown case {case}");
+            2
+        }
+    };
+    std::process::exit(code);
+}
--- /dev/null
+++ b/review/standins-3/proxy.rs
@@ -0,0 +1,85 @@
+//! A proxy whose open connections can fall silent.
+
+use std::io::{Read, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::Arc;
+use std::thread;
+
+/// A running proxy.
+#[derive(Clone, Debug)]
+pub struct Proxy {
+    /// The address that it listens on.
+    pub address: SocketAddr,
+    /// Number of times that the open connections fell silent.
+    silences: Arc<AtomicU64>,
+    /// Whether it passes nothing on any more.
+    stopped: Arc<AtomicBool>,
+}
+
+impl Proxy {
+    /// Starts a proxy to an address.
+    pub fn start(to: SocketAddr) -> Self {
+        let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
+        let proxy = Self {
+            address: listener.local_addr().expect("an address"),
+            silences: Arc::default(),
+            stopped: Arc::default(),
+        };
+        let (silences, stopped) = (proxy.silences.clone(), proxy.stopped.clone());
+        thread::spawn(move || {
+            for near in listener.incoming().flatten() {
+                if stopped.load(Ordering::SeqCst) {
+                    return;
+                }
+                let Ok(far) = TcpStream::connect(to) else {
+                    continue;
+                };
+                let (_, _) = (near.set_nodelay(true), far.set_nodelay(true));
+                let born = silences.load(Ordering::SeqCst);
+                let pairs = [(near.try_clone(), far.try_clone()), (Ok(far), Ok(near))];
+                for pair in pairs {
+                    if let (Ok(from), Ok(to)) = pair {
+                        let silences = silences.clone();
+                        thread::spawn(move || copy(from, to, &silences, born));
+                    }
+                }
+            }
+        });
+        proxy
+    }
+
+    /// Lets all connections that are open now pass nothing any more; new ones work.
+    pub fn silence(&self) {
+        self.silences.fetch_add(1, Ordering::SeqCst);
+    }
+
+    /// Ends the proxy: open connections pass nothing any more, new ones are refused.
+    pub fn stop(&self) {
+        self.stopped.store(true, Ordering::SeqCst);
+        self.silence();
+        let _ = TcpStream::connect(self.address);
+    }
+}
+
+/// Copies bytes until the connection ends; a silent one is read and nothing is passed on, not even
+/// its end.
+fn copy(mut from: TcpStream, mut to: TcpStream, silences: &AtomicU64, born: u64) {
+    let mut bytes = [0; 16384];
+    loop {
+        let count = from.read(&mut bytes).unwrap_or(0);
+        let is_silent = silences.load(Ordering::SeqCst) != born;
+        if is_silent {
+            if count == 0 {
+                // The other end learns nothing of it.
+                std::mem::forget(to);
+                return;
+            }
+            continue;
+        }
+        if count == 0 || to.write_all(&bytes[..count]).is_err() {
+            let _ = to.shutdown(std::net::Shutdown::Both);
+            return;
+        }
+    }
+}
