--- a/review/standins-3/main.rs
+++ b/review/standins-3/main.rs
@@ -2,6 +2,7 @@
 
 mod caller;
 mod gateway;
+mod grown;
 mod http;
 mod json;
 mod moved;
@@ -18,6 +19,7 @@
     let trouble = std::env::var("TROUBLE").map_or(true, |value| value != "0");
     let code = match case.as_str() {
         "silent" => silent::run(&folder, trouble),
+        "grown" => grown::run(&folder, trouble),
         "moved" => moved::run(&folder, trouble),
         _ => {
             eprintln!("unknown case {case}");
--- a/review/standins-3/proxy.rs
+++ b/review/standins-3/proxy.rs
@@ -5,6 +5,7 @@
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::Arc;
 use std::thread;
+use std::time::Duration;
 
 /// A running proxy.
 #[derive(Clone, Debug)]
@@ -15,6 +16,8 @@
     silences: Arc<AtomicU64>,
     /// Whether it passes nothing on any more.
     stopped: Arc<AtomicBool>,
+    /// Whether it keeps back what arrives, as a cut link does.
+    held: Arc<AtomicBool>,
 }
 
 impl Proxy {
@@ -25,8 +28,10 @@
             address: listener.local_addr().expect("an address"),
             silences: Arc::default(),
             stopped: Arc::default(),
+            held: Arc::default(),
         };
         let (silences, stopped) = (proxy.silences.clone(), proxy.stopped.clone());
+        let held = proxy.held.clone();
         thread::spawn(move || {
             for near in listener.incoming().flatten() {
                 if stopped.load(Ordering::SeqCst) {
@@ -40,8 +45,8 @@
                 let pairs = [(near.try_clone(), far.try_clone()), (Ok(far), Ok(near))];
                 for pair in pairs {
                     if let (Ok(from), Ok(to)) = pair {
-                        let silences = silences.clone();
-                        thread::spawn(move || copy(from, to, &silences, born));
+                        let (silences, held) = (silences.clone(), held.clone());
+                        thread::spawn(move || copy(from, to, (&silences, &held), born));
                     }
                 }
             }
@@ -54,6 +59,11 @@
         self.silences.fetch_add(1, Ordering::SeqCst);
     }
 
+    /// Keeps back what arrives, also on new connections, or passes it on again.
+    pub fn hold(&self, held: bool) {
+        self.held.store(held, Ordering::SeqCst);
+    }
+
     /// Ends the proxy: open connections pass nothing any more, new ones are refused.
     pub fn stop(&self) {
         self.stopped.store(true, Ordering::SeqCst);
@@ -64,10 +74,18 @@
 
 /// Copies bytes until the connection ends; a silent one is read and nothing is passed on, not even
 /// its end.
-fn copy(mut from: TcpStream, mut to: TcpStream, silences: &AtomicU64, born: u64) {
+fn copy(
+    mut from: TcpStream,
+    mut to: TcpStream,
+    (silences, held): (&AtomicU64, &AtomicBool),
+    born: u64,
+) {
     let mut bytes = [0; 16384];
     loop {
         let count = from.read(&mut bytes).unwrap_or(0);
+        while held.load(Ordering::SeqCst) {
+            thread::sleep(Duration::from_millis(10));
+        }
         let is_silent = silences.load(Ordering::SeqCst) != born;
         if is_silent {
             if count == 0 {
--- a/review/standins-3/store.rs
+++ b/review/standins-3/store.rs
@@ -11,6 +11,8 @@
 
 /// Largest number of items of one page.
 const PAGE: usize = 500;
+/// Time for which changes are kept.
+const HISTORY: Duration = Duration::from_secs(20);
 
 /// An item; the value is in base64.
 #[derive(Clone, Debug)]
@@ -27,6 +29,10 @@
     items: BTreeMap<String, Item>,
     /// Changes by revision: the key, and the item unless it was deleted.
     history: Vec<(u64, String, Option<Item>)>,
+    /// Times of the changes in the history.
+    times: Vec<Instant>,
+    /// The last revision that the history has lost.
+    lost: u64,
     /// Leases with their time to live and their ends.
     leases: BTreeMap<u64, (Duration, Instant)>,
 }
@@ -97,6 +103,13 @@
         for id in &ended {
             state.end_lease(*id);
         }
+        let old = state.times.iter().filter(|at| at.elapsed() > HISTORY);
+        let old = old.count();
+        if old > 0 {
+            state.lost = state.history[old - 1].0;
+            state.history.drain(..old);
+            state.times.drain(..old);
+        }
         drop(state);
         if !ended.is_empty() {
             self.state.1.notify_all();
@@ -196,6 +209,9 @@
         let end = Instant::now() + wait;
         let mut state = self.lock();
         loop {
+            if after < state.lost {
+                return (410, "{}".to_owned());
+            }
             let mut events = Vec::new();
             for (revision, key, item) in &state.history {
                 if *revision > after && key.starts_with(prefix) {
@@ -276,11 +292,13 @@
         };
         self.items.insert(key.to_owned(), item.clone());
         self.history.push((revision, key.to_owned(), Some(item)));
+        self.times.push(Instant::now());
     }
 
     fn remove(&mut self, key: &str) {
         if self.items.remove(key).is_some() {
             self.history.push((self.revision, key.to_owned(), None));
+            self.times.push(Instant::now());
         }
     }
 
--- a/review/standins-3/worker.rs
+++ b/review/standins-3/worker.rs
@@ -82,7 +82,7 @@
                 open: Mutex::default(),
             }),
         };
-        worker.register();
+        worker.register("ready");
         let serving = worker.clone();
         thread::spawn(move || {
             for stream in listener.incoming().flatten() {
@@ -96,16 +96,27 @@
         worker
     }
 
-    fn register(&self) {
+    /// Writes the entry with a state.
+    fn register(&self, state: &str) {
         let shared = &self.shared;
         let entry = format!(
             "{{\"service\":\"{}\",\"address\":\"{}\",\"zone\":\"{}\",\"version\":\"v1\",\"slots\":{},\
-             \"state\":\"ready\",\"cold_left_ms\":0,\"sequence\":0,\"born\":{}}}",
+             \"state\":\"{state}\",\"cold_left_ms\":0,\"sequence\":0,\"born\":{}}}",
             shared.service, self.address, shared.zone, shared.slots, shared.born
         );
         shared.store.write(&format!("servers/{}", self.id), &entry);
     }
 
+    /// Reports `draining`; returns the time of the store's acknowledgement. The worker serves on.
+    pub fn drain(&self) -> u64 {
+        self.shared.leaving.store(true, Ordering::SeqCst);
+        self.register("draining");
+        let id = &self.id;
+        self.shared
+            .record
+            .line(&format!("worker {id} reports draining, serves on"))
+    }
+
     /// Removes the entry without having reported `draining`; returns the time of the store's
     /// acknowledgement. The worker serves on.
     pub fn unregister(&self) -> u64 {
