--- a/review/standins-3/json.rs
+++ b/review/standins-3/json.rs
@@ -97,6 +97,30 @@
     text
 }
 
+/// Decodes standard base64.
+pub fn unbase64(text: &str) -> Vec<u8> {
+    let mut bytes = Vec::new();
+    let (mut word, mut bits) = (0u32, 0);
+    for digit in text.bytes() {
+        let value = match digit {
+            b'A'..=b'Z' => digit - b'A',
+            b'a'..=b'z' => digit - b'a' + 26,
+            b'0'..=b'9' => digit - b'0' + 52,
+            b'+' => 62,
+            b'/' => 63,
+            _ => break,
+        };
+        word = (word << 6) | u32::from(value);
+        bits += 6;
+        if bits >= 8 {
+            bits -= 8;
+            bytes.push((word >> bits) as u8);
+            word &= (1 << bits) - 1;
+        }
+    }
+    bytes
+}
+
 /// A position in a JSON text.
 struct Reader<'a> {
     bytes: &'a [u8],
--- a/review/standins-3/main.rs
+++ b/review/standins-3/main.rs
@@ -3,6 +3,7 @@
 mod caller;
 mod gateway;
 mod grown;
+mod helper;
 mod http;
 mod json;
 mod moved;
@@ -20,6 +21,7 @@
     let code = match case.as_str() {
         "silent" => silent::run(&folder, trouble),
         "grown" => grown::run(&folder, trouble),
+        "helper" => helper::run(&folder, trouble),
         "moved" => moved::run(&folder, trouble),
         _ => {
             eprintln!("unknown case {case}");
--- a/review/standins-3/store.rs
+++ b/review/standins-3/store.rs
@@ -7,7 +7,7 @@
 use std::time::{Duration, Instant};
 
 use crate::http::{Connection, Message};
-use crate::json::{base64, quote, Value};
+use crate::json::{base64, quote, unbase64, Value};
 
 /// Largest number of items of one page.
 const PAGE: usize = 500;
@@ -43,30 +43,54 @@
     /// The address that it listens on.
     pub address: SocketAddr,
     state: Arc<(Mutex<State>, Condvar)>,
+    /// Addresses in workers' entries and those that are stated in their place, as a machine reaches its
+    /// workers over links of this test.
+    links: Vec<(String, String)>,
 }
 
 impl Store {
     /// Starts a store on a free port.
     pub fn start() -> Self {
+        let (store, listener) = Self::bind(Arc::default(), Vec::new());
+        store.lock().revision = 10;
+        store.listen(listener);
+        let expiring = store.clone();
+        thread::spawn(move || loop {
+            thread::sleep(Duration::from_millis(20));
+            expiring.expire();
+        });
+        store
+    }
+
+    /// Starts another door to the same store, at which workers' entries state other addresses.
+    pub fn with_links(&self, links: Vec<(String, String)>) -> Self {
+        let (store, listener) = Self::bind(self.state.clone(), links);
+        store.listen(listener);
+        store
+    }
+
+    fn bind(
+        state: Arc<(Mutex<State>, Condvar)>,
+        links: Vec<(String, String)>,
+    ) -> (Self, TcpListener) {
         let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
+        let address = listener.local_addr().expect("an address");
         let store = Self {
-            address: listener.local_addr().expect("an address"),
-            state: Arc::default(),
+            address,
+            state,
+            links,
         };
-        store.lock().revision = 10;
-        let serving = store.clone();
+        (store, listener)
+    }
+
+    fn listen(&self, listener: TcpListener) {
+        let serving = self.clone();
         thread::spawn(move || {
             for stream in listener.incoming().flatten() {
                 let store = serving.clone();
                 thread::spawn(move || store.serve(stream));
             }
         });
-        let expiring = store.clone();
-        thread::spawn(move || loop {
-            thread::sleep(Duration::from_millis(20));
-            expiring.expire();
-        });
-        store
     }
 
     fn lock(&self) -> MutexGuard<'_, State> {
@@ -141,7 +165,7 @@
                 let revision = state.revision;
                 match state.items.get(&text("key")) {
                     Some(item) => {
-                        let item = describe(&text("key"), item);
+                        let item = self.describe(&text("key"), item);
                         let item = item.trim_end_matches('}');
                         (200, format!("{item},\"current_rev\":{revision}}}"))
                     }
@@ -154,7 +178,7 @@
                 let mut found = Vec::new();
                 for (key, item) in &state.items {
                     if key.starts_with(&prefix) && *key > after {
-                        found.push(describe(key, item));
+                        found.push(self.describe(key, item));
                     }
                 }
                 let more = found.len() > PAGE;
@@ -205,6 +229,25 @@
         }
     }
 
+    /// Returns an item as JSON.
+    fn describe(&self, key: &str, item: &Item) -> String {
+        let mut value = item.value.clone();
+        if key.starts_with("servers/") && !self.links.is_empty() {
+            let mut text = String::from_utf8_lossy(&unbase64(&value)).into_owned();
+            for (from, to) in &self.links {
+                text = text.replace(&format!("\"{from}\""), &format!("\"{to}\""));
+            }
+            value = base64(text.as_bytes());
+        }
+        format!(
+            "{{\"key\":{},\"value\":\"{value}\",\"revision\":{},\"create_revision\":{},\"lease\":{}}}",
+            quote(key),
+            item.revision,
+            item.created,
+            item.lease
+        )
+    }
+
     fn watch(&self, prefix: &str, after: u64, wait: Duration) -> (u16, String) {
         let end = Instant::now() + wait;
         let mut state = self.lock();
@@ -216,7 +259,7 @@
             for (revision, key, item) in &state.history {
                 if *revision > after && key.starts_with(prefix) {
                     events.push(match item {
-                        Some(item) => describe(key, item),
+                        Some(item) => self.describe(key, item),
                         None => {
                             let key = quote(key);
                             format!("{{\"key\":{key},\"revision\":{revision},\"deleted\":true}}")
@@ -252,7 +295,7 @@
             let wanted = row.get("revision").and_then(Value::number).unwrap_or(0.0) as u64;
             let item = state.items.get(&key);
             conflict |= item.map_or(0, |item| item.revision) != wanted;
-            current.extend(item.map(|item| describe(&key, item)));
+            current.extend(item.map(|item| self.describe(&key, item)));
         }
         if conflict {
             return (412, format!("{{\"items\":[{}]}}", current.join(",")));
@@ -317,17 +360,6 @@
     }
 }
 
-fn describe(key: &str, item: &Item) -> String {
-    format!(
-        "{{\"key\":{},\"value\":\"{}\",\"revision\":{},\"create_revision\":{},\"lease\":{}}}",
-        quote(key),
-        item.value,
-        item.revision,
-        item.created,
-        item.lease
-    )
-}
-
 /// Decodes the query of a path.
 fn parse_query(query: &str) -> BTreeMap<String, String> {
     let mut values = BTreeMap::new();
