--- a/review/standins-3/main.rs
+++ b/review/standins-3/main.rs
@@ -1,6 +1,7 @@
 //! Stand-ins of the platform, workers and clients for the scripts of this review.
 
 mod caller;
+mod crowd;
 mod gateway;
 mod grown;
 mod helper;
@@ -19,6 +20,7 @@
     let folder = args.next().unwrap_or_default();
     let trouble = std::env::var("TROUBLE").map_or(true, |value| value != "0");
     let code = match case.as_str() {
+        "crowd" => crowd::run(&folder, trouble),
         "silent" => silent::run(&folder, trouble),
         "grown" => grown::run(&folder, trouble),
         "helper" => helper::run(&folder, trouble),
--- a/review/standins-3/proxy.rs
+++ b/review/standins-3/proxy.rs
@@ -1,7 +1,7 @@
 //! A proxy whose open connections can fall silent.
 
 use std::io::{Read, Write};
-use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::Arc;
 use std::thread;
@@ -16,6 +16,8 @@
     silences: Arc<AtomicU64>,
     /// Whether it passes nothing on any more.
     stopped: Arc<AtomicBool>,
+    /// Number of times that the open connections were closed.
+    closings: Arc<AtomicU64>,
     /// Whether it keeps back what arrives, as a cut link does.
     held: Arc<AtomicBool>,
 }
@@ -28,10 +30,11 @@
             address: listener.local_addr().expect("an address"),
             silences: Arc::default(),
             stopped: Arc::default(),
+            closings: Arc::default(),
             held: Arc::default(),
         };
         let (silences, stopped) = (proxy.silences.clone(), proxy.stopped.clone());
-        let held = proxy.held.clone();
+        let (held, closings) = (proxy.held.clone(), proxy.closings.clone());
         thread::spawn(move || {
             for near in listener.incoming().flatten() {
                 if stopped.load(Ordering::SeqCst) {
@@ -42,6 +45,10 @@
                 };
                 let (_, _) = (near.set_nodelay(true), far.set_nodelay(true));
                 let born = silences.load(Ordering::SeqCst);
+                if let (Ok(near), Ok(far)) = (near.try_clone(), far.try_clone()) {
+                    let closings = closings.clone();
+                    thread::spawn(move || close_later(&near, &far, &closings));
+                }
                 let pairs = [(near.try_clone(), far.try_clone()), (Ok(far), Ok(near))];
                 for pair in pairs {
                     if let (Ok(from), Ok(to)) = pair {
@@ -59,6 +66,11 @@
         self.silences.fetch_add(1, Ordering::SeqCst);
     }
 
+    /// Closes all connections that are open now.
+    pub fn close_open(&self) {
+        self.closings.fetch_add(1, Ordering::SeqCst);
+    }
+
     /// Keeps back what arrives, also on new connections, or passes it on again.
     pub fn hold(&self, held: bool) {
         self.held.store(held, Ordering::SeqCst);
@@ -72,6 +84,20 @@
     }
 }
 
+/// Closes a connection once the open ones are closed.
+fn close_later(near: &TcpStream, far: &TcpStream, closings: &AtomicU64) {
+    let born = closings.load(Ordering::SeqCst);
+    while closings.load(Ordering::SeqCst) == born {
+        if near.take_error().is_err() {
+            return;
+        }
+        thread::sleep(Duration::from_millis(10));
+    }
+    for end in [near, far] {
+        let _ = end.shutdown(Shutdown::Both);
+    }
+}
+
 /// Copies bytes until the connection ends; a silent one is read and nothing is passed on, not even
 /// its end.
 fn copy(
@@ -96,7 +122,7 @@
             continue;
         }
         if count == 0 || to.write_all(&bytes[..count]).is_err() {
-            let _ = to.shutdown(std::net::Shutdown::Both);
+            let _ = to.shutdown(Shutdown::Both);
             return;
         }
     }
--- a/review/standins-3/silent.rs
+++ b/review/standins-3/silent.rs
@@ -87,7 +87,29 @@
     // Each worker that left, with the time of the store's acknowledgement, and the silences.
     let mut left = Vec::new();
     let mut silences = Vec::new();
+    // PROTOCOL.md: "A watch that is waiting may be cut."
+    let cuts_watches = std::env::var("VARIANT").is_ok_and(|name| name == "cut");
     for round in 0..ROUNDS {
+        if trouble && cuts_watches {
+            record.line("the store cuts the waiting watches, a worker leaves 0.1 s later");
+            for proxy in &proxies {
+                proxy.close_open();
+            }
+            sleep(Duration::from_millis(100));
+            let worker = workers.remove(0);
+            left.push((worker.id.clone(), worker.unregister()));
+            sleep(Duration::from_millis(1400));
+            record.line("the store cuts the waiting watches again");
+            for proxy in &proxies {
+                proxy.close_open();
+            }
+            sleep(Duration::from_millis(DRAIN_MS + EXIT_AFTER_MS - 1400));
+            worker.exit();
+            sleep(Duration::from_secs(4));
+            workers.push(add(4 + round));
+            sleep(Duration::from_secs(4));
+            continue;
+        }
         if trouble {
             silences.push(record.line("all connections to the store fall silent, new ones work"));
             for proxy in &proxies {
