--- a/review/standins-3/caller.rs
+++ b/review/standins-3/caller.rs
@@ -26,6 +26,8 @@
     pub sent: u64,
     /// The status of the answer, 0 for a connection that ended without one.
     pub status: u16,
+    /// The body of the answer.
+    pub body: String,
 }
 
 /// All requests that have ended.
@@ -76,14 +78,15 @@
                 .stream
                 .write_all(request.as_bytes())
                 .and_then(|()| connection.read());
-            let status = match answer {
+            let (status, body) = match answer {
                 Ok(Some(answer)) => {
                     if answer.header("connection") != Some("close") {
                         kept = Some(connection);
                     }
-                    answer.status()
+                    let body = String::from_utf8_lossy(&answer.body).into_owned();
+                    (answer.status(), body)
                 }
-                Ok(None) | Err(_) => 0,
+                Ok(None) | Err(_) => (0, String::new()),
             };
             record.line(&format!("client gets {id} {status}"));
             let mut requests = requests.lock().unwrap_or_else(PoisonError::into_inner);
@@ -93,6 +96,7 @@
                 front,
                 sent,
                 status,
+                body,
             });
         }
     })
--- a/review/standins-3/gateway.rs
+++ b/review/standins-3/gateway.rs
@@ -7,7 +7,6 @@
 use std::time::{Duration, Instant};
 
 use crate::http::Connection;
-use crate::record::Record;
 
 /// A process of the program; it is killed when this is dropped.
 #[derive(Debug)]
@@ -180,14 +179,6 @@
         fs::rename(&next, &self.settings).expect("settings");
     }
 
-    /// Copies the lines of its log on trouble with the store to the record.
-    pub fn copy_errors(&self, record: &Record) {
-        let log = fs::read_to_string(self.settings.with_extension("log")).unwrap_or_default();
-        for line in log.lines().filter(|line| line.contains("store in trouble")) {
-            record.line(&format!("log of {}: {line}", self.name));
-        }
-    }
-
     /// Sends a signal to the process.
     pub fn signal(&self, signal: &str) {
         let id = self.child.id().to_string();
--- a/review/standins-3/main.rs
+++ b/review/standins-3/main.rs
@@ -3,7 +3,6 @@
 mod caller;
 mod crowd;
 mod gateway;
-mod grown;
 mod helper;
 mod http;
 mod json;
@@ -12,6 +11,7 @@
 mod record;
 mod silent;
 mod store;
+mod unframed;
 mod worker;
 
 fn main() {
@@ -22,8 +22,9 @@
     let code = match case.as_str() {
         "crowd" => crowd::run(&folder, trouble),
         "silent" => silent::run(&folder, trouble),
-        "grown" => grown::run(&folder, trouble),
         "helper" => helper::run(&folder, trouble),
+        "unframed" => unframed::run(&folder, trouble),
+        "worker" => unframed::serve(&folder, &args.next().unwrap_or_default()),
         "moved" => moved::run(&folder, trouble),
         _ => {
             eprintln!("unknown case {case}");
--- a/review/standins-3/worker.rs
+++ b/review/standins-3/worker.rs
@@ -107,16 +107,6 @@
         shared.store.write(&format!("servers/{}", self.id), &entry);
     }
 
-    /// Reports `draining`; returns the time of the store's acknowledgement. The worker serves on.
-    pub fn drain(&self) -> u64 {
-        self.shared.leaving.store(true, Ordering::SeqCst);
-        self.register("draining");
-        let id = &self.id;
-        self.shared
-            .record
-            .line(&format!("worker {id} reports draining, serves on"))
-    }
-
     /// Removes the entry without having reported `draining`; returns the time of the store's
     /// acknowledgement. The worker serves on.
     pub fn unregister(&self) -> u64 {
