--- a/review/standins-3/gateway.rs
+++ b/review/standins-3/gateway.rs
@@ -6,6 +6,7 @@
 use std::process::{Child, Command, Stdio};
 use std::time::{Duration, Instant};
 
+use crate::guard;
 use crate::http::Connection;
 
 /// A process of the program; it is killed when this is dropped.
@@ -149,6 +150,7 @@
             eprintln!("target/release/cactuslane: {error}");
             std::process::exit(2);
         });
+        guard::add(child.id());
         let parse = |port: u16| format!("{ip}:{port}").parse().expect("an address");
         Self {
             name,
@@ -190,6 +192,7 @@
     fn drop(&mut self) {
         let _ = self.child.kill();
         let _ = self.child.wait();
+        guard::remove(self.child.id());
     }
 }
 
--- a/review/standins-3/main.rs
+++ b/review/standins-3/main.rs
@@ -3,6 +3,7 @@
 mod caller;
 mod crowd;
 mod gateway;
+mod guard;
 mod helper;
 mod http;
 mod json;
@@ -19,7 +20,11 @@
     let case = args.next().unwrap_or_default();
     let folder = args.next().unwrap_or_default();
     let trouble = std::env::var("TROUBLE").map_or(true, |value| value != "0");
+    if !matches!(case.as_str(), "guard" | "worker") {
+        guard::start();
+    }
     let code = match case.as_str() {
+        "guard" => guard::serve(),
         "crowd" => crowd::run(&folder, trouble),
         "silent" => silent::run(&folder, trouble),
         "helper" => helper::run(&folder, trouble),
