--- a/review/standins-3/silent.rs
+++ b/review/standins-3/silent.rs
@@ -93,7 +93,7 @@
         if trouble && cuts_watches {
             record.line("the store cuts the waiting watches, a worker leaves 0.1 s later");
             for proxy in &proxies {
-                proxy.close_open();
+                proxy.cut_watches();
             }
             sleep(Duration::from_millis(100));
             let worker = workers.remove(0);
@@ -101,7 +101,7 @@
             sleep(Duration::from_millis(1400));
             record.line("the store cuts the waiting watches again");
             for proxy in &proxies {
-                proxy.close_open();
+                proxy.cut_watches();
             }
             sleep(Duration::from_millis(DRAIN_MS + EXIT_AFTER_MS - 1400));
             worker.exit();
