Give back requests of other instances for which no target is known

What callers saw: an instance without links to targets passed a request on to one that had read less of the store; that one knew no target of the service, or not the version of a stream that was taken up, and its refusal was handed on though another instance could have served the request.

Change: refusals for want of a target or a version decline the request, so that the next instance is asked.

Test: a_request_goes_on_to_an_instance_that_knows_a_target, 503 in place of 200 before.

--- a/crates/cactuslane-gateway/src/generation.rs
+++ b/crates/cactuslane-gateway/src/generation.rs
@@ -42,6 +42,8 @@
 
 /// Value of `Retry-After` when no target can serve a request.
 const NO_TARGET_RETRY_AFTER: Duration = Duration::from_secs(1);
+/// Cause of the refusal of a stream that is taken up and whose version is not known.
+pub const VERSION_UNKNOWN: &str = "version unknown";
 
 /// A request to be answered by a stream, with the progress of its attempts.
 #[derive(Debug)]
@@ -117,7 +119,7 @@
 ) -> Response<AnswerBody> {
     let origin = origins::find(gateway, &request).await;
     if origin == StreamOrigin::Unknown {
-        return refuse(&request, &state, NO_TARGET_RETRY_AFTER, "version unknown");
+        return refuse(&request, &state, NO_TARGET_RETRY_AFTER, VERSION_UNKNOWN);
     }
     let mut stream_request = StreamRequest {
         gateway: gateway.clone(),
--- a/crates/cactuslane-gateway/src/ingress.rs
+++ b/crates/cactuslane-gateway/src/ingress.rs
@@ -35,6 +35,9 @@
 const STOPPING_RETRY_AFTER: Duration = Duration::ZERO;
 /// Cause of a refusal after attempts of which none was sent.
 const UNSENT: &str = plain::failure_label(AttemptFailure::Unsent);
+/// Causes of refusals of which another instance may know more than this one, if it has read more of
+/// the store.
+const OWN_IGNORANCE: [&str; 2] = [plain::NO_TARGET, generation::VERSION_UNKNOWN];
 /// Value of `Retry-After` when there is no space for a body.
 const NO_SPACE_RETRY_AFTER: Duration = Duration::from_secs(1);
 
@@ -360,7 +363,15 @@
     let theirs = exchange::configuration(&request.headers).unwrap_or_default();
     info!(request = request.info.id, peer, configuration:%, theirs:%; "request of another instance taken");
     request.taken = taken;
-    execute_here(gateway, &Arc::new(request), state).await
+    let request = Arc::new(request);
+    let response = execute_here(gateway, &request, state).await;
+    let cause = response.extensions().get::<Cause>().map(|cause| cause.0);
+    let is_refused = response.status() == StatusCode::SERVICE_UNAVAILABLE;
+    if is_refused && let Some(cause) = cause.filter(|cause| OWN_IGNORANCE.contains(cause)) {
+        info!(request = request.info.id, peer, cause; "request of another instance given back");
+        return passing::decline(&request.info.id, Some(configuration));
+    }
+    response
 }
 
 /// Returns the state of a request before its first attempt here.
--- a/crates/cactuslane-gateway/src/plain.rs
+++ b/crates/cactuslane-gateway/src/plain.rs
@@ -34,6 +34,8 @@
 const SLOW_ANSWER_FACTOR: u32 = 2;
 /// Value of `Retry-After` when no target can serve a request.
 const NO_TARGET_RETRY_AFTER: Duration = Duration::from_millis(300);
+/// Cause of a refusal when no target of the service is known that takes new work.
+pub const NO_TARGET: &str = "no target";
 /// Share of the route's latency objective that an answer is expected to take, against which a
 /// target's speed is measured.
 const EXPECTED_SHARE: f64 = 0.5;
@@ -426,7 +428,7 @@
                 let after = pause.max(after).min(state.remaining(now) / 3);
                 refuse(request, state, after, "paused")
             }
-            None => refuse(request, state, after, "no target"),
+            None => refuse(request, state, after, NO_TARGET),
         },
     }
 }
--- a/crates/cactuslane-gateway/tests/serving/behind.rs
+++ b/crates/cactuslane-gateway/tests/serving/behind.rs
@@ -347,6 +347,23 @@
     });
 }
 
+/// Guards against refusals of a request for whose service an instance that is asked knows no target
+/// any more or yet, while another one does.
+#[test]
+fn a_request_goes_on_to_an_instance_that_knows_a_target() {
+    run_test(async {
+        let fleet = Fleet::start(2, &Change::RouteAdded.after(4)).await;
+        fleet.cut_off_store(1);
+        fleet.others[0].gateway.fleet().remove(&fleet.archive.id);
+        for number in 0..REQUESTS {
+            let id = format!("r{number}");
+            let answer = Change::RouteAdded.ask(&fleet.deployment, &id).await;
+            assert_eq!(answer.status, 200, "{id}: {answer:?}");
+            assert_eq!(runs(&fleet, &id), (0, 1), "{id}");
+        }
+    });
+}
+
 /// Guards against refusals of all that is passed on after the store came back from an older copy that
 /// holds the configuration in force.
 #[test]
