Pass requests on to instances that know the targets recently

What callers saw: nothing yet; a request of an instance that is cut off from its targets could reach a target that this instance knows to be leaving, by way of one that was cut off from the store.

Change: an instance that knows the store recently states so, and one whose knowledge is older than the limit for leaving targets declines. If no other instance serves the request, it is asked once more without that statement, as an old picture is only likely to be wrong.

--- a/crates/cactuslane-gateway/src/ingress.rs
+++ b/crates/cactuslane-gateway/src/ingress.rs
@@ -360,6 +360,10 @@
         info!(request = request.info.id, peer, is_cut; "request of another instance not taken");
         return passing::decline(&request.info.id, Some(configuration));
     }
+    if exchange::is_recent_only(&request.headers) && !gateway.is_recent() {
+        info!(request = request.info.id, peer; "request of another instance not taken, the store is not known recently");
+        return passing::decline_outdated(&request.info.id, configuration);
+    }
     let theirs = exchange::configuration(&request.headers).unwrap_or_default();
     info!(request = request.info.id, peer, configuration:%, theirs:%; "request of another instance taken");
     request.taken = taken;
--- a/crates/cactuslane-gateway/src/passing.rs
+++ b/crates/cactuslane-gateway/src/passing.rs
@@ -47,6 +47,14 @@
     response
 }
 
+/// Declines a request that only an instance which knows the store recently is to take.
+#[must_use]
+pub fn decline_outdated(id: &str, config: ConfigPosition) -> Response<AnswerBody> {
+    let mut response = decline(id, Some(config));
+    exchange::set_outdated(response.headers_mut());
+    response
+}
+
 /// Declines a request of another instance whose configuration this one lacks.
 pub async fn decline_behind(
     id: &str,
@@ -151,6 +159,10 @@
                     gateway.pool.reach().record_behind(&helper, gateway.now());
                     search.record_behind(&helper);
                     info!(request = id, helper, configuration:% = own, theirs:%, after_ms; "other instance is behind");
+                } else if exchange::is_outdated(response.headers()) {
+                    gateway.metrics.count_passed("outdated");
+                    search.record_outdated(&helper);
+                    info!(request = id, helper, after_ms; "other instance is outdated");
                 } else {
                     gateway.metrics.count_passed("declined");
                     info!(request = id, helper, after_ms; "other instance takes no request");
@@ -242,6 +254,9 @@
         exchange::set_place(&mut headers, place);
     }
     exchange::set_configuration(&mut headers, request.config.config_position());
+    if gateway.is_recent() && !search.takes_outdated() {
+        exchange::set_recent_only(&mut headers);
+    }
     *outgoing.headers_mut() = headers;
     Some((helper, outgoing))
 }
--- a/crates/cactuslane-gateway/src/state.rs
+++ b/crates/cactuslane-gateway/src/state.rs
@@ -359,6 +359,14 @@
         }
     }
 
+    /// Returns whether the targets are known as of a time within [`Gateway::knowledge_limit`].
+    #[must_use]
+    pub fn is_recent(&self) -> bool {
+        let limit = self.knowledge_limit().as_millis() as Millis;
+        self.progress()
+            .is_some_and(|known| self.now().saturating_sub(known.entries_seen) <= limit)
+    }
+
     /// Returns how far the store is known, once it was read.
     #[must_use]
     pub fn progress(&self) -> Option<Progress> {
--- a/crates/cactuslane-gateway/tests/serving/behind.rs
+++ b/crates/cactuslane-gateway/tests/serving/behind.rs
@@ -364,6 +364,36 @@
     });
 }
 
+/// Guards against a request that reaches a target which the instance that its caller asked knows to be
+/// leaving, as another instance that is cut off from the store does not; and against refusals where no
+/// other instance is left.
+#[parameterized(
+    another_knows_it = { 2, Some(0) },
+    none_knows_it = { 1, None },
+)]
+fn a_request_goes_to_an_instance_that_knows_the_targets_recently(count: usize, runs: Option<u32>) {
+    run_test(async move {
+        let fleet = Fleet::start(count, &document(4).with_service()).await;
+        fleet.cut_off_store(1);
+        wait_until(|| !fleet.others[0].gateway.is_recent()).await;
+        let deployment = &fleet.deployment;
+        let leaving = &deployment.workers[0];
+        leaving.register(&deployment.store, "draining");
+        let leaves = |running: &GatewayHandle| running.gateway.target(&leaving.id).is_none();
+        let known = || fleet.others[1..].iter().chain([&deployment.running]);
+        wait_until(|| known().all(leaves)).await;
+        assert!(!leaves(&fleet.others[0]));
+        for number in 0..REQUESTS {
+            let id = format!("r{number}");
+            let answer = deployment.ask("/correction/7", &id).await;
+            assert_eq!(answer.status, 200, "{id}: {answer:?}");
+            if let Some(runs) = runs {
+                assert_eq!(leaving.runs(&id), runs, "{id}");
+            }
+        }
+    });
+}
+
 /// Guards against refusals of all that is passed on after the store came back from an older copy that
 /// holds the configuration in force.
 #[test]
--- a/crates/cactuslane-place/src/helpers.rs
+++ b/crates/cactuslane-place/src/helpers.rs
@@ -7,7 +7,7 @@
 
 /// Number of instances that are asked without success, those that are behind not counted.
 const MAX_FAILED: usize = 3;
-/// Number of instances that are asked in one round and are behind.
+/// Number of instances that are asked in one round and are behind or outdated.
 const MAX_BEHIND: usize = 8;
 /// Time after a configuration came into force here within which others may still be reading it.
 const SETTLE_TIME: Duration = Duration::from_secs(1);
@@ -20,7 +20,8 @@
 ///
 /// Instances that are behind, as they have an older configuration in force, decline it. Shortly after
 /// a change all others may be behind for a moment, so that the request waits and they are asked once
-/// more; later on nothing suggests that they will know it soon.
+/// more; later on nothing suggests that they will know it soon. Instances that do not know the
+/// targets recently are outdated, and take the request only if no other one serves it.
 #[derive(Clone, Debug)]
 pub struct HelperSearch {
     /// Time, on the clock of the caller of the methods, until which the request may wait.
@@ -29,6 +30,10 @@
     asked: BTreeSet<InstanceId>,
     /// Those of them that were behind.
     behind: BTreeSet<InstanceId>,
+    /// Those of them that were outdated.
+    outdated: BTreeSet<InstanceId>,
+    /// Whether instances that are outdated may take the request.
+    takes_outdated: bool,
     /// Number of instances that were asked in all rounds and did not serve it for another reason.
     failed: usize,
     /// Whether an instance was behind in any round, or passed over as it had been just before.
@@ -38,7 +43,7 @@
 /// What a request does that no instance serves yet.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum SearchStep {
-    /// It waits for so long, and a new round begins.
+    /// It waits for so long, perhaps not at all, and a new round begins.
     Wait(Duration),
     /// It is refused, for this reason.
     GiveUp(Unserved),
@@ -65,6 +70,8 @@
             wait_until: now + wait,
             asked: BTreeSet::new(),
             behind: BTreeSet::new(),
+            outdated: BTreeSet::new(),
+            takes_outdated: false,
             failed: 0,
             found_behind: false,
         }
@@ -73,7 +80,13 @@
     /// Returns whether another instance may be asked in this round.
     #[must_use]
     pub fn may_ask(&self) -> bool {
-        self.failed < MAX_FAILED && self.behind.len() < MAX_BEHIND
+        self.failed < MAX_FAILED && self.behind.len() + self.outdated.len() < MAX_BEHIND
+    }
+
+    /// Returns whether instances that are outdated may take the request, as no other one does.
+    #[must_use]
+    pub fn takes_outdated(&self) -> bool {
+        self.takes_outdated
     }
 
     /// Returns whether an instance was not asked in this round.
@@ -95,6 +108,12 @@
         self.found_behind = true;
     }
 
+    /// Records that an instance that was asked is outdated.
+    pub fn record_outdated(&mut self, instance: &str) {
+        self.outdated.insert(instance.to_owned());
+        self.failed = self.failed.saturating_sub(1);
+    }
+
     /// Records that an instance was passed over, as it was behind just before.
     pub fn record_passed_over(&mut self) {
         self.found_behind = true;
@@ -102,7 +121,17 @@
 
     /// Returns what the request does once no instance is left in this round.
     pub fn end_round(&mut self, now: Duration) -> SearchStep {
-        if !self.found_behind || self.failed >= MAX_FAILED {
+        if self.failed >= MAX_FAILED {
+            return SearchStep::GiveUp(Unserved::NoInstance);
+        }
+        if !self.outdated.is_empty() {
+            for instance in std::mem::take(&mut self.outdated) {
+                self.asked.remove(&instance);
+            }
+            self.takes_outdated = true;
+            return SearchStep::Wait(Duration::ZERO);
+        }
+        if !self.found_behind {
             return SearchStep::GiveUp(Unserved::NoInstance);
         }
         let left = self.wait_until.saturating_sub(now);
--- a/crates/cactuslane-place/tests/helpers.rs
+++ b/crates/cactuslane-place/tests/helpers.rs
@@ -12,6 +12,8 @@
     Fails,
     /// It is behind until a time, in milliseconds, and serves it then.
     BehindUntil(u64),
+    /// It does not know the targets recently, and serves the request if that is allowed.
+    Outdated,
 }
 
 /// Result of a search: what became of the request, the number of questions and the time.
@@ -53,7 +55,8 @@
         match conducts[number] {
             Conduct::Fails => {}
             Conduct::BehindUntil(until) if now < until => search.record_behind(&name),
-            Conduct::BehindUntil(_) => {
+            Conduct::Outdated if !search.takes_outdated() => search.record_outdated(&name),
+            Conduct::BehindUntil(_) | Conduct::Outdated => {
                 return Found {
                     unserved: None,
                     asked,
@@ -72,6 +75,9 @@
     all_behind_for_long = { &[Conduct::BehindUntil(9_000); 3], 60_000, Some(Unserved::AllBehind), 3 },
     one_knows_it = { &[Conduct::BehindUntil(9_000), Conduct::BehindUntil(9_000), Conduct::BehindUntil(9_000), Conduct::BehindUntil(9_000), Conduct::BehindUntil(0)], 60_000, None, 5 },
     two_fail_and_one_is_behind = { &[Conduct::Fails, Conduct::BehindUntil(9_000), Conduct::Fails, Conduct::BehindUntil(0)], 60_000, None, 4 },
+    one_knows_the_targets = { &[Conduct::Outdated, Conduct::Outdated, Conduct::BehindUntil(0)], 0, None, 3 },
+    none_knows_the_targets = { &[Conduct::Outdated, Conduct::Outdated], 0, None, 3 },
+    outdated_ones_beside_one_that_is_behind = { &[Conduct::BehindUntil(9_000), Conduct::Outdated], 0, None, 3 },
     many_are_behind = { &[Conduct::BehindUntil(9_000); 194], 60_000, Some(Unserved::AllBehind), 8 },
 )]
 fn a_request_goes_on_past_instances_that_are_behind(
