Wait for the configuration by which a call was forwarded

What callers saw: nothing reported. A call with an idempotency key that was forwarded to the instance that holds the key got 404 for a service which the configuration of the forwarding instance has, as the holder had not read it.

Change: the call states the revision; the holder, which alone may execute it, waits up to 1 s for it and otherwise answers 503 not_configured. A call of an earlier build, which states nothing, gets 503 in place of 404.

--- a/crates/cactuslane-entry/src/reply.rs
+++ b/crates/cactuslane-entry/src/reply.rs
@@ -41,8 +41,8 @@
     Busy,
     /// No target of the model or service can take the call now.
     NoTarget,
-    /// The instance has no configuration confirmed as current, or has not read the instance list
-    /// yet.
+    /// The instance has no configuration confirmed as current, not that by which a call was forwarded
+    /// to it, or has not read the instance list yet.
     NotConfigured,
     /// The instance has lost contact with the key-value service and all other instances.
     CutOff,
--- a/crates/cactuslane-entry/src/shared.rs
+++ b/crates/cactuslane-entry/src/shared.rs
@@ -56,7 +56,7 @@
     pub traces: Traces,
     /// The configuration and the plan in force.
     pub documents: Documents,
-    /// Notified when a document has come into force; no task waits for it at present.
+    /// Notified when a document has come into force; forwarded calls wait for it.
     pub documents_changed: Notify,
     /// The membership as this instance sees it.
     members: Mutex<Membership>,
