Play a change that one instance does not read in the soak

Change: half of the plans with faults have it on the shape of a deployment, after the release of targets: one instance is cut off from the store, the probed route is added or removed, and another instance loses its links to targets. A loss of these links excuses late answers of the probed instance, but no longer answers by an older configuration, as other instances serve its requests. Reports count requests that were declined for it.

--- a/crates/cactuslane-soak/src/passed.rs
+++ b/crates/cactuslane-soak/src/passed.rs
@@ -23,6 +23,8 @@
     pub passed_resumptions: u64,
     /// Number of those whose headers state the place in an odd form.
     pub passed_odd: u64,
+    /// Number of those that the other instance declined, as its configuration was older.
+    pub passed_behind: u64,
     /// Number of requests of another instance that an instance took.
     pub taken: u64,
     /// Number of answers to such requests that arrived whole.
@@ -67,6 +69,7 @@
                     let is_odd = line["odd_headers"] == true;
                     self.passed_odd += u64::from(is_resumption && is_odd);
                 }
+                "other instance is behind" => self.passed_behind += 1,
                 "request of another instance taken" => self.taken += 1,
                 "passed answer ended" => self.answered += 1,
                 event if event.starts_with("cut off from all targets") => self.cut_off += 1,
--- a/crates/cactuslane-soak/src/plan.rs
+++ b/crates/cactuslane-soak/src/plan.rs
@@ -1,5 +1,6 @@
 //! The faults and planned changes of one run, drawn from a seed.
 
+mod behind;
 mod paths;
 mod releases;
 mod targets;
@@ -12,6 +13,7 @@
 use rand_pcg::Pcg64Mcg;
 use serde::Serialize;
 
+pub use self::behind::Behind;
 pub use self::paths::{PathFault, Scope, domain, draw_paths};
 pub use self::releases::{Release, blind, cut_off, draw_cuts};
 pub use targets::{ENTRY_DELAY, draw_late_ends, draw_moods, draw_releases, draw_successions};
--- a/crates/cactuslane-soak/src/probes.rs
+++ b/crates/cactuslane-soak/src/probes.rs
@@ -100,6 +100,9 @@
     pub probes: Vec<Probe>,
     /// Instance of a fault, or all without one, with start and end.
     pub faults: Vec<(Option<usize>, Instant, Instant)>,
+    /// Instance that has no links to targets, with start and end; it may answer late, but other
+    /// instances answer for it, and no more than itself by an older configuration.
+    pub cuts: Vec<(usize, Instant, Instant)>,
 }
 
 /// The result of one check.
@@ -280,9 +283,11 @@
             | Action::Freeze(number, time)
             | Action::StoreLink(number, _, time) => (Some(number), time),
             Action::Path(scope, _, time) => match scope {
-                Scope::Targets(number) | Scope::Peers(number) | Scope::Instance(number) => {
-                    (Some(number), time)
+                Scope::Targets(number) => {
+                    self.log.cuts.push((number, now, now + time));
+                    return;
                 }
+                Scope::Peers(number) | Scope::Instance(number) => (Some(number), time),
                 Scope::OthersTargets(_) | Scope::Domain(_) | Scope::All(_) => (None, time),
                 Scope::Callers(_) | Scope::AllCallers(_) => return,
             },
@@ -410,6 +415,9 @@
             subject: probe.id.clone(),
             observed: format!("{probe:?}, allowed {allowed:?}"),
         });
+        if log.is_cut(probe) {
+            continue;
+        }
         let longest = allowed.iter().map(|routes| routes.timeout_ms).max();
         let timeout = Duration::from_millis(longest.unwrap_or(TIMEOUTS_MS[1]));
         let took = probe.ended - probe.sent;
@@ -438,8 +446,18 @@
         sent.map(|(_, routes)| *routes).collect()
     }
 
+    /// Returns whether the instance of a probe had no links to targets from [`FAULT_GRACE`] before it
+    /// to its end.
+    fn is_cut(&self, probe: &Probe) -> bool {
+        let concerns = |(number, from, to): &(usize, Instant, Instant)| {
+            let overlaps = *from <= probe.ended && *to + FAULT_GRACE >= probe.sent;
+            *number == probe.instance && overlaps
+        };
+        self.cuts.iter().any(concerns)
+    }
+
     /// Returns whether the instance of a probe was neither started nor disturbed from
-    /// [`FAULT_GRACE`] before it to its end.
+    /// [`FAULT_GRACE`] before it to its end; the loss of its links to targets alone does not count.
     fn is_in_touch(&self, probe: &Probe) -> bool {
         let disturbs = |(instance, from, to): &(Option<usize>, Instant, Instant)| {
             let is_own = instance.is_none_or(|number| number == probe.instance);
--- a/crates/cactuslane-soak/src/run.rs
+++ b/crates/cactuslane-soak/src/run.rs
@@ -17,7 +17,7 @@
 use crate::load::{self, LoadSpec, RequestRecord};
 use crate::made::Made;
 use crate::options::Options;
-use crate::plan::{self, PlanStep, Release};
+use crate::plan::{self, Behind, PlanStep, Release};
 use crate::report::Report;
 use crate::workers::KILLED_TARGETS;
 
@@ -164,6 +164,15 @@
     released.map(|(number, _)| number).collect()
 }
 
+/// Draws the change that an instance does not read, on the shape of a deployment whose paths have
+/// links and whose configuration is probed.
+fn behind(options: &Options, probed: usize, release: Option<&Release>) -> Option<Behind> {
+    if options.shape.is_none() || !options.links || probed == 0 {
+        return None;
+    }
+    Behind::draw(options.seed, options.length, options.instances, release)
+}
+
 /// Draws the steps of a run, in the order of their times; `released` are the targets of a release.
 fn draw_steps(
     options: &Options,
@@ -210,6 +219,10 @@
     if let Some(release) = release {
         release.join(&mut steps, released);
     }
+    let behind = behind(options, deployment.probes.targets(), release);
+    if let Some(behind) = behind {
+        behind.join(&mut steps);
+    }
     steps.sort_by_key(|step| step.at);
     steps
 }
--- a/crates/cactuslane-soak/tests/probes.rs
+++ b/crates/cactuslane-soak/tests/probes.rs
@@ -3,7 +3,7 @@
 
 use std::time::Duration;
 
-use cactuslane_soak::plan::{Action, draw_silences};
+use cactuslane_soak::plan::{self, Action, Behind, PlanStep, Release, draw_silences};
 use cactuslane_soak::probes::{Probe, ProbeLog, Route, Routes, judge};
 use tokio::time::Instant;
 use yare::parameterized;
@@ -38,6 +38,7 @@
         versions: vec![(start, Routes::default()), (changed, routes)],
         probes,
         faults: Vec::new(),
+        cuts: Vec::new(),
     }
 }
 
@@ -96,6 +97,54 @@
     }
 }
 
+/// Guards against an old configuration that shows only at instances whose requests others serve, as
+/// they have no links to targets.
+#[test]
+fn an_instance_without_links_to_targets_may_be_late_but_not_behind() {
+    let start = Instant::now();
+    let from = start + Duration::from_secs(4);
+    let waiting = probe(start, Route::Steady, 5_000, 900, Some(504));
+    let mut log = log(start, vec![waiting; 8]);
+    log.cuts = vec![(1, from, from + Duration::from_secs(12))];
+    assert_eq!(violated(&log, true), Vec::<&str>::new());
+    let cut = std::mem::take(&mut log.cuts);
+    assert_eq!(violated(&log, true), ["time-outs are kept"]);
+    log.cuts = cut;
+    log.probes = vec![probe(start, Route::Added, 14_000, 10, Some(404))];
+    assert_eq!(violated(&log, true), ["changes are in force in time"]);
+}
+
+#[test]
+fn a_change_that_one_instance_does_not_read_is_beside_one_that_passes_requests_on() {
+    let (length, mut drawn) = (Duration::from_secs(40), 0);
+    for seed in 0..100 {
+        let release = Release::draw(seed, length, 7, &[0, 1]);
+        let Some(behind) = Behind::draw(seed, length, 7, release.as_ref()) else {
+            continue;
+        };
+        drawn += 1;
+        assert!(release.is_none_or(|release| release.until <= behind.from));
+        assert!(behind.until <= length.mul_f64(0.7));
+        assert_ne!(behind.blind, behind.cut);
+        let mut steps = plan::draw(seed, length, 7, 4);
+        steps.extend(plan::draw_paths(seed, length, 7));
+        behind.join(&mut steps);
+        let ends = |step: &&PlanStep| {
+            let end = step.at + step.action.duration();
+            let is_beside = step.at < behind.until && end >= behind.from;
+            is_beside && matches!(step.action, Action::KillAll(_) | Action::Store(..))
+        };
+        assert_eq!(steps.iter().find(ends), None, "seed {seed}");
+        let changes = steps.iter().filter(|step| {
+            let is_beside = (behind.from..behind.until).contains(&step.at);
+            is_beside && matches!(step.action, Action::Change(_))
+        });
+        assert_eq!(changes.count(), 1, "seed {seed}");
+    }
+    assert!((20..60).contains(&drawn), "{drawn}");
+    assert_eq!(Behind::draw(1, Duration::from_secs(8), 7, None), None);
+}
+
 /// Guards against checks that miss requests which outlast the time-out of their route.
 #[parameterized(
     answered_in_the_slack = { 10, 750, 0, true },
