--- a/crates/cactuslane-soak/src/plan/behind.rs
+++ b/crates/cactuslane-soak/src/plan/behind.rs
@@ -18,6 +18,11 @@
 const BLIND_TIME: Duration = Duration::from_secs(7);
 /// Time from the beginning of that cut to the change.
 const CHANGE_DELAY: Duration = Duration::from_millis(300);
+/// Time before it in which a fault of these instances or of all must have ended.
+const QUIET_TIME: Duration = Duration::from_secs(1);
+/// Time before it in which these instances are not stopped, as they may stop for the whole grace period
+/// and are judged some time after they have started again.
+const STOP_TIME: Duration = Duration::from_secs(12);
 /// Range of the times from the change to the loss of the links to targets, in seconds.
 const LOSS_DELAY: std::ops::Range<f64> = 1.0..2.0;
 
@@ -93,8 +98,11 @@
     pub fn join(&self, steps: &mut Vec<PlanStep>) {
         let concerns = |instance: usize| [self.blind, self.cut].contains(&instance);
         steps.retain(|step| {
-            let end = step.at + step.action.duration();
-            if step.at >= self.until || end < self.from {
+            let lasts = match step.action {
+                Action::Stop(_) => STOP_TIME,
+                _ => step.action.duration() + QUIET_TIME,
+            };
+            if step.at >= self.until || step.at + lasts < self.from {
                 return true;
             }
             match step.action {
--- a/crates/cactuslane-soak/src/report.rs
+++ b/crates/cactuslane-soak/src/report.rs
@@ -48,6 +48,8 @@
     pub paths: PathFigures,
     /// Number of releases of services beside instances that did not see them.
     pub releases: u64,
+    /// Number of changes that one instance did not read, beside another one without links to targets.
+    pub unread_changes: u64,
     /// Counts of the streams that callers took up.
     pub take_ups: TakeUpFigures,
     /// Statistics of the load.
@@ -76,7 +78,7 @@
             "seed {}: {} steps, {served} of {sent} requests served, {checks} checks, {} broken, {} \
              target processes killed, {} answers without a length cut by it, {} faults of paths, \
              {} requests passed on, {} of them to take up a stream, {} of these with odd headers, \
-             {} releases; {}",
+             {} releases, {} changes that an instance did not read; {}",
             self.seed,
             self.steps.len(),
             self.violations.len(),
@@ -87,6 +89,7 @@
             self.paths.passed_resumptions,
             self.paths.passed_odd,
             self.releases,
+            self.unread_changes,
             self.take_ups.summary(),
         )
     }
--- a/crates/cactuslane-soak/src/run.rs
+++ b/crates/cactuslane-soak/src/run.rs
@@ -43,7 +43,8 @@
     let release = Release::draw(seed, length, options.instances, &released);
     let release = release.as_ref();
     let mut deployment = Deployment::start(options, release).await?;
-    let steps = draw_steps(options, &deployment, release, &released);
+    let behind = draw_behind(options, deployment.probes.targets(), release);
+    let steps = draw_steps(options, &deployment, (release, behind.as_ref()), &released);
     let spec = LoadSpec {
         length: options.length,
         rate: options.rate,
@@ -127,6 +128,7 @@
         usage,
         paths,
         releases: u64::from(release.is_some()),
+        unread_changes: u64::from(behind.is_some()),
         take_ups,
         figures,
     })
@@ -166,18 +168,19 @@
 
 /// Draws the change that an instance does not read, on the shape of a deployment whose paths have
 /// links and whose configuration is probed.
-fn behind(options: &Options, probed: usize, release: Option<&Release>) -> Option<Behind> {
+fn draw_behind(options: &Options, probed: usize, release: Option<&Release>) -> Option<Behind> {
     if options.shape.is_none() || !options.links || probed == 0 {
         return None;
     }
     Behind::draw(options.seed, options.length, options.instances, release)
 }
 
-/// Draws the steps of a run, in the order of their times; `released` are the targets of a release.
+/// Draws the steps of a run, in the order of their times, with a release and an unread change;
+/// `released` are the targets of the release.
 fn draw_steps(
     options: &Options,
     deployment: &Deployment,
-    release: Option<&Release>,
+    (release, behind): (Option<&Release>, Option<&Behind>),
     released: &[usize],
 ) -> Vec<PlanStep> {
     let mut steps = plan::draw(
@@ -219,7 +222,6 @@
     if let Some(release) = release {
         release.join(&mut steps, released);
     }
-    let behind = behind(options, deployment.probes.targets(), release);
     if let Some(behind) = behind {
         behind.join(&mut steps);
     }
