--- a/crates/cactuslane-gateway/src/passing.rs
+++ b/crates/cactuslane-gateway/src/passing.rs
@@ -164,6 +164,7 @@
                     search.record_outdated(&helper);
                     info!(request = id, helper, after_ms; "other instance is outdated");
                 } else {
+                    search.record_failed();
                     gateway.metrics.count_passed("declined");
                     info!(request = id, helper, after_ms; "other instance takes no request");
                 }
@@ -179,10 +180,12 @@
                 return return_answer(gateway, request, response);
             }
             Ok(Err(HttpError::Connect(why))) => {
+                search.record_failed();
                 gateway.metrics.count_passed("unsent");
                 warn!(request = id, why, after_ms; "other instance not reached");
             }
             Ok(Err(HttpError::Broken(why))) => {
+                search.record_failed();
                 gateway.metrics.count_passed("broken");
                 warn!(request = id, why, after_ms; "other instance gave no answer");
                 let budget = || gateway.take_retry(&request.service);
--- a/crates/cactuslane-gateway/tests/builds.rs
+++ b/crates/cactuslane-gateway/tests/builds.rs
@@ -205,6 +205,7 @@
         "domain":"a","leaving":false,"started":1700000000000,"later":[1]}"#;
     let member: Member = serde_json::from_str(member).expect("it is read");
     assert_eq!(member.instance, "front-a-1");
+    assert!(!member.compares, "its build may not compare configurations");
     let leader = r#"{"instance":"front-a-1","started":1700000000000,"later":null}"#;
     let leader: LeaderRecord = serde_json::from_str(leader).expect("it is read");
     assert_eq!(leader.started, 1_700_000_000_000);
--- a/crates/cactuslane-place/src/helpers.rs
+++ b/crates/cactuslane-place/src/helpers.rs
@@ -5,7 +5,7 @@
 
 use cactuslane_types::InstanceId;
 
-/// Number of instances that are asked without success, those that are behind not counted.
+/// Number of instances that are asked without success, those that are behind or outdated not counted.
 const MAX_FAILED: usize = 3;
 /// Number of instances that are asked in one round and are behind or outdated.
 const MAX_BEHIND: usize = 8;
@@ -34,7 +34,7 @@
     outdated: BTreeSet<InstanceId>,
     /// Whether instances that are outdated may take the request.
     takes_outdated: bool,
-    /// Number of instances that were asked in all rounds and did not serve it for another reason.
+    /// Number of instances that did not serve it for another reason, in all rounds.
     failed: usize,
     /// Whether an instance was behind in any round, or passed over as it had been just before.
     found_behind: bool,
@@ -98,20 +98,28 @@
     /// Records that an instance is asked.
     pub fn record_asked(&mut self, instance: &str) {
         self.asked.insert(instance.to_owned());
+    }
+
+    /// Records that the instance that was asked does not serve the request, for another reason than
+    /// that it is behind or outdated.
+    pub fn record_failed(&mut self) {
         self.failed += 1;
     }
 
     /// Records that an instance that was asked is behind.
     pub fn record_behind(&mut self, instance: &str) {
         self.behind.insert(instance.to_owned());
-        self.failed = self.failed.saturating_sub(1);
         self.found_behind = true;
     }
 
     /// Records that an instance that was asked is outdated.
     pub fn record_outdated(&mut self, instance: &str) {
+        if self.takes_outdated {
+            // It was asked to serve the request all the same.
+            self.failed += 1;
+            return;
+        }
         self.outdated.insert(instance.to_owned());
-        self.failed = self.failed.saturating_sub(1);
     }
 
     /// Records that an instance was passed over, as it was behind just before.
--- a/crates/cactuslane-place/tests/helpers.rs
+++ b/crates/cactuslane-place/tests/helpers.rs
@@ -14,6 +14,8 @@
     BehindUntil(u64),
     /// It does not know the targets recently, and serves the request if that is allowed.
     Outdated,
+    /// It says that it does not know the targets recently, whatever is allowed.
+    AlwaysOutdated,
 }
 
 /// Result of a search: what became of the request, the number of questions and the time.
@@ -53,9 +55,10 @@
         search.record_asked(&name);
         (now, asked) = (now + 1, asked + 1);
         match conducts[number] {
-            Conduct::Fails => {}
+            Conduct::Fails => search.record_failed(),
             Conduct::BehindUntil(until) if now < until => search.record_behind(&name),
             Conduct::Outdated if !search.takes_outdated() => search.record_outdated(&name),
+            Conduct::AlwaysOutdated => search.record_outdated(&name),
             Conduct::BehindUntil(_) | Conduct::Outdated => {
                 return Found {
                     unserved: None,
@@ -77,6 +80,7 @@
     two_fail_and_one_is_behind = { &[Conduct::Fails, Conduct::BehindUntil(9_000), Conduct::Fails, Conduct::BehindUntil(0)], 60_000, None, 4 },
     one_knows_the_targets = { &[Conduct::Outdated, Conduct::Outdated, Conduct::BehindUntil(0)], 0, None, 3 },
     none_knows_the_targets = { &[Conduct::Outdated, Conduct::Outdated], 0, None, 3 },
+    outdated_whatever_is_allowed = { &[Conduct::AlwaysOutdated, Conduct::AlwaysOutdated], 0, Some(Unserved::NoInstance), 4 },
     outdated_ones_beside_one_that_is_behind = { &[Conduct::BehindUntil(9_000), Conduct::Outdated], 0, None, 3 },
     many_are_behind = { &[Conduct::BehindUntil(9_000); 194], 60_000, Some(Unserved::AllBehind), 8 },
 )]
