--- a/crates/cactuslane-gateway/src/progress.rs
+++ b/crates/cactuslane-gateway/src/progress.rs
@@ -1,5 +1,7 @@
 //! How far an instance knows the store: up to which revisions, and as of which times.
 
+use std::time::Duration;
+
 use cactuslane_types::{Era, Millis, Position};
 
 use crate::relay::DocumentRange;
@@ -68,6 +70,12 @@
         Position::new(self.era, revision)
     }
 
+    /// Returns whether the entries are known as of a time that is at most `limit` before `now`.
+    #[must_use]
+    pub fn is_recent(&self, now: Millis, limit: Duration) -> bool {
+        u128::from(now.saturating_sub(self.entries_seen)) <= limit.as_millis()
+    }
+
     /// Returns whether the document is known to have changed since it was last read.
     #[must_use]
     pub fn lacks_document(&self) -> bool {
--- a/crates/cactuslane-gateway/src/state.rs
+++ b/crates/cactuslane-gateway/src/state.rs
@@ -1,6 +1,7 @@
 //! The state that the tasks of an instance share.
 
 mod guards;
+mod knowledge;
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
@@ -19,7 +20,6 @@
 use cactuslane_store::http::Client;
 use cactuslane_store::kv::KvClient;
 use cactuslane_types::{Millis, Position, ServiceName, SoftwareVersion, TargetId};
-use log::warn;
 use tokio::net::UdpSocket;
 use tokio::sync::Notify;
 use tokio::time::Instant;
@@ -334,45 +334,6 @@
         self.begun().stored(lifetime, is_mixed, now)
     }
 
-    /// Returns the time for which the instance may rely on its knowledge of the store: within the
-    /// limits for configurations and for leaving targets.
-    #[must_use]
-    pub fn knowledge_limit(&self) -> Duration {
-        let settings = self.settings();
-        settings.apply_limit.min(settings.drain_limit)
-    }
-
-    /// Records how far the store is known, and logs when that becomes too old or recent again.
-    pub fn observe_progress(&self, progress: &Progress) {
-        let now = self.now();
-        let limit = self.knowledge_limit().as_millis() as Millis;
-        let entries_age = now.saturating_sub(progress.entries_seen);
-        let document_age = now.saturating_sub(progress.document_seen);
-        let is_old = entries_age.max(document_age) > limit;
-        let mut known = lock(&self.progress);
-        let was_old = known.is_some_and(|(_, was_old)| was_old);
-        *known = Some((*progress, is_old));
-        drop(known);
-        if is_old != was_old {
-            let (entries, document) = (progress.entries, progress.document);
-            warn!(entries_age, document_age, limit, entries, document, is_old; "age of the store's picture");
-        }
-    }
-
-    /// Returns whether the targets are known as of a time within [`Gateway::knowledge_limit`].
-    #[must_use]
-    pub fn is_recent(&self) -> bool {
-        let limit = self.knowledge_limit().as_millis() as Millis;
-        self.progress()
-            .is_some_and(|known| self.now().saturating_sub(known.entries_seen) <= limit)
-    }
-
-    /// Returns how far the store is known, once it was read.
-    #[must_use]
-    pub fn progress(&self) -> Option<Progress> {
-        lock(&self.progress).map(|(progress, _)| progress)
-    }
-
     /// Returns the routing configuration in force; `None` until one was read.
     #[must_use]
     pub fn routing_config(&self) -> Option<Arc<RoutingConfig>> {
--- a/crates/cactuslane-gateway/tests/serving/main.rs
+++ b/crates/cactuslane-gateway/tests/serving/main.rs
@@ -33,6 +33,7 @@
 mod rewind;
 mod silent;
 mod stale;
+mod stated;
 mod stopping;
 mod streams;
 mod unknown;
